Lay the skeleton: types, error table, wire formats, messages, ports

Cause: an empty repository. The parts that go on side by side need shared types, messages, the closed list of error kinds and the store port before anything else. Ruled out: a MAC over each tunnel message (costs a hash a packet); a constant cookie derived from the shared key keeps strangers out at the price of one set look-up. Conclusion: the skeleton stands; no daemon exists yet.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and experiments; they stand apart from the tests."""
--- /dev/null
+++ b/plantainproxy/balancer/__init__.py
@@ -0,0 +1,1 @@
+"""The balancer daemon."""
--- /dev/null
+++ b/plantainproxy/membership/__init__.py
@@ -0,0 +1,1 @@
+"""The tasks that spread member records between processes."""
--- /dev/null
+++ b/plantainproxy/quic/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the QUIC and HTTP/3 library."""
--- /dev/null
+++ b/plantainproxy/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Calls between the system's processes over gRPC."""
--- /dev/null
+++ b/plantainproxy/rpc/messages.py
@@ -0,0 +1,166 @@
+"""The messages between the system's processes.
+
+They are encoded as MessagePack arrays by ``msgspec``; see ``rpc.codec``.
+"""
+
+import dataclasses
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.config import model
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HeartbeatRequest:
+    """A sidecar tells a home balancer that it is alive."""
+
+    record: _types.MemberRecord
+    configuration_revision: int
+    """The revision that the sidecar holds; 0 for none."""
+    key_revision: int
+    """The revision of the key set that the sidecar holds; 0 for none."""
+    siblings_digest: int
+    """Digest of the sibling records that the sidecar holds; 0 for none."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HeartbeatReply:
+    """What a home balancer knows and the sidecar does not."""
+
+    known: _types.MemberRecord
+    """The balancer's record of the sidecar; when it says lost, the owner answers
+    with a higher sequence."""
+    view: model.PoolView | None = None
+    """Present when the balancer's revision is higher than the sidecar's."""
+    key_set: model.KeySet | None = None
+    """Present when the balancer's key revision is higher."""
+    siblings: tuple[_types.MemberRecord, ...] | None = None
+    """All members of the pool; present when the digests differ."""
+    siblings_digest: int = 0
+    balancers: tuple[_types.Address, ...] = ()
+    """gRPC addresses among which the sidecar picks its homes."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GossipRequest:
+    """One balancer's news for another."""
+
+    sender: _types.MemberRecord
+    configuration_revision: int
+    key_revision: int
+    records: tuple[_types.MemberRecord, ...] = ()
+    """Records that changed lately."""
+    digests: tuple[int, ...] = ()
+    """Digest of each bucket of records; empty when this round carries none."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GossipReply:
+    """The receiver's news in return."""
+
+    sender: _types.MemberRecord
+    configuration_revision: int
+    key_revision: int
+    records: tuple[_types.MemberRecord, ...] = ()
+    """Records of differing buckets, and records newer than those received."""
+    buckets: tuple[int, ...] = ()
+    """The buckets whose digests differ and whose records the receiver wants."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PullRequest:
+    """Asks a balancer for what is newer than the given revisions."""
+
+    configuration_revision: int
+    key_revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PullReply:
+    """The newer documents; absent where there is nothing newer."""
+
+    configuration: model.Configuration | None = None
+    key_set: model.KeySet | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Header:
+    """One HTTP header field."""
+
+    name: bytes
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Request:
+    """One HTTP request of a caller."""
+
+    method: str
+    path: str
+    headers: tuple[Header, ...] = ()
+    body: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Response:
+    """One whole HTTP answer."""
+
+    status: int
+    headers: tuple[Header, ...] = ()
+    body: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ExecuteRequest:
+    """A sidecar asks a sibling to run a request on the sibling's upstream."""
+
+    service: _types.Address
+    """The service address that the request came to; the receiver checks it."""
+    request: Request
+    timeout_milliseconds: int
+    """What is left of the deadline."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ExecuteReply:
+    """The sibling's answer: a response, or an error kind with its outcome."""
+
+    running: int
+    """Requests running on the sibling's upstream."""
+    limit: int
+    """Requests that the sibling lets run at once."""
+    response: Response | None = None
+    error: _exceptions.ErrorKind | None = None
+    detail: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimRequest:
+    """Asks a key's home for the right to run a request."""
+
+    key: str
+    fingerprint: bytes
+    """Digest of method, path and body, to notice a key that is used again."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimReply:
+    """The home's decision: granted, the stored answer, or an error kind."""
+
+    granted: bool = False
+    response: Response | None = None
+    error: _exceptions.ErrorKind | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SettleRequest:
+    """Tells a key's home how the granted attempt ended."""
+
+    key: str
+    outcome: _types.Outcome
+    """Not run frees the key; unknown keeps it blocked."""
+    response: Response | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SettleReply:
+    """Acknowledges a settled key."""
--- /dev/null
+++ b/plantainproxy/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files of the binaries."""
--- /dev/null
+++ b/plantainproxy/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar daemon."""
--- /dev/null
+++ b/plantainproxy/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/plantainproxy/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Formats on the wire: PROXY headers, connection IDs and the tunnel."""
--- /dev/null
+++ b/plantainproxy/wire/keyring.py
@@ -0,0 +1,52 @@
+"""Working keys derived from the shared key set."""
+
+from collections.abc import Callable
+import hashlib
+import hmac
+
+from cryptography.hazmat.primitives.ciphers import Cipher, algorithms, modes
+
+from plantainproxy.config import model
+
+RESET_TOKEN_BYTES = 16
+COOKIE_BYTES = 8
+
+
+def _derive(secret: bytes, purpose: bytes, size_bytes: int) -> bytes:
+    return hashlib.blake2b(purpose, key=secret, digest_size=size_bytes).digest()
+
+
+class WorkingKey:
+    """The ciphers and secrets of one key."""
+
+    def __init__(self, key: model.Key) -> None:
+        """Derive everything once, so that each use costs one call."""
+        cipher = Cipher(
+            algorithms.AES(_derive(key.secret, b"connection-id", 16)), modes.ECB()
+        )
+        self.number = key.number
+        self.encrypt: Callable[[bytes], bytes] = cipher.encryptor().update
+        """Encrypts exactly one block of 16 bytes."""
+        self.decrypt: Callable[[bytes], bytes] = cipher.decryptor().update
+        """Decrypts exactly one block of 16 bytes."""
+        self.cookie = _derive(key.secret, b"tunnel", COOKIE_BYTES)
+        """Proves to a tunnel's receiver that the sender belongs to the system."""
+        self.reset_secret = _derive(key.secret, b"stateless-reset", 32)
+        self.ticket_secret = _derive(key.secret, b"ticket", 32)
+
+    def reset_token(self, connection_id: bytes) -> bytes:
+        """Return the stateless reset token of a connection ID (RFC 9000, 10.3)."""
+        digest = hmac.digest(self.reset_secret, connection_id, "sha256")
+        return digest[:RESET_TOKEN_BYTES]
+
+
+class Keyring:
+    """All working keys of one key set."""
+
+    def __init__(self, key_set: model.KeySet) -> None:
+        """Derive the working keys of a key set."""
+        self.revision = key_set.revision
+        self.by_number = {key.number: WorkingKey(key) for key in key_set.keys}
+        self.current = self.by_number[key_set.current]
+        """The key for new connection IDs, tickets and tunnel messages."""
+        self.cookies = frozenset(key.cookie for key in self.by_number.values())
--- /dev/null
+++ b/plantainproxy/wire/tests/test_formats.py
@@ -0,0 +1,71 @@
+"""Round trips and rejections of the wire formats."""
+
+import pytest
+
+from plantainproxy import _types
+from plantainproxy.config import model
+from plantainproxy.wire import connection_id, keyring, proxy, tunnel
+
+CALLER = _types.Address("127.0.0.9", 4433)
+SERVICE = _types.Address("127.1.0.1", 443)
+KEY_SET = model.KeySet(
+    revision=1,
+    current=7,
+    keys=(model.Key(number=7, secret=b"s" * 32), model.Key(number=8, secret=b"t" * 32)),
+)
+
+
+def test_a_proxy_header_gives_back_its_addresses() -> None:
+    """Decoding undoes encoding."""
+    datagram = proxy.encode(source=CALLER, destination=SERVICE) + b"payload"
+    header = proxy.decode(datagram)
+    assert header is not None
+    assert _types.Address.unpack(header.source) == CALLER
+    assert _types.Address.unpack(header.destination) == SERVICE
+    assert datagram[header.payload_offset :] == b"payload"
+
+
+@pytest.mark.parametrize("size", range(proxy.HEADER_BYTES))
+def test_a_truncated_proxy_header_is_refused(size: int) -> None:
+    """Every proper prefix of a header is invalid."""
+    datagram = proxy.encode(source=CALLER, destination=SERVICE)
+    assert proxy.decode(datagram[:size]) is None
+
+
+def test_a_connection_id_gives_back_its_destination() -> None:
+    """Decoding undoes encoding under every key of the set."""
+    ring = keyring.Keyring(KEY_SET)
+    destination = connection_id.Destination(CALLER.pack(), 3, 60_000, 1234)
+    for key in ring.by_number.values():
+        encoded = connection_id.encode(key, destination, nonce=5)
+        assert len(encoded) == connection_id.BYTES
+        assert connection_id.decode(ring, encoded) == destination
+
+
+def test_a_forged_connection_id_is_refused() -> None:
+    """Flipping any bit of the block spoils the redundancy."""
+    ring = keyring.Keyring(KEY_SET)
+    destination = connection_id.Destination(CALLER.pack(), 3, 60_000, 1234)
+    encoded = connection_id.encode(ring.current, destination, nonce=5)
+    for bit in range(8, connection_id.BYTES * 8):
+        forged = bytearray(encoded)
+        forged[bit // 8] ^= 1 << (bit % 8)
+        assert connection_id.decode(ring, bytes(forged)) is None
+
+
+def test_a_tunnel_message_gives_back_its_parts() -> None:
+    """Decoding undoes encoding."""
+    ring = keyring.Keyring(KEY_SET)
+    owners = (CALLER.pack(), SERVICE.pack())
+    prefix = tunnel.encode_prefix(ring.current.cookie, hops=1, earlier_owners=owners)
+    message = tunnel.decode(prefix + b"datagram", cookies=ring.cookies)
+    assert message == tunnel.Message(1, owners, b"datagram")
+
+
+@pytest.mark.parametrize("position", [0, 1, 2, 4, 11])
+def test_a_tunnel_message_of_a_stranger_is_refused(position: int) -> None:
+    """A wrong version, count or cookie makes a message invalid."""
+    ring = keyring.Keyring(KEY_SET)
+    message = bytearray(tunnel.encode_prefix(ring.current.cookie) + b"datagram")
+    message[position] ^= 0xFF
+    assert tunnel.decode(bytes(message), cookies=ring.cookies) is None
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes, and the scaffolding that starts them."""
