--- /dev/null
+++ b/plantainproxy/settings/tests/test_load.py
@@ -0,0 +1,75 @@
+"""Settings files: every problem is told at once, with file and place."""
+
+import pathlib
+
+import pytest
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.settings import check, load, model
+
+EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
+BALANCER = """
+domain = "rimouski"
+datagram_address = "127.0.0.1:7000"
+rpc_address = "127.0.0.1:7001"
+health_address = "127.0.0.1:7002"
+seeds = ["127.0.0.1:7011"]
+[store]
+address = "127.0.0.1:2379"
+"""
+
+
+def parse(text: str) -> model.BalancerSettings:
+    """Parse a balancer's settings as the daemon does."""
+    return load.parse(
+        text, model.BalancerSettings, source="b.toml", check=check.check_balancer
+    )
+
+
+def test_a_complete_file_is_decoded() -> None:
+    """Addresses and nested tables become typed values."""
+    settings = parse(BALANCER)
+    assert settings.store.address == _types.Address("127.0.0.1", 2379)
+    assert settings.seeds == (_types.Address("127.0.0.1", 7011),)
+
+
+@pytest.mark.parametrize(
+    ("line", "place", "expectation"),
+    [
+        ("surprise = 1", "surprise", "unknown key"),
+        ("grace_seconds = 'soon'", "grace_seconds", "Expected `float`"),
+        ("grace_seconds = 0", "grace_seconds", "must be above 0"),
+        ("[tls]\ncertificate_file = 'x'", "tls", "also needs"),
+        ("[tls]\nauthority = 'x'", "tls.authority", "unknown key"),
+        ("[telemetry]\nlog_format = 'xml'", "telemetry.log_format", "one of"),
+        ("[telemetry]\nstatsd_address = 'x'", "telemetry.statsd_address", "IPv4"),
+    ],
+)
+def test_a_problem_names_file_place_and_expectation(
+    line: str, place: str, expectation: str
+) -> None:
+    """A person can find and mend what is wrong."""
+    text = BALANCER + line if line.startswith("[") else line + BALANCER
+    with pytest.raises(_exceptions.PlantainError) as caught:
+        parse(text)
+    assert caught.value.kind is _exceptions.ErrorKind.INVALID_SETTINGS
+    assert f"b.toml: {place}: " in caught.value.detail
+    assert expectation in caught.value.detail
+
+
+def test_all_problems_are_told_at_once() -> None:
+    """One run of a daemon shows everything that must be mended."""
+    with pytest.raises(_exceptions.PlantainError) as caught:
+        parse("domain = 5\nrpc_address = 'nowhere'\nextra = 1\n")
+    detail = caught.value.detail
+    for place in ("domain", "rpc_address", "extra", "store", "health_address"):
+        assert f"b.toml: {place}: " in detail
+
+
+def test_plaintext_beyond_loopback_must_be_allowed_in_so_many_words() -> None:
+    """A forgotten certificate does not silently mean plaintext."""
+    text = BALANCER.replace("127.0.0.1:7001", "192.0.2.1:7001")
+    with pytest.raises(_exceptions.PlantainError, match="is not loopback"):
+        parse(text)
+    allowed = text + "[tls]\nallow_plaintext_beyond_loopback = true\n"
+    assert parse(allowed).tls.allow_plaintext_beyond_loopback
--- /dev/null
+++ b/plantainproxy/telemetry/logs.py
@@ -0,0 +1,68 @@
+"""Set-up of ``logging`` for the binaries, as text or JSON lines."""
+
+from collections.abc import Callable
+import logging
+import sys
+import time
+
+import msgspec
+
+from plantainproxy.settings import model
+
+TEXT_FORMAT = "%(asctime)s %(levelname)s %(name)s: %(message)s"
+REPEAT_SECONDS = 1.0
+"""A rate-limited sentence is logged at most once in this time."""
+
+
+class JsonFormatter(logging.Formatter):
+    """Renders each record as one JSON object on a line."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line without its end."""
+        fields = {
+            "time": record.created,
+            "level": record.levelname,
+            "part": record.name,
+            "message": record.getMessage(),
+        }
+        if record.exc_info:
+            fields["exception"] = self.formatException(record.exc_info)
+        return msgspec.json.encode(fields).decode()
+
+
+def configure(telemetry: model.Telemetry) -> None:
+    """Send all logs of the process to standard error."""
+    handler = logging.StreamHandler(sys.stderr)
+    if telemetry.log_format == "json":
+        handler.setFormatter(JsonFormatter())
+    else:
+        handler.setFormatter(logging.Formatter(TEXT_FORMAT))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(telemetry.log_level)
+
+
+def rate_limited(
+    logger: logging.Logger,
+    *,
+    clock: Callable[[], float] = time.monotonic,
+    repeat_seconds: float = REPEAT_SECONDS,
+) -> Callable[..., None]:
+    """Make a warning function for hot paths.
+
+    Each format string is logged at most once in ``repeat_seconds``; the next line
+    tells how many were left out.
+    """
+    next_time: dict[str, float] = {}
+    left_out: dict[str, int] = {}
+
+    def warn(message: str, *arguments: object) -> None:
+        now = clock()
+        if now < next_time.get(message, now):
+            left_out[message] = left_out.get(message, 0) + 1
+            return
+        next_time[message] = now + repeat_seconds
+        suffix = f" ({left_out.pop(message)} more)" if message in left_out else ""
+        logger.warning(message + suffix, *arguments)
+
+    return warn
--- /dev/null
+++ b/plantainproxy/telemetry/metrics.py
@@ -0,0 +1,54 @@
+"""Batched counters and gauges to a statsd server."""
+
+from collections.abc import Callable, Mapping
+import contextlib
+import logging
+import socket
+
+import statsd
+import trio
+
+from plantainproxy.settings import model
+
+PREFIX = "plantain"
+
+logger = logging.getLogger("plantain.metrics")
+
+Snapshot = Callable[[], Mapping[str, float]]
+"""Returns the present value of each metric by name."""
+
+
+def send_once(
+    client: statsd.StatsClient,
+    *,
+    counters: Mapping[str, float],
+    gauges: Mapping[str, float],
+    previous: dict[str, float],
+) -> None:
+    """Send the growth of each counter and the value of each gauge in one batch."""
+    with client.pipeline() as pipeline:
+        for name, value in counters.items():
+            growth = value - previous.get(name, 0)
+            if growth:
+                pipeline.incr(name, growth)
+            previous[name] = value
+        for name, value in gauges.items():
+            pipeline.gauge(name, value)
+
+
+async def report(
+    telemetry: model.Telemetry, *, part: str, counters: Snapshot, gauges: Snapshot
+) -> None:
+    """Send metrics for ever; return at once when no server is set."""
+    if telemetry.statsd_address is None:
+        return
+    host, port = telemetry.statsd_address
+    client = statsd.StatsClient(host=host, port=port, prefix=f"{PREFIX}.{part}")
+    previous: dict[str, float] = {}
+    with contextlib.closing(client):
+        while True:
+            await trio.sleep(telemetry.statsd_interval_seconds)
+            with contextlib.suppress(OSError, socket.gaierror):
+                send_once(
+                    client, counters=counters(), gauges=gauges(), previous=previous
+                )
