Add the operators' interface and command line

Cause: operators need one tool that checks, changes and explains, over any balancer. Ruled out: fire's own handling of unknown words, which names no nearest match.

--- /dev/null
+++ b/plantainproxy/ctl/render.py
@@ -0,0 +1,49 @@
+"""Rendering of results as text or JSON."""
+
+from collections.abc import Sequence
+import dataclasses
+from typing import Any
+
+import msgspec
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Result:
+    """What one command tells its operator."""
+
+    lines: tuple[str, ...] = ()
+    """Sentences for a person."""
+    columns: tuple[str, ...] = ()
+    """Heads of the table; empty for no table."""
+    rows: tuple[tuple[Any, ...], ...] = ()
+    fields: tuple[tuple[str, Any], ...] = ()
+    """Further values for programs, by name."""
+
+
+def _table(columns: Sequence[str], rows: Sequence[Sequence[Any]]) -> list[str]:
+    cells = [list(columns), *[[str(value) for value in row] for row in rows]]
+    widths = [max(len(row[index]) for row in cells) for index in range(len(columns))]
+    return [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        for row in cells
+    ]
+
+
+def as_text(result: Result) -> str:
+    """Render for a person."""
+    lines = list(result.lines)
+    if result.columns:
+        lines.extend(line.rstrip() for line in _table(result.columns, result.rows))
+    return "\n".join(lines)
+
+
+def as_json(result: Result) -> str:
+    """Render as one JSON object."""
+    value: dict[str, Any] = dict(result.fields)
+    if result.lines:
+        value["messages"] = list(result.lines)
+    if result.columns:
+        value["rows"] = [
+            dict(zip(result.columns, row, strict=True)) for row in result.rows
+        ]
+    return msgspec.json.encode(value).decode()
--- /dev/null
+++ b/plantainproxy/ctl/spread.py
@@ -0,0 +1,107 @@
+"""What is in force where, asked of every balancer."""
+
+import concurrent.futures
+import dataclasses
+import time
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.ctl import client
+from plantainproxy.rpc import operator_pb2
+from plantainproxy.settings import model
+
+WAIT_TIMEOUT_SECONDS = 30.0
+POLL_SECONDS = 0.2
+MAX_PARALLEL_CALLS = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Fleet:
+    """The answers of all balancers that could be asked."""
+
+    replies: tuple[operator_pb2.StatusReply, ...]
+    silent: tuple[str, ...]
+    """gRPC addresses of balancers that are known and did not answer."""
+
+
+def status_of(
+    settings: model.ClientSettings, address: _types.Address
+) -> operator_pb2.StatusReply | None:
+    """Ask one balancer; return ``None`` when it does not answer."""
+
+    def run(stub: client.Stub) -> operator_pb2.StatusReply:
+        reply: operator_pb2.StatusReply = stub.Status(
+            operator_pb2.StatusRequest(), timeout=settings.call_timeout_seconds
+        )
+        return reply
+
+    try:
+        return client.call_one(address, settings, run)
+    except _exceptions.PlantainError as error:
+        if error.kind is _exceptions.ErrorKind.PEER_UNAVAILABLE:
+            return None
+        raise
+
+
+def _balancers(reply: operator_pb2.StatusReply) -> list[str]:
+    return [
+        member.rpc_address
+        for member in reply.members
+        if member.kind == _types.MemberKind.BALANCER
+        and member.state != _types.MemberState.LEFT
+        and not member.lost
+    ]
+
+
+def ask_fleet(settings: model.ClientSettings) -> Fleet:
+    """Ask the first balancer that answers, then every balancer it knows."""
+    first = client.call_any(
+        settings,
+        lambda stub: stub.Status(
+            operator_pb2.StatusRequest(), timeout=settings.call_timeout_seconds
+        ),
+    )
+    others = sorted(set(_balancers(first)) - {first.rpc_address})
+    with concurrent.futures.ThreadPoolExecutor(MAX_PARALLEL_CALLS) as pool:
+        answers = list(
+            pool.map(
+                lambda text: status_of(settings, _types.Address.parse(text)), others
+            )
+        )
+    replies = [first, *[answer for answer in answers if answer is not None]]
+    silent = [
+        text for text, answer in zip(others, answers, strict=True) if answer is None
+    ]
+    return Fleet(replies=tuple(replies), silent=tuple(silent))
+
+
+def revisions(fleet: Fleet) -> dict[str, int]:
+    """Return the revision in force on every process by gRPC address."""
+    seen: dict[str, int] = {}
+    for reply in fleet.replies:
+        for sidecar in reply.sidecars:
+            present = seen.get(sidecar.rpc_address, 0)
+            seen[sidecar.rpc_address] = max(present, sidecar.revision)
+    seen.update({reply.rpc_address: reply.revision for reply in fleet.replies})
+    return seen
+
+
+def lagging(fleet: Fleet, revision: int) -> list[str]:
+    """Name the processes that do not have a revision in force yet."""
+    behind = [name for name, seen in revisions(fleet).items() if seen < revision]
+    return sorted([*behind, *fleet.silent])
+
+
+def wait_in_force(settings: model.ClientSettings, revision: int) -> None:
+    """Return when a revision is in force everywhere."""
+    limit = time.monotonic() + WAIT_TIMEOUT_SECONDS
+    while True:
+        behind = lagging(ask_fleet(settings), revision)
+        if not behind:
+            return
+        if time.monotonic() > limit:
+            raise _exceptions.PlantainError(
+                _exceptions.ErrorKind.PEER_UNAVAILABLE,
+                f"Revision {revision} was accepted; not yet in force on "
+                f"{', '.join(behind)}.",
+            )
+        time.sleep(POLL_SECONDS)
--- /dev/null
+++ b/plantainproxy/ctl/tests/test_usage.py
@@ -0,0 +1,45 @@
+"""Command lines that are wrong say what was meant."""
+
+import pytest
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.ctl import commands, main, render, usage
+from plantainproxy.settings import model
+
+SETTINGS = model.ClientSettings(balancers=(_types.Address("127.0.0.1", 1),))
+
+
+@pytest.mark.parametrize(
+    ("line", "hint"),
+    [
+        (["rout", "list"], "did you mean 'route'?"),
+        (["route", "sett"], "did you mean 'set'?"),
+        (["route"], "Expected one of: list, remove, set."),
+        (["drain", "x", "--wiat"], "did you mean '--wait'?"),
+        (["audit", "--objct", "x"], "did you mean '--object'?"),
+    ],
+)
+def test_an_unknown_word_names_the_nearest_match(line: list[str], hint: str) -> None:
+    """Nothing is sent and the operator learns what was meant."""
+    with pytest.raises(_exceptions.PlantainError) as caught:
+        command, words = usage.find(commands.tree(SETTINGS), line)
+        usage.check_flags(command, words)
+    assert caught.value.kind is _exceptions.ErrorKind.USAGE
+    assert hint in caught.value.detail
+
+
+def test_shared_options_may_stand_anywhere() -> None:
+    """The settings file and the output are taken out of the line."""
+    options = main.read_options(
+        ["route", "--output", "json", "list", "--settings=x.toml"]
+    )
+    assert options == main.Options(
+        settings="x.toml", output="json", words=("route", "list")
+    )
+
+
+def test_a_result_reads_as_a_table_or_as_json() -> None:
+    """Both renderings hold the same values."""
+    result = render.Result(columns=("name", "pool"), rows=(("r", "p"),))
+    assert render.as_text(result) == "name  pool\nr     p"
+    assert render.as_json(result) == '{"rows":[{"name":"r","pool":"p"}]}'
