--- a/plantainproxy/ctl/client.py
+++ b/plantainproxy/ctl/client.py
@@ -45,9 +45,9 @@
     """Translate a failed call into the closed list of kinds."""
     detail = error.details() or ""
     kinds = [
-        value
-        for name, value in error.trailing_metadata() or ()
-        if name == KIND_METADATA
+        item.value
+        for item in error.trailing_metadata() or ()
+        if item.key == KIND_METADATA
     ]
     kind = kinds[0] if kinds else ""
     if kind in set(_exceptions.ErrorKind):
--- /dev/null
+++ b/testbed/__init__.py
@@ -0,0 +1,1 @@
+"""Scaffolding that starts real processes for tests, the demo and experiments."""
--- /dev/null
+++ b/testbed/processes.py
@@ -0,0 +1,108 @@
+"""Real processes that the test owning them starts, freezes and ends."""
+
+from collections.abc import AsyncIterator, Sequence
+import contextlib
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import trio
+
+READY_TIMEOUT_SECONDS = 20
+STOP_TIMEOUT_SECONDS = 30
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+class Process:
+    """One running process and the arguments to start it again."""
+
+    def __init__(self, name: str, arguments: Sequence[str], log: pathlib.Path) -> None:
+        """Describe a process that is not running yet."""
+        self.name = name
+        self.arguments = tuple(arguments)
+        self.log = log
+        """Receives standard error of every run."""
+        self.running: trio.Process | None = None
+        self.ready_words: tuple[str, ...] = ()
+        """The words after ``ready`` on the line that the process printed."""
+
+
+async def start(process: Process, *, wait_ready: bool = True) -> None:
+    """Start a process; wait for its ``ready`` line unless told otherwise."""
+    with process.log.open("ab") as log:
+        process.running = await trio.lowlevel.open_process(
+            [sys.executable, "-m", *process.arguments],
+            stdout=subprocess.PIPE,
+            stderr=log,
+            cwd=ROOT,
+            env={**os.environ, "PYTHONHASHSEED": "0"},
+        )
+    if wait_ready:
+        await _wait_ready(process)
+
+
+async def _wait_ready(process: Process) -> None:
+    assert process.running is not None
+    assert process.running.stdout is not None
+    received = b""
+    with trio.move_on_after(READY_TIMEOUT_SECONDS):
+        async for chunk in process.running.stdout:
+            received += chunk
+            for line in received.decode().splitlines():
+                if line.startswith("ready") and received.endswith(b"\n"):
+                    process.ready_words = tuple(line.split()[1:])
+                    return
+    tail = process.log.read_text(errors="replace")[-2000:]
+    raise RuntimeError(f"{process.name} is not ready: {tail}")
+
+
+def is_running(process: Process) -> bool:
+    """Tell whether the process has been started and has not ended."""
+    return process.running is not None and process.running.poll() is None
+
+
+def send(process: Process, number: signal.Signals) -> None:
+    """Send a signal if the process still runs."""
+    if process.running is not None and is_running(process):
+        process.running.send_signal(number)
+
+
+async def kill(process: Process) -> None:
+    """End the process without warning."""
+    send(process, signal.SIGKILL)
+    if process.running is not None:
+        await process.running.wait()
+
+
+def freeze(process: Process) -> None:
+    """Stop the process from running without ending it."""
+    send(process, signal.SIGSTOP)
+
+
+def wake(process: Process) -> None:
+    """Let a frozen process run again."""
+    send(process, signal.SIGCONT)
+
+
+async def stop(process: Process) -> int:
+    """Ask for a planned stop, wait for it and return the exit code."""
+    send(process, signal.SIGTERM)
+    assert process.running is not None
+    with trio.move_on_after(STOP_TIMEOUT_SECONDS):
+        return await process.running.wait()
+    await kill(process)
+    raise RuntimeError(f"{process.name} did not stop in {STOP_TIMEOUT_SECONDS} s")
+
+
+@contextlib.asynccontextmanager
+async def owned(processes: list[Process]) -> AsyncIterator[None]:
+    """End whatever the list holds when the block is left."""
+    try:
+        yield
+    finally:
+        with trio.CancelScope(shield=True):
+            for process in processes:
+                wake(process)
+                await kill(process)
