Serve the operators' calls; document settings and configuration

Cause: the client stands without a server, and operators need documented files. Ruled out: registering the generated servicer class, since plain functions suffice. Conclusion: the daemon has to hand in its handlers.

--- /dev/null
+++ b/plantainproxy/rpc/operator_service.py
@@ -0,0 +1,81 @@
+"""The operators' gRPC service, answered by plain async functions in trio."""
+
+from collections.abc import Awaitable, Callable
+import dataclasses
+import logging
+from typing import Any
+
+from google.protobuf import message
+import grpc
+import trio
+
+from plantainproxy import _exceptions
+from plantainproxy.rpc import operator_pb2
+
+SERVICE = "plantainproxy.Operator"
+KIND_METADATA = "plantain-kind"
+
+logger = logging.getLogger("plantain.operator")
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Handlers:
+    """One function for each call of the service."""
+
+    show: Callable[[operator_pb2.ShowRequest], Awaitable[operator_pb2.ShowReply]]
+    change: Callable[[operator_pb2.ChangeRequest], Awaitable[operator_pb2.ChangeReply]]
+    status: Callable[[operator_pb2.StatusRequest], Awaitable[operator_pb2.StatusReply]]
+    audit: Callable[[operator_pb2.AuditRequest], Awaitable[operator_pb2.AuditReply]]
+    explain: Callable[
+        [operator_pb2.ExplainRequest], Awaitable[operator_pb2.ExplainReply]
+    ]
+    rotate_keys: Callable[
+        [operator_pb2.RotateKeysRequest], Awaitable[operator_pb2.RotateKeysReply]
+    ]
+
+
+def _fail(context: grpc.ServicerContext, error: _exceptions.PlantainError) -> None:
+    context.set_trailing_metadata(((KIND_METADATA, error.kind.value),))
+    context.abort(grpc.StatusCode[error.answer.grpc_status], error.detail)
+
+
+def _method(
+    handler: Callable[[Any], Awaitable[Any]],
+    request_type: type[message.Message],
+    token: trio.lowlevel.TrioToken,
+) -> Any:
+    def serve(request: Any, context: grpc.ServicerContext) -> Any:
+        """Answer one call; runs in a thread of the server."""
+        try:
+            return trio.from_thread.run(handler, request, trio_token=token)
+        except _exceptions.PlantainError as error:
+            return _fail(context, error)
+        except trio.RunFinishedError:
+            kind = _exceptions.ErrorKind.PEER_UNAVAILABLE
+            return _fail(context, _exceptions.PlantainError(kind, "It is stopping."))
+        except Exception:
+            logger.exception("A handler failed.")
+            kind = _exceptions.ErrorKind.INTERNAL
+            return _fail(context, _exceptions.PlantainError(kind))
+
+    return grpc.unary_unary_rpc_method_handler(
+        serve,
+        request_deserializer=request_type.FromString,
+        response_serializer=lambda reply: reply.SerializeToString(),
+    )
+
+
+def generic_handler(handlers: Handlers) -> Any:
+    """Make the gRPC handler of the service; call it inside trio."""
+    token = trio.lowlevel.current_trio_token()
+    methods = {
+        "Show": _method(handlers.show, operator_pb2.ShowRequest, token),
+        "Change": _method(handlers.change, operator_pb2.ChangeRequest, token),
+        "Status": _method(handlers.status, operator_pb2.StatusRequest, token),
+        "Audit": _method(handlers.audit, operator_pb2.AuditRequest, token),
+        "Explain": _method(handlers.explain, operator_pb2.ExplainRequest, token),
+        "RotateKeys": _method(
+            handlers.rotate_keys, operator_pb2.RotateKeysRequest, token
+        ),
+    }
+    return grpc.method_handlers_generic_handler(SERVICE, methods)
--- a/plantainproxy/settings/tests/test_load.py
+++ b/plantainproxy/settings/tests/test_load.py
@@ -73,3 +73,17 @@
         parse(text)
     allowed = text + "[tls]\nallow_plaintext_beyond_loopback = true\n"
     assert parse(allowed).tls.allow_plaintext_beyond_loopback
+
+
+@pytest.mark.parametrize(
+    ("name", "settings_type"),
+    [
+        ("balancer", model.BalancerSettings),
+        ("sidecar", model.SidecarSettings),
+        ("plantainctl", model.ClientSettings),
+    ],
+)
+def test_every_documented_example_is_valid(name: str, settings_type: type) -> None:
+    """The examples that operators copy name only known keys."""
+    settings: object = load.load(EXAMPLES / f"{name}.toml", settings_type)
+    assert isinstance(settings, settings_type)
