Add packet classification, the slot table and the routing rules

The core decides on a general packet; only quic/classify reads QUIC. The slot table is a pure function of members and weights: slots probe a position table, bounded by 1.05 of a member's share. A size step at 8 members moved 78 % of the slots, so the smallest table now holds 64 members.

A flow whose route moved to another pool stays with its sidecar: a reset by pool would break established flows at each such change, and the packet's generation already tells a replaced sidecar apart.

--- /dev/null
+++ b/plantainproxy/core/routing.py
@@ -0,0 +1,371 @@
+"""The balancer's decisions on packets, over explicit state.
+
+``apply`` folds events into a new state and ``route`` decides on one packet. Neither
+looks at a clock or a socket, so another harness can drive the whole role.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+import dataclasses
+import enum
+from typing import NamedTuple
+
+from plantainproxy import _types
+from plantainproxy.config import model
+from plantainproxy.core import packets, slots
+
+LOST_RESET_SECONDS = 3.0
+"""How long a sidecar must be lost before its callers are told."""
+
+_DOMAIN_NUMBERS = 256
+
+
+class DropReason(enum.StrEnum):
+    """Why a datagram goes nowhere."""
+
+    NOT_READY = "not-ready"
+    """No configuration or no keys are known yet."""
+    BAD_HEADER = "bad-header"
+    """The datagram carries no valid PROXY header."""
+    TOO_LARGE = "too-large"
+    """The datagram exceeds the limit."""
+    INVALID_PACKET = "invalid-packet"
+    """The payload belongs to no flow and cannot start one."""
+    UNKNOWN_SERVICE = "unknown-service"
+    """No route has the service address."""
+    FOREIGN_SERVICE = "foreign-service"
+    """The packet's destination was made for another service address."""
+    UNKNOWN_DOMAIN = "unknown-domain"
+    """The packet names a failure domain that is not configured."""
+    NO_UPSTREAM = "no-upstream"
+    """The pool has no eligible upstream."""
+    RESET_LIMIT = "reset-limit"
+    """A reset was due but would exceed the rate limit."""
+    RESET_IMPOSSIBLE = "reset-impossible"
+    """A reset was due but the packet's form allows none."""
+    SEND_FAILED = "send-failed"
+    """The socket refused the datagram."""
+
+
+class Forward(NamedTuple):
+    """Send the packet to a sidecar."""
+
+    tunnel: _types.Address
+    earlier_owners: tuple[_types.Address, ...] = ()
+    """Newest first."""
+
+
+class Reset(NamedTuple):
+    """Tell the caller that the flow is dead."""
+
+
+class Drop(NamedTuple):
+    """Do nothing with the packet."""
+
+    reason: DropReason
+
+
+Action = Forward | Reset | Drop
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigurationChanged:
+    """A configuration was accepted; one of a lower revision is ignored."""
+
+    configuration: model.Configuration
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class MembersChanged:
+    """All known records of one pool's sidecars, those that left included."""
+
+    pool: str
+    records: tuple[_types.MemberRecord, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BlindnessChanged:
+    """Whether this balancer has reason to doubt that lost members are lost."""
+
+    blind: bool
+
+
+Event = ConfigurationChanged | MembersChanged | BlindnessChanged
+
+
+class Service(NamedTuple):
+    """What is known of one service address."""
+
+    tag: int
+    pool: str
+    table: slots.Table
+    earlier_table: slots.Table | None = None
+    """The slots of the pool that the route led to before."""
+    changed: float = 0.0
+    """When the route left the earlier pool."""
+
+
+class Upstream(NamedTuple):
+    """What is known of the sidecar at one tunnel address."""
+
+    forward: Forward
+    generation: int
+    """The generation tag of the newest record."""
+    left: bool
+    lost_since: float | None
+    """When this process learnt that the sidecar is lost."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class State:
+    """All that decisions rest on; replaced as a whole."""
+
+    configuration: model.Configuration | None = None
+    blind: bool = False
+    records: Mapping[str, tuple[_types.MemberRecord, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+    """The records of each pool."""
+    tables: Mapping[str, slots.Table] = dataclasses.field(default_factory=dict)
+    """The slot table of each configured pool."""
+    services: Mapping[bytes, Service] = dataclasses.field(default_factory=dict)
+    """By packed service address."""
+    domains: tuple[_types.DomainState | None, ...] = (None,) * _DOMAIN_NUMBERS
+    """By domain number; absent where none is configured."""
+    upstreams: Mapping[bytes, Upstream] = dataclasses.field(default_factory=dict)
+    """By packed tunnel address."""
+
+
+_RESET = Reset()
+_DROPS = {reason: Drop(reason) for reason in DropReason}
+_FOREIGN_SERVICE = _DROPS[DropReason.FOREIGN_SERVICE]
+_NO_UPSTREAM = _DROPS[DropReason.NO_UPSTREAM]
+
+
+def apply(state: State, events: Iterable[Event], *, now: float) -> State:
+    """Return the state after the events."""
+    configuration, blind = state.configuration, state.blind
+    records = dict(state.records)
+    for event in events:
+        match event:
+            case ConfigurationChanged():
+                configuration = _newer(configuration, event.configuration)
+            case MembersChanged():
+                records[event.pool] = event.records
+            case BlindnessChanged():
+                blind = event.blind
+    if configuration is None:
+        return dataclasses.replace(state, blind=blind, records=records)
+    tables = _tables(state.tables, configuration, records, now=now)
+    return State(
+        configuration=configuration,
+        blind=blind,
+        records=records,
+        tables=tables,
+        services=_services(state, configuration, tables, now=now),
+        domains=_domains(configuration),
+        upstreams=_upstreams(state.upstreams, records, now=now),
+    )
+
+
+def route(state: State, packet: packets.Packet, now: float) -> Action:
+    """Decide what happens to one packet."""
+    service = state.services.get(packet.service)
+    if service is None:
+        return _unknown_service(state)
+    destination = packet.destination
+    if destination is not None:
+        if destination.tag != service.tag:
+            return _FOREIGN_SERVICE
+        return _route_destination(state, destination, now)
+    flow_hash = packets.flow_hash(packet.flow_key)
+    if packet.opening:
+        pick = slots.pick(service.table, flow_hash, now=now)
+        since_change = now - service.changed
+        recent = since_change <= slots.EARLIER_OWNER_SECONDS
+    else:
+        pick = slots.pick_established(service.table, flow_hash)
+        recent = True
+    if pick is None:
+        return _NO_UPSTREAM
+    if service.earlier_table is None or not recent:
+        return Forward(pick.owner, pick.earlier_owners)
+    return _with_earlier_pool(pick, service.earlier_table, flow_hash)
+
+
+def _with_earlier_pool(
+    pick: slots.Pick, earlier_table: slots.Table, flow_hash: int
+) -> Forward:
+    """Put the owner in the route's earlier pool after the earlier owners."""
+    earlier_pick = slots.pick_established(earlier_table, flow_hash)
+    if earlier_pick is None:
+        return Forward(pick.owner, pick.earlier_owners)
+    earlier_owners = (*pick.earlier_owners[: slots.EARLIER_OWNERS - 1], earlier_pick[0])
+    return Forward(pick.owner, earlier_owners)
+
+
+def _unknown_service(state: State) -> Drop:
+    if state.configuration is None:
+        return _DROPS[DropReason.NOT_READY]
+    return _DROPS[DropReason.UNKNOWN_SERVICE]
+
+
+def _route_destination(
+    state: State, destination: packets.Destination, now: float
+) -> Action:
+    """Decide on a packet that says where its flow lives.
+
+    A sidecar that this process does not know gets the packet: others may know it.
+    A flow also stays with its sidecar when the route leads to another pool now.
+    """
+    domain = state.domains[destination.domain]
+    if domain is not _types.DomainState.IN:
+        return _RESET if domain else _DROPS[DropReason.UNKNOWN_DOMAIN]
+    upstream = state.upstreams.get(destination.tunnel)
+    if upstream is None:
+        return Forward(_types.Address.unpack(destination.tunnel))
+    if upstream.generation != destination.generation:
+        if packets.is_newer_generation(
+            upstream.generation, than=destination.generation
+        ):
+            return _RESET
+        return upstream.forward
+    if upstream.left:
+        return _RESET
+    if upstream.lost_since is None or state.blind:
+        return upstream.forward
+    if now - upstream.lost_since > LOST_RESET_SECONDS:
+        return _RESET
+    return upstream.forward
+
+
+def _newer(
+    held: model.Configuration | None, offered: model.Configuration
+) -> model.Configuration:
+    if held is not None and offered.revision < held.revision:
+        return held
+    return offered
+
+
+def _domains_in(configuration: model.Configuration) -> frozenset[str]:
+    return frozenset(
+        domain.name
+        for domain in configuration.domains
+        if domain.state is _types.DomainState.IN
+    )
+
+
+def eligible(
+    configuration: model.Configuration, records: Iterable[_types.MemberRecord]
+) -> list[slots.Member]:
+    """Return the members that may get new flows."""
+    domains = _domains_in(configuration)
+    drained = frozenset(configuration.drained)
+    return [
+        slots.Member(record.key, record.tunnel, record.weight)
+        for record in records
+        if record.state is _types.MemberState.SERVING
+        and not record.lost
+        and record.domain in domains
+        and record.tunnel not in drained
+        and record.weight > 0
+    ]
+
+
+def _gone(
+    configuration: model.Configuration, records: Sequence[_types.MemberRecord]
+) -> frozenset[_types.Address]:
+    """Return the tunnel addresses that can take no packet of an earlier flow."""
+    domains = _domains_in(configuration)
+    reachable = frozenset(
+        record.tunnel
+        for record in records
+        if record.state is not _types.MemberState.LEFT
+        and not record.lost
+        and record.domain in domains
+    )
+    return frozenset(record.tunnel for record in records) - reachable
+
+
+def _tables(
+    held: Mapping[str, slots.Table],
+    configuration: model.Configuration,
+    records: Mapping[str, tuple[_types.MemberRecord, ...]],
+    *,
+    now: float,
+) -> dict[str, slots.Table]:
+    tables = {}
+    for pool in configuration.pools:
+        table = held.get(pool.name) or slots.empty()
+        pool_records = records.get(pool.name, ())
+        members = eligible(configuration, pool_records)
+        if tuple(sorted(members)) != table.members:
+            gone = _gone(configuration, pool_records)
+            table = slots.replace(table, members, now=now, gone=gone)
+        tables[pool.name] = table
+    return tables
+
+
+def _services(
+    state: State,
+    configuration: model.Configuration,
+    tables: Mapping[str, slots.Table],
+    *,
+    now: float,
+) -> dict[bytes, Service]:
+    services = {}
+    for entry in configuration.routes:
+        packed = entry.address.pack()
+        table = tables.get(entry.pool) or slots.empty()
+        service = Service(packets.service_tag(packed), entry.pool, table)
+        held = state.services.get(packed)
+        if held is not None and held.pool != entry.pool:
+            service = service._replace(earlier_table=held.table, changed=now)
+        elif held is not None:
+            service = held._replace(table=table)
+        services[packed] = service
+    return services
+
+
+def _domains(
+    configuration: model.Configuration,
+) -> tuple[_types.DomainState | None, ...]:
+    states: list[_types.DomainState | None] = [None] * _DOMAIN_NUMBERS
+    for domain in configuration.domains:
+        states[domain.number] = domain.state
+    return tuple(states)
+
+
+def _upstreams(
+    held: Mapping[bytes, Upstream],
+    records: Mapping[str, tuple[_types.MemberRecord, ...]],
+    *,
+    now: float,
+) -> dict[bytes, Upstream]:
+    newest: dict[_types.Address, _types.MemberRecord] = {}
+    for pool_records in records.values():
+        for record in pool_records:
+            known = newest.get(record.tunnel)
+            if known is None or known.version < record.version:
+                newest[record.tunnel] = record
+    upstreams = {}
+    for tunnel, record in newest.items():
+        packed = tunnel.pack()
+        upstreams[packed] = _upstream(held.get(packed), record, now=now)
+    return upstreams
+
+
+def _upstream(
+    held: Upstream | None, record: _types.MemberRecord, *, now: float
+) -> Upstream:
+    generation = packets.generation_tag(record.generation)
+    lost_since = None
+    if record.lost:
+        lost_since = now
+        if held is not None and held.generation == generation:
+            lost_since = now if held.lost_since is None else held.lost_since
+    return Upstream(
+        Forward(record.tunnel),
+        generation,
+        record.state is _types.MemberState.LEFT,
+        lost_since,
+    )
--- /dev/null
+++ b/plantainproxy/core/slots.py
@@ -0,0 +1,338 @@
+"""The slot table that spreads the new flows of a pool over its upstreams.
+
+The table depends only on the members and their weights, so balancers with equal
+views pick alike without talking. A change of members moves few other slots.
+See ``docs/design/slots.md``.
+"""
+
+from collections.abc import Iterable, Sequence
+import dataclasses
+import math
+from typing import Any, NamedTuple
+
+import numpy as np
+import numpy.typing as npt
+import xxhash
+
+from plantainproxy import _types
+
+EARLIER_OWNERS = 2
+"""How many earlier owners a slot remembers."""
+EARLIER_OWNER_SECONDS = 30.0
+"""How long opening packets still learn of an earlier owner."""
+MAX_SHARE = 1.05
+"""Most slots of one member, relative to its weighted share."""
+
+_SMALLEST_POSITION_BITS = 8
+_POSITION_BITS_STEP = 3
+_POSITIONS_PER_MEMBER = 4
+_SLOTS_PER_POSITION = 8
+_SMALLEST_SLOTS = 2048
+_ROUNDS_PER_POSITION = 40
+_NO_OWNER = -1
+
+_Owners = npt.NDArray[np.int32]
+_Hashes = npt.NDArray[np.uint64]
+
+
+class Member(NamedTuple):
+    """One eligible upstream of a pool."""
+
+    key: str
+    """Names the member in every process."""
+    tunnel: _types.Address
+    weight: float = 1.0
+    """Share of new flows relative to the other members, in (0, 1]."""
+
+
+class Pick(NamedTuple):
+    """The owners of one slot."""
+
+    owner: _types.Address
+    earlier_owners: tuple[_types.Address, ...] = ()
+    """Newest first."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Table:
+    """One pool's slots; replaced as a whole at each change."""
+
+    mask: int
+    """One less than the number of slots."""
+    members: tuple[Member, ...]
+    """The eligible members, by key."""
+    tunnels: tuple[_types.Address, ...]
+    """Every address that the arrays refer to by index."""
+    owners: _Owners
+    earlier: tuple[_Owners, ...]
+    """Earlier owners of each slot, newest first."""
+    changed: tuple[npt.NDArray[np.float64], ...]
+    """When each earlier owner lost the slot."""
+    owner_view: memoryview
+    """The owners for fast reads of one slot."""
+    earlier_views: tuple[memoryview, ...]
+    changed_views: tuple[memoryview, ...]
+
+
+def assign(members: Iterable[Member]) -> tuple[tuple[Member, ...], _Owners]:
+    """Give each slot its owner, as an index into the members ordered by key."""
+    ordered = tuple(sorted(members))
+    if not ordered:
+        return ordered, np.full(_SMALLEST_SLOTS, _NO_OWNER, dtype=np.int32)
+    position_bits = _position_bits(len(ordered))
+    slot_count = max(_SMALLEST_SLOTS, _SLOTS_PER_POSITION << position_bits)
+    occupants = _occupants(ordered, 1 << position_bits)
+    weights = np.array([member.weight for member in ordered])
+    capacity = np.ceil(MAX_SHARE * slot_count * weights / weights.sum()).astype(
+        np.int64
+    )
+    owners = np.full(slot_count, _NO_OWNER, dtype=np.int32)
+    _probe(owners, occupants, _acceptance(weights), capacity)
+    _fill(owners, capacity)
+    return ordered, owners
+
+
+def empty() -> Table:
+    """Return the table of a pool that never had a member."""
+    _, owners = assign(())
+    nobody = tuple(owners.copy() for _ in range(EARLIER_OWNERS))
+    never = tuple(np.zeros(len(owners)) for _ in range(EARLIER_OWNERS))
+    return _table((), (), owners, nobody, never)
+
+
+def replace(
+    table: Table,
+    members: Sequence[Member],
+    *,
+    now: float,
+    gone: frozenset[_types.Address] = frozenset(),
+) -> Table:
+    """Return the table of new members, with the earlier owners of what changed.
+
+    Addresses in ``gone`` are forgotten as earlier owners. Without members the last
+    owners stay, for flows whose packets do not carry their destination.
+    """
+    ordered, owners = assign(members)
+    if not ordered:
+        return dataclasses.replace(table, members=())
+    old_owners, old_earlier, old_changed = _resized(table, len(owners))
+    tunnels = list(table.tunnels)
+    numbers = {tunnel: number for number, tunnel in enumerate(tunnels)}
+    for member in ordered:
+        if member.tunnel not in numbers:
+            numbers[member.tunnel] = len(tunnels)
+            tunnels.append(member.tunnel)
+    lookup = np.array([numbers[member.tunnel] for member in ordered], dtype=np.int32)
+    owners = lookup[owners]
+    earlier, changed = _history(owners, old_owners, old_earlier, old_changed, now)
+    forgotten = np.array(
+        [numbers[tunnel] for tunnel in gone if tunnel in numbers], dtype=np.int32
+    )
+    _forget(earlier, changed, forgotten)
+    return _compacted(ordered, tunnels, owners, earlier, changed)
+
+
+def pick(table: Table, flow_hash: int, *, now: float) -> Pick | None:
+    """Return the owner for an opening packet, with the recent earlier owners."""
+    if not table.members:
+        return None
+    slot = flow_hash & table.mask
+    owner = table.tunnels[table.owner_view[slot]]
+    if now - table.changed_views[0][slot] > EARLIER_OWNER_SECONDS:
+        return Pick(owner)
+    since = now - EARLIER_OWNER_SECONDS
+    return Pick(owner, _earlier(table, slot, since))
+
+
+def pick_established(table: Table, flow_hash: int) -> Pick | None:
+    """Return the owner for an established packet that carries no destination."""
+    slot = flow_hash & table.mask
+    number = table.owner_view[slot]
+    if number == _NO_OWNER:
+        return None
+    return Pick(table.tunnels[number], _earlier(table, slot, -math.inf))
+
+
+def _earlier(table: Table, slot: int, since: float) -> tuple[_types.Address, ...]:
+    return tuple(
+        table.tunnels[numbers[slot]]
+        for numbers, changed in zip(
+            table.earlier_views, table.changed_views, strict=True
+        )
+        if numbers[slot] != _NO_OWNER and changed[slot] >= since
+    )
+
+
+def _position_bits(member_count: int) -> int:
+    """Return the size of the position table, in few steps that seldom change."""
+    bits = _SMALLEST_POSITION_BITS
+    while _POSITIONS_PER_MEMBER * member_count > 1 << bits:
+        bits += _POSITION_BITS_STEP
+    return bits
+
+
+def _occupants(members: Sequence[Member], position_count: int) -> _Owners:
+    """Place members by ordered linear probing, whatever order they arrived in."""
+    hashes = [xxhash.xxh3_64_intdigest(member.key.encode()) for member in members]
+    order = sorted(range(len(members)), key=lambda number: (hashes[number], number))
+    shift = 64 - (position_count.bit_length() - 1)
+    occupants = np.full(position_count, _NO_OWNER, dtype=np.int32)
+    for number in order:
+        position = hashes[number] >> shift
+        while occupants[position] != _NO_OWNER:
+            position = (position + 1) % position_count
+        occupants[position] = number
+    return occupants
+
+
+def _acceptance(weights: npt.NDArray[np.float64]) -> npt.NDArray[np.uint64]:
+    """Scale weights so that a change of one seldom changes the others."""
+    scale = 2.0 ** math.ceil(math.log2(float(weights.max())))
+    return (weights / scale * 2.0**32).astype(np.uint64)
+
+
+def _mix(values: _Hashes) -> _Hashes:
+    """Scramble 64-bit values (the finalizer of SplitMix64)."""
+    values = (values ^ (values >> np.uint64(30))) * np.uint64(0xBF58476D1CE4E5B9)
+    values = (values ^ (values >> np.uint64(27))) * np.uint64(0x94D049BB133111EB)
+    return values ^ (values >> np.uint64(31))
+
+
+def _probe(
+    owners: _Owners,
+    occupants: _Owners,
+    acceptance: npt.NDArray[np.uint64],
+    capacity: npt.NDArray[np.int64],
+) -> None:
+    """Let each free slot try one position a round, until few are free."""
+    position_mask = np.uint64(len(occupants) - 1)
+    free = np.arange(len(owners), dtype=np.uint64)
+    seeds = _mix(free + np.uint64(0x9E3779B97F4A7C15))
+    mean_acceptance = float(acceptance.sum()) / 2.0**32
+    rounds = math.ceil(_ROUNDS_PER_POSITION * len(occupants) / mean_acceptance)
+    for number in range(rounds):
+        if not len(free):
+            return
+        draws = _mix(seeds + np.uint64(number * 0xD1342543DE82EF95 & (1 << 64) - 1))
+        candidates = occupants[draws & position_mask]
+        wanted = candidates != _NO_OWNER
+        wanted[wanted] = (draws[wanted] >> np.uint64(32)) < acceptance[
+            candidates[wanted]
+        ]
+        taken = _within_capacity(np.flatnonzero(wanted), candidates, capacity)
+        owners[free[taken]] = candidates[taken]
+        keep = np.ones(len(free), dtype=bool)
+        keep[taken] = False
+        free, seeds = free[keep], seeds[keep]
+
+
+def _within_capacity(
+    wanted: npt.NDArray[np.intp], candidates: _Owners, capacity: npt.NDArray[np.int64]
+) -> npt.NDArray[np.intp]:
+    """Return the wishes that fit, lowest slots first, and use the capacity up."""
+    owners = candidates[wanted]
+    counts = np.bincount(owners, minlength=len(capacity))
+    if (counts > capacity).any():
+        order = np.argsort(owners, kind="stable")
+        first = np.concatenate(([0], np.cumsum(counts)[:-1]))
+        ranks = np.arange(len(owners)) - first[owners[order]]
+        fits = ranks < capacity[owners[order]]
+        wanted = wanted[order[fits]]
+        counts = np.minimum(counts, capacity)
+    capacity -= counts
+    return wanted
+
+
+def _fill(owners: _Owners, capacity: npt.NDArray[np.int64]) -> None:
+    """Give the slots that found nobody to the members with room."""
+    free = np.flatnonzero(owners == _NO_OWNER)
+    room = np.repeat(np.arange(len(capacity), dtype=np.int32), capacity)
+    spread = np.linspace(0, len(room), num=len(free), endpoint=False).astype(np.int64)
+    owners[free] = room[spread]
+
+
+def _resized(
+    table: Table, slot_count: int
+) -> tuple[_Owners, tuple[_Owners, ...], tuple[npt.NDArray[np.float64], ...]]:
+    """Return the old owners by the new slots; a flow's low hash bits are its slot."""
+    old = np.arange(slot_count) & table.mask
+    return (
+        table.owners[old],
+        tuple(numbers[old] for numbers in table.earlier),
+        tuple(times[old] for times in table.changed),
+    )
+
+
+def _history(
+    owners: _Owners,
+    old_owners: _Owners,
+    old_earlier: tuple[_Owners, ...],
+    old_changed: tuple[npt.NDArray[np.float64], ...],
+    now: float,
+) -> tuple[tuple[_Owners, ...], tuple[npt.NDArray[np.float64], ...]]:
+    """Push the old owner of each changed slot in front of its earlier owners."""
+    moved = (owners != old_owners) & (old_owners != _NO_OWNER)
+    first = np.where(moved, old_owners, old_earlier[0])
+    first_changed = np.where(moved, now, old_changed[0])
+    back = moved & (owners == old_earlier[0])
+    pushed = moved & ~back
+    second = np.where(pushed, old_earlier[0], old_earlier[1])
+    second_changed = np.where(pushed, old_changed[0], old_changed[1])
+    second[second == owners] = _NO_OWNER
+    return (first, second), (first_changed, second_changed)
+
+
+def _forget(
+    earlier: tuple[_Owners, ...],
+    changed: tuple[npt.NDArray[np.float64], ...],
+    gone: _Owners,
+) -> None:
+    """Drop earlier owners that are gone and close the gaps."""
+    first, second = earlier
+    second[np.isin(second, gone)] = _NO_OWNER
+    empty_first = np.isin(first, gone) | (first == _NO_OWNER)
+    first[empty_first] = second[empty_first]
+    second[empty_first] = _NO_OWNER
+    changed[0][empty_first] = changed[1][empty_first]
+    changed[0][first == _NO_OWNER] = -math.inf
+
+
+def _compacted(
+    members: tuple[Member, ...],
+    tunnels: Sequence[_types.Address],
+    owners: _Owners,
+    earlier: tuple[_Owners, ...],
+    changed: tuple[npt.NDArray[np.float64], ...],
+) -> Table:
+    """Leave out the addresses that no slot refers to any more."""
+    used = np.unique(np.concatenate((owners, *earlier)))
+    used = used[used != _NO_OWNER]
+    lookup = np.full(len(tunnels) + 1, _NO_OWNER, dtype=np.int32)
+    lookup[used] = np.arange(len(used), dtype=np.int32)
+    return _table(
+        members,
+        tuple(tunnels[number] for number in used),
+        lookup[owners],
+        tuple(lookup[numbers] for numbers in earlier),
+        changed,
+    )
+
+
+def _table(
+    members: tuple[Member, ...],
+    tunnels: tuple[_types.Address, ...],
+    owners: _Owners,
+    earlier: tuple[_Owners, ...],
+    changed: tuple[npt.NDArray[Any], ...],
+) -> Table:
+    return Table(
+        mask=len(owners) - 1,
+        members=members,
+        tunnels=tunnels,
+        owners=owners,
+        earlier=earlier,
+        changed=changed,
+        owner_view=memoryview(owners.data),
+        earlier_views=tuple(memoryview(numbers.data) for numbers in earlier),
+        changed_views=tuple(memoryview(times.data) for times in changed),
+    )
--- /dev/null
+++ b/plantainproxy/core/tests/test_routing.py
@@ -0,0 +1,227 @@
+"""Rules of the balancer's decisions."""
+
+import dataclasses
+from typing import Any
+
+import pytest
+
+from plantainproxy import _types
+from plantainproxy.config import model
+from plantainproxy.core import packets, routing
+
+SERVICE = _types.Address("127.1.0.1", 443)
+OTHER_SERVICE = _types.Address("127.1.0.2", 443)
+GENERATION = 1_800_000_000_000
+NOW = 1000.0
+
+CONFIGURATION = model.Configuration(
+    revision=5,
+    routes=(
+        model.Route(name="fleet", address=SERVICE, pool="fleet"),
+        model.Route(name="firmware", address=OTHER_SERVICE, pool="firmware"),
+    ),
+    pools=(model.Pool(name="fleet"), model.Pool(name="firmware")),
+    domains=(
+        model.Domain(name="rimouski", number=1),
+        model.Domain(name="matane", number=2, state=_types.DomainState.OUT),
+    ),
+)
+
+
+def record(number: int, pool: str = "fleet", **changes: Any) -> _types.MemberRecord:
+    """Make a sidecar's record."""
+    made = _types.MemberRecord(
+        kind=_types.MemberKind.SIDECAR,
+        rpc=_types.Address("127.0.2.1", number),
+        domain="rimouski",
+        generation=GENERATION,
+        sequence=1,
+        pool=pool,
+        tunnel=_types.Address("127.0.3.1", number),
+    )
+    return dataclasses.replace(made, **changes)
+
+
+def state_with(*records: _types.MemberRecord, now: float = 0.0) -> routing.State:
+    """Make a state that knows the configuration and the records of one pool."""
+    events = (
+        routing.ConfigurationChanged(configuration=CONFIGURATION),
+        routing.MembersChanged(pool="fleet", records=records),
+    )
+    return routing.apply(routing.State(), events, now=now)
+
+
+def established(
+    tunnel: _types.Address,
+    *,
+    service: _types.Address = SERVICE,
+    domain: int = 1,
+    generation: int = GENERATION,
+) -> packets.Packet:
+    """Make a packet that names its destination, made for the first service."""
+    destination = packets.Destination(
+        tunnel.pack(),
+        domain,
+        packets.generation_tag(generation),
+        packets.service_tag(SERVICE.pack()),
+    )
+    return packets.Packet(b"id", service.pack(), False, destination)
+
+
+def opening(key: bytes = b"key", service: _types.Address = SERVICE) -> packets.Packet:
+    """Make a packet that may start a flow."""
+    return packets.Packet(key, service.pack(), True)
+
+
+MEMBER = record(1)
+FORWARD = routing.Forward(MEMBER.tunnel)
+LOST = dataclasses.replace(MEMBER, lost=True)
+LEFT = dataclasses.replace(MEMBER, state=_types.MemberState.LEFT)
+NEWER = dataclasses.replace(MEMBER, generation=GENERATION + 60_000)
+OLDER = dataclasses.replace(LEFT, generation=GENERATION - 60_000)
+DRAINING = dataclasses.replace(MEMBER, state=_types.MemberState.DRAINING)
+
+
+def drop(reason: routing.DropReason) -> routing.Drop:
+    """Name a drop."""
+    return routing.Drop(reason)
+
+
+@pytest.mark.parametrize(
+    ("known", "packet", "expected"),
+    [
+        (MEMBER, established(MEMBER.tunnel), FORWARD),
+        (DRAINING, established(MEMBER.tunnel), FORWARD),
+        (LEFT, established(MEMBER.tunnel), routing.Reset()),
+        (NEWER, established(MEMBER.tunnel), routing.Reset()),
+        (OLDER, established(MEMBER.tunnel), FORWARD),
+        (record(2), established(MEMBER.tunnel), FORWARD),
+        (MEMBER, established(MEMBER.tunnel, domain=2), routing.Reset()),
+        (
+            MEMBER,
+            established(MEMBER.tunnel, domain=9),
+            drop(routing.DropReason.UNKNOWN_DOMAIN),
+        ),
+        (
+            MEMBER,
+            established(MEMBER.tunnel, service=OTHER_SERVICE),
+            drop(routing.DropReason.FOREIGN_SERVICE),
+        ),
+        (
+            MEMBER,
+            established(MEMBER.tunnel, service=_types.Address("127.9.9.9", 443)),
+            drop(routing.DropReason.UNKNOWN_SERVICE),
+        ),
+        (MEMBER, opening(), FORWARD),
+        (DRAINING, opening(), drop(routing.DropReason.NO_UPSTREAM)),
+        (LOST, opening(), drop(routing.DropReason.NO_UPSTREAM)),
+        (LEFT, opening(), drop(routing.DropReason.NO_UPSTREAM)),
+        (
+            dataclasses.replace(MEMBER, domain="matane"),
+            opening(),
+            drop(routing.DropReason.NO_UPSTREAM),
+        ),
+        (
+            MEMBER,
+            opening(service=OTHER_SERVICE),
+            drop(routing.DropReason.NO_UPSTREAM),
+        ),
+    ],
+)
+def test_a_packet_follows_the_rules(
+    known: _types.MemberRecord, packet: packets.Packet, expected: routing.Action
+) -> None:
+    """Each rule, with one known record."""
+    assert routing.route(state_with(known), packet, NOW) == expected
+
+
+def test_nothing_is_decided_without_a_configuration() -> None:
+    """Unknown is not empty."""
+    events = (routing.MembersChanged(pool="fleet", records=(MEMBER,)),)
+    state = routing.apply(routing.State(), events, now=0.0)
+    expected = drop(routing.DropReason.NOT_READY)
+    assert routing.route(state, opening(), NOW) == expected
+    assert routing.route(state, established(MEMBER.tunnel), NOW) == expected
+
+
+def test_a_lost_sidecar_keeps_its_flows_for_a_while() -> None:
+    """Callers are told after the limit, and not by a balancer that is blind."""
+    state = state_with(LOST, now=NOW)
+    later = NOW + routing.LOST_RESET_SECONDS
+    packet = established(MEMBER.tunnel)
+    assert routing.route(state, packet, later) == FORWARD
+    state = routing.apply(
+        state, [routing.MembersChanged(pool="fleet", records=(LOST,))], now=later
+    )
+    assert routing.route(state, packet, later + 0.1) == routing.Reset()
+    state = routing.apply(state, [routing.BlindnessChanged(blind=True)], now=later)
+    assert routing.route(state, packet, later + 0.1) == FORWARD
+
+
+def test_a_configuration_never_goes_back() -> None:
+    """A configuration of a lower revision changes nothing."""
+    stale = model.Configuration(revision=4)
+    state = state_with(MEMBER)
+    state = routing.apply(
+        state, [routing.ConfigurationChanged(configuration=stale)], now=NOW
+    )
+    assert state.configuration == CONFIGURATION
+    assert routing.route(state, opening(), NOW) == FORWARD
+
+
+def repointed() -> model.Configuration:
+    """Lead the first service's route to the other pool."""
+    route = model.Route(name="fleet", address=SERVICE, pool="firmware")
+    return dataclasses.replace(
+        CONFIGURATION, revision=6, routes=(route, CONFIGURATION.routes[1])
+    )
+
+
+def test_flows_survive_a_route_that_changes_its_pool() -> None:
+    """Established packets find the earlier pool, with a destination or without."""
+    events = (
+        routing.ConfigurationChanged(configuration=repointed()),
+        routing.MembersChanged(pool="firmware", records=(record(7, "firmware"),)),
+    )
+    state = routing.apply(state_with(MEMBER), events, now=NOW)
+    new = record(7).tunnel
+    both = routing.Forward(new, (MEMBER.tunnel,))
+    plain = opening()._replace(opening=False)
+    assert routing.route(state, established(MEMBER.tunnel), NOW) == FORWARD
+    assert routing.route(state, opening(), NOW + 1) == both
+    assert routing.route(state, opening(), NOW + 31) == routing.Forward(new)
+    assert routing.route(state, plain, NOW + 31) == both
+
+
+def test_a_drained_upstream_gets_no_opening_packets() -> None:
+    """Operators drain by tunnel address; established flows stay."""
+    configuration = dataclasses.replace(
+        CONFIGURATION, revision=6, drained=(MEMBER.tunnel,)
+    )
+    events = [routing.ConfigurationChanged(configuration=configuration)]
+    state = routing.apply(state_with(MEMBER, record(2)), events, now=NOW)
+    assert routing.route(state, established(MEMBER.tunnel), NOW) == FORWARD
+    for number in range(100):
+        action = routing.route(state, opening(b"key%d" % number), NOW)
+        assert isinstance(action, routing.Forward)
+        assert action.tunnel == record(2).tunnel
+
+
+def test_a_packet_without_destination_follows_its_slot_through_changes() -> None:
+    """Its former owner is the present owner or among the earlier ones."""
+    state = state_with(*(record(number) for number in range(1, 8)))
+    flows = [packets.Packet(b"%d" % n, SERVICE.pack(), False) for n in range(200)]
+    before = [routing.route(state, flow, NOW) for flow in flows]
+    fewer = tuple(
+        dataclasses.replace(record(number), state=_types.MemberState.DRAINING)
+        if number == 3
+        else record(number)
+        for number in range(1, 8)
+    )
+    events = [routing.MembersChanged(pool="fleet", records=fewer)]
+    state = routing.apply(state, events, now=NOW)
+    for flow, old in zip(flows, before, strict=True):
+        new = routing.route(state, flow, NOW + 3600)
+        assert isinstance(old, routing.Forward)
+        assert isinstance(new, routing.Forward)
+        assert old.tunnel in (new.tunnel, *new.earlier_owners)
--- /dev/null
+++ b/plantainproxy/core/tests/test_slots.py
@@ -0,0 +1,133 @@
+"""Properties of the slot table."""
+
+import random
+
+from hypothesis import given, settings, strategies
+import numpy as np
+import pytest
+
+from plantainproxy import _types
+from plantainproxy.core import slots
+
+NEVER = -1e9
+
+
+def member(number: int, weight: float = 1.0) -> slots.Member:
+    """Make a member; equal numbers give equal members."""
+    host = f"127.{number >> 16}.{number >> 8 & 255}.{number & 255}"
+    return slots.Member(f"sidecar/{host}:7", _types.Address(host, 8), weight)
+
+
+def members(count: int) -> list[slots.Member]:
+    """Make members of equal weight."""
+    return [member(number) for number in range(1, count + 1)]
+
+
+def owner_keys(group: list[slots.Member]) -> list[str]:
+    """Return the key of each slot's owner."""
+    ordered, owners = slots.assign(group)
+    return [ordered[number].key for number in owners]
+
+
+GROUPS = strategies.lists(
+    strategies.tuples(
+        strategies.integers(1, 90), strategies.sampled_from((0.05, 0.3, 1.0))
+    ),
+    min_size=1,
+    max_size=90,
+    unique_by=lambda pair: pair[0],
+)
+
+
+@settings(derandomize=True, max_examples=25, deadline=None)
+@given(GROUPS, strategies.integers())
+def test_the_order_of_members_does_not_matter(
+    group: list[tuple[int, float]], seed: int
+) -> None:
+    """Any order of the same members and weights gives the same table."""
+    made = [member(*pair) for pair in group]
+    shuffled = random.Random(seed).sample(made, len(made))
+    assert owner_keys(made) == owner_keys(shuffled)
+
+
+@settings(derandomize=True, max_examples=25, deadline=None)
+@given(GROUPS)
+def test_no_member_exceeds_its_share(group: list[tuple[int, float]]) -> None:
+    """Every slot has an owner and nobody owns more than the bound."""
+    ordered, owners = slots.assign([member(*pair) for pair in group])
+    counts = np.bincount(owners, minlength=len(ordered))
+    total = sum(entry.weight for entry in ordered)
+    for entry, count in zip(ordered, counts, strict=True):
+        bound = slots.MAX_SHARE * len(owners) * entry.weight / total
+        assert count < bound + 1
+
+
+@pytest.mark.parametrize("count", [3, 7, 8, 30, 100, 1000])
+def test_one_departure_moves_few_other_slots(count: int) -> None:
+    """Slots that did not belong to the departed member nearly all stay."""
+    group = members(count)
+    before, after = owner_keys(group), owner_keys(group[:-1])
+    moved = sum(a != b for a, b in zip(before, after, strict=True))
+    necessary = before.count(group[-1].key)
+    assert moved - necessary <= len(before) * 0.015
+
+
+def test_an_opening_packet_learns_of_recent_earlier_owners_only() -> None:
+    """After the time limit only established packets learn of earlier owners."""
+    group = members(5)
+    first = slots.replace(slots.empty(), group, now=0.0)
+    second = slots.replace(first, group[:-1], now=100.0)
+    departed = group[-1].tunnel
+    slot = owner_keys(group).index(group[-1].key)
+    late = 100.1 + slots.EARLIER_OWNER_SECONDS
+    recent = slots.pick(second, slot, now=101.0)
+    assert recent is not None
+    assert recent.earlier_owners == (departed,)
+    assert slots.pick(second, slot, now=late) == slots.Pick(recent.owner)
+    assert slots.pick_established(second, slot) == recent
+
+
+def test_an_owner_that_returns_is_no_earlier_owner_of_itself() -> None:
+    """A slot that goes back lists the member that held it meanwhile."""
+    group = members(5)
+    slot = owner_keys(group).index(group[-1].key)
+    table = slots.replace(slots.empty(), group, now=0.0)
+    table = slots.replace(table, group[:-1], now=1.0)
+    meanwhile = slots.pick_established(table, slot)
+    assert meanwhile is not None
+    table = slots.replace(table, group, now=2.0)
+    expected = slots.Pick(group[-1].tunnel, (meanwhile.owner,))
+    assert slots.pick_established(table, slot) == expected
+
+
+def test_a_gone_member_is_no_earlier_owner() -> None:
+    """What can take no packets is not reported."""
+    group = members(5)
+    table = slots.replace(slots.empty(), group, now=0.0)
+    gone = frozenset((group[-1].tunnel,))
+    table = slots.replace(table, group[:-1], now=1.0, gone=gone)
+    for slot in range(table.mask + 1):
+        pick = slots.pick(table, slot, now=1.0)
+        assert pick is not None
+        assert group[-1].tunnel not in pick.earlier_owners
+
+
+def test_without_members_only_established_packets_find_an_owner() -> None:
+    """The last owners stay for flows whose packets carry no destination."""
+    table = slots.replace(slots.empty(), members(3), now=0.0)
+    emptied = slots.replace(table, [], now=1.0)
+    assert slots.pick(emptied, 5, now=1.0) is None
+    assert slots.pick_established(emptied, 5) == slots.pick_established(table, 5)
+    assert slots.pick_established(slots.empty(), 5) is None
+
+
+def test_growing_past_a_table_size_keeps_earlier_owners() -> None:
+    """A flow finds its former owner when the number of slots changed."""
+    small = slots.replace(slots.empty(), members(60), now=0.0)
+    large = slots.replace(small, members(70), now=1.0)
+    assert large.mask > small.mask
+    for flow_hash in range(0, 1 << 20, 997):
+        before = slots.pick_established(small, flow_hash)
+        after = slots.pick_established(large, flow_hash)
+        assert before is not None and after is not None
+        assert before.owner in (after.owner, *after.earlier_owners)
--- /dev/null
+++ b/plantainproxy/quic/tests/test_classify.py
@@ -0,0 +1,72 @@
+"""Reading of QUIC packets."""
+
+import random
+
+import pytest
+
+from plantainproxy import _types
+from plantainproxy.config import model
+from plantainproxy.core import packets
+from plantainproxy.quic import classify
+from plantainproxy.wire import connection_id, keyring
+
+RING = keyring.Keyring(
+    model.KeySet(revision=1, current=7, keys=(model.Key(number=7, secret=b"s" * 32),))
+)
+SERVICE = _types.Address("127.1.0.1", 443).pack()
+DESTINATION = packets.Destination(b"\x7f\x00\x03\x01\x00\x05", 3, 4, 5)
+OURS = connection_id.encode(RING.current, DESTINATION, nonce=9)
+FOREIGN = b"\x01" * 8
+
+
+def long_header(first: int, found: bytes, version: int = 1) -> bytes:
+    """Make the start of a packet with a long header."""
+    start = bytes((first,)) + version.to_bytes(4, "big")
+    return start + bytes((len(found),)) + found + b"\x00" * 1200
+
+
+ESTABLISHED = packets.Packet(OURS, SERVICE, False, DESTINATION)
+OPENING = packets.Packet(FOREIGN, SERVICE, True)
+
+
+@pytest.mark.parametrize(
+    ("payload", "expected"),
+    [
+        (b"\x40" + OURS + b"body", ESTABLISHED),
+        (b"\x40" + OURS[:-1], None),
+        (b"\x40" + b"x" * 40, None),
+        (long_header(0xC0, OURS), ESTABLISHED),
+        (long_header(0xE0, OURS), ESTABLISHED),
+        (long_header(0xC0, FOREIGN), OPENING),
+        (long_header(0xD0, FOREIGN), OPENING),
+        (long_header(0xE0, FOREIGN), None),
+        (long_header(0xF0, FOREIGN), None),
+        (long_header(0xD0, FOREIGN, 0x6B3343CF), OPENING),
+        (long_header(0xC0, FOREIGN, 0x6B3343CF), None),
+        (long_header(0xF0, FOREIGN, 0x1A2A3A4A), OPENING),
+        (long_header(0xC0, FOREIGN, 0), None),
+        (long_header(0xC0, FOREIGN[:7]), None),
+        (long_header(0xC0, b"x" * 21), None),
+        (long_header(0xC0, FOREIGN)[:5], None),
+        (long_header(0xC0, FOREIGN)[:10], None),
+        (b"", None),
+    ],
+)
+def test_a_payload_is_classified(
+    payload: bytes, expected: packets.Packet | None
+) -> None:
+    """Each form of packet, at any offset."""
+    for offset in (0, 28):
+        datagram = b"h" * offset + payload
+        found = classify.read(RING, service=SERVICE, datagram=datagram, offset=offset)
+        assert found == expected
+
+
+def test_random_bytes_never_raise() -> None:
+    """Any bytes are classified without an error."""
+    generator = random.Random(1)
+    for _ in range(5000):
+        datagram = generator.randbytes(generator.randrange(60))
+        offset = generator.randrange(40)
+        found = classify.read(RING, service=SERVICE, datagram=datagram, offset=offset)
+        assert found is None or found.opening
--- a/plantainproxy/wire/connection_id.py
+++ b/plantainproxy/wire/connection_id.py
@@ -6,11 +6,9 @@
 """
 
 import struct
-from typing import NamedTuple
-
-import xxhash
 
 from plantainproxy import _types
+from plantainproxy.core import packets
 from plantainproxy.wire import keyring
 
 BYTES = 17
@@ -21,27 +19,9 @@
 _NONCE_BYTES = 3
 
 
-class Destination(NamedTuple):
-    """Where a flow lives."""
-
-    tunnel: bytes
-    """The sidecar's packed tunnel address."""
-    domain: int
-    """The number of the sidecar's failure domain."""
-    generation: int
-    """The low 16 bits of the sidecar's generation in seconds."""
-    tag: int
-    """The tag of the service address, 16 bits."""
-
-
-def service_tag(service: bytes) -> int:
-    """Return the 16-bit tag of a packed service address."""
-    return int(xxhash.xxh3_64_intdigest(service)) & 0xFFFF
-
-
-def generation_tag(generation: int) -> int:
-    """Shorten a generation in milliseconds to the 16 bits that an ID carries."""
-    return (generation // 1000) & 0xFFFF
+Destination = packets.Destination
+service_tag = packets.service_tag
+generation_tag = packets.generation_tag
 
 
 def encode(key: keyring.WorkingKey, destination: Destination, *, nonce: int) -> bytes:
