Decide on admission, placement, retries and claims in the core

One home process grants an idempotency key from its own memory. A grant has a number, so that a repeated or late settling of an earlier grant cannot free the key for a second run: without that check, and without the check of the ticket's age, the tests of the claim table fail. The pool view names the failure domains that are out, because placement has to leave out the siblings in them.

--- a/plantainproxy/config/model.py
+++ b/plantainproxy/config/model.py
@@ -88,6 +88,8 @@
     """Whether the sidecar's failure domain may receive traffic."""
     drained: bool
     """Whether operators drain this upstream."""
+    domains_out: tuple[str, ...] = ()
+    """The failure domains that may not receive traffic."""
 
 
 def pool_view(configuration: Configuration, *, record: _types.MemberRecord) -> PoolView:
@@ -104,4 +106,9 @@
         domain_number=-1 if domain is None else domain.number,
         domain_in=domain is not None and domain.state is _types.DomainState.IN,
         drained=record.tunnel in configuration.drained,
+        domains_out=tuple(
+            domain.name
+            for domain in configuration.domains
+            if domain.state is _types.DomainState.OUT
+        ),
     )
--- /dev/null
+++ b/plantainproxy/core/claims.py
@@ -0,0 +1,187 @@
+"""The home's table of idempotency keys.
+
+One process alone may grant a key, from its own memory, and it keeps each entry until
+the key's ticket is too old to be granted again. So a key is granted at most once at a
+time, and again only after the holder said that nothing ran.
+"""
+
+import collections
+import dataclasses
+import enum
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.core import tickets
+from plantainproxy.rpc import messages
+
+MAX_ENTRIES = 262_144
+MAX_BYTES = 67_108_864
+"""Bound on the stored answers of all entries."""
+MAX_STORED_BYTES = 1_048_576
+"""A larger answer is not stored; its key becomes unknown."""
+SETTLE_GRACE_SECONDS = 2.0
+"""Time after the deadline within which a holder may still settle."""
+
+
+class Phase(enum.Enum):
+    """How far a granted key has come."""
+
+    RUNNING = enum.auto()
+    DONE = enum.auto()
+    UNKNOWN = enum.auto()
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Entry:
+    """One granted key."""
+
+    fingerprint: bytes
+    grant: int
+    """Names this grant, so that a late settling of an earlier one has no effect."""
+    running_until: float
+    phase: Phase = Phase.RUNNING
+    response: messages.Response | None = None
+    size_bytes: int = 0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Table:
+    """All keys that this process granted and that may come again."""
+
+    home: _types.Address
+    generation: int
+    tag: int
+    """The tag of the pool."""
+    max_entries: int = MAX_ENTRIES
+    max_bytes: int = MAX_BYTES
+    entries: dict[str, Entry] = dataclasses.field(default_factory=dict)
+    by_issue: dict[int, set[str]] = dataclasses.field(default_factory=dict)
+    """The keys of each issue time; there are few distinct ones."""
+    stored: "collections.OrderedDict[str, int]" = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+    """The grants whose answers are stored, oldest first."""
+    stored_bytes: int = 0
+    last_grant: int = 0
+
+
+def issue(table: Table, *, now: float) -> tickets.Ticket:
+    """Make the ticket of this moment."""
+    return tickets.Ticket(
+        table.home, table.generation, table.tag, tickets.rounded(int(now * 1000))
+    )
+
+
+def claim(
+    table: Table,
+    request: messages.ClaimRequest,
+    *,
+    ticket: tickets.Ticket,
+    now: float,
+) -> messages.ClaimReply:
+    """Decide on a claim: granted, the stored answer, or a refusal."""
+    expire(table, now=now)
+    if not _may_know(table, ticket, now=now):
+        return messages.ClaimReply(error=_exceptions.ErrorKind.OUTCOME_UNKNOWN)
+    entry = table.entries.get(request.key)
+    if entry is not None:
+        return _known(entry, request, now=now)
+    if len(table.entries) >= table.max_entries:
+        return messages.ClaimReply(error=_exceptions.ErrorKind.OVERLOADED)
+    return _grant(table, request, ticket=ticket, now=now)
+
+
+def settle(table: Table, request: messages.SettleRequest) -> None:
+    """Take how a granted attempt ended; one of an earlier grant has no effect."""
+    entry = table.entries.get(request.key)
+    if entry is None or entry.grant != request.grant or entry.phase is Phase.DONE:
+        return
+    if request.outcome is _types.Outcome.NOT_RUN:
+        _free(table, request.key)
+        return
+    if request.outcome is _types.Outcome.UNKNOWN or request.response is None:
+        entry.phase = Phase.UNKNOWN
+        return
+    _store(table, request.key, entry, request.response)
+
+
+def expire(table: Table, *, now: float) -> None:
+    """Forget the keys whose tickets are too old to be granted again."""
+    horizon = int(now * 1000) - tickets.LIFETIME_MILLISECONDS
+    for issued in [issued for issued in table.by_issue if issued < horizon]:
+        for key in table.by_issue.pop(issued):
+            entry = table.entries.pop(key)
+            _drop_response(table, key, entry)
+
+
+def _may_know(table: Table, ticket: tickets.Ticket, *, now: float) -> bool:
+    """Tell whether this process would remember a grant under the ticket."""
+    if (ticket.home, ticket.generation, ticket.tag) != (
+        table.home,
+        table.generation,
+        table.tag,
+    ):
+        return False
+    age = int(now * 1000) - ticket.issued_milliseconds
+    return 0 <= age <= tickets.LIFETIME_MILLISECONDS
+
+
+def _known(
+    entry: Entry, request: messages.ClaimRequest, *, now: float
+) -> messages.ClaimReply:
+    if entry.fingerprint != request.fingerprint:
+        return messages.ClaimReply(error=_exceptions.ErrorKind.KEY_REUSED)
+    if entry.phase is Phase.DONE:
+        return messages.ClaimReply(response=entry.response)
+    if entry.phase is Phase.RUNNING and now <= entry.running_until:
+        return messages.ClaimReply(error=_exceptions.ErrorKind.STILL_RUNNING)
+    return messages.ClaimReply(error=_exceptions.ErrorKind.OUTCOME_UNKNOWN)
+
+
+def _grant(
+    table: Table, request: messages.ClaimRequest, *, ticket: tickets.Ticket, now: float
+) -> messages.ClaimReply:
+    table.last_grant += 1
+    timeout = request.timeout_milliseconds / 1000
+    table.entries[request.key] = Entry(
+        fingerprint=request.fingerprint,
+        grant=table.last_grant,
+        running_until=now + timeout + SETTLE_GRACE_SECONDS,
+    )
+    table.by_issue.setdefault(ticket.issued_milliseconds, set()).add(request.key)
+    return messages.ClaimReply(granted=True, grant=table.last_grant)
+
+
+def _free(table: Table, key: str) -> None:
+    del table.entries[key]
+    for keys in table.by_issue.values():
+        keys.discard(key)
+
+
+def _store(table: Table, key: str, entry: Entry, response: messages.Response) -> None:
+    size = _size(response)
+    if size > min(MAX_STORED_BYTES, table.max_bytes):
+        entry.phase = Phase.UNKNOWN
+        return
+    entry.phase = Phase.DONE
+    entry.response = response
+    entry.size_bytes = size
+    table.stored[key] = entry.grant
+    table.stored_bytes += size
+    while table.stored_bytes > table.max_bytes:
+        oldest = next(iter(table.stored))
+        evicted = table.entries[oldest]
+        _drop_response(table, oldest, evicted)
+        evicted.phase = Phase.UNKNOWN
+
+
+def _drop_response(table: Table, key: str, entry: Entry) -> None:
+    if table.stored.pop(key, None) is None:
+        return
+    table.stored_bytes -= entry.size_bytes
+    entry.response = None
+    entry.size_bytes = 0
+
+
+def _size(response: messages.Response) -> int:
+    headers = sum(len(field.name) + len(field.value) for field in response.headers)
+    return len(response.body) + headers
--- /dev/null
+++ b/plantainproxy/core/tests/test_claims.py
@@ -0,0 +1,261 @@
+"""The home's table grants a key at most once, whatever happens in between."""
+
+from collections.abc import Callable
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.config import model
+from plantainproxy.core import claims, tickets
+from plantainproxy.rpc import messages
+from plantainproxy.wire import keyring
+
+HOME = _types.Address("127.0.0.1", 7001)
+GENERATION = 1_700_000_000_000
+RING = keyring.Keyring(
+    model.KeySet(
+        revision=1,
+        current=1,
+        keys=tuple(model.Key(number=n, secret=bytes((n,)) * 32) for n in (1, 2)),
+    )
+)
+ANSWER = messages.Response(status=200, body=b"done")
+
+
+def _table(*, max_entries: int = 8, max_bytes: int = 64) -> claims.Table:
+    return claims.Table(
+        home=HOME,
+        generation=GENERATION,
+        tag=tickets.pool_tag("fleet"),
+        max_entries=max_entries,
+        max_bytes=max_bytes,
+    )
+
+
+def _claim(
+    table: claims.Table,
+    key: str = "t.a",
+    *,
+    now: float = 0.0,
+    fingerprint: bytes = b"f",
+    issued: int = 0,
+) -> messages.ClaimReply:
+    ticket = tickets.Ticket(HOME, GENERATION, table.tag, issued)
+    request = messages.ClaimRequest(
+        key=key, fingerprint=fingerprint, timeout_milliseconds=1000
+    )
+    return claims.claim(table, request, ticket=ticket, now=now)
+
+
+def _settle(
+    table: claims.Table,
+    grant: int,
+    outcome: _types.Outcome,
+    key: str = "t.a",
+    response: messages.Response | None = None,
+) -> None:
+    claims.settle(
+        table,
+        messages.SettleRequest(
+            key=key, grant=grant, outcome=outcome, response=response
+        ),
+    )
+
+
+@pytest.mark.parametrize(
+    ("outcome", "response", "expected"),
+    [
+        (None, None, messages.ClaimReply(error=_exceptions.ErrorKind.STILL_RUNNING)),
+        (_types.Outcome.RUN, ANSWER, messages.ClaimReply(response=ANSWER)),
+        (_types.Outcome.NOT_RUN, None, messages.ClaimReply(granted=True, grant=2)),
+        (
+            _types.Outcome.UNKNOWN,
+            None,
+            messages.ClaimReply(error=_exceptions.ErrorKind.OUTCOME_UNKNOWN),
+        ),
+    ],
+)
+def test_second_claim_depends_on_how_the_first_ended(
+    outcome: _types.Outcome | None,
+    response: messages.Response | None,
+    expected: messages.ClaimReply,
+) -> None:
+    """Only a first attempt that surely did not run frees the key."""
+    table = _table()
+    first = _claim(table)
+    assert first.granted
+    if outcome is not None:
+        _settle(table, first.grant, outcome, response=response)
+    assert _claim(table) == expected
+
+
+def test_key_of_another_request_is_refused() -> None:
+    """The fingerprint tells a key that is used again."""
+    table = _table()
+    _claim(table)
+    reply = _claim(table, fingerprint=b"other")
+    assert reply.error is _exceptions.ErrorKind.KEY_REUSED
+
+
+@pytest.mark.parametrize(
+    "ticket",
+    [
+        tickets.Ticket(HOME, GENERATION - 1, tickets.pool_tag("fleet"), 0),
+        tickets.Ticket(HOME, GENERATION, tickets.pool_tag("firmware"), 0),
+        tickets.Ticket(HOME._replace(port=1), GENERATION, tickets.pool_tag("fleet"), 0),
+        tickets.Ticket(HOME, GENERATION, tickets.pool_tag("fleet"), 60_000),
+    ],
+)
+def test_ticket_that_the_home_cannot_vouch_for_is_unknown(
+    ticket: tickets.Ticket,
+) -> None:
+    """Another generation, pool or home, and one from the future."""
+    request = messages.ClaimRequest(
+        key="t.a", fingerprint=b"f", timeout_milliseconds=1000
+    )
+    reply = claims.claim(_table(), request, ticket=ticket, now=1.0)
+    assert reply.error is _exceptions.ErrorKind.OUTCOME_UNKNOWN
+
+
+def test_entry_outlives_its_ticket() -> None:
+    """A key is forgotten only when its ticket is too old to be granted."""
+    table = _table()
+    lifetime = tickets.LIFETIME_MILLISECONDS / 1000
+    _settle(table, _claim(table).grant, _types.Outcome.RUN, response=ANSWER)
+    assert _claim(table, now=lifetime).response == ANSWER
+    late = _claim(table, now=lifetime + 0.01)
+    assert late.error is _exceptions.ErrorKind.OUTCOME_UNKNOWN
+    assert not table.entries
+    assert table.stored_bytes == 0
+
+
+def test_grant_that_is_never_settled_becomes_unknown() -> None:
+    """The holder is gone; nobody else gets the key."""
+    table = _table()
+    _claim(table)
+    late = _claim(table, now=1.0 + claims.SETTLE_GRACE_SECONDS + 0.01)
+    assert late.error is _exceptions.ErrorKind.OUTCOME_UNKNOWN
+
+
+def test_settling_of_an_earlier_grant_has_no_effect() -> None:
+    """A repeated "not run" does not free the key of a later holder."""
+    table = _table()
+    first = _claim(table)
+    _settle(table, first.grant, _types.Outcome.NOT_RUN)
+    assert _claim(table).granted
+    _settle(table, first.grant, _types.Outcome.NOT_RUN)
+    assert _claim(table).error is _exceptions.ErrorKind.STILL_RUNNING
+
+
+def test_full_table_refuses_new_keys_and_keeps_old_ones() -> None:
+    """Memory is bounded without forgetting a grant."""
+    table = _table(max_entries=1)
+    _claim(table, "t.a")
+    assert _claim(table, "t.b").error is _exceptions.ErrorKind.OVERLOADED
+    assert _claim(table, "t.a").error is _exceptions.ErrorKind.STILL_RUNNING
+
+
+def test_answers_beyond_the_byte_bound_become_unknown() -> None:
+    """The oldest stored answer goes first, its key stays blocked."""
+    table = _table(max_bytes=6)
+    for key in ("t.a", "t.b"):
+        grant = _claim(table, key).grant
+        _settle(table, grant, _types.Outcome.RUN, key, ANSWER)
+    assert _claim(table, "t.a").error is _exceptions.ErrorKind.OUTCOME_UNKNOWN
+    assert _claim(table, "t.b").response == ANSWER
+    assert table.stored_bytes == 4
+
+
+@dataclasses.dataclass
+class _Holder:
+    key: str
+    grant: int
+    executed: bool = False
+
+
+_STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["claim", "run", "settle", "repeat", "wait"]),
+        strategies.integers(0, 7),
+        strategies.sampled_from([1.0, 70.0, 400.0]),
+    ),
+    max_size=60,
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(steps=_STEPS)
+def test_no_interleaving_runs_a_key_twice(
+    steps: list[tuple[str, int, float]],
+) -> None:
+    """Holders run, settle late, repeatedly or never, while keys come again."""
+    table = _table(max_entries=4, max_bytes=6)
+    issued: dict[str, int] = {}
+    holders: list[_Holder] = []
+    runs: dict[str, int] = {}
+    now = 0.0
+    for action, number, wait in steps:
+        key = f"t.{number % 3}"
+        if action == "wait":
+            now += wait
+        elif action == "claim":
+            at = issued.setdefault(key, tickets.rounded(int(now * 1000)))
+            reply = _claim(table, key, now=now, issued=at)
+            if reply.granted:
+                holders.append(_Holder(key, reply.grant))
+        elif holders:
+            holder = holders[number % len(holders)]
+            settled = (table, holder.grant)
+            if action == "run" and not holder.executed:
+                _run_if_held(table, holder, runs)
+            elif holder.executed:
+                _settle(*settled, _types.Outcome.RUN, holder.key, ANSWER)
+            else:
+                _settle(*settled, _types.Outcome.NOT_RUN, holder.key)
+                holder.grant = -1
+        assert all(count == 1 for count in runs.values())
+        assert len(table.entries) <= table.max_entries
+        assert 0 <= table.stored_bytes <= table.max_bytes
+
+
+def _run_if_held(table: claims.Table, holder: _Holder, runs: dict[str, int]) -> None:
+    """Execute as a holder does: never after it said "not run"."""
+    if holder.grant < 0:
+        return
+    holder.executed = True
+    runs[holder.key] = runs.get(holder.key, 0) + 1
+
+
+def test_ticket_survives_its_encoding() -> None:
+    """What is sealed is what is read."""
+    ticket = tickets.Ticket(HOME, GENERATION, 77, 60_000)
+    for key in RING.by_number.values():
+        assert tickets.decode(RING, tickets.encode(key, ticket) + ".x") == ticket
+
+
+@pytest.mark.parametrize(
+    ("change", "expected"),
+    [
+        (lambda text: text, _exceptions.ErrorKind.TICKET_REQUIRED),
+        (lambda text: text + ".", _exceptions.ErrorKind.TICKET_REQUIRED),
+        (lambda text: text[:-2] + ".x", _exceptions.ErrorKind.TICKET_REQUIRED),
+        (lambda text: text[:-4] + "AAAA.x", _exceptions.ErrorKind.TICKET_REQUIRED),
+        (lambda text: "é" + text[1:] + ".x", _exceptions.ErrorKind.TICKET_REQUIRED),
+        (lambda text: text + "." + "x" * 300, _exceptions.ErrorKind.TICKET_REQUIRED),
+        (lambda text: "_w" + text[2:] + ".x", _exceptions.ErrorKind.OUTCOME_UNKNOWN),
+        (lambda text: "random.x", _exceptions.ErrorKind.TICKET_REQUIRED),
+    ],
+)
+def test_key_without_a_valid_ticket_is_refused(
+    change: Callable[[str], str],
+    expected: _exceptions.ErrorKind,
+) -> None:
+    """Forged tickets are refused; a retired key leaves the outcome unknown."""
+    ticket = tickets.Ticket(HOME, GENERATION, 77, 60_000)
+    text = change(tickets.encode(RING.current, ticket))
+    with pytest.raises(_exceptions.PlantainError) as caught:
+        tickets.decode(RING, text)
+    assert caught.value.kind is expected
--- /dev/null
+++ b/plantainproxy/core/tests/test_load.py
@@ -0,0 +1,328 @@
+"""Admission, placement and retries."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.core import admission, placement, retry
+
+MAX_RUNNING = 64
+SUCCESS = admission.Signal.SUCCESS
+
+
+def _busy(
+    state: admission.State,
+    *,
+    start: float,
+    seconds: float,
+    latency: float = 0.02,
+    signal: admission.Signal = SUCCESS,
+) -> float:
+    """Keep the upstream at its limit; return the time at the end."""
+    now = start
+    while now < start + seconds:
+        while admission.admits(state, max_running=MAX_RUNNING, now=now):
+            admission.begin(state)
+        now += latency
+        while state.running:
+            admission.end(
+                state,
+                signal=signal,
+                latency_seconds=latency,
+                max_running=MAX_RUNNING,
+                now=now,
+            )
+    return now
+
+
+def _limit(state: admission.State, now: float) -> int:
+    return admission.limit(state, max_running=MAX_RUNNING, now=now)
+
+
+def test_limit_ramps_from_cold_to_the_pools_bound() -> None:
+    """Growth takes time, however many requests succeed."""
+    state = admission.State()
+    assert _limit(state, 0.0) == admission.COLD_LIMIT
+    now = _busy(state, start=0.0, seconds=1.0)
+    assert _limit(state, now) <= 4
+    now = _busy(state, start=now, seconds=15.0)
+    assert _limit(state, now) == MAX_RUNNING
+
+
+def test_limit_falls_as_latency_leaves_its_baseline() -> None:
+    """An upstream that turns slow gets less, not more."""
+    state = admission.State()
+    now = _busy(state, start=0.0, seconds=8.0)
+    warm = _limit(state, now)
+    now = _busy(state, start=now, seconds=4.0, latency=0.2)
+    assert _limit(state, now) < warm / 4
+
+
+@pytest.mark.parametrize("pause", [10.0, 100.0, 10_000.0])
+def test_no_burst_after_idle_time(pause: float) -> None:
+    """What an idle upstream gets first is what a cold one bears."""
+    state = admission.State()
+    now = _busy(state, start=0.0, seconds=20.0) + pause
+    assert _limit(state, now) <= admission.COLD_LIMIT
+    lines = [_line(state, now) for _ in range(50)]
+    assert sum(lines) <= admission.LINE_BURST
+
+
+def test_overload_halves_the_limit_once_a_window() -> None:
+    """Many refusals of one moment count as one signal."""
+    state = admission.State()
+    now = _busy(state, start=0.0, seconds=20.0)
+    for _ in range(10):
+        admission.begin(state)
+    for _ in range(10):
+        admission.end(
+            state,
+            signal=admission.Signal.OVERLOAD,
+            latency_seconds=0.0,
+            max_running=MAX_RUNNING,
+            now=now,
+        )
+    assert _limit(state, now) == MAX_RUNNING / 2
+
+
+def test_restart_resets_to_cold() -> None:
+    """Broken connections in a row, or another start in the report."""
+    state = admission.State()
+    now = _busy(state, start=0.0, seconds=20.0)
+    for _ in range(admission.RESTART_FAILURES):
+        admission.observe_unreachable(state, now=now)
+    assert not admission.available(state)
+    assert _limit(state, now) == admission.COLD_LIMIT
+    admission.observe_report(state, admission.Report(started="a"), now=now)
+    assert admission.available(state)
+    now = _busy(state, start=now, seconds=20.0)
+    admission.observe_report(state, admission.Report(started="b"), now=now)
+    assert _limit(state, now) == admission.COLD_LIMIT
+
+
+def test_report_only_lowers_the_limit() -> None:
+    """A boast has no effect; a low report holds until it is old."""
+    state = admission.State()
+    admission.observe_report(state, admission.Report(limit=50), now=0.0)
+    assert _limit(state, 0.0) == admission.COLD_LIMIT
+    now = _busy(state, start=0.0, seconds=20.0)
+    admission.observe_report(state, admission.Report(limit=3), now=now)
+    assert _limit(state, now) == 3
+    assert _limit(state, now + admission.REPORT_LIFETIME_SECONDS + 0.1) > 3
+
+
+def _line(state: admission.State, now: float) -> bool:
+    return admission.allow_line(
+        state, lines_per_second=50.0, max_running=MAX_RUNNING, now=now
+    )
+
+
+def test_line_rate_ramps_to_the_pools_rate() -> None:
+    """Cold upstreams take few lines a second, warm ones the pool's rate."""
+    state = admission.State()
+    cold = sum(_line(state, step / 100) for step in range(100))
+    assert cold <= admission.LINE_BURST + 2 * admission.COLD_LINES_PER_SECOND
+    for step in range(100, 1500):
+        _line(state, step / 100)
+    warm = sum(_line(state, step / 100) for step in range(1500, 1600))
+    assert 45 <= warm <= 50 + admission.LINE_BURST
+
+
+_EVENTS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["begin", "end", "report", "unreachable", "line"]),
+        strategies.sampled_from(list(admission.Signal)),
+        strategies.sampled_from([0.0, 0.01, 0.7, 20.0]),
+    ),
+    max_size=80,
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
+@hypothesis.given(events=_EVENTS)
+def test_limit_stays_within_its_bounds(
+    events: list[tuple[str, admission.Signal, float]],
+) -> None:
+    """Between one and the pool's bound; what runs never exceeds it by admission."""
+    state = admission.State()
+    now = 0.0
+    for action, signal, wait in events:
+        now += wait
+        if action == "begin" and admission.admits(state, max_running=5, now=now):
+            admission.begin(state)
+            assert state.running <= 5
+        elif action == "end" and state.running:
+            admission.end(
+                state, signal=signal, latency_seconds=wait, max_running=5, now=now
+            )
+        elif action == "report":
+            admission.observe_report(state, admission.Report(limit=90), now=now)
+        elif action == "unreachable":
+            admission.observe_unreachable(state, now=now)
+        elif action == "line":
+            _line(state, now)
+        assert 1 <= admission.limit(state, max_running=5, now=now) <= 5
+
+
+OWN_ADDRESS = _types.Address("127.0.0.1", 1)
+FIRST = _types.Address("127.0.0.1", 2)
+SECOND = _types.Address("127.0.0.1", 3)
+IDLE = placement.Own(running=0, limit=4, admits=True)
+FULL = placement.Own(running=4, limit=4, admits=False)
+LEAVING = placement.Own(running=0, limit=4, admits=True, draining=True)
+
+
+def _record(
+    rpc: _types.Address,
+    *,
+    domain: str = "matane",
+    state: _types.MemberState = _types.MemberState.SERVING,
+    lost: bool = False,
+) -> _types.MemberRecord:
+    return _types.MemberRecord(
+        kind=_types.MemberKind.SIDECAR,
+        rpc=rpc,
+        domain=domain,
+        generation=1,
+        sequence=1,
+        state=state,
+        lost=lost,
+    )
+
+
+def _siblings(*records: _types.MemberRecord) -> placement.State:
+    state = placement.State()
+    placement.update_siblings(
+        state, records, own=OWN_ADDRESS, domains_out=frozenset({"rimouski"})
+    )
+    return state
+
+
+def _place(
+    state: placement.State, own: placement.Own, *, now: float = 0.0
+) -> placement.Placement:
+    return placement.place(state, own=own, draws=(0.1, 0.9), now=now)
+
+
+def _learn(
+    state: placement.State,
+    address: _types.Address,
+    *,
+    running: int,
+    limit: int = 8,
+    refused: bool = False,
+) -> None:
+    placement.begin(state, address)
+    placement.end(
+        state, address, running=running, limit=limit, refused=refused, now=0.0
+    )
+
+
+@pytest.mark.parametrize(
+    ("own", "expected"),
+    [
+        (IDLE, placement.OWN),
+        (FULL, placement.Placement(sibling=FIRST)),
+        (LEAVING, placement.Placement(sibling=FIRST)),
+    ],
+)
+def test_own_upstream_comes_first(
+    own: placement.Own, expected: placement.Placement
+) -> None:
+    """A sibling gets the work that the own upstream may not take."""
+    assert _place(_siblings(_record(OWN_ADDRESS), _record(FIRST)), own) == expected
+
+
+@pytest.mark.parametrize(
+    ("record", "own", "error"),
+    [
+        (_record(FIRST, domain="rimouski"), FULL, "overloaded"),
+        (_record(FIRST, domain="rimouski"), LEAVING, "no-upstream"),
+        (_record(FIRST, state=_types.MemberState.DRAINING), LEAVING, "no-upstream"),
+        (_record(FIRST, lost=True), LEAVING, "no-upstream"),
+    ],
+)
+def test_members_that_may_not_serve_get_nothing(
+    record: _types.MemberRecord, own: placement.Own, error: str
+) -> None:
+    """Drained, lost and taken-out siblings are no choice."""
+    expected = placement.Placement(error=_exceptions.ErrorKind(error))
+    assert _place(_siblings(record), own) == expected
+
+
+def test_less_loaded_of_two_siblings_is_taken() -> None:
+    """The choice follows the load last seen."""
+    state = _siblings(_record(FIRST), _record(SECOND))
+    _learn(state, FIRST, running=5)
+    _learn(state, SECOND, running=1)
+    assert _place(state, FULL).sibling == SECOND
+
+
+def test_refusal_holds_a_sibling_back_for_a_while() -> None:
+    """A sibling that said overloaded is not asked again at once."""
+    state = _siblings(_record(FIRST))
+    _learn(state, FIRST, running=8, refused=True)
+    assert _place(state, FULL).error is _exceptions.ErrorKind.OVERLOADED
+    later = placement.OVERLOADED_HOLD_SECONDS + placement.LOAD_LIFETIME_SECONDS
+    assert _place(state, FULL, now=later).sibling == FIRST
+
+
+def test_work_on_the_way_counts() -> None:
+    """Many requests placed at once do not stampede onto one sibling."""
+    state = _siblings(_record(FIRST))
+    placed = 0
+    while _place(state, FULL).sibling is not None:
+        placement.begin(state, FIRST)
+        placed += 1
+    assert placed == placement.UNKNOWN_LIMIT
+
+
+def test_clearly_less_busy_sibling_gets_work_of_a_busy_upstream() -> None:
+    """Running requests spread evenly even below the limit."""
+    state = _siblings(_record(FIRST))
+    _learn(state, FIRST, running=1)
+    busy = placement.Own(running=6, limit=8, admits=True)
+    near = placement.Own(running=2, limit=8, admits=True)
+    assert _place(state, busy).sibling == FIRST
+    assert _place(state, near) == placement.OWN
+
+
+def test_retries_are_a_share_of_the_traffic() -> None:
+    """In the long run one retry for ten requests."""
+    budget = retry.Budget()
+    draw = random.Random(1)
+    failure = retry.Failure(attempt=1, repeatable=True, outcome=_types.Outcome.UNKNOWN)
+    granted = 0
+    for _ in range(1000):
+        retry.earn(budget)
+        wait = retry.delay(budget, failure, draw=draw.random(), now=0.0, deadline=9.0)
+        granted += wait is not None
+    assert granted <= retry.BUDGET_CAPACITY + 1000 * retry.BUDGET_SHARE
+
+
+@pytest.mark.parametrize(
+    ("failure", "deadline", "retried"),
+    [
+        ((1, True, _types.Outcome.UNKNOWN), 9.0, True),
+        ((1, False, _types.Outcome.UNKNOWN), 9.0, False),
+        ((1, False, _types.Outcome.NOT_RUN), 9.0, True),
+        ((retry.MAX_ATTEMPTS, True, _types.Outcome.NOT_RUN), 9.0, False),
+        ((1, True, _types.Outcome.NOT_RUN), 0.001, False),
+    ],
+)
+def test_retry_follows_outcome_attempts_and_deadline(
+    failure: tuple[int, bool, _types.Outcome], deadline: float, retried: bool
+) -> None:
+    """What may have run is repeated only where that does no harm."""
+    attempt, repeatable, outcome = failure
+    wait = retry.delay(
+        retry.Budget(),
+        retry.Failure(attempt=attempt, repeatable=repeatable, outcome=outcome),
+        draw=0.5,
+        now=0.0,
+        deadline=deadline,
+    )
+    assert (wait is not None) is retried
--- a/plantainproxy/rpc/messages.py
+++ b/plantainproxy/rpc/messages.py
@@ -140,6 +140,8 @@
     key: str
     fingerprint: bytes
     """Digest of method, path and body, to notice a key that is used again."""
+    timeout_milliseconds: int
+    """What is left of the deadline; a key not settled by then is unknown."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -147,6 +149,8 @@
     """The home's decision: granted, the stored answer, or an error kind."""
 
     granted: bool = False
+    grant: int = 0
+    """Names the grant when settling it."""
     response: Response | None = None
     error: _exceptions.ErrorKind | None = None
 
@@ -156,6 +160,8 @@
     """Tells a key's home how the granted attempt ended."""
 
     key: str
+    grant: int
+    """The grant that the claim's reply named."""
     outcome: _types.Outcome
     """Not run frees the key; unknown keeps it blocked."""
     response: Response | None = None
