Measure four ways to route established flows

Cause: the choice to keep no per-flow state in balancers needs a figure. Ruled out: a shared table, which would be a replicated store of our own. Conclusion: the destination stands in the packet; hashing is for opening packets.

--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,233 @@
+"""Broken flows under four ways to route the packets of established flows.
+
+Every way sees the same flows, the same spraying and the same changes, on the pure
+core: upstreams drain and join, balancers restart, and each balancer learns of a change
+after a lag of its own. A flow is broken when one of its packets reaches no sidecar
+that holds it. Run it with ``python -m bench.baselines``.
+"""
+
+from collections.abc import Callable, Sequence
+import dataclasses
+import pathlib
+import random
+
+import msgspec
+
+from plantainproxy import _types
+from plantainproxy.config import model
+from plantainproxy.core import packets, routing, slots
+
+SEED = 20261204
+BALANCERS = 6
+UPSTREAMS = 14
+FLOWS = 20_000
+CHANGES = 12
+SECONDS_BETWEEN_CHANGES = 10.0
+MAX_LAG_SECONDS = 2.0
+PACKETS_PER_FLOW_BETWEEN_CHANGES = 2
+OUTPUT = pathlib.Path("out/baselines.json")
+POOL = "fleet-control"
+SERVICE = _types.Address("127.20.0.1", 4433)
+GENERATION_MILLISECONDS = 1_796_000_000_000
+CONFIGURATION = model.Configuration(
+    revision=1,
+    routes=(model.Route(name="r", address=SERVICE, pool=POOL),),
+    pools=(model.Pool(name=POOL),),
+    domains=(model.Domain(name="d", number=1),),
+)
+
+Records = tuple[_types.MemberRecord, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class Balancer:
+    """One balancer's view, and a per-flow table for the way that keeps one."""
+
+    state: routing.State
+    flows: dict[int, _types.Address] = dataclasses.field(default_factory=dict)
+    pending: list[tuple[float, Records]] = dataclasses.field(default_factory=list)
+    """Views that it will learn, by time."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Row:
+    """The result of one way."""
+
+    way: str
+    broken: int
+    flows: int
+
+
+Choose = Callable[[Balancer, int, _types.Address, float], Sequence[_types.Address]]
+"""Returns the sidecars that see a packet, in order. The third argument is the flow's
+holder, which only the connection ID may name; the fourth is the time."""
+
+
+def _per_flow_table(
+    balancer: Balancer, flow: int, holder: _types.Address, now: float
+) -> Sequence[_types.Address]:
+    known = balancer.flows.get(flow)
+    if known is None:
+        known = _owners(balancer, flow)[0]
+        balancer.flows[flow] = known
+    return (known,)
+
+
+def _hash_alone(
+    balancer: Balancer, flow: int, holder: _types.Address, now: float
+) -> Sequence[_types.Address]:
+    return _owners(balancer, flow)[:1]
+
+
+def _earlier_owners(
+    balancer: Balancer, flow: int, holder: _types.Address, now: float
+) -> Sequence[_types.Address]:
+    return _owners(balancer, flow)
+
+
+def _destination(
+    balancer: Balancer, flow: int, holder: _types.Address, now: float
+) -> Sequence[_types.Address]:
+    """Let the real routing rules decide on a packet with our connection ID."""
+    service = SERVICE.pack()
+    destination = packets.Destination(
+        holder.pack(),
+        1,
+        packets.generation_tag(GENERATION_MILLISECONDS),
+        packets.service_tag(service),
+    )
+    packet = packets.Packet(b"", service, False, destination)
+    action = routing.route(balancer.state, packet, now)
+    return (action.tunnel,) if isinstance(action, routing.Forward) else ()
+
+
+WAYS: dict[str, Choose] = {
+    "per-flow table, not shared": _per_flow_table,
+    "hash alone": _hash_alone,
+    "hash and earlier owners": _earlier_owners,
+    "destination in the packet": _destination,
+}
+
+
+def _flow_hash(flow: int) -> int:
+    return packets.flow_hash(flow.to_bytes(8, "big"))
+
+
+def _owners(balancer: Balancer, flow: int) -> tuple[_types.Address, ...]:
+    pick = slots.pick_established(balancer.state.tables[POOL], _flow_hash(flow))
+    assert pick is not None
+    return (pick.owner, *pick.earlier_owners)
+
+
+def _record(number: int) -> _types.MemberRecord:
+    host = f"127.30.{number // 250}.{number % 250 + 1}"
+    return _types.MemberRecord(
+        kind=_types.MemberKind.SIDECAR,
+        rpc=_types.Address(host, 7001),
+        domain="d",
+        generation=GENERATION_MILLISECONDS,
+        sequence=1,
+        pool=POOL,
+        tunnel=_types.Address(host, 7000),
+    )
+
+
+def _drained(record: _types.MemberRecord) -> _types.MemberRecord:
+    return dataclasses.replace(
+        record, sequence=record.sequence + 1, state=_types.MemberState.DRAINING
+    )
+
+
+def _serving(records: Records) -> list[int]:
+    return [
+        index
+        for index, record in enumerate(records)
+        if record.state is _types.MemberState.SERVING
+    ]
+
+
+def _fresh(records: Records, now: float) -> Balancer:
+    events = (
+        routing.ConfigurationChanged(configuration=CONFIGURATION),
+        routing.MembersChanged(pool=POOL, records=records),
+    )
+    return Balancer(state=routing.apply(routing.State(), events, now=now))
+
+
+def _learn(balancer: Balancer, now: float) -> None:
+    while balancer.pending and balancer.pending[0][0] <= now:
+        _, records = balancer.pending.pop(0)
+        event = routing.MembersChanged(pool=POOL, records=records)
+        balancer.state = routing.apply(balancer.state, (event,), now=now)
+
+
+def _replace_one(records: Records, source: random.Random) -> Records:
+    """Drain one upstream, which keeps its flows, and let a new one join."""
+    changed = list(records)
+    index = source.choice(_serving(records))
+    changed[index] = _drained(changed[index])
+    return (*changed, _record(len(changed)))
+
+
+def run_way(choose: Choose) -> int:
+    """Run all changes under one way and return the number of broken flows."""
+    source = random.Random(SEED)
+    records = tuple(_record(number) for number in range(UPSTREAMS))
+    balancers = [_fresh(records, 0.0) for _ in range(BALANCERS)]
+    holders = {}
+    for flow in range(FLOWS):
+        holders[flow] = _owners(balancers[0], flow)[0]
+        balancers[source.randrange(BALANCERS)].flows[flow] = holders[flow]
+    broken: set[int] = set()
+    for change in range(CHANGES):
+        now = change * SECONDS_BETWEEN_CHANGES
+        if change % 3 == 2:
+            balancers[source.randrange(BALANCERS)] = _fresh(records, now)
+        else:
+            records = _replace_one(records, source)
+            for balancer in balancers:
+                lag_seconds = source.uniform(0, MAX_LAG_SECONDS)
+                balancer.pending.append((now + lag_seconds, records))
+        broken |= _send_packets(choose, balancers, holders, source, now=now)
+    return len(broken)
+
+
+def _send_packets(
+    choose: Choose,
+    balancers: Sequence[Balancer],
+    holders: dict[int, _types.Address],
+    source: random.Random,
+    *,
+    now: float,
+) -> set[int]:
+    broken = set()
+    moments = sorted(
+        (now + source.uniform(0, SECONDS_BETWEEN_CHANGES), flow)
+        for flow in holders
+        for _ in range(PACKETS_PER_FLOW_BETWEEN_CHANGES)
+    )
+    for moment, flow in moments:
+        balancer = source.choice(balancers)
+        _learn(balancer, moment)
+        if holders[flow] not in choose(balancer, flow, holders[flow], moment):
+            broken.add(flow)
+    return broken
+
+
+def main() -> None:
+    """Run all ways, print a table and write the JSON result."""
+    rows = [
+        Row(way=way, broken=run_way(choose), flows=FLOWS)
+        for way, choose in WAYS.items()
+    ]
+    print(f"{'way':30} {'broken':>8} {'of':>8} {'share':>8}")
+    for row in rows:
+        print(
+            f"{row.way:30} {row.broken:8} {row.flows:8} {row.broken / row.flows:8.2%}"
+        )
+    OUTPUT.parent.mkdir(exist_ok=True)
+    OUTPUT.write_bytes(msgspec.json.encode(rows))
+
+
+if __name__ == "__main__":
+    main()
