Add the store adapter, its fake and the stand-in store

Cause: the port to the platform's store had no adapter. It speaks etcd v3's JSON gateway over h11 on trio, with a deadline on each call; the stand-in speaks the same subset over a real socket and can be down, slow, stale, lose answers and leases. A write counts as not applied only when no connection came about or the store refused it; the adapter never sends a write twice. Ruled out: a retry of writes in the adapter; only the caller knows how to read back.

--- /dev/null
+++ b/plantainproxy/store/etcd.py
@@ -0,0 +1,201 @@
+"""The store port over etcd v3's JSON gateway."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import logging
+
+import msgspec
+import trio
+
+from plantainproxy import _exceptions
+from plantainproxy.settings import model
+from plantainproxy.store import gateway, http, port
+
+logger = logging.getLogger("plantain.store")
+
+READ_ATTEMPTS = 2
+"""A read is sent again on a new connection; the attempts share the deadline."""
+
+
+class EtcdStore:
+    """The connections to one store; implements ``port.Store``."""
+
+    def __init__(self, settings: model.StoreSettings) -> None:
+        """Start without connections."""
+        self.settings = settings
+        self.pool = http.Pool(settings.address)
+
+    async def get(self, key: str) -> port.Entry | None:
+        """Read one key."""
+        body = await _read(self, gateway.RANGE_PATH, gateway.encode_get(key))
+        entries = _decode_entries(body)
+        return entries[0] if entries else None
+
+    async def scan(
+        self,
+        prefix: str,
+        *,
+        start: str = "",
+        limit: int = 0,
+        newest_first: bool = False,
+    ) -> tuple[port.Entry, ...]:
+        """Read the keys with a prefix in key order, or in reverse."""
+        request = gateway.encode_scan(
+            prefix, start=start, limit=limit, newest_first=newest_first
+        )
+        return _decode_entries(await _read(self, gateway.RANGE_PATH, request))
+
+    async def commit(self, transaction: port.Transaction) -> bool:
+        """Apply a transaction; return whether its conditions held."""
+        request = gateway.encode_transaction(transaction)
+        body = await _write(self, gateway.TXN_PATH, request)
+        return _decode_written(body, gateway.TxnAnswer).succeeded
+
+    async def grant_lease(self, *, ttl_seconds: int) -> int:
+        """Create a lease and return its number."""
+        request = msgspec.json.encode({"TTL": str(ttl_seconds), "ID": "0"})
+        body = await _write(self, gateway.GRANT_PATH, request)
+        return int(_decode_written(body, gateway.LeaseAnswer).ID)
+
+    async def keep_lease(self, lease: int) -> bool:
+        """Renew a lease; return whether it still existed."""
+        request = msgspec.json.encode({"ID": str(lease)})
+        body = await _write(self, gateway.KEEPALIVE_PATH, request)
+        answer = _decode_written(body, gateway.KeepaliveAnswer)
+        return int(answer.result.TTL) > 0
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease and delete its keys; one that has ended is no error."""
+        request = msgspec.json.encode({"ID": str(lease)})
+        reply = await _send_write(self, gateway.REVOKE_PATH, request)
+        if reply.status == 200:
+            return
+        if gateway.decode_refusal(reply.body).code != gateway.LEASE_NOT_FOUND_CODE:
+            raise _refused(reply)
+
+    @contextlib.asynccontextmanager
+    async def watch(
+        self, prefix: str
+    ) -> AsyncIterator[AsyncIterator[tuple[port.Change, ...]]]:
+        """Observe writes under a prefix from now on."""
+        settings = self.settings
+        rearm_at = trio.current_time() + settings.watch_rearm_seconds
+        try:
+            async with http.open_stream(
+                settings.address,
+                gateway.WATCH_PATH,
+                gateway.encode_watch(prefix),
+                timeout_seconds=settings.call_timeout_seconds,
+            ) as stream:
+                await _expect_created(stream, settings.call_timeout_seconds)
+                yield _changes(stream, rearm_at)
+        except http.UnsentError as error:
+            raise _unavailable(str(error)) from None
+
+
+@contextlib.asynccontextmanager
+async def open_store(settings: model.StoreSettings) -> AsyncIterator[port.Store]:
+    """Give access to the store; connections are opened at the first call."""
+    store = EtcdStore(settings)
+    try:
+        yield store
+    finally:
+        http.close_idle(store.pool)
+
+
+def _unavailable(detail: str) -> _exceptions.PlantainError:
+    return _exceptions.PlantainError(_exceptions.ErrorKind.STORE_UNAVAILABLE, detail)
+
+
+def _unknown(detail: str) -> _exceptions.PlantainError:
+    return _exceptions.PlantainError(_exceptions.ErrorKind.CHANGE_UNKNOWN, detail)
+
+
+async def _read(store: EtcdStore, path: str, request: bytes) -> bytes:
+    """Send a read, again on a new connection when the first attempt fails."""
+    timeout_seconds = store.settings.call_timeout_seconds / READ_ATTEMPTS
+    failure = ""
+    for _ in range(READ_ATTEMPTS):
+        try:
+            reply = await http.post(
+                store.pool, path, request, timeout_seconds=timeout_seconds
+            )
+        except (http.UnsentError, http.UnansweredError) as error:
+            failure = str(error)
+            continue
+        if reply.status == 200:
+            return reply.body
+        raise _unavailable(_describe(reply))
+    logger.info("Store read failed: %s.", failure)
+    raise _unavailable(failure)
+
+
+async def _send_write(store: EtcdStore, path: str, request: bytes) -> http.Reply:
+    try:
+        return await http.post(
+            store.pool,
+            path,
+            request,
+            timeout_seconds=store.settings.call_timeout_seconds,
+        )
+    except http.UnsentError as error:
+        raise _unavailable(str(error)) from None
+    except http.UnansweredError as error:
+        logger.info("Store write got no answer: %s.", error)
+        raise _unknown(str(error)) from None
+
+
+async def _write(store: EtcdStore, path: str, request: bytes) -> bytes:
+    reply = await _send_write(store, path, request)
+    if reply.status != 200:
+        raise _refused(reply)
+    return reply.body
+
+
+def _describe(reply: http.Reply) -> str:
+    refusal = gateway.decode_refusal(reply.body)
+    return f"status {reply.status}: {refusal.message}"
+
+
+def _refused(reply: http.Reply) -> _exceptions.PlantainError:
+    """Tell a refusal of the request from a fault while it was applied."""
+    detail = _describe(reply)
+    return _unavailable(detail) if reply.status < 500 else _unknown(detail)
+
+
+def _decode_entries(body: bytes) -> tuple[port.Entry, ...]:
+    try:
+        return gateway.decode_range(body)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise _unavailable(f"unreadable answer: {error}") from None
+
+
+def _decode_written(body: bytes, answer_type: type[gateway.T]) -> gateway.T:
+    try:
+        return msgspec.json.decode(body, type=answer_type)
+    except msgspec.DecodeError as error:
+        raise _unknown(f"unreadable answer: {error}") from None
+
+
+async def _expect_created(stream: http.Connection, timeout_seconds: float) -> None:
+    line = None
+    with trio.move_on_after(timeout_seconds):
+        line = await http.next_line(stream)
+    result = None if line is None else gateway.decode_watch_line(line)
+    if result is None or not result.created:
+        raise _unavailable("the watch was not created")
+
+
+async def _changes(
+    stream: http.Connection, rearm_at: float
+) -> AsyncIterator[tuple[port.Change, ...]]:
+    while True:
+        line = None
+        with trio.move_on_at(rearm_at):
+            line = await http.next_line(stream)
+        result = None if line is None else gateway.decode_watch_line(line)
+        if result is None:
+            return
+        changes = gateway.decode_changes(result)
+        if changes:
+            yield changes
--- /dev/null
+++ b/plantainproxy/store/gateway.py
@@ -0,0 +1,201 @@
+"""Messages of etcd v3's JSON gateway.
+
+Keys and values are Base64, and 64-bit integers are strings.
+"""
+
+import base64
+from typing import Any, TypeVar
+
+import msgspec
+
+from plantainproxy.store import port
+
+T = TypeVar("T")
+
+RANGE_PATH = "/v3/kv/range"
+TXN_PATH = "/v3/kv/txn"
+GRANT_PATH = "/v3/lease/grant"
+REVOKE_PATH = "/v3/lease/revoke"
+KEEPALIVE_PATH = "/v3/lease/keepalive"
+WATCH_PATH = "/v3/watch"
+
+LEASE_NOT_FOUND_CODE = 5
+"""The gRPC code of an answer about a lease that has ended."""
+
+
+class KeyValue(msgspec.Struct):
+    """One key with its value, as the gateway writes it."""
+
+    key: str
+    value: str = ""
+    mod_revision: str = "0"
+
+
+class RangeAnswer(msgspec.Struct):
+    """The answer to a read."""
+
+    kvs: list[KeyValue] = []
+
+
+class TxnAnswer(msgspec.Struct):
+    """The answer to a transaction."""
+
+    succeeded: bool = False
+
+
+class LeaseAnswer(msgspec.Struct):
+    """The answer to a grant, and the result of a renewal."""
+
+    ID: str = "0"
+    TTL: str = "0"
+
+
+class KeepaliveAnswer(msgspec.Struct):
+    """The answer to a renewal."""
+
+    result: LeaseAnswer
+
+
+class Event(msgspec.Struct):
+    """One write that a watch saw."""
+
+    kv: KeyValue
+    type: str = "PUT"
+
+
+class WatchResult(msgspec.Struct):
+    """The content of one line of a watch."""
+
+    created: bool = False
+    canceled: bool = False
+    events: list[Event] = []
+
+
+class WatchLine(msgspec.Struct):
+    """One line of a watch; without a result it reports an error."""
+
+    result: WatchResult | None = None
+
+
+class Refusal(msgspec.Struct):
+    """The body of an answer whose status is not 200."""
+
+    code: int = 0
+    message: str = ""
+
+
+def _text(key: str | bytes) -> str:
+    raw = key.encode() if isinstance(key, str) else key
+    return base64.b64encode(raw).decode()
+
+
+def prefix_end(prefix: str) -> bytes:
+    """Return the smallest key that is above every key with a prefix."""
+    raw = prefix.encode()
+    while raw and raw[-1] == 0xFF:
+        raw = raw[:-1]
+    if not raw:
+        return b"\0"
+    return raw[:-1] + bytes((raw[-1] + 1,))
+
+
+def encode_get(key: str) -> bytes:
+    """Encode a read of one key."""
+    return msgspec.json.encode({"key": _text(key)})
+
+
+def encode_scan(prefix: str, *, start: str, limit: int, newest_first: bool) -> bytes:
+    """Encode a read of a key range."""
+    first: str | bytes = prefix
+    end = prefix_end(prefix)
+    if start and newest_first:
+        end = start.encode() + b"\0"
+    elif start:
+        first = start
+    body: dict[str, Any] = {
+        "key": _text(first),
+        "range_end": _text(end),
+        "sort_target": "KEY",
+        "sort_order": "DESCEND" if newest_first else "ASCEND",
+        "limit": str(limit),
+    }
+    return msgspec.json.encode(body)
+
+
+def decode_range(body: bytes) -> tuple[port.Entry, ...]:
+    """Decode the answer to a read."""
+    answer = msgspec.json.decode(body, type=RangeAnswer)
+    return tuple(decode_entry(kv) for kv in answer.kvs)
+
+
+def decode_entry(kv: KeyValue) -> port.Entry:
+    """Decode one key with its value."""
+    return port.Entry(
+        key=base64.b64decode(kv.key).decode(),
+        value=base64.b64decode(kv.value),
+        mod_revision=int(kv.mod_revision),
+    )
+
+
+def encode_transaction(transaction: port.Transaction) -> bytes:
+    """Encode a transaction."""
+    compares = [
+        {
+            "key": _text(compare.key),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": str(compare.mod_revision),
+        }
+        for compare in transaction.compares
+    ]
+    operations: list[dict[str, Any]] = [
+        {
+            "request_put": {
+                "key": _text(put.key),
+                "value": _text(put.value),
+                "lease": str(put.lease),
+            }
+        }
+        for put in transaction.puts
+    ]
+    operations += [
+        {"request_delete_range": {"key": _text(delete.key)}}
+        for delete in transaction.deletes
+    ]
+    return msgspec.json.encode({"compare": compares, "success": operations})
+
+
+def encode_watch(prefix: str) -> bytes:
+    """Encode the request of a watch from now on."""
+    request = {"key": _text(prefix), "range_end": _text(prefix_end(prefix))}
+    return msgspec.json.encode({"create_request": request})
+
+
+def decode_watch_line(line: bytes) -> WatchResult | None:
+    """Decode one line of a watch; ``None`` means that the watch is over."""
+    try:
+        result = msgspec.json.decode(line, type=WatchLine).result
+    except msgspec.DecodeError:
+        return None
+    if result is None or result.canceled:
+        return None
+    return result
+
+
+def decode_changes(result: WatchResult) -> tuple[port.Change, ...]:
+    """Decode the writes of one line of a watch."""
+    return tuple(_decode_change(event) for event in result.events)
+
+
+def _decode_change(event: Event) -> port.Change:
+    entry = decode_entry(event.kv)
+    deleted = event.type == "DELETE"
+    return port.Change(key=entry.key, entry=None if deleted else entry)
+
+
+def decode_refusal(body: bytes) -> Refusal:
+    """Decode the body of a refusal as far as it is one."""
+    try:
+        return msgspec.json.decode(body, type=Refusal)
+    except msgspec.DecodeError:
+        return Refusal(message=repr(body[:200]))
--- /dev/null
+++ b/plantainproxy/store/http.py
@@ -0,0 +1,210 @@
+"""HTTP/1.1 calls over pooled connections, with a deadline on each."""
+
+from collections.abc import AsyncIterator, Iterator
+import contextlib
+import dataclasses
+from typing import Any
+
+import h11
+import trio
+
+from plantainproxy import _types
+
+IDLE_LIMIT_SECONDS = 15.0
+"""An idle connection is not used again after this time."""
+MAX_IDLE_CONNECTIONS = 4
+MAX_RESPONSE_BYTES = 64 * 1_048_576
+RECEIVE_BYTES = 65_536
+
+
+class UnsentError(Exception):
+    """The server certainly did not see the request."""
+
+
+class UnansweredError(Exception):
+    """The request may have been applied, but no whole answer came."""
+
+
+_BROKEN = (
+    OSError,
+    trio.BrokenResourceError,
+    trio.TooSlowError,
+    h11.RemoteProtocolError,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """One whole answer."""
+
+    status: int
+    body: bytes
+
+
+class Connection:
+    """One open connection and what has been received on it."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        """Wrap a connected stream."""
+        self.stream = stream
+        self.protocol = h11.Connection(h11.CLIENT)
+        self.idle_since = 0.0
+        self.pending = bytearray()
+        """Received bytes of a streamed answer that do not make a line yet."""
+
+
+class Pool:
+    """The connections to one server."""
+
+    def __init__(self, address: _types.Address) -> None:
+        """Start without connections."""
+        self.address = address
+        self.idle: list[Connection] = []
+
+
+def close_idle(pool: Pool) -> None:
+    """Close every idle connection."""
+    while pool.idle:
+        pool.idle.pop().stream.socket.close()
+
+
+async def post(pool: Pool, path: str, body: bytes, *, timeout_seconds: float) -> Reply:
+    """Send one request and return its answer.
+
+    After a failure no connection that was open before is used again, because a
+    path that went silent for one of them may be silent for all.
+    """
+    sent = False
+    try:
+        with trio.fail_after(timeout_seconds):
+            connection = await _take(pool)
+            with _closing_on_error(connection):
+                sent = True
+                reply = await _exchange(connection, pool.address, path, body)
+    except _BROKEN as error:
+        close_idle(pool)
+        reason = f"{pool.address}: {error!r}"
+        raise (UnansweredError if sent else UnsentError)(reason) from error
+    _give_back(pool, connection)
+    return reply
+
+
+async def _take(pool: Pool) -> Connection:
+    oldest_use = trio.current_time() - IDLE_LIMIT_SECONDS
+    while pool.idle:
+        connection = pool.idle.pop()
+        # An idle connection that is readable was closed by the server.
+        usable = not connection.stream.socket.is_readable()
+        if usable and connection.idle_since >= oldest_use:
+            return connection
+        connection.stream.socket.close()
+    return await _connect(pool.address)
+
+
+async def _connect(address: _types.Address) -> Connection:
+    return Connection(await trio.open_tcp_stream(address.host, address.port))
+
+
+def _give_back(pool: Pool, connection: Connection) -> None:
+    protocol = connection.protocol
+    reusable = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
+    if not reusable or len(pool.idle) >= MAX_IDLE_CONNECTIONS:
+        connection.stream.socket.close()
+        return
+    protocol.start_next_cycle()
+    connection.idle_since = trio.current_time()
+    pool.idle.append(connection)
+
+
+@contextlib.contextmanager
+def _closing_on_error(connection: Connection) -> Iterator[None]:
+    try:
+        yield
+    except BaseException:
+        connection.stream.socket.close()
+        raise
+
+
+async def _exchange(
+    connection: Connection, address: _types.Address, path: str, body: bytes
+) -> Reply:
+    await _send(connection, address, path, body)
+    status = await _receive_head(connection)
+    received = bytearray()
+    while isinstance(event := await _next_event(connection), h11.Data):
+        received += event.data
+        if len(received) > MAX_RESPONSE_BYTES:
+            raise h11.RemoteProtocolError("the answer is too large")
+    return Reply(status=status, body=bytes(received))
+
+
+async def _send(
+    connection: Connection, address: _types.Address, path: str, body: bytes
+) -> None:
+    headers = [
+        ("host", str(address)),
+        ("content-type", "application/json"),
+        ("content-length", str(len(body))),
+    ]
+    request = h11.Request(method="POST", target=path, headers=headers)
+    wire = connection.protocol.send(request)
+    wire += connection.protocol.send(h11.Data(data=body))
+    wire += connection.protocol.send(h11.EndOfMessage())
+    await connection.stream.send_all(wire)
+
+
+async def _receive_head(connection: Connection) -> int:
+    event = await _next_event(connection)
+    while isinstance(event, h11.InformationalResponse):
+        event = await _next_event(connection)
+    if not isinstance(event, h11.Response):
+        raise h11.RemoteProtocolError("the connection ended before an answer")
+    return event.status_code
+
+
+async def _next_event(connection: Connection) -> Any:
+    while (event := connection.protocol.next_event()) is h11.NEED_DATA:
+        received = await connection.stream.receive_some(RECEIVE_BYTES)
+        connection.protocol.receive_data(received)
+    return event
+
+
+@contextlib.asynccontextmanager
+async def open_stream(
+    address: _types.Address, path: str, body: bytes, *, timeout_seconds: float
+) -> AsyncIterator[Connection]:
+    """Send a request whose answer is an endless stream of lines.
+
+    The connection is its own and is closed on exit.
+    """
+    try:
+        with trio.fail_after(timeout_seconds):
+            connection = await _connect(address)
+            with _closing_on_error(connection):
+                await _send(connection, address, path, body)
+                status = await _receive_head(connection)
+    except _BROKEN as error:
+        raise UnsentError(f"{address}: {error!r}") from error
+    try:
+        if status != 200:
+            raise UnsentError(f"{address}: answered with status {status}")
+        yield connection
+    finally:
+        connection.stream.socket.close()
+
+
+async def next_line(connection: Connection) -> bytes | None:
+    """Return the next line of a streamed answer, or ``None`` at its end."""
+    while (end := connection.pending.find(b"\n")) < 0:
+        try:
+            event = await _next_event(connection)
+        except _BROKEN:
+            return None
+        if not isinstance(event, h11.Data):
+            return None
+        connection.pending += event.data
+        if len(connection.pending) > MAX_RESPONSE_BYTES:
+            return None
+    line = bytes(connection.pending[:end])
+    del connection.pending[: end + 1]
+    return line
--- /dev/null
+++ b/plantainproxy/store/memory.py
@@ -0,0 +1,209 @@
+"""A store in memory for tests, with outages and lost answers."""
+
+from collections.abc import AsyncIterator, Callable
+import contextlib
+import dataclasses
+
+import trio
+
+from plantainproxy import _exceptions
+from plantainproxy.store import port
+
+PENDING_CHANGES = 1_000
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Lease:
+    """A lease and the moment it ends."""
+
+    ttl_seconds: int
+    deadline: float
+
+
+class MemoryStore:
+    """The state of the fake; implements ``port.Store``."""
+
+    def __init__(self, *, clock: Callable[[], float] = trio.current_time) -> None:
+        """Start empty."""
+        self.clock = clock
+        self.revision = 1
+        self.entries: dict[str, port.Entry] = {}
+        self.owners: dict[str, int] = {}
+        """The lease of each key that has one."""
+        self.leases: dict[int, Lease] = {}
+        self.watchers: dict[trio.MemorySendChannel[tuple[port.Change, ...]], str] = {}
+        self.down = False
+        """Whether every call fails before it reaches the store."""
+        self.lose_answers = 0
+        """How many of the next writes are applied but not answered."""
+        self.drop_writes = 0
+        """How many of the next writes are neither applied nor answered."""
+        self.stale: dict[str, port.Entry] | None = None
+        """When present, reads are answered from here."""
+        self.reads = 0
+        self.writes = 0
+
+    async def get(self, key: str) -> port.Entry | None:
+        """Read one key."""
+        await _begin_read(self)
+        return _readable(self).get(key)
+
+    async def scan(
+        self,
+        prefix: str,
+        *,
+        start: str = "",
+        limit: int = 0,
+        newest_first: bool = False,
+    ) -> tuple[port.Entry, ...]:
+        """Read the keys with a prefix in key order, or in reverse."""
+        await _begin_read(self)
+        entries = _readable(self)
+        keys = sorted(key for key in entries if key.startswith(prefix))
+        if newest_first:
+            keys = [key for key in reversed(keys) if not start or key <= start]
+        else:
+            keys = [key for key in keys if key >= start]
+        return tuple(entries[key] for key in (keys[:limit] if limit else keys))
+
+    async def commit(self, transaction: port.Transaction) -> bool:
+        """Apply a transaction; return whether its conditions held."""
+        await _begin_write(self)
+        for put in transaction.puts:
+            if put.lease and put.lease not in self.leases:
+                raise _unavailable("the lease has ended")
+        held = all(_holds(self, compare) for compare in transaction.compares)
+        if held:
+            _apply(self, transaction)
+        _end_write(self)
+        return held
+
+    async def grant_lease(self, *, ttl_seconds: int) -> int:
+        """Create a lease and return its number."""
+        await _begin_write(self)
+        number = self.revision * 1_000 + len(self.leases) + self.writes
+        self.leases[number] = Lease(
+            ttl_seconds=ttl_seconds, deadline=self.clock() + ttl_seconds
+        )
+        _end_write(self)
+        return number
+
+    async def keep_lease(self, lease: int) -> bool:
+        """Renew a lease; return whether it still existed."""
+        await _begin_write(self)
+        held = self.leases.get(lease)
+        if held is not None:
+            held.deadline = self.clock() + held.ttl_seconds
+        _end_write(self)
+        return held is not None
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        await _begin_write(self)
+        end_lease(self, lease)
+        _end_write(self)
+
+    @contextlib.asynccontextmanager
+    async def watch(
+        self, prefix: str
+    ) -> AsyncIterator[AsyncIterator[tuple[port.Change, ...]]]:
+        """Observe writes under a prefix from now on."""
+        await _begin_read(self)
+        sender, receiver = trio.open_memory_channel[tuple[port.Change, ...]](
+            PENDING_CHANGES
+        )
+        self.watchers[sender] = prefix
+        try:
+            yield receiver
+        finally:
+            self.watchers.pop(sender, None)
+            sender.close()
+
+
+def break_watches(store: MemoryStore) -> None:
+    """End every watch, as a broken connection does."""
+    for sender in list(store.watchers):
+        store.watchers.pop(sender)
+        sender.close()
+
+
+def end_lease(store: MemoryStore, lease: int) -> None:
+    """End a lease and delete its keys."""
+    store.leases.pop(lease, None)
+    keys = [key for key, owner in store.owners.items() if owner == lease]
+    if keys:
+        deletes = tuple(port.Delete(key=key) for key in keys)
+        _apply(store, port.Transaction(compares=(), deletes=deletes))
+
+
+def _unavailable(detail: str) -> _exceptions.PlantainError:
+    return _exceptions.PlantainError(_exceptions.ErrorKind.STORE_UNAVAILABLE, detail)
+
+
+def _unknown(detail: str) -> _exceptions.PlantainError:
+    return _exceptions.PlantainError(_exceptions.ErrorKind.CHANGE_UNKNOWN, detail)
+
+
+async def _begin_read(store: MemoryStore) -> None:
+    await trio.lowlevel.checkpoint()
+    if store.down:
+        raise _unavailable("down")
+    store.reads += 1
+    _expire_leases(store)
+
+
+async def _begin_write(store: MemoryStore) -> None:
+    await trio.lowlevel.checkpoint()
+    if store.down:
+        raise _unavailable("down")
+    store.writes += 1
+    _expire_leases(store)
+    if store.drop_writes > 0:
+        store.drop_writes -= 1
+        raise _unknown("dropped")
+
+
+def _end_write(store: MemoryStore) -> None:
+    if store.lose_answers > 0:
+        store.lose_answers -= 1
+        raise _unknown("answer lost")
+
+
+def _expire_leases(store: MemoryStore) -> None:
+    now = store.clock()
+    over = [number for number, lease in store.leases.items() if lease.deadline <= now]
+    for number in over:
+        end_lease(store, number)
+
+
+def _readable(store: MemoryStore) -> dict[str, port.Entry]:
+    return store.entries if store.stale is None else store.stale
+
+
+def _holds(store: MemoryStore, compare: port.Compare) -> bool:
+    entry = store.entries.get(compare.key)
+    return compare.mod_revision == (0 if entry is None else entry.mod_revision)
+
+
+def _apply(store: MemoryStore, transaction: port.Transaction) -> None:
+    store.revision += 1
+    changes: list[port.Change] = []
+    for put in transaction.puts:
+        entry = port.Entry(key=put.key, value=put.value, mod_revision=store.revision)
+        store.entries[put.key] = entry
+        store.owners.pop(put.key, None)
+        if put.lease:
+            store.owners[put.key] = put.lease
+        changes.append(port.Change(key=put.key, entry=entry))
+    for delete in transaction.deletes:
+        store.owners.pop(delete.key, None)
+        if store.entries.pop(delete.key, None) is not None:
+            changes.append(port.Change(key=delete.key, entry=None))
+    _tell(store, changes)
+
+
+def _tell(store: MemoryStore, changes: list[port.Change]) -> None:
+    for sender, prefix in list(store.watchers.items()):
+        wanted = tuple(change for change in changes if change.key.startswith(prefix))
+        if wanted:
+            sender.send_nowait(wanted)
--- a/plantainproxy/store/port.py
+++ b/plantainproxy/store/port.py
@@ -78,7 +78,11 @@
         limit: int = 0,
         newest_first: bool = False,
     ) -> tuple[Entry, ...]:
-        """Read the keys with a prefix in key order, from ``start`` on."""
+        """Read the keys with a prefix in key order, or in reverse.
+
+        ``start`` is the first key of the answer, whether it exists or not; a limit
+        of 0 means no limit.
+        """
 
     async def commit(self, transaction: Transaction) -> bool:
         """Apply a transaction; return whether its conditions held."""
--- /dev/null
+++ b/plantainproxy/store/tests/test_etcd.py
@@ -0,0 +1,245 @@
+"""The adapter against the stand-in store over real sockets."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+import contextlib
+
+import pytest
+import trio
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.settings import model
+from plantainproxy.store import etcd, port
+from standins import store as store_stand_in
+from standins import store_data
+
+HANG_GUARD_SECONDS = 20.0
+Kind = _exceptions.ErrorKind
+
+
+@contextlib.asynccontextmanager
+async def open_pair(
+    *, timeout_seconds: float = 0.3, rearm_seconds: float = 30.0
+) -> AsyncIterator[tuple[store_stand_in.StandIn, port.Store]]:
+    """Run a stand-in and an adapter that talks to it."""
+    stand_in = store_stand_in.StandIn("127.0.0.1", 0)
+    settings = model.StoreSettings(
+        address=_types.Address(*stand_in.address),
+        call_timeout_seconds=timeout_seconds,
+        watch_rearm_seconds=rearm_seconds,
+    )
+    with trio.fail_after(HANG_GUARD_SECONDS):
+        async with trio.open_nursery() as nursery:
+            await nursery.start(store_stand_in.run, stand_in)
+            async with etcd.open_store(settings) as store:
+                yield stand_in, store
+            nursery.cancel_scope.cancel()
+
+
+def create(key: str, value: bytes = b"1", lease: int = 0) -> port.Transaction:
+    """Write a key that must not exist."""
+    return port.Transaction(
+        compares=(port.Compare(key=key, mod_revision=0),),
+        puts=(port.Put(key=key, value=value, lease=lease),),
+    )
+
+
+async def failure(call: Callable[[], Awaitable[object]]) -> _exceptions.ErrorKind:
+    """Return the kind of the error that a call raises."""
+    with pytest.raises(_exceptions.PlantainError) as caught:
+        await call()
+    return caught.value.kind
+
+
+def test_a_transaction_applies_only_when_its_conditions_hold() -> None:
+    """Compare-and-swap, reads, scans and removals work."""
+
+    async def main() -> None:
+        async with open_pair() as (stand_in, store):
+            assert await store.get("a/1") is None
+            assert await store.commit(create("a/1", b"\0\xff"))
+            assert not await store.commit(create("a/1"))
+            assert await store.commit(create("a/2"))
+            assert await store.commit(create("b/1", b""))
+            entry = await store.get("a/1")
+            assert entry == port.Entry(key="a/1", value=b"\0\xff", mod_revision=2)
+            keys = [entry.key for entry in await store.scan("a/")]
+            assert keys == ["a/1", "a/2"]
+            last = await store.scan("a/", limit=1, newest_first=True)
+            assert [entry.key for entry in last] == ["a/2"]
+            down = await store.scan("a/", start="a/1", newest_first=True)
+            assert [entry.key for entry in down] == ["a/1"]
+            up = await store.scan("a/", start="a/11")
+            assert [entry.key for entry in up] == ["a/2"]
+            removal = port.Transaction(
+                compares=(port.Compare(key="a/1", mod_revision=2),),
+                deletes=(port.Delete(key="a/1"),),
+            )
+            assert await store.commit(removal)
+            assert await store.get("a/1") is None
+            assert stand_in.counts["txn"] == 5
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize(
+    ("down", "read", "write"),
+    [
+        ("refused", Kind.STORE_UNAVAILABLE, Kind.STORE_UNAVAILABLE),
+        ("closed", Kind.STORE_UNAVAILABLE, Kind.CHANGE_UNKNOWN),
+        ("silent", Kind.STORE_UNAVAILABLE, Kind.CHANGE_UNKNOWN),
+    ],
+)
+@pytest.mark.parametrize("connected_before", [False, True])
+def test_an_outage_is_told_and_ends(
+    down: str, read: Kind, write: Kind, connected_before: bool
+) -> None:
+    """Only a write that surely was not sent counts as not applied."""
+
+    async def main() -> None:
+        async with open_pair() as (stand_in, store):
+            if connected_before:
+                assert await store.get("a") is None
+            store_stand_in.set_faults(stand_in, down=down)
+            await trio.sleep(0.05)
+            assert await failure(lambda: store.commit(create("a"))) is write
+            assert await failure(lambda: store.get("a")) is read
+            assert await failure(lambda: _arm(store)) is Kind.STORE_UNAVAILABLE
+            store_stand_in.set_faults(stand_in, down="")
+            await trio.sleep(0.05)
+            assert await store.get("a") is None
+            assert await store.commit(create("a"))
+
+    trio.run(main)
+
+
+async def _arm(store: port.Store) -> None:
+    async with store.watch("a"):
+        pass
+
+
+def test_a_lost_answer_is_unknown_though_the_write_took_effect() -> None:
+    """A write is never sent twice by the adapter."""
+
+    async def main() -> None:
+        async with open_pair() as (stand_in, store):
+            store_stand_in.set_faults(stand_in, lose_next_answers=1)
+            kind = await failure(lambda: store.commit(create("a")))
+            assert kind is Kind.CHANGE_UNKNOWN
+            assert stand_in.counts["txn"] == 1
+            entry = await store.get("a")
+            assert entry is not None
+
+    trio.run(main)
+
+
+def test_a_slow_store_ends_in_the_deadline() -> None:
+    """A write that took too long may still take effect."""
+
+    async def main() -> None:
+        async with open_pair() as (stand_in, store):
+            store_stand_in.set_faults(stand_in, slow_milliseconds=5_000)
+            kind = await failure(lambda: store.commit(create("a")))
+            assert kind is Kind.CHANGE_UNKNOWN
+            kind = await failure(lambda: store.get("a"))
+            assert kind is Kind.STORE_UNAVAILABLE
+
+    trio.run(main)
+
+
+def test_a_silent_connection_is_replaced() -> None:
+    """A read succeeds on a new connection while the old one hangs."""
+
+    async def main() -> None:
+        async with open_pair() as (stand_in, store):
+            await store.get("a")
+            store_stand_in.set_faults(stand_in, mute_connections=True)
+            assert await store.get("a") is None
+            store_stand_in.set_faults(stand_in, mute_connections=True)
+            kind = await failure(lambda: store.commit(create("a")))
+            assert kind is Kind.CHANGE_UNKNOWN
+            assert await store.commit(create("a"))
+
+    trio.run(main)
+
+
+def test_stale_reads_do_not_reach_transactions() -> None:
+    """A transaction compares with the newest revision."""
+
+    async def main() -> None:
+        async with open_pair() as (stand_in, store):
+            await store.commit(create("a"))
+            store_stand_in.set_faults(stand_in, stale_reads=1)
+            assert await store.get("a") is None
+            assert not await store.commit(create("a"))
+
+    trio.run(main)
+
+
+def test_a_lapsed_lease_deletes_its_keys() -> None:
+    """A lease is kept while it lives, and its end is told."""
+
+    async def main() -> None:
+        async with open_pair() as (stand_in, store):
+            lease = await store.grant_lease(ttl_seconds=30)
+            assert await store.commit(create("seat", lease=lease))
+            assert await store.keep_lease(lease)
+            store_stand_in.set_faults(stand_in, expire_lease=True)
+            assert not await store.keep_lease(lease)
+            assert await store.get("seat") is None
+            kind = await failure(lambda: store.commit(create("seat", lease=lease)))
+            assert kind is Kind.STORE_UNAVAILABLE
+            await store.revoke_lease(lease)
+            other = await store.grant_lease(ttl_seconds=30)
+            assert await store.commit(create("seat", lease=other))
+            await store.revoke_lease(other)
+            assert await store.get("seat") is None
+
+    trio.run(main)
+
+
+def test_a_lease_that_nobody_keeps_lapses_by_time() -> None:
+    """The stand-in ends leases itself."""
+
+    async def main() -> None:
+        async with open_pair() as (_, store):
+            lease = await store.grant_lease(ttl_seconds=1)
+            await store.commit(create("seat", lease=lease))
+            while await store.get("seat") is not None:
+                await trio.sleep(0.05)
+
+    trio.run(main)
+
+
+def test_a_watch_sees_writes_and_removals() -> None:
+    """Only keys under the prefix are told, one tuple a revision."""
+
+    async def main() -> None:
+        async with open_pair() as (stand_in, store), store.watch("a/") as changes:
+            await store.commit(create("b/1"))
+            await store.commit(create("a/1", b"x"))
+            entry = port.Entry(key="a/1", value=b"x", mod_revision=3)
+            assert await anext(changes) == (port.Change(key="a/1", entry=entry),)
+            store_data.apply(stand_in.data, [store_data.Write(key=b"a/1", value=None)])
+            assert await anext(changes) == (port.Change(key="a/1", entry=None),)
+            assert stand_in.counts["watching"] == 1
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize("fault", ["closed", "mute", "refused"])
+def test_a_watch_ends_when_it_breaks_or_its_time_is_over(fault: str) -> None:
+    """A silent watch ends at its bounded time, a broken one at once."""
+
+    async def main() -> None:
+        rearm_seconds = 0.3 if fault == "mute" else 30.0
+        async with (
+            open_pair(rearm_seconds=rearm_seconds) as (stand_in, store),
+            store.watch("a/") as changes,
+        ):
+            if fault == "mute":
+                store_stand_in.set_faults(stand_in, mute_connections=True)
+            else:
+                store_stand_in.set_faults(stand_in, down=fault)
+            assert [change async for change in changes] == []
+
+    trio.run(main)
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,341 @@
+"""A stand-in for the platform's store: a subset of etcd v3's JSON gateway.
+
+It serves HTTP/1.1 on one address. Faults are set with ``POST /standin/faults`` and
+calls are counted at ``GET /standin/counts``; a second address serves only these two
+paths, so that they stay in reach while the first refuses connections.
+"""
+
+import argparse
+import collections
+from collections.abc import Awaitable, Callable
+import contextlib
+import json
+import math
+import socket
+from typing import Any
+
+import h11
+import msgspec
+import trio
+
+from standins import store_data, store_gateway
+
+EXPIRY_CHECK_SECONDS = 0.1
+RECEIVE_BYTES = 65_536
+PENDING_EVENTS = 1_000
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """The faults in force. A POST replaces those that it names."""
+
+    down: str = ""
+    """Empty, ``refused`` (no listener), ``closed`` (each request closes its
+    connection unanswered) or ``silent`` (requests are swallowed)."""
+    slow_milliseconds: float = 0
+    """Delay before each call is applied."""
+    lose_next_answers: int = 0
+    """How many writes are applied and their connection closed unanswered."""
+    stale_reads: int = 0
+    """How many revisions behind reads are answered."""
+    expire_lease: bool = False
+    """Ends every lease now."""
+    mute_connections: bool = False
+    """Makes the open connections silent for good; new ones work."""
+
+
+class StandIn:
+    """The state of one stand-in store."""
+
+    def __init__(self, host: str, port: int) -> None:
+        """Reserve the address."""
+        self.data = store_data.Data()
+        self.faults = Faults()
+        self.counts: collections.Counter[str] = collections.Counter()
+        """Calls that arrived, by kind; ``watching`` counts those now waiting."""
+        self.bound = _bind(host, port)
+        self.address: tuple[str, int] = self.bound.getsockname()
+        self.connections: set[Connection] = set()
+        self.changed = trio.Event()
+        """Set and replaced whenever the faults change."""
+
+
+class Connection:
+    """One accepted connection."""
+
+    def __init__(self, stream: trio.SocketStream, *, control_only: bool) -> None:
+        """Wrap a stream."""
+        self.stream = stream
+        self.protocol = h11.Connection(h11.SERVER)
+        self.control_only = control_only
+        self.muted = False
+
+
+def _bind(host: str, port: int) -> trio.socket.SocketType:
+    bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind((host, port))
+    return trio.socket.from_stdlib_socket(bound)
+
+
+def set_faults(stand_in: StandIn, **changes: object) -> None:
+    """Replace the named faults and put the one-shot ones into effect."""
+    named = {**msgspec.to_builtins(stand_in.faults), **changes}
+    stand_in.faults = msgspec.convert(named, type=Faults)
+    if stand_in.faults.expire_lease:
+        stand_in.faults.expire_lease = False
+        store_data.expire(stand_in.data, math.inf)
+    if stand_in.faults.mute_connections:
+        stand_in.faults.mute_connections = False
+        for connection in stand_in.connections:
+            connection.muted = not connection.control_only
+    stand_in.changed.set()
+    stand_in.changed = trio.Event()
+
+
+async def run(
+    stand_in: StandIn,
+    *,
+    control_port: int = 0,
+    task_status: trio.TaskStatus[tuple[str, int]] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve until cancelled; report the control address once ready."""
+    host = stand_in.address[0]
+    async with trio.open_nursery() as nursery:
+        [listener] = await trio.open_tcp_listeners(control_port, host=host)
+        nursery.start_soon(_serve_control, stand_in, listener)
+        nursery.start_soon(_expire_leases, stand_in)
+        await nursery.start(_serve_store, stand_in)
+        task_status.started(listener.socket.getsockname())
+
+
+async def _serve_control(stand_in: StandIn, listener: trio.SocketListener) -> None:
+    async def handle(stream: trio.SocketStream) -> None:
+        await _serve(stand_in, Connection(stream, control_only=True))
+
+    await trio.serve_listeners(handle, [listener])
+
+
+async def _serve_store(
+    stand_in: StandIn,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    async def handle(stream: trio.SocketStream) -> None:
+        await _serve(stand_in, Connection(stream, control_only=False))
+
+    while True:
+        stand_in.bound.listen(128)
+        task_status.started()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                trio.serve_listeners, handle, [trio.SocketListener(stand_in.bound)]
+            )
+            await _wait_until(stand_in, lambda: stand_in.faults.down == "refused")
+            nursery.cancel_scope.cancel()
+        # A bound socket that does not listen refuses and keeps the port.
+        stand_in.bound = _bind(*stand_in.address)
+        task_status = trio.TASK_STATUS_IGNORED
+        await _wait_until(stand_in, lambda: stand_in.faults.down != "refused")
+
+
+async def _wait_until(stand_in: StandIn, condition: Callable[[], bool]) -> None:
+    while not condition():
+        await stand_in.changed.wait()
+
+
+async def _expire_leases(stand_in: StandIn) -> None:
+    while True:
+        await trio.sleep(EXPIRY_CHECK_SECONDS)
+        store_data.expire(stand_in.data, trio.current_time())
+
+
+async def _serve(stand_in: StandIn, connection: Connection) -> None:
+    stand_in.connections.add(connection)
+    try:
+        async with connection.stream:
+            while await _serve_request(stand_in, connection):
+                connection.protocol.start_next_cycle()
+    except (trio.BrokenResourceError, h11.RemoteProtocolError):
+        return
+    finally:
+        stand_in.connections.discard(connection)
+
+
+async def _serve_request(stand_in: StandIn, connection: Connection) -> bool:
+    """Answer one request; return whether another may follow."""
+    request = await _next_event(connection)
+    if not isinstance(request, h11.Request):
+        return False
+    body = bytearray()
+    while isinstance(event := await _next_event(connection), h11.Data):
+        body += event.data
+    if not isinstance(event, h11.EndOfMessage):
+        return False
+    path = request.target.decode()
+    if path.startswith("/standin/"):
+        return await _answer_control(stand_in, connection, path, bytes(body))
+    if connection.control_only:
+        return False
+    return await _answer_call(stand_in, connection, path, bytes(body))
+
+
+async def _next_event(connection: Connection) -> Any:
+    while (event := connection.protocol.next_event()) is h11.NEED_DATA:
+        received = await connection.stream.receive_some(RECEIVE_BYTES)
+        connection.protocol.receive_data(received)
+    return event
+
+
+async def _answer_control(
+    stand_in: StandIn, connection: Connection, path: str, body: bytes
+) -> bool:
+    if path == "/standin/counts":
+        return await _send(connection, 200, dict(stand_in.counts))
+    try:
+        set_faults(stand_in, **json.loads(body))
+    except (ValueError, TypeError, msgspec.ValidationError) as error:
+        return await _send(connection, 400, {"error": str(error)})
+    return await _send(connection, 200, msgspec.to_builtins(stand_in.faults))
+
+
+async def _answer_call(
+    stand_in: StandIn, connection: Connection, path: str, body: bytes
+) -> bool:
+    down = stand_in.faults.down
+    if down == "silent" or connection.muted:
+        await trio.sleep_forever()
+    if down:
+        return False
+    await trio.sleep(stand_in.faults.slow_milliseconds / 1000)
+    if path == store_gateway.WATCH_PATH:
+        return await _answer_watch(stand_in, connection, json.loads(body))
+    known = store_gateway.CALLS.get(path)
+    if known is None:
+        return await _send(connection, 404, {"error": "Not Found", "code": 5})
+    kind, answer = known
+    stand_in.counts[kind] += 1
+    try:
+        call = store_gateway.Call(
+            data=stand_in.data,
+            body=json.loads(body),
+            now=trio.current_time(),
+            stale_revisions=stand_in.faults.stale_reads,
+        )
+        answered = answer(call)
+    except store_gateway.GatewayError as error:
+        return await _send(connection, error.status, error.body)
+    except (KeyError, ValueError) as error:
+        return await _send(connection, 400, {"error": repr(error), "code": 3})
+    if kind != "range" and stand_in.faults.lose_next_answers > 0:
+        stand_in.faults.lose_next_answers -= 1
+        return False
+    return await _send(connection, 200, answered)
+
+
+async def _send(connection: Connection, status: int, body: object) -> bool:
+    encoded = json.dumps(body).encode()
+    headers = [
+        ("content-type", "application/json"),
+        ("content-length", str(len(encoded))),
+    ]
+    wire = connection.protocol.send(h11.Response(status_code=status, headers=headers))
+    wire += connection.protocol.send(h11.Data(data=encoded))
+    wire += connection.protocol.send(h11.EndOfMessage())
+    await connection.stream.send_all(wire)
+    return connection.protocol.our_state is h11.DONE
+
+
+async def _answer_watch(
+    stand_in: StandIn, connection: Connection, body: store_gateway.Body
+) -> bool:
+    stand_in.counts["watch"] += 1
+    stand_in.counts["watching"] += 1
+    key, range_end = store_gateway.watch_range(body)
+    sender, receiver = trio.open_memory_channel[list[store_data.Version]](
+        PENDING_EVENTS
+    )
+
+    def observe(versions: list[store_data.Version]) -> None:
+        wanted = [
+            version
+            for version in versions
+            if store_data.in_range(version.key, key, range_end)
+        ]
+        if wanted:
+            sender.send_nowait(wanted)
+
+    stand_in.data.observers.add(observe)
+    try:
+        await _stream_watch(stand_in, connection, receiver)
+    finally:
+        stand_in.data.observers.discard(observe)
+        stand_in.counts["watching"] -= 1
+    return False
+
+
+async def _stream_watch(
+    stand_in: StandIn,
+    connection: Connection,
+    receiver: trio.MemoryReceiveChannel[list[store_data.Version]],
+) -> None:
+    async def send(line: object) -> None:
+        if connection.muted or stand_in.faults.down == "silent":
+            return
+        data = h11.Data(data=json.dumps(line).encode() + b"\n")
+        await connection.stream.send_all(connection.protocol.send(data))
+
+    async def send_events() -> None:
+        async for versions in receiver:
+            await send(store_gateway.render_events(stand_in.data, versions))
+
+    async def wait_for_fault() -> None:
+        await _wait_until(
+            stand_in, lambda: stand_in.faults.down in ("refused", "closed")
+        )
+
+    async def wait_for_hang_up() -> None:
+        while await connection.stream.receive_some(RECEIVE_BYTES):
+            pass
+
+    head = h11.Response(status_code=200, headers=[("transfer-encoding", "chunked")])
+    await connection.stream.send_all(connection.protocol.send(head))
+    await send(store_gateway.render_created(stand_in.data))
+    await _run_until_one_ends(send_events, wait_for_fault, wait_for_hang_up)
+
+
+async def _run_until_one_ends(*tasks: Callable[[], Awaitable[None]]) -> None:
+    async with trio.open_nursery() as nursery:
+
+        async def run_one(task: Callable[[], Awaitable[None]]) -> None:
+            with contextlib.suppress(trio.BrokenResourceError):
+                await task()
+            nursery.cancel_scope.cancel()
+
+        for task in tasks:
+            nursery.start_soon(run_one, task)
+
+
+async def _main(host: str, port: int, control_port: int) -> None:
+    stand_in = StandIn(host, port)
+    async with trio.open_nursery() as nursery:
+
+        async def serve(*, task_status: trio.TaskStatus[tuple[str, int]]) -> None:
+            await run(stand_in, control_port=control_port, task_status=task_status)
+
+        control = await nursery.start(serve)
+        print("ready {}:{}".format(*stand_in.address), flush=True)
+        print("control {}:{}".format(*control), flush=True)
+
+
+def main() -> None:
+    """Run the stand-in from the command line."""
+    parser = argparse.ArgumentParser(description="A stand-in for the store.")
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--control-port", type=int, default=0)
+    arguments = parser.parse_args()
+    trio.run(_main, arguments.host, arguments.port, arguments.control_port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/tests/test_store_process.py
@@ -0,0 +1,42 @@
+"""The stand-in store as a process, as tests and demonstrations run it."""
+
+import json
+import subprocess
+import sys
+from urllib import request
+
+HANG_GUARD_SECONDS = 20.0
+
+
+def _post(address: str, path: str, body: object) -> object:
+    with request.urlopen(
+        f"http://{address}{path}",
+        data=json.dumps(body).encode(),
+        timeout=HANG_GUARD_SECONDS,
+    ) as answer:
+        return json.load(answer)
+
+
+def test_the_process_reports_its_addresses_and_counts_calls() -> None:
+    """Its first line is the store's address, its second the control address."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", "standins.store", "--port", "0"],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    with process:
+        try:
+            assert process.stdout is not None
+            ready, address = process.stdout.readline().split()
+            control, control_address = process.stdout.readline().split()
+            assert (ready, control) == ("ready", "control")
+            _post(address, "/v3/kv/range", {"key": "YQ=="})
+            _post(address, "/standin/faults", {"down": "refused"})
+            faults = _post(control_address, "/standin/faults", {"down": ""})
+            assert isinstance(faults, dict)
+            assert faults["down"] == ""
+            url = f"http://{control_address}/standin/counts"
+            with request.urlopen(url, timeout=HANG_GUARD_SECONDS) as answer:
+                assert json.load(answer) == {"range": 1}
+        finally:
+            process.terminate()
