Add the way of configurations, audit records and keys into the store

Cause: a configuration had a model, but no text, no stored form and no way to change it. A change is one transaction that compares the document, writes the next revision and its audit record, and removes the record beyond the retention; a lost answer is resolved by repeating the same transaction and reading the record back. The audit record's key must not exist, so no two attempts can both take effect. Two service addresses with one service tag are refused, because connection IDs could not tell them apart; a failure domain keeps its number for the same reason.

--- /dev/null
+++ b/plantainproxy/config/change.py
@@ -0,0 +1,245 @@
+"""Acceptance of a change: one compare-and-swap that also writes its audit record."""
+
+import dataclasses
+import logging
+
+import trio
+
+from plantainproxy import _exceptions
+from plantainproxy.config import audit, check, diff, document, model
+from plantainproxy.store import port
+
+logger = logging.getLogger("plantain.config")
+
+MAX_ATTEMPTS = 6
+FIRST_RETRY_DELAY_SECONDS = 0.05
+"""Doubled at each further attempt."""
+
+_Kind = _exceptions.ErrorKind
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Change:
+    """One proposed change, complete and checked."""
+
+    prefix: str
+    base: model.Configuration | None
+    next: model.Configuration
+    record: audit.AuditRecord
+
+    @property
+    def base_revision(self) -> int:
+        """The revision that the change was made on."""
+        return 0 if self.base is None else self.base.revision
+
+
+async def apply(
+    store: port.Store,
+    *,
+    prefix: str,
+    base: model.Configuration | None,
+    proposed: model.Configuration,
+    change_id: str,
+    operator: str,
+    reason: str,
+    now: float,
+) -> model.Configuration:
+    """Make a proposed configuration the next one and return it as accepted.
+
+    ``base`` is what the proposal was made from; ``None`` claims that there is no
+    configuration yet. ``now`` is in seconds since the epoch. A repeated call with
+    the same ``change_id`` does not apply the change again. Raises
+    ``INVALID_CONFIGURATION``, ``CONFLICT``, ``STORE_UNAVAILABLE`` (not accepted)
+    or ``CHANGE_UNKNOWN``.
+    """
+    change = _prepare(
+        prefix=prefix,
+        base=base,
+        proposed=proposed,
+        change_id=change_id,
+        operator=operator,
+        reason=reason,
+        now=now,
+    )
+    earlier = await _find_earlier_attempt(store, change)
+    if earlier is not None:
+        return earlier
+    accepted = await _swap(store, change)
+    logger.info(
+        "Configuration %d is accepted (change %s).", accepted.revision, change_id
+    )
+    return accepted
+
+
+def _prepare(
+    *,
+    prefix: str,
+    base: model.Configuration | None,
+    proposed: model.Configuration,
+    change_id: str,
+    operator: str,
+    reason: str,
+    now: float,
+) -> _Change:
+    if not change_id:
+        raise _exceptions.PlantainError(
+            _Kind.INVALID_CONFIGURATION, "change_id: expected a name for the change"
+        )
+    check.require_valid(proposed, source="proposed configuration")
+    problems = () if base is None else check.find_change_problems(base, proposed)
+    if problems:
+        raise check.refusal(problems, source="proposed configuration")
+    revision = 1 if base is None else base.revision + 1
+    record = audit.AuditRecord(
+        revision=revision,
+        change_id=change_id,
+        operator=operator,
+        reason=reason,
+        time_seconds=now,
+        differences=diff.compare(base, proposed),
+    )
+    following = dataclasses.replace(proposed, revision=revision, change_id=change_id)
+    return _Change(prefix=prefix, base=base, next=following, record=record)
+
+
+async def _find_earlier_attempt(
+    store: port.Store, change: _Change
+) -> model.Configuration | None:
+    """Return the current configuration when the change was accepted before."""
+    record = await audit.find_change(
+        store, prefix=change.prefix, change_id=change.record.change_id
+    )
+    if record is None:
+        return None
+    entry = await store.get(document.key(change.prefix))
+    current = None if entry is None else document.decode(entry.value)
+    if current is None or current.revision < record.revision:
+        raise _exceptions.PlantainError(
+            _Kind.CHANGE_UNKNOWN, "the store answered with an older configuration"
+        )
+    if current.change_id == record.change_id:
+        return _require_same(change, current)
+    return current
+
+
+def _require_same(change: _Change, current: model.Configuration) -> model.Configuration:
+    """Refuse a change ID that was used for another change."""
+    body = dataclasses.replace(change.next, revision=current.revision)
+    if body == current:
+        return current
+    raise _exceptions.PlantainError(
+        _Kind.CONFLICT,
+        f"change {current.change_id} was accepted before with other content",
+    )
+
+
+async def _swap(store: port.Store, change: _Change) -> model.Configuration:
+    """Repeat the same compare-and-swap until its outcome is known.
+
+    The audit record's key must not exist before, so at most one of the attempts
+    takes effect, however late a lost one arrives.
+    """
+    maybe_applied = False
+    for attempt in range(MAX_ATTEMPTS):
+        if attempt:
+            await trio.sleep(FIRST_RETRY_DELAY_SECONDS * 2 ** (attempt - 1))
+        try:
+            accepted = await _try_swap(store, change)
+        except _exceptions.PlantainError as error:
+            if error.kind is _Kind.CHANGE_UNKNOWN:
+                maybe_applied = True
+            elif error.kind is not _Kind.STORE_UNAVAILABLE or not maybe_applied:
+                raise
+            continue
+        if accepted is not None:
+            return accepted
+    raise _unresolved(change, maybe_applied)
+
+
+def _unresolved(change: _Change, maybe_applied: bool) -> _exceptions.PlantainError:
+    if maybe_applied:
+        return _exceptions.PlantainError(
+            _Kind.CHANGE_UNKNOWN,
+            f"change {change.record.change_id}: repeat it with the same change ID",
+        )
+    return _exceptions.PlantainError(
+        _Kind.CONFLICT, "the stored configuration changed and could not be read back"
+    )
+
+
+async def _try_swap(store: port.Store, change: _Change) -> model.Configuration | None:
+    """Read, then write; return ``None`` when the write's condition did not hold."""
+    entry = await store.get(document.key(change.prefix))
+    current = None if entry is None else document.decode(entry.value)
+    if _is_superseded(change, current):
+        return await _read_back(store, change, current)
+    if current is not None and current == change.base and not change.record.differences:
+        return current
+    mod_revision = 0 if entry is None else entry.mod_revision
+    if await store.commit(_transaction(change, mod_revision)):
+        return change.next
+    return None
+
+
+def _is_superseded(change: _Change, current: model.Configuration | None) -> bool:
+    """Tell whether the stored configuration excludes that the base is current.
+
+    A lower revision than the base's is a stale answer, or a store that lost its
+    content; the transaction's conditions tell which.
+    """
+    if current is None or current.revision < change.base_revision:
+        return False
+    return current.revision > change.base_revision or current != change.base
+
+
+async def _read_back(
+    store: port.Store, change: _Change, current: model.Configuration | None
+) -> model.Configuration | None:
+    """Tell our own accepted change from someone else's."""
+    if current == change.next:
+        return current
+    revision = change.next.revision
+    record = await audit.read(store, prefix=change.prefix, revision=revision)
+    if record is not None and _is_same_change(record, change.record):
+        return change.next
+    if record is None and current is not None and current.revision > revision:
+        return None
+    raise _conflict(change, current, record)
+
+
+def _is_same_change(record: audit.AuditRecord, ours: audit.AuditRecord) -> bool:
+    same_id = record.change_id == ours.change_id
+    return same_id and record.differences == ours.differences
+
+
+def _conflict(
+    change: _Change,
+    current: model.Configuration | None,
+    record: audit.AuditRecord | None,
+) -> _exceptions.PlantainError:
+    revision = 0 if current is None else current.revision
+    author = ""
+    if record is not None:
+        author = f" by {record.operator!r} (change {record.change_id})"
+    differences = diff.render(diff.compare(change.base, current))
+    return _exceptions.PlantainError(
+        _Kind.CONFLICT,
+        f"revision {change.base_revision} was replaced{author};"
+        f" revision {revision} differs in:\n{differences}",
+    )
+
+
+def _transaction(change: _Change, mod_revision: int) -> port.Transaction:
+    document_key = document.key(change.prefix)
+    audit_key = audit.key(change.prefix, change.next.revision)
+    return port.Transaction(
+        compares=(
+            port.Compare(key=document_key, mod_revision=mod_revision),
+            port.Compare(key=audit_key, mod_revision=0),
+        ),
+        puts=(
+            port.Put(key=document_key, value=document.encode(change.next)),
+            port.Put(key=audit_key, value=audit.encode(change.record)),
+        ),
+        deletes=audit.removals(change.prefix, change.next.revision),
+    )
--- /dev/null
+++ b/plantainproxy/config/check.py
@@ -0,0 +1,176 @@
+"""Rules that a configuration has to meet as a whole."""
+
+from collections.abc import Hashable, Iterable, Iterator
+import dataclasses
+import math
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.config import model
+from plantainproxy.wire import connection_id
+
+MAX_NAME_LENGTH = 128
+MAX_DOMAIN_NUMBER = 255
+MAX_RUNNING_LIMIT = 1_000_000
+WILDCARD_HOST = "0.0.0.0"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Problem:
+    """One fault of a configuration."""
+
+    place: str
+    """Where it is, such as ``routes[0].pool``."""
+    expected: str
+    """What was expected and what was found."""
+
+    def __str__(self) -> str:
+        """Render as one line."""
+        return f"{self.place}: {self.expected}"
+
+
+def refusal(problems: Iterable[Problem], *, source: str) -> _exceptions.PlantainError:
+    """Make the error that tells every problem, one a line."""
+    lines = [f"{source}: {problem}" for problem in problems]
+    return _exceptions.PlantainError(
+        _exceptions.ErrorKind.INVALID_CONFIGURATION, "\n".join(lines)
+    )
+
+
+def require_valid(configuration: model.Configuration, *, source: str) -> None:
+    """Raise ``INVALID_CONFIGURATION`` with every problem, if there is one."""
+    problems = find_problems(configuration)
+    if problems:
+        raise refusal(problems, source=source)
+
+
+def find_problems(configuration: model.Configuration) -> tuple[Problem, ...]:
+    """Return every problem of a configuration taken by itself."""
+    return (
+        *_check_routes(configuration),
+        *_check_pools(configuration.pools),
+        *_check_domains(configuration.domains),
+        *_check_drained(configuration),
+    )
+
+
+def find_change_problems(
+    base: model.Configuration, proposed: model.Configuration
+) -> tuple[Problem, ...]:
+    """Return every problem of a step between two valid configurations.
+
+    Connection IDs of open connections carry the number of a failure domain, so a
+    domain keeps its number.
+    """
+    numbers = {domain.name: domain.number for domain in base.domains}
+    return tuple(
+        Problem(
+            place=f"domains[{index}].number",
+            expected=f"expected {numbers[domain.name]}, the number that failure domain"
+            f" {domain.name!r} has, got {domain.number}",
+        )
+        for index, domain in enumerate(proposed.domains)
+        if numbers.get(domain.name, domain.number) != domain.number
+    )
+
+
+def _check_routes(configuration: model.Configuration) -> Iterator[Problem]:
+    routes = configuration.routes
+    pools = {pool.name for pool in configuration.pools}
+    yield from _check_names("routes", [route.name for route in routes])
+    addresses = [route.address for route in routes]
+    yield from _check_addresses("routes[{}].address", addresses)
+    yield from _check_service_tags(addresses)
+    for index, route in enumerate(routes):
+        if route.pool not in pools:
+            yield Problem(
+                place=f"routes[{index}].pool",
+                expected=f"expected the name of a pool, got {route.pool!r}",
+            )
+
+
+def _check_service_tags(addresses: list[_types.Address]) -> Iterator[Problem]:
+    """Refuse two addresses that connection IDs cannot tell apart."""
+    by_tag: dict[int, tuple[int, _types.Address]] = {}
+    for index, address in enumerate(addresses):
+        tag = connection_id.service_tag(address.pack())
+        first, other = by_tag.setdefault(tag, (index, address))
+        if other != address:
+            yield Problem(
+                place=f"routes[{index}].address",
+                expected="expected an address whose service tag differs from that of"
+                f" routes[{first}].address, got {address}",
+            )
+
+
+def _check_pools(pools: tuple[model.Pool, ...]) -> Iterator[Problem]:
+    yield from _check_names("pools", [pool.name for pool in pools])
+    for index, pool in enumerate(pools):
+        if not 1 <= pool.max_running <= MAX_RUNNING_LIMIT:
+            yield Problem(
+                place=f"pools[{index}].max_running",
+                expected=f"expected 1 to {MAX_RUNNING_LIMIT}, got {pool.max_running}",
+            )
+        rate = pool.lines_per_second
+        if not math.isfinite(rate) or rate <= 0:
+            yield Problem(
+                place=f"pools[{index}].lines_per_second",
+                expected=f"expected a number above 0, got {rate}",
+            )
+
+
+def _check_domains(domains: tuple[model.Domain, ...]) -> Iterator[Problem]:
+    yield from _check_names("domains", [domain.name for domain in domains])
+    numbers = [domain.number for domain in domains]
+    yield from _check_unique("domains[{}].number", numbers)
+    for index, number in enumerate(numbers):
+        if not 0 <= number <= MAX_DOMAIN_NUMBER:
+            yield Problem(
+                place=f"domains[{index}].number",
+                expected=f"expected 0 to {MAX_DOMAIN_NUMBER}, got {number}",
+            )
+
+
+def _check_drained(configuration: model.Configuration) -> Iterator[Problem]:
+    yield from _check_addresses("drained[{}]", list(configuration.drained))
+    services = {route.address: route.name for route in configuration.routes}
+    for index, address in enumerate(configuration.drained):
+        if address in services:
+            yield Problem(
+                place=f"drained[{index}]",
+                expected="expected an upstream's address, got the service address of"
+                f" route {services[address]!r}",
+            )
+
+
+def _check_names(table: str, names: list[str]) -> Iterator[Problem]:
+    yield from _check_unique(table + "[{}].name", names)
+    for index, name in enumerate(names):
+        if not name or len(name) > MAX_NAME_LENGTH or not name.isprintable():
+            yield Problem(
+                place=f"{table}[{index}].name",
+                expected=f"expected 1 to {MAX_NAME_LENGTH} printable characters,"
+                f" got {name!r}",
+            )
+
+
+def _check_addresses(place: str, addresses: list[_types.Address]) -> Iterator[Problem]:
+    yield from _check_unique(place, addresses)
+    for index, address in enumerate(addresses):
+        if address.host == WILDCARD_HOST or address.port == 0:
+            yield Problem(
+                place=place.format(index),
+                expected="expected one address and a port above 0, which overlaps no"
+                f" other, got {address}",
+            )
+
+
+def _check_unique(place: str, values: Iterable[Hashable]) -> Iterator[Problem]:
+    first_at: dict[Hashable, int] = {}
+    for index, value in enumerate(values):
+        first = first_at.setdefault(value, index)
+        if first != index:
+            yield Problem(
+                place=place.format(index),
+                expected=f"expected a value other than that of {place.format(first)},"
+                f" got {str(value)!r}",
+            )
--- /dev/null
+++ b/plantainproxy/config/edit.py
@@ -0,0 +1,111 @@
+"""Edits: each makes a new configuration from one and changes nothing else."""
+
+import dataclasses
+from typing import TypeVar
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.config import model
+
+_Item = TypeVar("_Item", bound=model.Route | model.Pool | model.Domain)
+
+
+def set_route(
+    configuration: model.Configuration, route: model.Route
+) -> model.Configuration:
+    """Add a route, or replace the one of its name."""
+    if all(pool.name != route.pool for pool in configuration.pools):
+        raise _not_found("pool", route.pool)
+    routes = _put(configuration.routes, route)
+    return dataclasses.replace(configuration, routes=routes)
+
+
+def remove_route(configuration: model.Configuration, name: str) -> model.Configuration:
+    """Remove a route."""
+    routes = _remove("route", configuration.routes, name)
+    return dataclasses.replace(configuration, routes=routes)
+
+
+def set_pool(
+    configuration: model.Configuration, pool: model.Pool
+) -> model.Configuration:
+    """Add a pool, or replace the one of its name."""
+    pools = _put(configuration.pools, pool)
+    return dataclasses.replace(configuration, pools=pools)
+
+
+def remove_pool(configuration: model.Configuration, name: str) -> model.Configuration:
+    """Remove a pool that no route uses."""
+    pools = _remove("pool", configuration.pools, name)
+    users = [route.name for route in configuration.routes if route.pool == name]
+    if users:
+        raise _exceptions.PlantainError(
+            _exceptions.ErrorKind.INVALID_CONFIGURATION,
+            f"pool {name!r}: expected no route to use it, got {', '.join(users)}",
+        )
+    return dataclasses.replace(configuration, pools=pools)
+
+
+def set_domain(
+    configuration: model.Configuration, domain: model.Domain
+) -> model.Configuration:
+    """Add a failure domain, or replace the one of its name."""
+    domains = _put(configuration.domains, domain)
+    return dataclasses.replace(configuration, domains=domains)
+
+
+def remove_domain(configuration: model.Configuration, name: str) -> model.Configuration:
+    """Remove a failure domain."""
+    domains = _remove("failure domain", configuration.domains, name)
+    return dataclasses.replace(configuration, domains=domains)
+
+
+def set_domain_state(
+    configuration: model.Configuration, name: str, state: _types.DomainState
+) -> model.Configuration:
+    """Take a failure domain out, or bring it back in."""
+    for domain in configuration.domains:
+        if domain.name == name:
+            changed = dataclasses.replace(domain, state=state)
+            return set_domain(configuration, changed)
+    raise _not_found("failure domain", name)
+
+
+def drain(
+    configuration: model.Configuration, upstream: _types.Address
+) -> model.Configuration:
+    """Let an upstream receive no new work; a second time changes nothing."""
+    if upstream in configuration.drained:
+        return configuration
+    return dataclasses.replace(
+        configuration, drained=(*configuration.drained, upstream)
+    )
+
+
+def undrain(
+    configuration: model.Configuration, upstream: _types.Address
+) -> model.Configuration:
+    """Let a drained upstream receive new work again."""
+    if upstream not in configuration.drained:
+        raise _not_found("drained upstream", str(upstream))
+    drained = tuple(address for address in configuration.drained if address != upstream)
+    return dataclasses.replace(configuration, drained=drained)
+
+
+def _not_found(kind: str, name: str) -> _exceptions.PlantainError:
+    return _exceptions.PlantainError(
+        _exceptions.ErrorKind.NOT_FOUND, f"{kind} {name!r}"
+    )
+
+
+def _put(items: tuple[_Item, ...], item: _Item) -> tuple[_Item, ...]:
+    """Replace the item of the same name in its place, or append."""
+    if all(other.name != item.name for other in items):
+        return (*items, item)
+    return tuple(item if other.name == item.name else other for other in items)
+
+
+def _remove(kind: str, items: tuple[_Item, ...], name: str) -> tuple[_Item, ...]:
+    kept = tuple(item for item in items if item.name != name)
+    if len(kept) == len(items):
+        raise _not_found(kind, name)
+    return kept
--- /dev/null
+++ b/plantainproxy/config/tests/test_edit.py
@@ -0,0 +1,192 @@
+"""Edits and key rotation."""
+
+from collections.abc import Callable
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+import trio
+import trio.testing
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.config import audit, change, check, edit, keys, model
+from plantainproxy.store import memory
+
+Kind = _exceptions.ErrorKind
+Edit = Callable[[model.Configuration], model.Configuration]
+PREFIX = "t/"
+
+NAMES = strategies.sampled_from(["a", "b", "c"])
+ADDRESSES = strategies.builds(
+    _types.Address, strategies.just("127.0.0.1"), strategies.integers(1, 4)
+)
+UPSTREAMS = strategies.builds(
+    _types.Address, strategies.just("127.0.0.2"), strategies.integers(1, 4)
+)
+ROUTES = strategies.builds(model.Route, name=NAMES, address=ADDRESSES, pool=NAMES)
+POOLS = strategies.builds(model.Pool, name=NAMES, max_running=strategies.integers(0, 3))
+DOMAINS = strategies.builds(model.Domain, name=NAMES, number=strategies.integers(0, 3))
+EDITS = strategies.one_of(
+    ROUTES.map(lambda route: lambda held: edit.set_route(held, route)),
+    NAMES.map(lambda name: lambda held: edit.remove_route(held, name)),
+    POOLS.map(lambda pool: lambda held: edit.set_pool(held, pool)),
+    NAMES.map(lambda name: lambda held: edit.remove_pool(held, name)),
+    DOMAINS.map(lambda domain: lambda held: edit.set_domain(held, domain)),
+    NAMES.map(lambda name: lambda held: edit.remove_domain(held, name)),
+    NAMES.map(
+        lambda name: (
+            lambda held: edit.set_domain_state(held, name, _types.DomainState.OUT)
+        )
+    ),
+    UPSTREAMS.map(lambda upstream: lambda held: edit.drain(held, upstream)),
+    UPSTREAMS.map(lambda upstream: lambda held: edit.undrain(held, upstream)),
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
+@hypothesis.given(strategies.lists(EDITS, max_size=25))
+def test_edits_keep_the_configuration_valid_and_revisions_rising(
+    edits: list[Edit],
+) -> None:
+    """Whatever is accepted is valid, one revision higher, and audited."""
+
+    async def main() -> None:
+        store = memory.MemoryStore()
+        held: model.Configuration | None = None
+        for number, one_edit in enumerate(edits):
+            before = held or model.Configuration(revision=0)
+            try:
+                proposed = one_edit(before)
+                accepted = await change.apply(
+                    store,
+                    prefix=PREFIX,
+                    base=held,
+                    proposed=proposed,
+                    change_id=f"{number}",
+                    operator="o",
+                    reason="",
+                    now=float(number),
+                )
+            except _exceptions.PlantainError as error:
+                assert error.kind in (Kind.NOT_FOUND, Kind.INVALID_CONFIGURATION)
+                continue
+            unchanged = held is not None and proposed == held
+            assert accepted.revision == before.revision + (0 if unchanged else 1)
+            assert check.find_problems(accepted) == ()
+            record = await audit.read(store, prefix=PREFIX, revision=accepted.revision)
+            assert record is not None
+            held = accepted
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+USED = model.Configuration(
+    revision=1,
+    routes=(model.Route(name="r", address=_types.Address("127.0.0.1", 1), pool="p"),),
+    pools=(model.Pool(name="p"),),
+)
+
+
+@pytest.mark.parametrize(
+    ("one_edit", "kind"),
+    [
+        (lambda held: edit.remove_route(held, "x"), Kind.NOT_FOUND),
+        (lambda held: edit.remove_pool(held, "x"), Kind.NOT_FOUND),
+        (lambda held: edit.remove_pool(held, "p"), Kind.INVALID_CONFIGURATION),
+        (lambda held: edit.remove_domain(held, "x"), Kind.NOT_FOUND),
+        (
+            lambda held: edit.set_domain_state(held, "x", _types.DomainState.OUT),
+            Kind.NOT_FOUND,
+        ),
+        (
+            lambda held: edit.undrain(held, _types.Address("127.0.0.1", 9)),
+            Kind.NOT_FOUND,
+        ),
+        (
+            lambda held: edit.set_route(
+                held,
+                model.Route(name="q", address=_types.Address("127.0.0.1", 2), pool="x"),
+            ),
+            Kind.NOT_FOUND,
+        ),
+    ],
+)
+def test_an_edit_that_does_not_fit_is_refused(one_edit: Edit, kind: Kind) -> None:
+    """Missing names are told apart from refused removals."""
+    with pytest.raises(_exceptions.PlantainError) as caught:
+        one_edit(USED)
+    assert caught.value.kind is kind
+
+
+def test_a_key_rotation_keeps_the_old_key_until_it_is_dropped() -> None:
+    """Add, make current, drop: each step raises the revision and is audited."""
+
+    async def main() -> None:
+        store = memory.MemoryStore()
+        store.lose_answers = 1
+        first = await keys.ensure(store, prefix=PREFIX, held=None, now=1.0)
+        assert await keys.ensure(store, prefix=PREFIX, held=None, now=2.0) == first
+
+        async def take(step: Callable[[model.KeySet], model.KeySet]) -> model.KeySet:
+            store.lose_answers = 1
+            author = keys.Author(
+                change_id=f"id-{store.writes}", operator="o", reason="r"
+            )
+            return await keys.rotate(
+                store, prefix=PREFIX, step=step, author=author, now=3.0
+            )
+
+        added = await take(lambda held: keys.add_key(held, secret=b"n" * 32))
+        assert (added.revision, added.current, len(added.keys)) == (2, 0, 2)
+        current = await take(keys.make_newest_current)
+        assert (current.revision, current.current, len(current.keys)) == (3, 1, 2)
+        dropped = await take(keys.drop_old)
+        assert (dropped.revision, [key.number for key in dropped.keys]) == (4, [1])
+        with pytest.raises(_exceptions.PlantainError, match="older than the current"):
+            await take(keys.drop_old)
+        assert await keys.read(store, prefix=PREFIX) == dropped
+        page = await audit.read_page(
+            store, prefix=keys.audit_prefix(PREFIX), query=audit.Query()
+        )
+        assert [record.revision for record in page.records] == [4, 3, 2, 1]
+        assert "secret" not in repr(page)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_a_repeated_rotation_step_is_not_taken_twice() -> None:
+    """The change ID finds the first one."""
+
+    async def main() -> None:
+        store = memory.MemoryStore()
+        await keys.ensure(store, prefix=PREFIX, held=None, now=1.0)
+        author = keys.Author(change_id="x", operator="o", reason="r")
+        for _ in range(2):
+            held = await keys.rotate(
+                store,
+                prefix=PREFIX,
+                step=lambda held: keys.add_key(held, secret=b"n" * 32),
+                author=author,
+                now=3.0,
+            )
+            assert len(held.keys) == 2
+
+    trio.run(main)
+
+
+def test_two_creators_agree_on_one_key_set() -> None:
+    """Compare-and-swap lets one creation win."""
+
+    async def main() -> None:
+        store = memory.MemoryStore()
+        made: list[model.KeySet] = []
+
+        async def ensure() -> None:
+            made.append(await keys.ensure(store, prefix=PREFIX, held=None, now=1.0))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(5):
+                nursery.start_soon(ensure)
+        assert made == made[:1] * 5
+
+    trio.run(main)
