--- /dev/null
+++ b/plantainproxy/balancer/datapath.py
@@ -0,0 +1,239 @@
+"""The task that owns the balancer's UDP socket.
+
+It carries datagrams between the socket and the decisions of ``core.routing``, holds
+no state of flows, and learns of changes over a channel.
+"""
+
+from collections.abc import Callable, Sequence
+import dataclasses
+import os
+import socket
+from typing import NamedTuple
+
+import trio
+
+from plantainproxy import _types
+from plantainproxy.balancer import resets
+from plantainproxy.config import model
+from plantainproxy.core import routing
+from plantainproxy.quic import classify
+from plantainproxy.wire import keyring, proxy, tunnel
+
+MAX_DATAGRAM_BYTES = 4096
+"""Largest datagram that the fabric may hand over."""
+BATCH_DATAGRAMS = 64
+"""How many datagrams are taken before other tasks get a turn."""
+RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class KeysChanged:
+    """A key set was accepted; one of a lower revision is ignored."""
+
+    key_set: model.KeySet
+
+
+Event = routing.Event | KeysChanged
+
+
+class Counters:
+    """What the task did since its start; read by others."""
+
+    def __init__(self) -> None:
+        """Start from zero."""
+        self.established = 0
+        """Forwarded packets that named their destination."""
+        self.opening = 0
+        """Forwarded packets that may start a flow."""
+        self.resets = 0
+        """Stateless resets sent."""
+        self.drops = dict.fromkeys(routing.DropReason, 0)
+        """Dropped datagrams by reason."""
+
+
+class State:
+    """What the task decides on, and what it counts."""
+
+    def __init__(self) -> None:
+        """Start with nothing known."""
+        self.routing = routing.State()
+        self.ring: keyring.Keyring | None = None
+        self.prefix = b""
+        """The tunnel prefix of a message without earlier owners."""
+        self.counters = Counters()
+        self.reset_limit = resets.RateLimit()
+
+
+Send = Callable[[bytes, tuple[str, int]], object]
+Handle = Callable[[bytes, tuple[str, int], float], None]
+
+
+def open_socket(address: _types.Address) -> socket.socket:
+    """Bind the non-blocking socket on which the fabric's datagrams arrive."""
+    opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        opened.setblocking(False)
+        opened.bind(address)
+    except OSError:
+        opened.close()
+        raise
+    return opened
+
+
+async def run(
+    state: State,
+    datagrams: socket.socket,
+    events: trio.MemoryReceiveChannel[Event],
+) -> None:
+    """Forward datagrams and follow events until the event channel closes."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_forward, state, datagrams)
+        await _follow(state, events)
+        nursery.cancel_scope.cancel()
+
+
+async def apply(state: State, events: Sequence[Event]) -> None:
+    """Take events in; packets keep being decided on the old state meanwhile."""
+    for event in events:
+        if isinstance(event, KeysChanged):
+            _take_keys(state, event.key_set)
+    routing_events = [event for event in events if not isinstance(event, KeysChanged)]
+    if not routing_events:
+        return
+    now = trio.current_time()
+    state.routing = await trio.to_thread.run_sync(
+        lambda: routing.apply(state.routing, routing_events, now=now)
+    )
+
+
+def handler(state: State, send: Send) -> Handle:
+    """Return the function that carries one datagram of the fabric."""
+    counters = state.counters
+    drops = counters.drops
+    decode, read, route = proxy.decode, classify.read, routing.route
+    forward_type = routing.Forward
+
+    def handle(datagram: bytes, source: tuple[str, int], now: float) -> None:
+        ring = state.ring
+        if ring is None or len(datagram) > MAX_DATAGRAM_BYTES:
+            drops[_refusal(ring)] += 1
+            return
+        header = decode(datagram)
+        if header is None:
+            drops[routing.DropReason.BAD_HEADER] += 1
+            return
+        packet = read(ring, header[1], datagram, header[2])
+        if packet is None:
+            drops[routing.DropReason.INVALID_PACKET] += 1
+            return
+        action = route(state.routing, packet, now)
+        if type(action) is not forward_type:
+            arrival = Arrival(datagram, header, source)
+            _end(state, send, ring, action, arrival, now)
+            return
+        message = state.prefix + datagram
+        if action[1]:
+            message = _prefix(ring, action[1]) + datagram
+        try:
+            send(message, action[0])
+        except OSError:
+            drops[routing.DropReason.SEND_FAILED] += 1
+            return
+        if packet[2]:
+            counters.opening += 1
+        else:
+            counters.established += 1
+
+    return handle
+
+
+class Arrival(NamedTuple):
+    """One datagram as it came."""
+
+    datagram: bytes
+    header: proxy.Header
+    source: tuple[str, int]
+    """The fabric's address."""
+
+
+def _refusal(ring: keyring.Keyring | None) -> routing.DropReason:
+    if ring is None:
+        return routing.DropReason.NOT_READY
+    return routing.DropReason.TOO_LARGE
+
+
+def _prefix(ring: keyring.Keyring, earlier_owners: tuple[_types.Address, ...]) -> bytes:
+    return tunnel.encode_prefix(
+        ring.current.cookie,
+        earlier_owners=tuple(owner.pack() for owner in earlier_owners),
+    )
+
+
+def _end(
+    state: State,
+    send: Send,
+    ring: keyring.Keyring,
+    action: routing.Action,
+    arrival: Arrival,
+    now: float,
+) -> None:
+    """Carry out an action that does not forward the packet."""
+    if isinstance(action, routing.Drop):
+        state.counters.drops[action.reason] += 1
+    elif isinstance(action, routing.Reset):
+        _reset(state, send, ring, arrival, now)
+
+
+def _reset(
+    state: State, send: Send, ring: keyring.Keyring, arrival: Arrival, now: float
+) -> None:
+    """Tell the caller, by way of the fabric, that its connection is dead."""
+    drops = state.counters.drops
+    datagram, header, source = arrival
+    payload = resets.payload(ring, datagram[header.payload_offset :], os.urandom)
+    if payload is None:
+        drops[routing.DropReason.RESET_IMPOSSIBLE] += 1
+        return
+    if not resets.take(state.reset_limit, now=now):
+        drops[routing.DropReason.RESET_LIMIT] += 1
+        return
+    answer = proxy.encode_packed(source=header.destination, destination=header.source)
+    try:
+        send(answer + payload, source)
+    except OSError:
+        drops[routing.DropReason.SEND_FAILED] += 1
+        return
+    state.counters.resets += 1
+
+
+async def _forward(state: State, datagrams: socket.socket) -> None:
+    handle = handler(state, datagrams.sendto)
+    receive = datagrams.recvfrom
+    while True:
+        await trio.lowlevel.wait_readable(datagrams)
+        now = trio.current_time()
+        for _ in range(BATCH_DATAGRAMS):
+            try:
+                datagram, source = receive(MAX_DATAGRAM_BYTES + 1)
+            except OSError:
+                break
+            handle(datagram, source, now)
+
+
+async def _follow(state: State, events: trio.MemoryReceiveChannel[Event]) -> None:
+    async for event in events:
+        batch = [event]
+        while True:
+            try:
+                batch.append(events.receive_nowait())
+            except (trio.WouldBlock, trio.EndOfChannel):
+                break
+        await apply(state, batch)
+
+
+def _take_keys(state: State, key_set: model.KeySet) -> None:
+    if state.ring is not None and key_set.revision < state.ring.revision:
+        return
+    state.ring = keyring.Keyring(key_set)
+    state.prefix = tunnel.encode_prefix(state.ring.current.cookie)
--- a/plantainproxy/quic/classify.py
+++ b/plantainproxy/quic/classify.py
@@ -38,7 +38,7 @@
 
 
 def read(
-    ring: keyring.Keyring, *, service: bytes, datagram: bytes, offset: int = 0
+    ring: keyring.Keyring, service: bytes, datagram: bytes, offset: int = 0
 ) -> packets.Packet | None:
     """Classify the QUIC packet at an offset; ``None`` when it belongs to no flow."""
     found = destination_id(datagram, offset)
--- a/plantainproxy/wire/proxy.py
+++ b/plantainproxy/wire/proxy.py
@@ -45,15 +45,13 @@
 
 def encode(*, source: _types.Address, destination: _types.Address) -> bytes:
     """Make the header of a datagram from ``source`` to ``destination``."""
-    packed_source = source.pack()
-    packed_destination = destination.pack()
+    return encode_packed(source=source.pack(), destination=destination.pack())
+
+
+def encode_packed(*, source: bytes, destination: bytes) -> bytes:
+    """Make a header from packed addresses, as :func:`decode` returns them."""
     return (
         _START
         + ADDRESS_BYTES.to_bytes(2, "big")
-        + _ADDRESSES.pack(
-            packed_source[:4],
-            packed_destination[:4],
-            packed_source[4:],
-            packed_destination[4:],
-        )
+        + _ADDRESSES.pack(source[:4], destination[:4], source[4:], destination[4:])
     )
