Add the stand-in fabric

It sprays callers' datagrams with PROXY headers over the balancers whose health port accepts, carries answers back from the service address, and takes faults by JSON lines: loss, delay, duplicates, reordering, and cut balancers or sidecars.

--- /dev/null
+++ b/standins/fabric.py
@@ -0,0 +1,348 @@
+"""Stand-in for the platform's fabric: sprays callers' datagrams over balancers.
+
+Run ``python -m standins.fabric --help`` for its options. It prints one ``ready``
+line for each socket, then one without a name. The control port takes one JSON
+object a line and answers each with the counters; see :class:`Command`.
+"""
+
+import argparse
+from collections.abc import AsyncIterator, Iterator
+import contextlib
+import dataclasses
+import random
+import socket
+from typing import NamedTuple
+
+import msgspec
+import trio
+
+from plantainproxy import _types
+from plantainproxy.wire import proxy
+
+HEALTH_INTERVAL_SECONDS = 0.2
+HEALTH_TIMEOUT_SECONDS = 1.0
+MAX_DATAGRAM_BYTES = 65536
+MAX_COMMAND_BYTES = 65536
+BATCH_DATAGRAMS = 64
+BUFFER_BYTES = 4 * 1024 * 1024
+
+
+class Faults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What happens to the datagrams of one direction; shares are in [0, 1]."""
+
+    loss: float = 0.0
+    duplicate: float = 0.0
+    reorder: float = 0.0
+    """Share of datagrams that are held back for ``reorder_seconds``."""
+    reorder_seconds: float = 0.02
+    delay_seconds: float = 0.0
+    jitter_seconds: float = 0.0
+    """Most of a random delay that comes on top."""
+
+
+class Balancer(NamedTuple):
+    """Where one balancer takes datagrams and health checks."""
+
+    datagrams: _types.Address
+    health: _types.Address
+
+
+class Command(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One line to the control port; what is absent stays as it is."""
+
+    to_balancers: Faults | None = None
+    to_callers: Faults | None = None
+    cut: tuple[str, ...] | None = None
+    """Datagram addresses of balancers whose datagrams vanish both ways unnoticed."""
+    cut_sidecars: tuple[str, ...] | None = None
+    """Source addresses whose answers vanish."""
+    balancers: tuple[tuple[str, str], ...] | None = None
+    """Replaces the balancers: datagram and health address of each."""
+
+
+class Counters(msgspec.Struct):
+    """What the fabric has carried since its start."""
+
+    from_callers: int = 0
+    to_callers: int = 0
+    lost: int = 0
+    duplicated: int = 0
+    reordered: int = 0
+    without_balancer: int = 0
+    bad_answers: int = 0
+    """Answers without a valid header or from an unknown service address."""
+    by_balancer: dict[str, int] = {}
+    healthy: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """All that the fabric knows."""
+
+    balancers: tuple[Balancer, ...]
+    random: random.Random
+    healthy: tuple[Balancer, ...] = ()
+    to_balancers: Faults = Faults()
+    to_callers: Faults = Faults()
+    cut: frozenset[_types.Address] = frozenset()
+    cut_sidecars: frozenset[_types.Address] = frozenset()
+    counters: Counters = dataclasses.field(default_factory=Counters)
+
+
+class Sockets(NamedTuple):
+    """The sockets, all bound and non-blocking."""
+
+    back: socket.socket
+    """Towards balancers and sidecars."""
+    services: dict[bytes, socket.socket]
+    """Towards callers, by packed service address."""
+
+
+class Outgoing(NamedTuple):
+    """One datagram on its way out."""
+
+    sender: socket.socket
+    datagram: bytes
+    address: tuple[str, int]
+
+
+def _bind(address: _types.Address) -> socket.socket:
+    opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    opened.setblocking(False)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+    opened.bind(address)
+    return opened
+
+
+def _bound(opened: socket.socket) -> _types.Address:
+    return _types.Address(*opened.getsockname())
+
+
+def _send(outgoing: Outgoing) -> None:
+    with contextlib.suppress(OSError):
+        outgoing.sender.sendto(outgoing.datagram, outgoing.address)
+
+
+async def _send_later(outgoing: Outgoing, seconds: float) -> None:
+    await trio.sleep(seconds)
+    _send(outgoing)
+
+
+def _carry(
+    state: State, faults: Faults, outgoing: Outgoing, nursery: trio.Nursery
+) -> None:
+    """Send one datagram, as the faults of its direction have it."""
+    draw = state.random.random
+    if faults.loss and draw() < faults.loss:
+        state.counters.lost += 1
+        return
+    copies = 1
+    if faults.duplicate and draw() < faults.duplicate:
+        state.counters.duplicated += 1
+        copies = 2
+    delay = faults.delay_seconds
+    if faults.jitter_seconds:
+        delay += faults.jitter_seconds * draw()
+    if faults.reorder and draw() < faults.reorder:
+        state.counters.reordered += 1
+        delay += faults.reorder_seconds
+    for _ in range(copies):
+        if delay:
+            nursery.start_soon(_send_later, outgoing, delay)
+        else:
+            _send(outgoing)
+
+
+async def _datagrams(
+    opened: socket.socket,
+) -> AsyncIterator[tuple[bytes, _types.Address]]:
+    while True:
+        await trio.lowlevel.wait_readable(opened)
+        for _ in range(BATCH_DATAGRAMS):
+            try:
+                datagram, source = opened.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError:
+                break
+            yield datagram, _types.Address(*source)
+
+
+async def _take_from_callers(
+    state: State, sockets: Sockets, service: socket.socket, nursery: trio.Nursery
+) -> None:
+    """Spray the datagrams that come to one service address."""
+    destination = _bound(service)
+    async for datagram, caller in _datagrams(service):
+        state.counters.from_callers += 1
+        if not state.healthy:
+            state.counters.without_balancer += 1
+            continue
+        target = state.random.choice(state.healthy).datagrams
+        if target in state.cut:
+            state.counters.lost += 1
+            continue
+        counts = state.counters.by_balancer
+        counts[str(target)] = counts.get(str(target), 0) + 1
+        header = proxy.encode(source=caller, destination=destination)
+        outgoing = Outgoing(sockets.back, header + datagram, target)
+        _carry(state, state.to_balancers, outgoing, nursery)
+
+
+async def _take_answers(state: State, sockets: Sockets, nursery: trio.Nursery) -> None:
+    """Send answers to callers from the service address that they name."""
+    async for datagram, sender in _datagrams(sockets.back):
+        header = proxy.decode(datagram)
+        service = None if header is None else sockets.services.get(header.source)
+        if header is None or service is None:
+            state.counters.bad_answers += 1
+            continue
+        if sender in state.cut or sender in state.cut_sidecars:
+            state.counters.lost += 1
+            continue
+        state.counters.to_callers += 1
+        caller = _types.Address.unpack(header.destination)
+        outgoing = Outgoing(service, datagram[header.payload_offset :], caller)
+        _carry(state, state.to_callers, outgoing, nursery)
+
+
+async def _accepts(address: _types.Address) -> bool:
+    with trio.move_on_after(HEALTH_TIMEOUT_SECONDS):
+        try:
+            stream = await trio.open_tcp_stream(*address)
+        except OSError:
+            return False
+        await trio.aclose_forcefully(stream)
+        return True
+    return False
+
+
+async def _check(state: State, balancer: Balancer) -> None:
+    accepts = await _accepts(balancer.health)
+    healthy = tuple(
+        known
+        for known in state.balancers
+        if (accepts if known == balancer else known in state.healthy)
+    )
+    state.healthy = healthy
+
+
+async def _check_forever(state: State) -> None:
+    while True:
+        async with trio.open_nursery() as nursery:
+            for balancer in state.balancers:
+                nursery.start_soon(_check, state, balancer)
+        await trio.sleep(HEALTH_INTERVAL_SECONDS)
+
+
+def _addresses(texts: tuple[str, ...]) -> frozenset[_types.Address]:
+    return frozenset(_types.Address.parse(text) for text in texts)
+
+
+def _balancer(datagrams: str, health: str) -> Balancer:
+    return Balancer(_types.Address.parse(datagrams), _types.Address.parse(health))
+
+
+def execute(state: State, line: bytes) -> bytes:
+    """Carry out one command and return the counters, or what was wrong."""
+    try:
+        command = msgspec.json.decode(line, type=Command)
+        cut = None if command.cut is None else _addresses(command.cut)
+        cut_sidecars = (
+            None if command.cut_sidecars is None else _addresses(command.cut_sidecars)
+        )
+        balancers = (
+            None
+            if command.balancers is None
+            else tuple(_balancer(*pair) for pair in command.balancers)
+        )
+    except (ValueError, msgspec.MsgspecError) as error:
+        return msgspec.json.encode({"error": str(error)})
+    state.to_balancers = command.to_balancers or state.to_balancers
+    state.to_callers = command.to_callers or state.to_callers
+    state.cut = state.cut if cut is None else cut
+    state.cut_sidecars = state.cut_sidecars if cut_sidecars is None else cut_sidecars
+    if balancers is not None:
+        state.balancers = balancers
+        state.healthy = tuple(one for one in state.healthy if one in balancers)
+    state.counters.healthy = tuple(str(one.datagrams) for one in state.healthy)
+    return msgspec.json.encode(state.counters)
+
+
+async def _serve_control(state: State, stream: trio.SocketStream) -> None:
+    pending = b""
+    with contextlib.suppress(trio.BrokenResourceError):
+        async with stream:
+            async for chunk in stream:
+                *lines, pending = (pending + chunk).split(b"\n")
+                for line in lines:
+                    await stream.send_all(execute(state, line) + b"\n")
+                if len(pending) > MAX_COMMAND_BYTES:
+                    return
+
+
+def _ready(name: str, address: _types.Address) -> None:
+    print(f"ready {name}={address}", flush=True)
+
+
+@contextlib.contextmanager
+def _opened(addresses: list[_types.Address]) -> Iterator[list[socket.socket]]:
+    with contextlib.ExitStack() as stack:
+        yield [stack.enter_context(_bind(address)) for address in addresses]
+
+
+async def run(options: argparse.Namespace) -> None:
+    """Carry datagrams until cancelled."""
+    state = State(
+        balancers=tuple(_balancer(*pair.split(",")) for pair in options.balancer),
+        random=random.Random(options.seed),
+    )
+    with _opened([options.back, *options.service]) as opened:
+        services = {_bound(one).pack(): one for one in opened[1:]}
+        sockets = Sockets(opened[0], services)
+        async with trio.open_nursery() as nursery:
+            (control,) = await trio.open_tcp_listeners(
+                options.control.port, host=options.control.host
+            )
+
+            async def serve(stream: trio.SocketStream) -> None:
+                await _serve_control(state, stream)
+
+            nursery.start_soon(trio.serve_listeners, serve, [control])
+            nursery.start_soon(_check_forever, state)
+            nursery.start_soon(_take_answers, state, sockets, nursery)
+            for service in services.values():
+                nursery.start_soon(_take_from_callers, state, sockets, service, nursery)
+                _ready("service", _bound(service))
+            _ready("back", _bound(sockets.back))
+            _ready("control", _types.Address(*control.socket.getsockname()))
+            print("ready", flush=True)
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(description="Stand-in for the fabric.")
+    address = _types.Address.parse
+    nowhere = _types.Address("127.0.0.1", 0)
+    parser.add_argument(
+        "--service", type=address, action="append", required=True, help="for callers"
+    )
+    parser.add_argument(
+        "--balancer", action="append", default=[], help="DATAGRAMS,HEALTH addresses"
+    )
+    parser.add_argument(
+        "--back", type=address, default=nowhere, help="UDP, for answers"
+    )
+    parser.add_argument(
+        "--control", type=address, default=nowhere, help="TCP, JSON lines"
+    )
+    parser.add_argument("--seed", type=int, default=0)
+    return parser
+
+
+def main() -> None:
+    """Run the stand-in."""
+    with contextlib.suppress(KeyboardInterrupt):
+        trio.run(run, _parser().parse_args())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/tests/test_fabric.py
@@ -0,0 +1,122 @@
+"""The stand-in fabric as a real process's sockets see it."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import functools
+import json
+import socket
+import subprocess
+import sys
+from typing import Any
+
+import trio
+
+from plantainproxy import _types
+from plantainproxy.wire import proxy
+
+HANG_SECONDS = 30
+
+
+async def _bound() -> trio.socket.SocketType:
+    opened = trio.socket.socket(type=socket.SOCK_DGRAM)
+    await opened.bind(("127.0.0.1", 0))
+    return opened
+
+
+def _address(opened: trio.socket.SocketType) -> _types.Address:
+    return _types.Address(*opened.getsockname())
+
+
+@contextlib.asynccontextmanager
+async def fabric(
+    *balancers: tuple[_types.Address, _types.Address],
+) -> AsyncIterator[dict[str, _types.Address]]:
+    """Run the fabric process and give the addresses that it reports."""
+    arguments = [sys.executable, "-m", "standins.fabric", "--service", "127.1.0.1:0"]
+    for pair in balancers:
+        arguments += ["--balancer", f"{pair[0]},{pair[1]}"]
+    async with trio.open_nursery() as nursery:
+        process: trio.Process = await nursery.start(
+            functools.partial(
+                trio.run_process, arguments, stdout=subprocess.PIPE, check=False
+            )
+        )
+        assert process.stdout is not None
+        text = ""
+        while not text.endswith("ready\n"):
+            text += (await process.stdout.receive_some()).decode()
+        pairs = (line.removeprefix("ready ").split("=") for line in text.split("\n"))
+        yield {
+            pair[0]: _types.Address.parse(pair[1]) for pair in pairs if len(pair) == 2
+        }
+        process.terminate()
+
+
+async def command(control: trio.SocketStream, **fields: object) -> dict[str, Any]:
+    """Send one command and return the answer."""
+    await control.send_all(json.dumps(fields).encode() + b"\n")
+    answer: dict[str, Any] = json.loads(await control.receive_some())
+    return answer
+
+
+async def healthy(control: trio.SocketStream, count: int) -> dict[str, Any]:
+    """Wait until so many balancers accept health checks."""
+    while True:
+        answer = await command(control)
+        if len(answer["healthy"]) == count:
+            return answer
+        await trio.sleep(0.05)
+
+
+def test_datagrams_pass_both_ways_with_their_addresses() -> None:
+    """The caller's address arrives in the header; the answer leaves the service."""
+
+    async def main() -> None:
+        caller, balancer = await _bound(), await _bound()
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        health = _types.Address(*listener.socket.getsockname())
+        with trio.fail_after(HANG_SECONDS), caller, balancer:
+            async with listener, fabric((_address(balancer), health)) as addresses:
+                control = await trio.open_tcp_stream(*addresses["control"])
+                await healthy(control, 1)
+                await caller.sendto(b"hello", addresses["service"])
+                datagram = await balancer.recv(2048)
+                header = proxy.decode(datagram)
+                assert header is not None
+                assert header.source == _address(caller).pack()
+                assert header.destination == addresses["service"].pack()
+                assert datagram[header.payload_offset :] == b"hello"
+                answer = proxy.encode(
+                    source=addresses["service"], destination=_address(caller)
+                )
+                await balancer.sendto(answer + b"answer", addresses["back"])
+                assert await caller.recvfrom(2048) == (b"answer", addresses["service"])
+                await control.aclose()
+
+    trio.run(main)
+
+
+def test_a_balancer_that_stops_accepting_gets_no_datagrams() -> None:
+    """The fabric notices a closed health port and faults are counted."""
+
+    async def main() -> None:
+        caller, balancer = await _bound(), await _bound()
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        health = _types.Address(*listener.socket.getsockname())
+        with trio.fail_after(HANG_SECONDS), caller, balancer:
+            async with fabric((_address(balancer), health)) as addresses:
+                control = await trio.open_tcp_stream(*addresses["control"])
+                await healthy(control, 1)
+                await command(control, to_balancers={"loss": 1.0})
+                await caller.sendto(b"hello", addresses["service"])
+                while (await command(control))["lost"] != 1:
+                    await trio.sleep(0.01)
+                await listener.aclose()
+                await healthy(control, 0)
+                await caller.sendto(b"hello", addresses["service"])
+                while (await command(control))["without_balancer"] != 1:
+                    await trio.sleep(0.01)
+                assert "error" in await command(control, unknown=1)
+                await control.aclose()
+
+    trio.run(main)
