Bridge gRPC's synchronous API to trio

Cause: processes call one another by gRPC, and grpcio is not made for trio. Ruled out: grpc.aio (asyncio); blocking calls in worker threads on the client side (calls would wait for a thread, and a cancelled task could not cancel its call).

--- /dev/null
+++ b/plantainproxy/rpc/bridge.py
@@ -0,0 +1,442 @@
+"""The one bridge between trio and grpcio's synchronous API.
+
+Server threads hand each call to a trio task and wait for its answer. Client calls
+are futures whose completion wakes the trio task that waits for them.
+"""
+
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
+import concurrent.futures
+import contextlib
+import dataclasses
+import functools
+import ipaddress
+import logging
+import pathlib
+from typing import Any
+
+import grpc
+import msgspec
+import trio
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.rpc import codec, methods
+from plantainproxy.settings import model
+
+Handler = Callable[[Any], Awaitable[Any]]
+
+KIND_METADATA = "plantain-kind"
+"""Trailing metadata that carries the error kind."""
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+KEEPALIVE_SECONDS = 2.0
+"""Time without traffic after which a connection in use is probed."""
+KEEPALIVE_TIMEOUT_SECONDS = 2.0
+"""Time after which an unanswered probe closes the connection."""
+RECONNECT_SECONDS = 1.0
+"""Longest pause between attempts to connect."""
+CONNECT_SECONDS = 1.0
+"""Longest time that one attempt to connect may take."""
+IDLE_SECONDS = 30.0
+"""A channel that was not used for this time is closed."""
+SWEEP_SECONDS = 5.0
+DEFAULT_WORKERS = 32
+DEFAULT_GRACE_SECONDS = 5.0
+STOP_MARGIN_SECONDS = 2.0
+SILENT_CALLS = 2
+"""A channel is replaced after this many calls in a row without any answer."""
+
+_log = logging.getLogger("plantain.rpc")
+
+_COMMON_OPTIONS: list[tuple[str, int]] = [
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.keepalive_time_ms", int(KEEPALIVE_SECONDS * 1000)),
+    ("grpc.keepalive_timeout_ms", int(KEEPALIVE_TIMEOUT_SECONDS * 1000)),
+    ("grpc.http2.ping_timeout_ms", int(KEEPALIVE_TIMEOUT_SECONDS * 1000)),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.http2.bdp_probe", 0),
+]
+_SERVER_OPTIONS = [
+    *_COMMON_OPTIONS,
+    ("grpc.so_reuseport", 0),
+    ("grpc.keepalive_permit_without_calls", 0),
+    ("grpc.http2.min_ping_interval_without_data_ms", 500),
+    ("grpc.http2.min_recv_ping_interval_without_data_ms", 500),
+    ("grpc.http2.max_ping_strikes", 0),
+]
+_CHANNEL_OPTIONS = [
+    *_COMMON_OPTIONS,
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.keepalive_permit_without_calls", 0),
+    ("grpc.initial_reconnect_backoff_ms", 200),
+    ("grpc.min_reconnect_backoff_ms", int(CONNECT_SECONDS * 1000)),
+    ("grpc.max_reconnect_backoff_ms", int(RECONNECT_SECONDS * 1000)),
+    ("grpc.enable_retries", 0),
+    ("grpc.enable_http_proxy", 0),
+]
+
+
+def _read(path: str) -> bytes:
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise _exceptions.PlantainError(
+            _exceptions.ErrorKind.INVALID_SETTINGS, f"{path}: {error.strerror}"
+        ) from None
+
+
+def _check_plaintext(address: _types.Address, tls: model.Tls) -> None:
+    if tls.allow_plaintext_beyond_loopback:
+        return
+    if ipaddress.ip_address(address.host).is_loopback:
+        return
+    raise _exceptions.PlantainError(
+        _exceptions.ErrorKind.INVALID_SETTINGS,
+        f"tls: {address} is not on loopback and no certificate is set",
+    )
+
+
+def _has_certificates(tls: model.Tls) -> bool:
+    files = (tls.certificate_file, tls.private_key_file, tls.authority_file)
+    if any(files) and not all(files):
+        raise _exceptions.PlantainError(
+            _exceptions.ErrorKind.INVALID_SETTINGS,
+            "tls: certificate, private key and authority are set together",
+        )
+    return all(files)
+
+
+# --- Server -----------------------------------------------------------------------
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Arrival:
+    """One call that a server thread hands to trio."""
+
+    handler: Handler
+    request: Any
+    scope: trio.CancelScope
+    answer: "concurrent.futures.Future[Any]"
+
+
+async def _run_arrival(arrival: _Arrival) -> None:
+    """Run one handler; its result or error becomes the thread's answer."""
+    result: Any = None
+    error: Exception | None = None
+    with arrival.scope:
+        try:
+            result = await arrival.handler(arrival.request)
+        except Exception as raised:
+            error = raised
+    if error is None and arrival.scope.cancelled_caught:
+        error = _exceptions.PlantainError(
+            _exceptions.ErrorKind.PEER_UNAVAILABLE, "The call was cancelled."
+        )
+    if error is not None:
+        arrival.answer.set_exception(error)
+    else:
+        arrival.answer.set_result(result)
+
+
+def _run_soon(token: trio.lowlevel.TrioToken, function: Callable[[], object]) -> bool:
+    """Call a function in the trio thread; return whether trio still runs."""
+    try:
+        token.run_sync_soon(function)
+    except trio.RunFinishedError:
+        return False
+    return True
+
+
+def _set_error(
+    context: grpc.ServicerContext, error: _exceptions.PlantainError
+) -> bytes:
+    context.set_code(grpc.StatusCode[error.answer.grpc_status])
+    context.set_details(error.detail)
+    context.set_trailing_metadata(((KIND_METADATA, error.kind.value),))
+    return b""
+
+
+def _serve_call(
+    method: methods.Method,
+    handler: Handler,
+    submit: Callable[[_Arrival], bool],
+    cancel: Callable[[trio.CancelScope], None],
+    encoded: bytes,
+    context: grpc.ServicerContext,
+) -> bytes:
+    """Answer one call; runs in a server thread."""
+    try:
+        request: Any = codec.decode(encoded, method.value.request)
+    except (msgspec.MsgspecError, ValueError) as error:
+        return _set_error(
+            context,
+            _exceptions.PlantainError(_exceptions.ErrorKind.BAD_REQUEST, str(error)),
+        )
+    arrival = _Arrival(
+        handler=handler,
+        request=request,
+        scope=trio.CancelScope(shield=True),
+        answer=concurrent.futures.Future(),
+    )
+    if not context.add_callback(functools.partial(cancel, arrival.scope)):
+        return b""
+    if not submit(arrival):
+        return _set_error(
+            context, _exceptions.PlantainError(_exceptions.ErrorKind.PEER_UNAVAILABLE)
+        )
+    try:
+        return codec.encode(arrival.answer.result())
+    except _exceptions.PlantainError as error:
+        return _set_error(context, error)
+    except Exception:
+        _log.exception("The handler of %s failed.", method.value.name)
+        return _set_error(
+            context, _exceptions.PlantainError(_exceptions.ErrorKind.INTERNAL)
+        )
+
+
+def _bind(server: grpc.Server, address: _types.Address, tls: model.Tls) -> int:
+    if _has_certificates(tls):
+        credentials = grpc.ssl_server_credentials(
+            [(_read(tls.private_key_file), _read(tls.certificate_file))],
+            root_certificates=_read(tls.authority_file),
+            require_client_auth=True,
+        )
+    else:
+        _check_plaintext(address, tls)
+        credentials = None
+    try:
+        if credentials is None:
+            port = server.add_insecure_port(str(address))
+        else:
+            port = server.add_secure_port(str(address), credentials)
+    except RuntimeError:
+        port = 0
+    if port == 0:
+        raise _exceptions.PlantainError(
+            _exceptions.ErrorKind.INVALID_SETTINGS, f"cannot listen on {address}"
+        )
+    return port
+
+
+async def _stop(server: grpc.Server, grace_seconds: float) -> None:
+    """Refuse new calls and give the running ones the grace."""
+    stopped = server.stop(grace_seconds)
+    await trio.to_thread.run_sync(stopped.wait, grace_seconds + STOP_MARGIN_SECONDS)
+
+
+@contextlib.asynccontextmanager
+async def serve(
+    address: _types.Address,
+    handlers: Mapping[methods.Method, Handler],
+    *,
+    tls: model.Tls,
+    extra_handlers: "Sequence[grpc.GenericRpcHandler[Any, Any]]" = (),
+    workers: int = DEFAULT_WORKERS,
+    grace_seconds: float = DEFAULT_GRACE_SECONDS,
+) -> AsyncIterator[_types.Address]:
+    """Serve calls while the context lasts; yield the bound address.
+
+    Each handler runs in a task of its own and is cancelled when its caller gives up.
+    At the end new calls are refused and the running ones get the grace.
+    """
+    token = trio.lowlevel.current_trio_token()
+    pool = concurrent.futures.ThreadPoolExecutor(
+        max_workers=workers, thread_name_prefix="plantain-rpc"
+    )
+    server = grpc.server(pool, options=_SERVER_OPTIONS)
+
+    def submit(arrival: _Arrival) -> bool:
+        return _run_soon(
+            token,
+            lambda: trio.lowlevel.spawn_system_task(_run_arrival, arrival),
+        )
+
+    def cancel(scope: trio.CancelScope) -> None:
+        _run_soon(token, scope.cancel)
+
+    routes = {
+        method.value.name: grpc.unary_unary_rpc_method_handler(
+            functools.partial(_serve_call, method, handler, submit, cancel)
+        )
+        for method, handler in handlers.items()
+    }
+    server.add_generic_rpc_handlers(
+        (
+            grpc.method_handlers_generic_handler(methods.SERVICE, routes),
+            *extra_handlers,
+        )
+    )
+    port = _bind(server, address, tls)
+    server.start()
+    try:
+        yield _types.Address(address.host, port)
+    finally:
+        with trio.CancelScope(shield=True):
+            await _stop(server, grace_seconds)
+            await trio.to_thread.run_sync(pool.shutdown)
+
+
+# --- Client -----------------------------------------------------------------------
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Channel:
+    """One connection to a peer."""
+
+    channel: grpc.Channel
+    used_at: float
+    running: int = 0
+    silent_calls: int = 0
+    """Calls in a row that ended without an answer."""
+    retired: bool = False
+    """No longer in use; closed when its last call ends."""
+
+
+class Client:
+    """The channels that one process keeps to its peers."""
+
+    def __init__(self, tls: model.Tls) -> None:
+        """Hold the certificates; channels are opened by calls."""
+        self.credentials: grpc.ChannelCredentials | None = None
+        if _has_certificates(tls):
+            self.credentials = grpc.ssl_channel_credentials(
+                root_certificates=_read(tls.authority_file),
+                private_key=_read(tls.private_key_file),
+                certificate_chain=_read(tls.certificate_file),
+            )
+        self.tls = tls
+        self.channels: dict[_types.Address, _Channel] = {}
+        self.sweep_at = 0.0
+        """When idle channels are looked for again, in trio's time."""
+
+
+def _open_channel(client: Client, address: _types.Address) -> _Channel:
+    if client.credentials is None:
+        _check_plaintext(address, client.tls)
+        channel = grpc.insecure_channel(str(address), options=_CHANNEL_OPTIONS)
+    else:
+        channel = grpc.secure_channel(
+            str(address), client.credentials, options=_CHANNEL_OPTIONS
+        )
+    return _Channel(channel=channel, used_at=trio.current_time())
+
+
+def _retire(client: Client, address: _types.Address, entry: _Channel) -> None:
+    """Take a channel out of use and close it as soon as nobody waits on it."""
+    entry.retired = True
+    if client.channels.get(address) is entry:
+        del client.channels[address]
+    if entry.running == 0:
+        entry.channel.close()
+
+
+def _close_idle(client: Client, now: float) -> None:
+    if now < client.sweep_at:
+        return
+    client.sweep_at = now + SWEEP_SECONDS
+    for address, entry in list(client.channels.items()):
+        if entry.running == 0 and now - entry.used_at >= IDLE_SECONDS:
+            _retire(client, address, entry)
+
+
+@contextlib.asynccontextmanager
+async def open_client(tls: model.Tls) -> AsyncIterator[Client]:
+    """Keep channels while the context lasts."""
+    client = Client(tls)
+    try:
+        yield client
+    finally:
+        for address, entry in list(client.channels.items()):
+            entry.running = 0
+            _retire(client, address, entry)
+
+
+@contextlib.contextmanager
+def _borrowed(client: Client, address: _types.Address) -> Iterator[_Channel]:
+    _close_idle(client, trio.current_time())
+    entry = client.channels.get(address)
+    if entry is None:
+        entry = client.channels[address] = _open_channel(client, address)
+    entry.running += 1
+    try:
+        yield entry
+    finally:
+        entry.running -= 1
+        entry.used_at = trio.current_time()
+        if entry.retired and entry.running == 0:
+            entry.channel.close()
+
+
+def _as_error(call: Any, address: _types.Address) -> _exceptions.PlantainError:
+    """Turn a failed call into the peer's error kind, or PEER_UNAVAILABLE."""
+    detail = call.details() or ""
+    for key, value in call.trailing_metadata() or ():
+        if key == KIND_METADATA and value in set(_exceptions.ErrorKind):
+            return _exceptions.PlantainError(_exceptions.ErrorKind(value), detail)
+    return _exceptions.PlantainError(
+        _exceptions.ErrorKind.PEER_UNAVAILABLE,
+        f"{address}: {call.code().name.lower()} {detail}".strip(),
+    )
+
+
+def _note_silence(
+    client: Client, address: _types.Address, entry: _Channel, code: grpc.StatusCode
+) -> None:
+    """Replace a channel on which several calls in a row got no answer."""
+    if code is not grpc.StatusCode.DEADLINE_EXCEEDED:
+        entry.silent_calls = 0
+        return
+    entry.silent_calls += 1
+    if entry.silent_calls >= SILENT_CALLS and not entry.retired:
+        _log.warning("The connection to %s is silent; it is replaced.", address)
+        _retire(client, address, entry)
+
+
+async def _finished(call: Any) -> None:
+    """Wait for a gRPC future; cancel it when the waiting task is cancelled."""
+    token = trio.lowlevel.current_trio_token()
+    done = trio.Event()
+    call.add_done_callback(lambda _: _run_soon(token, done.set))
+    try:
+        await done.wait()
+    except trio.Cancelled:
+        call.cancel()
+        raise
+
+
+async def call(
+    client: Client,
+    address: _types.Address,
+    method: methods.Method,
+    request: Any,
+    *,
+    timeout_seconds: float,
+) -> Any:
+    """Make one call and return its reply.
+
+    Raises ``PlantainError`` of the kind that the peer answered with, or of kind
+    ``PEER_UNAVAILABLE`` when no valid answer came within the timeout.
+    """
+    with _borrowed(client, address) as entry:
+        future = entry.channel.unary_unary(method.path, None, None).future(
+            codec.encode(request), timeout=timeout_seconds
+        )
+        await _finished(future)
+        code = future.code()
+        answered = any(key == KIND_METADATA for key, _ in future.trailing_metadata())
+        _note_silence(client, address, entry, grpc.StatusCode.OK if answered else code)
+        if code is not grpc.StatusCode.OK:
+            raise _as_error(future, address)
+        try:
+            return codec.decode(future.result(), method.value.reply)
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise _exceptions.PlantainError(
+                _exceptions.ErrorKind.PEER_UNAVAILABLE, f"{address}: {error}"
+            ) from None
--- /dev/null
+++ b/plantainproxy/rpc/tests/test_bridge.py
@@ -0,0 +1,487 @@
+"""The bridge between trio and gRPC over real sockets."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+import contextlib
+import datetime
+import functools
+import ipaddress
+import pathlib
+import socket
+from typing import Any
+
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+import grpc
+import pytest
+import trio
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.rpc import bridge, messages, methods
+from plantainproxy.settings import model
+
+ANY = _types.Address("127.0.0.1", 0)
+TLS = model.Tls()
+PULL = methods.Method.PULL
+REQUEST = messages.PullRequest(configuration_revision=0, key_revision=0)
+HANG_SECONDS = 20
+
+
+def run(main: Callable[[], Awaitable[None]]) -> None:
+    """Run a test under trio with a guard against hanging."""
+
+    async def guarded() -> None:
+        with trio.fail_after(HANG_SECONDS):
+            await main()
+
+    trio.run(guarded)
+
+
+async def pull(
+    client: bridge.Client, address: _types.Address, *, timeout: float = 5.0
+) -> Any:
+    """Make one call."""
+    return await bridge.call(client, address, PULL, REQUEST, timeout_seconds=timeout)
+
+
+@contextlib.asynccontextmanager
+async def pair(
+    handler: bridge.Handler, **options: Any
+) -> AsyncIterator[tuple[bridge.Client, _types.Address]]:
+    """Start a server and a client."""
+    async with (
+        bridge.open_client(TLS) as client,
+        bridge.serve(ANY, {PULL: handler}, tls=TLS, **options) as address,
+    ):
+        yield client, address
+
+
+async def answer(request: messages.PullRequest) -> messages.PullReply:
+    """Answer at once."""
+    return messages.PullReply()
+
+
+def test_a_call_is_answered() -> None:
+    """A request reaches its handler and the reply comes back."""
+
+    async def main() -> None:
+        async with pair(answer) as (client, address):
+            assert await pull(client, address) == messages.PullReply()
+
+    run(main)
+
+
+@pytest.mark.parametrize("kind", list(_exceptions.ErrorKind))
+def test_every_error_kind_travels(kind: _exceptions.ErrorKind) -> None:
+    """The caller sees the kind and the detail that the handler raised."""
+
+    async def fail(request: Any) -> Any:
+        raise _exceptions.PlantainError(kind, "détail")
+
+    async def main() -> None:
+        async with pair(fail) as (client, address):
+            with pytest.raises(_exceptions.PlantainError) as caught:
+                await pull(client, address)
+            assert (caught.value.kind, caught.value.detail) == (kind, "détail")
+
+    run(main)
+
+
+def test_a_fault_of_a_handler_is_answered() -> None:
+    """An unexpected exception becomes INTERNAL and the server lives on."""
+    faults: list[Exception] = [ZeroDivisionError("first")]
+
+    async def fail_once(request: Any) -> Any:
+        if faults:
+            raise faults.pop()
+        return messages.PullReply()
+
+    async def main() -> None:
+        async with pair(fail_once) as (client, address):
+            with pytest.raises(_exceptions.PlantainError) as caught:
+                await pull(client, address)
+            assert caught.value.kind is _exceptions.ErrorKind.INTERNAL
+            assert await pull(client, address) == messages.PullReply()
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    "encoded", [b"", b"\xc1", b"\x93\x01", b"\x80", b"\xff" * 999, b"\x91\xc0"]
+)
+def test_malformed_bytes_are_answered(encoded: bytes) -> None:
+    """Bytes that are no message are refused as a bad request."""
+
+    async def main() -> None:
+        async with pair(answer) as (_, address):
+
+            def send() -> grpc.RpcError:
+                with (
+                    grpc.insecure_channel(str(address)) as channel,
+                    pytest.raises(grpc.RpcError) as caught,
+                ):
+                    channel.unary_unary(PULL.path, None, None)(
+                        encoded, timeout=HANG_SECONDS
+                    )
+                return caught.value
+
+            error: Any = await trio.to_thread.run_sync(send)
+            assert error.code() is grpc.StatusCode.INVALID_ARGUMENT
+            assert dict(error.trailing_metadata())[bridge.KIND_METADATA] == (
+                "bad-request"
+            )
+
+    run(main)
+
+
+def test_a_call_without_handler_is_refused() -> None:
+    """A method that the peer does not serve is reported as unavailable."""
+
+    async def main() -> None:
+        async with pair(answer) as (client, address):
+            with pytest.raises(_exceptions.PlantainError) as caught:
+                await bridge.call(
+                    client,
+                    address,
+                    methods.Method.CLAIM,
+                    messages.ClaimRequest(key="k", fingerprint=b""),
+                    timeout_seconds=5,
+                )
+            assert caught.value.kind is _exceptions.ErrorKind.PEER_UNAVAILABLE
+
+    run(main)
+
+
+@pytest.mark.parametrize("give_up", ["deadline", "cancel"])
+def test_a_caller_that_gives_up_cancels_the_handler(give_up: str) -> None:
+    """An expired deadline and a cancelled task both reach the handler."""
+
+    async def main() -> None:
+        started, ended = trio.Event(), trio.Event()
+
+        async def wait(request: Any) -> Any:
+            started.set()
+            try:
+                await trio.sleep_forever()
+            finally:
+                ended.set()
+
+        async with pair(wait) as (client, address):
+            if give_up == "deadline":
+                with pytest.raises(_exceptions.PlantainError):
+                    await pull(client, address, timeout=0.2)
+            else:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(pull, client, address)
+                    await started.wait()
+                    nursery.cancel_scope.cancel()
+            await ended.wait()
+
+    run(main)
+
+
+def test_calls_do_not_wait_for_one_another() -> None:
+    """A call is answered while another to the same peer is still running."""
+
+    async def main() -> None:
+        release = trio.Event()
+        calls: list[int] = []
+
+        async def first_waits(request: Any) -> messages.PullReply:
+            calls.append(1)
+            if len(calls) == 1:
+                await release.wait()
+            return messages.PullReply()
+
+        async with (
+            pair(first_waits) as (client, address),
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(pull, client, address)
+            while not calls:
+                await trio.sleep(0.01)
+            await pull(client, address)
+            release.set()
+
+    run(main)
+
+
+def test_a_stop_finishes_running_calls_and_refuses_new_ones() -> None:
+    """A call that runs when the server stops still gets its answer."""
+
+    async def main() -> None:
+        started = trio.Event()
+        replies: list[Any] = []
+
+        async def slow(request: Any) -> messages.PullReply:
+            started.set()
+            await trio.sleep(0.3)
+            return messages.PullReply()
+
+        async with bridge.open_client(TLS) as client, trio.open_nursery() as nursery:
+
+            async def record(address: _types.Address) -> None:
+                replies.append(await pull(client, address))
+
+            async with bridge.serve(ANY, {PULL: slow}, tls=TLS) as address:
+                nursery.start_soon(record, address)
+                await started.wait()
+            assert replies == [messages.PullReply()]
+            with pytest.raises(_exceptions.PlantainError):
+                await pull(client, address, timeout=1)
+
+    run(main)
+
+
+def test_a_stop_cancels_what_outlasts_the_grace() -> None:
+    """A handler that does not end is cancelled after the grace."""
+
+    async def main() -> None:
+        started = trio.Event()
+
+        async def forever(request: Any) -> Any:
+            started.set()
+            await trio.sleep_forever()
+
+        async with bridge.open_client(TLS) as client, trio.open_nursery() as nursery:
+
+            async def expect_failure(address: _types.Address) -> None:
+                with pytest.raises(_exceptions.PlantainError):
+                    await pull(client, address)
+
+            serving = bridge.serve(ANY, {PULL: forever}, tls=TLS, grace_seconds=0.1)
+            async with serving as address:
+                nursery.start_soon(expect_failure, address)
+                await started.wait()
+
+    run(main)
+
+
+class Relay:
+    """A TCP relay whose present connections can fall silent."""
+
+    def __init__(self) -> None:
+        """Relay until told otherwise."""
+        self.connections = 0
+        self.silent_connections = 0
+        """This many of the first connections pass nothing on."""
+
+    async def copy(
+        self, number: int, source: trio.SocketStream, sink: trio.SocketStream
+    ) -> None:
+        """Copy one direction, dropping bytes while silent."""
+        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            while data := await source.receive_some():
+                if number > self.silent_connections:
+                    await sink.send_all(data)
+
+    async def handle(self, target: _types.Address, client: trio.SocketStream) -> None:
+        """Relay one connection."""
+        self.connections += 1
+        number = self.connections
+        server = await trio.open_tcp_stream(*target)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.copy, number, client, server)
+            nursery.start_soon(self.copy, number, server, client)
+
+    async def start(
+        self, nursery: trio.Nursery, target: _types.Address
+    ) -> _types.Address:
+        """Listen in front of a target and return the address."""
+        listeners = await nursery.start(
+            functools.partial(
+                trio.serve_tcp,
+                functools.partial(self.handle, target),
+                0,
+                host="127.0.0.1",
+            )
+        )
+        return _types.Address(*listeners[0].socket.getsockname())
+
+
+def test_a_connection_that_fell_silent_is_replaced() -> None:
+    """Calls with short deadlines get through on a new connection."""
+
+    async def main() -> None:
+        relay = Relay()
+        async with pair(answer) as (client, address), trio.open_nursery() as nursery:
+            front = await relay.start(nursery, address)
+            await pull(client, front)
+            relay.silent_connections = relay.connections
+            for _ in range(bridge.SILENT_CALLS):
+                with pytest.raises(_exceptions.PlantainError) as caught:
+                    await pull(client, front, timeout=0.3)
+                assert caught.value.kind is _exceptions.ErrorKind.PEER_UNAVAILABLE
+            assert await pull(client, front) == messages.PullReply()
+            assert relay.connections == 2
+            nursery.cancel_scope.cancel()
+
+    run(main)
+
+
+def test_a_peer_that_never_answers_fails_within_the_deadline() -> None:
+    """A connection that is accepted and then ignored is an unavailable peer."""
+
+    async def main() -> None:
+        relay = Relay()
+        relay.silent_connections = 99
+        async with pair(answer) as (client, address), trio.open_nursery() as nursery:
+            front = await relay.start(nursery, address)
+            with pytest.raises(_exceptions.PlantainError) as caught:
+                await pull(client, front, timeout=0.5)
+            assert caught.value.kind is _exceptions.ErrorKind.PEER_UNAVAILABLE
+            nursery.cancel_scope.cancel()
+
+    run(main)
+
+
+def test_keepalive_notices_a_connection_that_fell_silent() -> None:
+    """A running call fails by keepalive long before its own deadline."""
+
+    async def main() -> None:
+        relay = Relay()
+        started = trio.Event()
+
+        async def forever(request: Any) -> Any:
+            started.set()
+            await trio.sleep_forever()
+
+        async with (
+            pair(forever, grace_seconds=0.1) as (client, address),
+            trio.open_nursery() as nursery,
+        ):
+            front = await relay.start(nursery, address)
+
+            async def silence() -> None:
+                await started.wait()
+                relay.silent_connections = relay.connections
+
+            nursery.start_soon(silence)
+            with pytest.raises(_exceptions.PlantainError) as caught:
+                await pull(client, front, timeout=HANG_SECONDS * 2)
+            assert caught.value.kind is _exceptions.ErrorKind.PEER_UNAVAILABLE
+            nursery.cancel_scope.cancel()
+
+    run(main)
+
+
+def test_a_killed_peer_is_reached_again_after_its_restart() -> None:
+    """Calls fail while the peer is gone and succeed once it is back."""
+
+    async def main() -> None:
+        async with bridge.open_client(TLS) as client:
+            async with bridge.serve(ANY, {PULL: answer}, tls=TLS) as address:
+                await pull(client, address)
+            with pytest.raises(_exceptions.PlantainError):
+                await pull(client, address, timeout=1)
+            async with bridge.serve(address, {PULL: answer}, tls=TLS):
+                for _ in range(20):
+                    with contextlib.suppress(_exceptions.PlantainError):
+                        await pull(client, address, timeout=1)
+                        return
+                    await trio.sleep(0.2)
+                pytest.fail("the peer was not reached again")
+
+    run(main)
+
+
+def test_an_idle_channel_is_closed() -> None:
+    """Only channels that were not used lately are closed."""
+
+    async def main() -> None:
+        async with pair(answer) as (client, address):
+            await pull(client, address)
+            client.sweep_at = 0
+            bridge._close_idle(client, trio.current_time())
+            assert address in client.channels
+            bridge._close_idle(client, trio.current_time() + bridge.IDLE_SECONDS)
+            assert address not in client.channels
+            await pull(client, address)
+
+    run(main)
+
+
+def test_plaintext_beyond_loopback_is_refused() -> None:
+    """Neither side speaks plaintext to other addresses unless told to."""
+
+    async def main() -> None:
+        beyond = _types.Address("192.0.2.1", 9)
+        async with bridge.open_client(TLS) as client:
+            with pytest.raises(_exceptions.PlantainError) as caught:
+                await pull(client, beyond)
+            assert caught.value.kind is _exceptions.ErrorKind.INVALID_SETTINGS
+        with pytest.raises(_exceptions.PlantainError):
+            async with bridge.serve(beyond, {}, tls=TLS):
+                pytest.fail("served")
+
+    run(main)
+
+
+def test_an_address_in_use_is_reported() -> None:
+    """Two servers cannot share an address."""
+
+    async def main() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            address = _types.Address(*taken.getsockname())
+            with pytest.raises(_exceptions.PlantainError):
+                async with bridge.serve(address, {}, tls=TLS):
+                    pytest.fail("served")
+
+    run(main)
+
+
+def _write_certificates(directory: pathlib.Path) -> model.Tls:
+    """Make one self-signed certificate that serves both ends and as authority."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, "peer")])
+    now = datetime.datetime.now(datetime.UTC)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(1)
+        .not_valid_before(now - datetime.timedelta(days=1))
+        .not_valid_after(now + datetime.timedelta(days=1))
+        .add_extension(
+            x509.SubjectAlternativeName(
+                [x509.IPAddress(ipaddress.ip_address("127.0.0.1"))]
+            ),
+            critical=False,
+        )
+        .add_extension(x509.BasicConstraints(ca=True, path_length=None), critical=True)
+        .sign(key, hashes.SHA256())
+    )
+    chain = directory / "chain.pem"
+    chain.write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
+    private_key = directory / "key.pem"
+    private_key.write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    return model.Tls(
+        certificate_file=str(chain),
+        private_key_file=str(private_key),
+        authority_file=str(chain),
+    )
+
+
+def test_tls_needs_the_right_certificate_at_both_ends(tmp_path: pathlib.Path) -> None:
+    """A peer with our certificate is served; a stranger in plaintext is not."""
+    tls = _write_certificates(tmp_path)
+
+    async def main() -> None:
+        async with (
+            bridge.serve(ANY, {PULL: answer}, tls=tls) as address,
+            bridge.open_client(tls) as client,
+            bridge.open_client(TLS) as stranger,
+        ):
+            assert await pull(client, address) == messages.PullReply()
+            with pytest.raises(_exceptions.PlantainError) as caught:
+                await pull(stranger, address, timeout=1)
+            assert caught.value.kind is _exceptions.ErrorKind.PEER_UNAVAILABLE
+
+    run(main)
