Terminate callers' connections as state without sockets

Balancers find a flow's sidecar in each packet, so the server's connection IDs and reset tokens have to be ours. aioquic 1.7.2 has no hook for them: one adapter module replaces the first ID, the replenishing of IDs and the frame that offers them, the latter so that a key rotation can ask callers to retire IDs of the old key. aioquic's GOAWAY gap is filled by writing the frame to the control stream. Ruled out: cancelling a request on any stream reset; a caller resets its half also after a refusal told it to stop sending, and still waits for the answer.

--- /dev/null
+++ b/plantainproxy/quic/connection.py
@@ -0,0 +1,166 @@
+"""The adapter to aioquic: one server connection whose IDs are ours.
+
+aioquic has no public hook for connection IDs. This module is the only one that
+reaches into its connection class; the version is pinned and the tests beside this
+module fail when the reach no longer fits.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import logging
+import pathlib
+
+from aioquic.quic import configuration as quic_configuration
+from aioquic.quic import connection as quic_connection
+from aioquic.quic import events as quic_events
+from aioquic.quic import packet, packet_builder
+
+from plantainproxy import _exceptions
+from plantainproxy.quic import header
+from plantainproxy.wire import connection_id
+
+ALPN = "h3"
+"""The only application protocol that callers may speak."""
+MAX_PEER_IDS = 8
+"""Most connection IDs that one caller gets at a time."""
+
+# aioquic reports each frame error of a peer; the endpoint counts them instead.
+logging.getLogger("quic").setLevel(logging.CRITICAL)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class IssuedId:
+    """A connection ID with its stateless reset token."""
+
+    value: bytes
+    reset_token: bytes
+
+
+Issue = Callable[[], IssuedId]
+"""Makes a new, unused connection ID."""
+
+
+def server_configuration(
+    *,
+    certificate_file: str,
+    private_key_file: str,
+    idle_timeout_seconds: float,
+    max_body_bytes: int,
+) -> quic_configuration.QuicConfiguration:
+    """Load the certificate and set the limits of every connection."""
+    configuration = quic_configuration.QuicConfiguration(
+        is_client=False,
+        alpn_protocols=[ALPN],
+        connection_id_length=connection_id.BYTES,
+        idle_timeout=idle_timeout_seconds,
+        max_data=max_body_bytes,
+        max_stream_data=max_body_bytes,
+        supported_versions=[packet.QuicProtocolVersion.VERSION_1],
+    )
+    try:
+        configuration.load_cert_chain(
+            pathlib.Path(certificate_file), pathlib.Path(private_key_file)
+        )
+    except (OSError, ValueError, IndexError) as error:
+        raise _exceptions.PlantainError(
+            _exceptions.ErrorKind.INVALID_SETTINGS,
+            f"{certificate_file}, {private_key_file}: {error}",
+        ) from None
+    return configuration
+
+
+class ServerConnection(quic_connection.QuicConnection):
+    """An aioquic server connection that takes its IDs from a function."""
+
+    def __init__(
+        self,
+        *,
+        configuration: quic_configuration.QuicConfiguration,
+        opening_id: bytes,
+        issue: Issue,
+    ) -> None:
+        """Replace the first ID before any datagram is read."""
+        super().__init__(
+            configuration=configuration, original_destination_connection_id=opening_id
+        )
+        self.issue = issue
+        self.retire_prior_to = 0
+        """The caller must retire IDs of a lower sequence number."""
+        first = issue()
+        self._host_cids[0].cid = first.value
+        self._host_cids[0].stateless_reset_token = first.reset_token
+        self.host_cid = first.value
+        self._local_initial_source_connection_id = first.value
+
+    def rotate_ids(self) -> None:
+        """Ask the caller to replace every ID that it holds by a new one."""
+        if not self._handshake_complete:
+            return
+        self.retire_prior_to = self._host_cid_seq
+        self._replenish_connection_ids()
+
+    def _replenish_connection_ids(self) -> None:
+        wanted = min(MAX_PEER_IDS, self._remote_active_connection_id_limit)
+        held = sum(
+            known.sequence_number >= self.retire_prior_to for known in self._host_cids
+        )
+        for _ in range(wanted - held):
+            issued = self.issue()
+            self._host_cids.append(
+                quic_connection.QuicConnectionId(
+                    cid=issued.value,
+                    sequence_number=self._host_cid_seq,
+                    stateless_reset_token=issued.reset_token,
+                )
+            )
+            self._host_cid_seq += 1
+
+    def _write_new_connection_id_frame(
+        self,
+        builder: packet_builder.QuicPacketBuilder,
+        connection_id: quic_connection.QuicConnectionId,
+    ) -> None:
+        sequence_number = connection_id.sequence_number
+        buffer = builder.start_frame(
+            packet.QuicFrameType.NEW_CONNECTION_ID,
+            capacity=quic_connection.NEW_CONNECTION_ID_FRAME_CAPACITY,
+            handler=self._on_new_connection_id_delivery,
+            handler_args=(connection_id,),
+        )
+        buffer.push_uint_var(sequence_number)
+        buffer.push_uint_var(min(self.retire_prior_to, sequence_number))
+        buffer.push_uint8(len(connection_id.cid))
+        buffer.push_bytes(connection_id.cid)
+        buffer.push_bytes(connection_id.stateless_reset_token)
+        connection_id.was_sent = True
+        self._events.append(
+            quic_events.ConnectionIdIssued(connection_id=connection_id.cid)
+        )
+
+
+def has_started(quic: ServerConnection) -> bool:
+    """Return whether an authentic first packet has arrived."""
+    return quic._state is not quic_connection.QuicConnectionState.FIRSTFLIGHT
+
+
+def stop_receiving(
+    quic: quic_connection.QuicConnection, stream: int, code: int
+) -> None:
+    """Ask the caller to send no more on a stream that may have ended."""
+    known = quic._streams.get(stream)
+    if known is not None and not known.receiver.is_finished:
+        quic.stop_stream(stream, code)
+
+
+def held_ids(quic: ServerConnection) -> list[bytes]:
+    """Return the connection IDs by which the caller may address a connection."""
+    return [known.cid for known in quic._host_cids]
+
+
+def version_negotiation(received: header.PacketHeader) -> bytes:
+    """Answer a packet of an unknown version with the version that we speak."""
+    return packet.encode_quic_version_negotiation(
+        source_cid=received.destination_id,
+        destination_cid=received.source_id,
+        supported_versions=[packet.QuicProtocolVersion.VERSION_1],
+    )
--- /dev/null
+++ b/plantainproxy/quic/header.py
@@ -0,0 +1,70 @@
+"""The parts of a QUIC packet header that can be read without keys.
+
+Source: RFC 8999 for the fields that no version changes, RFC 9000 for the rest.
+"""
+
+from typing import NamedTuple
+
+from plantainproxy.wire import connection_id
+
+VERSION_1 = 0x00000001
+MIN_INITIAL_DATAGRAM_BYTES = 1200
+"""A datagram that carries an Initial packet has at least this size."""
+MIN_OPENING_ID_BYTES = 8
+"""The least size of the connection ID that a caller chooses for its first packet."""
+
+_LONG_FORM = 0x80
+_FIXED_BIT = 0x40
+_LONG_TYPE_MASK = 0x30
+_INITIAL_TYPE = 0x00
+_MAX_ID_BYTES = 20
+_LONG_START_BYTES = 6
+
+
+class PacketHeader(NamedTuple):
+    """What the first packet of a datagram says of itself."""
+
+    is_long: bool
+    is_initial: bool
+    """Whether this is an Initial packet of QUIC version 1."""
+    version: int
+    """The QUIC version; 0 for a short header, which carries none."""
+    destination_id: bytes
+    source_id: bytes
+
+
+def read(payload: bytes) -> PacketHeader | None:
+    """Read the header of a datagram's first packet; ``None`` when it is not one."""
+    if not payload:
+        return None
+    if payload[0] & _LONG_FORM:
+        return _read_long(payload)
+    end = 1 + connection_id.BYTES
+    if not payload[0] & _FIXED_BIT or len(payload) < end:
+        return None
+    return PacketHeader(False, False, 0, payload[1:end], b"")
+
+
+def _read_long(payload: bytes) -> PacketHeader | None:
+    if len(payload) < _LONG_START_BYTES:
+        return None
+    version = int.from_bytes(payload[1:5], "big")
+    destination_end = _LONG_START_BYTES + payload[5]
+    if payload[5] > _MAX_ID_BYTES or len(payload) <= destination_end:
+        return None
+    source_start = destination_end + 1
+    source_end = source_start + payload[destination_end]
+    if payload[destination_end] > _MAX_ID_BYTES or len(payload) < source_end:
+        return None
+    is_initial = (
+        version == VERSION_1
+        and payload[0] & _FIXED_BIT != 0
+        and payload[0] & _LONG_TYPE_MASK == _INITIAL_TYPE
+    )
+    return PacketHeader(
+        True,
+        is_initial,
+        version,
+        payload[_LONG_START_BYTES:destination_end],
+        payload[source_start:source_end],
+    )
--- /dev/null
+++ b/plantainproxy/quic/http3.py
@@ -0,0 +1,247 @@
+"""HTTP/3 on one connection of a caller: requests in, whole responses out.
+
+The parsing is aioquic's. It neither sends nor reports GOAWAY frames, so the frame is
+written to the control stream here (RFC 9114, 5.2 and 7.2.6).
+"""
+
+import dataclasses
+
+from aioquic.buffer import encode_uint_var
+from aioquic.h3 import connection as h3_connection
+from aioquic.h3 import events as h3_events
+from aioquic.quic import connection as quic_connection
+from aioquic.quic import events as quic_events
+
+from plantainproxy import _exceptions
+from plantainproxy.quic import connection
+from plantainproxy.rpc import messages
+
+FIELD_OVERHEAD_BYTES = 32
+"""Added to the size of each header field (RFC 9114, 4.2.2)."""
+MAX_FRAME_BUFFER_BYTES = 65_536
+"""Most bytes of one incomplete frame that are kept."""
+GO_AWAY_NOTICE_ID = (1 << 62) - 4
+"""The ID of a GOAWAY that announces the end but still accepts every request."""
+REQUEST_STREAM_STEP = 4
+"""Distance between the IDs of two successive request streams."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Limits:
+    """What a request may take up."""
+
+    max_header_bytes: int = 16_384
+    """Size of a header block as RFC 9114, section 4.2.2, counts it."""
+    max_body_bytes: int = 1_048_576
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Whole:
+    """A whole request."""
+
+    stream: int
+    request: messages.Request
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Refused:
+    """A request that breaks a limit or a rule."""
+
+    stream: int
+    kind: _exceptions.ErrorKind
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Cancelled:
+    """A request that the caller gave up after it was reported whole."""
+
+    stream: int
+
+
+Event = Whole | Refused | Cancelled
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Partial:
+    """A request that has not arrived as a whole."""
+
+    method: str
+    path: str
+    headers: tuple[messages.Header, ...]
+    body: bytearray = dataclasses.field(default_factory=bytearray)
+
+
+class Http3:
+    """The HTTP/3 state of one connection."""
+
+    def __init__(self, quic: quic_connection.QuicConnection, limits: Limits) -> None:
+        """Open the control streams on an established connection."""
+        self.quic = quic
+        self.limits = limits
+        self.h3 = h3_connection.H3Connection(quic)
+        self.partial: dict[int, _Partial] = {}
+        self.unanswered: set[int] = set()
+        """Streams whose request was reported and not answered."""
+        self.next_stream = 0
+        """One step above the highest request stream that was reported."""
+        self.refuses_new = False
+        """Set by the final GOAWAY: later requests are rejected unseen."""
+
+    def receive(self, event: quic_events.QuicEvent) -> list[Event]:
+        """Take in one event of the QUIC connection."""
+        if isinstance(event, quic_events.StopSendingReceived):
+            self.h3.handle_event(event)
+            return self._give_up(event.stream_id)
+        if isinstance(event, quic_events.StreamReset):
+            self.h3.handle_event(event)
+            self._abandon(event.stream_id)
+            return []
+        produced: list[Event] = []
+        for http_event in self.h3.handle_event(event):
+            if isinstance(http_event, h3_events.HeadersReceived):
+                produced += self._receive_headers(http_event)
+            elif isinstance(http_event, h3_events.DataReceived):
+                produced += self._receive_data(http_event)
+        if isinstance(event, quic_events.StreamDataReceived):
+            produced += self._check_buffer(event.stream_id)
+        return produced
+
+    def respond(self, stream: int, response: messages.Response) -> bool:
+        """Send a whole response; return whether the request still wanted one."""
+        if stream not in self.unanswered:
+            return False
+        self.unanswered.discard(stream)
+        fields = [(b":status", str(response.status).encode())]
+        fields += [(header.name.lower(), header.value) for header in response.headers]
+        has_body = bool(response.body)
+        self.h3.send_headers(stream, fields, end_stream=not has_body)
+        if has_body:
+            self.h3.send_data(stream, response.body, end_stream=True)
+        return True
+
+    def go_away(self, *, final: bool) -> None:
+        """Tell the caller to use another connection for its next requests.
+
+        Every request is still accepted until the final notice, which names the first
+        request that was not and will not be processed.
+        """
+        last = self.next_stream if final else GO_AWAY_NOTICE_ID
+        frame = h3_connection.encode_frame(
+            h3_connection.FrameType.GOAWAY, encode_uint_var(last)
+        )
+        control = self.h3._local_control_stream_id
+        if control is not None:
+            self.quic.send_stream_data(control, frame)
+        self.refuses_new = self.refuses_new or final
+
+    def _receive_headers(self, event: h3_events.HeadersReceived) -> list[Event]:
+        stream = event.stream_id
+        if stream in self.partial:
+            return self._finish(stream) if event.stream_ended else []
+        if stream < self.next_stream and stream in self.unanswered:
+            return []
+        if self.refuses_new:
+            self._reject(stream)
+            return []
+        self.next_stream = max(self.next_stream, stream + REQUEST_STREAM_STEP)
+        size = sum(
+            len(name) + len(value) + FIELD_OVERHEAD_BYTES
+            for name, value in event.headers
+        )
+        if size > self.limits.max_header_bytes:
+            return self._refuse_too_large(stream, "The header block is too large.")
+        partial = _read_head(event.headers)
+        if partial is None:
+            return self._refuse(
+                stream, _exceptions.ErrorKind.BAD_REQUEST, "The request line is bad."
+            )
+        self.partial[stream] = partial
+        return self._finish(stream) if event.stream_ended else []
+
+    def _receive_data(self, event: h3_events.DataReceived) -> list[Event]:
+        partial = self.partial.get(event.stream_id)
+        if partial is None:
+            return []
+        if len(partial.body) + len(event.data) > self.limits.max_body_bytes:
+            return self._refuse_too_large(event.stream_id, "The body is too large.")
+        partial.body += event.data
+        return self._finish(event.stream_id) if event.stream_ended else []
+
+    def _finish(self, stream: int) -> list[Event]:
+        partial = self.partial.pop(stream)
+        self.unanswered.add(stream)
+        request = messages.Request(
+            method=partial.method,
+            path=partial.path,
+            headers=partial.headers,
+            body=bytes(partial.body),
+        )
+        return [Whole(stream=stream, request=request)]
+
+    def _refuse_too_large(self, stream: int, detail: str) -> list[Event]:
+        return self._refuse(stream, _exceptions.ErrorKind.TOO_LARGE, detail)
+
+    def _refuse(
+        self, stream: int, kind: _exceptions.ErrorKind, detail: str
+    ) -> list[Event]:
+        self.partial.pop(stream, None)
+        self.unanswered.add(stream)
+        connection.stop_receiving(
+            self.quic, stream, h3_connection.ErrorCode.H3_NO_ERROR
+        )
+        return [Refused(stream=stream, kind=kind, detail=detail)]
+
+    def _reject(self, stream: int) -> None:
+        """Say that a request was not processed (RFC 9114, 4.1.1)."""
+        code = h3_connection.ErrorCode.H3_REQUEST_REJECTED
+        self.quic.reset_stream(stream, code)
+        connection.stop_receiving(self.quic, stream, code)
+
+    def _give_up(self, stream: int) -> list[Event]:
+        self.partial.pop(stream, None)
+        if stream not in self.unanswered:
+            return []
+        self.unanswered.discard(stream)
+        return [Cancelled(stream=stream)]
+
+    def _abandon(self, stream: int) -> None:
+        """Drop a request that will never be whole.
+
+        A caller also resets its half of a stream after a refusal told it to stop
+        sending; it still waits for the answer then.
+        """
+        if self.partial.pop(stream, None) is not None:
+            self.quic.reset_stream(
+                stream, h3_connection.ErrorCode.H3_REQUEST_INCOMPLETE
+            )
+
+    def _check_buffer(self, stream: int) -> list[Event]:
+        """Refuse a frame whose incomplete bytes would take up too much memory."""
+        state = self.h3._stream.get(stream)
+        if state is None or len(state.buffer) <= MAX_FRAME_BUFFER_BYTES:
+            return []
+        state.buffer = b""
+        self.quic.close(
+            error_code=h3_connection.ErrorCode.H3_EXCESSIVE_LOAD,
+            reason_phrase="A frame is too large.",
+        )
+        return []
+
+
+def _read_head(fields: h3_events.Headers) -> _Partial | None:
+    """Split a checked header block into the request line and the other fields."""
+    pseudo = {name: value for name, value in fields if name.startswith(b":")}
+    path = pseudo.get(b":path", b"")
+    method = pseudo[b":method"]
+    if b":protocol" in pseudo or not path.startswith((b"/", b"*")):
+        return None
+    if not method.isalpha() or not (method + path).isascii():
+        return None
+    headers = [messages.Header(name=b"host", value=pseudo[b":authority"])]
+    headers += [
+        messages.Header(name=name, value=value)
+        for name, value in fields
+        if not name.startswith(b":") and name != b"host"
+    ]
+    return _Partial(method=method.decode(), path=path.decode(), headers=tuple(headers))
--- /dev/null
+++ b/standins/http3_client.py
@@ -0,0 +1,295 @@
+"""A stand-in HTTP/3 client connection without sockets.
+
+It is built on aioquic and adds what aioquic's client leaves out: it notices GOAWAY
+frames and stateless resets.
+"""
+
+import dataclasses
+import ssl
+
+from aioquic._buffer import Buffer, BufferReadError
+from aioquic.h3 import connection as h3_connection
+from aioquic.h3 import events as h3_events
+from aioquic.quic import configuration as quic_configuration
+from aioquic.quic import connection as quic_connection
+from aioquic.quic import events as quic_events
+
+from plantainproxy import _types
+from plantainproxy.quic import stateless_reset
+from plantainproxy.rpc import messages
+from standins import certificates
+
+RESET_TOKEN_BYTES = 16
+_CONTROL_STREAM = 0
+_SERVER_UNIDIRECTIONAL = 3
+_STREAM_KIND_MASK = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Connected:
+    """The handshake is complete; requests may be sent."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ResponseReceived:
+    """A whole response arrived."""
+
+    stream: int
+    response: messages.Response
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RequestFailed:
+    """The server ended a request without a whole response."""
+
+    stream: int
+    error_code: int
+
+    @property
+    def not_run(self) -> bool:
+        """Whether the server says that it did not process the request."""
+        return self.error_code == h3_connection.ErrorCode.H3_REQUEST_REJECTED
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GoAway:
+    """The server wants the next requests on another connection."""
+
+    stream: int
+    """Requests from this stream on were not processed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Closed:
+    """The connection is gone."""
+
+    reason: str
+    was_reset: bool = False
+    """Whether a stateless reset said so."""
+
+
+Event = Connected | ResponseReceived | RequestFailed | GoAway | Closed
+
+
+def client_configuration(
+    *, authority_file: str | None = None, idle_timeout_seconds: float = 30.0
+) -> quic_configuration.QuicConfiguration:
+    """Trust one certificate, or any when none is given."""
+    configuration = quic_configuration.QuicConfiguration(
+        is_client=True,
+        alpn_protocols=["h3"],
+        idle_timeout=idle_timeout_seconds,
+        server_name=certificates.NAME,
+    )
+    if authority_file is None:
+        configuration.verify_mode = ssl.CERT_NONE
+    else:
+        configuration.load_verify_locations(cafile=authority_file)
+    return configuration
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Partial:
+    status: int
+    headers: tuple[messages.Header, ...]
+    body: bytearray = dataclasses.field(default_factory=bytearray)
+
+
+class Http3Client:
+    """The state of one connection to a service address."""
+
+    def __init__(
+        self,
+        *,
+        configuration: quic_configuration.QuicConfiguration,
+        service: _types.Address,
+        now: float,
+    ) -> None:
+        """Begin the handshake; its first datagram waits to be taken."""
+        self.service = service
+        self.quic = quic_connection.QuicConnection(configuration=configuration)
+        self.quic.connect(service, now)
+        self.h3: h3_connection.H3Connection | None = None
+        self.closed = False
+        self.open_requests: set[int] = set()
+        self._partial: dict[int, _Partial] = {}
+        self._control: dict[int, bytes] = {}
+        self._events: list[Event] = []
+
+    def receive(self, payload: bytes, now: float) -> None:
+        """Take in one datagram of the server."""
+        if self.closed:
+            return
+        if self._is_reset(payload):
+            self._close("The server has lost the connection.", was_reset=True)
+            return
+        self.quic.receive_datagram(payload, self.service, now)
+        self._read_events()
+
+    def take_datagrams(self, now: float) -> list[bytes]:
+        """Return what is to be sent to the service address."""
+        if self.closed:
+            return []
+        sent = [payload for payload, _ in self.quic.datagrams_to_send(now)]
+        self._read_events()
+        return sent
+
+    def take_events(self) -> list[Event]:
+        """Return what happened since the last call."""
+        events, self._events = self._events, []
+        return events
+
+    def next_timer(self) -> float | None:
+        """Return when :meth:`handle_timer` wants to be called."""
+        return None if self.closed else self.quic.get_timer()
+
+    def handle_timer(self, now: float) -> None:
+        """Act on a timer that has come."""
+        if not self.closed:
+            self.quic.handle_timer(now)
+            self._read_events()
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        *,
+        headers: tuple[messages.Header, ...] = (),
+        body: bytes = b"",
+    ) -> int:
+        """Send a whole request; return the number of its stream."""
+        if self.h3 is None:
+            raise RuntimeError("The handshake is not complete.")
+        stream = self.quic.get_next_available_stream_id()
+        fields = [
+            (b":method", method.encode()),
+            (b":scheme", b"https"),
+            (b":authority", certificates.NAME.encode()),
+            (b":path", path.encode()),
+        ]
+        fields += [(header.name, header.value) for header in headers]
+        self.h3.send_headers(stream, fields, end_stream=not body)
+        if body:
+            self.h3.send_data(stream, body, end_stream=True)
+        self.open_requests.add(stream)
+        return stream
+
+    def cancel(self, stream: int) -> None:
+        """Give up a request."""
+        code = h3_connection.ErrorCode.H3_REQUEST_CANCELLED
+        self.open_requests.discard(stream)
+        self._partial.pop(stream, None)
+        self.quic.reset_stream(stream, code)
+        self.quic.stop_stream(stream, code)
+
+    def ping(self) -> None:
+        """Keep the connection from becoming idle."""
+        self.quic.send_ping(0)
+
+    def close(self) -> None:
+        """Leave; the last datagram waits to be taken."""
+        self.quic.close(error_code=h3_connection.ErrorCode.H3_NO_ERROR)
+
+    def _is_reset(self, payload: bytes) -> bool:
+        if len(payload) < stateless_reset.MIN_RESET_BYTES or payload[0] & 0x80:
+            return False
+        known = self.quic._peer_cid.stateless_reset_token
+        return bool(known) and payload[-RESET_TOKEN_BYTES:] == known
+
+    def _read_events(self) -> None:
+        while (event := self.quic.next_event()) is not None:
+            self._read_event(event)
+
+    def _read_event(self, event: quic_events.QuicEvent) -> None:
+        if isinstance(event, quic_events.HandshakeCompleted):
+            self.h3 = h3_connection.H3Connection(self.quic)
+            self._events.append(Connected())
+        elif isinstance(event, quic_events.ConnectionTerminated):
+            self._close(event.reason_phrase)
+        elif self.h3 is not None:
+            self._read_http3(self.h3, event)
+
+    def _read_http3(
+        self, h3: h3_connection.H3Connection, event: quic_events.QuicEvent
+    ) -> None:
+        if isinstance(event, quic_events.StreamReset):
+            self._fail(event.stream_id, event.error_code)
+        if isinstance(event, quic_events.StreamDataReceived):
+            self._read_control(event)
+        for http_event in h3.handle_event(event):
+            if isinstance(http_event, h3_events.HeadersReceived):
+                self._read_headers(http_event)
+            elif isinstance(http_event, h3_events.DataReceived):
+                self._read_data(http_event)
+
+    def _read_headers(self, event: h3_events.HeadersReceived) -> None:
+        if event.stream_id not in self._partial:
+            fields = dict(event.headers)
+            self._partial[event.stream_id] = _Partial(
+                status=int(fields[b":status"]),
+                headers=tuple(
+                    messages.Header(name=name, value=value)
+                    for name, value in event.headers
+                    if not name.startswith(b":")
+                ),
+            )
+        if event.stream_ended:
+            self._finish(event.stream_id)
+
+    def _read_data(self, event: h3_events.DataReceived) -> None:
+        partial = self._partial.get(event.stream_id)
+        if partial is None:
+            return
+        partial.body += event.data
+        if event.stream_ended:
+            self._finish(event.stream_id)
+
+    def _finish(self, stream: int) -> None:
+        partial = self._partial.pop(stream)
+        if stream not in self.open_requests:
+            return
+        self.open_requests.discard(stream)
+        response = messages.Response(
+            status=partial.status, headers=partial.headers, body=bytes(partial.body)
+        )
+        self._events.append(ResponseReceived(stream=stream, response=response))
+
+    def _fail(self, stream: int, error_code: int) -> None:
+        self._partial.pop(stream, None)
+        if stream in self.open_requests:
+            self.open_requests.discard(stream)
+            self._events.append(RequestFailed(stream=stream, error_code=error_code))
+
+    def _close(self, reason: str, *, was_reset: bool = False) -> None:
+        if not self.closed:
+            self.closed = True
+            self._events.append(Closed(reason=reason, was_reset=was_reset))
+
+    def _read_control(self, event: quic_events.StreamDataReceived) -> None:
+        """Follow the server's control stream for GOAWAY frames."""
+        stream = event.stream_id
+        if stream & _STREAM_KIND_MASK != _SERVER_UNIDIRECTIONAL:
+            return
+        gathered = self._control.get(stream, b"") + event.data
+        buffer = Buffer(data=gathered)
+        try:
+            if stream not in self._control:
+                if buffer.pull_uint_var() != _CONTROL_STREAM:
+                    self._control[stream] = b""
+                    return
+                gathered = gathered[buffer.tell() :]
+                buffer = Buffer(data=gathered)
+            while not buffer.eof():
+                self._read_control_frame(buffer)
+                gathered = gathered[buffer.tell() :]
+                buffer = Buffer(data=gathered)
+        except BufferReadError:
+            pass
+        self._control[stream] = gathered
+
+    def _read_control_frame(self, buffer: Buffer) -> None:
+        frame_type = buffer.pull_uint_var()
+        frame = buffer.pull_bytes(buffer.pull_uint_var())
+        if frame_type == h3_connection.FrameType.GOAWAY:
+            stream = Buffer(data=frame).pull_uint_var()
+            self._events.append(GoAway(stream=stream))
