Let the claim table's property test fail on each of its guards

The first form of the test missed two of three guards when they were taken out: the check of the grant's number and the entry that an evicted answer leaves. With fewer keys and longer runs it finds all three.

--- a/plantainproxy/core/tests/test_claims.py
+++ b/plantainproxy/core/tests/test_claims.py
@@ -1,5 +1,6 @@
 """The home's table grants a key at most once, whatever happens in between."""
 
+import collections
 from collections.abc import Callable
 import dataclasses
 
@@ -171,62 +172,69 @@
 
 @dataclasses.dataclass
 class _Holder:
+    """A sidecar with a grant, as it behaves: one run, one outcome told."""
+
     key: str
     grant: int
     executed: bool = False
+    told: _types.Outcome | None = None
 
 
 _STEPS = strategies.lists(
     strategies.tuples(
-        strategies.sampled_from(["claim", "run", "settle", "repeat", "wait"]),
-        strategies.integers(0, 7),
-        strategies.sampled_from([1.0, 70.0, 400.0]),
+        strategies.sampled_from(["claim", "claim", "run", "tell", "wait"]),
+        strategies.integers(0, 2),
+        strategies.sampled_from([1.0, 1.0, 700.0]),
     ),
-    max_size=60,
+    min_size=15,
+    max_size=40,
 )
 
 
-@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.settings(derandomize=True, max_examples=500, deadline=None)
 @hypothesis.given(steps=_STEPS)
 def test_no_interleaving_runs_a_key_twice(
     steps: list[tuple[str, int, float]],
 ) -> None:
     """Holders run, settle late, repeatedly or never, while keys come again."""
-    table = _table(max_entries=4, max_bytes=6)
+    table = _table(max_entries=2, max_bytes=6)
     issued: dict[str, int] = {}
     holders: list[_Holder] = []
-    runs: dict[str, int] = {}
+    runs: collections.Counter[str] = collections.Counter()
     now = 0.0
     for action, number, wait in steps:
-        key = f"t.{number % 3}"
-        if action == "wait":
-            now += wait
-        elif action == "claim":
+        key = f"t.{number % 2}"
+        now += wait if action == "wait" else 0.0
+        if action == "claim":
             at = issued.setdefault(key, tickets.rounded(int(now * 1000)))
             reply = _claim(table, key, now=now, issued=at)
             if reply.granted:
                 holders.append(_Holder(key, reply.grant))
-        elif holders:
-            holder = holders[number % len(holders)]
-            settled = (table, holder.grant)
-            if action == "run" and not holder.executed:
-                _run_if_held(table, holder, runs)
-            elif holder.executed:
-                _settle(*settled, _types.Outcome.RUN, holder.key, ANSWER)
-            else:
-                _settle(*settled, _types.Outcome.NOT_RUN, holder.key)
-                holder.grant = -1
-        assert all(count == 1 for count in runs.values())
+        holder = holders[-1 - number % len(holders)] if holders else None
+        if action == "run" and holder is not None:
+            _run(holder, runs)
+        if action == "tell" and holder is not None:
+            _tell(table, holder)
+        assert max(runs.values(), default=0) <= 1
         assert len(table.entries) <= table.max_entries
         assert 0 <= table.stored_bytes <= table.max_bytes
 
 
-def _run_if_held(table: claims.Table, holder: _Holder, runs: dict[str, int]) -> None:
-    """Execute as a holder does: never after it said "not run"."""
-    if holder.grant < 0:
+def _run(holder: _Holder, runs: "collections.Counter[str]") -> None:
+    """Execute as a holder does: once, and never after it said "not run"."""
+    if holder.executed or holder.told is not None:
         return
     holder.executed = True
-    runs[holder.key] = runs.get(holder.key, 0) + 1
+    runs[holder.key] += 1
+
+
+def _tell(table: claims.Table, holder: _Holder) -> None:
+    """Settle with the true outcome, or repeat what was told before."""
+    if holder.told is None:
+        ran = holder.executed
+        holder.told = _types.Outcome.RUN if ran else _types.Outcome.NOT_RUN
+    response = ANSWER if holder.told is _types.Outcome.RUN else None
+    _settle(table, holder.grant, holder.told, holder.key, response)
 
 
 def test_ticket_survives_its_encoding() -> None:
