Serve operators' changes, audit and key rotation from any balancer

Cause: the operators' calls had no server side. Ruled out: proposing from the balancer's own copy; a lagging one would conflict with its own past, so the base is read from the store.

--- /dev/null
+++ b/plantainproxy/balancer/operations.py
@@ -0,0 +1,232 @@
+"""What a balancer does for operators: changes, audit and key rotation.
+
+All of it goes through the store, so any balancer can serve any operator.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import secrets
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.config import audit, change, diff, document, edit, keys, model, parse
+from plantainproxy.rpc import operator_pb2
+from plantainproxy.store import port
+
+MILLISECONDS = 1000
+DEFAULT_AUDIT_LIMIT = 50
+MAX_AUDIT_LIMIT = 500
+KEYS_WHILE_ROTATING = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Access:
+    """Where the operations read and write."""
+
+    store: port.Store
+    prefix: str
+    """Every key of this installation begins with it."""
+    wall_clock: Callable[[], float]
+    """Returns seconds since the epoch."""
+    offer: Callable[[model.Configuration], object]
+    """Takes an accepted configuration in force on this balancer at once."""
+    offer_keys: Callable[[model.KeySet], object]
+
+
+def _parse_address(text: str) -> _types.Address:
+    try:
+        return _types.Address.parse(text)
+    except ValueError as error:
+        raise _exceptions.PlantainError(
+            _exceptions.ErrorKind.INVALID_CONFIGURATION, str(error)
+        ) from None
+
+
+def _parse_domain_state(text: str) -> _types.DomainState:
+    if text in set(_types.DomainState):
+        return _types.DomainState(text)
+    raise _exceptions.PlantainError(
+        _exceptions.ErrorKind.INVALID_CONFIGURATION,
+        f"domain state: expected in or out, got {text!r}",
+    )
+
+
+def _edited_pool(
+    base: model.Configuration, wanted: operator_pb2.SetPool
+) -> model.Configuration:
+    """Change the limits that are given and keep the others."""
+    held = {pool.name: pool for pool in base.pools}
+    pool = held.get(wanted.name, model.Pool(name=wanted.name))
+    if wanted.max_running:
+        pool = dataclasses.replace(pool, max_running=wanted.max_running)
+    if wanted.lines_per_second:
+        pool = dataclasses.replace(pool, lines_per_second=wanted.lines_per_second)
+    return edit.set_pool(base, pool)
+
+
+def _edited_drain(
+    base: model.Configuration, wanted: operator_pb2.SetDrained
+) -> model.Configuration:
+    upstream = _parse_address(wanted.upstream)
+    if wanted.drained:
+        return edit.drain(base, upstream)
+    return edit.undrain(base, upstream)
+
+
+def _edited(
+    base: model.Configuration, request: operator_pb2.ChangeRequest
+) -> model.Configuration:
+    """Make the proposed configuration from the present one."""
+    match request.WhichOneof("edit"):
+        case "set_route":
+            route = model.Route(
+                name=request.set_route.name,
+                address=_parse_address(request.set_route.address),
+                pool=request.set_route.pool,
+            )
+            return edit.set_route(base, route)
+        case "remove_route":
+            return edit.remove_route(base, request.remove_route.name)
+        case "set_pool":
+            return _edited_pool(base, request.set_pool)
+        case "remove_pool":
+            return edit.remove_pool(base, request.remove_pool.name)
+        case "set_domain":
+            state = _parse_domain_state(request.set_domain.state)
+            return edit.set_domain_state(base, request.set_domain.name, state)
+        case "set_drained":
+            return _edited_drain(base, request.set_drained)
+        case "replace_all":
+            return parse.parse(request.replace_all.toml, source="configuration")
+    raise _exceptions.PlantainError(
+        _exceptions.ErrorKind.BAD_REQUEST, "The change names no edit."
+    )
+
+
+async def read_configuration(access: Access) -> model.Configuration | None:
+    """Read the stored configuration; return ``None`` when there is none yet."""
+    entry = await access.store.get(document.key(access.prefix))
+    return None if entry is None else document.decode(entry.value)
+
+
+async def _check_expected(
+    access: Access,
+    base: model.Configuration | None,
+    request: operator_pb2.ChangeRequest,
+) -> bool:
+    """Return whether this very change was accepted before.
+
+    Raise ``CONFLICT`` with the differences when another change came first.
+    """
+    present = 0 if base is None else base.revision
+    if not request.expected_revision or request.expected_revision == present:
+        return False
+    earlier = await audit.find_change(
+        access.store, prefix=access.prefix, change_id=request.change_id
+    )
+    if earlier is not None:
+        return True
+    newest = await audit.read(access.store, prefix=access.prefix, revision=present)
+    shown = "" if newest is None else diff.render(newest.differences)
+    author = "" if newest is None else f" by {newest.operator}"
+    raise _exceptions.PlantainError(
+        _exceptions.ErrorKind.CONFLICT,
+        f"Expected revision {request.expected_revision}, "
+        f"but {present} is in force{author}: {shown}",
+    )
+
+
+async def apply_change(
+    access: Access, request: operator_pb2.ChangeRequest
+) -> operator_pb2.ChangeReply:
+    """Check one change, propose it to the store and take it in force."""
+    base = await read_configuration(access)
+    if await _check_expected(access, base, request):
+        revision = 0 if base is None else base.revision
+        return operator_pb2.ChangeReply(revision=revision, applied=True)
+    proposed = _edited(base or model.Configuration(revision=0), request)
+    differences = diff.compare(base, proposed)
+    lines = diff.render(differences).splitlines()
+    if request.dry_run or not differences:
+        present = 0 if base is None else base.revision
+        return operator_pb2.ChangeReply(revision=present, differences=lines)
+    accepted = await change.apply(
+        access.store,
+        prefix=access.prefix,
+        base=base,
+        proposed=proposed,
+        change_id=request.change_id,
+        operator=request.operator,
+        reason=request.reason,
+        now=access.wall_clock(),
+    )
+    access.offer(accepted)
+    return operator_pb2.ChangeReply(
+        revision=accepted.revision, differences=lines, applied=True
+    )
+
+
+async def read_audit(
+    access: Access, request: operator_pb2.AuditRequest
+) -> operator_pb2.AuditReply:
+    """Read one page of the audit trail."""
+    query = audit.Query(
+        since_seconds=request.since_ms / MILLISECONDS, name=request.object
+    )
+    page = await audit.read_page(
+        access.store,
+        prefix=access.prefix,
+        query=query,
+        before=request.before_revision,
+        limit=min(request.limit or DEFAULT_AUDIT_LIMIT, MAX_AUDIT_LIMIT),
+    )
+    entries = [
+        operator_pb2.AuditEntry(
+            revision=record.revision,
+            time_ms=int(record.time_seconds * MILLISECONDS),
+            operator=record.operator,
+            reason=record.reason,
+            change_id=record.change_id,
+            differences=diff.render(record.differences).splitlines(),
+        )
+        for record in page.records
+    ]
+    return operator_pb2.AuditReply(entries=entries)
+
+
+def _next_key_step(key_set: model.KeySet) -> tuple[str, model.KeySet]:
+    """Choose the step: add a key, make the newest current, or drop the old."""
+    newest = key_set.keys[-1].number
+    if len(key_set.keys) < KEYS_WHILE_ROTATING:
+        return "A new key is added; it is not used yet.", keys.add_key(
+            key_set, secret=secrets.token_bytes(keys.SECRET_BYTES)
+        )
+    if key_set.current != newest:
+        return "The newest key is in use.", keys.make_newest_current(key_set)
+    return "The old keys are dropped.", keys.drop_old(key_set)
+
+
+async def rotate_keys(
+    access: Access, request: operator_pb2.RotateKeysRequest, *, change_id: str
+) -> operator_pb2.RotateKeysReply:
+    """Take the next step of a key rotation."""
+    held = await keys.read(access.store, prefix=access.prefix)
+    if held is None:
+        raise _exceptions.PlantainError(
+            _exceptions.ErrorKind.NOT_FOUND, "No key set is stored yet."
+        )
+    sentence, following = _next_key_step(held)
+    if request.dry_run:
+        return operator_pb2.RotateKeysReply(
+            key_revision=held.revision, step=f"Next step: {sentence}"
+        )
+    accepted = await keys.rotate(
+        access.store,
+        prefix=access.prefix,
+        step=lambda base: following if base == held else _next_key_step(base)[1],
+        author=keys.Author(
+            change_id=change_id, operator=request.operator, reason="rotation"
+        ),
+        now=access.wall_clock(),
+    )
+    access.offer_keys(accepted)
+    return operator_pb2.RotateKeysReply(key_revision=accepted.revision, step=sentence)
--- a/plantainproxy/rpc/tests/test_bridge.py
+++ b/plantainproxy/rpc/tests/test_bridge.py
@@ -144,7 +144,9 @@
                     client,
                     address,
                     methods.Method.CLAIM,
-                    messages.ClaimRequest(key="k", fingerprint=b""),
+                    messages.ClaimRequest(
+                        key="k", fingerprint=b"", timeout_milliseconds=1000
+                    ),
                     timeout_seconds=5,
                 )
             assert caught.value.kind is _exceptions.ErrorKind.PEER_UNAVAILABLE
