Add leased seats, following of the store, and the held documents

Cause: nobody read the store. A few processes a failure domain hold leased seats; only these watch the configuration and the key set. A holder stops two seconds before its lease may lapse by its own monotonic clock, so one that was frozen wakes up as a non-holder and writes nothing. The time to the next look grows with the balancers of the domain, so that the calls of all of them do not. In each process an older document never replaces a newer one.

--- /dev/null
+++ b/plantainproxy/config/tests/test_follow.py
@@ -0,0 +1,146 @@
+"""Following: each newer document is told once and no revision falls."""
+
+from collections.abc import Awaitable, Callable
+import dataclasses
+import random
+
+import pytest
+import trio
+import trio.testing
+
+from plantainproxy.config import change, document, edit, follow, keys, model
+from plantainproxy.core import configuration as configuration_core
+from plantainproxy.store import memory, port
+
+PREFIX = "t/"
+EMPTY = model.Configuration(revision=0)
+HANG_GUARD_SECONDS = 600
+
+
+async def apply(
+    store: memory.MemoryStore, base: model.Configuration | None, pool: str
+) -> model.Configuration:
+    """Accept a change that sets one pool."""
+    return await change.apply(
+        store,
+        prefix=PREFIX,
+        base=base,
+        proposed=edit.set_pool(base or EMPTY, model.Pool(name=pool)),
+        change_id=pool,
+        operator="o",
+        reason="r",
+        now=5.0,
+    )
+
+
+async def put(store: memory.MemoryStore, key: str, value: bytes) -> None:
+    """Write past every check."""
+    await store.commit(
+        port.Transaction(compares=(), puts=(port.Put(key=key, value=value),))
+    )
+
+
+Receiver = trio.MemoryReceiveChannel[configuration_core.Document]
+Main = Callable[[memory.MemoryStore, Receiver], Awaitable[None]]
+
+
+def run(main: Main, held: configuration_core.Held | None = None) -> memory.MemoryStore:
+    """Run a follower while a test changes the store, in virtual time."""
+    store = memory.MemoryStore()
+
+    async def run_both() -> None:
+        sender, receiver = trio.open_memory_channel[configuration_core.Document](9)
+        follower = follow.Follower(
+            store,
+            prefix=PREFIX,
+            held=lambda: held or configuration_core.Held(),
+            news=sender,
+            wall_clock=lambda: 7.0,
+            generator=random.Random(1),
+        )
+        with trio.fail_after(HANG_GUARD_SECONDS):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(follow.run, follower)
+                await main(store, receiver)
+                nursery.cancel_scope.cancel()
+
+    trio.run(run_both, clock=trio.testing.MockClock(autojump_threshold=0))
+    return store
+
+
+def test_changes_are_told_and_the_key_set_is_created() -> None:
+    """An empty store yields a key set, but no configuration."""
+
+    async def main(store: memory.MemoryStore, receiver: Receiver) -> None:
+        key_set = await receiver.receive()
+        assert key_set == await keys.read(store, prefix=PREFIX)
+        await trio.sleep(10)
+        with pytest.raises(trio.WouldBlock):
+            receiver.receive_nowait()
+        first = await apply(store, None, "a")
+        assert await receiver.receive() == first
+        second = await apply(store, first, "b")
+        assert await receiver.receive() == second
+
+    run(main)
+
+
+def test_a_key_set_that_the_process_holds_is_stored_again() -> None:
+    """A store that lost its content does not get different keys."""
+    key_set = dataclasses.replace(keys.create(), revision=4)
+
+    async def main(store: memory.MemoryStore, receiver: Receiver) -> None:
+        assert await receiver.receive() == key_set
+        assert await keys.read(store, prefix=PREFIX) == key_set
+
+    run(main, configuration_core.Held(key_set=key_set))
+
+
+@pytest.mark.parametrize("fault", ["broken", "outage", "stale"])
+def test_a_change_during_a_fault_is_told_after_it(fault: str) -> None:
+    """The follower reads again and never goes back."""
+
+    async def main(store: memory.MemoryStore, receiver: Receiver) -> None:
+        await receiver.receive()
+        first = await apply(store, None, "a")
+        assert await receiver.receive() == first
+        old = dict(store.entries)
+        second = await apply(store, first, "b")
+        assert await receiver.receive() == second
+        store.down = fault == "outage"
+        store.stale = old if fault == "stale" else None
+        memory.break_watches(store)
+        await trio.sleep(30)
+        store.down = False
+        store.stale = None
+        third = await apply(store, second, "c")
+        assert await receiver.receive() == third
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    "stored",
+    [
+        b"torn",
+        document.encode(model.Configuration(revision=1)),
+        document.encode(model.Configuration(revision=9, pools=(model.Pool(name=""),))),
+    ],
+    ids=["unreadable", "older", "invalid"],
+)
+def test_a_document_that_does_not_fit_is_left_out(stored: bytes) -> None:
+    """Neither a torn, nor an older, nor an invalid document is told."""
+
+    async def main(store: memory.MemoryStore, receiver: Receiver) -> None:
+        await receiver.receive()
+        first = await apply(store, None, "a")
+        second = await apply(store, first, "b")
+        assert await receiver.receive() == first
+        assert await receiver.receive() == second
+        await put(store, document.key(PREFIX), stored)
+        await trio.sleep(10)
+        later = dataclasses.replace(second, revision=10)
+        await put(store, document.key(PREFIX), document.encode(later))
+        assert await receiver.receive() == later
+
+    run(main)
--- /dev/null
+++ b/plantainproxy/core/tests/test_configuration.py
@@ -0,0 +1,43 @@
+"""Revisions only rise, and unknown is not empty."""
+
+import hypothesis
+from hypothesis import strategies
+
+from plantainproxy.config import model
+from plantainproxy.core import configuration
+
+REVISIONS = strategies.integers(1, 6)
+DOCUMENTS = strategies.one_of(
+    REVISIONS.map(lambda revision: model.Configuration(revision=revision)),
+    REVISIONS.map(lambda revision: model.KeySet(revision=revision, current=0, keys=())),
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None)
+@hypothesis.given(strategies.lists(DOCUMENTS))
+def test_the_highest_revision_of_each_kind_is_held(
+    documents: list[configuration.Document],
+) -> None:
+    """Order and repetition do not matter; only the first of a revision counts."""
+    held = configuration.Held()
+    for document in documents:
+        before = held
+        held, adopted = configuration.offer(held, document)
+        assert adopted == (held != before)
+        assert held.configuration_revision >= before.configuration_revision
+        assert held.key_revision >= before.key_revision
+    for kind, revision in (
+        (model.Configuration, held.configuration_revision),
+        (model.KeySet, held.key_revision),
+    ):
+        seen = [item.revision for item in documents if isinstance(item, kind)]
+        assert revision == max(seen, default=0)
+
+
+def test_only_newer_documents_are_given_to_a_peer() -> None:
+    """What the peer has, or nobody has, is absent."""
+    held = configuration.Held(configuration=model.Configuration(revision=3))
+    newer = configuration.newer(held, configuration_revision=2, key_revision=0)
+    assert newer == held
+    same = configuration.newer(held, configuration_revision=3, key_revision=0)
+    assert same == configuration.Held()
--- a/plantainproxy/store/memory.py
+++ b/plantainproxy/store/memory.py
@@ -31,6 +31,7 @@
         self.owners: dict[str, int] = {}
         """The lease of each key that has one."""
         self.leases: dict[int, Lease] = {}
+        self.next_lease = 1
         self.watchers: dict[trio.MemorySendChannel[tuple[port.Change, ...]], str] = {}
         self.down = False
         """Whether every call fails before it reaches the store."""
@@ -81,7 +82,8 @@
     async def grant_lease(self, *, ttl_seconds: int) -> int:
         """Create a lease and return its number."""
         await _begin_write(self)
-        number = self.revision * 1_000 + len(self.leases) + self.writes
+        number = self.next_lease
+        self.next_lease += 1
         self.leases[number] = Lease(
             ttl_seconds=ttl_seconds, deadline=self.clock() + ttl_seconds
         )
--- /dev/null
+++ b/plantainproxy/store/tests/test_seats.py
@@ -0,0 +1,197 @@
+"""Seats: few holders, few calls, and no act of a holder after a lapse."""
+
+from collections.abc import Awaitable, Callable
+import random
+
+import pytest
+import trio
+import trio.testing
+
+from plantainproxy import _types
+from plantainproxy.store import memory, port, seat_rules, seats
+
+PREFIX = "t/"
+
+
+class Fleet:
+    """Some balancers in one failure domain on one store."""
+
+    def __init__(self, size: int) -> None:
+        """Make the balancers."""
+        self.store = memory.MemoryStore()
+        self.acting: set[int] = set()
+        """Who does a holder's duties now."""
+        self.most_acting = 0
+        self.found: tuple[_types.Address, ...] = ()
+        self.members = [self._make(number, size) for number in range(size)]
+
+    def _make(self, number: int, size: int) -> seats.Seats:
+        async def act() -> None:
+            self.acting.add(number)
+            self.most_acting = max(self.most_acting, len(self.acting))
+            try:
+                await trio.sleep_forever()
+            finally:
+                self.acting.discard(number)
+
+        sender, receiver = trio.open_memory_channel[tuple[_types.Address, ...]](0)
+        self.receivers = [*getattr(self, "receivers", []), receiver]
+        return seats.Seats(
+            self.store,
+            seat_rules.Identity(
+                prefix=PREFIX,
+                domain="z",
+                rpc=_types.Address("127.0.0.1", 1_000 + number),
+            ),
+            as_holder=act,
+            holders=sender,
+            fleet_size=lambda: size,
+            generator=random.Random(number),
+        )
+
+
+def run(size: int, main: Callable[[Fleet], Awaitable[None]]) -> None:
+    """Run a fleet while a test looks at it, in virtual time."""
+
+    async def run_fleet() -> None:
+        fleet = Fleet(size)
+
+        async def drain(
+            receiver: trio.MemoryReceiveChannel[tuple[_types.Address, ...]],
+        ) -> None:
+            async for found in receiver:
+                fleet.found = found
+
+        async with trio.open_nursery() as nursery:
+            for member, receiver in zip(fleet.members, fleet.receivers, strict=True):
+                nursery.start_soon(seats.run, member)
+                nursery.start_soon(drain, receiver)
+            await main(fleet)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run_fleet, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_each_seat_has_one_holder() -> None:
+    """As many hold as there are seats, and everyone finds them."""
+
+    async def main(fleet: Fleet) -> None:
+        await trio.sleep(1_000)
+        assert len(fleet.acting) == seat_rules.SEATS_PER_DOMAIN
+        assert fleet.most_acting == seat_rules.SEATS_PER_DOMAIN
+        assert {address.port - 1_000 for address in fleet.found} == fleet.acting
+
+    run(8, main)
+
+
+def test_calls_do_not_grow_with_the_fleet() -> None:
+    """An hour of sixteen times the balancers costs about the same calls."""
+    calls: dict[int, int] = {}
+
+    async def main(fleet: Fleet) -> None:
+        await trio.sleep(3_600)
+        calls[len(fleet.members)] = fleet.store.reads + fleet.store.writes
+
+    for size in (4, 64):
+        run(size, main)
+    assert calls[64] <= 1.25 * calls[4]
+
+
+def test_a_frozen_holder_acts_no_more_before_it_writes() -> None:
+    """It wakes up past its lease, stops, and sends no renewal."""
+
+    async def main(fleet: Fleet) -> None:
+        await trio.sleep(30)
+        [member] = fleet.members
+        assert fleet.acting == {0}
+        assert seats.is_holder(member)
+        writes = fleet.store.writes
+        clock = trio.lowlevel.current_clock()
+        assert isinstance(clock, trio.testing.MockClock)
+        clock.jump(60)
+        assert not seats.is_holder(member)
+        await trio.testing.wait_all_tasks_blocked()
+        assert fleet.acting == set()
+        assert fleet.store.writes == writes
+
+    run(1, main)
+
+
+def test_a_holder_cut_off_from_the_store_stops_before_its_lease_lapses() -> None:
+    """After the outage the seat is taken again."""
+
+    async def main(fleet: Fleet) -> None:
+        await trio.sleep(30)
+        fleet.store.down = True
+        ends = [lease.deadline for lease in fleet.store.leases.values()]
+        while fleet.acting:
+            await trio.sleep(0.1)
+        assert trio.current_time() < min(ends)
+        await trio.sleep(600)
+        assert fleet.acting == set()
+        fleet.store.down = False
+        await trio.sleep(60)
+        assert len(fleet.acting) == 1
+
+    run(1, main)
+
+
+def test_a_holder_whose_lease_ended_stops() -> None:
+    """The next renewal tells it."""
+
+    async def main(fleet: Fleet) -> None:
+        await trio.sleep(30)
+        [lease] = fleet.store.leases
+        memory.end_lease(fleet.store, lease)
+        await trio.sleep(2 * seat_rules.RENEW_INTERVAL_SECONDS)
+        assert fleet.acting == set()
+
+    run(1, main)
+
+
+@pytest.mark.parametrize("lost", range(1, 4))
+def test_lost_answers_leave_no_seat_without_a_holder(lost: int) -> None:
+    """A claim of unknown outcome is taken back; the seat is claimed again."""
+
+    async def main(fleet: Fleet) -> None:
+        fleet.store.lose_answers = lost
+        await trio.sleep(120)
+        assert fleet.acting == {0}
+        assert len(await fleet.store.scan(PREFIX)) == 1
+
+    run(1, main)
+
+
+def test_a_planned_stop_frees_the_seat() -> None:
+    """The lease is ended at once."""
+    stores: list[memory.MemoryStore] = []
+
+    async def main(fleet: Fleet) -> None:
+        await trio.sleep(30)
+        assert len(fleet.store.entries) == 1
+        stores.append(fleet.store)
+
+    run(1, main)
+    assert stores[0].entries == {}
+
+
+def test_a_process_does_not_claim_beside_its_own_earlier_lease() -> None:
+    """Free seats are picked only when none holds the own address."""
+    identity = seat_rules.Identity(
+        prefix=PREFIX, domain="z", rpc=_types.Address("127.0.0.1", 5)
+    )
+
+    def entry(key: str, value: bytes) -> port.Entry:
+        return port.Entry(key=key, value=value, mod_revision=1)
+
+    def pick(*entries: port.Entry) -> int | None:
+        return seat_rules.pick_free(identity, entries, random.Random(1))
+
+    other = entry("t/seats/z/0", b"127.0.0.1:6")
+    assert pick(other) == 1
+    assert pick(other, entry("t/seats/y/1", b"127.0.0.1:5")) == 1
+    assert pick(entry("t/seats/z/1", b"127.0.0.1:5")) is None
+    assert pick(other, entry("t/seats/z/1", b"?")) is None
+    assert seat_rules.holders((other, entry("t/seats/z/1", b"\xff"))) == (
+        _types.Address("127.0.0.1", 6),
+    )
