--- a/plantainproxy/balancer/datapath.py
+++ b/plantainproxy/balancer/datapath.py
@@ -13,7 +13,7 @@
 import trio
 
 from plantainproxy import _types
-from plantainproxy.balancer import resets
+from plantainproxy.balancer import resets, shortcut
 from plantainproxy.config import model
 from plantainproxy.core import routing
 from plantainproxy.quic import classify
@@ -58,6 +58,8 @@
         """Start with nothing known."""
         self.routing = routing.State()
         self.ring: keyring.Keyring | None = None
+        self.shortcut: shortcut.Find = shortcut.find_nothing
+        """Finds the sidecar of a plain established packet."""
         self.prefix = b""
         """The tunnel prefix of a message without earlier owners."""
         self.counters = Counters()
@@ -99,55 +101,70 @@
         if isinstance(event, KeysChanged):
             _take_keys(state, event.key_set)
     routing_events = [event for event in events if not isinstance(event, KeysChanged)]
-    if not routing_events:
-        return
     now = trio.current_time()
-    state.routing = await trio.to_thread.run_sync(
-        lambda: routing.apply(state.routing, routing_events, now=now)
-    )
+
+    def fold() -> tuple[routing.State, shortcut.Find]:
+        folded = state.routing
+        if routing_events:
+            folded = routing.apply(folded, routing_events, now=now)
+        return folded, shortcut.build(folded, state.ring)
+
+    state.routing, state.shortcut = await trio.to_thread.run_sync(fold)
 
 
 def handler(state: State, send: Send) -> Handle:
     """Return the function that carries one datagram of the fabric."""
     counters = state.counters
-    drops = counters.drops
-    decode, read, route = proxy.decode, classify.read, routing.route
-    forward_type = routing.Forward
 
     def handle(datagram: bytes, source: tuple[str, int], now: float) -> None:
-        ring = state.ring
-        if ring is None or len(datagram) > MAX_DATAGRAM_BYTES:
-            drops[_refusal(ring)] += 1
-            return
-        header = decode(datagram)
-        if header is None:
-            drops[routing.DropReason.BAD_HEADER] += 1
+        target = state.shortcut(datagram)
+        if target is None:
+            _decide(state, send, datagram, source, now)
             return
-        packet = read(ring, header[1], datagram, header[2])
-        if packet is None:
-            drops[routing.DropReason.INVALID_PACKET] += 1
-            return
-        action = route(state.routing, packet, now)
-        if type(action) is not forward_type:
-            arrival = Arrival(datagram, header, source)
-            _end(state, send, ring, action, arrival, now)
-            return
-        message = state.prefix + datagram
-        if action[1]:
-            message = _prefix(ring, action[1]) + datagram
         try:
-            send(message, action[0])
+            send(state.prefix + datagram, target)
         except OSError:
-            drops[routing.DropReason.SEND_FAILED] += 1
+            counters.drops[routing.DropReason.SEND_FAILED] += 1
             return
-        if packet[2]:
-            counters.opening += 1
-        else:
-            counters.established += 1
+        counters.established += 1
 
     return handle
 
 
+def _decide(
+    state: State, send: Send, datagram: bytes, source: tuple[str, int], now: float
+) -> None:
+    """Carry a datagram the long way."""
+    counters, ring = state.counters, state.ring
+    if ring is None or len(datagram) > MAX_DATAGRAM_BYTES:
+        counters.drops[_refusal(ring)] += 1
+        return
+    header = proxy.decode(datagram)
+    if header is None:
+        counters.drops[routing.DropReason.BAD_HEADER] += 1
+        return
+    packet = classify.read(ring, header.destination, datagram, header.payload_offset)
+    if packet is None:
+        counters.drops[routing.DropReason.INVALID_PACKET] += 1
+        return
+    action = routing.route(state.routing, packet, now)
+    if not isinstance(action, routing.Forward):
+        _end(state, send, ring, action, Arrival(datagram, header, source), now)
+        return
+    prefix = state.prefix
+    if action.earlier_owners:
+        prefix = _prefix(ring, action.earlier_owners)
+    try:
+        send(prefix + datagram, action.tunnel)
+    except OSError:
+        counters.drops[routing.DropReason.SEND_FAILED] += 1
+        return
+    if packet.opening:
+        counters.opening += 1
+    else:
+        counters.established += 1
+
+
 class Arrival(NamedTuple):
     """One datagram as it came."""
 
--- a/plantainproxy/core/routing.py
+++ b/plantainproxy/core/routing.py
@@ -203,6 +203,33 @@
     return Forward(pick.owner, earlier_owners)
 
 
+def destinations(
+    state: State, service: bytes
+) -> dict[packets.Destination, _types.Address]:
+    """Return the destinations of one service that :func:`route` surely forwards.
+
+    They are those of the pool's present sidecars that are neither lost nor gone;
+    the answer holds until the next event.
+    """
+    configuration, known = state.configuration, state.services.get(service)
+    if configuration is None or known is None:
+        return {}
+    numbers = {domain.name: domain.number for domain in configuration.domains}
+    found = {}
+    for record in state.records.get(known.pool, ()):
+        packed = record.tunnel.pack()
+        upstream = state.upstreams[packed]
+        number = numbers.get(record.domain)
+        if number is None or upstream.lost_since is not None:
+            continue
+        destination = packets.Destination(
+            packed, number, upstream.generation, known.tag
+        )
+        if isinstance(_route_destination(state, destination, 0.0), Forward):
+            found[destination] = record.tunnel
+    return found
+
+
 def _unknown_service(state: State) -> Drop:
     if state.configuration is None:
         return _DROPS[DropReason.NOT_READY]
--- a/plantainproxy/wire/connection_id.py
+++ b/plantainproxy/wire/connection_id.py
@@ -14,9 +14,13 @@
 BYTES = 17
 """Size of a connection ID."""
 
-_BLOCK = struct.Struct("!6sBHH3sH")
+_NAMING = struct.Struct("!6sBHHH")
 _CHECK = 0
 _NONCE_BYTES = 3
+_NONCE_MASK = 0xFFFFFF
+
+NAMING_BYTES = _NAMING.size
+"""Size of what :func:`naming_bytes` returns."""
 
 
 Destination = packets.Destination
@@ -26,12 +30,17 @@
 
 def encode(key: keyring.WorkingKey, destination: Destination, *, nonce: int) -> bytes:
     """Make the connection ID of a destination; ``nonce`` makes it unique."""
-    block = _BLOCK.pack(
-        *destination, (nonce & 0xFFFFFF).to_bytes(_NONCE_BYTES, "big"), _CHECK
+    block = naming_bytes(destination) + (nonce & _NONCE_MASK).to_bytes(
+        _NONCE_BYTES, "big"
     )
     return bytes((key.number,)) + key.encrypt(block)
 
 
+def naming_bytes(destination: Destination) -> bytes:
+    """Return the start of a decrypted block, which is all of it but the nonce."""
+    return _NAMING.pack(*destination, _CHECK)
+
+
 def decode(ring: keyring.Keyring, connection_id: bytes) -> Destination | None:
     """Read a connection ID; return ``None`` when it is not one of ours."""
     if len(connection_id) != BYTES:
@@ -39,8 +48,8 @@
     key = ring.by_number.get(connection_id[0])
     if key is None:
         return None
-    fields = _BLOCK.unpack(key.decrypt(connection_id[1:]))
-    if fields[5] != _CHECK:
+    fields = _NAMING.unpack_from(key.decrypt(connection_id[1:]))
+    if fields[4] != _CHECK:
         return None
     return Destination(fields[0], fields[1], fields[2], fields[3])
 
--- a/plantainproxy/wire/proxy.py
+++ b/plantainproxy/wire/proxy.py
@@ -17,6 +17,8 @@
 
 _START = SIGNATURE + bytes((VERSION_AND_COMMAND, FAMILY_INET_DATAGRAM))
 _START_BYTES = len(_START)
+PLAIN_START = _START + ADDRESS_BYTES.to_bytes(2, "big")
+"""How a header without type-length-value fields begins."""
 _ADDRESSES = struct.Struct("!4s4s2s2s")
 
 
