--- /dev/null
+++ b/bench/forwarding.py
@@ -0,0 +1,299 @@
+"""Cost of forwarding, and quality of the slot table.
+
+Run ``python -m bench.forwarding``; it prints tables and writes
+``out/forwarding.json``. Every forwarding case is timed batch by batch in turn, so
+that other load on the machine falls on all alike. Times are CPU time of the process.
+"""
+
+from collections.abc import Callable, Iterator
+import contextlib
+import dataclasses
+import json
+import pathlib
+import random
+import socket
+import statistics
+import time
+from typing import Any, NamedTuple
+
+import numpy as np
+import trio
+
+from plantainproxy import _types
+from plantainproxy.balancer import datapath
+from plantainproxy.config import model
+from plantainproxy.core import packets, routing, slots
+from plantainproxy.wire import connection_id, keyring, proxy
+
+BATCH = 100
+ROUNDS = 400
+SEED = 1
+SERVICE = _types.Address("127.1.0.1", 443)
+CALLER = _types.Address("127.0.9.9", 5555)
+GENERATION = 1_800_000_000_000
+KEY_SET = model.KeySet(
+    revision=1, current=7, keys=(model.Key(number=7, secret=b"s" * 32),)
+)
+RING = keyring.Keyring(KEY_SET)
+ESTABLISHED_BODY_BYTES = 120
+OPENING_BYTES = 1200
+MANY_FLOWS = 500_000
+UPSTREAM_COUNTS = (10, 100, 1_000, 17_000)
+TABLE_SIZES = (3, 7, 100, 1_000, 17_000)
+REMOVALS = 3
+OUTPUT = pathlib.Path("out/forwarding.json")
+
+
+class Sockets(NamedTuple):
+    """The fabric's sender, the balancer's socket and all sidecars' receiver."""
+
+    sender: socket.socket
+    balancer: socket.socket
+    receiver: socket.socket
+
+
+@dataclasses.dataclass(slots=True)
+class Case:
+    """One measured path with the datagrams that go through it."""
+
+    name: str
+    drain: Callable[[], object]
+    datagrams: list[bytes]
+    position: int = 0
+    microseconds: list[float] = dataclasses.field(default_factory=list)
+    """CPU time a packet, of each batch."""
+
+
+@contextlib.contextmanager
+def opened() -> Iterator[Sockets]:
+    """Open the sockets; the receiver takes datagrams to any loopback address."""
+    with (
+        socket.socket(type=socket.SOCK_DGRAM) as sender,
+        datapath.open_socket(_types.Address("127.0.0.1", 0)) as balancer,
+        datapath.open_socket(_types.Address("0.0.0.0", 0)) as receiver,
+    ):
+        sender.bind(("127.0.0.1", 0))
+        yield Sockets(sender, balancer, receiver)
+
+
+def tunnel_address(number: int, port: int) -> _types.Address:
+    """Return the address of an upstream; all have the receiver's port."""
+    return _types.Address(f"127.2.{number >> 8}.{number & 255}", port)
+
+
+def known_state(upstreams: int, port: int) -> datapath.State:
+    """Make the state of a balancer that knows one pool."""
+    configuration = model.Configuration(
+        revision=1,
+        routes=(model.Route(name="fleet", address=SERVICE, pool="fleet"),),
+        pools=(model.Pool(name="fleet"),),
+        domains=(model.Domain(name="rimouski", number=1),),
+    )
+    records = tuple(
+        _types.MemberRecord(
+            kind=_types.MemberKind.SIDECAR,
+            rpc=tunnel_address(number, port),
+            domain="rimouski",
+            generation=GENERATION,
+            sequence=1,
+            pool="fleet",
+            tunnel=tunnel_address(number, port),
+        )
+        for number in range(upstreams)
+    )
+    events: list[datapath.Event] = [
+        datapath.KeysChanged(key_set=KEY_SET),
+        routing.ConfigurationChanged(configuration=configuration),
+        routing.MembersChanged(pool="fleet", records=records),
+    ]
+    state = datapath.State()
+    trio.run(datapath.apply, state, events)
+    return state
+
+
+def established(flows: int, upstreams: int, port: int) -> list[bytes]:
+    """Make one packet of each flow, on upstreams drawn at random."""
+    generator = random.Random(SEED)
+    header = proxy.encode(source=CALLER, destination=SERVICE)
+    tag = packets.service_tag(SERVICE.pack())
+    body = b"b" * ESTABLISHED_BODY_BYTES
+    made = []
+    for nonce in range(flows):
+        destination = packets.Destination(
+            tunnel_address(generator.randrange(upstreams), port).pack(),
+            1,
+            packets.generation_tag(GENERATION),
+            tag,
+        )
+        found = connection_id.encode(RING.current, destination, nonce=nonce)
+        made.append(header + b"\x40" + found + body)
+    return made
+
+
+def opening(flows: int) -> list[bytes]:
+    """Make the first packet of each flow."""
+    header = proxy.encode(source=CALLER, destination=SERVICE)
+    generator = random.Random(SEED)
+    start = b"\xc0\x00\x00\x00\x01\x08"
+    filler = bytes(OPENING_BYTES - len(start) - 8)
+    return [header + start + generator.randbytes(8) + filler for _ in range(flows)]
+
+
+def bare_drain(sockets: Sockets, target: _types.Address) -> Callable[[], object]:
+    """Return a loop that receives and sends and does nothing else."""
+    receive, send = sockets.balancer.recvfrom, sockets.balancer.sendto
+
+    def drain() -> None:
+        for _ in range(BATCH):
+            try:
+                datagram, _source = receive(datapath.MAX_DATAGRAM_BYTES + 1)
+            except OSError:
+                return
+            send(datagram, target)
+
+    return drain
+
+
+def real_drain(sockets: Sockets, state: datapath.State) -> Callable[[], object]:
+    """Return the balancer's own loop on a state."""
+    handle = datapath.handler(state, sockets.balancer.sendto)
+    receive = sockets.balancer.recvfrom
+    return lambda: datapath.drain(receive, handle, now=1.0)
+
+
+def empty_out(receiver: socket.socket) -> int:
+    """Throw away what arrived and return how much it was."""
+    count = 0
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            receiver.recv(1)
+            count += 1
+    return count
+
+
+def run_batch(sockets: Sockets, case: Case) -> None:
+    """Send one batch and time its forwarding."""
+    destination = sockets.balancer.getsockname()
+    for offset in range(BATCH):
+        number = (case.position + offset) % len(case.datagrams)
+        sockets.sender.sendto(case.datagrams[number], destination)
+    case.position += BATCH
+    before = time.process_time_ns()
+    case.drain()
+    elapsed = time.process_time_ns() - before
+    arrived = empty_out(sockets.receiver)
+    if arrived != BATCH:
+        raise RuntimeError(f"{case.name}: {arrived} of {BATCH} packets arrived")
+    case.microseconds.append(elapsed / 1000 / BATCH)
+
+
+def forwarding_cases(sockets: Sockets) -> list[Case]:
+    """Make all cases; the first is the bare loop."""
+    port = sockets.receiver.getsockname()[1]
+    target = tunnel_address(0, port)
+    states = {count: known_state(count, port) for count in UPSTREAM_COUNTS}
+    few, many = UPSTREAM_COUNTS[0], UPSTREAM_COUNTS[-1]
+    initials = opening(BATCH * ROUNDS)
+    bare = bare_drain(sockets, target)
+    cases = [
+        Case("bare", bare, established(1, 1, port)),
+        Case("bare, opening size", bare, initials[:1]),
+    ]
+    for count, state in states.items():
+        drain = real_drain(sockets, state)
+        name = f"established, {count} upstreams"
+        cases.append(Case(f"{name}, 1 flow", drain, established(1, count, port)))
+        cases.append(Case(f"opening, {count} upstreams", drain, initials))
+    for count in (few, many):
+        flows = established(MANY_FLOWS, count, port)
+        random.Random(SEED).shuffle(flows)
+        name = f"established, {count} upstreams, {MANY_FLOWS} flows"
+        cases.append(Case(name, real_drain(sockets, states[count]), flows))
+    return cases
+
+
+def measure_forwarding() -> dict[str, float]:
+    """Return the median CPU time a packet of each case, in microseconds."""
+    with opened() as sockets:
+        cases = forwarding_cases(sockets)
+        for _ in range(ROUNDS):
+            for case in cases:
+                run_batch(sockets, case)
+    return {case.name: statistics.median(case.microseconds) for case in cases}
+
+
+def table_members(count: int) -> list[slots.Member]:
+    """Make the members of a pool."""
+    return [
+        slots.Member(f"sidecar/{address}", address)
+        for address in (tunnel_address(number, 7000) for number in range(count))
+    ]
+
+
+def owner_numbers(members: list[slots.Member]) -> "np.ndarray[Any, Any]":
+    """Return a number for each slot's owner that does not depend on the others."""
+    ordered, owners = slots.assign(members)
+    numbers = np.array(
+        [int.from_bytes(member.tunnel.pack()[:4], "big") for member in ordered]
+    )
+    return numbers[owners]
+
+
+def measure_table(count: int) -> dict[str, float]:
+    """Measure one size of the table, and the removal of single members."""
+    members = table_members(count)
+    held = slots.replace(slots.empty(), members, now=0.0)
+    before = time.process_time()
+    slots.replace(held, members[:-1], now=1.0)
+    seconds = time.process_time() - before
+    owners = owner_numbers(members)
+    counts = np.unique(owners, return_counts=True)[1]
+    excess = []
+    for removed in random.Random(SEED).sample(members, REMOVALS):
+        after = owner_numbers([member for member in members if member != removed])
+        number = int.from_bytes(removed.tunnel.pack()[:4], "big")
+        moved = (owners != after) if len(owners) == len(after) else np.array([np.nan])
+        excess.append(float(moved.mean() - (owners == number).mean()))
+    return {
+        "slots": float(len(owners)),
+        "rebuild_milliseconds": seconds * 1000,
+        "max_over_mean": float(counts.max() / (len(owners) / count)),
+        "necessary_share": 1 / count,
+        "excess_share": statistics.mean(excess),
+    }
+
+
+def print_forwarding(costs: dict[str, float]) -> None:
+    """Print each case beside the bare loop."""
+    print(f"{'case':<50}{'us/packet':>10}{'x bare':>8}")
+    for name, cost in costs.items():
+        print(f"{name:<50}{cost:>10.2f}{cost / costs['bare']:>8.2f}")
+
+
+def print_tables(tables: dict[int, dict[str, float]]) -> None:
+    """Print the figures of each table size."""
+    print(
+        f"{'members':>8}{'slots':>9}{'rebuild ms':>12}{'max/mean':>10}"
+        f"{'necessary':>11}{'excess':>9}"
+    )
+    for count, row in tables.items():
+        print(
+            f"{count:>8}{row['slots']:>9.0f}{row['rebuild_milliseconds']:>12.1f}"
+            f"{row['max_over_mean']:>10.3f}{row['necessary_share']:>11.5f}"
+            f"{row['excess_share']:>9.5f}"
+        )
+
+
+def main() -> None:
+    """Measure, print and write the result."""
+    tables = {count: measure_table(count) for count in TABLE_SIZES}
+    print_tables(tables)
+    costs = measure_forwarding()
+    print_forwarding(costs)
+    OUTPUT.parent.mkdir(exist_ok=True)
+    result = {"microseconds_per_packet": costs, "tables": tables}
+    OUTPUT.write_text(json.dumps(result, indent=2) + "\n", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- a/plantainproxy/balancer/datapath.py
+++ b/plantainproxy/balancer/datapath.py
@@ -21,7 +21,7 @@
 
 MAX_DATAGRAM_BYTES = 4096
 """Largest datagram that the fabric may hand over."""
-BATCH_DATAGRAMS = 64
+BATCH_DATAGRAMS = 128
 """How many datagrams are taken before other tasks get a turn."""
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 
@@ -66,6 +66,7 @@
         self.reset_limit = resets.RateLimit()
 
 
+Receive = Callable[[int], tuple[bytes, tuple[str, int]]]
 Send = Callable[[bytes, tuple[str, int]], object]
 Handle = Callable[[bytes, tuple[str, int], float], None]
 
@@ -226,16 +227,19 @@
 
 async def _forward(state: State, datagrams: socket.socket) -> None:
     handle = handler(state, datagrams.sendto)
-    receive = datagrams.recvfrom
     while True:
         await trio.lowlevel.wait_readable(datagrams)
-        now = trio.current_time()
-        for _ in range(BATCH_DATAGRAMS):
-            try:
-                datagram, source = receive(MAX_DATAGRAM_BYTES + 1)
-            except OSError:
-                break
-            handle(datagram, source, now)
+        drain(datagrams.recvfrom, handle, now=trio.current_time())
+
+
+def drain(receive: Receive, handle: Handle, *, now: float) -> None:
+    """Handle the datagrams that wait in the socket, up to a limit."""
+    for _ in range(BATCH_DATAGRAMS):
+        try:
+            datagram, source = receive(MAX_DATAGRAM_BYTES + 1)
+        except OSError:
+            return
+        handle(datagram, source, now)
 
 
 async def _follow(state: State, events: trio.MemoryReceiveChannel[Event]) -> None:
--- a/plantainproxy/balancer/shortcut.py
+++ b/plantainproxy/balancer/shortcut.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import struct
 
 from plantainproxy import _types
 from plantainproxy.core import routing
@@ -14,8 +15,8 @@
 Find = Callable[[bytes], _types.Address | None]
 """Returns the sidecar to forward a datagram to; ``None`` for the long way."""
 
-_KEY_NUMBER = proxy.HEADER_BYTES + 1
-_BLOCK = slice(_KEY_NUMBER + 1, _KEY_NUMBER + connection_id.BYTES)
+_FIELDS = struct.Struct("!16s4x4s2x2sBB16s")
+"""Header start, service address and port, first byte, key number, AES block."""
 _LONG_HEADER_BIT = 0x80
 
 
@@ -37,18 +38,19 @@
         for service in state.services
     }
     plain_start, naming_bytes = proxy.PLAIN_START, connection_id.NAMING_BYTES
-    first, key_number = proxy.HEADER_BYTES, _KEY_NUMBER
-    block_start, block_end = _BLOCK.start, _BLOCK.stop
+    unpack = _FIELDS.unpack_from
 
     def find(datagram: bytes) -> _types.Address | None:
-        if len(datagram) < block_end or not datagram.startswith(plain_start):
+        try:
+            start, host, port, first, key_number, block = unpack(datagram)
+        except struct.error:
             return None
-        if datagram[first] >= _LONG_HEADER_BIT:
+        if start != plain_start or first >= _LONG_HEADER_BIT:
             return None
-        tunnels = services.get(datagram[20:24] + datagram[26:28])
-        decrypt = decrypts.get(datagram[key_number])
+        tunnels = services.get(host + port)
+        decrypt = decrypts.get(key_number)
         if tunnels is None or decrypt is None:
             return None
-        return tunnels.get(decrypt(datagram[block_start:block_end])[:naming_bytes])
+        return tunnels.get(decrypt(block)[:naming_bytes])
 
     return find
