--- a/plantainproxy/balancer/datapath.py
+++ b/plantainproxy/balancer/datapath.py
@@ -13,7 +13,7 @@
 import trio
 
 from plantainproxy import _types
-from plantainproxy.balancer import resets
+from plantainproxy.balancer import resets, shortcut
 from plantainproxy.config import model
 from plantainproxy.core import routing
 from plantainproxy.quic import classify
@@ -21,7 +21,7 @@
 
 MAX_DATAGRAM_BYTES = 4096
 """Largest datagram that the fabric may hand over."""
-BATCH_DATAGRAMS = 64
+BATCH_DATAGRAMS = 128
 """How many datagrams are taken before other tasks get a turn."""
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 
@@ -58,12 +58,15 @@
         """Start with nothing known."""
         self.routing = routing.State()
         self.ring: keyring.Keyring | None = None
+        self.shortcut: shortcut.Find = shortcut.find_nothing
+        """Finds the sidecar of a plain established packet."""
         self.prefix = b""
         """The tunnel prefix of a message without earlier owners."""
         self.counters = Counters()
         self.reset_limit = resets.RateLimit()
 
 
+Receive = Callable[[int], tuple[bytes, tuple[str, int]]]
 Send = Callable[[bytes, tuple[str, int]], object]
 Handle = Callable[[bytes, tuple[str, int], float], None]
 
@@ -99,55 +102,70 @@
         if isinstance(event, KeysChanged):
             _take_keys(state, event.key_set)
     routing_events = [event for event in events if not isinstance(event, KeysChanged)]
-    if not routing_events:
-        return
     now = trio.current_time()
-    state.routing = await trio.to_thread.run_sync(
-        lambda: routing.apply(state.routing, routing_events, now=now)
-    )
+
+    def fold() -> tuple[routing.State, shortcut.Find]:
+        folded = state.routing
+        if routing_events:
+            folded = routing.apply(folded, routing_events, now=now)
+        return folded, shortcut.build(folded, state.ring)
+
+    state.routing, state.shortcut = await trio.to_thread.run_sync(fold)
 
 
 def handler(state: State, send: Send) -> Handle:
     """Return the function that carries one datagram of the fabric."""
     counters = state.counters
-    drops = counters.drops
-    decode, read, route = proxy.decode, classify.read, routing.route
-    forward_type = routing.Forward
 
     def handle(datagram: bytes, source: tuple[str, int], now: float) -> None:
-        ring = state.ring
-        if ring is None or len(datagram) > MAX_DATAGRAM_BYTES:
-            drops[_refusal(ring)] += 1
-            return
-        header = decode(datagram)
-        if header is None:
-            drops[routing.DropReason.BAD_HEADER] += 1
-            return
-        packet = read(ring, header[1], datagram, header[2])
-        if packet is None:
-            drops[routing.DropReason.INVALID_PACKET] += 1
+        target = state.shortcut(datagram)
+        if target is None:
+            _decide(state, send, datagram, source, now)
             return
-        action = route(state.routing, packet, now)
-        if type(action) is not forward_type:
-            arrival = Arrival(datagram, header, source)
-            _end(state, send, ring, action, arrival, now)
-            return
-        message = state.prefix + datagram
-        if action[1]:
-            message = _prefix(ring, action[1]) + datagram
         try:
-            send(message, action[0])
+            send(state.prefix + datagram, target)
         except OSError:
-            drops[routing.DropReason.SEND_FAILED] += 1
+            counters.drops[routing.DropReason.SEND_FAILED] += 1
             return
-        if packet[2]:
-            counters.opening += 1
-        else:
-            counters.established += 1
+        counters.established += 1
 
     return handle
 
 
+def _decide(
+    state: State, send: Send, datagram: bytes, source: tuple[str, int], now: float
+) -> None:
+    """Carry a datagram the long way."""
+    counters, ring = state.counters, state.ring
+    if ring is None or len(datagram) > MAX_DATAGRAM_BYTES:
+        counters.drops[_refusal(ring)] += 1
+        return
+    header = proxy.decode(datagram)
+    if header is None:
+        counters.drops[routing.DropReason.BAD_HEADER] += 1
+        return
+    packet = classify.read(ring, header.destination, datagram, header.payload_offset)
+    if packet is None:
+        counters.drops[routing.DropReason.INVALID_PACKET] += 1
+        return
+    action = routing.route(state.routing, packet, now)
+    if not isinstance(action, routing.Forward):
+        _end(state, send, ring, action, Arrival(datagram, header, source), now)
+        return
+    prefix = state.prefix
+    if action.earlier_owners:
+        prefix = _prefix(ring, action.earlier_owners)
+    try:
+        send(prefix + datagram, action.tunnel)
+    except OSError:
+        counters.drops[routing.DropReason.SEND_FAILED] += 1
+        return
+    if packet.opening:
+        counters.opening += 1
+    else:
+        counters.established += 1
+
+
 class Arrival(NamedTuple):
     """One datagram as it came."""
 
@@ -209,16 +227,19 @@
 
 async def _forward(state: State, datagrams: socket.socket) -> None:
     handle = handler(state, datagrams.sendto)
-    receive = datagrams.recvfrom
     while True:
         await trio.lowlevel.wait_readable(datagrams)
-        now = trio.current_time()
-        for _ in range(BATCH_DATAGRAMS):
-            try:
-                datagram, source = receive(MAX_DATAGRAM_BYTES + 1)
-            except OSError:
-                break
-            handle(datagram, source, now)
+        drain(datagrams.recvfrom, handle, now=trio.current_time())
+
+
+def drain(receive: Receive, handle: Handle, *, now: float) -> None:
+    """Handle the datagrams that wait in the socket, up to a limit."""
+    for _ in range(BATCH_DATAGRAMS):
+        try:
+            datagram, source = receive(MAX_DATAGRAM_BYTES + 1)
+        except OSError:
+            return
+        handle(datagram, source, now)
 
 
 async def _follow(state: State, events: trio.MemoryReceiveChannel[Event]) -> None:
