--- a/plantainproxy/core/admission.py
+++ b/plantainproxy/core/admission.py
@@ -43,7 +43,9 @@
     SUCCESS = enum.auto()
     """A whole answer; its latency counts."""
     OVERLOAD = enum.auto()
-    """The upstream shed the request or did not answer in time."""
+    """The upstream shed the request."""
+    TIMEOUT = enum.auto()
+    """The upstream did not answer in time; it may be overloaded or gone."""
     CONNECTION = enum.auto()
     """The connection was refused, reset or cut."""
     NEUTRAL = enum.auto()
@@ -143,6 +145,9 @@
     if signal is Signal.CONNECTION:
         _count_failure(state, now=now)
         return
+    if signal is Signal.TIMEOUT:
+        _halve(state)
+        return
     state.failures = 0
     if signal is Signal.OVERLOAD:
         _halve(state)
@@ -155,14 +160,20 @@
     """Take a health report; it may lower the limit and never raises it."""
     state.failures = 0
     state.draining = report.draining
-    if report.started and state.started and report.started != state.started:
-        reset(state, now=now)
-    if report.started:
-        state.started = report.started
+    observe_start(state, report.started, now=now)
     state.report_limit = report.limit
     state.report_until = now + REPORT_LIFETIME_SECONDS
 
 
+def observe_start(state: State, started: str, *, now: float) -> None:
+    """Compare the start that the upstream names; another one means a restart."""
+    if not started or started == state.started:
+        return
+    if state.started:
+        reset(state, now=now)
+    state.started = started
+
+
 def observe_unreachable(state: State, *, now: float) -> None:
     """Take a health poll that found nobody."""
     _count_failure(state, now=now)
--- /dev/null
+++ b/plantainproxy/sidecar/checks.py
@@ -0,0 +1,109 @@
+"""Checks of a caller's request before anything is done for it."""
+
+import dataclasses
+
+import trio
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.config import model
+from plantainproxy.core import retry
+from plantainproxy.rpc import messages
+from plantainproxy.sidecar import context, upstream
+
+MAX_TIMEOUT_SECONDS = 300.0
+MAX_HEADER_BYTES = 65_536
+HEADER_OVERHEAD_BYTES = 32
+KEY_HEADER = b"idempotency-key"
+TIMEOUT_HEADER = upstream.TIMEOUT_HEADER
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Job:
+    """One checked request on its way."""
+
+    request: messages.Request
+    service: _types.Address
+    view: model.PoolView
+    pool: model.Pool
+    deadline: float
+    repeatable: bool
+    """Whether running it twice does no harm."""
+
+
+def check(
+    state: context.State,
+    request: messages.Request,
+    service: _types.Address,
+    *,
+    keyed: bool,
+) -> Job:
+    """Check a request; raise ``PlantainError`` when it is refused."""
+    now = trio.current_time()
+    _check_form(state, request)
+    timeout = _timeout_seconds(request, state.default_timeout_seconds)
+    view, pool = known_pool(state, service)
+    if timeout <= 0:
+        raise _error(_exceptions.ErrorKind.DEADLINE_EXPIRED)
+    return Job(
+        request=request,
+        service=service,
+        view=view,
+        pool=pool,
+        deadline=now + min(timeout, MAX_TIMEOUT_SECONDS),
+        repeatable=request.method in retry.IDEMPOTENT_METHODS and not keyed,
+    )
+
+
+def _check_form(state: context.State, request: messages.Request) -> None:
+    if not request.method.isalpha() or request.method == "CONNECT":
+        raise _error(_exceptions.ErrorKind.BAD_REQUEST, "the method is not served")
+    if not request.path.startswith(("/", "*")):
+        raise _error(_exceptions.ErrorKind.BAD_REQUEST, "the path is not absolute")
+    if len(request.body) > state.max_body_bytes:
+        raise _error(_exceptions.ErrorKind.TOO_LARGE, "the body is too large")
+    size = sum(
+        len(field.name) + len(field.value) + HEADER_OVERHEAD_BYTES
+        for field in request.headers
+    )
+    if size > MAX_HEADER_BYTES:
+        raise _error(_exceptions.ErrorKind.TOO_LARGE, "the header is too large")
+    for name in (KEY_HEADER, TIMEOUT_HEADER):
+        if sum(field.name.lower() == name for field in request.headers) > 1:
+            detail = f"{name.decode()} stands more than once"
+            raise _error(_exceptions.ErrorKind.BAD_REQUEST, detail)
+
+
+def _timeout_seconds(request: messages.Request, default: float) -> float:
+    value = find(request, TIMEOUT_HEADER)
+    if value is None:
+        return default
+    if not value.isdigit() or len(value) > 9:
+        detail = "request-timeout-ms is not a number of milliseconds"
+        raise _error(_exceptions.ErrorKind.BAD_REQUEST, detail)
+    return int(value) / 1000
+
+
+def known_pool(
+    state: context.State, service: _types.Address
+) -> tuple[model.PoolView, model.Pool]:
+    """Return the view and the pool; refuse a service that is not the pool's."""
+    view = state.view
+    if view is None or state.ring is None:
+        raise _error(_exceptions.ErrorKind.NOT_READY)
+    if view.pool is None or service not in view.services:
+        raise _error(
+            _exceptions.ErrorKind.NO_UPSTREAM, "the service has left this pool"
+        )
+    return view, view.pool
+
+
+def find(request: messages.Request, name: bytes) -> bytes | None:
+    """Return the value of a header field; ``None`` when it is absent."""
+    for field in request.headers:
+        if field.name.lower() == name:
+            return field.value
+    return None
+
+
+def _error(kind: _exceptions.ErrorKind, detail: str = "") -> _exceptions.PlantainError:
+    return _exceptions.PlantainError(kind, detail)
--- /dev/null
+++ b/plantainproxy/sidecar/claims.py
@@ -0,0 +1,130 @@
+"""Claiming and settling idempotency keys, here or at the key's home."""
+
+from collections.abc import Awaitable, Callable
+import dataclasses
+import hashlib
+import logging
+
+import trio
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.core import claims, tickets
+from plantainproxy.rpc import messages
+from plantainproxy.wire import keyring
+
+SETTLE_ATTEMPTS = 3
+SETTLE_TIMEOUT_SECONDS = 1.0
+SETTLE_PAUSE_SECONDS = 0.2
+FINGERPRINT_BYTES = 16
+
+_log = logging.getLogger("plantain.claims")
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ports:
+    """Calls to another sidecar; each takes a timeout in seconds.
+
+    They raise ``PlantainError``, also when no answer came.
+    """
+
+    claim: Callable[
+        [_types.Address, messages.ClaimRequest, float],
+        Awaitable[messages.ClaimReply],
+    ]
+    settle: Callable[
+        [_types.Address, messages.SettleRequest, float],
+        Awaitable[messages.SettleReply],
+    ]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Sealed:
+    """The ticket that this process gives out, kept for as long as it is the same."""
+
+    ticket: tickets.Ticket | None = None
+    key_number: int = -1
+    text: str = ""
+
+
+def fingerprint(request: messages.Request) -> bytes:
+    """Digest what makes two requests the same."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (request.method.encode(), request.path.encode(), request.body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
+
+
+def issue(
+    table: claims.Table, ring: keyring.Keyring, sealed: Sealed, *, now: float
+) -> str:
+    """Return the ticket of this moment as text."""
+    ticket = claims.issue(table, now=now)
+    if ticket != sealed.ticket or ring.current.number != sealed.key_number:
+        sealed.text = tickets.encode(ring.current, ticket)
+        sealed.ticket = ticket
+        sealed.key_number = ring.current.number
+    return sealed.text
+
+
+async def claim(
+    table: claims.Table,
+    ports: Ports,
+    request: messages.ClaimRequest,
+    *,
+    ticket: tickets.Ticket,
+    timeout_seconds: float,
+) -> messages.ClaimReply:
+    """Claim a key at its home; a home that does not answer leaves it unknown."""
+    if ticket.home == table.home:
+        return claims.claim(table, request, ticket=ticket, now=trio.current_time())
+    try:
+        return await ports.claim(ticket.home, request, timeout_seconds)
+    except _exceptions.PlantainError as error:
+        _log.info("The home %s did not answer a claim: %s.", ticket.home, error)
+    return messages.ClaimReply(error=_exceptions.ErrorKind.OUTCOME_UNKNOWN)
+
+
+async def settle(
+    table: claims.Table,
+    ports: Ports,
+    request: messages.SettleRequest,
+    *,
+    ticket: tickets.Ticket,
+) -> None:
+    """Tell the home how a grant ended; repeating this has no further effect."""
+    if ticket.home == table.home:
+        claims.settle(table, request)
+        return
+    for _ in range(SETTLE_ATTEMPTS):
+        try:
+            await ports.settle(ticket.home, request, SETTLE_TIMEOUT_SECONDS)
+            return
+        except _exceptions.PlantainError as error:
+            _log.info("The home %s did not settle a key: %s.", ticket.home, error)
+        await trio.sleep(SETTLE_PAUSE_SECONDS)
+
+
+def handle_claim(
+    table: claims.Table,
+    ring: keyring.Keyring | None,
+    request: messages.ClaimRequest,
+    *,
+    now: float,
+) -> messages.ClaimReply:
+    """Decide on another sidecar's claim."""
+    if ring is None:
+        return messages.ClaimReply(error=_exceptions.ErrorKind.OUTCOME_UNKNOWN)
+    try:
+        ticket = tickets.decode(ring, request.key)
+    except _exceptions.PlantainError as error:
+        return messages.ClaimReply(error=error.kind)
+    return claims.claim(table, request, ticket=ticket, now=now)
+
+
+def handle_settle(
+    table: claims.Table, request: messages.SettleRequest
+) -> messages.SettleReply:
+    """Take how another sidecar's grant ended."""
+    claims.settle(table, request)
+    return messages.SettleReply()
--- /dev/null
+++ b/plantainproxy/sidecar/requests.py
@@ -0,0 +1,224 @@
+"""From one caller's request to its one final answer.
+
+A request runs on the own upstream, on a sibling's, or is refused from the error
+table. What is said of a refused request holds for the request as a whole: "not run"
+only when that is known of each attempt, and with an idempotency key also of each
+earlier request with that key.
+"""
+
+import dataclasses
+import logging
+
+import trio
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.core import admission, problem, retry, tickets
+from plantainproxy.rpc import messages
+from plantainproxy.sidecar import attempts, checks, claims, context
+
+PRECLAIM_CERTAIN = frozenset(
+    {_exceptions.ErrorKind.BAD_REQUEST, _exceptions.ErrorKind.TICKET_REQUIRED}
+)
+"""Refusals before a claim that hold for all earlier requests with the key, too."""
+
+_log = logging.getLogger("plantain.requests")
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    """An answer that a waiting caller gets as soon as it is known."""
+
+    ready: trio.Event = dataclasses.field(default_factory=trio.Event)
+    response: messages.Response | None = None
+
+
+async def handle(
+    state: context.State,
+    ports: context.Ports,
+    request: messages.Request,
+    *,
+    service: _types.Address,
+) -> messages.Response:
+    """Answer one caller's request.
+
+    The response carries a ticket only where a sibling's answer brought one and this
+    sidecar gives none itself; the caller's adapter adds ``context.ticket_headers``.
+    """
+    retry.earn(state.budget)
+    response = await _answer(state, ports, request, service)
+    if not state.stopping:
+        response = _without_ticket(response)
+    if request.method == "HEAD":
+        response = dataclasses.replace(response, body=b"")
+    return response
+
+
+async def handle_execute(
+    state: context.State, ports: context.Ports, request: messages.ExecuteRequest
+) -> messages.ExecuteReply:
+    """Run a sibling's request on the own upstream, or refuse it; never pass it on."""
+    deadline = trio.current_time() + request.timeout_milliseconds / 1000
+    job = _admit_execute(state, request, deadline)
+    if isinstance(job, _exceptions.ErrorKind):
+        return _reply(state, attempts.Ended(outcome=_types.Outcome.NOT_RUN, error=job))
+    ended = await attempts.run_own(state, ports, job)
+    return _reply(state, ended)
+
+
+def _answer_error(
+    error: _exceptions.PlantainError, *, keyed: bool
+) -> messages.Response:
+    """Answer a refusal that came before any claim or dispatch."""
+    outcome = None
+    if keyed and error.kind not in PRECLAIM_CERTAIN:
+        outcome = _types.Outcome.UNKNOWN
+    return problem.response(error.kind, error.detail, outcome=outcome)
+
+
+async def _answer(
+    state: context.State,
+    ports: context.Ports,
+    request: messages.Request,
+    service: _types.Address,
+) -> messages.Response:
+    key = checks.find(request, checks.KEY_HEADER)
+    keyed = key is not None and request.method not in retry.SAFE_METHODS
+    try:
+        job = checks.check(state, request, service, keyed=keyed)
+        if not keyed:
+            return _render(await attempts.run(state, ports, job))
+        text = (key or b"").decode("latin-1")
+        ticket = _ticket(state, text)
+    except _exceptions.PlantainError as error:
+        return _answer_error(error, keyed=keyed)
+    pending = _Pending()
+
+    async def run() -> None:
+        await _run_claimed(state, ports, job, text, ticket, pending)
+
+    ports.start_soon(run)
+    await pending.ready.wait()
+    assert pending.response is not None
+    return pending.response
+
+
+def _ticket(state: context.State, key: str) -> tickets.Ticket:
+    if state.ring is None:
+        raise _exceptions.PlantainError(_exceptions.ErrorKind.NOT_READY)
+    return tickets.decode(state.ring, key)
+
+
+async def _run_claimed(
+    state: context.State,
+    ports: context.Ports,
+    job: checks.Job,
+    key: str,
+    ticket: tickets.Ticket,
+    pending: _Pending,
+) -> None:
+    """Claim, run and settle, also when the caller has gone meanwhile."""
+    try:
+        reply = await _claim(state, ports, job, key, ticket)
+        if not reply.granted:
+            _deliver(pending, _render_claim(reply))
+            return
+        ended = await attempts.run(state, ports, job)
+        _deliver(pending, _render(ended))
+    except Exception:
+        _log.exception("A claimed request failed.")
+        _deliver(pending, problem.response(_exceptions.ErrorKind.INTERNAL))
+        return
+    settled = messages.SettleRequest(
+        key=key, grant=reply.grant, outcome=ended.outcome, response=ended.response
+    )
+    await claims.settle(state.table, ports.claims, settled, ticket=ticket)
+
+
+async def _claim(
+    state: context.State,
+    ports: context.Ports,
+    job: checks.Job,
+    key: str,
+    ticket: tickets.Ticket,
+) -> messages.ClaimReply:
+    left = job.deadline - trio.current_time()
+    request = messages.ClaimRequest(
+        key=key,
+        fingerprint=claims.fingerprint(job.request),
+        timeout_milliseconds=int(left * 1000),
+    )
+    return await claims.claim(
+        state.table, ports.claims, request, ticket=ticket, timeout_seconds=left
+    )
+
+
+def _deliver(pending: _Pending, response: messages.Response) -> None:
+    pending.response = response
+    pending.ready.set()
+
+
+def _render_claim(reply: messages.ClaimReply) -> messages.Response:
+    if reply.response is not None:
+        return reply.response
+    return problem.response(reply.error or _exceptions.ErrorKind.OUTCOME_UNKNOWN)
+
+
+def _admit_execute(
+    state: context.State, request: messages.ExecuteRequest, deadline: float
+) -> checks.Job | _exceptions.ErrorKind:
+    """Check a sibling's request; return why it is refused."""
+    try:
+        view, pool = checks.known_pool(state, request.service)
+    except _exceptions.PlantainError as error:
+        return error.kind
+    own = attempts.own_load(state, view, pool, now=trio.current_time())
+    if own.draining or not own.available:
+        return _exceptions.ErrorKind.NO_UPSTREAM
+    if not own.admits:
+        return _exceptions.ErrorKind.OVERLOADED
+    if request.timeout_milliseconds <= 0:
+        return _exceptions.ErrorKind.DEADLINE_EXPIRED
+    return checks.Job(
+        request=request.request,
+        service=request.service,
+        view=view,
+        pool=pool,
+        deadline=deadline,
+        repeatable=False,
+    )
+
+
+def _reply(state: context.State, ended: attempts.Ended) -> messages.ExecuteReply:
+    max_running = 1
+    if state.view is not None and state.view.pool is not None:
+        max_running = state.view.pool.max_running
+    response = ended.response
+    if response is not None:
+        response = _without_ticket(response)
+        headers = response.headers + context.ticket_headers(state)
+        response = dataclasses.replace(response, headers=headers)
+    return messages.ExecuteReply(
+        running=state.admission_state.running,
+        limit=admission.limit(
+            state.admission_state, max_running=max_running, now=trio.current_time()
+        ),
+        response=response,
+        error=ended.error,
+        detail=ended.detail,
+    )
+
+
+def _render(ended: attempts.Ended) -> messages.Response:
+    if ended.response is not None:
+        return ended.response
+    kind = ended.error or _exceptions.ErrorKind.INTERNAL
+    return problem.response(kind, ended.detail, outcome=ended.outcome)
+
+
+def _without_ticket(response: messages.Response) -> messages.Response:
+    headers = tuple(
+        field
+        for field in response.headers
+        if field.name.lower() != context.TICKET_HEADER
+    )
+    return dataclasses.replace(response, headers=headers)
--- /dev/null
+++ b/plantainproxy/sidecar/tests/test_requests.py
@@ -0,0 +1,462 @@
+"""The pipeline of a request, driven through its ports without sockets."""
+
+import collections
+from collections.abc import Awaitable, Callable
+import dataclasses
+import json
+import random
+
+import pytest
+import trio
+import trio.testing
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.config import model
+from plantainproxy.core import admission, tickets
+from plantainproxy.core import claims as claim_table
+from plantainproxy.rpc import messages
+from plantainproxy.sidecar import claims, context, requests, upstream
+from plantainproxy.wire import keyring
+
+SERVICE = _types.Address("10.0.0.1", 443)
+RING = keyring.Keyring(
+    model.KeySet(revision=1, current=1, keys=(model.Key(number=1, secret=b"s" * 32),))
+)
+VIEW = model.PoolView(
+    revision=1,
+    pool=model.Pool(name="fleet"),
+    services=(SERVICE,),
+    domain_number=0,
+    domain_in=True,
+    drained=False,
+)
+Kind = _exceptions.ErrorKind
+Outcome = _types.Outcome
+
+
+@dataclasses.dataclass(kw_only=True)
+class Fleet:
+    """Sidecars of one pool in one process, joined by a network that may lose."""
+
+    nursery: trio.Nursery
+    draw: random.Random
+    states: dict[_types.Address, context.State] = dataclasses.field(
+        default_factory=dict
+    )
+    runs: "collections.Counter[str]" = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    """Executions of each token."""
+    ran_at: "collections.Counter[_types.Address]" = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    results: list[upstream.Result] = dataclasses.field(default_factory=list)
+    """What the upstreams answer next; a success when empty."""
+    service_seconds: float = 0.01
+    loss: float = 0.0
+
+    async def run(
+        self, address: _types.Address, request: messages.Request, timeout: float
+    ) -> upstream.Result:
+        """Stand in for the upstream of one sidecar."""
+        result = self.results.pop(0) if self.results else None
+        if result is not None and result.error is not None:
+            if _exceptions.ANSWERS[result.error].outcome is not Outcome.NOT_RUN:
+                self.runs[_token(request)] += 1
+            return result
+        self.runs[_token(request)] += 1
+        self.ran_at[address] += 1
+        with trio.move_on_after(timeout):
+            await trio.sleep(self.service_seconds)
+            response = messages.Response(status=200, body=request.body)
+            return upstream.Result(signal=admission.Signal.SUCCESS, response=response)
+        return _failed(Kind.UPSTREAM_TIMEOUT)
+
+    async def deliver(self, call: Callable[[], Awaitable[object]]) -> object:
+        """Carry a call; lose it on the way there or back."""
+        if self.draw.random() < self.loss:
+            raise _exceptions.PlantainError(Kind.PEER_UNAVAILABLE)
+        reply = await call()
+        await trio.sleep(self.draw.random() * 0.01)
+        if self.draw.random() < self.loss:
+            raise _exceptions.PlantainError(Kind.PEER_UNAVAILABLE)
+        return reply
+
+    def ports(self, address: _types.Address) -> context.Ports:
+        """Return the ports of one sidecar."""
+
+        async def run(request: messages.Request, timeout: float) -> upstream.Result:
+            return await self.run(address, request, timeout)
+
+        async def execute(
+            to: _types.Address, request: messages.ExecuteRequest, _: float
+        ) -> messages.ExecuteReply:
+            reply = await self.deliver(
+                lambda: requests.handle_execute(
+                    self.states[to], self.ports(to), request
+                )
+            )
+            assert isinstance(reply, messages.ExecuteReply)
+            return reply
+
+        async def claim(
+            to: _types.Address, request: messages.ClaimRequest, _: float
+        ) -> messages.ClaimReply:
+            async def call() -> messages.ClaimReply:
+                now = trio.current_time()
+                table = self.states[to].table
+                return claims.handle_claim(table, RING, request, now=now)
+
+            reply = await self.deliver(call)
+            assert isinstance(reply, messages.ClaimReply)
+            return reply
+
+        async def settle(
+            to: _types.Address, request: messages.SettleRequest, _: float
+        ) -> messages.SettleReply:
+            async def call() -> messages.SettleReply:
+                return claims.handle_settle(self.states[to].table, request)
+
+            reply = await self.deliver(call)
+            assert isinstance(reply, messages.SettleReply)
+            return reply
+
+        return context.Ports(
+            run=run,
+            execute=execute,
+            claims=claims.Ports(claim=claim, settle=settle),
+            start_soon=self.nursery.start_soon,
+            random=self.draw.random,
+        )
+
+    async def ask(
+        self, address: _types.Address, request: messages.Request
+    ) -> messages.Response:
+        """Send a request to one sidecar."""
+        return await requests.handle(
+            self.states[address], self.ports(address), request, service=SERVICE
+        )
+
+
+def _failed(
+    kind: _exceptions.ErrorKind,
+    signal: admission.Signal = admission.Signal.NEUTRAL,
+) -> upstream.Result:
+    return upstream.Result(signal=signal, error=kind)
+
+
+def _token(request: messages.Request) -> str:
+    return request.body.decode()
+
+
+def _address(number: int) -> _types.Address:
+    return _types.Address("127.0.0.1", 7000 + number)
+
+
+def _state(address: _types.Address) -> context.State:
+    table = claim_table.Table(
+        home=address, generation=address.port, tag=tickets.pool_tag("fleet")
+    )
+    state = context.State(
+        own=address,
+        table=table,
+        max_body_bytes=1000,
+        default_timeout_seconds=5.0,
+        ring=RING,
+    )
+    context.update_view(state, VIEW, now=0.0)
+    return state
+
+
+def _run(
+    scenario: Callable[[Fleet], Awaitable[None]], *, sidecars: int = 2, seed: int = 1
+) -> None:
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery=nursery, draw=random.Random(seed))
+            records = []
+            for number in range(sidecars):
+                address = _address(number)
+                fleet.states[address] = _state(address)
+                records.append(
+                    _types.MemberRecord(
+                        kind=_types.MemberKind.SIDECAR,
+                        rpc=address,
+                        domain="matane",
+                        generation=address.port,
+                        sequence=1,
+                    )
+                )
+            for state in fleet.states.values():
+                context.update_siblings(state, tuple(records))
+            await scenario(fleet)
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def _request(
+    method: str = "GET", *, body: bytes = b"a", **headers: str
+) -> messages.Request:
+    fields = tuple(
+        messages.Header(name=name.replace("_", "-").encode(), value=value.encode())
+        for name, value in headers.items()
+    )
+    return messages.Request(method=method, path="/x", headers=fields, body=body)
+
+
+def _ticket(fleet: Fleet, number: int = 0) -> str:
+    headers = context.ticket_headers(fleet.states[_address(number)])
+    return headers[0].value.decode()
+
+
+def _told(response: messages.Response) -> tuple[str, str]:
+    """Return the error kind and the outcome that a response tells."""
+    document = json.loads(response.body)
+    return document["type"].rpartition(":")[2], document["outcome"]
+
+
+@pytest.mark.parametrize(
+    ("request_", "told"),
+    [
+        (_request("CONNECT"), ("bad-request", "not-run")),
+        (_request(body=b"x" * 1001), ("too-large", "not-run")),
+        (_request(x="y" * 70_000), ("too-large", "not-run")),
+        (_request(request_timeout_ms="soon"), ("bad-request", "not-run")),
+        (_request(request_timeout_ms="0"), ("deadline-expired", "not-run")),
+        (
+            _request("POST", idempotency_key="mine"),
+            ("ticket-required", "not-run"),
+        ),
+        (
+            _request("POST", idempotency_key="mine", request_timeout_ms="0"),
+            ("deadline-expired", "unknown"),
+        ),
+    ],
+)
+def test_bad_requests_are_refused_before_anything_runs(
+    request_: messages.Request, told: tuple[str, str]
+) -> None:
+    """With a key, an earlier attempt may have run whatever this one did."""
+
+    async def scenario(fleet: Fleet) -> None:
+        response = await fleet.ask(_address(0), request_)
+        assert _told(response) == told
+        assert not fleet.runs
+
+    _run(scenario)
+
+
+def test_unknown_is_not_empty() -> None:
+    """Without a view, and for a service of another pool, nothing runs."""
+
+    async def scenario(fleet: Fleet) -> None:
+        state = fleet.states[_address(0)]
+        moved = dataclasses.replace(VIEW, revision=2, services=())
+        context.update_view(state, moved, now=0.0)
+        response = await fleet.ask(_address(0), _request())
+        assert _told(response) == ("no-upstream", "not-run")
+        state.view = None
+        response = await fleet.ask(_address(0), _request())
+        assert _told(response) == ("not-ready", "not-run")
+        assert not fleet.runs
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("method", "results", "status", "runs"),
+    [
+        ("GET", [Kind.UPSTREAM_FAILED], 200, 2),
+        ("PUT", [Kind.UPSTREAM_FAILED, Kind.UPSTREAM_FAILED], 200, 3),
+        ("GET", [Kind.UPSTREAM_FAILED] * 3, 502, 3),
+        ("GET", [Kind.UPSTREAM_FAILED, Kind.OVERLOADED, Kind.OVERLOADED], 503, 1),
+        ("GET", [Kind.UPSTREAM_TIMEOUT], 504, 1),
+        ("POST", [Kind.UPSTREAM_FAILED], 502, 1),
+        ("POST", [Kind.OVERLOADED, Kind.NO_UPSTREAM], 200, 1),
+        ("POST", [Kind.OVERLOADED, Kind.UPSTREAM_FAILED], 502, 1),
+        ("BREW", [Kind.UPSTREAM_FAILED], 502, 1),
+        ("POST", [Kind.BAD_REQUEST], 400, 0),
+    ],
+)
+def test_retries_follow_method_and_outcome(
+    method: str, results: list[_exceptions.ErrorKind], status: int, runs: int
+) -> None:
+    """After a first byte only idempotent methods are tried again."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.results = [_failed(kind) for kind in results]
+        response = await fleet.ask(_address(0), _request(method))
+        assert response.status == status
+        assert fleet.runs["a"] == runs
+        if status >= 400:
+            expected = Outcome.UNKNOWN if runs else Outcome.NOT_RUN
+            assert _told(response)[1] == expected.value
+
+    _run(scenario)
+
+
+def test_lost_answer_of_a_sibling_is_unknown() -> None:
+    """It may have run there, so it is not tried again."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.states[_address(0)].stopping = True
+        fleet.loss = 1.0
+        response = await fleet.ask(_address(0), _request("POST"))
+        assert _told(response) == ("upstream-failed", "unknown")
+
+    _run(scenario)
+
+
+def test_draining_upstream_gets_no_new_work_while_siblings_take_it() -> None:
+    """The line beside it keeps answering, with a ticket that will last."""
+
+    async def scenario(fleet: Fleet) -> None:
+        state = fleet.states[_address(0)]
+        state.stopping = True
+        response = await fleet.ask(_address(0), _request())
+        assert response.status == 200
+        assert fleet.ran_at == {_address(1): 1}
+        given = {field.name: field.value for field in response.headers}
+        text = given[context.TICKET_HEADER].decode() + ".x"
+        assert tickets.decode(RING, text).home == _address(1)
+        assert context.ticket_headers(state) == ()
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("wait", "status"), [(0.0, 200), (2.9, 200), (3.1, 503), (60.0, 503)]
+)
+def test_drained_upstream_without_siblings_serves_only_for_a_moment(
+    wait: float, status: int
+) -> None:
+    """Serving beats refusing, but not for long."""
+
+    async def scenario(fleet: Fleet) -> None:
+        drained = dataclasses.replace(VIEW, revision=2, drained=True)
+        now = trio.current_time()
+        context.update_view(fleet.states[_address(0)], drained, now=now)
+        await trio.sleep(wait)
+        response = await fleet.ask(_address(0), _request())
+        assert response.status == status
+
+    _run(scenario, sidecars=1)
+
+
+def test_execute_makes_no_second_hop() -> None:
+    """A sidecar that may not run a sibling's request refuses it."""
+
+    async def scenario(fleet: Fleet) -> None:
+        address = _address(1)
+        fleet.states[address].stopping = True
+        reply = await requests.handle_execute(
+            fleet.states[address],
+            fleet.ports(address),
+            messages.ExecuteRequest(
+                service=SERVICE, request=_request(), timeout_milliseconds=1000
+            ),
+        )
+        assert reply.error is Kind.NO_UPSTREAM
+        stray = messages.ExecuteRequest(
+            service=_address(9), request=_request(), timeout_milliseconds=1000
+        )
+        state = fleet.states[_address(0)]
+        reply = await requests.handle_execute(state, fleet.ports(_address(0)), stray)
+        assert reply.error is Kind.NO_UPSTREAM
+        assert not fleet.runs
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize("second", [0, 1, 2])
+def test_repeated_key_gets_the_stored_answer_everywhere(second: int) -> None:
+    """Through any sidecar, whether it is the key's home or not."""
+
+    async def scenario(fleet: Fleet) -> None:
+        key = _ticket(fleet, 1) + ".k"
+        request = _request("POST", idempotency_key=key)
+        first = await fleet.ask(_address(0), request)
+        await trio.sleep(1.0)
+        again = await fleet.ask(_address(second), request)
+        assert (first.status, again) == (200, first)
+        other = _request("POST", body=b"b", idempotency_key=key)
+        reused = await fleet.ask(_address(second), other)
+        assert _told(reused) == ("key-reused", "not-run")
+        assert fleet.runs == {"a": 1}
+
+    _run(scenario, sidecars=3)
+
+
+def test_key_whose_caller_left_runs_on_and_keeps_its_answer() -> None:
+    """Meanwhile a repetition is told that it still runs."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.service_seconds = 2.0
+        request = _request("POST", idempotency_key=_ticket(fleet) + ".k")
+        with trio.move_on_after(0.5):
+            await fleet.ask(_address(0), request)
+        response = await fleet.ask(_address(1), request)
+        assert _told(response) == ("still-running", "unknown")
+        await trio.sleep(2.0)
+        response = await fleet.ask(_address(1), request)
+        assert response.body == b"a"
+        assert fleet.runs == {"a": 1}
+
+    _run(scenario)
+
+
+def test_request_without_a_key_ends_with_its_caller() -> None:
+    """Its cancellation frees the slot."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.service_seconds = 2.0
+        with trio.move_on_after(0.5):
+            await fleet.ask(_address(0), _request("POST"))
+        assert fleet.states[_address(0)].admission_state.running == 0
+
+    _run(scenario)
+
+
+def test_key_of_a_replaced_home_is_unknown() -> None:
+    """Its successor at the same address does not vouch for it."""
+
+    async def scenario(fleet: Fleet) -> None:
+        key = _ticket(fleet) + ".k"
+        fleet.states[_address(0)].table.generation += 1
+        for number in (0, 1):
+            response = await fleet.ask(
+                _address(number), _request("POST", idempotency_key=key)
+            )
+            assert _told(response) == ("outcome-unknown", "unknown")
+        assert not fleet.runs
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_no_loss_doubles_a_key_or_makes_a_refusal_untrue(seed: int) -> None:
+    """Callers repeat keys through any sidecar while calls are lost."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.loss = 0.3
+        draw = fleet.draw
+
+        async def caller(token: str) -> None:
+            key = f"{_ticket(fleet, draw.randrange(4))}.{token}"
+            request = _request("POST", body=token.encode(), idempotency_key=key)
+            for _ in range(5):
+                with trio.move_on_after(draw.choice([0.005, 5.0])):
+                    response = await fleet.ask(_address(draw.randrange(4)), request)
+                    if response.status == 200:
+                        assert response.body == token.encode()
+                        return
+                    if _told(response)[1] == Outcome.NOT_RUN.value:
+                        assert fleet.runs[token] == 0
+                await trio.sleep(draw.random() * 3)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(60):
+                nursery.start_soon(caller, str(number))
+        assert set(fleet.runs.values()) == {1}
+
+    _run(scenario, sidecars=4, seed=seed)
--- /dev/null
+++ b/plantainproxy/sidecar/tests/test_upstream.py
@@ -0,0 +1,335 @@
+"""The truth of "not run" and whole answers, over real sockets."""
+
+from collections.abc import Awaitable, Callable
+import dataclasses
+
+import pytest
+import trio
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.core import admission
+from plantainproxy.rpc import messages
+from plantainproxy.sidecar import upstream
+from standins import upstream as standin
+
+HANG_GUARD_SECONDS = 10.0
+POST = messages.Request(
+    method="POST",
+    path="/blade",
+    headers=(
+        messages.Header(name=b"token", value=b"t1"),
+        messages.Header(name=b"connection", value=b"x-private"),
+        messages.Header(name=b"x-private", value=b"1"),
+    ),
+    body=b"x" * 5000,
+)
+HEAD = b"HTTP/1.1 200 OK\r\n"
+
+Serve = Callable[[trio.SocketStream], Awaitable[None]]
+Drive = Callable[[upstream.Pool], Awaitable[None]]
+
+
+def _with_server(serve: Serve, drive: Drive) -> None:
+    async def run() -> None:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        address = _types.Address(*listeners[0].socket.getsockname())
+        with trio.fail_after(HANG_GUARD_SECONDS):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(trio.serve_listeners, serve, listeners)
+                with upstream.open_pool(address) as pool:
+                    await drive(pool)
+                nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+async def _read_request(stream: trio.SocketStream) -> bytes:
+    """Read a request with the body of ``POST``, or one without a body."""
+    received = b""
+    while not received.endswith((b"\r\n\r\n", b"\r\n\r\n" + POST.body)):
+        part = await stream.receive_some(65536)
+        if not part:
+            return received
+        received += part
+    return received
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Cut:
+    """What a server does with one exchange, and what must be said of it."""
+
+    name: str
+    answer: bytes | None
+    """What is sent before the connection closes; ``None`` to stay silent."""
+    error: _exceptions.ErrorKind
+    whole: bool = False
+    """Whether the answer is whole, so that the connection may be kept."""
+
+
+CUTS = [
+    Cut(
+        name="closed after the first byte",
+        answer=b"",
+        error=_exceptions.ErrorKind.UPSTREAM_FAILED,
+    ),
+    Cut(
+        name="cut in the status line",
+        answer=b"HTTP/1.1 2",
+        error=_exceptions.ErrorKind.UPSTREAM_FAILED,
+    ),
+    Cut(
+        name="cut in a body of known length",
+        answer=HEAD + b"content-length: 9\r\n\r\nhalf",
+        error=_exceptions.ErrorKind.UPSTREAM_FAILED,
+    ),
+    Cut(
+        name="cut between chunks",
+        answer=HEAD + b"transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        error=_exceptions.ErrorKind.UPSTREAM_FAILED,
+    ),
+    Cut(
+        name="length not told",
+        answer=HEAD + b"\r\nperhaps whole",
+        error=_exceptions.ErrorKind.UPSTREAM_FAILED,
+    ),
+    Cut(
+        name="not HTTP",
+        answer=b"SSH-2.0\r\n\r\n",
+        error=_exceptions.ErrorKind.UPSTREAM_FAILED,
+    ),
+    Cut(
+        name="silent",
+        answer=None,
+        error=_exceptions.ErrorKind.UPSTREAM_TIMEOUT,
+    ),
+    Cut(
+        name="not run by contract",
+        answer=b"HTTP/1.1 503 Full\r\nplantain-not-run: true\r\n"
+        b"content-length: 0\r\n\r\n",
+        error=_exceptions.ErrorKind.OVERLOADED,
+        whole=True,
+    ),
+]
+
+
+@pytest.mark.parametrize("cut", CUTS, ids=lambda cut: cut.name)
+def test_not_run_is_said_only_by_contract_once_a_byte_was_sent(cut: Cut) -> None:
+    """Every way to break an exchange after its first byte."""
+
+    async def serve(stream: trio.SocketStream) -> None:
+        await _read_request(stream)
+        if cut.answer is None:
+            await trio.sleep_forever()
+        await stream.send_all(cut.answer or b"")
+        await stream.aclose()
+
+    async def drive(pool: upstream.Pool) -> None:
+        result = await upstream.exchange(pool, POST, timeout_seconds=0.3)
+        assert result.response is None
+        assert result.error is cut.error
+        assert bool(pool.idle) is cut.whole
+
+    _with_server(serve, drive)
+
+
+def test_refused_connection_is_not_run() -> None:
+    """No byte can have reached anybody."""
+
+    async def run() -> None:
+        with trio.socket.socket() as unused:
+            await unused.bind(("127.0.0.1", 0))
+            address = _types.Address(*unused.getsockname())
+            with upstream.open_pool(address) as pool:
+                result = await upstream.exchange(pool, POST, timeout_seconds=2.0)
+        assert result.error is _exceptions.ErrorKind.NO_UPSTREAM
+        assert result.signal is admission.Signal.CONNECTION
+
+    trio.run(run)
+
+
+def test_unencodable_request_is_refused_before_it_is_sent() -> None:
+    """A line break in a header never reaches the upstream."""
+    bad = messages.Header(name=b"x", value=b"a\r\nb: c")
+    request = dataclasses.replace(POST, headers=(bad,))
+
+    async def serve(stream: trio.SocketStream) -> None:
+        assert not await _read_request(stream)
+
+    async def drive(pool: upstream.Pool) -> None:
+        result = await upstream.exchange(pool, request, timeout_seconds=2.0)
+        assert result.error is _exceptions.ErrorKind.BAD_REQUEST
+
+    _with_server(serve, drive)
+
+
+def test_kept_connection_that_the_upstream_closed_is_replaced() -> None:
+    """Nothing was sent on it, so nobody hears of it."""
+    accepted = 0
+
+    async def serve(stream: trio.SocketStream) -> None:
+        nonlocal accepted
+        accepted += 1
+        await _read_request(stream)
+        await stream.send_all(HEAD + b"content-length: 2\r\n\r\nok")
+        await stream.aclose()
+
+    async def drive(pool: upstream.Pool) -> None:
+        request = messages.Request(method="GET", path="/")
+        for _ in range(3):
+            result = await upstream.exchange(pool, request, timeout_seconds=2.0)
+            assert result.response is not None
+            assert result.response.body == b"ok"
+            assert len(pool.idle) == 1
+            while not pool.idle[0].socket.is_readable():
+                await trio.sleep(0.001)
+        assert accepted == 3
+
+    _with_server(serve, drive)
+
+
+def _with_standin(settings: standin.Settings, drive: "StandinDrive") -> None:
+    async def run_all(pool: upstream.Pool) -> None:
+        await drive(pool, states[0])
+
+    states: list[standin.State] = []
+
+    async def serve(stream: trio.SocketStream) -> None:
+        if not states:
+            states.append(standin.create(settings))
+        await standin.serve_connection(states[0], stream)
+
+    async def with_state(pool: upstream.Pool) -> None:
+        states.append(standin.create(settings))
+        await run_all(pool)
+
+    _with_server(serve, with_state)
+
+
+StandinDrive = Callable[[upstream.Pool, standin.State], Awaitable[None]]
+
+
+def test_answer_is_whole_and_connections_are_kept() -> None:
+    """The answer belongs to its request; hop-by-hop fields stay behind."""
+
+    async def drive(pool: upstream.Pool, state: standin.State) -> None:
+        for _ in range(3):
+            result = await upstream.exchange(pool, POST, timeout_seconds=2.0)
+            assert result.response is not None
+            assert b'"body_bytes": 5000' in result.response.body
+            assert messages.Header(name=b"token", value=b"t1") in (
+                result.response.headers
+            )
+        assert len(pool.idle) == 1
+        assert len(state.executions) == 3
+
+    _with_standin(standin.Settings(service_seconds=0.001), drive)
+
+
+def test_answers_of_concurrent_requests_are_not_mixed_up() -> None:
+    """Each exchange has a connection for itself."""
+
+    async def drive(pool: upstream.Pool, _: standin.State) -> None:
+        async def one(number: int) -> None:
+            request = messages.Request(method="GET", path=f"/{number}")
+            result = await upstream.exchange(pool, request, timeout_seconds=5.0)
+            assert result.response is not None
+            assert b'"path": "/%d"' % number in result.response.body
+
+        async with trio.open_nursery() as nursery:
+            for number in range(20):
+                nursery.start_soon(one, number)
+        assert len(pool.idle) <= upstream.KEPT_CONNECTIONS
+
+    _with_standin(standin.Settings(service_seconds=0.002), drive)
+
+
+def test_cancellation_reaches_the_upstream() -> None:
+    """The exchange's connection closes, and what runs there ends."""
+
+    async def drive(pool: upstream.Pool, state: standin.State) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_exchange_forever, pool)
+            while not state.executions:
+                await trio.sleep(0.001)
+            nursery.cancel_scope.cancel()
+        while not state.cancelled:
+            await trio.sleep(0.001)
+        assert state.executions[0].cancelled
+        assert state.running == 0
+
+    _with_standin(standin.Settings(service_seconds=60.0), drive)
+
+
+async def _exchange_forever(pool: upstream.Pool) -> None:
+    await upstream.exchange(pool, POST, timeout_seconds=60.0)
+
+
+def test_deadline_reaches_the_upstream() -> None:
+    """The upstream gives up by itself, and the client does so too."""
+
+    async def drive(pool: upstream.Pool, state: standin.State) -> None:
+        result = await upstream.exchange(pool, POST, timeout_seconds=0.05)
+        assert result.response is None or result.response.status == 504
+        while not state.expired and not state.cancelled:
+            await trio.sleep(0.001)
+        assert state.executions[0].end is None
+
+    _with_standin(standin.Settings(service_seconds=60.0), drive)
+
+
+@pytest.mark.parametrize(
+    ("settings", "expected"),
+    [
+        (
+            standin.Settings(fault="cut"),
+            _exceptions.ErrorKind.UPSTREAM_FAILED,
+        ),
+        (
+            standin.Settings(fault="close"),
+            _exceptions.ErrorKind.UPSTREAM_FAILED,
+        ),
+        (
+            standin.Settings(fault="freeze"),
+            _exceptions.ErrorKind.UPSTREAM_TIMEOUT,
+        ),
+        (
+            standin.Settings(draining=True),
+            _exceptions.ErrorKind.OVERLOADED,
+        ),
+    ],
+)
+def test_faults_of_the_upstream_have_their_kind(
+    settings: standin.Settings, expected: _exceptions.ErrorKind
+) -> None:
+    """What ran is never called "not run"."""
+
+    async def drive(pool: upstream.Pool, state: standin.State) -> None:
+        result = await upstream.exchange(pool, POST, timeout_seconds=0.3)
+        assert result.error is expected
+        not_run = _exceptions.ANSWERS[expected].outcome is _types.Outcome.NOT_RUN
+        assert not_run == (not state.executions)
+
+    _with_standin(settings, drive)
+
+
+@pytest.mark.parametrize(
+    ("settings", "expected"),
+    [
+        (standin.Settings(draining=True), admission.Report(draining=True)),
+        (standin.Settings(health_lie=3), admission.Report(limit=3)),
+        (standin.Settings(fault="freeze"), None),
+    ],
+)
+def test_health_report_is_read(
+    settings: standin.Settings, expected: admission.Report | None
+) -> None:
+    """A silent upstream has no report."""
+
+    async def drive(pool: upstream.Pool, state: standin.State) -> None:
+        report = await upstream.read_health(pool)
+        if expected is not None:
+            assert report == dataclasses.replace(expected, started=state.started)
+        else:
+            assert report is None
+
+    _with_standin(settings, drive)
--- /dev/null
+++ b/plantainproxy/sidecar/upstream.py
@@ -0,0 +1,389 @@
+"""The HTTP/1.1 client of one upstream.
+
+Each exchange has a connection for itself. It counts the bytes that the kernel took,
+so that "not run" is said only when there was none, or when the upstream said so
+itself by a 503 with the header ``plantain-not-run: true``.
+"""
+
+from collections.abc import Awaitable, Callable, Iterator
+import contextlib
+import dataclasses
+import logging
+import socket
+
+import h11
+import msgspec
+import trio
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.core import admission
+from plantainproxy.rpc import messages
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+HEALTH_INTERVAL_SECONDS = 1.0
+HEALTH_TIMEOUT_SECONDS = 1.0
+KEPT_CONNECTIONS = 16
+KEPT_SECONDS = 2.0
+"""An idle connection older than this is not used again."""
+MAX_RESPONSE_BYTES = 8_388_608
+MAX_HEADER_BYTES = 65_536
+RECEIVE_BYTES = 65_536
+TIMEOUT_HEADER = b"request-timeout-ms"
+NOT_RUN_HEADER = b"plantain-not-run"
+STARTED_HEADER = b"plantain-started"
+BODILESS_STATUSES = frozenset({204, 304})
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+REPLACED_REQUEST_HEADERS = frozenset({b"content-length", b"expect", TIMEOUT_HEADER})
+REMOVED_RESPONSE_HEADERS = frozenset({NOT_RUN_HEADER, STARTED_HEADER})
+
+_log = logging.getLogger("plantain.upstream")
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Result:
+    """How one exchange ended: a whole response or an error kind."""
+
+    signal: admission.Signal
+    response: messages.Response | None = None
+    error: _exceptions.ErrorKind | None = None
+    detail: str = ""
+    started: str = ""
+    """The upstream's start as its answer names it; empty when it does not."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Connection:
+    """One connection to the upstream, owned by one exchange at a time."""
+
+    socket: trio.socket.SocketType
+    http: h11.Connection
+    idle_since: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Pool:
+    """The idle connections to one upstream, the latest used last."""
+
+    address: _types.Address
+    idle: list[Connection] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """How far an exchange has come."""
+
+    sent_bytes: int = 0
+
+
+class _Report(msgspec.Struct):
+    """The JSON document of a health report; unknown members are ignored."""
+
+    started: str = ""
+    limit: int | None = None
+    draining: bool = False
+
+
+@contextlib.contextmanager
+def open_pool(address: _types.Address) -> Iterator[Pool]:
+    """Hold the connections to one upstream."""
+    pool = Pool(address=address)
+    try:
+        yield pool
+    finally:
+        for connection in pool.idle:
+            connection.socket.close()
+        pool.idle.clear()
+
+
+async def exchange(
+    pool: Pool, request: messages.Request, *, timeout_seconds: float
+) -> Result:
+    """Run one request; cancelling it closes its connection."""
+    progress = _Progress()
+    with trio.move_on_after(timeout_seconds):
+        try:
+            return await _exchange(pool, request, progress, timeout_seconds)
+        except h11.LocalProtocolError as error:
+            return _malformed(progress, str(error))
+        except (OSError, EOFError, h11.RemoteProtocolError) as error:
+            return _broken(progress, str(error) or type(error).__name__)
+    return _timed_out(progress)
+
+
+async def poll_health(
+    pool: Pool, observe: Callable[[admission.Report | None], None]
+) -> None:
+    """Ask for a health report every second; ``None`` where nobody answered."""
+    while True:
+        observe(await read_health(pool))
+        await trio.sleep(HEALTH_INTERVAL_SECONDS)
+
+
+async def read_health(pool: Pool) -> admission.Report | None:
+    """Ask once; an answer without a readable report is an empty report."""
+    request = messages.Request(method="GET", path="/health")
+    result = await exchange(pool, request, timeout_seconds=HEALTH_TIMEOUT_SECONDS)
+    if result.signal is admission.Signal.OVERLOAD and result.response is None:
+        return admission.Report()
+    if result.response is None:
+        return None
+    try:
+        report = msgspec.json.decode(result.response.body, type=_Report)
+    except msgspec.MsgspecError:
+        return admission.Report()
+    return admission.Report(
+        started=report.started, limit=report.limit, draining=report.draining
+    )
+
+
+async def _exchange(
+    pool: Pool,
+    request: messages.Request,
+    progress: _Progress,
+    timeout_seconds: float,
+) -> Result:
+    with _lease() as lease:
+        connection = await _send(pool, request, progress, timeout_seconds, lease)
+        result = await _receive(connection, request)
+        _give_back(pool, connection, lease)
+        return result
+
+
+@contextlib.contextmanager
+def _lease() -> Iterator[list[Connection]]:
+    """Close the connections that are still in the lease at its end."""
+    lease: list[Connection] = []
+    try:
+        yield lease
+    finally:
+        for connection in lease:
+            connection.socket.close()
+
+
+def _give_back(pool: Pool, connection: Connection, lease: list[Connection]) -> None:
+    """Keep a connection whose exchange is complete on both sides."""
+    http = connection.http
+    if (http.our_state, http.their_state) != (h11.DONE, h11.DONE):
+        return
+    if len(pool.idle) >= KEPT_CONNECTIONS:
+        return
+    http.start_next_cycle()
+    connection.idle_since = trio.current_time()
+    lease.remove(connection)
+    pool.idle.append(connection)
+
+
+async def _send(
+    pool: Pool,
+    request: messages.Request,
+    progress: _Progress,
+    timeout_seconds: float,
+    lease: list[Connection],
+) -> Connection:
+    """Send on a kept connection, or on a new one when none of those works."""
+    while kept := _take_kept(pool):
+        lease.append(kept)
+        if await _try_send(kept, request, progress, timeout_seconds):
+            return kept
+        kept.socket.close()
+        lease.remove(kept)
+    connection = await _connect(pool.address, lease)
+    if not await _try_send(connection, request, progress, timeout_seconds):
+        raise ConnectionResetError("closed before the first byte was sent")
+    return connection
+
+
+def _take_kept(pool: Pool) -> Connection | None:
+    """Take an idle connection that the upstream has left open and silent."""
+    oldest = trio.current_time() - KEPT_SECONDS
+    while pool.idle:
+        connection = pool.idle.pop()
+        if connection.idle_since >= oldest and not connection.socket.is_readable():
+            return connection
+        connection.socket.close()
+    return None
+
+
+async def _connect(address: _types.Address, lease: list[Connection]) -> Connection:
+    opened = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    http = h11.Connection(
+        our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
+    )
+    connection = Connection(socket=opened, http=http)
+    lease.append(connection)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    with trio.move_on_after(CONNECT_TIMEOUT_SECONDS):
+        await opened.connect(address)
+        return connection
+    raise TimeoutError("the connection was not accepted in time")
+
+
+async def _try_send(
+    connection: Connection,
+    request: messages.Request,
+    progress: _Progress,
+    timeout_seconds: float,
+) -> bool:
+    """Send the request; return false when not a byte of it could be sent.
+
+    When the connection breaks later, the upstream may have answered before it read
+    all, so the answer is still read.
+    """
+    rest = memoryview(_encode(connection.http, request, timeout_seconds))
+    while rest:
+        try:
+            count = await connection.socket.send(rest)
+        except OSError:
+            return progress.sent_bytes > 0
+        progress.sent_bytes += count
+        rest = rest[count:]
+    return True
+
+
+def _encode(
+    http: h11.Connection, request: messages.Request, timeout_seconds: float
+) -> bytes:
+    milliseconds = max(int(timeout_seconds * 1000), 1)
+    named = _connection_options(request.headers)
+    dropped = HOP_BY_HOP | REPLACED_REQUEST_HEADERS | named
+    fields = [
+        (field.name, field.value)
+        for field in request.headers
+        if field.name.lower() not in dropped
+    ]
+    if not any(name.lower() == b"host" for name, _ in fields):
+        fields.insert(0, (b"host", b"upstream"))
+    fields.append((TIMEOUT_HEADER, b"%d" % milliseconds))
+    if request.body or request.method not in {"GET", "HEAD", "OPTIONS"}:
+        fields.append((b"content-length", b"%d" % len(request.body)))
+    head = h11.Request(
+        method=request.method.encode(), target=request.path.encode(), headers=fields
+    )
+    parts = [http.send(head)]
+    if request.body:
+        parts.append(http.send(h11.Data(data=request.body)))
+    parts.append(http.send(h11.EndOfMessage()))
+    return b"".join(part for part in parts if part)
+
+
+def _connection_options(headers: tuple[messages.Header, ...]) -> frozenset[bytes]:
+    """Return the header names that a ``Connection`` field declares hop-by-hop."""
+    return frozenset(
+        option.strip().lower()
+        for field in headers
+        if field.name.lower() == b"connection"
+        for option in field.value.split(b",")
+    )
+
+
+async def _receive(connection: Connection, request: messages.Request) -> Result:
+    head: h11.Response | None = None
+    body = bytearray()
+    while True:
+        event = connection.http.next_event()
+        if event is h11.NEED_DATA:
+            connection.http.receive_data(await _read(connection.socket))
+        elif isinstance(event, h11.Response):
+            head = event
+            _require_length(event, request.method)
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > MAX_RESPONSE_BYTES:
+                raise h11.RemoteProtocolError("the answer is too large")
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            return _result(head, bytes(body), request.method)
+        elif not isinstance(event, h11.InformationalResponse):
+            raise h11.RemoteProtocolError("the answer is cut")
+
+
+async def _read(source: trio.socket.SocketType) -> bytes:
+    """Read some bytes; an end of the stream is never the end of an answer."""
+    received = await source.recv(RECEIVE_BYTES)
+    if not received:
+        raise EOFError("the connection ended before the answer was whole")
+    return received
+
+
+def _require_length(head: h11.Response, method: str) -> None:
+    """Refuse an answer that ends with its connection, as it may be cut unseen."""
+    if method == "HEAD" or head.status_code in BODILESS_STATUSES:
+        return
+    names = {name for name, _ in head.headers}
+    if not names & {b"content-length", b"transfer-encoding"}:
+        raise h11.RemoteProtocolError("the answer does not tell its length")
+
+
+def _result(head: h11.Response, body: bytes, method: str) -> Result:
+    received = tuple(
+        messages.Header(name=name, value=value) for name, value in head.headers
+    )
+    found = {field.name: field.value for field in received}
+    started = found.get(STARTED_HEADER, b"").decode("latin-1")
+    if head.status_code == 503 and found.get(NOT_RUN_HEADER, b"").lower() == b"true":
+        return Result(
+            signal=admission.Signal.OVERLOAD,
+            error=_exceptions.ErrorKind.OVERLOADED,
+            detail="the upstream shed the request",
+            started=started,
+        )
+    dropped = HOP_BY_HOP | REMOVED_RESPONSE_HEADERS | _connection_options(received)
+    if method != "HEAD":
+        dropped |= {b"content-length"}
+    shed = head.status_code == 503
+    return Result(
+        signal=admission.Signal.OVERLOAD if shed else admission.Signal.SUCCESS,
+        response=messages.Response(
+            status=head.status_code,
+            headers=tuple(field for field in received if field.name not in dropped),
+            body=body,
+        ),
+        started=started,
+    )
+
+
+def _malformed(progress: _Progress, detail: str) -> Result:
+    """Report a request that cannot be written as HTTP/1.1."""
+    kind = _exceptions.ErrorKind.BAD_REQUEST
+    if progress.sent_bytes:
+        kind = _exceptions.ErrorKind.UPSTREAM_FAILED
+    return Result(signal=admission.Signal.NEUTRAL, error=kind, detail=detail)
+
+
+def _broken(progress: _Progress, detail: str) -> Result:
+    kind = _exceptions.ErrorKind.NO_UPSTREAM
+    if progress.sent_bytes:
+        kind = _exceptions.ErrorKind.UPSTREAM_FAILED
+    _log.info("An exchange broke after %d bytes: %s.", progress.sent_bytes, detail)
+    return Result(signal=admission.Signal.CONNECTION, error=kind, detail=detail)
+
+
+def _timed_out(progress: _Progress) -> Result:
+    kind = _exceptions.ErrorKind.DEADLINE_EXPIRED
+    if progress.sent_bytes:
+        kind = _exceptions.ErrorKind.UPSTREAM_TIMEOUT
+    return Result(signal=admission.Signal.TIMEOUT, error=kind)
+
+
+Run = Callable[[messages.Request, float], Awaitable[Result]]
+"""The port through which requests reach the upstream."""
+
+
+def runner(pool: Pool) -> Run:
+    """Return the port of one pool of connections."""
+
+    async def run(request: messages.Request, timeout_seconds: float) -> Result:
+        return await exchange(pool, request, timeout_seconds=timeout_seconds)
+
+    return run
--- /dev/null
+++ b/standins/tests/test_upstream.py
@@ -0,0 +1,78 @@
+"""The stand-in upstream behaves as upstreams do."""
+
+import json
+
+import trio
+
+from plantainproxy import _types
+from plantainproxy.rpc import messages
+from plantainproxy.sidecar import upstream
+from standins import upstream as standin
+
+
+async def _ask(
+    address: _types.Address, path: str, body: bytes = b""
+) -> upstream.Result:
+    request = messages.Request(method="POST" if body else "GET", path=path, body=body)
+    with upstream.open_pool(address) as pool:
+        return await upstream.exchange(pool, request, timeout_seconds=5.0)
+
+
+def _statuses(settings: standin.Settings, requests: int) -> list[int | None]:
+    """Send requests at once; return their statuses, ``None`` for no answer."""
+    statuses: list[int | None] = []
+
+    async def run() -> None:
+        state = standin.create(settings)
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        address = _types.Address(*listeners[0].socket.getsockname())
+
+        async def serve(stream: trio.SocketStream) -> None:
+            await standin.serve_connection(state, stream)
+
+        async def one() -> None:
+            result = await _ask(address, "/work")
+            statuses.append(None if result.response is None else 200)
+
+        async with trio.open_nursery() as server:
+            server.start_soon(trio.serve_listeners, serve, listeners)
+            async with trio.open_nursery() as nursery:
+                for _ in range(requests):
+                    nursery.start_soon(one)
+            answer = await _ask(address, "/standin/executions")
+            assert answer.response is not None
+            log = json.loads(answer.response.body)["executions"]
+            assert len(log) == statuses.count(200)
+            server.cancel_scope.cancel()
+
+    trio.run(run)
+    return statuses
+
+
+def test_queue_beyond_the_slots_is_bounded() -> None:
+    """Two slots and one waiting place; the others are shed."""
+    settings = standin.Settings(slots=2, max_queue=1, service_seconds=0.2)
+    assert _statuses(settings, 6).count(200) == 3
+
+
+def test_cold_upstream_falls_over_under_full_load() -> None:
+    """Two at once are borne; the third brings the upstream down for a while."""
+    settings = standin.Settings(
+        slots=5, cold_seconds=60.0, cold_factor=10.0, service_seconds=0.02
+    )
+    assert _statuses(settings, 2).count(200) == 2
+    assert _statuses(settings, 6).count(200) == 2
+
+
+def test_settings_change_while_it_runs() -> None:
+    """Wrong ones are refused and nothing is applied."""
+
+    async def run() -> None:
+        state = standin.create(standin.Settings())
+        ok = standin._change(state, b'{"slots": 7, "fault": "cut"}')
+        assert (ok.status, state.settings.slots) == (200, 7)
+        for wrong in (b'{"slots": 0}', b'{"slot": 1}', b'{"fault": "melt"}', b"x"):
+            assert standin._change(state, wrong).status == 400
+        assert state.limiter.total_tokens == 7
+
+    trio.run(run)
--- /dev/null
+++ b/standins/upstream.py
@@ -0,0 +1,445 @@
+"""A stand-in for an upstream: HTTP/1.1 with slots, cold start and faults.
+
+Run with ``python -m standins.upstream --port 0 --slots 5``; it prints ``ready`` and its
+address. ``GET /standin/executions`` tells what ran, ``POST /standin/settings`` takes a
+JSON object of :class:`Settings` members to change while it runs.
+"""
+
+import contextlib
+import dataclasses
+import hashlib
+import json
+import secrets
+import sys
+from typing import Any
+
+import fire
+import h11
+import msgspec
+import trio
+
+RECEIVE_BYTES = 65_536
+MAX_BODY_BYTES = 16_777_216
+TIMEOUT_HEADER = b"request-timeout-ms"
+KEY_HEADER = b"idempotency-key"
+TOKEN_HEADER = b"token"
+FREEZE = "freeze"
+CUT = "cut"
+CLOSE = "close"
+FAULTS = ("", FREEZE, CUT, CLOSE)
+
+
+class Settings(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """What the stand-in can be told to do."""
+
+    name: str = "upstream"
+    slots: int = 5
+    service_seconds: float = 0.02
+    cold_seconds: float = 0.0
+    """How long it is cold after its start."""
+    cold_factor: float = 5.0
+    """How much slower a request is while cold."""
+    cold_bears: int = 2
+    """Requests at once above which a cold upstream falls over."""
+    fallen_seconds: float = 1.0
+    """How long a fallen upstream closes every exchange."""
+    max_queue: int = 20
+    """Waiting requests above which it sheds load."""
+    draining: bool = False
+    health_delay_seconds: float = 0.0
+    """Age of the load that the health report tells."""
+    health_lie: int = -1
+    """The limit that the health report claims, whatever is true; -1 for none."""
+    fault: str = ""
+    """``freeze``: no answers; ``cut``: half of each; ``close``: none at all."""
+    fault_count: int = -1
+    """Exchanges that the fault still affects; -1 for all."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Execution:
+    """One request that the upstream began to run."""
+
+    method: str
+    path: str
+    key: str
+    token: str
+    start: float
+    end: float | None = None
+    """When it was done; absent while it runs or when it was cancelled."""
+    cancelled: bool = False
+    cold: bool = False
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class State:
+    """The upstream's state, owned by its one process."""
+
+    settings: Settings
+    limiter: trio.CapacityLimiter
+    cold_until: float
+    fallen_until: float = float("-inf")
+    running: int = 0
+    most_running: int = 0
+    shed: int = 0
+    fallen: int = 0
+    cancelled: int = 0
+    expired: int = 0
+    started: str = dataclasses.field(default_factory=lambda: secrets.token_hex(4))
+    executions: list[Execution] = dataclasses.field(default_factory=list)
+    loads: list[tuple[float, int]] = dataclasses.field(default_factory=list)
+    """Times and loads, for health reports that lag."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Received:
+    """One whole request."""
+
+    method: str
+    path: str
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """One answer; half of a cut one is sent before the connection is closed."""
+
+    status: int
+    document: dict[str, Any]
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    cut: bool = False
+
+
+class ExchangeClosedError(Exception):
+    """The exchange ends without an answer."""
+
+
+def create(settings: Settings) -> State:
+    """Return the state of an upstream that starts now."""
+    _check(settings)
+    return State(
+        settings=settings,
+        limiter=trio.CapacityLimiter(settings.slots),
+        cold_until=trio.current_time() + settings.cold_seconds,
+    )
+
+
+async def serve_connection(state: State, stream: trio.SocketStream) -> None:
+    """Answer the requests of one connection, one after another."""
+    connection = h11.Connection(our_role=h11.SERVER)
+    async with stream:
+        try:
+            while await _serve_exchange(state, stream, connection):
+                connection.start_next_cycle()
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+        except (h11.ProtocolError, ExchangeClosedError):
+            return
+
+
+async def _serve_exchange(
+    state: State, stream: trio.SocketStream, connection: h11.Connection
+) -> bool:
+    """Answer one request; tell whether another may follow."""
+    request = await _read_request(stream, connection)
+    if request is None:
+        return False
+    if request.path.startswith(("/standin/", "/health")):
+        reply = await _control(state, request)
+    else:
+        reply = await _run_watched(state, request, stream, connection)
+    await _send(stream, connection, request, reply)
+    return connection.our_state is h11.DONE and connection.their_state is h11.DONE
+
+
+async def _read_request(
+    stream: trio.SocketStream, connection: h11.Connection
+) -> Received | None:
+    head: h11.Request | None = None
+    body = bytearray()
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > MAX_BODY_BYTES:
+                raise ExchangeClosedError
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            return Received(
+                method=head.method.decode(),
+                path=head.target.decode(),
+                headers=dict(head.headers),
+                body=bytes(body),
+            )
+        else:
+            return None
+
+
+async def _run_watched(
+    state: State,
+    request: Received,
+    stream: trio.SocketStream,
+    connection: h11.Connection,
+) -> Reply:
+    """Run a request until it is done or its client closes the connection."""
+    replies: list[Reply] = []
+    gone = False
+    async with trio.open_nursery() as nursery:
+
+        async def watch() -> None:
+            nonlocal gone
+            gone = await _client_leaves(stream, connection)
+            if gone:
+                nursery.cancel_scope.cancel()
+
+        nursery.start_soon(watch)
+        with contextlib.suppress(ExchangeClosedError):
+            replies.append(await _run_with_fault(state, request))
+        nursery.cancel_scope.cancel()
+    if gone:
+        state.cancelled += 1
+    if not replies:
+        raise ExchangeClosedError
+    return replies[0]
+
+
+async def _client_leaves(stream: trio.SocketStream, connection: h11.Connection) -> bool:
+    """Wait for the client; tell whether it closed the connection."""
+    try:
+        received = await stream.receive_some(RECEIVE_BYTES)
+    except (OSError, trio.BrokenResourceError):
+        return True
+    if received:
+        connection.receive_data(received)
+    return not received
+
+
+async def _run_with_fault(state: State, request: Received) -> Reply:
+    reply = await _run(state, request)
+    if reply.status != 200:
+        return reply
+    fault = _take_fault(state)
+    if fault == FREEZE:
+        await trio.sleep_forever()
+    if fault == CLOSE:
+        raise ExchangeClosedError
+    return dataclasses.replace(reply, cut=fault == CUT)
+
+
+async def _run(state: State, request: Received) -> Reply:
+    now = trio.current_time()
+    settings = state.settings
+    if now < state.fallen_until:
+        state.fallen += 1
+        raise ExchangeClosedError
+    waiting = state.limiter.statistics().tasks_waiting
+    if settings.draining or waiting >= settings.max_queue:
+        state.shed += 1
+        return _refusal("shed")
+    if now < state.cold_until and state.running >= settings.cold_bears:
+        state.fallen_until = now + settings.fallen_seconds
+        state.fallen += 1
+        raise ExchangeClosedError
+    deadline = now + _timeout_seconds(request)
+    state.running += 1
+    state.most_running = max(state.most_running, state.running)
+    state.loads.append((now, state.running))
+    begun = False
+    try:
+        with trio.move_on_at(deadline):
+            async with state.limiter:
+                begun = True
+                return await _execute(state, request)
+        return _expired(state, begun=begun)
+    finally:
+        state.running -= 1
+        state.loads.append((trio.current_time(), state.running))
+        del state.loads[:-1000]
+
+
+async def _execute(state: State, request: Received) -> Reply:
+    settings = state.settings
+    now = trio.current_time()
+    cold = now < state.cold_until
+    execution = Execution(
+        method=request.method,
+        path=request.path,
+        key=request.headers.get(KEY_HEADER, b"").decode("latin-1"),
+        token=request.headers.get(TOKEN_HEADER, b"").decode("latin-1"),
+        start=now,
+        cold=cold,
+    )
+    state.executions.append(execution)
+    factor = settings.cold_factor if cold else 1.0
+    try:
+        await trio.sleep(settings.service_seconds * factor)
+    except trio.Cancelled:
+        execution.cancelled = True
+        raise
+    execution.end = trio.current_time()
+    return _echo(state, request, execution)
+
+
+def _take_fault(state: State) -> str:
+    settings = state.settings
+    if not settings.fault or settings.fault_count == 0:
+        return ""
+    if settings.fault_count > 0:
+        settings.fault_count -= 1
+    return settings.fault
+
+
+def _echo(state: State, request: Received, execution: Execution) -> Reply:
+    document = {
+        "name": state.settings.name,
+        "method": request.method,
+        "path": request.path,
+        "token": execution.token,
+        "key": execution.key,
+        "body_sha256": hashlib.sha256(request.body).hexdigest(),
+        "body_bytes": len(request.body),
+    }
+    headers = ((TOKEN_HEADER, execution.token.encode()),) if execution.token else ()
+    return Reply(status=200, document=document, headers=headers)
+
+
+def _refusal(reason: str) -> Reply:
+    return Reply(
+        status=503,
+        document={"refused": reason},
+        headers=((b"plantain-not-run", b"true"),),
+    )
+
+
+def _expired(state: State, *, begun: bool) -> Reply:
+    """Answer a request whose deadline passed in its slot or in the queue."""
+    state.expired += 1
+    if not begun:
+        return _refusal("expired")
+    return Reply(status=504, document={"refused": "expired"})
+
+
+def _timeout_seconds(request: Received) -> float:
+    value = request.headers.get(TIMEOUT_HEADER, b"")
+    return int(value) / 1000 if value.isdigit() else 3600.0
+
+
+async def _control(state: State, request: Received) -> Reply:
+    if request.path == "/health":
+        return await _health(state)
+    if request.path == "/standin/executions":
+        found = [dataclasses.asdict(execution) for execution in state.executions]
+        return Reply(status=200, document={"executions": found})
+    if request.path == "/standin/counters":
+        return Reply(status=200, document=_counters(state))
+    if request.path == "/standin/settings" and request.method == "POST":
+        return _change(state, request.body)
+    if request.path == "/standin/cold" and request.method == "POST":
+        state.cold_until = trio.current_time() + state.settings.cold_seconds
+        return Reply(status=200, document={"cold": True})
+    return Reply(status=404, document={"unknown": request.path})
+
+
+async def _health(state: State) -> Reply:
+    settings = state.settings
+    if settings.fault == FREEZE and settings.fault_count != 0:
+        await trio.sleep_forever()
+    if trio.current_time() < state.fallen_until:
+        raise ExchangeClosedError
+    at = trio.current_time() - settings.health_delay_seconds
+    loads = [load for time, load in state.loads if time <= at]
+    document: dict[str, Any] = {
+        "started": state.started,
+        "draining": settings.draining,
+        "running": loads[-1] if loads else 0,
+    }
+    if settings.health_lie >= 0:
+        document["limit"] = settings.health_lie
+    return Reply(status=200, document=document)
+
+
+def _counters(state: State) -> dict[str, Any]:
+    return {
+        "name": state.settings.name,
+        "running": state.running,
+        "most_running": state.most_running,
+        "executions": len(state.executions),
+        "shed": state.shed,
+        "fallen": state.fallen,
+        "cancelled": state.cancelled,
+        "expired": state.expired,
+    }
+
+
+def _change(state: State, body: bytes) -> Reply:
+    try:
+        changes = msgspec.json.decode(body, type=dict[str, Any])
+        merged = msgspec.structs.asdict(state.settings) | changes
+        settings = msgspec.convert(merged, Settings)
+        _check(settings)
+    except (msgspec.MsgspecError, ValueError) as error:
+        return Reply(status=400, document={"wrong": str(error)})
+    state.settings = settings
+    state.limiter.total_tokens = settings.slots
+    return Reply(status=200, document={"applied": changes})
+
+
+def _check(settings: Settings) -> None:
+    if settings.fault not in FAULTS:
+        raise ValueError(f"fault: expected one of {FAULTS}, got {settings.fault!r}")
+    if settings.slots < 1:
+        raise ValueError(f"slots: expected at least 1, got {settings.slots}")
+
+
+async def _send(
+    stream: trio.SocketStream,
+    connection: h11.Connection,
+    request: Received,
+    reply: Reply,
+) -> None:
+    body = json.dumps(reply.document).encode()
+    fields = [
+        (b"content-type", b"application/json"),
+        (b"content-length", b"%d" % len(body)),
+        *reply.headers,
+    ]
+    head = connection.send(h11.Response(status_code=reply.status, headers=fields))
+    if request.method == "HEAD":
+        body = b""
+    parts = [head, connection.send(h11.Data(data=body)) if body else b""]
+    encoded = b"".join(part or b"" for part in parts)
+    if reply.cut:
+        await stream.send_all(encoded[: len(encoded) - len(body) // 2])
+        raise ExchangeClosedError
+    await stream.send_all(encoded + (connection.send(h11.EndOfMessage()) or b""))
+
+
+async def run(settings: Settings, *, host: str, port: int) -> None:
+    """Serve until cancelled; print the address once it accepts connections."""
+    state = create(settings)
+    listeners = await trio.open_tcp_listeners(port, host=host)
+
+    async def serve(stream: trio.SocketStream) -> None:
+        await serve_connection(state, stream)
+
+    address = listeners[0].socket.getsockname()
+    sys.stdout.write(f"ready {address[0]}:{address[1]}\n")
+    sys.stdout.flush()
+    await trio.serve_listeners(serve, listeners)
+
+
+def main(host: str = "127.0.0.1", port: int = 0, **settings: Any) -> None:
+    """Run the stand-in; any member of the settings is an option."""
+    trio.run(_run_until_stopped, msgspec.convert(settings, Settings), host, port)
+
+
+async def _run_until_stopped(settings: Settings, host: str, port: int) -> None:
+    await run(settings, host=host, port=port)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
