--- a/plantainproxy/quic/endpoint.py
+++ b/plantainproxy/quic/endpoint.py
@@ -276,9 +276,9 @@
     def handle_timer(self, now: float) -> None:
         """Let every connection act whose time has come."""
         while self._timers and self._timers[0][0] <= now:
-            _, number = heapq.heappop(self._timers)
+            queued_at, number = heapq.heappop(self._timers)
             line = self.lines.get(number)
-            if line is not None:
+            if line is not None and line.queued_at == queued_at:
                 line.queued_at = None
                 self._touched[number] = line
                 self._on_timer(line, now)
--- /dev/null
+++ b/plantainproxy/sidecar/tunnel.py
@@ -0,0 +1,87 @@
+"""The sidecar's datagram socket: from balancers and siblings, to siblings and fabric.
+
+The socket is drained in batches: waiting once for many datagrams costs far less than
+waiting for each.
+"""
+
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import socket
+
+import trio
+
+from plantainproxy import _types
+from plantainproxy.wire import keyring, proxy, tunnel
+
+BATCH_DATAGRAMS = 64
+"""Most datagrams that are read before other tasks get their turn."""
+MAX_DATAGRAM_BYTES = 65_535
+RECEIVE_BUFFER_BYTES = 4_194_304
+"""Wanted room for datagrams that arrive while the process is busy."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Arrival:
+    """A datagram of a caller, unpacked."""
+
+    caller: _types.Address
+    service: _types.Address
+    payload: bytes
+    hops: int
+    """How often sidecars have passed it on."""
+    earlier_owners: tuple[bytes, ...]
+    """Packed tunnel addresses that owned the flow's slot before, newest first."""
+    datagram: bytes
+    """The fabric's datagram with its PROXY header, to be passed on unchanged."""
+
+
+@contextlib.contextmanager
+def open_socket(address: _types.Address) -> Iterator[socket.socket]:
+    """Bind the datagram socket and close it in the end."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as bound:
+        bound.setblocking(False)
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        bound.bind(address)
+        yield bound
+
+
+async def receive_batch(bound: socket.socket) -> list[bytes]:
+    """Wait for datagrams and return those that are there."""
+    await trio.lowlevel.wait_readable(bound)
+    batch: list[bytes] = []
+    while len(batch) < BATCH_DATAGRAMS:
+        try:
+            batch.append(bound.recv(MAX_DATAGRAM_BYTES))
+        except BlockingIOError:
+            return batch
+        except ConnectionError:
+            continue
+    return batch
+
+
+def unpack(message: bytes, *, keys: keyring.Keyring) -> Arrival | None:
+    """Read a tunnel message; ``None`` for strangers and bad PROXY headers."""
+    found = tunnel.decode(message, cookies=keys.cookies)
+    if found is None:
+        return None
+    addresses = proxy.decode(found.datagram)
+    if addresses is None:
+        return None
+    return Arrival(
+        caller=_types.Address.unpack(addresses.source),
+        service=_types.Address.unpack(addresses.destination),
+        payload=found.datagram[addresses.payload_offset :],
+        hops=found.hops,
+        earlier_owners=found.earlier_owners,
+        datagram=found.datagram,
+    )
+
+
+def send(bound: socket.socket, message: bytes, to: _types.Address) -> bool:
+    """Send one datagram; return whether the system took it."""
+    try:
+        bound.sendto(message, to)
+    except OSError:
+        return False
+    return True
