Refuse spoiled stored documents, and try every fault of a change in pairs

Cause: a stored address or key set that no process could use would have raised in its reader, and a change whose document and record together pass the store's limit would have been told as an outage. Both are refused with the place now. A write answered with a status that leaves its effect open counts as unknown. A process without a configuration looks for a seat more often, so that a restarted fleet does not wait long after the leases of its earlier life. Conclusion: every fault at every step, singly and in pairs, tells the truth.

--- a/plantainproxy/config/change.py
+++ b/plantainproxy/config/change.py
@@ -12,10 +12,13 @@
 logger = logging.getLogger("plantain.config")
 
 MAX_ATTEMPTS = 6
+MAX_TRANSACTION_BYTES = 1_400_000
+"""The default limit of etcd is 1.5 MiB, with keys and framing."""
 FIRST_RETRY_DELAY_SECONDS = 0.05
 """Doubled at each further attempt."""
 
 _Kind = _exceptions.ErrorKind
+_SOURCE = "proposed configuration"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -26,6 +29,8 @@
     base: model.Configuration | None
     next: model.Configuration
     record: audit.AuditRecord
+    puts: tuple[port.Put, ...]
+    """The document and its audit record as they are stored."""
 
     @property
     def base_revision(self) -> int:
@@ -81,14 +86,7 @@
     reason: str,
     now: float,
 ) -> _Change:
-    if not change_id:
-        raise _exceptions.PlantainError(
-            _Kind.INVALID_CONFIGURATION, "change_id: expected a name for the change"
-        )
-    check.require_valid(proposed, source="proposed configuration")
-    problems = () if base is None else check.find_change_problems(base, proposed)
-    if problems:
-        raise check.refusal(problems, source="proposed configuration")
+    _require_valid(base, proposed, change_id)
     revision = 1 if base is None else base.revision + 1
     record = audit.AuditRecord(
         revision=revision,
@@ -99,7 +97,35 @@
         differences=diff.compare(base, proposed),
     )
     following = dataclasses.replace(proposed, revision=revision, change_id=change_id)
-    return _Change(prefix=prefix, base=base, next=following, record=record)
+    puts = (
+        port.Put(key=document.key(prefix), value=document.encode(following)),
+        port.Put(key=audit.key(prefix, revision), value=audit.encode(record)),
+    )
+    _require_fitting(puts)
+    return _Change(prefix=prefix, base=base, next=following, record=record, puts=puts)
+
+
+def _require_valid(
+    base: model.Configuration | None, proposed: model.Configuration, change_id: str
+) -> None:
+    if not change_id:
+        raise _exceptions.PlantainError(
+            _Kind.INVALID_CONFIGURATION, "change_id: expected a name for the change"
+        )
+    check.require_valid(proposed, source=_SOURCE)
+    problems = () if base is None else check.find_change_problems(base, proposed)
+    if problems:
+        raise check.refusal(problems, source=_SOURCE)
+
+
+def _require_fitting(puts: tuple[port.Put, ...]) -> None:
+    size_bytes = sum(len(put.value) for put in puts)
+    if size_bytes > MAX_TRANSACTION_BYTES:
+        raise _exceptions.PlantainError(
+            _Kind.INVALID_CONFIGURATION,
+            f"{_SOURCE}: expected at most {MAX_TRANSACTION_BYTES} bytes with the audit"
+            f" record, got {size_bytes}; split it into several changes",
+        )
 
 
 async def _find_earlier_attempt(
@@ -230,16 +256,12 @@
 
 
 def _transaction(change: _Change, mod_revision: int) -> port.Transaction:
-    document_key = document.key(change.prefix)
-    audit_key = audit.key(change.prefix, change.next.revision)
+    document_put, audit_put = change.puts
     return port.Transaction(
         compares=(
-            port.Compare(key=document_key, mod_revision=mod_revision),
-            port.Compare(key=audit_key, mod_revision=0),
-        ),
-        puts=(
-            port.Put(key=document_key, value=document.encode(change.next)),
-            port.Put(key=audit_key, value=audit.encode(change.record)),
+            port.Compare(key=document_put.key, mod_revision=mod_revision),
+            port.Compare(key=audit_put.key, mod_revision=0),
         ),
+        puts=change.puts,
         deletes=audit.removals(change.prefix, change.next.revision),
     )
--- a/plantainproxy/config/check.py
+++ b/plantainproxy/config/check.py
@@ -92,6 +92,8 @@
     """Refuse two addresses that connection IDs cannot tell apart."""
     by_tag: dict[int, tuple[int, _types.Address]] = {}
     for index, address in enumerate(addresses):
+        if not _is_well_formed(address):
+            continue
         tag = connection_id.service_tag(address.pack())
         first, other = by_tag.setdefault(tag, (index, address))
         if other != address:
@@ -156,12 +158,23 @@
 def _check_addresses(place: str, addresses: list[_types.Address]) -> Iterator[Problem]:
     yield from _check_unique(place, addresses)
     for index, address in enumerate(addresses):
-        if address.host == WILDCARD_HOST or address.port == 0:
-            yield Problem(
-                place=place.format(index),
-                expected="expected one address and a port above 0, which overlaps no"
-                f" other, got {address}",
-            )
+        if not _is_well_formed(address):
+            expected = "an IPv4 address and port"
+        elif address.host == WILDCARD_HOST or address.port == 0:
+            expected = "one address and a port above 0, which overlaps no other"
+        else:
+            continue
+        yield Problem(
+            place=place.format(index), expected=f"expected {expected}, got {address}"
+        )
+
+
+def _is_well_formed(address: _types.Address) -> bool:
+    """Tell whether an address, which a stored document may have spoiled, is one."""
+    try:
+        return _types.Address.parse(str(address)) == address
+    except ValueError:
+        return False
 
 
 def _check_unique(place: str, values: Iterable[Hashable]) -> Iterator[Problem]:
--- a/plantainproxy/config/follow.py
+++ b/plantainproxy/config/follow.py
@@ -58,14 +58,19 @@
 async def _follow_once(follower: Follower) -> None:
     """Arm a watch, read what is there, then take what the watch brings."""
     async with follower.store.watch(f"{follower.prefix}config/") as changes:
-        await _read(follower)
+        await read_once(follower)
         async for group in changes:
             for change in group:
                 if change.entry is not None:
                     await _take(follower, change.entry)
 
 
-async def _read(follower: Follower) -> None:
+async def read_once(follower: Follower) -> None:
+    """Read the documents and send those that are newer.
+
+    A process that has just started and holds no seat yet can call this by itself.
+    Raises the store's errors.
+    """
     entry = await follower.store.get(document.key(follower.prefix))
     if entry is not None:
         await _take(follower, entry)
--- a/plantainproxy/config/keys.py
+++ b/plantainproxy/config/keys.py
@@ -60,8 +60,17 @@
 
 
 def decode(encoded: bytes) -> model.KeySet:
-    """Decode a stored key set."""
-    return document.decode_value(encoded, _KeySetDocument, "the stored key set").key_set
+    """Decode a stored key set; refuse one that no process could use."""
+    stored = document.decode_value(encoded, _KeySetDocument, "the stored key set")
+    key_set = stored.key_set
+    numbers = [one.number for one in key_set.keys]
+    if len(set(numbers)) < len(numbers) or key_set.current not in numbers:
+        raise _refusal("expected distinct numbers with the current one among them")
+    if any(not 0 <= number <= MAX_KEY_NUMBER for number in numbers):
+        raise _refusal(f"expected numbers from 0 to {MAX_KEY_NUMBER}")
+    if any(len(one.secret) != SECRET_BYTES for one in key_set.keys):
+        raise _refusal(f"expected secrets of {SECRET_BYTES} bytes")
+    return key_set
 
 
 def create() -> model.KeySet:
--- /dev/null
+++ b/plantainproxy/config/tests/test_change_faults.py
@@ -0,0 +1,165 @@
+"""Every fault of the store at every step of a change, singly and in pairs."""
+
+import itertools
+
+import pytest
+import trio
+import trio.testing
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.config import audit, change, document, edit, model
+from plantainproxy.store import memory, port
+
+Kind = _exceptions.ErrorKind
+PREFIX = "t/"
+STEPS = 7
+FAULTS = ("away", "lost", "dropped", "late", "stale", "rival")
+
+
+class FaultyStore(memory.MemoryStore):
+    """A store that meets a fault at given calls."""
+
+    def __init__(self) -> None:
+        """Start without faults."""
+        super().__init__()
+        self.faults: dict[int, str] = {}
+        """The fault of each call by its number."""
+        self.calls = 0
+        self.late: list[port.Transaction] = []
+        """Writes that are still on their way."""
+        self.before: dict[str, port.Entry] = {}
+        """What stale reads show."""
+
+    async def get(self, key: str) -> port.Entry | None:
+        """Read one key."""
+        await self.meet()
+        return await super().get(key)
+
+    async def scan(
+        self,
+        prefix: str,
+        *,
+        start: str = "",
+        limit: int = 0,
+        newest_first: bool = False,
+    ) -> tuple[port.Entry, ...]:
+        """Read the keys with a prefix."""
+        await self.meet()
+        return await super().scan(
+            prefix, start=start, limit=limit, newest_first=newest_first
+        )
+
+    async def commit(self, transaction: port.Transaction) -> bool:
+        """Apply a transaction, unless it is late."""
+        fault = await self.meet()
+        if fault == "late":
+            self.late.append(transaction)
+            raise _exceptions.PlantainError(Kind.CHANGE_UNKNOWN, "late")
+        self.lose_answers = int(fault == "lost")
+        self.drop_writes = int(fault == "dropped")
+        return await super().commit(transaction)
+
+    async def meet(self) -> str:
+        """Meet the fault of this call."""
+        fault = self.faults.pop(self.calls, "")
+        self.calls += 1
+        if fault == "away":
+            raise _exceptions.PlantainError(Kind.STORE_UNAVAILABLE, "away")
+        self.stale = self.before if fault == "stale" else None
+        if fault == "rival":
+            await deliver_rival(self)
+        return fault
+
+
+async def deliver_rival(store: FaultyStore) -> None:
+    """Let another operator's change of the same revision in, past all faults."""
+    entry = store.entries[document.key(PREFIX)]
+    held = document.decode(entry.value)
+    faults, store.faults = store.faults, {}
+    calls, stale, store.stale = store.calls, store.stale, None
+    await apply(store, held, f"rival-{held.revision}")
+    store.faults, store.calls, store.stale = faults, calls, stale
+
+
+async def apply(
+    store: port.Store, base: model.Configuration | None, name: str
+) -> model.Configuration:
+    """Accept a change that sets one pool, with the pool's name as change ID."""
+    proposed = edit.set_pool(
+        base or model.Configuration(revision=0), model.Pool(name=name)
+    )
+    return await change.apply(
+        store,
+        prefix=PREFIX,
+        base=base,
+        proposed=proposed,
+        change_id=name,
+        operator="o",
+        reason="r",
+        now=1.0,
+    )
+
+
+def times_applied(store: memory.MemoryStore) -> int:
+    """Count the audit records of our change."""
+    records = [
+        audit.decode(entry.value)
+        for key, entry in store.entries.items()
+        if key.startswith(audit.key_prefix(PREFIX))
+    ]
+    return sum(record.change_id == "ours" for record in records)
+
+
+async def check_one(faults: dict[int, str]) -> None:
+    """Run one change under faults; what it tells has to be true."""
+    store = FaultyStore()
+    older = await apply(store, None, "older")
+    store.before = dict(store.entries)
+    base = await apply(store, older, "base")
+    store.faults = faults
+    store.calls = 0
+    outcome = _types.Outcome.RUN
+    try:
+        accepted = await apply(store, base, "ours")
+        assert accepted.revision == base.revision + 1
+    except _exceptions.PlantainError as error:
+        outcome = error.answer.outcome
+        assert error.kind in (
+            Kind.CONFLICT, Kind.STORE_UNAVAILABLE, Kind.CHANGE_UNKNOWN
+        )  # fmt: skip
+    store.faults = {}
+    for transaction in store.late:
+        await memory.MemoryStore.commit(store, transaction)
+    applied = times_applied(store)
+    if outcome is not _types.Outcome.UNKNOWN:
+        assert applied == int(outcome is _types.Outcome.RUN)
+    try:
+        await apply(store, base, "ours")
+        assert times_applied(store) == 1
+    except _exceptions.PlantainError as error:
+        assert error.kind is Kind.CONFLICT
+        assert times_applied(store) == applied == 0
+
+
+@pytest.mark.parametrize("first_fault", FAULTS)
+def test_what_a_change_tells_is_true_under_faults(first_fault: str) -> None:
+    """Accepted means applied once, refused means never, even by late writes."""
+
+    async def main() -> None:
+        for first_step, second_step, second_fault in itertools.product(
+            range(STEPS), range(STEPS), FAULTS
+        ):
+            await check_one({second_step: second_fault, first_step: first_fault})
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_a_fault_that_stays_is_told_truly(fault: str) -> None:
+    """The same fault from some step on, at every call."""
+
+    async def main() -> None:
+        for first_step in range(STEPS):
+            await check_one({step: fault for step in range(first_step, 40)})
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/plantainproxy/config/tests/test_edit.py
+++ b/plantainproxy/config/tests/test_edit.py
@@ -154,6 +154,27 @@
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+KEY = model.Key(number=1, secret=b"s" * 32)
+
+
+@pytest.mark.parametrize(
+    "key_set",
+    [
+        model.KeySet(revision=1, current=0, keys=()),
+        model.KeySet(revision=1, current=0, keys=(KEY,)),
+        model.KeySet(revision=1, current=1, keys=(KEY, KEY)),
+        model.KeySet(
+            revision=1, current=256, keys=(model.Key(number=256, secret=b"s" * 32),)
+        ),
+        model.KeySet(revision=1, current=2, keys=(model.Key(number=2, secret=b""),)),
+    ],
+)
+def test_an_unusable_key_set_is_refused(key_set: model.KeySet) -> None:
+    """A spoiled stored value does not reach the working keys."""
+    with pytest.raises(_exceptions.PlantainError, match="key set: expected"):
+        keys.decode(keys.encode(key_set))
+
+
 def test_a_repeated_rotation_step_is_not_taken_twice() -> None:
     """The change ID finds the first one."""
 
--- a/plantainproxy/config/tests/test_follow.py
+++ b/plantainproxy/config/tests/test_follow.py
@@ -8,6 +8,7 @@
 import trio
 import trio.testing
 
+from plantainproxy import _types
 from plantainproxy.config import change, document, edit, follow, keys, model
 from plantainproxy.core import configuration as configuration_core
 from plantainproxy.store import memory, port
@@ -125,8 +126,11 @@
         b"torn",
         document.encode(model.Configuration(revision=1)),
         document.encode(model.Configuration(revision=9, pools=(model.Pool(name=""),))),
+        document.encode(
+            model.Configuration(revision=9, drained=(_types.Address("x", 70_000),))
+        ),
     ],
-    ids=["unreadable", "older", "invalid"],
+    ids=["unreadable", "older", "invalid", "no address"],
 )
 def test_a_document_that_does_not_fit_is_left_out(stored: bytes) -> None:
     """Neither a torn, nor an older, nor an invalid document is told."""
--- a/plantainproxy/store/etcd.py
+++ b/plantainproxy/store/etcd.py
@@ -16,6 +16,9 @@
 READ_ATTEMPTS = 2
 """A read is sent again on a new connection; the attempts share the deadline."""
 
+REFUSED_STATUSES = frozenset((400, 401, 403, 404, 405, 413, 429))
+"""A write answered with one of these was not applied; others leave that open."""
+
 
 class EtcdStore:
     """The connections to one store; implements ``port.Store``."""
@@ -160,7 +163,8 @@
 def _refused(reply: http.Reply) -> _exceptions.PlantainError:
     """Tell a refusal of the request from a fault while it was applied."""
     detail = _describe(reply)
-    return _unavailable(detail) if reply.status < 500 else _unknown(detail)
+    refused = reply.status in REFUSED_STATUSES
+    return _unavailable(detail) if refused else _unknown(detail)
 
 
 def _decode_entries(body: bytes) -> tuple[port.Entry, ...]:
--- a/plantainproxy/store/seat_rules.py
+++ b/plantainproxy/store/seat_rules.py
@@ -19,6 +19,8 @@
 RENEW_RETRY_SECONDS = 1.0
 LOOK_INTERVAL_SECONDS = 10.0
 """Mean time between two looks of anyone in a failure domain, per seat."""
+URGENT_LOOK_SECONDS = 2.0
+"""Mean time between two looks of a process that holds no configuration."""
 FIRST_RETRY_SECONDS = 1.0
 """Delay after a look that failed; doubled at each further one."""
 JITTER = (0.5, 1.5)
@@ -103,12 +105,18 @@
     return now < seat.held_until
 
 
-def look_delay(*, fleet_size: int, generator: random.Random) -> float:
+def look_delay(
+    *, fleet_size: int, generator: random.Random, urgent: bool = False
+) -> float:
     """Return the time to the next look of a process without a seat.
 
     It grows with the number of balancers in the failure domain, so that the calls
-    of all of them together do not.
+    of all of them together do not. A look is urgent while the process holds no
+    configuration, as after a restart of the whole fleet, when the old seats still
+    wait for the end of their leases.
     """
+    if urgent:
+        return URGENT_LOOK_SECONDS * generator.uniform(*JITTER)
     share = max(1.0, fleet_size / SEATS_PER_DOMAIN)
     return LOOK_INTERVAL_SECONDS * share * generator.uniform(*JITTER)
 
--- a/plantainproxy/store/seats.py
+++ b/plantainproxy/store/seats.py
@@ -26,6 +26,7 @@
         as_holder: Callable[[], Awaitable[None]],
         holders: trio.MemorySendChannel[tuple[_types.Address, ...]],
         fleet_size: Callable[[], int],
+        urgent: Callable[[], bool],
         generator: random.Random,
     ) -> None:
         """Take the store, the duties of a holder and where its findings go."""
@@ -37,6 +38,8 @@
         """Receives the gRPC addresses in all seats after each look."""
         self.fleet_size = fleet_size
         """Returns the known number of balancers in the own failure domain."""
+        self.urgent = urgent
+        """Returns whether the process still holds no configuration."""
         self.generator = generator
         self.seat: seat_rules.Seat | None = None
         """The seat that is held."""
@@ -69,7 +72,9 @@
             generator=seats.generator,
         )
     return seat_rules.look_delay(
-        fleet_size=seats.fleet_size(), generator=seats.generator
+        fleet_size=seats.fleet_size(),
+        generator=seats.generator,
+        urgent=seats.urgent(),
     )
 
 
--- a/plantainproxy/store/tests/test_seats.py
+++ b/plantainproxy/store/tests/test_seats.py
@@ -22,6 +22,7 @@
         self.acting: set[int] = set()
         """Who does a holder's duties now."""
         self.most_acting = 0
+        self.urgent = False
         self.found: tuple[_types.Address, ...] = ()
         self.members = [self._make(number, size) for number in range(size)]
 
@@ -46,6 +47,7 @@
             as_holder=act,
             holders=sender,
             fleet_size=lambda: size,
+            urgent=lambda: self.urgent,
             generator=random.Random(number),
         )
 
@@ -162,6 +164,22 @@
     run(1, main)
 
 
+def test_a_restarted_fleet_soon_takes_the_seats_of_its_earlier_life() -> None:
+    """Processes without a configuration look more often."""
+
+    async def main(fleet: Fleet) -> None:
+        fleet.urgent = True
+        for number in range(seat_rules.SEATS_PER_DOMAIN):
+            ttl_seconds = seat_rules.LEASE_SECONDS
+            lease = await fleet.store.grant_lease(ttl_seconds=ttl_seconds)
+            identity = fleet.members[number].identity
+            await fleet.store.commit(seat_rules.claim(identity, number, lease))
+        await trio.sleep(seat_rules.LEASE_SECONDS + 2 * seat_rules.URGENT_LOOK_SECONDS)
+        assert len(fleet.acting) == seat_rules.SEATS_PER_DOMAIN
+
+    run(32, main)
+
+
 def test_a_planned_stop_frees_the_seat() -> None:
     """The lease is ended at once."""
     stores: list[memory.MemoryStore] = []
--- a/standins/store_gateway.py
+++ b/standins/store_gateway.py
@@ -8,6 +8,7 @@
 from standins import store_data
 
 MAX_VALUE_BYTES = 1_048_576
+MAX_REQUEST_BYTES = 1_572_864
 
 Body = dict[str, Any]
 
@@ -117,6 +118,8 @@
     writes = [_write(call.data, operation) for operation in operations]
     if len({write.key for write in writes}) < len(writes):
         raise GatewayError(400, 3, "etcdserver: duplicate key given in txn request")
+    if sum(len(write.value or b"") for write in writes) > MAX_REQUEST_BYTES:
+        raise GatewayError(400, 3, "etcdserver: request is too large")
     store_data.apply(call.data, writes)
     answer: Body = {"header": _header(call.data)}
     if succeeded:
