--- a/bench/forwarding.py
+++ b/bench/forwarding.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterator
 import contextlib
 import dataclasses
+import itertools
 import json
 import pathlib
 import random
@@ -139,12 +140,13 @@
     return [header + start + generator.randbytes(8) + filler for _ in range(flows)]
 
 
-def bare_drain(sockets: Sockets, target: _types.Address) -> Callable[[], object]:
+def bare_drain(sockets: Sockets, targets: list[_types.Address]) -> Callable[[], object]:
     """Return a loop that receives and sends and does nothing else."""
     receive, send = sockets.balancer.recvfrom, sockets.balancer.sendto
+    turns = itertools.cycle(targets)
 
     def drain() -> None:
-        for _ in range(BATCH):
+        for target in itertools.islice(turns, BATCH):
             try:
                 datagram, _source = receive(datapath.MAX_DATAGRAM_BYTES + 1)
             except OSError:
@@ -190,14 +192,17 @@
 def forwarding_cases(sockets: Sockets) -> list[Case]:
     """Make all cases; the first is the bare loop."""
     port = sockets.receiver.getsockname()[1]
-    target = tunnel_address(0, port)
     states = {count: known_state(count, port) for count in UPSTREAM_COUNTS}
     few, many = UPSTREAM_COUNTS[0], UPSTREAM_COUNTS[-1]
     initials = opening(BATCH * ROUNDS)
-    bare = bare_drain(sockets, target)
+    targets = [tunnel_address(number, port) for number in range(many)]
+    random.Random(SEED).shuffle(targets)
+    bare = bare_drain(sockets, targets[:1])
+    bare_spread = bare_drain(sockets, targets)
     cases = [
         Case("bare", bare, established(1, 1, port)),
         Case("bare, opening size", bare, initials[:1]),
+        Case(f"bare, to {many} targets", bare_spread, established(1, 1, port)),
     ]
     for count, state in states.items():
         drain = real_drain(sockets, state)
--- a/plantainproxy/balancer/resets.py
+++ b/plantainproxy/balancer/resets.py
@@ -44,8 +44,8 @@
     only after the handshake, so a long header gets none. A reset is smaller than
     the packet it answers, so two ends cannot keep resetting each other.
     """
-    connection_id = classify.destination_id(packet, 0)
-    if connection_id is None or not classify.is_short(packet, 0):
+    connection_id = classify.destination_id(packet)
+    if connection_id is None or not classify.is_short(packet):
         return None
     key = ring.by_number.get(connection_id[0])
     size = min(len(packet) - 1, _LARGEST_BYTES)
--- a/plantainproxy/core/routing.py
+++ b/plantainproxy/core/routing.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 import dataclasses
 import enum
+import math
 from typing import NamedTuple
 
 from plantainproxy import _types
@@ -46,12 +47,8 @@
     """The socket refused the datagram."""
 
 
-class Forward(NamedTuple):
-    """Send the packet to a sidecar."""
-
-    tunnel: _types.Address
-    earlier_owners: tuple[_types.Address, ...] = ()
-    """Newest first."""
+Forward = slots.Pick
+"""Send the packet to the owner's sidecar, and let it know of the earlier owners."""
 
 
 class Reset(NamedTuple):
@@ -179,16 +176,15 @@
         return _route_destination(state, destination, now)
     flow_hash = packets.flow_hash(packet.flow_key)
     if packet.opening:
+        since = now - slots.EARLIER_OWNER_SECONDS
         pick = slots.pick(service.table, flow_hash, now=now)
-        since_change = now - service.changed
-        recent = since_change <= slots.EARLIER_OWNER_SECONDS
     else:
+        since = -math.inf
         pick = slots.pick_established(service.table, flow_hash)
-        recent = True
     if pick is None:
         return _NO_UPSTREAM
-    if service.earlier_table is None or not recent:
-        return Forward(pick.owner, pick.earlier_owners)
+    if service.earlier_table is None or service.changed < since:
+        return pick
     return _with_earlier_pool(pick, service.earlier_table, flow_hash)
 
 
@@ -198,9 +194,9 @@
     """Put the owner in the route's earlier pool after the earlier owners."""
     earlier_pick = slots.pick_established(earlier_table, flow_hash)
     if earlier_pick is None:
-        return Forward(pick.owner, pick.earlier_owners)
+        return pick
     earlier_owners = (*pick.earlier_owners[: slots.EARLIER_OWNERS - 1], earlier_pick[0])
-    return Forward(pick.owner, earlier_owners)
+    return Forward(pick.tunnel, earlier_owners)
 
 
 def destinations(
@@ -225,7 +221,7 @@
         destination = packets.Destination(
             packed, number, upstream.generation, known.tag
         )
-        if isinstance(_route_destination(state, destination, 0.0), Forward):
+        if isinstance(_route_destination(state, destination, 0.0), slots.Pick):
             found[destination] = record.tunnel
     return found
 
--- a/plantainproxy/core/slots.py
+++ b/plantainproxy/core/slots.py
@@ -48,7 +48,8 @@
 class Pick(NamedTuple):
     """The owners of one slot."""
 
-    owner: _types.Address
+    tunnel: _types.Address
+    """The tunnel address of the present owner."""
     earlier_owners: tuple[_types.Address, ...] = ()
     """Newest first."""
 
@@ -63,6 +64,8 @@
     """The eligible members, by key."""
     tunnels: tuple[_types.Address, ...]
     """Every address that the arrays refer to by index."""
+    picks: tuple[Pick, ...]
+    """The answer for each address as an owner without earlier owners."""
     owners: _Owners
     earlier: tuple[_Owners, ...]
     """Earlier owners of each slot, newest first."""
@@ -70,8 +73,8 @@
     """When each earlier owner lost the slot."""
     owner_view: memoryview
     """The owners for fast reads of one slot."""
-    earlier_views: tuple[memoryview, ...]
-    changed_views: tuple[memoryview, ...]
+    changed_view: memoryview
+    """When each slot last changed, likewise."""
 
 
 def assign(members: Iterable[Member]) -> tuple[tuple[Member, ...], _Owners]:
@@ -137,11 +140,11 @@
     if not table.members:
         return None
     slot = flow_hash & table.mask
-    owner = table.tunnels[table.owner_view[slot]]
-    if now - table.changed_views[0][slot] > EARLIER_OWNER_SECONDS:
-        return Pick(owner)
+    found = table.picks[table.owner_view[slot]]
     since = now - EARLIER_OWNER_SECONDS
-    return Pick(owner, _earlier(table, slot, since))
+    if table.changed_view[slot] < since:
+        return found
+    return Pick(found.tunnel, _earlier(table, slot, since))
 
 
 def pick_established(table: Table, flow_hash: int) -> Pick | None:
@@ -156,9 +159,7 @@
 def _earlier(table: Table, slot: int, since: float) -> tuple[_types.Address, ...]:
     return tuple(
         table.tunnels[numbers[slot]]
-        for numbers, changed in zip(
-            table.earlier_views, table.changed_views, strict=True
-        )
+        for numbers, changed in zip(table.earlier, table.changed, strict=True)
         if numbers[slot] != _NO_OWNER and changed[slot] >= since
     )
 
@@ -329,10 +330,10 @@
         mask=len(owners) - 1,
         members=members,
         tunnels=tunnels,
+        picks=tuple(Pick(tunnel) for tunnel in tunnels),
         owners=owners,
         earlier=earlier,
         changed=changed,
         owner_view=memoryview(owners.data),
-        earlier_views=tuple(memoryview(numbers.data) for numbers in earlier),
-        changed_views=tuple(memoryview(times.data) for times in changed),
+        changed_view=memoryview(changed[0].data),
     )
--- a/plantainproxy/core/tests/test_slots.py
+++ b/plantainproxy/core/tests/test_slots.py
@@ -83,7 +83,7 @@
     recent = slots.pick(second, slot, now=101.0)
     assert recent is not None
     assert recent.earlier_owners == (departed,)
-    assert slots.pick(second, slot, now=late) == slots.Pick(recent.owner)
+    assert slots.pick(second, slot, now=late) == slots.Pick(recent.tunnel)
     assert slots.pick_established(second, slot) == recent
 
 
@@ -96,7 +96,7 @@
     meanwhile = slots.pick_established(table, slot)
     assert meanwhile is not None
     table = slots.replace(table, group, now=2.0)
-    expected = slots.Pick(group[-1].tunnel, (meanwhile.owner,))
+    expected = slots.Pick(group[-1].tunnel, (meanwhile.tunnel,))
     assert slots.pick_established(table, slot) == expected
 
 
@@ -130,4 +130,4 @@
         before = slots.pick_established(small, flow_hash)
         after = slots.pick_established(large, flow_hash)
         assert before is not None and after is not None
-        assert before.owner in (after.owner, *after.earlier_owners)
+        assert before.tunnel in (after.tunnel, *after.earlier_owners)
--- a/plantainproxy/quic/classify.py
+++ b/plantainproxy/quic/classify.py
@@ -4,36 +4,39 @@
 from plantainproxy.wire import connection_id, keyring
 
 _LONG_HEADER_BIT = 0x80
-_VERSION_NEGOTIATION = 0
+_TYPE_BITS = 0x30
+_VERSION_OFFSET = 1
 _LENGTH_OFFSET = 5
 """Where a long header holds the length of its destination connection ID."""
-_ID_OFFSET_LONG = 6
+_LONG_ID_OFFSET = 6
+_SHORT_ID_OFFSET = 1
 _SMALLEST_OPENING_ID_BYTES = 8
 _LARGEST_ID_BYTES = 20
 _OPENING_TYPES = {
-    0x00000001: frozenset((0x00, 0x10)),
-    0x6B3343CF: frozenset((0x10, 0x20)),
+    bytes.fromhex("00000000"): frozenset[int](),
+    bytes.fromhex("00000001"): frozenset((0x00, 0x10)),
+    bytes.fromhex("6b3343cf"): frozenset((0x10, 0x20)),
 }
-"""Type bits of Initial and 0-RTT packets by version (RFC 9000, RFC 9369)."""
-_TYPE_BITS = 0x30
+"""Type bits of Initial and 0-RTT packets by version (RFC 9000, RFC 9369); version
+negotiation comes from servers only and has none."""
 
 
-def is_short(datagram: bytes, offset: int) -> bool:
-    """Return whether the packet at an offset has a short header."""
-    return not datagram[offset] & _LONG_HEADER_BIT
+def is_short(packet: bytes) -> bool:
+    """Return whether a packet that is not empty has a short header."""
+    return packet[0] < _LONG_HEADER_BIT
 
 
-def destination_id(datagram: bytes, offset: int) -> bytes | None:
-    """Return the destination connection ID of the packet at an offset."""
-    if len(datagram) <= offset:
+def destination_id(packet: bytes) -> bytes | None:
+    """Return the destination connection ID, taken as ours in a short header."""
+    if not packet:
         return None
-    if is_short(datagram, offset):
-        start, size = offset + 1, connection_id.BYTES
-    elif len(datagram) <= offset + _LENGTH_OFFSET:
+    if is_short(packet):
+        start, size = _SHORT_ID_OFFSET, connection_id.BYTES
+    elif len(packet) < _LONG_ID_OFFSET:
         return None
     else:
-        start, size = offset + _ID_OFFSET_LONG, datagram[offset + _LENGTH_OFFSET]
-    found = datagram[start : start + size]
+        start, size = _LONG_ID_OFFSET, packet[_LENGTH_OFFSET]
+    found = packet[start : start + size]
     return found if len(found) == size else None
 
 
@@ -41,29 +44,44 @@
     ring: keyring.Keyring, service: bytes, datagram: bytes, offset: int = 0
 ) -> packets.Packet | None:
     """Classify the QUIC packet at an offset; ``None`` when it belongs to no flow."""
-    found = destination_id(datagram, offset)
-    if found is None:
+    if len(datagram) < offset + _LONG_ID_OFFSET:
         return None
-    destination = connection_id.decode(ring, found)
-    if destination is not None:
-        return packets.Packet(found, service, False, destination)
-    if is_short(datagram, offset) or not _may_open(datagram, offset, len(found)):
+    first = datagram[offset]
+    if first < _LONG_HEADER_BIT:
+        start = offset + _SHORT_ID_OFFSET
+        found = datagram[start : start + connection_id.BYTES]
+        return _established(ring, service, found)
+    size = datagram[offset + _LENGTH_OFFSET]
+    start = offset + _LONG_ID_OFFSET
+    found = datagram[start : start + size]
+    if size == connection_id.BYTES:
+        packet = _established(ring, service, found)
+        if packet is not None:
+            return packet
+    version = datagram[offset + _VERSION_OFFSET : offset + _LENGTH_OFFSET]
+    if len(found) != size or not _may_open(version, first & _TYPE_BITS, size):
         return None
     return packets.Packet(found, service, True)
 
 
-def _may_open(datagram: bytes, offset: int, id_bytes: int) -> bool:
+def _established(
+    ring: keyring.Keyring, service: bytes, found: bytes
+) -> packets.Packet | None:
+    destination = connection_id.decode(ring, found)
+    if destination is None:
+        return None
+    return packets.Packet(found, service, False, destination)
+
+
+def _may_open(version: bytes, type_bits: int, id_bytes: int) -> bool:
     """Return whether a long header may start a connection.
 
     A version that is not known counts as opening: the sidecar answers it with the
     versions that it speaks.
     """
-    version = int.from_bytes(datagram[offset + 1 : offset + _LENGTH_OFFSET], "big")
-    if version == _VERSION_NEGOTIATION:
-        return False
     opening_types = _OPENING_TYPES.get(version)
     if opening_types is None:
         return True
     if not _SMALLEST_OPENING_ID_BYTES <= id_bytes <= _LARGEST_ID_BYTES:
         return False
-    return datagram[offset] & _TYPE_BITS in opening_types
+    return type_bits in opening_types
