--- /dev/null
+++ b/plantainproxy/core/gossip.py
@@ -0,0 +1,422 @@
+"""Which records a balancer sends to which peers, and whom it suspects.
+
+Each change is sent a bounded number of times to random peers. A digest exchange with
+one random peer at a steady rate repairs what those messages missed. Bytes are
+bounded by budgets that refill at a fixed rate.
+"""
+
+from collections.abc import Collection, Iterable
+import dataclasses
+import math
+import random
+
+from plantainproxy import _types
+from plantainproxy.core import membership
+from plantainproxy.rpc import messages
+
+BASE_SENDS = 3
+"""Sends of one change, besides the logarithm of the number of balancers."""
+FANOUT = 2
+"""Peers that are sent changes in one round."""
+DIGEST_SECONDS = 1.0
+"""Time between digest exchanges."""
+OUTSIDER_SECONDS = 5.0
+"""Time between calls to addresses that are not known as live balancers."""
+PROBE_SECONDS = 0.5
+"""Time between calls to a peer that is suspected."""
+SUSPECT_FAILURES = 3
+"""Failed calls in a row after which a peer is marked lost."""
+SUSPECT_SECONDS = 1.0
+"""Least time over which the failed calls spread."""
+OUTCOME_SECONDS = 5.0
+"""How long the outcome of a call counts for blindness."""
+ISOLATED_SECONDS = 3.0
+"""Silence of all peers after which a balancer counts itself isolated."""
+CHANGE_BYTES_PER_SECOND = 2_048.0
+CHANGE_BURST_BYTES = 524_288.0
+REPAIR_BYTES_PER_SECOND = 1_024.0
+REPAIR_BURST_BYTES = 524_288.0
+CHANGE_MESSAGE_BYTES = 16_384.0
+"""Most bytes of changed records in one message."""
+REPAIR_MESSAGE_BYTES = 65_536.0
+"""Most bytes of records that repair differences in one message."""
+MAX_SUMMARY_BYTES = 16_384
+"""About the most bytes of summaries in one reply."""
+RECORD_BYTES = 88
+"""Encoded size of a record without its names."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Budget:
+    """A token bucket of bytes."""
+
+    bytes_per_second: float
+    burst_bytes: float
+    message_bytes: float
+    level_bytes: float
+    refilled_at: float
+
+
+def _refill(budget: Budget, now: float) -> None:
+    gained = max(0.0, now - budget.refilled_at) * budget.bytes_per_second
+    budget.level_bytes = min(budget.burst_bytes, budget.level_bytes + gained)
+    budget.refilled_at = now
+
+
+def record_bytes(record: _types.MemberRecord) -> int:
+    """Estimate the encoded size of a record."""
+    return RECORD_BYTES + len(record.domain) + len(record.pool)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Revisions:
+    """The revisions that every message carries."""
+
+    configuration: int
+    keys: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Suspicion:
+    """Failed calls in a row to one peer."""
+
+    failures: int = 0
+    since: float
+    probe_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Outcome:
+    """How the last call to a peer ended."""
+
+    at: float
+    failed: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Send:
+    """One call that a round makes."""
+
+    peer: _types.Address
+    records: tuple[_types.MemberRecord, ...]
+    has_digests: bool
+
+
+class State:
+    """What one balancer knows and still has to tell."""
+
+    def __init__(self, own: _types.MemberRecord, *, now: float) -> None:
+        """Begin with the own record alone."""
+        self.own = own
+        self.table = membership.Table()
+        self.pending: dict[str, int] = {}
+        """How often each changed record is still to be sent, next one first."""
+        self.changes = Budget(
+            bytes_per_second=CHANGE_BYTES_PER_SECOND,
+            burst_bytes=CHANGE_BURST_BYTES,
+            message_bytes=CHANGE_MESSAGE_BYTES,
+            level_bytes=CHANGE_BURST_BYTES,
+            refilled_at=now,
+        )
+        self.repairs = Budget(
+            bytes_per_second=REPAIR_BYTES_PER_SECOND,
+            burst_bytes=REPAIR_BURST_BYTES,
+            message_bytes=REPAIR_MESSAGE_BYTES,
+            level_bytes=REPAIR_BURST_BYTES,
+            refilled_at=now,
+        )
+        self.digest_at = now
+        """When the next digest exchange is due."""
+        self.outsider_at = now
+        self.suspicions: dict[_types.Address, Suspicion] = {}
+        self.outcomes: dict[_types.Address, Outcome] = {}
+        self.heard_at = now
+        """When any peer was last heard; at first the start."""
+        self.peers: tuple[_types.Address, ...] = ()
+        """The live balancers but this one."""
+        self.peers_version = -1
+        learn(self, (own,), now=now)
+
+
+def sends_per_change(balancer_count: int) -> int:
+    """Return how often one balancer sends one change."""
+    return BASE_SENDS + math.ceil(math.log2(balancer_count + 1))
+
+
+def _refresh_peers(state: State) -> None:
+    if state.peers_version == state.table.balancers_version:
+        return
+    state.peers_version = state.table.balancers_version
+    balancers = membership.live_balancers(state.table)
+    state.peers = tuple(
+        sorted(record.rpc for record in balancers if record.key != state.own.key)
+    )
+
+
+def learn(
+    state: State, records: Iterable[_types.MemberRecord], *, now: float
+) -> membership.Merged:
+    """Merge records, refute what is untrue of ourselves, and queue the changes."""
+    merged = membership.merge(state.table, records, now=now)
+    changed = list(merged.changed)
+    for record in merged.changed:
+        refutation = membership.refute(state.own, record)
+        if refutation is not None:
+            state.own = refutation
+            changed += membership.merge(state.table, (refutation,), now=now).changed
+    _refresh_peers(state)
+    sends = sends_per_change(len(state.peers) + 1)
+    for record in changed:
+        state.pending.pop(record.key, None)
+        state.pending[record.key] = sends
+    return dataclasses.replace(merged, changed=tuple(changed))
+
+
+def announce(state: State, own: _types.MemberRecord, *, now: float) -> None:
+    """Replace the own record by a later one."""
+    state.own = own
+    learn(state, (own,), now=now)
+
+
+# --- Rounds -----------------------------------------------------------------------
+
+
+def _take(
+    records: Iterable[_types.MemberRecord], budget: Budget, now: float
+) -> tuple[_types.MemberRecord, ...]:
+    """Take as many records as one message and the budget allow."""
+    _refill(budget, now)
+    room = min(budget.message_bytes, budget.level_bytes)
+    taken = []
+    for record in records:
+        room -= record_bytes(record)
+        if room < 0:
+            break
+        taken.append(record)
+        budget.level_bytes -= record_bytes(record)
+    return tuple(taken)
+
+
+def _next_changes(state: State, now: float) -> tuple[_types.MemberRecord, ...]:
+    """Take the next changes from the queue and put them back behind the others."""
+    table = state.table
+    queued = (table.records[key] for key in state.pending if key in table.records)
+    batch = _take(queued, state.changes, now)
+    for record in batch:
+        left = state.pending.pop(record.key) - 1
+        if left > 0:
+            state.pending[record.key] = left
+    return batch
+
+
+def _outsiders(
+    state: State, contacts: Collection[_types.Address]
+) -> list[_types.Address]:
+    """Return addresses where a balancer may be that is not known as live."""
+    lost = {
+        record.rpc
+        for record in state.table.records.values()
+        if record.kind is _types.MemberKind.BALANCER and record.lost
+    }
+    known = {state.own.rpc, *state.peers}
+    return sorted((lost | set(contacts)) - known)
+
+
+def plan(
+    state: State,
+    *,
+    now: float,
+    rng: random.Random,
+    contacts: Collection[_types.Address],
+) -> tuple[Send, ...]:
+    """Decide the calls of one round.
+
+    ``contacts`` are addresses from settings and from the store; they are called while
+    no peer is known, and now and then afterwards, so that parted groups meet again.
+    """
+    digest_peers: list[_types.Address] = []
+    if now >= state.digest_at and state.peers:
+        state.digest_at = now + DIGEST_SECONDS
+        digest_peers.append(rng.choice(state.peers))
+    if now >= state.outsider_at or not state.peers:
+        state.outsider_at = now + OUTSIDER_SECONDS
+        outsiders = _outsiders(state, contacts)
+        digest_peers += rng.sample(outsiders, min(1, len(outsiders)))
+    for peer, suspicion in state.suspicions.items():
+        if now >= suspicion.probe_at and peer in state.peers:
+            suspicion.probe_at = now + PROBE_SECONDS
+            digest_peers.append(peer)
+    change_peers: list[_types.Address] = []
+    if state.pending:
+        change_peers = rng.sample(state.peers, min(FANOUT, len(state.peers)))
+    return tuple(
+        Send(
+            peer=peer,
+            records=_next_changes(state, now),
+            has_digests=peer in digest_peers,
+        )
+        for peer in dict.fromkeys([*digest_peers, *change_peers])
+    )
+
+
+def request(
+    state: State, send: Send, *, revisions: Revisions
+) -> messages.GossipRequest:
+    """Make the message of one planned call."""
+    return messages.GossipRequest(
+        sender=state.own,
+        configuration_revision=revisions.configuration,
+        key_revision=revisions.keys,
+        records=send.records,
+        digests=membership.pack_digests(state.table) if send.has_digests else b"",
+    )
+
+
+# --- Exchange ---------------------------------------------------------------------
+
+
+def _summarized(table: membership.Table, buckets: Iterable[int]) -> tuple[int, ...]:
+    """Return as many buckets as one reply may summarize."""
+    room = MAX_SUMMARY_BYTES
+    chosen = []
+    for bucket in buckets:
+        if room <= 0:
+            break
+        chosen.append(bucket)
+        room -= len(table.buckets[bucket]) * membership.SUMMARY_BYTES
+    return tuple(chosen)
+
+
+def _rotated(buckets: tuple[int, ...], start: int) -> tuple[int, ...]:
+    later = tuple(bucket for bucket in buckets if bucket >= start)
+    return later + buckets[: len(buckets) - len(later)]
+
+
+def answer(
+    state: State,
+    received: messages.GossipRequest,
+    *,
+    revisions: Revisions,
+    now: float,
+    rng: random.Random,
+) -> tuple[messages.GossipReply, membership.Merged]:
+    """Take in a peer's news and make the reply."""
+    merged = learn(state, (received.sender, *received.records), now=now)
+    state.heard_at = now
+    table = state.table
+    differing = membership.differing_buckets(table, received.digests)
+    differing = _rotated(differing, rng.randrange(membership.BUCKET_COUNT))
+    unknown = [
+        bucket
+        for bucket in differing
+        if membership.is_empty_digest(received.digests, bucket)
+    ]
+    summarized = _summarized(
+        table, (bucket for bucket in differing if bucket not in unknown)
+    )
+    repairs = [
+        *merged.newer,
+        *membership.wanted_records(table, received.wanted),
+        *membership.bucket_records(table, unknown),
+    ]
+    reply = messages.GossipReply(
+        sender=state.own,
+        configuration_revision=revisions.configuration,
+        key_revision=revisions.keys,
+        records=_take(dict.fromkeys(repairs), state.repairs, now),
+        buckets=bytes(summarized),
+        summaries=membership.pack_summaries(table, summarized),
+    )
+    return reply, merged
+
+
+def follow_up(
+    state: State,
+    peer: _types.Address,
+    reply: messages.GossipReply,
+    *,
+    revisions: Revisions,
+    now: float,
+) -> tuple[messages.GossipRequest | None, membership.Merged]:
+    """Take in a reply; return the message that settles the differences, if any."""
+    merged = learn(state, (reply.sender, *reply.records), now=now)
+    state.heard_at = now
+    state.suspicions.pop(peer, None)
+    state.outcomes[peer] = Outcome(at=now, failed=False)
+    difference = membership.compare_summaries(
+        state.table, reply.buckets, reply.summaries
+    )
+    repairs = dict.fromkeys((*merged.newer, *difference.ours))
+    records = _take(repairs, state.repairs, now)
+    if reply.records or difference.wanted:
+        state.digest_at = now
+    if not records and not difference.wanted:
+        return None, merged
+    message = messages.GossipRequest(
+        sender=state.own,
+        configuration_revision=revisions.configuration,
+        key_revision=revisions.keys,
+        records=records,
+        wanted=difference.wanted,
+    )
+    return message, merged
+
+
+# --- Failures ---------------------------------------------------------------------
+
+
+def is_blind(state: State, *, now: float) -> bool:
+    """Whether so many peers fail lately that the fault is likely our own."""
+    recent = [
+        outcome
+        for outcome in state.outcomes.values()
+        if now - outcome.at <= OUTCOME_SECONDS
+    ]
+    failed = sum(outcome.failed for outcome in recent)
+    return failed >= membership.BLIND_MINIMUM and failed * 2 > len(recent)
+
+
+def failed(
+    state: State, peer: _types.Address, *, now: float, is_connected: bool
+) -> membership.Merged | None:
+    """Note a failed call; return the change when the peer is marked lost."""
+    if peer not in state.peers:
+        return None
+    state.outcomes[peer] = Outcome(at=now, failed=True)
+    suspicion = state.suspicions.setdefault(
+        peer, Suspicion(since=now, probe_at=now + PROBE_SECONDS)
+    )
+    suspicion.failures += 1
+    suspicion.probe_at = now + PROBE_SECONDS
+    suspected_seconds = now - suspicion.since
+    if suspicion.failures < SUSPECT_FAILURES or suspected_seconds < SUSPECT_SECONDS:
+        return None
+    spared = suspected_seconds < membership.BLIND_LIMIT_SECONDS or not is_connected
+    if is_blind(state, now=now) and spared:
+        return None
+    del state.suspicions[peer]
+    key = dataclasses.replace(state.own, rpc=peer).key
+    lost = dataclasses.replace(state.table.records[key], lost=True)
+    return learn(state, (lost,), now=now)
+
+
+def is_isolated(state: State, *, now: float) -> bool:
+    """Whether peers are known but none was heard lately."""
+    return bool(state.peers) and now - state.heard_at > ISOLATED_SECONDS
+
+
+def forget(state: State, *, now: float) -> tuple[_types.MemberRecord, ...]:
+    """Drop what is out of date."""
+    forgotten = membership.forget(state.table, now=now)
+    for record in forgotten:
+        state.pending.pop(record.key, None)
+    expired = [
+        peer
+        for peer, outcome in state.outcomes.items()
+        if now - outcome.at > OUTCOME_SECONDS
+    ]
+    for peer in expired:
+        del state.outcomes[peer]
+    for peer in [peer for peer in state.suspicions if peer not in state.peers]:
+        del state.suspicions[peer]
+    return forgotten
--- a/plantainproxy/core/homes.py
+++ b/plantainproxy/core/homes.py
@@ -49,6 +49,8 @@
 
 def pick(choices: Candidates, key: str, count: int) -> tuple[_types.Address, ...]:
     """Return the ``count`` best homes of a key, best first."""
+    if count == 0:
+        return ()
     scores = _scores(choices.points, key)
     if count < len(scores):
         best = numpy.argpartition(scores, len(scores) - count)[-count:]
--- /dev/null
+++ b/plantainproxy/core/membership.py
@@ -0,0 +1,488 @@
+"""The table of members, the watch over heartbeats, and refutation.
+
+Records of one member are ordered by precedence, and a merge keeps the higher one, so
+that any order of merges leads to the same table. A digest over the records of each
+bucket lets two balancers find their differences.
+"""
+
+from collections.abc import Callable, Iterable, Iterator
+import dataclasses
+import struct
+
+from plantainproxy import _types
+from plantainproxy.core import homes
+
+BUCKET_COUNT = 256
+FORGET_SECONDS = 600.0
+"""How long the record of a member that left or was lost is kept."""
+FLOOR_SECONDS = 86_400.0
+"""How long the version of a forgotten record keeps older ones out."""
+MAX_FLOORS = 100_000
+MISSED_HEARTBEATS = 3
+"""Heartbeats in a row that a member may miss before it is marked lost."""
+BLIND_MINIMUM = 2
+"""Fewer silent members than this are never taken for the observer's own fault."""
+BLIND_LIMIT_SECONDS = 15.0
+"""How long many silent members are spared while others are still heard."""
+EXPECT_SECONDS = 10.0
+"""Time that a member has to find its new home."""
+MAX_PATIENCE = 32
+"""Largest factor on the time before a member that refuted is marked again."""
+
+_DIGEST = struct.Struct(f"!{BUCKET_COUNT}I")
+_SUMMARY = struct.Struct("!QI")
+SUMMARY_BYTES = _SUMMARY.size
+_MASK = 0xFFFFFFFF
+
+Precedence = tuple[int, int, bool, str]
+
+
+def has_ended(record: _types.MemberRecord) -> bool:
+    """Whether a record says that its member left or is lost."""
+    return record.lost or record.state is _types.MemberState.LEFT
+
+
+def precedence(record: _types.MemberRecord) -> Precedence:
+    """Return the total order of one member's records.
+
+    The content decides between two records of one version, which a correct owner
+    never makes, so that merges converge in spite of it.
+    """
+    content = (record.state, record.domain, record.pool, record.tunnel, record.weight)
+    return (*record.version, repr(content))
+
+
+def record_hash(record: _types.MemberRecord) -> int:
+    """Hash everything that a record says to 32 bits."""
+    return homes.point(f"{record.key}{precedence(record)}") & _MASK
+
+
+# --- Table ------------------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Merged:
+    """What one merge did."""
+
+    changed: tuple[_types.MemberRecord, ...]
+    """The records that were taken in."""
+    newer: tuple[_types.MemberRecord, ...]
+    """Our records that are newer than the received ones."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Floor:
+    """The version below which the records of a forgotten member are refused."""
+
+    generation: int
+    sequence: int
+    until: float
+
+
+class Table:
+    """All members that one balancer knows."""
+
+    def __init__(self) -> None:
+        """Begin with no members."""
+        self.records: dict[str, _types.MemberRecord] = {}
+        self.keys: dict[int, str] = {}
+        """The member key of each key hash."""
+        self.hashes: dict[str, int] = {}
+        """The digest hash of each record; absent for those that ended."""
+        self.pools: dict[str, dict[str, _types.MemberRecord]] = {}
+        self.pool_versions: dict[str, int] = {}
+        """Raised at each change to a pool's records."""
+        self.balancers_version = 0
+        """Raised when a balancer comes, goes or changes its state."""
+        self.digests = [0] * BUCKET_COUNT
+        self.buckets: list[set[str]] = [set() for _ in range(BUCKET_COUNT)]
+        self.ended_at: dict[str, float] = {}
+        """When a record was first seen to have ended."""
+        self.floors: dict[str, Floor] = {}
+
+
+def bucket_of(key_hash: int) -> int:
+    """Return the number of the bucket that a member's hash falls into."""
+    return key_hash % BUCKET_COUNT
+
+
+def _update_digest(table: Table, record: _types.MemberRecord) -> None:
+    """Let the digest of a member's bucket cover its present record.
+
+    Ended records are left out, so that balancers may forget them at different times.
+    """
+    key_hash = homes.point(record.key)
+    bucket = bucket_of(key_hash)
+    table.keys[key_hash] = record.key
+    table.buckets[bucket].add(record.key)
+    table.digests[bucket] ^= table.hashes.pop(record.key, 0)
+    if has_ended(record):
+        return
+    new_hash = record_hash(record)
+    table.hashes[record.key] = new_hash
+    table.digests[bucket] ^= new_hash
+
+
+def _raise_pool_version(table: Table, pool: str) -> None:
+    table.pool_versions[pool] = table.pool_versions.get(pool, 0) + 1
+
+
+def _remove_from_pool(table: Table, record: _types.MemberRecord) -> None:
+    members = table.pools.get(record.pool, {})
+    if members.pop(record.key, None) is None:
+        return
+    if not members:
+        del table.pools[record.pool]
+    _raise_pool_version(table, record.pool)
+
+
+def _put(table: Table, record: _types.MemberRecord, now: float) -> None:
+    previous = table.records.get(record.key)
+    table.records[record.key] = record
+    table.floors.pop(record.key, None)
+    _update_digest(table, record)
+    if has_ended(record):
+        table.ended_at.setdefault(record.key, now)
+    else:
+        table.ended_at.pop(record.key, None)
+    if record.kind is _types.MemberKind.BALANCER:
+        table.balancers_version += previous is None or (
+            (previous.lost, previous.state) != (record.lost, record.state)
+        )
+        return
+    if previous is not None and previous.pool != record.pool:
+        _remove_from_pool(table, previous)
+    table.pools.setdefault(record.pool, {})[record.key] = record
+    _raise_pool_version(table, record.pool)
+
+
+def _below_floor(
+    table: Table, record: _types.MemberRecord
+) -> _types.MemberRecord | None:
+    """Return the ended record that stands against one below its floor."""
+    floor = table.floors.get(record.key)
+    if floor is None:
+        return None
+    if (record.generation, record.sequence) > (floor.generation, floor.sequence):
+        return None
+    return dataclasses.replace(
+        record, generation=floor.generation, sequence=floor.sequence, lost=True
+    )
+
+
+def merge(
+    table: Table, records: Iterable[_types.MemberRecord], *, now: float
+) -> Merged:
+    """Take in the records that are newer than ours; tell which of ours are newer."""
+    changed = []
+    newer = []
+    for record in records:
+        refused_by = _below_floor(table, record)
+        if refused_by is not None:
+            if not has_ended(record):
+                newer.append(refused_by)
+            continue
+        known = table.records.get(record.key)
+        if known == record:
+            continue
+        if known is not None and precedence(known) > precedence(record):
+            newer.append(known)
+            continue
+        _put(table, record, now)
+        changed.append(record)
+    return Merged(changed=tuple(changed), newer=tuple(newer))
+
+
+def forget(table: Table, *, now: float) -> tuple[_types.MemberRecord, ...]:
+    """Drop the records that ended long ago, and floors that are older still."""
+    due = [key for key, at in table.ended_at.items() if now - at >= FORGET_SECONDS]
+    forgotten = []
+    for key in due:
+        record = table.records.pop(key)
+        del table.ended_at[key]
+        key_hash = homes.point(key)
+        table.keys.pop(key_hash, None)
+        table.buckets[bucket_of(key_hash)].discard(key)
+        _remove_from_pool(table, record)
+        table.floors[key] = Floor(
+            generation=record.generation,
+            sequence=record.sequence,
+            until=now + FLOOR_SECONDS,
+        )
+        forgotten.append(record)
+    _drop_floors(table, now)
+    return tuple(forgotten)
+
+
+def _drop_floors(table: Table, now: float) -> None:
+    """Drop expired floors; they are kept in the order in which they expire."""
+    while table.floors:
+        key, floor = next(iter(table.floors.items()))
+        if now < floor.until and len(table.floors) <= MAX_FLOORS:
+            return
+        del table.floors[key]
+
+
+def pool_records(table: Table, pool: str) -> tuple[_types.MemberRecord, ...]:
+    """Return all records of a pool, ended ones included, in a stable order."""
+    members = table.pools.get(pool, {})
+    return tuple(members[key] for key in sorted(members))
+
+
+def live_balancers(table: Table) -> tuple[_types.MemberRecord, ...]:
+    """Return the records of the balancers that have not ended."""
+    return tuple(
+        record
+        for record in table.records.values()
+        if record.kind is _types.MemberKind.BALANCER and not has_ended(record)
+    )
+
+
+def records_digest(records: Iterable[_types.MemberRecord]) -> int:
+    """Digest a set of records in any order; 0 only for the empty set, in effect."""
+    digest = 0
+    for record in records:
+        digest ^= homes.point(f"{record.key}{precedence(record)}")
+    return digest
+
+
+def pack_digests(table: Table) -> bytes:
+    """Pack the digest of every bucket for a digest exchange."""
+    return _DIGEST.pack(*table.digests)
+
+
+def differing_buckets(table: Table, packed: bytes) -> tuple[int, ...]:
+    """Compare a peer's packed digests with ours; a malformed pack differs nowhere."""
+    if len(packed) != _DIGEST.size:
+        return ()
+    theirs = _DIGEST.unpack(packed)
+    return tuple(
+        bucket
+        for bucket, (our, their) in enumerate(zip(table.digests, theirs, strict=True))
+        if our != their
+    )
+
+
+def is_empty_digest(packed: bytes, bucket: int) -> bool:
+    """Whether a peer's packed digests say that it knows nothing in a bucket."""
+    return packed[bucket * 4 : bucket * 4 + 4] == bytes(4)
+
+
+def pack_summaries(table: Table, buckets: Iterable[int]) -> bytes:
+    """Pack key hash and record hash of every record in some buckets."""
+    return b"".join(
+        _SUMMARY.pack(homes.point(key), record_hash(table.records[key]))
+        for bucket in buckets
+        for key in sorted(table.buckets[bucket])
+    )
+
+
+def bucket_records(
+    table: Table, buckets: Iterable[int]
+) -> Iterator[_types.MemberRecord]:
+    """Yield the live records in some buckets."""
+    for bucket in buckets:
+        for key in sorted(table.buckets[bucket]):
+            if not has_ended(table.records[key]):
+                yield table.records[key]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Difference:
+    """What a comparison with a peer's summaries found."""
+
+    ours: tuple[_types.MemberRecord, ...]
+    """Our records that the peer lacks or holds differently."""
+    wanted: bytes
+    """Packed hashes of the members that the peer knows differently."""
+
+
+def compare_summaries(table: Table, buckets: bytes, summaries: bytes) -> Difference:
+    """Compare a peer's packed summaries of some buckets with our records."""
+    usable = len(summaries) - len(summaries) % _SUMMARY.size
+    theirs = dict(_SUMMARY.iter_unpack(summaries[:usable]))
+    wanted = []
+    ours = []
+    for key_hash, their_hash in theirs.items():
+        key = table.keys.get(key_hash)
+        known = None if key is None else table.records[key]
+        if known is None:
+            wanted.append(key_hash)
+        elif record_hash(known) != their_hash:
+            wanted.append(key_hash)
+            ours.append(known)
+    for bucket in set(buckets):
+        for key in table.buckets[bucket]:
+            record = table.records[key]
+            if homes.point(key) not in theirs and not has_ended(record):
+                ours.append(record)
+    return Difference(
+        ours=tuple(sorted(ours, key=lambda record: record.key)),
+        wanted=b"".join(value.to_bytes(8, "big") for value in wanted),
+    )
+
+
+def wanted_records(table: Table, wanted: bytes) -> tuple[_types.MemberRecord, ...]:
+    """Return our records of the members that a peer asks for."""
+    hashes = (
+        int.from_bytes(wanted[start : start + 8], "big")
+        for start in range(0, len(wanted) - 7, 8)
+    )
+    keys = (table.keys.get(key_hash) for key_hash in hashes)
+    return tuple(table.records[key] for key in keys if key is not None)
+
+
+# --- Own record -------------------------------------------------------------------
+
+
+def refute(
+    own: _types.MemberRecord, seen: _types.MemberRecord
+) -> _types.MemberRecord | None:
+    """Return a higher own record when another stands above it, else nothing.
+
+    An owner that was marked lost raises its sequence. An owner whose clock stood
+    back at its start takes a generation above that of its predecessor.
+    """
+    if seen.key != own.key or precedence(seen) <= precedence(own):
+        return None
+    if seen.generation > own.generation:
+        return dataclasses.replace(own, generation=seen.generation + 1, sequence=1)
+    return dataclasses.replace(own, sequence=seen.sequence + 1)
+
+
+# --- Watch ------------------------------------------------------------------------
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Watched:
+    """What a watch knows of one member."""
+
+    heard_at: float
+    """When the member was last heard, or began to be watched."""
+    patience: int = 1
+    """Factor on the time before the member is marked lost."""
+    has_called: bool = False
+    """Whether a heartbeat came at all."""
+    marked: bool = False
+    """Whether this watch marked the member lost."""
+
+
+class Watch:
+    """A balancer's watch over the sidecars whose home it is."""
+
+    def __init__(self, *, interval_seconds: float) -> None:
+        """Expect heartbeats at an interval."""
+        self.interval_seconds = interval_seconds
+        self.members: dict[str, Watched] = {}
+        self.ticked_at: float | None = None
+        """When silence was last looked for."""
+        self.blind_since: float | None = None
+        """Since when so many members are silent that the fault is likely our own."""
+
+
+def heard(watch: Watch, key: str, *, now: float) -> None:
+    """Note a heartbeat."""
+    watch.members[key] = Watched(heard_at=now, has_called=True)
+
+
+def expect(watch: Watch, key: str, *, now: float) -> None:
+    """Watch a member that has not called yet; give it time to learn of us."""
+    watch.members.setdefault(key, Watched(heard_at=now + EXPECT_SECONDS))
+
+
+def note_record(watch: Watch, record: _types.MemberRecord, *, now: float) -> None:
+    """Note a record that others spread of a member.
+
+    A live record of a member that was marked lost proves that the member is alive
+    and reaches others but not us, so it is given more time before the next mark.
+    """
+    watched = watch.members.get(record.key)
+    if watched is None:
+        return
+    if record.state is _types.MemberState.LEFT:
+        del watch.members[record.key]
+        return
+    if record.lost or not watched.marked:
+        return
+    watched.marked = False
+    watched.heard_at = now
+    watched.patience = min(watched.patience * 2, MAX_PATIENCE)
+
+
+def _window(watch: Watch) -> float:
+    return watch.interval_seconds * MISSED_HEARTBEATS
+
+
+def others_heard(watch: Watch, *, now: float) -> bool:
+    """Whether any watched member called lately."""
+    return any(
+        watched.has_called and now - watched.heard_at <= _window(watch)
+        for watched in watch.members.values()
+    )
+
+
+def _discount_pause(watch: Watch, now: float) -> None:
+    """Count time in which the observer itself stood still for nobody's silence."""
+    previous, watch.ticked_at = watch.ticked_at, now
+    if previous is None:
+        return
+    pause = now - previous - watch.interval_seconds
+    if pause <= watch.interval_seconds:
+        return
+    for watched in watch.members.values():
+        watched.heard_at = min(now, watched.heard_at + pause)
+
+
+def _silent_members(watch: Watch, now: float) -> list[str]:
+    return [
+        key
+        for key, watched in watch.members.items()
+        if not watched.marked
+        and now - watched.heard_at > _window(watch) * watched.patience
+    ]
+
+
+def _update_blindness(watch: Watch, silent_count: int, now: float) -> None:
+    unmarked = sum(not watched.marked for watched in watch.members.values())
+    if silent_count < BLIND_MINIMUM or silent_count * 2 <= unmarked:
+        watch.blind_since = None
+    elif watch.blind_since is None:
+        watch.blind_since = now
+
+
+def mark_lost(
+    watch: Watch,
+    table: Table,
+    *,
+    now: float,
+    is_connected: bool,
+    is_home: Callable[[str], bool],
+) -> tuple[_types.MemberRecord, ...]:
+    """Return lost records for the members that went silent.
+
+    When more than half of the watched members are silent, the observer counts itself
+    blind and marks none; only if it hears others meanwhile (``is_connected``) does it
+    mark them in the end. A silent member that has other homes now is watched no more.
+    """
+    _discount_pause(watch, now)
+    silent = _silent_members(watch, now)
+    unwatch(watch, [key for key in silent if not is_home(key)])
+    silent = [key for key in silent if key in watch.members]
+    _update_blindness(watch, len(silent), now)
+    if watch.blind_since is not None and (
+        not is_connected or now - watch.blind_since < BLIND_LIMIT_SECONDS
+    ):
+        return ()
+    lost = []
+    for key in silent:
+        watch.members[key].marked = True
+        record = table.records.get(key)
+        if record is not None and not has_ended(record):
+            lost.append(dataclasses.replace(record, lost=True))
+    return tuple(lost)
+
+
+def unwatch(watch: Watch, keys: Iterable[str]) -> None:
+    """End the watch over members that were forgotten."""
+    for key in keys:
+        watch.members.pop(key, None)
--- /dev/null
+++ b/plantainproxy/core/tests/test_gossip.py
@@ -0,0 +1,226 @@
+"""Spreading of records among balancers over a lossy link."""
+
+import dataclasses
+import random
+
+import pytest
+
+from plantainproxy import _types
+from plantainproxy.core import gossip, membership
+from plantainproxy.rpc import codec
+
+REVISIONS = gossip.Revisions(configuration=1, keys=1)
+ROUND_SECONDS = 0.25
+
+
+def balancer(number: int) -> _types.MemberRecord:
+    """Make a balancer's record."""
+    return _types.MemberRecord(
+        kind=_types.MemberKind.BALANCER,
+        rpc=_types.Address("127.0.0.1", 7000 + number),
+        domain="d",
+        generation=1,
+        sequence=1,
+    )
+
+
+def sidecar(number: int, *, sequence: int = 1) -> _types.MemberRecord:
+    """Make a sidecar's record."""
+    return _types.MemberRecord(
+        kind=_types.MemberKind.SIDECAR,
+        rpc=_types.Address("127.0.0.2", number),
+        domain="d",
+        generation=1,
+        sequence=sequence,
+        pool="p",
+    )
+
+
+class Group:
+    """Balancers that gossip by calls of which some are lost."""
+
+    def __init__(self, count: int, *, seed: int, loss: float = 0.0) -> None:
+        """Start balancers that know each other's address alone."""
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.now = 0.0
+        self.states = {
+            balancer(number).rpc: gossip.State(balancer(number), now=0.0)
+            for number in range(count)
+        }
+        self.contacts = list(self.states)
+        self.dead: set[_types.Address] = set()
+        self.sent_records = 0
+
+    def _lose(self, peer: _types.Address) -> bool:
+        return peer in self.dead or self.rng.random() < self.loss
+
+    def exchange(self, state: gossip.State, send: gossip.Send) -> None:
+        """Carry out one planned call, losing requests and replies."""
+        message = gossip.request(state, send, revisions=REVISIONS)
+        for _ in range(2):
+            self.sent_records += len(message.records)
+            if self._lose(send.peer):
+                gossip.failed(state, send.peer, now=self.now, is_connected=True)
+                return
+            reply, _ = gossip.answer(
+                self.states[send.peer],
+                message,
+                revisions=REVISIONS,
+                now=self.now,
+                rng=self.rng,
+            )
+            if self._lose(send.peer):
+                gossip.failed(state, send.peer, now=self.now, is_connected=True)
+                return
+            following, _ = gossip.follow_up(
+                state, send.peer, reply, revisions=REVISIONS, now=self.now
+            )
+            if following is None:
+                return
+            message = following
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += ROUND_SECONDS
+            for rpc, state in self.states.items():
+                if rpc in self.dead:
+                    continue
+                for send in gossip.plan(
+                    state, now=self.now, rng=self.rng, contacts=self.contacts
+                ):
+                    self.exchange(state, send)
+                gossip.forget(state, now=self.now)
+
+    def live(self) -> list[gossip.State]:
+        """Return the states of the running balancers."""
+        return [state for rpc, state in self.states.items() if rpc not in self.dead]
+
+    def tables(self) -> list[dict[str, _types.MemberRecord]]:
+        """Return the live records that each running balancer knows."""
+        return [
+            {
+                key: record
+                for key, record in state.table.records.items()
+                if not membership.has_ended(record)
+            }
+            for state in self.live()
+        ]
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_digest_exchange_repairs_what_loss_took(seed: int) -> None:
+    """With half of all messages lost, every balancer learns every record."""
+    group = Group(6, seed=seed, loss=0.5)
+    group.run(10)
+    states = group.live()
+    for number in range(300):
+        gossip.learn(states[number % 6], (sidecar(number),), now=group.now)
+    group.run(60)
+    tables = group.tables()
+    expected = {sidecar(number).key for number in range(300)}
+    assert all(expected <= set(table) for table in tables)
+
+
+def test_digest_exchange_alone_spreads_records() -> None:
+    """Records that no change message carries arrive all the same."""
+    group = Group(4, seed=1)
+    group.run(5)
+    first = group.live()[0]
+    gossip.learn(first, [sidecar(number) for number in range(500)], now=group.now)
+    first.pending.clear()
+    group.run(20)
+    assert all(len(table) == 504 for table in group.tables())
+
+
+def test_a_change_is_sent_a_bounded_number_of_times() -> None:
+    """After a change has spread, nobody sends records any more."""
+    group = Group(16, seed=3)
+    group.run(10)
+    group.sent_records = 0
+    gossip.learn(group.live()[0], (sidecar(1),), now=group.now)
+    group.run(20)
+    assert all(sidecar(1).key in table for table in group.tables())
+    assert 15 <= group.sent_records <= 16 * gossip.sends_per_change(16)
+    group.sent_records = 0
+    group.run(5)
+    assert group.sent_records == 0
+
+
+def test_a_dead_balancer_is_marked_lost_by_all() -> None:
+    """Repeated failures mark a peer, and the mark spreads."""
+    group = Group(5, seed=2)
+    group.run(5)
+    victim = group.contacts[4]
+    group.dead.add(victim)
+    group.run(15)
+    assert all(victim not in state.peers for state in group.live())
+
+
+def test_a_balancer_marked_lost_refutes_and_returns() -> None:
+    """A live balancer that was marked lost is known as live again."""
+    group = Group(4, seed=4)
+    group.run(5)
+    states = group.live()
+    mark = dataclasses.replace(states[1].own, lost=True)
+    gossip.learn(states[0], (mark,), now=group.now)
+    group.run(10)
+    assert states[1].own.sequence == 2
+    assert all(len(state.peers) == 3 for state in states)
+
+
+def test_a_balancer_that_reaches_nobody_marks_nobody() -> None:
+    """Failures of most peers are the observer's own fault."""
+    group = Group(6, seed=6)
+    group.run(5)
+    alone = group.live()[0]
+    for _ in range(5):
+        group.now += 0.5
+        for peer in group.contacts[1:]:
+            assert gossip.failed(alone, peer, now=group.now, is_connected=False) is None
+    assert gossip.is_blind(alone, now=group.now)
+    assert gossip.is_isolated(alone, now=group.now + gossip.ISOLATED_SECONDS)
+
+
+def test_parted_groups_meet_again_through_their_contacts() -> None:
+    """Two groups that marked each other lost become one."""
+    group = Group(6, seed=7)
+    group.run(5)
+    states = list(group.states.values())
+    for observer in states[:3]:
+        marks = [dataclasses.replace(state.own, lost=True) for state in states[3:]]
+        gossip.learn(observer, marks, now=group.now)
+    group.run(30)
+    assert all(len(state.peers) == 5 for state in states)
+
+
+def test_budgets_bound_the_bytes_a_second() -> None:
+    """Under constant churn a balancer sends no more than its budget allows."""
+    state = gossip.State(balancer(0), now=0.0)
+    gossip.learn(state, [balancer(number) for number in range(1, 9)], now=0.0)
+    rng = random.Random(1)
+    sent = 0
+    seconds = 300
+    for tick in range(int(seconds / ROUND_SECONDS)):
+        now = tick * ROUND_SECONDS
+        changed = [sidecar(number, sequence=tick + 2) for number in range(50)]
+        gossip.learn(state, changed, now=now)
+        for send in gossip.plan(state, now=now, rng=rng, contacts=()):
+            sent += sum(map(gossip.record_bytes, send.records))
+    allowed = gossip.CHANGE_BURST_BYTES + seconds * gossip.CHANGE_BYTES_PER_SECOND
+    assert allowed * 0.9 <= sent <= allowed
+
+
+def test_the_size_estimate_is_not_below_the_encoded_size() -> None:
+    """A record's estimated size holds for its encoding."""
+    record = dataclasses.replace(
+        sidecar(65535, sequence=70_000),
+        rpc=_types.Address("255.255.255.255", 65535),
+        tunnel=_types.Address("255.255.255.255", 65535),
+        generation=1_790_000_000_000,
+        weight=0.3,
+        state=_types.MemberState.DRAINING,
+    )
+    assert len(codec.encode(record)) <= gossip.record_bytes(record)
--- /dev/null
+++ b/plantainproxy/core/tests/test_membership.py
@@ -0,0 +1,361 @@
+"""The table of members, the watch and refutation."""
+
+import dataclasses
+import itertools
+import random
+
+from hypothesis import given, settings, stateful, strategies
+import pytest
+
+from plantainproxy import _types
+from plantainproxy.core import membership
+
+SERVING, DRAINING, LEFT = (
+    _types.MemberState.SERVING,
+    _types.MemberState.DRAINING,
+    _types.MemberState.LEFT,
+)
+INTERVAL = 1.0
+WINDOW = INTERVAL * membership.MISSED_HEARTBEATS
+
+
+def sidecar(
+    number: int = 1,
+    *,
+    generation: int = 10,
+    sequence: int = 1,
+    state: _types.MemberState = SERVING,
+    pool: str = "p",
+    lost: bool = False,
+) -> _types.MemberRecord:
+    """Make a record."""
+    return _types.MemberRecord(
+        kind=_types.MemberKind.SIDECAR,
+        rpc=_types.Address("127.0.0.1", number),
+        domain="d",
+        generation=generation,
+        sequence=sequence,
+        state=state,
+        pool=pool,
+        lost=lost,
+    )
+
+
+@pytest.mark.parametrize(
+    ("older", "newer"),
+    [
+        (sidecar(sequence=1), sidecar(sequence=2)),
+        (sidecar(sequence=9), sidecar(generation=11, sequence=1)),
+        (sidecar(), sidecar(lost=True)),
+        (sidecar(lost=True), sidecar(sequence=2)),
+        (sidecar(sequence=2, state=LEFT), sidecar(generation=11)),
+        (sidecar(sequence=1, lost=True), sidecar(sequence=2, state=LEFT)),
+    ],
+)
+def test_an_older_record_never_replaces_a_newer_one(
+    older: _types.MemberRecord, newer: _types.MemberRecord
+) -> None:
+    """The newer record wins in both orders, and the sender of the older is told."""
+    table = membership.Table()
+    assert membership.merge(table, (older,), now=0).changed == (older,)
+    assert membership.merge(table, (newer,), now=0).changed == (newer,)
+    late = membership.merge(table, (older,), now=0)
+    assert (late.changed, late.newer) == ((), (newer,))
+    assert table.records == {newer.key: newer}
+
+
+def test_a_pool_change_moves_the_record() -> None:
+    """A member that announces another pool leaves the first one."""
+    table = membership.Table()
+    membership.merge(table, (sidecar(pool="a"),), now=0)
+    moved = sidecar(pool="b", sequence=2)
+    membership.merge(table, (moved,), now=0)
+    assert membership.pool_records(table, "a") == ()
+    assert membership.pool_records(table, "b") == (moved,)
+
+
+@pytest.mark.parametrize(
+    "seen", [sidecar(sequence=5, lost=True), sidecar(generation=99, sequence=7)]
+)
+def test_an_owner_refutes_what_stands_above_its_record(
+    seen: _types.MemberRecord,
+) -> None:
+    """The refutation takes precedence over what was seen."""
+    refutation = membership.refute(sidecar(sequence=5), seen)
+    assert refutation is not None
+    assert membership.precedence(refutation) > membership.precedence(seen)
+    assert not refutation.lost
+    assert membership.refute(refutation, seen) is None
+
+
+@pytest.mark.parametrize("ended", [sidecar(lost=True), sidecar(state=LEFT)])
+def test_forgotten_records_do_not_come_back(ended: _types.MemberRecord) -> None:
+    """After forgetting, only a higher sequence or generation is taken in."""
+    table = membership.Table()
+    membership.merge(table, (ended,), now=0)
+    assert membership.forget(table, now=membership.FORGET_SECONDS - 1) == ()
+    assert membership.forget(table, now=membership.FORGET_SECONDS) == (ended,)
+    assert not table.records
+    assert not table.pools
+    now = membership.FORGET_SECONDS + 1
+    for old in (sidecar(), sidecar(sequence=0), sidecar(generation=9, sequence=50)):
+        merged = membership.merge(table, (old,), now=now)
+        assert merged.changed == ()
+        assert membership.has_ended(merged.newer[0])
+        assert membership.precedence(merged.newer[0]) > membership.precedence(old)
+    revived = sidecar(sequence=2)
+    assert membership.merge(table, (revived,), now=now).changed == (revived,)
+
+
+def test_floors_are_dropped_in_the_end() -> None:
+    """What keeps older records out is bounded in time."""
+    table = membership.Table()
+    membership.merge(table, (sidecar(lost=True),), now=0)
+    membership.forget(table, now=membership.FORGET_SECONDS)
+    assert table.floors
+    membership.forget(table, now=membership.FORGET_SECONDS + membership.FLOOR_SECONDS)
+    assert not table.floors
+
+
+def fresh_digests(records: dict[str, _types.MemberRecord]) -> list[int]:
+    """Compute the digests from nothing."""
+    table = membership.Table()
+    membership.merge(table, records.values(), now=0)
+    return table.digests
+
+
+def test_digests_are_incremental_and_ignore_ended_records() -> None:
+    """Digests after many changes equal those computed from the final records."""
+    rng = random.Random(5)
+    table = membership.Table()
+    for step in range(2_000):
+        record = sidecar(
+            rng.randrange(300),
+            generation=rng.randrange(3),
+            sequence=rng.randrange(9),
+            state=rng.choice([SERVING, DRAINING, LEFT]),
+            lost=rng.random() < 0.2,
+        )
+        membership.merge(table, (record,), now=step)
+        membership.forget(table, now=step)
+    live = {
+        key: record
+        for key, record in table.records.items()
+        if not membership.has_ended(record)
+    }
+    assert table.digests == fresh_digests(table.records) == fresh_digests(live)
+
+
+@pytest.mark.parametrize("packed", [b"", b"x", bytes(1023), bytes(1025)])
+def test_malformed_digests_and_summaries_are_harmless(packed: bytes) -> None:
+    """A pack of the wrong size is compared as far as it goes."""
+    table = membership.Table()
+    membership.merge(table, (sidecar(),), now=0)
+    assert membership.differing_buckets(table, packed) == ()
+    membership.compare_summaries(table, packed[:300], packed)
+    membership.wanted_records(table, packed)
+
+
+def watched(count: int) -> tuple[membership.Watch, membership.Table]:
+    """Make a watch that heard some members at time 0."""
+    watch, table = membership.Watch(interval_seconds=INTERVAL), membership.Table()
+    records = [sidecar(number) for number in range(count)]
+    membership.merge(table, records, now=0)
+    for record in records:
+        membership.heard(watch, record.key, now=0)
+    return watch, table
+
+
+def advance(
+    watch: membership.Watch,
+    table: membership.Table,
+    *,
+    until: float,
+    alive: range = range(0),
+    is_connected: bool = True,
+    start: float = 0,
+) -> list[_types.MemberRecord]:
+    """Tick once an interval; the members in ``alive`` call before each tick."""
+    lost: list[_types.MemberRecord] = []
+    now = start
+    while now < until:
+        now += INTERVAL
+        for number in alive:
+            membership.heard(watch, sidecar(number).key, now=now)
+        lost += membership.mark_lost(
+            watch,
+            table,
+            now=now,
+            is_connected=is_connected,
+            is_home=lambda key: True,
+        )
+    return lost
+
+
+def test_a_silent_member_is_marked_once_after_its_window() -> None:
+    """Three missed heartbeats mark a member lost, at the same version."""
+    watch, table = watched(5)
+    assert advance(watch, table, until=WINDOW, alive=range(1, 5)) == []
+    lost = advance(watch, table, until=WINDOW * 5, alive=range(1, 5), start=WINDOW)
+    assert lost == [sidecar(0, lost=True)]
+
+
+@pytest.mark.parametrize(
+    ("count", "alive", "expected"),
+    [(8, 3, 0), (8, 4, 4), (2, 0, 0), (1, 0, 1), (3, 1, 0), (3, 2, 1)],
+)
+def test_a_wave_of_silence_is_taken_for_blindness(
+    count: int, alive: int, expected: int
+) -> None:
+    """More than half silent, and at least two, marks none."""
+    watch, table = watched(count)
+    lost = advance(watch, table, until=WINDOW + 2, alive=range(alive))
+    assert len(lost) == expected
+    assert (watch.blind_since is not None) is (expected == 0)
+
+
+@pytest.mark.parametrize(("is_connected", "expected"), [(True, 6), (False, 0)])
+def test_blindness_ends_only_while_others_are_heard(
+    is_connected: bool, expected: int
+) -> None:
+    """A wave that lasts is believed by an observer that hears others."""
+    watch, table = watched(8)
+    until = WINDOW + membership.BLIND_LIMIT_SECONDS + 2
+    lost = advance(watch, table, until=until, alive=range(2), is_connected=is_connected)
+    assert len(lost) == expected
+
+
+def test_an_observer_that_stood_still_blames_nobody() -> None:
+    """The observer's own pause does not count as silence."""
+    watch, table = watched(1)
+    assert advance(watch, table, until=2) == []
+    assert advance(watch, table, start=60, until=61) == []
+    assert len(advance(watch, table, start=61, until=61 + WINDOW)) == 1
+
+
+def test_a_frozen_member_that_wakes_refutes_and_serves_again() -> None:
+    """Mark, refutation by heartbeat, and a live record in the end."""
+    watch, table = watched(5)
+    lost = advance(watch, table, until=WINDOW + 1, alive=range(1, 5))
+    membership.merge(table, lost, now=WINDOW + 1)
+    told = membership.merge(table, (sidecar(0),), now=WINDOW + 2).newer[0]
+    refutation = membership.refute(sidecar(0), told)
+    assert refutation is not None
+    merged = membership.merge(table, (refutation,), now=WINDOW + 3)
+    assert merged.changed == (refutation,)
+    assert not membership.has_ended(table.records[refutation.key])
+
+
+def test_a_member_that_only_others_hear_is_marked_ever_more_rarely() -> None:
+    """Each refutation doubles the time before the next mark."""
+    watch, table = watched(5)
+    marked_at = []
+    record = sidecar(0)
+    now = 0.0
+    while now < 100:
+        now += INTERVAL
+        lost = advance(watch, table, start=now - 1, until=now, alive=range(1, 5))
+        if lost:
+            marked_at.append(now)
+            membership.merge(table, lost, now=now)
+            record = dataclasses.replace(record, sequence=record.sequence + 1)
+            membership.merge(table, (record,), now=now)
+            membership.note_record(watch, record, now=now)
+    gaps = [after - before for before, after in itertools.pairwise(marked_at)]
+    assert gaps == sorted(gaps)
+    assert len(marked_at) <= 6
+
+
+def test_a_member_with_other_homes_is_not_watched_on() -> None:
+    """Silence of a member that has moved to other homes means nothing."""
+    watch, table = watched(5)
+    lost = membership.mark_lost(
+        watch,
+        table,
+        now=WINDOW + 1,
+        is_connected=True,
+        is_home=lambda key: False,
+    )
+    assert (lost, watch.members) == ((), {})
+
+
+RECORDS = strategies.builds(
+    sidecar,
+    strategies.integers(0, 6),
+    generation=strategies.integers(0, 2),
+    sequence=strategies.integers(0, 3),
+    state=strategies.sampled_from([SERVING, DRAINING, LEFT]),
+    pool=strategies.sampled_from(["a", "b"]),
+    lost=strategies.booleans(),
+)
+
+
+class Convergence(stateful.RuleBasedStateMachine):
+    """Several tables take in the same records in any order and grouping."""
+
+    def __init__(self) -> None:
+        """Begin with empty tables."""
+        super().__init__()
+        self.tables = [membership.Table() for _ in range(3)]
+        self.seen: list[_types.MemberRecord] = []
+
+    @stateful.rule(records=strategies.lists(RECORDS, max_size=6), at=strategies.data())
+    def receive(
+        self, records: list[_types.MemberRecord], at: strategies.DataObject
+    ) -> None:
+        """One table takes in some records."""
+        number = at.draw(strategies.integers(0, 2))
+        membership.merge(self.tables[number], records, now=0)
+        self.seen += records
+
+    @stateful.rule(giver=strategies.integers(0, 2), taker=strategies.integers(0, 2))
+    def exchange(self, giver: int, taker: int) -> None:
+        """One table takes in all that another holds."""
+        records = list(self.tables[giver].records.values())
+        membership.merge(self.tables[taker], records, now=0)
+
+    @stateful.invariant()
+    def pools_hold_the_records_of_the_table(self) -> None:
+        """Check that the index by pool follows every merge."""
+        for table in self.tables:
+            for key, record in table.records.items():
+                assert table.pools[record.pool][key] == record
+
+    def teardown(self) -> None:
+        """After exchanges all around, every table is the same."""
+        expected: dict[str, _types.MemberRecord] = {}
+        for record in self.seen:
+            known = expected.get(record.key)
+            if known is None or membership.precedence(record) > membership.precedence(
+                known
+            ):
+                expected[record.key] = record
+        for _ in range(2):
+            for target in self.tables:
+                for source in self.tables:
+                    membership.merge(target, source.records.values(), now=0)
+        for table in self.tables:
+            assert table.records == expected
+            assert table.digests == self.tables[0].digests
+
+
+Convergence.TestCase.settings = settings(
+    derandomize=True, max_examples=60, stateful_step_count=25, deadline=None
+)
+TestConvergence = Convergence.TestCase
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(records=strategies.lists(RECORDS, max_size=12), order=strategies.randoms())
+def test_any_order_of_merges_gives_the_same_table(
+    records: list[_types.MemberRecord], order: random.Random
+) -> None:
+    """The final table depends on the set of records alone."""
+    shuffled = list(records)
+    order.shuffle(shuffled)
+    first, second = membership.Table(), membership.Table()
+    membership.merge(first, records, now=0)
+    for record in shuffled:
+        membership.merge(second, (record, record), now=1)
+    assert first.records == second.records
+    assert first.digests == second.digests
--- /dev/null
+++ b/plantainproxy/membership/sidecar.py
@@ -0,0 +1,121 @@
+"""The task that announces a sidecar to its home balancers."""
+
+from collections.abc import Iterable
+import logging
+import random
+
+import trio
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.core import heartbeat
+from plantainproxy.rpc import bridge, methods
+
+CALL_TIMEOUT_SECONDS = 1.0
+LEAVE_SECONDS = 1.0
+"""How long a leaving sidecar waits for its homes."""
+
+_log = logging.getLogger("plantain.heartbeat")
+
+
+class Announcer:
+    """A sidecar's announcement and what it learnt from the replies."""
+
+    def __init__(
+        self,
+        record: _types.MemberRecord,
+        *,
+        client: bridge.Client,
+        seeds: Iterable[_types.Address],
+        interval_seconds: float,
+        rng: random.Random,
+    ) -> None:
+        """Hold the own record and the means to reach the balancers."""
+        self.state = heartbeat.State(record, tuple(seeds))
+        self.client = client
+        self.interval_seconds = interval_seconds
+        self.rng = rng
+        self.reported = heartbeat.Knowledge(record=record)
+        self.beat_now = trio.Event()
+        self.send_updates, self.updates = trio.open_memory_channel[heartbeat.Knowledge](
+            1
+        )
+        """The newest knowledge, whenever it changed."""
+
+
+def knowledge(announcer: Announcer) -> heartbeat.Knowledge:
+    """Return what the sidecar knows now."""
+    return announcer.state.knowledge
+
+
+def is_connected(announcer: Announcer) -> bool:
+    """Whether a home answered lately."""
+    return heartbeat.is_connected(announcer.state, now=trio.current_time())
+
+
+def change(
+    announcer: Announcer,
+    *,
+    member_state: _types.MemberState | None = None,
+    weight: float | None = None,
+) -> None:
+    """Change the own record and announce it at once."""
+    heartbeat.change(announcer.state, member_state=member_state, weight=weight)
+    announcer.beat_now.set()
+
+
+def _report(announcer: Announcer) -> None:
+    """Hand on the newest knowledge; an unread older one is replaced."""
+    newest = announcer.state.knowledge
+    if newest == announcer.reported:
+        return
+    announcer.reported = newest
+    try:
+        announcer.send_updates.send_nowait(newest)
+    except trio.WouldBlock:
+        announcer.updates.receive_nowait()
+        announcer.send_updates.send_nowait(newest)
+
+
+async def _beat(announcer: Announcer, beat: heartbeat.Beat) -> None:
+    """Send one heartbeat and take in its reply."""
+    try:
+        reply = await bridge.call(
+            announcer.client,
+            beat.home,
+            methods.Method.HEARTBEAT,
+            beat.request,
+            timeout_seconds=CALL_TIMEOUT_SECONDS,
+        )
+    except _exceptions.PlantainError as error:
+        _log.debug("The heartbeat to %s failed. %s", beat.home, error)
+        heartbeat.failed(announcer.state, beat.home, now=trio.current_time())
+        return
+    was_raised = heartbeat.absorb(
+        announcer.state, beat.home, reply, now=trio.current_time()
+    )
+    if was_raised:
+        _log.warning("Balancer %s held us for lost; told it otherwise.", beat.home)
+        announcer.beat_now.set()
+    _report(announcer)
+
+
+async def run(announcer: Announcer) -> None:
+    """Send heartbeats until cancelled."""
+    async with trio.open_nursery() as nursery:
+        while True:
+            announcer.beat_now = trio.Event()
+            _report(announcer)
+            for beat in heartbeat.beats(announcer.state, now=trio.current_time()):
+                nursery.start_soon(_beat, announcer, beat)
+            pause = announcer.interval_seconds * announcer.rng.uniform(0.9, 1.0)
+            with trio.move_on_after(pause):
+                await announcer.beat_now.wait()
+
+
+async def leave(announcer: Announcer) -> None:
+    """Tell all homes that the sidecar has left; wait for them briefly."""
+    heartbeat.change(announcer.state, member_state=_types.MemberState.LEFT)
+    with trio.move_on_after(LEAVE_SECONDS):
+        async with trio.open_nursery() as nursery:
+            for beat in heartbeat.beats(announcer.state, now=trio.current_time()):
+                nursery.start_soon(_beat, announcer, beat)
--- /dev/null
+++ b/plantainproxy/membership/tests/test_membership_tasks.py
@@ -0,0 +1,421 @@
+"""Balancers and sidecars that find one another over real sockets."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+import contextlib
+import dataclasses
+import random
+
+import pytest
+import trio
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.config import model
+from plantainproxy.core import heartbeat, membership
+from plantainproxy.membership import balancer, sidecar
+from plantainproxy.rpc import bridge, messages, methods
+from plantainproxy.settings import model as settings_model
+
+TLS = settings_model.Tls()
+ANY = _types.Address("127.0.0.1", 0)
+INTERVAL = 0.1
+HANG_SECONDS = 30
+
+
+def configuration(revision: int) -> model.Configuration:
+    """Make a configuration with two pools."""
+    return model.Configuration(
+        revision=revision,
+        pools=(model.Pool(name="a"), model.Pool(name="b")),
+        domains=(model.Domain(name="d", number=1),),
+    )
+
+
+def key_set(revision: int) -> model.KeySet:
+    """Make a key set."""
+    keys = (model.Key(number=1, secret=bytes(32)),)
+    return model.KeySet(revision=revision, current=1, keys=keys)
+
+
+class Documents:
+    """A holder of the configuration and the keys."""
+
+    def __init__(self) -> None:
+        """Begin with nothing known."""
+        self.current: model.Configuration | None = None
+        self.keys: model.KeySet | None = None
+
+    def configuration(self) -> model.Configuration | None:
+        """Return what is known."""
+        return self.current
+
+    def key_set(self) -> model.KeySet | None:
+        """Return what is known."""
+        return self.keys
+
+    async def offer_configuration(self, configuration: model.Configuration) -> None:
+        """Keep the newer one."""
+        if self.current is None or configuration.revision > self.current.revision:
+            self.current = configuration
+
+    async def offer_key_set(self, key_set: model.KeySet) -> None:
+        """Keep the newer one."""
+        if self.keys is None or key_set.revision > self.keys.revision:
+            self.keys = key_set
+
+
+@dataclasses.dataclass(kw_only=True)
+class Balancer:
+    """One running balancer."""
+
+    address: _types.Address
+    members: balancer.MemberTable
+    documents: Documents
+    scope: trio.CancelScope
+
+
+class Fleet:
+    """Balancers and sidecars in one process."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        """Begin empty."""
+        self.nursery = nursery
+        self.balancers: list[Balancer] = []
+        self.announcers: list[sidecar.Announcer] = []
+        self.scopes: list[trio.CancelScope] = []
+
+    async def _run_balancer(
+        self,
+        address: _types.Address,
+        seeds: list[_types.Address],
+        task_status: trio.TaskStatus[Balancer] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        documents = Documents()
+        generation = 1 + len(self.balancers)
+        late: dict[methods.Method, bridge.Handler] = {}
+
+        def forward(method: methods.Method) -> bridge.Handler:
+            async def handle(request: object) -> object:
+                return await late[method](request)
+
+            return handle
+
+        served = {
+            method: forward(method)
+            for method in (
+                methods.Method.HEARTBEAT,
+                methods.Method.GOSSIP,
+                methods.Method.PULL,
+            )
+        }
+        async with (
+            bridge.open_client(TLS) as client,
+            bridge.serve(address, served, tls=TLS, grace_seconds=0.1) as bound,
+        ):
+            members = balancer.MemberTable(
+                _types.MemberRecord(
+                    kind=_types.MemberKind.BALANCER,
+                    rpc=bound,
+                    domain="d",
+                    generation=generation,
+                    sequence=1,
+                ),
+                client=client,
+                revisions=documents,
+                seeds=seeds,
+                gossip_interval_seconds=INTERVAL,
+                heartbeat_interval_seconds=INTERVAL * 3,
+                rng=random.Random(generation),
+            )
+            late.update(balancer.handlers(members))
+            with trio.CancelScope() as scope:
+                task_status.started(
+                    Balancer(
+                        address=bound,
+                        members=members,
+                        documents=documents,
+                        scope=scope,
+                    )
+                )
+                await balancer.run(members)
+
+    async def add_balancer(self, address: _types.Address = ANY) -> Balancer:
+        """Start a balancer with the others' addresses as seeds."""
+        seeds = [other.address for other in self.balancers]
+        started: Balancer = await self.nursery.start(self._run_balancer, address, seeds)
+        self.balancers.append(started)
+        return started
+
+    async def _run_sidecar(
+        self,
+        pool: str,
+        task_status: trio.TaskStatus[sidecar.Announcer] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        number = 20_000 + len(self.announcers)
+        async with bridge.open_client(TLS) as client:
+            announcer = sidecar.Announcer(
+                _types.MemberRecord(
+                    kind=_types.MemberKind.SIDECAR,
+                    rpc=_types.Address("127.0.0.9", number),
+                    domain="d",
+                    generation=1,
+                    sequence=1,
+                    pool=pool,
+                    tunnel=_types.Address("127.0.0.8", number),
+                ),
+                client=client,
+                seeds=[other.address for other in self.balancers],
+                interval_seconds=INTERVAL,
+                rng=random.Random(number),
+            )
+            with trio.CancelScope() as scope:
+                self.scopes.append(scope)
+                task_status.started(announcer)
+                await sidecar.run(announcer)
+            with trio.CancelScope(shield=True):
+                if announcer.state.knowledge.record.state is _types.MemberState.LEFT:
+                    await sidecar.leave(announcer)
+
+    async def add_sidecar(self, pool: str) -> sidecar.Announcer:
+        """Start a sidecar."""
+        started: sidecar.Announcer = await self.nursery.start(self._run_sidecar, pool)
+        self.announcers.append(started)
+        return started
+
+
+@contextlib.asynccontextmanager
+async def fleet(
+    balancers: int, pools: str
+) -> AsyncIterator[tuple[Fleet, list[Balancer], list[sidecar.Announcer]]]:
+    """Start a fleet with one sidecar for each letter of ``pools``."""
+    async with trio.open_nursery() as nursery:
+        started = Fleet(nursery)
+        for _ in range(balancers):
+            await started.add_balancer()
+        for pool in pools:
+            await started.add_sidecar(pool)
+        yield started, started.balancers, started.announcers
+        nursery.cancel_scope.cancel()
+
+
+async def eventually(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    while not condition():
+        await trio.sleep(0.02)
+
+
+def live(running: Balancer, pool: str) -> set[_types.Address]:
+    """Return the live members of a pool that a balancer knows."""
+    return {
+        record.rpc
+        for record in balancer.pool_records(running.members, pool)
+        if not membership.has_ended(record)
+    }
+
+
+def run(main: Callable[[], Awaitable[None]]) -> None:
+    """Run a test under trio with a guard against hanging."""
+
+    async def guarded() -> None:
+        with trio.fail_after(HANG_SECONDS):
+            await main()
+
+    trio.run(guarded)
+
+
+def rpcs(announcers: list[sidecar.Announcer], pool: str) -> set[_types.Address]:
+    """Return the addresses of the sidecars of a pool."""
+    records = [sidecar.knowledge(announcer).record for announcer in announcers]
+    return {record.rpc for record in records if record.pool == pool}
+
+
+def test_three_balancers_and_four_sidecars_converge() -> None:
+    """All learn all members, siblings, the configuration and the keys."""
+
+    async def main() -> None:
+        async with fleet(3, "aaab") as (_, balancers, announcers):
+            await balancers[2].documents.offer_configuration(configuration(7))
+            await balancers[1].documents.offer_key_set(key_set(3))
+
+            def converged() -> bool:
+                return all(
+                    live(running, pool) == rpcs(announcers, pool)
+                    for running in balancers
+                    for pool in "ab"
+                ) and all(
+                    running.documents.current == configuration(7)
+                    and running.documents.keys == key_set(3)
+                    and len(running.members.state.peers) == 2
+                    for running in balancers
+                )
+
+            def informed(announcer: sidecar.Announcer) -> bool:
+                known = sidecar.knowledge(announcer)
+                return (
+                    known.view is not None
+                    and known.view.revision == 7
+                    and known.key_set == key_set(3)
+                    and {record.rpc for record in known.siblings}
+                    == rpcs(announcers, known.record.pool)
+                    and len(announcer.state.homes) == heartbeat.HOME_COUNT
+                )
+
+            await eventually(converged)
+            await eventually(lambda: all(map(informed, announcers)))
+            assert not any(balancer.is_isolated(one.members) for one in balancers)
+            assert not any(balancer.is_blind(one.members) for one in balancers)
+
+    run(main)
+
+
+def test_a_change_of_members_is_reported_by_pool() -> None:
+    """The reader of changes gets each pool's newest records."""
+
+    async def main() -> None:
+        async with fleet(2, "ab") as (_, balancers, announcers):
+            seen: dict[str, set[_types.Address]] = {}
+            while set(seen) != {"a", "b"}:
+                changed = await balancers[1].members.changes.receive()
+                seen[changed.pool] = {record.rpc for record in changed.records}
+            assert seen == {pool: rpcs(announcers, pool) for pool in "ab"}
+
+    run(main)
+
+
+def test_a_sidecar_that_dies_is_lost_and_one_that_drains_is_not() -> None:
+    """Silence marks a member lost everywhere; draining is told at once."""
+
+    async def main() -> None:
+        async with fleet(3, "aaaa") as (started, balancers, announcers):
+            await eventually(lambda: all(len(live(one, "a")) == 4 for one in balancers))
+            started.scopes[0].cancel()
+            sidecar.change(announcers[1], member_state=_types.MemberState.DRAINING)
+
+            def settled(running: Balancer) -> bool:
+                records = balancer.pool_records(running.members, "a")
+                states = [(record.lost, record.state) for record in records]
+                serving = (False, _types.MemberState.SERVING)
+                return states == [
+                    (True, _types.MemberState.SERVING),
+                    (False, _types.MemberState.DRAINING),
+                    serving,
+                    serving,
+                ]
+
+            await eventually(lambda: all(map(settled, balancers)))
+
+    run(main)
+
+
+def test_a_planned_stop_is_known_everywhere() -> None:
+    """A sidecar that leaves says so to all its homes."""
+
+    async def main() -> None:
+        async with fleet(2, "aa") as (started, balancers, announcers):
+            await eventually(lambda: all(len(live(one, "a")) == 2 for one in balancers))
+            started.scopes[0].cancel()
+            await sidecar.leave(announcers[0])
+            await eventually(lambda: all(len(live(one, "a")) == 1 for one in balancers))
+            records = balancer.pool_records(balancers[0].members, "a")
+            assert records[0].state is _types.MemberState.LEFT
+
+    run(main)
+
+
+def test_a_sidecar_held_for_lost_refutes_it() -> None:
+    """The owner raises its sequence and is live again everywhere."""
+
+    async def main() -> None:
+        async with fleet(3, "aa") as (_, balancers, announcers):
+            await eventually(lambda: all(len(live(one, "a")) == 2 for one in balancers))
+            record = sidecar.knowledge(announcers[0]).record
+            mark = dataclasses.replace(record, lost=True)
+            sender = balancers[0].members.state.own
+            await bridge.call(
+                balancers[0].members.client,
+                balancers[1].address,
+                methods.Method.GOSSIP,
+                messages.GossipRequest(
+                    sender=sender,
+                    configuration_revision=0,
+                    key_revision=0,
+                    records=(mark,),
+                ),
+                timeout_seconds=5,
+            )
+            await eventually(
+                lambda: sidecar.knowledge(announcers[0]).record.sequence == 2
+            )
+            await eventually(lambda: all(len(live(one, "a")) == 2 for one in balancers))
+
+    run(main)
+
+
+def test_a_sidecar_without_balancers_keeps_what_it_knows() -> None:
+    """When all balancers die the view stands, and a restarted one is found."""
+
+    async def main() -> None:
+        async with fleet(1, "a") as (started, balancers, announcers):
+            await balancers[0].documents.offer_configuration(configuration(3))
+            announcer = announcers[0]
+            await eventually(lambda: sidecar.knowledge(announcer).view is not None)
+            address = balancers[0].address
+            balancers[0].scope.cancel()
+            await eventually(lambda: not sidecar.is_connected(announcer))
+            view = sidecar.knowledge(announcer).view
+            assert view is not None
+            assert view.revision == 3
+            restarted = await started.add_balancer(address)
+            await eventually(lambda: len(live(restarted, "a")) == 1)
+            await eventually(lambda: sidecar.is_connected(announcer))
+            assert sidecar.knowledge(announcer).view == view
+
+    run(main)
+
+
+def test_a_dead_balancer_is_lost_and_its_sidecars_move() -> None:
+    """The others mark it lost, and no sidecar is marked with it."""
+
+    async def main() -> None:
+        async with fleet(5, "aaaa") as (_, balancers, announcers):
+            await eventually(lambda: all(len(live(one, "a")) == 4 for one in balancers))
+            victim = balancers.pop(2)
+            victim.scope.cancel()
+            await eventually(
+                lambda: all(
+                    victim.address not in one.members.state.peers for one in balancers
+                )
+            )
+            await eventually(
+                lambda: all(
+                    victim.address not in announcer.state.homes
+                    and len(announcer.state.homes) == heartbeat.HOME_COUNT
+                    for announcer in announcers
+                )
+            )
+            assert all(len(live(one, "a")) == 4 for one in balancers)
+
+    run(main)
+
+
+def test_a_heartbeat_of_no_sidecar_is_refused() -> None:
+    """Only sidecars have homes."""
+
+    async def main() -> None:
+        async with fleet(1, "") as (_, balancers, _):
+            record = balancers[0].members.state.own
+            with pytest.raises(_exceptions.PlantainError) as caught:
+                await bridge.call(
+                    balancers[0].members.client,
+                    balancers[0].address,
+                    methods.Method.HEARTBEAT,
+                    messages.HeartbeatRequest(
+                        record=record,
+                        configuration_revision=0,
+                        key_revision=0,
+                        siblings_digest=0,
+                    ),
+                    timeout_seconds=5,
+                )
+            assert caught.value.kind is _exceptions.ErrorKind.BAD_REQUEST
+
+    run(main)
--- a/plantainproxy/rpc/messages.py
+++ b/plantainproxy/rpc/messages.py
@@ -19,7 +19,9 @@
     key_revision: int
     """The revision of the key set that the sidecar holds; 0 for none."""
     siblings_digest: int
-    """Digest of the sibling records that the sidecar holds; 0 for none."""
+    """Digest of the siblings and balancers that the sidecar holds; 0 for none."""
+    is_final: bool = False
+    """Whether the sidecar will not call this balancer again."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -34,10 +36,11 @@
     key_set: model.KeySet | None = None
     """Present when the balancer's key revision is higher."""
     siblings: tuple[_types.MemberRecord, ...] | None = None
-    """All members of the pool; present when the digests differ."""
+    """Live members of the pool; present when the digests differ."""
     siblings_digest: int = 0
+    """Digest of the siblings and balancers that the balancer knows."""
     balancers: tuple[_types.Address, ...] = ()
-    """gRPC addresses among which the sidecar picks its homes."""
+    """Addresses among which the sidecar picks its homes; present with siblings."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -48,9 +51,11 @@
     configuration_revision: int
     key_revision: int
     records: tuple[_types.MemberRecord, ...] = ()
-    """Records that changed lately."""
-    digests: tuple[int, ...] = ()
-    """Digest of each bucket of records; empty when this round carries none."""
+    """Records that changed lately, or that the receiver lacks."""
+    digests: bytes = b""
+    """Packed digest of each bucket of records; empty when this round has none."""
+    wanted: bytes = b""
+    """Packed hashes of the members whose records the sender asks for."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -61,9 +66,11 @@
     configuration_revision: int
     key_revision: int
     records: tuple[_types.MemberRecord, ...] = ()
-    """Records of differing buckets, and records newer than those received."""
-    buckets: tuple[int, ...] = ()
-    """The buckets whose digests differ and whose records the receiver wants."""
+    """Records newer than those received, or that were asked for."""
+    buckets: bytes = b""
+    """Numbers of the differing buckets that the summaries cover."""
+    summaries: bytes = b""
+    """Packed hashes of the receiver's records in those buckets."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
