--- a/plantainproxy/quic/connection.py
+++ b/plantainproxy/quic/connection.py
@@ -7,9 +7,11 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 import logging
 import pathlib
 
+from aioquic._buffer import Buffer
 from aioquic.quic import configuration as quic_configuration
 from aioquic.quic import connection as quic_connection
 from aioquic.quic import events as quic_events
@@ -21,9 +23,15 @@
 
 ALPN = "h3"
 """The only application protocol that callers may speak."""
-MAX_PEER_IDS = 8
+MAX_PEER_IDS = 4
 """Most connection IDs that one caller gets at a time."""
 
+POST_HANDSHAKE_BUFFER_BYTES = 1
+"""A caller has no TLS message left to send, so there is nothing to buffer."""
+
+# Every connection asks for the same sets of packet types; one copy of each will do.
+quic_connection.EPOCHS = functools.cache(quic_connection.EPOCHS)
+
 # aioquic reports each frame error of a peer; the endpoint counts them instead.
 logging.getLogger("quic").setLevel(logging.CRITICAL)
 
@@ -138,6 +146,14 @@
         )
 
 
+def forget_handshake(quic: ServerConnection) -> None:
+    """Free the buffers that only the handshake needs, 48 KiB of each connection."""
+    quic._crypto_buffers = {
+        epoch: Buffer(capacity=POST_HANDSHAKE_BUFFER_BYTES)
+        for epoch in quic._crypto_buffers
+    }
+
+
 def has_started(quic: ServerConnection) -> bool:
     """Return whether an authentic first packet has arrived."""
     return quic._state is not quic_connection.QuicConnectionState.FIRSTFLIGHT
--- a/plantainproxy/quic/endpoint.py
+++ b/plantainproxy/quic/endpoint.py
@@ -400,6 +400,7 @@
 
     def _establish(self, line: Line) -> None:
         line.established = True
+        connection.forget_handshake(line.quic)
         line.exchange = http3.Http3(line.quic, self.limits)
         self._events.append(
             line_events.LineOpened(
