--- a/bench/forwarding.py
+++ b/bench/forwarding.py
@@ -158,9 +158,8 @@
 
 def real_drain(sockets: Sockets, state: datapath.State) -> Callable[[], object]:
     """Return the balancer's own loop on a state."""
-    handle = datapath.handler(state, sockets.balancer.sendto)
-    receive = sockets.balancer.recvfrom
-    return lambda: datapath.drain(receive, handle, now=1.0)
+    receive, send = sockets.balancer.recvfrom, sockets.balancer.sendto
+    return lambda: datapath.drain(state, receive, send, now=1.0)
 
 
 def empty_out(receiver: socket.socket) -> int:
--- a/plantainproxy/balancer/datapath.py
+++ b/plantainproxy/balancer/datapath.py
@@ -68,7 +68,6 @@
 
 Receive = Callable[[int], tuple[bytes, tuple[str, int]]]
 Send = Callable[[bytes, tuple[str, int]], object]
-Handle = Callable[[bytes, tuple[str, int], float], None]
 
 
 def open_socket(address: _types.Address) -> socket.socket:
@@ -113,24 +112,25 @@
     state.routing, state.shortcut = await trio.to_thread.run_sync(fold)
 
 
-def handler(state: State, send: Send) -> Handle:
-    """Return the function that carries one datagram of the fabric."""
-    counters = state.counters
-
-    def handle(datagram: bytes, source: tuple[str, int], now: float) -> None:
-        target = state.shortcut(datagram)
+def drain(state: State, receive: Receive, send: Send, *, now: float) -> None:
+    """Carry the datagrams that wait in the socket, up to a limit."""
+    find, prefix, counters = state.shortcut, state.prefix, state.counters
+    for _ in range(BATCH_DATAGRAMS):
+        try:
+            datagram, source = receive(MAX_DATAGRAM_BYTES + 1)
+        except OSError:
+            return
+        target = find(datagram)
         if target is None:
             _decide(state, send, datagram, source, now)
-            return
+            continue
         try:
-            send(state.prefix + datagram, target)
+            send(prefix + datagram, target)
         except OSError:
             counters.drops[routing.DropReason.SEND_FAILED] += 1
-            return
+            continue
         counters.established += 1
 
-    return handle
-
 
 def _decide(
     state: State, send: Send, datagram: bytes, source: tuple[str, int], now: float
@@ -226,20 +226,10 @@
 
 
 async def _forward(state: State, datagrams: socket.socket) -> None:
-    handle = handler(state, datagrams.sendto)
+    receive, send = datagrams.recvfrom, datagrams.sendto
     while True:
         await trio.lowlevel.wait_readable(datagrams)
-        drain(datagrams.recvfrom, handle, now=trio.current_time())
-
-
-def drain(receive: Receive, handle: Handle, *, now: float) -> None:
-    """Handle the datagrams that wait in the socket, up to a limit."""
-    for _ in range(BATCH_DATAGRAMS):
-        try:
-            datagram, source = receive(MAX_DATAGRAM_BYTES + 1)
-        except OSError:
-            return
-        handle(datagram, source, now)
+        drain(state, receive, send, now=trio.current_time())
 
 
 async def _follow(state: State, events: trio.MemoryReceiveChannel[Event]) -> None:
--- a/plantainproxy/balancer/shortcut.py
+++ b/plantainproxy/balancer/shortcut.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import itertools
 import struct
 
 from plantainproxy import _types
@@ -15,9 +16,12 @@
 Find = Callable[[bytes], _types.Address | None]
 """Returns the sidecar to forward a datagram to; ``None`` for the long way."""
 
-_FIELDS = struct.Struct("!16s4x4s2x2sBB16s")
-"""Header start, service address and port, first byte, key number, AES block."""
-_LONG_HEADER_BIT = 0x80
+_FIELDS = struct.Struct("!16s4x4s2x4s16s")
+"""Header start, service host, service port with first byte and key number, block."""
+_Way = tuple[Callable[[bytes], bytes], dict[bytes, _types.Address]]
+"""The decryption of one key, and the tunnels of one service."""
+_SHORT_HEADERS = range(0x40, 0x80)
+"""First bytes of short headers (RFC 9000, 17.3)."""
 
 
 def find_nothing(datagram: bytes) -> _types.Address | None:
@@ -29,28 +33,31 @@
     """Return the look-up that fits a state and the keys."""
     if ring is None:
         return find_nothing
-    decrypts = {number: key.decrypt for number, key in ring.by_number.items()}
-    services = {
-        service: {
+    ways = {}
+    for service in state.services:
+        tunnels = {
             connection_id.naming_bytes(destination): tunnel
             for destination, tunnel in routing.destinations(state, service).items()
         }
-        for service in state.services
-    }
+        for key, first in itertools.product(ring.by_number.values(), _SHORT_HEADERS):
+            start = service + bytes((first, key.number))
+            ways[start] = (key.decrypt, tunnels)
+    return _finder(ways)
+
+
+def _finder(ways: dict[bytes, _Way]) -> Find:
+    unpack, way_of = _FIELDS.unpack_from, ways.get
     plain_start, naming_bytes = proxy.PLAIN_START, connection_id.NAMING_BYTES
-    unpack = _FIELDS.unpack_from
 
     def find(datagram: bytes) -> _types.Address | None:
         try:
-            start, host, port, first, key_number, block = unpack(datagram)
+            header_start, host, rest, block = unpack(datagram)
         except struct.error:
             return None
-        if start != plain_start or first >= _LONG_HEADER_BIT:
-            return None
-        tunnels = services.get(host + port)
-        decrypt = decrypts.get(key_number)
-        if tunnels is None or decrypt is None:
+        way = way_of(host + rest)
+        if way is None or header_start != plain_start:
             return None
+        decrypt, tunnels = way
         return tunnels.get(decrypt(block)[:naming_bytes])
 
     return find
--- a/plantainproxy/balancer/tests/test_datapath.py
+++ b/plantainproxy/balancer/tests/test_datapath.py
@@ -14,6 +14,7 @@
 from plantainproxy.balancer import datapath, health, resets
 from plantainproxy.config import model
 from plantainproxy.core import packets, routing
+from plantainproxy.quic import classify
 from plantainproxy.wire import connection_id, keyring, proxy, tunnel
 
 HANG_SECONDS = 20
@@ -210,13 +211,24 @@
     return state
 
 
+def carry(state: datapath.State, datagrams: list[bytes], send: datapath.Send) -> None:
+    """Let the datapath find the datagrams in its socket."""
+    waiting = iter(datagrams)
+
+    def receive(limit: int) -> tuple[bytes, tuple[str, int]]:
+        for datagram in waiting:
+            return datagram, CALLER
+        raise BlockingIOError
+
+    datapath.drain(state, receive, send, now=0.0)
+
+
 @pytest.mark.parametrize("case", CASES)
 def test_a_bad_datagram_is_counted_by_reason(case: Case) -> None:
     """Nothing is sent and nothing raises."""
     state = known_state()
     sent: list[bytes] = []
-    handle = datapath.handler(state, lambda message, _: sent.append(message))
-    handle(case.datagram, CALLER, 0.0)
+    carry(state, [case.datagram], lambda message, _: sent.append(message))
     assert state.counters.drops[case.reason] == 1
     assert not sent
 
@@ -224,8 +236,7 @@
 def test_nothing_is_forwarded_before_the_keys_are_known() -> None:
     """Unknown is not empty."""
     state = datapath.State()
-    handle = datapath.handler(state, lambda message, _: pytest.fail("sent"))
-    handle(from_fabric(initial(1)), CALLER, 0.0)
+    carry(state, [from_fabric(initial(1))], lambda message, _: pytest.fail("sent"))
     assert state.counters.drops[BAD.NOT_READY] == 1
 
 
@@ -233,19 +244,44 @@
     """Every datagram is either forwarded, answered or counted as dropped."""
     state = known_state()
     generator = random.Random(3)
-    handle = datapath.handler(state, lambda message, _: None)
     valid = (from_fabric(short_packet(SERVICE)), from_fabric(initial(1)))
     rounds = 4000
     for number in range(rounds):
         datagram = bytearray(valid[number % 2])
         for _ in range(generator.randrange(4)):
             datagram[generator.randrange(len(datagram))] = generator.randrange(256)
-        handle(bytes(datagram[: generator.randrange(1, 80)]), CALLER, 0.0)
+        cut = bytes(datagram[: generator.randrange(1, 80)])
+        carry(state, [cut], lambda message, _: None)
     counters = state.counters
     counted = counters.established + counters.opening + counters.resets
     assert counted + sum(counters.drops.values()) == rounds
 
 
+def test_the_short_way_decides_like_the_rules() -> None:
+    """Whatever the short way forwards, the rules forward alike."""
+    tunnels = [_types.Address("127.0.3.1", number) for number in range(1, 6)]
+    states = (_types.MemberState.LEFT, _types.MemberState.DRAINING)
+    records = [record(tunnel_address) for tunnel_address in tunnels]
+    records[1] = dataclasses.replace(records[1], state=states[0])
+    records[2] = dataclasses.replace(records[2], state=states[1])
+    records[3] = dataclasses.replace(records[3], lost=True)
+    records[4] = dataclasses.replace(records[4], generation=GENERATION + 9000)
+    state = known_state()
+    event = routing.MembersChanged(pool="fleet", records=tuple(records))
+    trio.run(datapath.apply, state, [event])
+    found = []
+    for tunnel_address in tunnels:
+        datagram = from_fabric(short_packet(tunnel_address))
+        target = state.shortcut(datagram)
+        packet = classify.read(RING, SERVICE.pack(), datagram, proxy.HEADER_BYTES)
+        assert packet is not None
+        if target is not None:
+            action = routing.route(state.routing, packet, 1e9)
+            assert action == routing.Forward(target)
+            found.append(target)
+    assert found == [tunnels[0], tunnels[2]]
+
+
 @pytest.mark.parametrize(("size", "expected"), [(21, None), (22, 21), (200, 48)])
 def test_a_reset_is_smaller_than_its_cause(size: int, expected: int | None) -> None:
     """A packet too small for a smaller reset gets none."""
