Compose the balancer and the sidecar, and start whole sites

Cause: the parts stood without a process to run in. Ruled out: one shared main for both daemons; their parts have nothing in common but the lifecycle, which is shared.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -116,7 +116,7 @@
 def _owners(balancer: Balancer, flow: int) -> tuple[_types.Address, ...]:
     pick = slots.pick_established(balancer.state.tables[POOL], _flow_hash(flow))
     assert pick is not None
-    return (pick.owner, *pick.earlier_owners)
+    return (pick.tunnel, *pick.earlier_owners)
 
 
 def _record(number: int) -> _types.MemberRecord:
--- a/plantainproxy/_lifecycle.py
+++ b/plantainproxy/_lifecycle.py
@@ -1,10 +1,12 @@
 """Start, reload and planned stop, the same for every daemon."""
 
 from collections.abc import Awaitable, Callable
+import dataclasses
 import logging
 import pathlib
 import signal
 import sys
+from typing import NoReturn, TypeVar
 
 import trio
 
@@ -14,6 +16,9 @@
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 FORCED_STOP_EXIT_CODE = 1
+RELOADABLE_FIELD = "telemetry"
+
+T = TypeVar("T")
 
 
 class Lifecycle:
@@ -60,29 +65,75 @@
     return lifecycle.forced
 
 
-def run(body: Callable[[Lifecycle], Awaitable[None]]) -> None:
-    """Run a daemon until its body returns or a second signal ends it.
+def run_daemon(
+    *,
+    read: Callable[[], T],
+    check_only: bool,
+    configure: Callable[[T], None],
+    body: Callable[[Lifecycle], Awaitable[None]],
+) -> None:
+    """Check the settings, then run until the body returns or a signal forces it.
 
     A ``PlantainError`` ends the process with the exit code of its kind.
     """
+    forced = False
     try:
+        configure(read())
+        if check_only:
+            print("The settings are valid.")
+            return
         forced = trio.run(_run_with_signals, body)
-    except* _exceptions.PlantainError as group:
-        error = first_error(group)
-        print(error, file=sys.stderr)
-        sys.exit(error.answer.exit_code)
+    except _exceptions.PlantainError as error:
+        leave_with(error)
+    except BaseExceptionGroup as group:
+        leave_with(first_error(group))
     if forced:
         sys.exit(FORCED_STOP_EXIT_CODE)
 
 
-def first_error(group: BaseExceptionGroup[BaseException]) -> _exceptions.PlantainError:
-    """Return the first ``PlantainError`` inside a group of exceptions."""
-    for error in group.exceptions:
-        if isinstance(error, _exceptions.PlantainError):
-            return error
-        if isinstance(error, BaseExceptionGroup):
-            return first_error(error)
-    raise group
+def leave_with(error: _exceptions.PlantainError) -> NoReturn:
+    """Tell the error and end the process with the exit code of its kind."""
+    print(error, file=sys.stderr)
+    sys.exit(error.answer.exit_code)
+
+
+def first_error(group: BaseExceptionGroup) -> _exceptions.PlantainError:
+    """Return the first ``PlantainError`` of a group; raise the group without one."""
+    matching, _ = group.split(_exceptions.PlantainError)
+    if matching is None:
+        raise group
+    found: BaseException = matching
+    while isinstance(found, BaseExceptionGroup):
+        found = found.exceptions[0]
+    assert isinstance(found, _exceptions.PlantainError)
+    return found
+
+
+def reload(running: T, read: Callable[[], T], configure: Callable[[T], None]) -> T:
+    """Read the settings again and take over what may change while running.
+
+    Only ``telemetry`` may; every other difference is told and needs a restart.
+    """
+    try:
+        fresh = read()
+    except _exceptions.PlantainError as error:
+        logger.error("The settings are not reloaded. %s", error)
+        return running
+    for name in changed_fields(running, fresh):
+        if name != RELOADABLE_FIELD:
+            logger.warning("A change of %s needs a restart.", name)
+    configure(fresh)
+    logger.info("The settings are reloaded.")
+    return fresh
+
+
+def changed_fields(running: object, fresh: object) -> list[str]:
+    """Name the top-level settings that differ."""
+    return [
+        field.name
+        for field in dataclasses.fields(running)  # type: ignore[arg-type]
+        if getattr(running, field.name) != getattr(fresh, field.name)
+    ]
 
 
 def settings_path(text: str) -> pathlib.Path:
--- a/plantainproxy/balancer/operations.py
+++ b/plantainproxy/balancer/operations.py
@@ -3,7 +3,7 @@
 All of it goes through the store, so any balancer can serve any operator.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 import dataclasses
 import secrets
 
@@ -27,9 +27,9 @@
     """Every key of this installation begins with it."""
     wall_clock: Callable[[], float]
     """Returns seconds since the epoch."""
-    offer: Callable[[model.Configuration], object]
+    offer: Callable[[model.Configuration], Awaitable[None]]
     """Takes an accepted configuration in force on this balancer at once."""
-    offer_keys: Callable[[model.KeySet], object]
+    offer_keys: Callable[[model.KeySet], Awaitable[None]]
 
 
 def _parse_address(text: str) -> _types.Address:
@@ -102,6 +102,17 @@
     )
 
 
+def show(configuration: model.Configuration | None) -> operator_pb2.ShowReply:
+    """Render the configuration in force; revision 0 when there is none."""
+    if configuration is None:
+        return operator_pb2.ShowReply(revision=0)
+    return operator_pb2.ShowReply(
+        revision=configuration.revision,
+        change_id=configuration.change_id,
+        toml=parse.render(configuration),
+    )
+
+
 async def read_configuration(access: Access) -> model.Configuration | None:
     """Read the stored configuration; return ``None`` when there is none yet."""
     entry = await access.store.get(document.key(access.prefix))
@@ -159,7 +170,7 @@
         reason=request.reason,
         now=access.wall_clock(),
     )
-    access.offer(accepted)
+    await access.offer(accepted)
     return operator_pb2.ChangeReply(
         revision=accepted.revision, differences=lines, applied=True
     )
@@ -228,5 +239,5 @@
         ),
         now=access.wall_clock(),
     )
-    access.offer_keys(accepted)
+    await access.offer_keys(accepted)
     return operator_pb2.RotateKeysReply(key_revision=accepted.revision, step=sentence)
--- /dev/null
+++ b/plantainproxy/balancer/revisions.py
@@ -0,0 +1,52 @@
+"""The holder of the newest configuration and key set in one balancer."""
+
+import trio
+
+from plantainproxy.balancer import datapath
+from plantainproxy.config import model
+from plantainproxy.core import configuration as configuration_core
+from plantainproxy.core import routing
+
+EVENT_BUFFER = 64
+
+
+class Holder:
+    """What the process holds; implements ``membership.balancer.Revisions``."""
+
+    def __init__(self) -> None:
+        """Start with nothing known."""
+        self.held = configuration_core.Held()
+        self.send_events, self.events = trio.open_memory_channel[datapath.Event](
+            EVENT_BUFFER
+        )
+        """Each adopted document, on its way to the datapath."""
+
+    def configuration(self) -> model.Configuration | None:
+        """Return the configuration in force, if one is known."""
+        return self.held.configuration
+
+    def key_set(self) -> model.KeySet | None:
+        """Return the key set in force, if one is known."""
+        return self.held.key_set
+
+    async def offer_configuration(self, configuration: model.Configuration) -> None:
+        """Put a configuration in force if it is newer."""
+        self.held, adopted = configuration_core.offer(self.held, configuration)
+        if adopted:
+            await self.send_events.send(
+                routing.ConfigurationChanged(configuration=configuration)
+            )
+
+    async def offer_key_set(self, key_set: model.KeySet) -> None:
+        """Put a key set in force if it is newer."""
+        self.held, adopted = configuration_core.offer(self.held, key_set)
+        if adopted:
+            await self.send_events.send(datapath.KeysChanged(key_set=key_set))
+
+
+async def offer(holder: Holder, document: configuration_core.Document) -> None:
+    """Put a document of either kind in force if it is newer."""
+    if isinstance(document, model.KeySet):
+        await holder.offer_key_set(document)
+    else:
+        await holder.offer_configuration(document)
--- /dev/null
+++ b/plantainproxy/sidecar/main.py
@@ -0,0 +1,328 @@
+"""The ``plantain-sidecar`` binary."""
+
+from collections.abc import Awaitable, Callable
+import dataclasses
+import functools
+import logging
+import random
+import socket
+import time
+from typing import Any
+
+import fire
+import trio
+
+from plantainproxy import _lifecycle, _types
+from plantainproxy.core import admission, claims, problem, tickets
+from plantainproxy.membership import sidecar as membership
+from plantainproxy.quic import connection, endpoint, events, http3
+from plantainproxy.rpc import bridge, messages, methods
+from plantainproxy.settings import check, load, model
+from plantainproxy.sidecar import claims as claim_calls
+from plantainproxy.sidecar import context, lines, requests, tunnel, upstream
+from plantainproxy.telemetry import logs, metrics
+from plantainproxy.wire import keyring
+
+logger = logging.getLogger("plantain.sidecar")
+
+LINE_IDLE_SECONDS = 30.0
+"""A line without any packet for this time is dropped."""
+HANDOVER_SECONDS = 1.0
+"""How long others may need to learn that we take no new work."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Parts:
+    """The parts of one running sidecar."""
+
+    settings: model.SidecarSettings
+    generation: int
+    announcer: membership.Announcer
+    state: context.State
+    ports: context.Ports
+    lines: lines.Lines
+
+
+def _own_record(settings: model.SidecarSettings) -> _types.MemberRecord:
+    return _types.MemberRecord(
+        kind=_types.MemberKind.SIDECAR,
+        rpc=settings.rpc_address,
+        domain=settings.domain,
+        generation=int(time.time() * 1000),
+        sequence=1,
+        pool=settings.pool,
+        tunnel=settings.tunnel_address,
+        weight=settings.weight,
+    )
+
+
+def _make_state(
+    settings: model.SidecarSettings, record: _types.MemberRecord
+) -> context.State:
+    return context.State(
+        own=settings.rpc_address,
+        table=claims.Table(
+            home=settings.rpc_address,
+            generation=record.generation,
+            tag=tickets.pool_tag(settings.pool),
+        ),
+        max_body_bytes=settings.max_body_bytes,
+        default_timeout_seconds=settings.default_timeout_seconds,
+    )
+
+
+def _peer_call(
+    client: bridge.Client, method: methods.Method
+) -> Callable[[_types.Address, Any, float], Awaitable[Any]]:
+    async def call(
+        address: _types.Address, request: Any, timeout_seconds: float
+    ) -> Any:
+        return await bridge.call(
+            client, address, method, request, timeout_seconds=timeout_seconds
+        )
+
+    return call
+
+
+def _make_ports(
+    client: bridge.Client, pool: upstream.Pool, nursery: trio.Nursery
+) -> context.Ports:
+    return context.Ports(
+        run=upstream.runner(pool),
+        execute=_peer_call(client, methods.Method.EXECUTE),
+        claims=claim_calls.Ports(
+            claim=_peer_call(client, methods.Method.CLAIM),
+            settle=_peer_call(client, methods.Method.SETTLE),
+        ),
+        start_soon=nursery.start_soon,
+        random=random.random,
+    )
+
+
+def _allow_line(state: context.State, now: float) -> bool:
+    """Take one new line from the admission rate of the own upstream."""
+    if state.view is None or state.view.pool is None:
+        return False
+    pool = state.view.pool
+    return admission.allow_line(
+        state.admission_state,
+        lines_per_second=pool.lines_per_second,
+        max_running=pool.max_running,
+        now=now,
+    )
+
+
+def _line_ports(state: context.State, ports: context.Ports) -> lines.Ports:
+    async def handle(event: events.RequestReceived) -> messages.Response:
+        return await requests.handle(state, ports, event.request, service=event.service)
+
+    return lines.Ports(
+        handle=handle,
+        refuse=problem.response,
+        extra_headers=lambda: context.ticket_headers(state),
+        allow_line=functools.partial(_allow_line, state),
+    )
+
+
+def _make_lines(
+    settings: model.SidecarSettings,
+    generation: int,
+    bound: socket.socket,
+    line_ports: lines.Ports,
+) -> lines.Lines:
+    configuration = connection.server_configuration(
+        certificate_file=settings.certificate_file,
+        private_key_file=settings.private_key_file,
+        idle_timeout_seconds=LINE_IDLE_SECONDS,
+        max_body_bytes=settings.max_body_bytes,
+    )
+    limits = http3.Limits(max_body_bytes=settings.max_body_bytes)
+
+    def make_endpoint(
+        identity: endpoint.Identity, keys: keyring.Keyring
+    ) -> endpoint.Endpoint:
+        return endpoint.Endpoint(
+            configuration=configuration, limits=limits, identity=identity, keys=keys
+        )
+
+    return lines.Lines(
+        bound=bound,
+        own=settings.tunnel_address,
+        generation=generation,
+        fabric_addresses=settings.fabric_addresses,
+        make_endpoint=make_endpoint,
+        ports=line_ports,
+    )
+
+
+async def _follow_knowledge(parts: Parts) -> None:
+    """Hand what the home balancers tell on to the requests and the lines."""
+    key_revision = 0
+    async for known in parts.announcer.updates:
+        if known.key_set is not None and known.key_set.revision > key_revision:
+            key_revision = known.key_set.revision
+            keys = keyring.Keyring(known.key_set)
+            parts.state.ring = keys
+            await parts.lines.send.send(lines.KeysChanged(keys=keys))
+        if known.view is not None:
+            context.update_view(parts.state, known.view, now=trio.current_time())
+            await parts.lines.send.send(lines.ViewChanged(view=known.view))
+        context.update_siblings(parts.state, known.siblings)
+        await parts.lines.send.send(lines.SiblingsChanged(records=known.siblings))
+
+
+def _handlers(parts: Parts) -> dict[methods.Method, bridge.Handler]:
+    async def execute(request: messages.ExecuteRequest) -> messages.ExecuteReply:
+        return await requests.handle_execute(parts.state, parts.ports, request)
+
+    async def claim(request: messages.ClaimRequest) -> messages.ClaimReply:
+        return claim_calls.handle_claim(
+            parts.state.table, parts.state.ring, request, now=trio.current_time()
+        )
+
+    async def settle(request: messages.SettleRequest) -> messages.SettleReply:
+        return claim_calls.handle_settle(parts.state.table, request)
+
+    return {
+        methods.Method.EXECUTE: execute,
+        methods.Method.CLAIM: claim,
+        methods.Method.SETTLE: settle,
+    }
+
+
+async def _leave(parts: Parts) -> None:
+    """Take no new work, let others notice, and let lines and requests end."""
+    grace_seconds = parts.settings.grace_seconds
+    parts.state.stopping = True
+    membership.change(parts.announcer, member_state=_types.MemberState.DRAINING)
+    await parts.lines.send.send(lines.Drain(draining=True))
+    handover_seconds = min(HANDOVER_SECONDS, grace_seconds / 2)
+    await trio.sleep(handover_seconds)
+    await parts.lines.send.send(
+        lines.Stop(grace_seconds=grace_seconds - handover_seconds)
+    )
+
+
+async def _report_metrics(parts: Parts) -> None:
+    held = parts.lines
+    await metrics.report(
+        parts.settings.telemetry,
+        part="sidecar",
+        counters=lambda: dataclasses.asdict(held.counters),
+        gauges=lambda: {
+            "lines": len(held.endpoint.lines) if held.endpoint else 0,
+            "running": parts.state.admission_state.running,
+            "claims": len(parts.state.table.entries),
+            "connected": membership.is_connected(parts.announcer),
+        },
+    )
+
+
+async def _reload_forever(
+    lifecycle: _lifecycle.Lifecycle, read: Callable[[], model.SidecarSettings]
+) -> None:
+    running = read()
+    async for _ in lifecycle.reloads:
+        running = _lifecycle.reload(
+            running, read, lambda loaded: logs.configure(loaded.telemetry)
+        )
+
+
+async def _run_parts(
+    parts: Parts, lifecycle: _lifecycle.Lifecycle, pool: upstream.Pool
+) -> None:
+    """Serve until the planned stop has ended."""
+    settings = parts.settings
+    async with (
+        bridge.serve(
+            settings.rpc_address,
+            _handlers(parts),
+            tls=settings.tls,
+            grace_seconds=settings.grace_seconds,
+        ),
+        trio.open_nursery() as nursery,
+    ):
+        nursery.start_soon(
+            upstream.poll_health,
+            pool,
+            functools.partial(context.update_health, parts.state),
+        )
+        nursery.start_soon(membership.run, parts.announcer)
+        nursery.start_soon(_follow_knowledge, parts)
+        nursery.start_soon(_report_metrics, parts)
+        nursery.start_soon(_stop_when_asked, parts, lifecycle)
+        logger.info("Started for pool %s.", settings.pool)
+        print(f"ready {settings.tunnel_address}", flush=True)
+        await lines.run(parts.lines)
+        await membership.leave(parts.announcer)
+        nursery.cancel_scope.cancel()
+    logger.info("Stopped.")
+
+
+async def _stop_when_asked(parts: Parts, lifecycle: _lifecycle.Lifecycle) -> None:
+    await lifecycle.stopping.wait()
+    await _leave(parts)
+
+
+async def _run(
+    lifecycle: _lifecycle.Lifecycle, read: Callable[[], model.SidecarSettings]
+) -> None:
+    settings = read()
+    record = _own_record(settings)
+    state = _make_state(settings, record)
+    with (
+        tunnel.open_socket(settings.tunnel_address) as bound,
+        upstream.open_pool(settings.upstream_address) as pool,
+    ):
+        async with (
+            bridge.open_client(settings.tls) as client,
+            trio.open_nursery() as nursery,
+        ):
+            ports = _make_ports(client, pool, nursery)
+            announcer = membership.Announcer(
+                record,
+                client=client,
+                seeds=settings.seeds,
+                interval_seconds=settings.heartbeat_interval_seconds,
+                rng=random.Random(),
+            )
+            parts = Parts(
+                settings=settings,
+                generation=record.generation,
+                announcer=announcer,
+                state=state,
+                ports=ports,
+                lines=_make_lines(
+                    settings, record.generation, bound, _line_ports(state, ports)
+                ),
+            )
+            nursery.start_soon(_reload_forever, lifecycle, read)
+            await _run_parts(parts, lifecycle, pool)
+            nursery.cancel_scope.cancel()
+
+
+def run(settings: str, check_only: bool = False) -> None:
+    """Serve the callers of one upstream.
+
+    --settings names the TOML file; --check-only reads and checks it and ends.
+    """
+    path = _lifecycle.settings_path(settings)
+
+    def read() -> model.SidecarSettings:
+        return load.load(path, model.SidecarSettings, check=check.check_sidecar)
+
+    _lifecycle.run_daemon(
+        read=read,
+        check_only=check_only,
+        configure=lambda loaded: logs.configure(loaded.telemetry),
+        body=lambda lifecycle: _run(lifecycle, read),
+    )
+
+
+def main() -> None:
+    """Run the process's own command line."""
+    fire.Fire(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/testbed/cluster.py
@@ -0,0 +1,381 @@
+"""One whole running site: store, fabric, balancers, upstreams and their sidecars.
+
+Each instance has a loopback address of its own, so ports never collide.
+"""
+
+from collections.abc import AsyncIterator, Callable, Mapping
+import contextlib
+import dataclasses
+import itertools
+import os
+import pathlib
+import tempfile
+
+import trio
+
+from plantainproxy import _types
+from plantainproxy.config import model as config_model
+from plantainproxy.config import parse
+from plantainproxy.ctl import changes, spread
+from plantainproxy.rpc import operator_pb2
+from plantainproxy.settings import model as settings_model
+from standins import certificates
+from testbed import processes, site
+
+DATAGRAM_PORT = 7000
+RPC_PORT = 7001
+HEALTH_PORT = 7002
+STORE_PORT = 2379
+CONTROL_PORT = 7003
+UPSTREAM_PORT = 8080
+SERVICE_PORT = 4433
+SEEDS = 3
+START_TIMEOUT_SECONDS = 40
+POLL_SECONDS = 0.05
+
+_numbers = itertools.count()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Balancer:
+    """One balancer's instance."""
+
+    host: str
+    domain: str
+    process: processes.Process
+
+    @property
+    def rpc(self) -> _types.Address:
+        """The gRPC address."""
+        return _types.Address(self.host, RPC_PORT)
+
+    @property
+    def datagrams(self) -> _types.Address:
+        """Where the fabric sends."""
+        return _types.Address(self.host, DATAGRAM_PORT)
+
+    @property
+    def health(self) -> _types.Address:
+        """Where the fabric checks."""
+        return _types.Address(self.host, HEALTH_PORT)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Host:
+    """One upstream's instance with its sidecar."""
+
+    host: str
+    domain: str
+    pool: str
+    upstream: processes.Process
+    sidecar: processes.Process
+
+    @property
+    def tunnel(self) -> _types.Address:
+        """The sidecar's tunnel address, which names the upstream."""
+        return _types.Address(self.host, DATAGRAM_PORT)
+
+    @property
+    def rpc(self) -> _types.Address:
+        """The sidecar's gRPC address."""
+        return _types.Address(self.host, RPC_PORT)
+
+    @property
+    def upstream_address(self) -> _types.Address:
+        """Where the upstream listens."""
+        return _types.Address(self.host, UPSTREAM_PORT)
+
+
+class Cluster:
+    """The processes of one site and what is needed to talk to them."""
+
+    def __init__(self, plan: site.Site, directory: pathlib.Path) -> None:
+        """Lay out the site without starting anything."""
+        self.plan = plan
+        self.directory = directory
+        block = next(_numbers)
+        self.network = f"127.{64 + os.getpid() % 128}.{block % 250}"
+        self.hosts_used = itertools.count(1)
+        self.certificates = certificates.write(directory)
+        self.store_address = _types.Address(self.take_host(), STORE_PORT)
+        self.store_control = _types.Address(self.store_address.host, CONTROL_PORT)
+        self.store_seen = self.store_address
+        """Where processes reach the store; a test may put a link before it."""
+        self.fabric_back = _types.Address(self.take_host(), DATAGRAM_PORT)
+        self.fabric_control = _types.Address(self.fabric_back.host, CONTROL_PORT)
+        self.services: dict[str, _types.Address] = {
+            pool.name: _types.Address(self.take_host(), SERVICE_PORT)
+            for pool in plan.pools
+        }
+        self.rpc_seen: dict[_types.Address, _types.Address] = {}
+        """Where other processes reach a gRPC address; tests may put links there."""
+        self.balancers: list[Balancer] = []
+        self.hosts: list[Host] = []
+        self.all: list[processes.Process] = []
+        self.store = self.make_process(
+            "store",
+            "standins.store",
+            f"--host={self.store_address.host}",
+            f"--port={STORE_PORT}",
+            f"--control-port={CONTROL_PORT}",
+        )
+        for index in range(plan.balancers):
+            self.add_balancer(plan.domains[index % len(plan.domains)])
+        for pool in plan.pools:
+            for index in range(pool.hosts):
+                self.add_host(pool, plan.domains[index % len(plan.domains)])
+        self.fabric = self.make_process("fabric", "standins.fabric", *self._fabric())
+
+    def take_host(self) -> str:
+        """Return the address of a new instance."""
+        return f"{self.network}.{next(self.hosts_used)}"
+
+    def make_process(self, name: str, *arguments: str) -> processes.Process:
+        """Describe a process that ends with the cluster."""
+        process = processes.Process(name, arguments, self.directory / f"{name}.log")
+        self.all.append(process)
+        return process
+
+    def add_balancer(self, domain: str) -> Balancer:
+        """Describe one more balancer."""
+        host = self.take_host()
+        name = f"balancer-{len(self.balancers) + 1}"
+        path = self.directory / f"{name}.toml"
+        process = self.make_process(
+            name, "plantainproxy.balancer.main", f"--settings={path}"
+        )
+        balancer = Balancer(host=host, domain=domain, process=process)
+        self.balancers.append(balancer)
+        return balancer
+
+    def add_host(self, pool: site.PoolPlan, domain: str) -> Host:
+        """Describe one more upstream with its sidecar."""
+        host = self.take_host()
+        name = f"{pool.name}-{len(self.hosts) + 1}"
+        path = self.directory / f"{name}.toml"
+        upstream = self.make_process(
+            f"upstream-{name}",
+            "standins.upstream",
+            f"--host={host}",
+            f"--port={UPSTREAM_PORT}",
+            f"--name={name}",
+            f"--slots={pool.slots}",
+            f"--service_seconds={pool.service_seconds}",
+        )
+        sidecar = self.make_process(
+            f"sidecar-{name}", "plantainproxy.sidecar.main", f"--settings={path}"
+        )
+        added = Host(
+            host=host, domain=domain, pool=pool.name, upstream=upstream, sidecar=sidecar
+        )
+        self.hosts.append(added)
+        return added
+
+    def _fabric(self) -> list[str]:
+        arguments = [
+            f"--back={self.fabric_back}",
+            f"--control={self.fabric_control}",
+            "--seed=7",
+        ]
+        arguments += [f"--service={address}" for address in self.services.values()]
+        arguments += [
+            f"--balancer={balancer.datagrams},{balancer.health}"
+            for balancer in self.balancers
+        ]
+        return arguments
+
+    def seeds(self) -> list[str]:
+        """Return the gRPC addresses that settings name as seeds."""
+        return [
+            str(self.rpc_seen.get(balancer.rpc, balancer.rpc))
+            for balancer in self.balancers[:SEEDS]
+        ]
+
+    def client_settings(self) -> settings_model.ClientSettings:
+        """Return the settings of an operator's command line."""
+        return settings_model.ClientSettings(
+            balancers=tuple(balancer.rpc for balancer in self.balancers),
+            operator="testbed",
+        )
+
+
+def configuration(cluster: Cluster) -> config_model.Configuration:
+    """Return the configuration that fits the site."""
+    plan = cluster.plan
+    return config_model.Configuration(
+        revision=0,
+        domains=tuple(
+            config_model.Domain(name=name, number=number)
+            for number, name in enumerate(plan.domains, start=1)
+        ),
+        pools=tuple(
+            config_model.Pool(
+                name=pool.name,
+                max_running=pool.slots,
+                lines_per_second=pool.lines_per_second,
+            )
+            for pool in plan.pools
+        ),
+        routes=tuple(
+            config_model.Route(
+                name=pool.name, address=cluster.services[pool.name], pool=pool.name
+            )
+            for pool in plan.pools
+        ),
+    )
+
+
+def _toml_list(values: list[str]) -> str:
+    return "[" + ", ".join(f'"{value}"' for value in values) + "]"
+
+
+def write_balancer_settings(
+    cluster: Cluster, balancer: Balancer, *, extra: str = ""
+) -> None:
+    """Write the settings file of one balancer."""
+    path = cluster.directory / f"{balancer.process.name}.toml"
+    path.write_text(
+        f'domain = "{balancer.domain}"\n'
+        f'datagram_address = "{balancer.datagrams}"\n'
+        f'rpc_address = "{balancer.rpc}"\n'
+        f'health_address = "{balancer.health}"\n'
+        f"seeds = {_toml_list(cluster.seeds())}\n"
+        f"{extra}"
+        f"[store]\n"
+        f'address = "{cluster.store_seen}"\n'
+        f"call_timeout_seconds = 1.0\n"
+        f"watch_rearm_seconds = 5.0\n"
+    )
+
+
+def write_sidecar_settings(cluster: Cluster, host: Host, *, extra: str = "") -> None:
+    """Write the settings file of one sidecar."""
+    name = host.sidecar.name.removeprefix("sidecar-")
+    path = cluster.directory / f"{name}.toml"
+    path.write_text(
+        f'domain = "{host.domain}"\n'
+        f'pool = "{host.pool}"\n'
+        f'tunnel_address = "{host.tunnel}"\n'
+        f'rpc_address = "{host.rpc}"\n'
+        f'upstream_address = "{host.upstream_address}"\n'
+        f"fabric_addresses = {_toml_list([str(cluster.fabric_back)])}\n"
+        f'certificate_file = "{cluster.certificates.certificate}"\n'
+        f'private_key_file = "{cluster.certificates.private_key}"\n'
+        f"seeds = {_toml_list(cluster.seeds())}\n"
+        f"{extra}"
+    )
+
+
+async def start_balancer(cluster: Cluster, balancer: Balancer) -> None:
+    """Write the settings and start one balancer."""
+    write_balancer_settings(cluster, balancer)
+    await processes.start(balancer.process)
+
+
+async def start_host(cluster: Cluster, host: Host) -> None:
+    """Start one upstream and then its sidecar."""
+    write_sidecar_settings(cluster, host)
+    await processes.start(host.upstream)
+    await processes.start(host.sidecar)
+
+
+async def start(cluster: Cluster) -> None:
+    """Start everything, apply the configuration and wait until it serves."""
+    await processes.start(cluster.store)
+    async with trio.open_nursery() as nursery:
+        for balancer in cluster.balancers:
+            nursery.start_soon(start_balancer, cluster, balancer)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(processes.start, cluster.fabric)
+        for host in cluster.hosts:
+            nursery.start_soon(start_host, cluster, host)
+    await apply(cluster, configuration(cluster), reason="start")
+    await wait_until_serving(cluster)
+
+
+async def propose(
+    cluster: Cluster,
+    request: operator_pb2.ChangeRequest,
+    *,
+    reason: str = "test",
+    wait: bool = False,
+) -> None:
+    """Propose one change as an operator does."""
+    settings = cluster.client_settings()
+
+    def run() -> None:
+        changes.propose(settings, request, reason=reason, wait=wait, dry_run=False)
+
+    await trio.to_thread.run_sync(run)
+
+
+async def apply(
+    cluster: Cluster, wanted: config_model.Configuration, *, reason: str = "test"
+) -> None:
+    """Replace the whole configuration."""
+    request = operator_pb2.ChangeRequest(
+        replace_all=operator_pb2.ReplaceAll(toml=parse.render(wanted))
+    )
+    await propose(cluster, request, reason=reason)
+
+
+async def fleet(cluster: Cluster) -> spread.Fleet:
+    """Ask every balancer what it knows."""
+    return await trio.to_thread.run_sync(spread.ask_fleet, cluster.client_settings())
+
+
+async def wait_for(condition: Callable[[spread.Fleet], bool], cluster: Cluster) -> None:
+    """Ask the fleet until a condition holds."""
+    with trio.fail_after(START_TIMEOUT_SECONDS):
+        while not condition(await fleet(cluster)):
+            await trio.sleep(POLL_SECONDS)
+
+
+def _serving_members(reply: operator_pb2.StatusReply) -> Mapping[str, str]:
+    return {
+        member.rpc_address: member.state
+        for member in reply.members
+        if not member.lost and member.state == _types.MemberState.SERVING
+    }
+
+
+async def wait_until_serving(cluster: Cluster) -> None:
+    """Return when every running balancer knows every running sidecar."""
+    balancers = [
+        balancer
+        for balancer in cluster.balancers
+        if processes.is_running(balancer.process)
+    ]
+    wanted = {
+        str(host.rpc) for host in cluster.hosts if processes.is_running(host.sidecar)
+    }
+
+    def is_whole(known: spread.Fleet) -> bool:
+        if len(known.replies) < len(balancers):
+            return False
+        newest = max(reply.revision for reply in known.replies)
+        if newest == 0 or spread.lagging(known, newest):
+            return False
+        return all(
+            reply.in_service and wanted <= _serving_members(reply).keys()
+            for reply in known.replies
+        )
+
+    await wait_for(is_whole, cluster)
+
+
+@contextlib.asynccontextmanager
+async def open_cluster(plan: site.Site) -> AsyncIterator[Cluster]:
+    """Lay out a site; end whatever runs of it when the block is left."""
+    with tempfile.TemporaryDirectory(prefix="plantain-") as directory:
+        cluster = Cluster(plan, pathlib.Path(directory))
+        async with processes.owned(cluster.all):
+            yield cluster
+
+
+@contextlib.asynccontextmanager
+async def running(plan: site.Site) -> AsyncIterator[Cluster]:
+    """Start a whole site and yield it once it serves."""
+    async with open_cluster(plan) as cluster:
+        await start(cluster)
+        yield cluster
