--- a/plantainproxy/core/admission.py
+++ b/plantainproxy/core/admission.py
@@ -20,6 +20,10 @@
 """Largest factor by which one window raises the limit."""
 LINE_GROWTH = 1.5
 LINE_DECAY = 0.9
+COLD_HOLD_SECONDS = 3.0
+"""How long the limit stays where a cold upstream bears it."""
+MAX_COLD_HOLD_SECONDS = 24.0
+"""The hold doubles up to this as long as restarts follow one another."""
 UNUSED_DECAY = 0.8
 """Factor by which one window of disuse lowers the limit."""
 LATENCY_TOLERANCE = 1.5
@@ -80,6 +84,10 @@
     """Whether an overload signal came in this window."""
     failures: int = 0
     """Broken connections since the last sign of life."""
+    cold_until: float | None = None
+    """Until when the limit may not rise; absent before the first event."""
+    cold_hold_seconds: float = COLD_HOLD_SECONDS
+    """How long the next cold start is held."""
     started: str = ""
     draining: bool = False
     """The upstream's own wish to take no new work."""
@@ -96,6 +104,7 @@
 def reset(state: State, *, now: float) -> None:
     """Forget what a warm upstream could bear."""
     state.limit = COLD_LIMIT
+    _hold(state, now=now)
     state.baseline_seconds = 0.0
     state.line_rate = COLD_LINES_PER_SECOND
     state.line_tokens = min(state.line_tokens, LINE_BURST)
@@ -148,7 +157,7 @@
     if signal is Signal.TIMEOUT:
         _halve(state)
         return
-    state.failures = 0
+    _note_alive(state, now=now)
     if signal is Signal.OVERLOAD:
         _halve(state)
         return
@@ -158,7 +167,7 @@
 
 def observe_report(state: State, report: Report, *, now: float) -> None:
     """Take a health report; it may lower the limit and never raises it."""
-    state.failures = 0
+    _note_alive(state, now=now)
     state.draining = report.draining
     observe_start(state, report.started, now=now)
     state.report_limit = report.limit
@@ -195,12 +204,31 @@
     return True
 
 
+def _note_alive(state: State, *, now: float) -> None:
+    """Take a sign of life; an upstream that was gone comes back cold."""
+    if state.failures >= RESTART_FAILURES:
+        state.cold_until = now + state.cold_hold_seconds
+    state.failures = 0
+
+
 def _count_failure(state: State, *, now: float) -> None:
     state.failures += 1
+    _halve(state)
     if state.failures == RESTART_FAILURES:
         reset(state, now=now)
 
 
+def _hold(state: State, *, now: float) -> None:
+    """Hold the limit; longer when the last hold proved too short."""
+    previous = state.cold_until
+    if previous is not None and now < previous + MAX_COLD_HOLD_SECONDS:
+        state.cold_hold_seconds *= 2
+    else:
+        state.cold_hold_seconds = COLD_HOLD_SECONDS
+    state.cold_hold_seconds = min(state.cold_hold_seconds, MAX_COLD_HOLD_SECONDS)
+    state.cold_until = now + state.cold_hold_seconds
+
+
 def _halve(state: State) -> None:
     if state.overloaded:
         return
@@ -221,8 +249,11 @@
 def _advance(state: State, *, max_running: int, now: float) -> None:
     if now < state.window_ends:
         return
+    if state.cold_until is None:
+        state.cold_until = now + state.cold_hold_seconds
     windows = 1 + int((now - state.window_ends) / WINDOW_SECONDS)
-    _learn(state, max_running=max_running)
+    if now >= state.cold_until:
+        _learn(state, max_running=max_running)
     _open_window(state, now=now)
     if windows > 1 and not state.running:
         _decay(state, windows=windows - 1)
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -219,7 +219,7 @@
 
 
 async def _run_with_fault(state: State, request: Received) -> Reply:
-    reply = await _run(state, request)
+    reply = await run_request(state, request)
     if reply.status != 200:
         return reply
     fault = _take_fault(state)
@@ -230,7 +230,8 @@
     return dataclasses.replace(reply, cut=fault == CUT)
 
 
-async def _run(state: State, request: Received) -> Reply:
+async def run_request(state: State, request: Received) -> Reply:
+    """Run one request in a slot; raise ``ExchangeClosedError`` for no answer."""
     now = trio.current_time()
     settings = state.settings
     if now < state.fallen_until:
