Compact slot tables without a hash set

np.unique held the interpreter lock for 61 ms of a rebuild with 17,000 members (one profile); a mask of used numbers does not. Ruled out as the cause of the remaining pauses of up to 64 ms: numpy; with the cyclic collector off the longest was 16 ms.

--- a/plantainproxy/core/slots.py
+++ b/plantainproxy/core/slots.py
@@ -306,13 +306,16 @@
     changed: tuple[npt.NDArray[np.float64], ...],
 ) -> Table:
     """Leave out the addresses that no slot refers to any more."""
-    used = np.unique(np.concatenate((owners, *earlier)))
-    used = used[used != _NO_OWNER]
+    present = np.zeros(len(tunnels) + 1, dtype=bool)
+    for numbers in (owners, *earlier):
+        present[numbers] = True
+    present[_NO_OWNER] = False
+    used = np.flatnonzero(present)
     lookup = np.full(len(tunnels) + 1, _NO_OWNER, dtype=np.int32)
     lookup[used] = np.arange(len(used), dtype=np.int32)
     return _table(
         members,
-        tuple(tunnels[number] for number in used),
+        tuple(tunnels[number] for number in used.tolist()),
         lookup[owners],
         tuple(lookup[numbers] for numbers in earlier),
         changed,
