--- a/bench/forwarding.py
+++ b/bench/forwarding.py
@@ -172,20 +172,47 @@
     return count
 
 
-def run_batch(sockets: Sockets, case: Case) -> None:
-    """Send one batch and time its forwarding."""
+def send_batch(sockets: Sockets, case: Case) -> None:
+    """Send the next datagrams of a case to the balancer's socket."""
     destination = sockets.balancer.getsockname()
     for offset in range(BATCH):
         number = (case.position + offset) % len(case.datagrams)
         sockets.sender.sendto(case.datagrams[number], destination)
     case.position += BATCH
-    before = time.process_time_ns()
-    case.drain()
-    elapsed = time.process_time_ns() - before
+
+
+def note_batch(sockets: Sockets, case: Case, nanoseconds: int) -> None:
+    """Note the time of one batch after checking that all of it was forwarded."""
     arrived = empty_out(sockets.receiver)
     if arrived != BATCH:
         raise RuntimeError(f"{case.name}: {arrived} of {BATCH} packets arrived")
-    case.microseconds.append(elapsed / 1000 / BATCH)
+    case.microseconds.append(nanoseconds / 1000 / BATCH)
+
+
+def run_batch(sockets: Sockets, case: Case) -> None:
+    """Send one batch and time its forwarding."""
+    send_batch(sockets, case)
+    before = time.process_time_ns()
+    case.drain()
+    note_batch(sockets, case, time.process_time_ns() - before)
+
+
+async def run_task_batches(
+    sockets: Sockets, state: datapath.State, bare: Case, case: Case
+) -> None:
+    """Time batches through the balancer's own task, in turn with the bare loop."""
+    send, receive = trio.open_memory_channel[datapath.Event](1)
+    counters = state.counters
+    async with trio.open_nursery() as nursery, send:
+        nursery.start_soon(datapath.run, state, sockets.balancer, receive)
+        for _ in range(ROUNDS):
+            run_batch(sockets, bare)
+            target = counters.established + BATCH
+            send_batch(sockets, case)
+            before = time.process_time_ns()
+            while counters.established < target:
+                await trio.lowlevel.checkpoint()
+            note_batch(sockets, case, time.process_time_ns() - before)
 
 
 def forwarding_cases(sockets: Sockets) -> list[Case]:
@@ -223,6 +250,24 @@
         for _ in range(ROUNDS):
             for case in cases:
                 run_batch(sockets, case)
+    return medians(cases)
+
+
+def measure_task() -> dict[str, float]:
+    """Measure the balancer's task, its waiting included, as above."""
+    with opened() as sockets:
+        port = sockets.receiver.getsockname()[1]
+        state = known_state(UPSTREAM_COUNTS[0], port)
+        flow = established(1, 1, port)
+        bare = Case("bare", bare_drain(sockets, [tunnel_address(0, port)]), flow)
+        name = f"established, own task, {BATCH} packets a wake-up"
+        case = Case(name, real_drain(sockets, state), flow)
+        trio.run(run_task_batches, sockets, state, bare, case)
+    return medians([bare, case])
+
+
+def medians(cases: list[Case]) -> dict[str, float]:
+    """Return the median of each case by its name."""
     return {case.name: statistics.median(case.microseconds) for case in cases}
 
 
@@ -294,8 +339,14 @@
     print_tables(tables)
     costs = measure_forwarding()
     print_forwarding(costs)
+    task_costs = measure_task()
+    print_forwarding(task_costs)
     OUTPUT.parent.mkdir(exist_ok=True)
-    result = {"microseconds_per_packet": costs, "tables": tables}
+    result = {
+        "microseconds_per_packet": costs,
+        "microseconds_per_packet_with_task": task_costs,
+        "tables": tables,
+    }
     OUTPUT.write_text(json.dumps(result, indent=2) + "\n", encoding="utf-8")
 
 
--- a/plantainproxy/core/packets.py
+++ b/plantainproxy/core/packets.py
@@ -1,5 +1,6 @@
 """Packets of any datagram protocol, as the routing rules see them."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import xxhash
@@ -35,6 +36,10 @@
     """Where the flow lives; absent when the packet does not carry it."""
 
 
+flow_hash: Callable[[bytes], int] = xxhash.xxh3_64_intdigest
+"""Hashes a flow key to 64 bits."""
+
+
 def service_tag(service: bytes) -> int:
     """Return the 16-bit tag of a packed service address."""
     return int(xxhash.xxh3_64_intdigest(service)) & 0xFFFF
@@ -48,8 +53,3 @@
 def is_newer_generation(tag: int, *, than: int) -> bool:
     """Compare two generation tags by serial number arithmetic (RFC 1982)."""
     return 0 < ((tag - than) & _GENERATION_MASK) < _GENERATION_HALF_RANGE
-
-
-def flow_hash(flow_key: bytes) -> int:
-    """Hash a flow key to 64 bits."""
-    return int(xxhash.xxh3_64_intdigest(flow_key))
--- a/plantainproxy/wire/proxy.py
+++ b/plantainproxy/wire/proxy.py
@@ -16,10 +16,11 @@
 """Size of a header without type-length-value fields."""
 
 _START = SIGNATURE + bytes((VERSION_AND_COMMAND, FAMILY_INET_DATAGRAM))
-_START_BYTES = len(_START)
+_ADDRESSES_OFFSET = 16
 PLAIN_START = _START + ADDRESS_BYTES.to_bytes(2, "big")
 """How a header without type-length-value fields begins."""
 _ADDRESSES = struct.Struct("!4s4s2s2s")
+_unpack = struct.Struct("!14sH4s4s2s2s").unpack_from
 
 
 class Header(NamedTuple):
@@ -33,16 +34,16 @@
 
 def decode(datagram: bytes) -> Header | None:
     """Read the header of a datagram; return ``None`` when it is not valid."""
-    if len(datagram) < HEADER_BYTES or not datagram.startswith(_START):
+    try:
+        start, length, source, destination, source_port, port = _unpack(datagram)
+    except struct.error:
         return None
-    length = (datagram[14] << 8) | datagram[15]
-    if length < ADDRESS_BYTES or _START_BYTES + 2 + length > len(datagram):
+    if start != _START or length < ADDRESS_BYTES:
         return None
-    return Header(
-        datagram[16:20] + datagram[24:26],
-        datagram[20:24] + datagram[26:28],
-        _START_BYTES + 2 + length,
-    )
+    payload_offset = _ADDRESSES_OFFSET + length
+    if payload_offset > len(datagram):
+        return None
+    return Header(source + source_port, destination + port, payload_offset)
 
 
 def encode(*, source: _types.Address, destination: _types.Address) -> bytes:
--- a/plantainproxy/wire/tests/test_formats.py
+++ b/plantainproxy/wire/tests/test_formats.py
@@ -32,6 +32,28 @@
     assert proxy.decode(datagram[:size]) is None
 
 
+@pytest.mark.parametrize(
+    ("length", "extra_bytes", "offset"),
+    [(12, 0, 28), (12, 9, 28), (20, 9, 36), (20, 7, None), (11, 9, None)],
+)
+def test_the_length_of_a_proxy_header_says_where_the_payload_begins(
+    length: int, extra_bytes: int, offset: int | None
+) -> None:
+    """Type-length-value fields are skipped; a length that cannot be is refused."""
+    datagram = bytearray(proxy.encode(source=CALLER, destination=SERVICE))
+    datagram[14:16] = length.to_bytes(2, "big")
+    header = proxy.decode(bytes(datagram) + b"e" * extra_bytes)
+    assert (None if header is None else header.payload_offset) == offset
+
+
+@pytest.mark.parametrize("position", [0, 11, 12, 13])
+def test_another_kind_of_proxy_header_is_refused(position: int) -> None:
+    """Another signature, version, command, family or transport is invalid."""
+    datagram = bytearray(proxy.encode(source=CALLER, destination=SERVICE))
+    datagram[position] ^= 1
+    assert proxy.decode(bytes(datagram)) is None
+
+
 def test_a_connection_id_gives_back_its_destination() -> None:
     """Decoding undoes encoding under every key of the set."""
     ring = keyring.Keyring(KEY_SET)
