Resolve changes of configuration and keys by one bounded repetition

Cause: the repetition of a compare-and-swap stood twice and could last for six deadlines of two calls. config/swap.py repeats both and ends within eight seconds; a write cut off by that time counts as open.

--- /dev/null
+++ b/plantainproxy/config/swap.py
@@ -0,0 +1,81 @@
+"""Repetition of one compare-and-swap until its outcome is known."""
+
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import trio
+
+from plantainproxy import _exceptions
+from plantainproxy.store import port
+
+TIMEOUT_SECONDS = 8.0
+"""A change is accepted, refused or told as unknown within this time."""
+MAX_ATTEMPTS = 6
+FIRST_RETRY_DELAY_SECONDS = 0.05
+"""Doubled at each further attempt."""
+
+_Kind = _exceptions.ErrorKind
+T = TypeVar("T")
+
+
+class Swap:
+    """One compare-and-swap that may need several attempts."""
+
+    def __init__(self, store: port.Store) -> None:
+        """Start before the first attempt."""
+        self.store = store
+        self.maybe_applied = False
+        """Whether a write without an answer may have taken effect, or still may."""
+
+
+async def commit(swap: Swap, transaction: port.Transaction) -> bool:
+    """Write once; note when the outcome stays open, also when cancelled."""
+    before = swap.maybe_applied
+    swap.maybe_applied = True
+    try:
+        held = await swap.store.commit(transaction)
+    except _exceptions.PlantainError as error:
+        if error.kind is not _Kind.CHANGE_UNKNOWN:
+            swap.maybe_applied = before
+        raise
+    swap.maybe_applied = before
+    return held
+
+
+async def until_known(
+    swap: Swap, attempt: Callable[[], Awaitable[T | None]], *, name: str
+) -> T:
+    """Repeat an attempt until it returns a result or raises for certain.
+
+    The attempt has to be safe to repeat: its transaction's conditions must exclude
+    that it takes effect twice. It returns ``None`` when it could not tell.
+    """
+    with trio.move_on_after(TIMEOUT_SECONDS):
+        for number in range(MAX_ATTEMPTS):
+            if number:
+                await trio.sleep(FIRST_RETRY_DELAY_SECONDS * 2 ** (number - 1))
+            try:
+                result = await attempt()
+            except _exceptions.PlantainError as error:
+                if not _is_open(swap, error.kind):
+                    raise
+                continue
+            if result is not None:
+                return result
+    raise _unresolved(swap, name)
+
+
+def _is_open(swap: Swap, kind: _exceptions.ErrorKind) -> bool:
+    if kind is _Kind.STORE_UNAVAILABLE:
+        return swap.maybe_applied
+    return kind is _Kind.CHANGE_UNKNOWN
+
+
+def _unresolved(swap: Swap, name: str) -> _exceptions.PlantainError:
+    if swap.maybe_applied:
+        return _exceptions.PlantainError(
+            _Kind.CHANGE_UNKNOWN, f"{name}: repeat it with the same change ID"
+        )
+    return _exceptions.PlantainError(
+        _Kind.STORE_UNAVAILABLE, f"{name}: the store was too slow or answered stale"
+    )
