Read the store's answers strictly

Cause: an answer with invalid Base64 was read as an empty key. Integers and Base64 are checked now; what cannot be read is an error of the store or ends the watch.

--- a/plantainproxy/store/etcd.py
+++ b/plantainproxy/store/etcd.py
@@ -58,14 +58,14 @@
         """Create a lease and return its number."""
         request = msgspec.json.encode({"TTL": str(ttl_seconds), "ID": "0"})
         body = await _write(self, gateway.GRANT_PATH, request)
-        return int(_decode_written(body, gateway.LeaseAnswer).ID)
+        return _decode_written(body, gateway.LeaseAnswer).ID
 
     async def keep_lease(self, lease: int) -> bool:
         """Renew a lease; return whether it still existed."""
         request = msgspec.json.encode({"ID": str(lease)})
         body = await _write(self, gateway.KEEPALIVE_PATH, request)
         answer = _decode_written(body, gateway.KeepaliveAnswer)
-        return int(answer.result.TTL) > 0
+        return answer.result.TTL > 0
 
     async def revoke_lease(self, lease: int) -> None:
         """End a lease and delete its keys; one that has ended is no error."""
@@ -170,14 +170,14 @@
 def _decode_entries(body: bytes) -> tuple[port.Entry, ...]:
     try:
         return gateway.decode_range(body)
-    except (msgspec.DecodeError, ValueError) as error:
+    except ValueError as error:
         raise _unavailable(f"unreadable answer: {error}") from None
 
 
 def _decode_written(body: bytes, answer_type: type[gateway.T]) -> gateway.T:
     try:
-        return msgspec.json.decode(body, type=answer_type)
-    except msgspec.DecodeError as error:
+        return gateway.decode(body, answer_type)
+    except ValueError as error:
         raise _unknown(f"unreadable answer: {error}") from None
 
 
@@ -201,5 +201,7 @@
         if result is None:
             return
         changes = gateway.decode_changes(result)
+        if changes is None:
+            return
         if changes:
             yield changes
--- a/plantainproxy/store/gateway.py
+++ b/plantainproxy/store/gateway.py
@@ -28,7 +28,7 @@
 
     key: str
     value: str = ""
-    mod_revision: str = "0"
+    mod_revision: int = 0
 
 
 class RangeAnswer(msgspec.Struct):
@@ -46,8 +46,8 @@
 class LeaseAnswer(msgspec.Struct):
     """The answer to a grant, and the result of a renewal."""
 
-    ID: str = "0"
-    TTL: str = "0"
+    ID: int = 0
+    TTL: int = 0
 
 
 class KeepaliveAnswer(msgspec.Struct):
@@ -84,6 +84,11 @@
     message: str = ""
 
 
+def decode(body: bytes, answer_type: type[T]) -> T:
+    """Decode one answer; raise ``ValueError`` when it does not fit."""
+    return msgspec.json.decode(body, type=answer_type, strict=False)
+
+
 def _text(key: str | bytes) -> str:
     raw = key.encode() if isinstance(key, str) else key
     return base64.b64encode(raw).decode()
@@ -124,16 +129,16 @@
 
 def decode_range(body: bytes) -> tuple[port.Entry, ...]:
     """Decode the answer to a read."""
-    answer = msgspec.json.decode(body, type=RangeAnswer)
+    answer = decode(body, RangeAnswer)
     return tuple(decode_entry(kv) for kv in answer.kvs)
 
 
 def decode_entry(kv: KeyValue) -> port.Entry:
     """Decode one key with its value."""
     return port.Entry(
-        key=base64.b64decode(kv.key).decode(),
-        value=base64.b64decode(kv.value),
-        mod_revision=int(kv.mod_revision),
+        key=base64.b64decode(kv.key, validate=True).decode(),
+        value=base64.b64decode(kv.value, validate=True),
+        mod_revision=kv.mod_revision,
     )
 
 
@@ -174,17 +179,20 @@
 def decode_watch_line(line: bytes) -> WatchResult | None:
     """Decode one line of a watch; ``None`` means that the watch is over."""
     try:
-        result = msgspec.json.decode(line, type=WatchLine).result
-    except msgspec.DecodeError:
+        result = decode(line, WatchLine).result
+    except ValueError:
         return None
     if result is None or result.canceled:
         return None
     return result
 
 
-def decode_changes(result: WatchResult) -> tuple[port.Change, ...]:
-    """Decode the writes of one line of a watch."""
-    return tuple(_decode_change(event) for event in result.events)
+def decode_changes(result: WatchResult) -> tuple[port.Change, ...] | None:
+    """Decode the writes of one line of a watch; ``None`` when one is unreadable."""
+    try:
+        return tuple(_decode_change(event) for event in result.events)
+    except ValueError:
+        return None
 
 
 def _decode_change(event: Event) -> port.Change:
@@ -196,6 +204,6 @@
 def decode_refusal(body: bytes) -> Refusal:
     """Decode the body of a refusal as far as it is one."""
     try:
-        return msgspec.json.decode(body, type=Refusal)
-    except msgspec.DecodeError:
+        return decode(body, Refusal)
+    except ValueError:
         return Refusal(message=repr(body[:200]))
