Bound records, spread revisions by calls of their own

Cause: a revision reached others only by the digest exchange of one call a second, and a record with a weight that is no number would have been sent without end. Built: new revisions are told to two peers a round for a bounded number of calls; records out of bounds are refused; the choice among a pool's members is hashed once a change. Figures: in the test, 64 balancers hold a new revision within 16 rounds of 0.25 s.

--- a/plantainproxy/core/gossip.py
+++ b/plantainproxy/core/gossip.py
@@ -125,6 +125,10 @@
             level_bytes=REPAIR_BURST_BYTES,
             refilled_at=now,
         )
+        self.revisions = Revisions(configuration=0, keys=0)
+        """The revisions of the last round."""
+        self.revision_calls = 0
+        """Calls still to be made to tell of new revisions."""
         self.digest_at = now
         """When the next digest exchange is due."""
         self.outsider_at = now
@@ -213,11 +217,7 @@
     state: State, contacts: Collection[_types.Address]
 ) -> list[_types.Address]:
     """Return addresses where a balancer may be that is not known as live."""
-    lost = {
-        record.rpc
-        for record in state.table.records.values()
-        if record.kind is _types.MemberKind.BALANCER and record.lost
-    }
+    lost = {record.rpc for record in state.table.balancers.values() if record.lost}
     known = {state.own.rpc, *state.peers}
     return sorted((lost | set(contacts)) - known)
 
@@ -228,12 +228,32 @@
     now: float,
     rng: random.Random,
     contacts: Collection[_types.Address],
+    revisions: Revisions,
 ) -> tuple[Send, ...]:
     """Decide the calls of one round.
 
     ``contacts`` are addresses from settings and from the store; they are called while
     no peer is known, and now and then afterwards, so that parted groups meet again.
     """
+    digest_peers = _digest_peers(state, now, rng, contacts)
+    change_peers = _change_peers(state, rng, revisions)
+    return tuple(
+        Send(
+            peer=peer,
+            records=_next_changes(state, now),
+            has_digests=peer in digest_peers,
+        )
+        for peer in dict.fromkeys([*digest_peers, *change_peers])
+    )
+
+
+def _digest_peers(
+    state: State,
+    now: float,
+    rng: random.Random,
+    contacts: Collection[_types.Address],
+) -> list[_types.Address]:
+    """Choose whom to compare digests with in this round."""
     digest_peers: list[_types.Address] = []
     if now >= state.digest_at and state.peers:
         state.digest_at = now + DIGEST_SECONDS
@@ -246,17 +266,20 @@
         if now >= suspicion.probe_at and peer in state.peers:
             suspicion.probe_at = now + PROBE_SECONDS
             digest_peers.append(peer)
-    change_peers: list[_types.Address] = []
-    if state.pending:
-        change_peers = rng.sample(state.peers, min(FANOUT, len(state.peers)))
-    return tuple(
-        Send(
-            peer=peer,
-            records=_next_changes(state, now),
-            has_digests=peer in digest_peers,
-        )
-        for peer in dict.fromkeys([*digest_peers, *change_peers])
-    )
+    return digest_peers
+
+
+def _change_peers(
+    state: State, rng: random.Random, revisions: Revisions
+) -> list[_types.Address]:
+    """Choose whom to tell of changed records and new revisions in this round."""
+    if revisions != state.revisions:
+        state.revisions = revisions
+        state.revision_calls = sends_per_change(len(state.peers) + 1)
+    if not state.pending and not state.revision_calls:
+        return []
+    state.revision_calls = max(0, state.revision_calls - FANOUT)
+    return rng.sample(state.peers, min(FANOUT, len(state.peers)))
 
 
 def request(
--- a/plantainproxy/core/homes.py
+++ b/plantainproxy/core/homes.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Sequence
 import dataclasses
+import functools
 
 import numpy
 import numpy.typing
@@ -13,6 +14,9 @@
 
 from plantainproxy import _types
 
+ADDRESS_CACHE_SIZE = 32_768
+"""Addresses whose hashes are kept."""
+
 _MULTIPLIERS = (numpy.uint64(0xBF58476D1CE4E5B9), numpy.uint64(0x94D049BB133111EB))
 _SHIFTS = (numpy.uint64(30), numpy.uint64(27), numpy.uint64(31))
 
@@ -30,10 +34,15 @@
     return xxhash.xxh3_64_intdigest(text.encode())
 
 
+@functools.lru_cache(maxsize=ADDRESS_CACHE_SIZE)
+def _address_point(address: _types.Address) -> int:
+    return point(str(address))
+
+
 def candidates(addresses: Sequence[_types.Address]) -> Candidates:
     """Hash each address once, in an order that all processes share."""
     ordered = tuple(sorted(set(addresses)))
-    points = numpy.array([point(str(address)) for address in ordered], numpy.uint64)
+    points = numpy.array([_address_point(address) for address in ordered], numpy.uint64)
     return Candidates(addresses=ordered, points=points)
 
 
--- a/plantainproxy/core/membership.py
+++ b/plantainproxy/core/membership.py
@@ -18,6 +18,9 @@
 FLOOR_SECONDS = 86_400.0
 """How long the version of a forgotten record keeps older ones out."""
 MAX_FLOORS = 100_000
+MAX_VERSION = 2**62
+"""Bound of generations and sequences, far from the end of 64 bits."""
+MAX_NAME_LENGTH = 255
 MISSED_HEARTBEATS = 3
 """Heartbeats in a row that a member may miss before it is marked lost."""
 BLIND_MINIMUM = 2
@@ -52,6 +55,24 @@
     return (*record.version, repr(content))
 
 
+def _is_higher(record: _types.MemberRecord, other: _types.MemberRecord) -> bool:
+    """Compare by precedence; the content is looked at only on equal versions."""
+    if record.version != other.version:
+        return record.version > other.version
+    return precedence(record) > precedence(other)
+
+
+def is_valid(record: _types.MemberRecord) -> bool:
+    """Whether a record's numbers and names are within bounds."""
+    return (
+        0 <= record.generation < MAX_VERSION
+        and 0 <= record.sequence < MAX_VERSION
+        and 0 < record.weight <= 1
+        and len(record.domain) <= MAX_NAME_LENGTH
+        and len(record.pool) <= MAX_NAME_LENGTH
+    )
+
+
 def record_hash(record: _types.MemberRecord) -> int:
     """Hash everything that a record says to 32 bits."""
     return homes.point(f"{record.key}{precedence(record)}") & _MASK
@@ -89,6 +110,7 @@
         """The member key of each key hash."""
         self.hashes: dict[str, int] = {}
         """The digest hash of each record; absent for those that ended."""
+        self.balancers: dict[str, _types.MemberRecord] = {}
         self.pools: dict[str, dict[str, _types.MemberRecord]] = {}
         self.pool_versions: dict[str, int] = {}
         """Raised at each change to a pool's records."""
@@ -146,6 +168,7 @@
     else:
         table.ended_at.pop(record.key, None)
     if record.kind is _types.MemberKind.BALANCER:
+        table.balancers[record.key] = record
         table.balancers_version += previous is None or (
             (previous.lost, previous.state) != (record.lost, record.state)
         )
@@ -173,20 +196,22 @@
 def merge(
     table: Table, records: Iterable[_types.MemberRecord], *, now: float
 ) -> Merged:
-    """Take in the records that are newer than ours; tell which of ours are newer."""
+    """Take in the records that are newer than ours; tell which of ours are newer.
+
+    Records out of bounds are passed over.
+    """
     changed = []
     newer = []
-    for record in records:
+    for record in filter(is_valid, records):
         refused_by = _below_floor(table, record)
         if refused_by is not None:
             if not has_ended(record):
                 newer.append(refused_by)
             continue
         known = table.records.get(record.key)
-        if known == record:
-            continue
-        if known is not None and precedence(known) > precedence(record):
-            newer.append(known)
+        if known is not None and not _is_higher(record, known):
+            if _is_higher(known, record):
+                newer.append(known)
             continue
         _put(table, record, now)
         changed.append(record)
@@ -203,6 +228,7 @@
         key_hash = homes.point(key)
         table.keys.pop(key_hash, None)
         table.buckets[bucket_of(key_hash)].discard(key)
+        table.balancers.pop(key, None)
         _remove_from_pool(table, record)
         table.floors[key] = Floor(
             generation=record.generation,
@@ -231,11 +257,7 @@
 
 def live_balancers(table: Table) -> tuple[_types.MemberRecord, ...]:
     """Return the records of the balancers that have not ended."""
-    return tuple(
-        record
-        for record in table.records.values()
-        if record.kind is _types.MemberKind.BALANCER and not has_ended(record)
-    )
+    return tuple(record for record in table.balancers.values() if not has_ended(record))
 
 
 def records_digest(records: Iterable[_types.MemberRecord]) -> int:
--- a/plantainproxy/core/tests/test_gossip.py
+++ b/plantainproxy/core/tests/test_gossip.py
@@ -51,13 +51,20 @@
         self.contacts = list(self.states)
         self.dead: set[_types.Address] = set()
         self.sent_records = 0
+        self.revisions = dict.fromkeys(self.states, REVISIONS)
+
+    def _adopt(self, rpc: _types.Address, revision: int) -> None:
+        """Take a higher revision as if it had been pulled."""
+        if revision > self.revisions[rpc].configuration:
+            self.revisions[rpc] = gossip.Revisions(configuration=revision, keys=1)
 
     def _lose(self, peer: _types.Address) -> bool:
         return peer in self.dead or self.rng.random() < self.loss
 
     def exchange(self, state: gossip.State, send: gossip.Send) -> None:
         """Carry out one planned call, losing requests and replies."""
-        message = gossip.request(state, send, revisions=REVISIONS)
+        revisions = self.revisions[state.own.rpc]
+        message = gossip.request(state, send, revisions=revisions)
         for _ in range(2):
             self.sent_records += len(message.records)
             if self._lose(send.peer):
@@ -66,15 +73,17 @@
             reply, _ = gossip.answer(
                 self.states[send.peer],
                 message,
-                revisions=REVISIONS,
+                revisions=self.revisions[send.peer],
                 now=self.now,
                 rng=self.rng,
             )
+            self._adopt(send.peer, message.configuration_revision)
             if self._lose(send.peer):
                 gossip.failed(state, send.peer, now=self.now, is_connected=True)
                 return
+            self._adopt(state.own.rpc, reply.configuration_revision)
             following, _ = gossip.follow_up(
-                state, send.peer, reply, revisions=REVISIONS, now=self.now
+                state, send.peer, reply, revisions=revisions, now=self.now
             )
             if following is None:
                 return
@@ -89,7 +98,11 @@
                 if rpc in self.dead:
                     continue
                 for send in gossip.plan(
-                    state, now=self.now, rng=self.rng, contacts=self.contacts
+                    state,
+                    now=self.now,
+                    rng=self.rng,
+                    contacts=self.contacts,
+                    revisions=self.revisions[rpc],
                 ):
                     self.exchange(state, send)
                 gossip.forget(state, now=self.now)
@@ -149,6 +162,16 @@
     assert group.sent_records == 0
 
 
+def test_a_new_revision_reaches_everybody_in_few_rounds() -> None:
+    """A revision spreads by calls of its own when no record changes."""
+    group = Group(64, seed=8)
+    group.run(30)
+    newer = gossip.Revisions(configuration=2, keys=1)
+    group.revisions[group.contacts[0]] = newer
+    group.run(16 * ROUND_SECONDS)
+    assert set(group.revisions.values()) == {newer}
+
+
 def test_a_dead_balancer_is_marked_lost_by_all() -> None:
     """Repeated failures mark a peer, and the mark spreads."""
     group = Group(5, seed=2)
@@ -207,7 +230,9 @@
         now = tick * ROUND_SECONDS
         changed = [sidecar(number, sequence=tick + 2) for number in range(50)]
         gossip.learn(state, changed, now=now)
-        for send in gossip.plan(state, now=now, rng=rng, contacts=()):
+        for send in gossip.plan(
+            state, now=now, rng=rng, contacts=(), revisions=REVISIONS
+        ):
             sent += sum(map(gossip.record_bytes, send.records))
     allowed = gossip.CHANGE_BURST_BYTES + seconds * gossip.CHANGE_BYTES_PER_SECOND
     assert allowed * 0.9 <= sent <= allowed
--- /dev/null
+++ b/plantainproxy/core/tests/test_heartbeat.py
@@ -0,0 +1,138 @@
+"""A sidecar's choice of homes and what it takes from replies."""
+
+import dataclasses
+
+import pytest
+
+from plantainproxy import _types
+from plantainproxy.config import model
+from plantainproxy.core import heartbeat
+from plantainproxy.rpc import messages
+
+RECORD = _types.MemberRecord(
+    kind=_types.MemberKind.SIDECAR,
+    rpc=_types.Address("127.0.0.1", 1),
+    domain="d",
+    generation=5,
+    sequence=1,
+    pool="p",
+)
+SEEDS = tuple(_types.Address("127.0.0.1", 7000 + number) for number in range(2))
+BALANCERS = tuple(_types.Address("127.0.0.1", 8000 + number) for number in range(8))
+
+
+def view(revision: int) -> model.PoolView:
+    """Make a view."""
+    return model.PoolView(
+        revision=revision,
+        pool=None,
+        services=(),
+        domain_number=1,
+        domain_in=True,
+        drained=False,
+    )
+
+
+def reply(**fields: object) -> messages.HeartbeatReply:
+    """Make a reply that knows the record as announced."""
+    plain = messages.HeartbeatReply(known=RECORD)
+    return dataclasses.replace(plain, **fields)  # type: ignore[arg-type]
+
+
+def offered() -> heartbeat.State:
+    """Make a sidecar to which a seed offered eight balancers."""
+    state = heartbeat.State(RECORD, SEEDS)
+    news = reply(siblings=(RECORD,), siblings_digest=9, balancers=BALANCERS)
+    heartbeat.absorb(state, SEEDS[0], news, now=0)
+    return state
+
+
+def called(state: heartbeat.State, now: float) -> dict[_types.Address, bool]:
+    """Return whom the sidecar calls, and whether for the last time."""
+    return {
+        beat.home: beat.request.is_final for beat in heartbeat.beats(state, now=now)
+    }
+
+
+def test_the_seeds_are_called_until_one_offers_balancers() -> None:
+    """Then three homes are called and the seeds no more."""
+    state = heartbeat.State(RECORD, SEEDS)
+    assert called(state, 0) == dict.fromkeys(SEEDS, False)
+    news = reply(siblings=(), siblings_digest=9, balancers=BALANCERS)
+    heartbeat.absorb(state, SEEDS[0], news, now=0)
+    homes = called(state, 0.5)
+    assert {home for home, is_final in homes.items() if is_final} == set(SEEDS)
+    assert len(set(homes) & set(BALANCERS)) == heartbeat.HOME_COUNT
+    assert set(called(state, 1)) == set(homes) & set(BALANCERS)
+
+
+def test_a_failed_home_is_avoided_for_a_time() -> None:
+    """Another balancer takes its place and it comes back later."""
+    state = offered()
+    homes = set(called(state, 1))
+    victim = min(homes)
+    heartbeat.failed(state, victim, now=1)
+    replaced = called(state, 2)
+    assert victim not in replaced
+    assert len(replaced) == heartbeat.HOME_COUNT
+    assert victim in called(state, 1 + heartbeat.AVOID_SECONDS)
+
+
+def test_everybody_is_called_when_all_homes_fail() -> None:
+    """Nothing is forgotten, and seeds and balancers are tried."""
+    state = offered()
+    before = state.knowledge
+    for balancer in BALANCERS:
+        heartbeat.failed(state, balancer, now=5)
+    assert set(called(state, 6)) == {*SEEDS, *BALANCERS}
+    assert state.knowledge == before
+    assert not heartbeat.is_connected(state, now=6)
+
+
+@pytest.mark.parametrize(
+    ("revisions", "expected"), [([3, 2], 3), ([3, 4], 4), ([3, 3], 3)]
+)
+def test_revisions_only_rise(revisions: list[int], expected: int) -> None:
+    """An older view or key set never replaces a newer one."""
+    state = heartbeat.State(RECORD, SEEDS)
+    for revision in revisions:
+        keys = model.KeySet(revision=revision, current=0, keys=())
+        news = reply(view=view(revision), key_set=keys)
+        heartbeat.absorb(state, SEEDS[0], news, now=0)
+    known = state.knowledge
+    assert known.view is not None
+    assert known.key_set is not None
+    assert (known.view.revision, known.key_set.revision) == (expected, expected)
+    request = heartbeat.beats(state, now=0)[0].request
+    assert (request.configuration_revision, request.key_revision) == (
+        expected,
+        expected,
+    )
+
+
+def test_a_lost_mark_is_refuted_once() -> None:
+    """The same mark from several homes raises the sequence once."""
+    state = heartbeat.State(RECORD, SEEDS)
+    mark = reply(known=dataclasses.replace(RECORD, lost=True))
+    assert heartbeat.absorb(state, SEEDS[0], mark, now=0)
+    assert not heartbeat.absorb(state, SEEDS[1], mark, now=0)
+    assert state.knowledge.record == dataclasses.replace(RECORD, sequence=2)
+
+
+def test_only_a_real_change_raises_the_sequence() -> None:
+    """Announcing the same state again is no change."""
+    state = heartbeat.State(RECORD, SEEDS)
+    heartbeat.change(state, member_state=_types.MemberState.SERVING, weight=1.0)
+    assert state.knowledge.record.sequence == 1
+    heartbeat.change(state, weight=0.5)
+    heartbeat.change(state, member_state=_types.MemberState.DRAINING)
+    assert state.knowledge.record.sequence == 3
+    assert state.knowledge.record.weight == 0.5
+
+
+def test_a_reply_without_siblings_changes_none() -> None:
+    """Absent siblings mean that nothing changed, not that there are none."""
+    state = offered()
+    heartbeat.absorb(state, BALANCERS[0], reply(), now=1)
+    assert state.knowledge.siblings == (RECORD,)
+    assert state.balancers == BALANCERS
--- a/plantainproxy/core/tests/test_membership.py
+++ b/plantainproxy/core/tests/test_membership.py
@@ -3,6 +3,7 @@
 import dataclasses
 import itertools
 import random
+from typing import Any
 
 from hypothesis import given, settings, stateful, strategies
 import pytest
@@ -64,6 +65,25 @@
     assert table.records == {newer.key: newer}
 
 
+@pytest.mark.parametrize(
+    "field",
+    [
+        {"generation": -1},
+        {"sequence": membership.MAX_VERSION},
+        {"weight": 0.0},
+        {"weight": float("nan")},
+        {"weight": 1.5},
+        {"pool": "x" * 256},
+    ],
+)
+def test_a_record_out_of_bounds_is_passed_over(field: dict[str, Any]) -> None:
+    """Neither the table nor the digests change."""
+    table = membership.Table()
+    record = dataclasses.replace(sidecar(), **field)
+    merged = membership.merge(table, (record,), now=0)
+    assert (merged.changed, merged.newer, table.records) == ((), (), {})
+
+
 def test_a_pool_change_moves_the_record() -> None:
     """A member that announces another pool leaves the first one."""
     table = membership.Table()
--- a/plantainproxy/membership/balancer.py
+++ b/plantainproxy/membership/balancer.py
@@ -23,7 +23,7 @@
 """How long a leaving balancer waits for its peers."""
 LEAVE_PEERS = 8
 """Peers that a leaving balancer tells itself."""
-AUDITED_RECORDS = 64
+AUDITED_RECORDS = 32
 """Records that are checked in one interval for a missing watch."""
 CHANGES_BUFFER = 16
 """Reports that may wait for their reader; later ones are combined by pool."""
@@ -57,6 +57,15 @@
     """All known records of the pool, with those that ended lately."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _LivePool:
+    """The live members of one pool, hashed for a choice among them."""
+
+    version: int
+    records: dict[_types.Address, _types.MemberRecord]
+    candidates: homes.Candidates
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Siblings:
     """What one sidecar is told, as long as the versions stand."""
@@ -99,6 +108,7 @@
         )
         self.candidates = homes.candidates(())
         self.candidates_version = -1
+        self.live_pools: dict[str, _LivePool] = {}
         self.siblings: dict[str, _Siblings] = {}
         self.audit_keys: list[str] = []
 
@@ -231,20 +241,32 @@
     return members.state.own.rpc in picked
 
 
+def _live_pool(members: MemberTable, pool: str) -> _LivePool:
+    """Return the live members of a pool, hashed again only after a change."""
+    table = members.state.table
+    version = table.pool_versions.get(pool, 0)
+    cached = members.live_pools.get(pool)
+    if cached is not None and cached.version == version:
+        return cached
+    live = {
+        record.rpc: record
+        for record in table.pools.get(pool, {}).values()
+        if not membership.has_ended(record)
+    }
+    made = _LivePool(
+        version=version, records=live, candidates=homes.candidates(tuple(live))
+    )
+    members.live_pools[pool] = made
+    return made
+
+
 def _choose_siblings(
     members: MemberTable, record: _types.MemberRecord
 ) -> tuple[_types.MemberRecord, ...]:
     """Return the live members of a pool, or a stable choice out of many."""
-    pool = members.state.table.pools.get(record.pool, {})
-    live = {
-        sibling.rpc: sibling
-        for sibling in pool.values()
-        if not membership.has_ended(sibling)
-    }
-    chosen = homes.pick(
-        homes.candidates(tuple(live)), record.key, heartbeat.SIBLING_LIMIT
-    )
-    return tuple(live[rpc] for rpc in sorted(chosen))
+    pool = _live_pool(members, record.pool)
+    chosen = homes.pick(pool.candidates, record.key, heartbeat.SIBLING_LIMIT)
+    return tuple(pool.records[rpc] for rpc in sorted(chosen))
 
 
 def _siblings(members: MemberTable, record: _types.MemberRecord) -> _Siblings:
@@ -274,6 +296,10 @@
         raise _exceptions.PlantainError(
             _exceptions.ErrorKind.BAD_REQUEST, "Only sidecars send heartbeats."
         )
+    if not membership.is_valid(record):
+        raise _exceptions.PlantainError(
+            _exceptions.ErrorKind.BAD_REQUEST, "The record is out of bounds."
+        )
     merged = gossip.learn(members.state, (record,), now=now)
     if request.is_final or record.state is _types.MemberState.LEFT:
         membership.unwatch(members.watch, (record.key,))
@@ -417,6 +443,7 @@
                 now=trio.current_time(),
                 rng=members.rng,
                 contacts=members.contacts,
+                revisions=_revisions(members),
             )
             for send in sends:
                 nursery.start_soon(_exchange, members, send)
