Receive behind the tunnel prefix and bound the short way

The short way now also refuses datagrams above the limit, which it forwarded cut short; the new test shows it.

--- a/bench/forwarding.py
+++ b/bench/forwarding.py
@@ -158,8 +158,9 @@
 
 def real_drain(sockets: Sockets, state: datapath.State) -> Callable[[], object]:
     """Return the balancer's own loop on a state."""
-    receive, send = sockets.balancer.recvfrom, sockets.balancer.sendto
-    return lambda: datapath.drain(state, receive, send, now=1.0)
+    receive, send = sockets.balancer.recvfrom_into, sockets.balancer.sendto
+    buffer = datapath.make_buffer()
+    return lambda: datapath.drain(state, receive, send, buffer, now=1.0)
 
 
 def empty_out(receiver: socket.socket) -> int:
--- a/plantainproxy/balancer/datapath.py
+++ b/plantainproxy/balancer/datapath.py
@@ -60,14 +60,14 @@
         self.ring: keyring.Keyring | None = None
         self.shortcut: shortcut.Find = shortcut.find_nothing
         """Finds the sidecar of a plain established packet."""
-        self.prefix = b""
+        self.prefix = bytes(tunnel.PREFIX_BYTES)
         """The tunnel prefix of a message without earlier owners."""
         self.counters = Counters()
         self.reset_limit = resets.RateLimit()
 
 
-Receive = Callable[[int], tuple[bytes, tuple[str, int]]]
-Send = Callable[[bytes, tuple[str, int]], object]
+Receive = Callable[[memoryview], tuple[int, tuple[str, int]]]
+Send = Callable[[bytes | memoryview, tuple[str, int]], object]
 
 
 def open_socket(address: _types.Address) -> socket.socket:
@@ -112,20 +112,39 @@
     state.routing, state.shortcut = await trio.to_thread.run_sync(fold)
 
 
-def drain(state: State, receive: Receive, send: Send, *, now: float) -> None:
-    """Carry the datagrams that wait in the socket, up to a limit."""
-    find, prefix, counters = state.shortcut, state.prefix, state.counters
+def make_buffer() -> bytearray:
+    """Return a buffer for :func:`drain`: a prefix, then the largest datagram.
+
+    One byte more shows that a datagram was too large.
+    """
+    return bytearray(tunnel.PREFIX_BYTES + MAX_DATAGRAM_BYTES + 1)
+
+
+def drain(
+    state: State, receive: Receive, send: Send, buffer: bytearray, *, now: float
+) -> None:
+    """Carry the datagrams that wait in the socket, up to a limit.
+
+    A datagram is received behind the tunnel prefix, so that a plain one is sent on
+    without another copy.
+    """
+    find, counters = state.shortcut, state.counters
+    buffer[: tunnel.PREFIX_BYTES] = state.prefix
+    message = memoryview(buffer)
+    place = message[tunnel.PREFIX_BYTES :]
     for _ in range(BATCH_DATAGRAMS):
         try:
-            datagram, source = receive(MAX_DATAGRAM_BYTES + 1)
+            size, source = receive(place)
         except OSError:
             return
-        target = find(datagram)
+        target = None
+        if shortcut.SMALLEST_BYTES <= size <= MAX_DATAGRAM_BYTES:
+            target = find(buffer)
         if target is None:
-            _decide(state, send, datagram, source, now)
+            _decide(state, send, bytes(place[:size]), source, now)
             continue
         try:
-            send(prefix + datagram, target)
+            send(message[: tunnel.PREFIX_BYTES + size], target)
         except OSError:
             counters.drops[routing.DropReason.SEND_FAILED] += 1
             continue
@@ -226,10 +245,11 @@
 
 
 async def _forward(state: State, datagrams: socket.socket) -> None:
-    receive, send = datagrams.recvfrom, datagrams.sendto
+    receive, send = datagrams.recvfrom_into, datagrams.sendto
+    buffer = make_buffer()
     while True:
         await trio.lowlevel.wait_readable(datagrams)
-        drain(state, receive, send, now=trio.current_time())
+        drain(state, receive, send, buffer, now=trio.current_time())
 
 
 async def _follow(state: State, events: trio.MemoryReceiveChannel[Event]) -> None:
--- a/plantainproxy/balancer/shortcut.py
+++ b/plantainproxy/balancer/shortcut.py
@@ -11,20 +11,26 @@
 
 from plantainproxy import _types
 from plantainproxy.core import routing
-from plantainproxy.wire import connection_id, keyring, proxy
+from plantainproxy.wire import connection_id, keyring, proxy, tunnel
 
-Find = Callable[[bytes], _types.Address | None]
-"""Returns the sidecar to forward a datagram to; ``None`` for the long way."""
+Find = Callable[[bytearray], _types.Address | None]
+"""Returns the sidecar to forward to; ``None`` for the long way.
 
-_FIELDS = struct.Struct("!16s4x4s2x4s16s")
+The argument is a buffer with the tunnel prefix, then at least ``SMALLEST_BYTES`` of
+the fabric's datagram.
+"""
+
+_FIELDS = struct.Struct(f"!{tunnel.PREFIX_BYTES}x16s4x4s2x4s16s")
 """Header start, service host, service port with first byte and key number, block."""
+SMALLEST_BYTES = _FIELDS.size - tunnel.PREFIX_BYTES
+"""Size of the smallest datagram that may go the short way."""
 _Way = tuple[Callable[[bytes], bytes], dict[bytes, _types.Address]]
 """The decryption of one key, and the tunnels of one service."""
 _SHORT_HEADERS = range(0x40, 0x80)
 """First bytes of short headers (RFC 9000, 17.3)."""
 
 
-def find_nothing(datagram: bytes) -> _types.Address | None:
+def find_nothing(buffer: bytearray) -> _types.Address | None:
     """Send every datagram the long way."""
     return None
 
@@ -36,8 +42,8 @@
     ways = {}
     for service in state.services:
         tunnels = {
-            connection_id.naming_bytes(destination): tunnel
-            for destination, tunnel in routing.destinations(state, service).items()
+            connection_id.naming_bytes(destination): address
+            for destination, address in routing.destinations(state, service).items()
         }
         for key, first in itertools.product(ring.by_number.values(), _SHORT_HEADERS):
             start = service + bytes((first, key.number))
@@ -49,11 +55,8 @@
     unpack, way_of = _FIELDS.unpack_from, ways.get
     plain_start, naming_bytes = proxy.PLAIN_START, connection_id.NAMING_BYTES
 
-    def find(datagram: bytes) -> _types.Address | None:
-        try:
-            header_start, host, rest, block = unpack(datagram)
-        except struct.error:
-            return None
+    def find(buffer: bytearray) -> _types.Address | None:
+        header_start, host, rest, block = unpack(buffer)
         way = way_of(host + rest)
         if way is None or header_start != plain_start:
             return None
--- a/plantainproxy/balancer/tests/test_datapath.py
+++ b/plantainproxy/balancer/tests/test_datapath.py
@@ -215,24 +215,41 @@
     """Let the datapath find the datagrams in its socket."""
     waiting = iter(datagrams)
 
-    def receive(limit: int) -> tuple[bytes, tuple[str, int]]:
+    def receive(place: memoryview) -> tuple[int, tuple[str, int]]:
         for datagram in waiting:
-            return datagram, CALLER
+            size = min(len(datagram), len(place))
+            place[:size] = datagram[:size]
+            return size, CALLER
         raise BlockingIOError
 
-    datapath.drain(state, receive, send, now=0.0)
+    datapath.drain(state, receive, send, datapath.make_buffer(), now=0.0)
 
 
 @pytest.mark.parametrize("case", CASES)
 def test_a_bad_datagram_is_counted_by_reason(case: Case) -> None:
     """Nothing is sent and nothing raises."""
     state = known_state()
-    sent: list[bytes] = []
+    sent: list[object] = []
     carry(state, [case.datagram], lambda message, _: sent.append(message))
     assert state.counters.drops[case.reason] == 1
     assert not sent
 
 
+def test_a_large_established_packet_is_not_forwarded_in_part() -> None:
+    """The limit holds on the short way too."""
+    state = known_state()
+    address = _types.Address("127.0.3.1", 9)
+    event = routing.MembersChanged(pool="fleet", records=(record(address),))
+    trio.run(datapath.apply, state, [event])
+    datagram = from_fabric(short_packet(address))
+    sent: list[int] = []
+    for size in (datapath.MAX_DATAGRAM_BYTES, datapath.MAX_DATAGRAM_BYTES + 1):
+        padded = datagram.ljust(size, b"b")
+        carry(state, [padded], lambda message, _: sent.append(len(message)))
+    assert sent == [tunnel.PREFIX_BYTES + datapath.MAX_DATAGRAM_BYTES]
+    assert state.counters.drops[BAD.TOO_LARGE] == 1
+
+
 def test_nothing_is_forwarded_before_the_keys_are_known() -> None:
     """Unknown is not empty."""
     state = datapath.State()
@@ -272,7 +289,8 @@
     found = []
     for tunnel_address in tunnels:
         datagram = from_fabric(short_packet(tunnel_address))
-        target = state.shortcut(datagram)
+        buffer = bytearray(tunnel.PREFIX_BYTES) + datagram
+        target = state.shortcut(buffer)
         packet = classify.read(RING, SERVICE.pack(), datagram, proxy.HEADER_BYTES)
         assert packet is not None
         if target is not None:
--- a/plantainproxy/wire/tunnel.py
+++ b/plantainproxy/wire/tunnel.py
@@ -16,6 +16,9 @@
 _PREFIX = struct.Struct("!BBBx8s")
 _OWNER_BYTES = 6
 
+PREFIX_BYTES = _PREFIX.size
+"""Size of a prefix without earlier owners."""
+
 
 class Message(NamedTuple):
     """One datagram with what its receiver needs to pass it on."""
