Rest between changes of state and send plain long-way packets in place

A change with 17,000 members takes 0.7 s of CPU in a thread; without a pause a steady trickle of changes would share the interpreter with forwarding at all times.

--- a/plantainproxy/balancer/datapath.py
+++ b/plantainproxy/balancer/datapath.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Sequence
+import contextlib
 import dataclasses
 import os
 import socket
@@ -23,6 +24,8 @@
 """Largest datagram that the fabric may hand over."""
 BATCH_DATAGRAMS = 128
 """How many datagrams are taken before other tasks get a turn."""
+REST_RATIO = 2.0
+"""Time between two changes, relative to the time that the former took."""
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 
 
@@ -138,13 +141,14 @@
         except OSError:
             return
         target = None
+        end = tunnel.PREFIX_BYTES + size
         if shortcut.SMALLEST_BYTES <= size <= MAX_DATAGRAM_BYTES:
             target = find(buffer)
         if target is None:
-            _decide(state, send, bytes(place[:size]), source, now)
+            _decide(state, send, message[:end], source, now)
             continue
         try:
-            send(message[: tunnel.PREFIX_BYTES + size], target)
+            send(message[:end], target)
         except OSError:
             counters.drops[routing.DropReason.SEND_FAILED] += 1
             continue
@@ -152,10 +156,11 @@
 
 
 def _decide(
-    state: State, send: Send, datagram: bytes, source: tuple[str, int], now: float
+    state: State, send: Send, message: memoryview, source: tuple[str, int], now: float
 ) -> None:
-    """Carry a datagram the long way."""
+    """Carry a datagram the long way; the message begins with the plain prefix."""
     counters, ring = state.counters, state.ring
+    datagram = bytes(message[tunnel.PREFIX_BYTES :])
     if ring is None or len(datagram) > MAX_DATAGRAM_BYTES:
         counters.drops[_refusal(ring)] += 1
         return
@@ -171,11 +176,11 @@
     if not isinstance(action, routing.Forward):
         _end(state, send, ring, action, Arrival(datagram, header, source), now)
         return
-    prefix = state.prefix
+    outgoing: bytes | memoryview = message
     if action.earlier_owners:
-        prefix = _prefix(ring, action.earlier_owners)
+        outgoing = _prefix(ring, action.earlier_owners) + datagram
     try:
-        send(prefix + datagram, action.tunnel)
+        send(outgoing, action.tunnel)
     except OSError:
         counters.drops[routing.DropReason.SEND_FAILED] += 1
         return
@@ -253,14 +258,15 @@
 
 
 async def _follow(state: State, events: trio.MemoryReceiveChannel[Event]) -> None:
+    """Take events in, all that wait at once, and leave time for packets between."""
     async for event in events:
         batch = [event]
-        while True:
-            try:
+        with contextlib.suppress(trio.WouldBlock, trio.EndOfChannel):
+            while True:
                 batch.append(events.receive_nowait())
-            except (trio.WouldBlock, trio.EndOfChannel):
-                break
+        started = trio.current_time()
         await apply(state, batch)
+        await trio.sleep(REST_RATIO * (trio.current_time() - started))
 
 
 def _take_keys(state: State, key_set: model.KeySet) -> None:
--- a/plantainproxy/balancer/tests/test_datapath.py
+++ b/plantainproxy/balancer/tests/test_datapath.py
@@ -104,14 +104,14 @@
         send, receive = trio.open_memory_channel[datapath.Event](8)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(datapath.run, state, opened, receive)
-            await datapath.apply(
-                state,
-                [
-                    datapath.KeysChanged(key_set=KEY_SET),
-                    routing.ConfigurationChanged(configuration=CONFIGURATION),
-                    routing.MembersChanged(pool="fleet", records=records),
-                ],
-            )
+            for event in (
+                datapath.KeysChanged(key_set=KEY_SET),
+                routing.ConfigurationChanged(configuration=CONFIGURATION),
+                routing.MembersChanged(pool="fleet", records=records),
+            ):
+                await send.send(event)
+            while len(state.routing.upstreams) < len(records):
+                await trio.sleep(0.01)
             yield rig
             await send.aclose()
 
