--- a/plantainproxy/balancer/datapath.py
+++ b/plantainproxy/balancer/datapath.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Sequence
+import contextlib
 import dataclasses
 import os
 import socket
@@ -23,6 +24,8 @@
 """Largest datagram that the fabric may hand over."""
 BATCH_DATAGRAMS = 128
 """How many datagrams are taken before other tasks get a turn."""
+REST_RATIO = 2.0
+"""Time between two changes, relative to the time that the former took."""
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 
 
@@ -60,14 +63,14 @@
         self.ring: keyring.Keyring | None = None
         self.shortcut: shortcut.Find = shortcut.find_nothing
         """Finds the sidecar of a plain established packet."""
-        self.prefix = b""
+        self.prefix = bytes(tunnel.PREFIX_BYTES)
         """The tunnel prefix of a message without earlier owners."""
         self.counters = Counters()
         self.reset_limit = resets.RateLimit()
 
 
-Receive = Callable[[int], tuple[bytes, tuple[str, int]]]
-Send = Callable[[bytes, tuple[str, int]], object]
+Receive = Callable[[memoryview], tuple[int, tuple[str, int]]]
+Send = Callable[[bytes | memoryview, tuple[str, int]], object]
 
 
 def open_socket(address: _types.Address) -> socket.socket:
@@ -112,20 +115,40 @@
     state.routing, state.shortcut = await trio.to_thread.run_sync(fold)
 
 
-def drain(state: State, receive: Receive, send: Send, *, now: float) -> None:
-    """Carry the datagrams that wait in the socket, up to a limit."""
-    find, prefix, counters = state.shortcut, state.prefix, state.counters
+def make_buffer() -> bytearray:
+    """Return a buffer for :func:`drain`: a prefix, then the largest datagram.
+
+    One byte more shows that a datagram was too large.
+    """
+    return bytearray(tunnel.PREFIX_BYTES + MAX_DATAGRAM_BYTES + 1)
+
+
+def drain(
+    state: State, receive: Receive, send: Send, buffer: bytearray, *, now: float
+) -> None:
+    """Carry the datagrams that wait in the socket, up to a limit.
+
+    A datagram is received behind the tunnel prefix, so that a plain one is sent on
+    without another copy.
+    """
+    find, counters = state.shortcut, state.counters
+    buffer[: tunnel.PREFIX_BYTES] = state.prefix
+    message = memoryview(buffer)
+    place = message[tunnel.PREFIX_BYTES :]
     for _ in range(BATCH_DATAGRAMS):
         try:
-            datagram, source = receive(MAX_DATAGRAM_BYTES + 1)
+            size, source = receive(place)
         except OSError:
             return
-        target = find(datagram)
+        target = None
+        end = tunnel.PREFIX_BYTES + size
+        if shortcut.SMALLEST_BYTES <= size <= MAX_DATAGRAM_BYTES:
+            target = find(buffer)
         if target is None:
-            _decide(state, send, datagram, source, now)
+            _decide(state, send, message[:end], source, now)
             continue
         try:
-            send(prefix + datagram, target)
+            send(message[:end], target)
         except OSError:
             counters.drops[routing.DropReason.SEND_FAILED] += 1
             continue
@@ -133,10 +156,11 @@
 
 
 def _decide(
-    state: State, send: Send, datagram: bytes, source: tuple[str, int], now: float
+    state: State, send: Send, message: memoryview, source: tuple[str, int], now: float
 ) -> None:
-    """Carry a datagram the long way."""
+    """Carry a datagram the long way; the message begins with the plain prefix."""
     counters, ring = state.counters, state.ring
+    datagram = bytes(message[tunnel.PREFIX_BYTES :])
     if ring is None or len(datagram) > MAX_DATAGRAM_BYTES:
         counters.drops[_refusal(ring)] += 1
         return
@@ -152,11 +176,11 @@
     if not isinstance(action, routing.Forward):
         _end(state, send, ring, action, Arrival(datagram, header, source), now)
         return
-    prefix = state.prefix
+    outgoing: bytes | memoryview = message
     if action.earlier_owners:
-        prefix = _prefix(ring, action.earlier_owners)
+        outgoing = _prefix(ring, action.earlier_owners) + datagram
     try:
-        send(prefix + datagram, action.tunnel)
+        send(outgoing, action.tunnel)
     except OSError:
         counters.drops[routing.DropReason.SEND_FAILED] += 1
         return
@@ -226,21 +250,23 @@
 
 
 async def _forward(state: State, datagrams: socket.socket) -> None:
-    receive, send = datagrams.recvfrom, datagrams.sendto
+    receive, send = datagrams.recvfrom_into, datagrams.sendto
+    buffer = make_buffer()
     while True:
         await trio.lowlevel.wait_readable(datagrams)
-        drain(state, receive, send, now=trio.current_time())
+        drain(state, receive, send, buffer, now=trio.current_time())
 
 
 async def _follow(state: State, events: trio.MemoryReceiveChannel[Event]) -> None:
+    """Take events in, all that wait at once, and leave time for packets between."""
     async for event in events:
         batch = [event]
-        while True:
-            try:
+        with contextlib.suppress(trio.WouldBlock, trio.EndOfChannel):
+            while True:
                 batch.append(events.receive_nowait())
-            except (trio.WouldBlock, trio.EndOfChannel):
-                break
+        started = trio.current_time()
         await apply(state, batch)
+        await trio.sleep(REST_RATIO * (trio.current_time() - started))
 
 
 def _take_keys(state: State, key_set: model.KeySet) -> None:
