--- a/standins/caller.py
+++ b/standins/caller.py
@@ -264,27 +264,40 @@
         self.current: Connection | None = None
         self.changed = trio.Event()
         self.ticket = ""
+        """The newest ticket; dropped with the connection, as its home may go too."""
 
 
-async def hold_lines(plan: Plan, report: Report) -> None:
-    """Hold all lines of a plan for its time, then let the last requests finish."""
-    ends_at = trio.current_time() + plan.seconds
+async def hold_lines(
+    plan: Plan, report: Report, *, over: trio.Event | None = None
+) -> None:
+    """Hold all lines of a plan for its time, then let the last requests finish.
+
+    ``over`` ends the plan before its time.
+    """
+    over = trio.Event() if over is None else over
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(_end_after, over, plan.seconds)
         for index in range(plan.lines):
             holder = Holder(plan, report, plan.seed * 1_000_003 + index)
-            nursery.start_soon(hold, holder, ends_at)
+            nursery.start_soon(hold, holder, over)
             await trio.sleep(1 / plan.open_per_second)
 
 
-async def hold(holder: Holder, ends_at: float) -> None:
-    """Hold one line and send its requests until the given time."""
+async def _end_after(over: trio.Event, seconds: float) -> None:
+    with trio.move_on_after(seconds):
+        await over.wait()
+    over.set()
+
+
+async def hold(holder: Holder, over: trio.Event) -> None:
+    """Hold one line and send its requests until the plan is over."""
     plan = holder.plan
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_keep_connected, holder, nursery)
         async with trio.open_nursery() as requests:
-            requests.start_soon(_repeat, holder, plan.gets_per_second, get, ends_at)
-            requests.start_soon(_repeat, holder, plan.posts_per_second, post, ends_at)
-            await trio.sleep_until(ends_at)
+            requests.start_soon(_repeat, holder, plan.gets_per_second, get, over)
+            requests.start_soon(_repeat, holder, plan.posts_per_second, post, over)
+            await over.wait()
         nursery.cancel_scope.cancel()
 
 
@@ -299,6 +312,7 @@
             continue
         backoff_seconds = RECONNECT_SECONDS
         holder.current = connection
+        holder.ticket = ""
         holder.changed.set()
         holder.changed = trio.Event()
         await connection.leaving.wait()
@@ -365,18 +379,24 @@
     holder: Holder,
     per_second: float,
     perform: Callable[[Holder], Awaitable[None]],
-    ends_at: float,
+    over: trio.Event,
 ) -> None:
     """Send requests at a mean rate, each without waiting for the last one."""
     if per_second <= 0:
         return
     async with trio.open_nursery() as nursery:
-        with trio.move_on_at(ends_at):
+        with trio.CancelScope() as sending:
+            nursery.start_soon(_cancel_when, over, sending)
             while True:
                 await trio.sleep(holder.random.expovariate(per_second))
                 nursery.start_soon(perform, holder)
 
 
+async def _cancel_when(over: trio.Event, scope: trio.CancelScope) -> None:
+    await over.wait()
+    scope.cancel()
+
+
 async def get(holder: Holder) -> None:
     """Send one request that may be repeated."""
     await _perform(holder, "GET", headers=())
--- a/testbed/cluster.py
+++ b/testbed/cluster.py
@@ -28,6 +28,8 @@
 STORE_PORT = 2379
 CONTROL_PORT = 7003
 UPSTREAM_PORT = 8080
+METRICS_PORT = 8125
+METRICS_SECONDS = 0.2
 SERVICE_PORT = 4433
 SEEDS = 3
 START_TIMEOUT_SECONDS = 40
@@ -80,6 +82,11 @@
         """The sidecar's gRPC address."""
         return _types.Address(self.host, RPC_PORT)
 
+    @property
+    def metrics(self) -> _types.Address:
+        """Where the sidecar's metrics are received."""
+        return _types.Address(self.host, METRICS_PORT)
+
     @property
     def upstream_address(self) -> _types.Address:
         """Where the upstream listens."""
@@ -107,8 +114,12 @@
             pool.name: _types.Address(self.take_host(), SERVICE_PORT)
             for pool in plan.pools
         }
+        self.store_links: dict[_types.Address, _types.Address] = {}
+        """Where single balancers, by gRPC address, reach the store instead."""
         self.rpc_seen: dict[_types.Address, _types.Address] = {}
         """Where other processes reach a gRPC address; tests may put links there."""
+        self.metered = False
+        """Whether sidecars started from now on send their metrics."""
         self.balancers: list[Balancer] = []
         self.hosts: list[Host] = []
         self.all: list[processes.Process] = []
@@ -234,6 +245,7 @@
 ) -> None:
     """Write the settings file of one balancer."""
     path = cluster.directory / f"{balancer.process.name}.toml"
+    store = cluster.store_links.get(balancer.rpc, cluster.store_seen)
     path.write_text(
         f'domain = "{balancer.domain}"\n'
         f'datagram_address = "{balancer.datagrams}"\n'
@@ -242,7 +254,7 @@
         f"seeds = {_toml_list(cluster.seeds())}\n"
         f"{extra}"
         f"[store]\n"
-        f'address = "{cluster.store_seen}"\n'
+        f'address = "{store}"\n'
         f"call_timeout_seconds = 1.0\n"
         f"watch_rearm_seconds = 5.0\n"
     )
@@ -251,6 +263,13 @@
 def write_sidecar_settings(cluster: Cluster, host: Host, *, extra: str = "") -> None:
     """Write the settings file of one sidecar."""
     name = host.sidecar.name.removeprefix("sidecar-")
+    telemetry = ""
+    if cluster.metered:
+        telemetry = (
+            f"[telemetry]\n"
+            f'statsd_address = "{host.metrics}"\n'
+            f"statsd_interval_seconds = {METRICS_SECONDS}\n"
+        )
     path = cluster.directory / f"{name}.toml"
     path.write_text(
         f'domain = "{host.domain}"\n'
@@ -263,6 +282,7 @@
         f'private_key_file = "{cluster.certificates.private_key}"\n'
         f"seeds = {_toml_list(cluster.seeds())}\n"
         f"{extra}"
+        f"{telemetry}"
     )
 
 
@@ -299,14 +319,23 @@
     *,
     reason: str = "test",
     wait: bool = False,
-) -> None:
-    """Propose one change as an operator does."""
+    through: Balancer | None = None,
+) -> int:
+    """Propose one change as an operator does; return the revision in force.
+
+    ``through`` names the one balancer to ask.
+    """
     settings = cluster.client_settings()
+    if through is not None:
+        settings = dataclasses.replace(settings, balancers=(through.rpc,))
 
-    def run() -> None:
-        changes.propose(settings, request, reason=reason, wait=wait, dry_run=False)
+    def run() -> int:
+        result = changes.propose(
+            settings, request, reason=reason, wait=wait, dry_run=False
+        )
+        return int(dict(result.fields)["revision"])
 
-    await trio.to_thread.run_sync(run)
+    return await trio.to_thread.run_sync(run)
 
 
 async def apply(
--- a/testbed/invariants.py
+++ b/testbed/invariants.py
@@ -5,17 +5,21 @@
 """
 
 import collections
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import AsyncIterator, Iterator, Mapping, Sequence
 import contextlib
 import dataclasses
 from typing import Any
 
+import trio
+
 from plantainproxy import _types
 from standins import caller
 from testbed import cluster as cluster_module
-from testbed import controls, load
+from testbed import controls, load, steps
 
 WRONG_ANSWERS = ("mismatched", "truncated")
+WHOLE = "matches"
+SAMPLE_SECONDS = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -72,7 +76,18 @@
     return log
 
 
-def _doubled(log: Log) -> Iterator[str]:
+def without_label(log: Log, label: str) -> Log:
+    """Leave out the requests of callers whose address was moved between pools."""
+    kept = Log()
+    for name, executions in log.by_upstream.items():
+        kept.by_upstream[name] = [
+            one for one in executions if not one.token.startswith(label)
+        ]
+    return kept
+
+
+def doubled(log: Log) -> Iterator[str]:
+    """Find idempotency keys that ran more than once."""
     counts = collections.Counter(
         execution.key for execution in log.executions() if execution.key
     )
@@ -109,14 +124,82 @@
     ran = {execution.token for execution in log.executions()}
     for report in reports.values():
         for token, told in report.told.items():
-            if "matches" in told.answers and token not in ran:
+            if WHOLE in told.answers and token not in ran:
                 yield f"{token} was answered and never ran."
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RevisionSample:
+    """What one run of one balancer had in force at one moment."""
+
+    balancer: str
+    process: int
+    """Tells the runs of one balancer apart."""
+    revision: int
+    key_revision: int
+
+
+async def _sample_forever(
+    cluster: cluster_module.Cluster,
+    balancer: cluster_module.Balancer,
+    samples: list[RevisionSample],
+) -> None:
+    while True:
+        running = balancer.process.running
+        reply = await steps.status(cluster, balancer)
+        if running is not None and reply is not None and running.poll() is None:
+            samples.append(
+                RevisionSample(
+                    balancer=str(balancer.rpc),
+                    process=running.pid,
+                    revision=reply.revision,
+                    key_revision=reply.key_revision,
+                )
+            )
+        await trio.sleep(SAMPLE_SECONDS)
+
+
+@contextlib.asynccontextmanager
+async def revisions_watched(
+    cluster: cluster_module.Cluster,
+) -> AsyncIterator[list[RevisionSample]]:
+    """Sample the revisions of every balancer while the block runs."""
+    samples: list[RevisionSample] = []
+    async with trio.open_nursery() as nursery:
+        for balancer in cluster.balancers:
+            nursery.start_soon(_sample_forever, cluster, balancer, samples)
+        yield samples
+        nursery.cancel_scope.cancel()
+
+
+def reverted(samples: Sequence[RevisionSample]) -> Sequence[str]:
+    """Find balancers whose configuration or key set went back."""
+    found = []
+    last: dict[int, RevisionSample] = {}
+    for sample in samples:
+        before = last.get(sample.process, sample)
+        if sample.revision < before.revision:
+            found.append(f"{sample.balancer} fell to revision {sample.revision}.")
+        if sample.key_revision < before.key_revision:
+            found.append(f"{sample.balancer} fell to keys {sample.key_revision}.")
+        last[sample.process] = sample
+    return found
+
+
+def unanswered(running: load.Load) -> Sequence[str]:
+    """Find requests that never got a whole answer, with what was told instead."""
+    return [
+        f"{told.method} {token}: {told.answers}"
+        for report in running.reports.values()
+        for token, told in report.told.items()
+        if WHOLE not in told.answers
+    ]
+
+
 def violations(log: Log, running: load.Load, *, log_is_whole: bool) -> Sequence[str]:
     """Return every violation; a lost log cannot show that a request never ran."""
     found = [
-        *_doubled(log),
+        *doubled(log),
         *_crossed(log),
         *_untrue_refusals(log, running.reports),
         *_wrong_answers(running.reports),
--- a/testbed/load.py
+++ b/testbed/load.py
@@ -3,6 +3,8 @@
 from collections.abc import AsyncIterator, Mapping
 import contextlib
 import dataclasses
+import functools
+import math
 
 import trio
 
@@ -35,6 +37,8 @@
         """Start without callers."""
         self.reports: dict[str, caller.Report] = {}
         """By pool."""
+        self.over = trio.Event()
+        """Ends the load before its time."""
 
 
 def _caller_plan(
@@ -62,12 +66,27 @@
     async with trio.open_nursery() as nursery:
         for pool in cluster.services:
             report = load.reports[pool] = caller.Report()
-            nursery.start_soon(
-                caller.hold_lines, _caller_plan(cluster, pool, plan, seconds), report
+            hold = functools.partial(
+                caller.hold_lines,
+                _caller_plan(cluster, pool, plan, seconds),
+                report,
+                over=load.over,
             )
+            nursery.start_soon(hold)
         yield load
 
 
+@contextlib.asynccontextmanager
+async def held(cluster: cluster_module.Cluster, plan: LoadPlan) -> AsyncIterator[Load]:
+    """Run callers on every service until the block is left, from when all are up."""
+    async with offered(cluster, plan, seconds=math.inf) as load:
+        wanted = plan.lines * len(cluster.services)
+        while total(load, "lines_opened") < wanted:
+            await trio.sleep(cluster_module.POLL_SECONDS)
+        yield load
+        load.over.set()
+
+
 def total(load: Load, name: str) -> int:
     """Add up one count over all services."""
     return sum(report.counts[name] for report in load.reports.values())
--- /dev/null
+++ b/testbed/steps.py
@@ -0,0 +1,209 @@
+"""What operators and faults do to a running site, one function for each step."""
+
+from collections.abc import Awaitable, Callable, Sequence
+import dataclasses
+import functools
+
+import trio
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.ctl import client, spread
+from plantainproxy.rpc import operator_pb2
+from testbed import cluster as cluster_module
+from testbed import controls, processes
+
+STATUS_TIMEOUT_SECONDS = 1.0
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition; the caller sets the hang guard."""
+    while not condition():
+        await trio.sleep(cluster_module.POLL_SECONDS)
+
+
+async def status(
+    cluster: cluster_module.Cluster, balancer: cluster_module.Balancer
+) -> operator_pb2.StatusReply | None:
+    """Ask one balancer what it knows; ``None`` where it does not answer."""
+    settings = dataclasses.replace(
+        cluster.client_settings(), call_timeout_seconds=STATUS_TIMEOUT_SECONDS
+    )
+    ask = functools.partial(spread.status_of, settings, balancer.rpc)
+    return await trio.to_thread.run_sync(ask)
+
+
+async def until_revision(
+    cluster: cluster_module.Cluster,
+    revision: int,
+    balancers: Sequence[cluster_module.Balancer] | None = None,
+) -> float:
+    """Wait until balancers have a revision in force; return the time it took."""
+    began_at = trio.current_time()
+    for balancer in cluster.balancers if balancers is None else balancers:
+        while True:
+            reply = await status(cluster, balancer)
+            if reply is not None and reply.revision >= revision:
+                break
+            await trio.sleep(cluster_module.POLL_SECONDS)
+    return trio.current_time() - began_at
+
+
+async def until_store_is(
+    cluster: cluster_module.Cluster, balancer: cluster_module.Balancer, *, state: str
+) -> None:
+    """Wait until a balancer says that the store is reachable or unreachable."""
+    while True:
+        reply = await status(cluster, balancer)
+        if reply is not None and reply.store == state:
+            return
+        await trio.sleep(cluster_module.POLL_SECONDS)
+
+
+async def until_keys_everywhere(
+    cluster: cluster_module.Cluster, key_revision: int
+) -> None:
+    """Wait until every running balancer has a key set in force."""
+    for balancer in cluster.balancers:
+        while processes.is_running(balancer.process):
+            reply = await status(cluster, balancer)
+            if reply is not None and reply.key_revision >= key_revision:
+                break
+            await trio.sleep(cluster_module.POLL_SECONDS)
+
+
+async def set_domain(
+    cluster: cluster_module.Cluster,
+    name: str,
+    *,
+    out: bool,
+    through: cluster_module.Balancer | None = None,
+) -> int:
+    """Take a failure domain out or in."""
+    state = _types.DomainState.OUT if out else _types.DomainState.IN
+    edit = operator_pb2.SetDomain(name=name, state=state.value)
+    request = operator_pb2.ChangeRequest(set_domain=edit)
+    return await cluster_module.propose(cluster, request, through=through)
+
+
+async def set_drained(
+    cluster: cluster_module.Cluster, host: cluster_module.Host, *, drained: bool
+) -> int:
+    """Drain an upstream, or end its drain."""
+    edit = operator_pb2.SetDrained(upstream=str(host.tunnel), drained=drained)
+    request = operator_pb2.ChangeRequest(set_drained=edit)
+    return await cluster_module.propose(cluster, request)
+
+
+async def set_pool(
+    cluster: cluster_module.Cluster,
+    name: str,
+    *,
+    max_running: int,
+    through: cluster_module.Balancer | None = None,
+) -> int:
+    """Change how many requests an upstream of a pool takes at once."""
+    edit = operator_pb2.SetPool(name=name, max_running=max_running)
+    request = operator_pb2.ChangeRequest(set_pool=edit)
+    return await cluster_module.propose(cluster, request, through=through)
+
+
+async def set_route(
+    cluster: cluster_module.Cluster, name: str, address: _types.Address, pool: str
+) -> int:
+    """Add a route or point it elsewhere."""
+    edit = operator_pb2.SetRoute(name=name, address=str(address), pool=pool)
+    request = operator_pb2.ChangeRequest(set_route=edit)
+    return await cluster_module.propose(cluster, request)
+
+
+async def remove_route(cluster: cluster_module.Cluster, name: str) -> int:
+    """Remove a route."""
+    edit = operator_pb2.RemoveRoute(name=name)
+    request = operator_pb2.ChangeRequest(remove_route=edit)
+    return await cluster_module.propose(cluster, request)
+
+
+async def rotate_keys(cluster: cluster_module.Cluster) -> str:
+    """Take one step of a key rotation, everywhere; return what it was."""
+    settings = cluster.client_settings()
+
+    def run(stub: client.Stub) -> operator_pb2.RotateKeysReply:
+        reply: operator_pb2.RotateKeysReply = stub.RotateKeys(
+            operator_pb2.RotateKeysRequest(operator="testbed"),
+            timeout=settings.call_timeout_seconds,
+        )
+        return reply
+
+    ask = functools.partial(client.call_any, settings, run)
+    reply = await trio.to_thread.run_sync(ask)
+    await until_keys_everywhere(cluster, reply.key_revision)
+    return str(reply.step)
+
+
+async def point_fabric(
+    cluster: cluster_module.Cluster, balancers: Sequence[cluster_module.Balancer]
+) -> None:
+    """Tell the fabric its balancers and wait until it sends to all of them."""
+    pairs = [(str(one.datagrams), str(one.health)) for one in balancers]
+    await controls.fabric(cluster, balancers=pairs)
+    await until_healthy(cluster, balancers)
+
+
+async def until_healthy(
+    cluster: cluster_module.Cluster, balancers: Sequence[cluster_module.Balancer]
+) -> None:
+    """Wait until the fabric sends to just these balancers."""
+    wanted = {str(one.datagrams) for one in balancers}
+    while set((await controls.fabric(cluster))["healthy"]) != wanted:
+        await trio.sleep(cluster_module.POLL_SECONDS)
+
+
+async def outcome_of(
+    change: Callable[[], Awaitable[int]],
+) -> int | _exceptions.ErrorKind:
+    """Return the revision that a change was accepted as, or the kind of its refusal."""
+    try:
+        return await change()
+    except _exceptions.PlantainError as error:
+        return error.kind
+
+
+async def race(
+    cluster: cluster_module.Cluster,
+    requests: Sequence[operator_pb2.ChangeRequest],
+    *,
+    through: Sequence[cluster_module.Balancer],
+) -> list[int | _exceptions.ErrorKind]:
+    """Propose changes at the same moment, each through its own balancer."""
+    outcomes: dict[int, int | _exceptions.ErrorKind] = {}
+
+    async def run(index: int) -> None:
+        outcomes[index] = await outcome_of(
+            lambda: cluster_module.propose(
+                cluster, requests[index], through=through[index]
+            )
+        )
+
+    async with trio.open_nursery() as nursery:
+        for index in range(len(requests)):
+            nursery.start_soon(run, index)
+    return [outcomes[index] for index in range(len(requests))]
+
+
+async def newest_revision(cluster: cluster_module.Cluster) -> int:
+    """Return the newest revision that is in force on any balancer."""
+    known = await cluster_module.fleet(cluster)
+    return max(reply.revision for reply in known.replies)
+
+
+async def until_sidecars_have(cluster: cluster_module.Cluster, revision: int) -> float:
+    """Wait until every running sidecar has a revision; return the time it took."""
+    began_at = trio.current_time()
+    wanted = {
+        str(host.rpc) for host in cluster.hosts if processes.is_running(host.sidecar)
+    }
+    while True:
+        seen = spread.revisions(await cluster_module.fleet(cluster))
+        if all(seen.get(name, 0) >= revision for name in wanted):
+            return trio.current_time() - began_at
+        await trio.sleep(cluster_module.POLL_SECONDS)
