--- /dev/null
+++ b/tests/test_promise_09_planned_stops.py
@@ -0,0 +1,132 @@
+"""Promise 9: every planned stop is a graceful shutdown that cuts no request."""
+
+import signal
+
+import trio
+
+from standins import caller
+from testbed import cluster as cluster_module
+from testbed import invariants, load, processes, site, steps
+
+HANG_SECONDS = 120
+SITE = site.Site(
+    domains=("a", "b", "c"),
+    pools=(
+        site.PoolPlan(name="fleet-control", hosts=3, slots=8, service_seconds=0.1),
+        site.PoolPlan(name="firmware", hosts=3, slots=8, service_seconds=0.1),
+    ),
+    balancers=3,
+)
+PLAN = load.LoadPlan(lines=6, seed=9)
+REST_SECONDS = 1.0
+SECOND_SIGNAL_SECONDS = 0.3
+"""After this time a process that was told to stop is still on its way out."""
+SHORT_GRACE_SECONDS = 3.0
+GRACE_SECONDS = {"balancer": 5.0, "sidecar": 10.0}
+EXIT_MARGIN_SECONDS = 5.0
+"""A hang guard above the grace, for a busy machine."""
+FORCED_EXIT_CODE = 1
+
+
+async def _stop(process: processes.Process, grace_seconds: float) -> None:
+    """Stop a process that must end by itself within its grace."""
+    began_at = trio.current_time()
+    with trio.fail_after(grace_seconds + EXIT_MARGIN_SECONDS):
+        assert await processes.stop(process) == 0
+    print(f"{process.name} left after {trio.current_time() - began_at:.2f} s")
+
+
+async def _force(process: processes.Process) -> None:
+    """Send a second signal while the process is on its way out."""
+    processes.send(process, signal.SIGTERM)
+    await trio.sleep(SECOND_SIGNAL_SECONDS)
+    assert processes.is_running(process)
+    assert await processes.stop(process) == FORCED_EXIT_CODE
+
+
+async def _stop_one_after_another(
+    cluster: cluster_module.Cluster, running: load.Load
+) -> None:
+    """Stop and replace one of each binary while requests run."""
+    balancer = cluster.balancers[0]
+    await _stop(balancer.process, GRACE_SECONDS["balancer"])
+    await trio.sleep(REST_SECONDS)
+    await cluster_module.start_balancer(cluster, balancer)
+    await steps.until_healthy(cluster, cluster.balancers)
+    assert load.total(running, "go_aways") == 0
+    for host in (cluster.hosts[0], cluster.hosts[3]):
+        await _stop(host.sidecar, GRACE_SECONDS["sidecar"])
+        await trio.sleep(REST_SECONDS)
+        await processes.start(host.sidecar)
+    await cluster_module.wait_until_serving(cluster)
+    assert load.total(running, "go_aways") > 0
+
+
+async def _stop_together(cluster: cluster_module.Cluster) -> None:
+    """Stop a balancer, a sidecar and its upstream at the same time as a drain ends."""
+    host = cluster.hosts[1]
+    await steps.set_drained(cluster, host, drained=True)
+    await trio.sleep(REST_SECONDS)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_stop, host.sidecar, GRACE_SECONDS["sidecar"])
+        nursery.start_soon(
+            _stop, cluster.balancers[1].process, GRACE_SECONDS["balancer"]
+        )
+
+
+async def _hold_on(connection: caller.Connection) -> None:
+    """Keep a line whatever it is told."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(caller.pump, connection)
+        await connection.connected.wait()
+        while not connection.closed:
+            await trio.sleep(cluster_module.POLL_SECONDS)
+        nursery.cancel_scope.cancel()
+
+
+async def _stop_with_a_caller_that_stays(cluster: cluster_module.Cluster) -> None:
+    """Stop the only sidecar of a service whose caller does not leave when told."""
+    host = cluster.hosts[2]
+    plan = caller.Plan(service=cluster.services["fleet-control"])
+    await processes.kill(cluster.hosts[0].sidecar)
+    cluster_module.write_sidecar_settings(
+        cluster, host, extra=f"grace_seconds = {SHORT_GRACE_SECONDS}\n"
+    )
+    await processes.kill(host.sidecar)
+    await processes.start(host.sidecar)
+    await cluster_module.wait_until_serving(cluster)
+    async with trio.open_nursery() as nursery:
+        with caller.open_connection(plan) as connection:
+            nursery.start_soon(_hold_on, connection)
+            await connection.connected.wait()
+            assert not connection.closed
+            await _stop(host.sidecar, SHORT_GRACE_SECONDS)
+            assert connection.told_to_go
+            nursery.cancel_scope.cancel()
+
+
+async def _scenario() -> None:
+    async with cluster_module.running(SITE) as cluster:
+        async with load.held(cluster, PLAN) as running:
+            await _stop_one_after_another(cluster, running)
+            await _stop_together(cluster)
+            await trio.sleep(REST_SECONDS)
+        print(f"refusals {load.refusals(running)}")
+        log = await invariants.read_all(cluster)
+        assert invariants.violations(log, running, log_is_whole=True) == []
+        assert load.total(running, "broken_flows") == 0
+        assert invariants.unanswered(running) == []
+        assert load.total(running, "matches") > 0
+        await _stop_with_a_caller_that_stays(cluster)
+        await _force(cluster.balancers[0].process)
+        await _force(cluster.hosts[3].sidecar)
+
+
+def test_planned_stops_cut_no_request_and_end_within_their_grace() -> None:
+    """A second signal ends a process at once."""
+
+    async def guarded() -> None:
+        with trio.fail_after(HANG_SECONDS):
+            await _scenario()
+
+    trio.run(guarded)
