Pace key rotations and notices so that no step holds up other lines

Both touched every line in one step. New IDs now go to 32 lines each 50 ms; a planned stop spreads its notices over half of its grace, which also keeps callers from opening their next lines on the siblings all at once.

--- a/plantainproxy/quic/endpoint.py
+++ b/plantainproxy/quic/endpoint.py
@@ -33,6 +33,9 @@
 """A connection that is not established by then is dropped."""
 NO_APPLICATION_PROTOCOL = 0x178
 """Error code for a caller that speaks none of our protocols (RFC 9001, 8.1)."""
+ROTATION_LINES = 32
+"""How many lines get new IDs at a time, so that other lines need not wait."""
+ROTATION_INTERVAL_SECONDS = 0.05
 MAX_RETIRED_IDS = 16
 """Retired IDs of a line that are remembered for packets still on their way."""
 
@@ -129,6 +132,9 @@
         self._datagrams: list[Outgoing] = []
         self._events: list[line_events.Event] = []
         self._touched: dict[int, Line] = {}
+        self._rotations: collections.deque[int] = collections.deque()
+        """Lines that still hold IDs of an earlier key or identity."""
+        self._rotate_at = 0.0
 
     def classify(
         self, payload: bytes, *, caller: _types.Address, service: _types.Address
@@ -260,21 +266,26 @@
         rotated = keys.current.number != self.keys.current.number
         self.keys = keys
         if rotated:
-            self._rotate_ids()
+            self._rotations = collections.deque(self.lines)
 
     def identity_changed(self, identity: Identity) -> None:
         """Use a new identity; connections get new IDs when it differs."""
         if identity == self.identity:
             return
         self.identity = identity
-        self._rotate_ids()
+        self._rotations = collections.deque(self.lines)
 
     def next_timer(self) -> float | None:
         """Return when :meth:`handle_timer` wants to be called."""
-        return self._timers[0][0] if self._timers else None
+        earliest = self._timers[0][0] if self._timers else None
+        if not self._rotations:
+            return earliest
+        return self._rotate_at if earliest is None else min(earliest, self._rotate_at)
 
     def handle_timer(self, now: float) -> None:
         """Let every connection act whose time has come."""
+        if self._rotations and self._rotate_at <= now:
+            self._rotate_some(now)
         while self._timers and self._timers[0][0] <= now:
             queued_at, number = heapq.heappop(self._timers)
             line = self.lines.get(number)
@@ -327,10 +338,13 @@
                     value=value, reset_token=key.reset_token(value)
                 )
 
-    def _rotate_ids(self) -> None:
-        for number, line in self.lines.items():
-            line.quic.rotate_ids()
-            self._touched[number] = line
+    def _rotate_some(self, now: float) -> None:
+        for _ in range(min(ROTATION_LINES, len(self._rotations))):
+            line = self.lines.get(self._rotations.popleft())
+            if line is not None:
+                line.quic.rotate_ids()
+                self._touched[line.number] = line
+        self._rotate_at = now + ROTATION_INTERVAL_SECONDS
 
     def _feed(
         self, line: Line, payload: bytes, caller: _types.Address, now: float
@@ -402,6 +416,8 @@
         line.established = True
         connection.forget_handshake(line.quic)
         line.exchange = http3.Http3(line.quic, self.limits)
+        if connection.held_ids(line.quic)[0][0] != self.keys.current.number:
+            line.quic.rotate_ids()
         self._events.append(
             line_events.LineOpened(
                 line=line.number, service=line.service, caller=line.opening[1]
--- a/plantainproxy/quic/tests/test_endpoint.py
+++ b/plantainproxy/quic/tests/test_endpoint.py
@@ -111,6 +111,26 @@
     assert len(of_type(network.events, events.LineOpened)) == 1
 
 
+def test_new_keys_reach_many_lines_one_group_after_another() -> None:
+    """No step has to make the IDs of more than one group of lines."""
+    server = quic_pair.make_endpoint()
+    network = quic_pair.Network(server)
+    count = endpoint.ROTATION_LINES + 3
+    for _ in range(count):
+        network.connect()
+    network.run(1.0)
+    assert len(server.lines) == count
+    server.keys_changed(
+        quic_pair.make_keys(quic_pair.FIRST_KEY, quic_pair.SECOND_KEY, current=2)
+    )
+    server.handle_timer(network.now)
+    assert len(server._rotations) == 3
+    network.run(1.0)
+    for line in server.lines.values():
+        held = connection.held_ids(line.quic)
+        assert {value[0] for value in held} == {quic_pair.SECOND_KEY.number}
+
+
 def test_a_line_follows_its_caller_to_another_address() -> None:
     """Answers go to the address from which the caller now sends."""
     network = quic_pair.Network(quic_pair.make_endpoint())
--- a/plantainproxy/sidecar/lines.py
+++ b/plantainproxy/sidecar/lines.py
@@ -5,6 +5,7 @@
 reports, and sends what the endpoint wants sent.
 """
 
+import collections
 from collections.abc import Awaitable, Callable, Iterable
 import dataclasses
 import functools
@@ -26,6 +27,10 @@
 INBOX_MESSAGES = 256
 FINAL_NOTICE_SECONDS = 1.0
 """How long before a line is closed its caller gets the final GOAWAY."""
+NOTICE_SHARE = 0.5
+"""Share of a stop's grace over which callers are told to go, one after another."""
+DOMAIN_NOTICE_SECONDS = 1.0
+"""Time over which callers are told to go when the failure domain is taken out."""
 MOVED_SERVICE_GRACE_SECONDS = 5.0
 """How long a line of a service that has left the pool may still finish requests."""
 
@@ -81,6 +86,10 @@
         self.draining = False
         self.stop_at: float | None = None
         self.final_notice_sent = False
+        self.notices: collections.deque[int] = collections.deque()
+        """Lines whose callers are still to be told to go."""
+        self.notice_at = 0.0
+        self.notice_interval_seconds = 0.0
         self.closing: dict[int, float] = {}
         """Latest closing time of each line whose service has left the pool."""
         self.running: dict[tuple[int, int], trio.CancelScope] = {}
@@ -124,6 +133,7 @@
     if held is None:
         return
     held.handle_timer(now)
+    _give_notices(lines, held, now)
     _close_due(lines, held, now)
     _dispatch(lines, held, nursery)
     _flush(lines, held, now)
@@ -141,14 +151,17 @@
             lines.keys = keys
             _refresh_endpoint(lines, now)
         case inbox.ViewChanged(view=view):
+            taken_out = lines.view is not None and lines.view.domain_in
             lines.view = view
             _refresh_endpoint(lines, now)
+            if taken_out and not view.domain_in:
+                _begin_notices(lines, DOMAIN_NOTICE_SECONDS, now)
         case inbox.SiblingsChanged(records=records):
             lines.peers = handoff.peers_of(lines.own, records)
         case inbox.Drain(draining=draining):
             lines.draining = draining
         case inbox.Stop(grace_seconds=grace_seconds):
-            _begin_stop(lines, now + grace_seconds)
+            _begin_stop(lines, grace_seconds, now)
 
 
 def _refresh_endpoint(lines: Lines, now: float) -> None:
@@ -359,16 +372,28 @@
         scope.cancel()
 
 
-def _begin_stop(lines: Lines, stop_at: float) -> None:
+def _begin_stop(lines: Lines, grace_seconds: float, now: float) -> None:
     if lines.stop_at is not None:
-        lines.stop_at = min(lines.stop_at, stop_at)
+        lines.stop_at = min(lines.stop_at, now + grace_seconds)
         return
-    lines.stop_at = stop_at
+    lines.stop_at = now + grace_seconds
+    _begin_notices(lines, NOTICE_SHARE * grace_seconds, now)
+    _logger.info("Stopping with %d lines.", len(lines.notices))
+
+
+def _begin_notices(lines: Lines, over_seconds: float, now: float) -> None:
+    """Tell all callers to go, one after another: they open their next lines then."""
     if lines.endpoint is None:
         return
-    _logger.info("Stopping with %d lines.", len(lines.endpoint.lines))
-    for number in lines.endpoint.lines:
-        lines.endpoint.go_away(number)
+    lines.notices = collections.deque(lines.endpoint.lines)
+    lines.notice_at = now
+    lines.notice_interval_seconds = over_seconds / max(1, len(lines.notices))
+
+
+def _give_notices(lines: Lines, held: endpoint.Endpoint, now: float) -> None:
+    while lines.notices and lines.notice_at <= now:
+        held.go_away(lines.notices.popleft())
+        lines.notice_at += lines.notice_interval_seconds
 
 
 def _close_due(lines: Lines, held: endpoint.Endpoint, now: float) -> None:
@@ -413,6 +438,8 @@
     times: list[float] = []
     if lines.endpoint is not None:
         times += _present(lines.endpoint.next_timer())
+    if lines.notices:
+        times.append(lines.notice_at)
     if lines.stop_at is not None:
         times.append(lines.stop_at)
         if not lines.final_notice_sent:
