--- a/plantainproxy/sidecar/tests/test_lines.py
+++ b/plantainproxy/sidecar/tests/test_lines.py
@@ -318,6 +318,29 @@
     run(main)
 
 
+def test_callers_are_told_to_go_when_the_failure_domain_is_taken_out(
+    files: certificates.Files,
+) -> None:
+    """They open their next lines at a sibling of another domain."""
+
+    async def main() -> None:
+        async with open_bench(files, sidecar_ports=(ports(), ports())) as bench:
+            first, second = bench.sidecars
+            report = caller.Report()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    caller.hold_lines, plan(bench.services[0], seconds=3.0), report
+                )
+                await trio.sleep(1.0)
+                out = dataclasses.replace(view(bench.services), domain_in=False)
+                await first.send.send(inbox.ViewChanged(view=out))
+            assert not faults(report)
+            assert report.counts["go_aways"] == 5
+            assert second.counters.lines_opened == 5
+
+    run(main)
+
+
 def test_a_stop_ends_within_its_grace_when_callers_stay(
     files: certificates.Files,
 ) -> None:
