--- a/plantainproxy/quic/tests/test_classify.py
+++ b/plantainproxy/quic/tests/test_classify.py
@@ -2,6 +2,7 @@
 
 import random
 
+from aioquic.quic import configuration, connection
 import pytest
 
 from plantainproxy import _types
@@ -62,6 +63,20 @@
         assert found == expected
 
 
+@pytest.mark.parametrize("version", [0x00000001, 0x6B3343CF])
+def test_the_first_datagram_of_a_real_client_opens(version: int) -> None:
+    """Its flow key is the connection ID that the client chose."""
+    options = configuration.QuicConfiguration(
+        is_client=True, original_version=version, supported_versions=[version]
+    )
+    client = connection.QuicConnection(configuration=options)
+    client.connect(("127.1.0.1", 443), now=0.0)
+    ((datagram, _),) = client.datagrams_to_send(now=0.0)
+    found = classify.read(RING, SERVICE, datagram)
+    key = client.original_destination_connection_id
+    assert found == packets.Packet(key, SERVICE, True)
+
+
 def test_random_bytes_never_raise() -> None:
     """Any bytes are classified without an error."""
     generator = random.Random(1)
