--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,623 @@
+"""Bytes and processor time for control, per node.
+
+``python -m bench.control`` prints tables and writes ``out/control.json``. One part
+runs balancers as processes that call one another over real sockets, through a relay
+that counts bytes. The other runs the same tasks in one process on a virtual clock,
+with calls that pass through the codec but not through gRPC.
+"""
+
+import argparse
+from collections.abc import AsyncIterator, Callable
+import contextlib
+import dataclasses
+import functools
+import json
+import pathlib
+import random
+import sys
+import time
+from typing import Any
+from unittest import mock
+
+import numpy
+import trio
+import trio.testing
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.config import model
+from plantainproxy.core import gossip
+from plantainproxy.membership import balancer, sidecar
+from plantainproxy.rpc import bridge, codec, messages, methods
+from plantainproxy.settings import model as settings_model
+
+OUTPUT = pathlib.Path("out/control.json")
+TLS = settings_model.Tls()
+GOSSIP_SECONDS = 0.25
+HEARTBEAT_SECONDS = 0.5
+SIDECARS_PER_BALANCER = 6
+"""Sidecars that call; with three homes each, about the target's share of 17.6."""
+SETTLE_SECONDS = 4.0
+MEASURE_SECONDS = 6.0
+TARGET_BALANCERS = 2_900
+TARGET_RECORDS = 17_000
+SOCKET_SIZES = (4, 8)
+VIRTUAL_SIZES = (4, 8, 16, 32)
+RECORD_SIZES = (100, 1_000, 17_000)
+CHURNS = (0.0, 1.0, 4.0)
+"""Changed records a second over the whole fleet."""
+
+
+class Documents:
+    """A holder of one fixed configuration."""
+
+    def __init__(self) -> None:
+        """Hold one pool and one key."""
+        self.known = model.Configuration(
+            revision=1,
+            pools=tuple(model.Pool(name=f"pool-{number}") for number in range(100)),
+            domains=(model.Domain(name="rimouski", number=1),),
+        )
+        self.keys = model.KeySet(
+            revision=1, current=1, keys=(model.Key(number=1, secret=bytes(32)),)
+        )
+
+    def configuration(self) -> model.Configuration | None:
+        """Return the configuration."""
+        return self.known
+
+    def key_set(self) -> model.KeySet | None:
+        """Return the keys."""
+        return self.keys
+
+    async def offer_configuration(self, configuration: model.Configuration) -> None:
+        """Ignore other configurations."""
+
+    async def offer_key_set(self, key_set: model.KeySet) -> None:
+        """Ignore other keys."""
+
+
+def balancer_record(address: _types.Address) -> _types.MemberRecord:
+    """Make a balancer's record."""
+    return _types.MemberRecord(
+        kind=_types.MemberKind.BALANCER,
+        rpc=address,
+        domain="rimouski",
+        generation=1_790_000_000_000,
+        sequence=1,
+    )
+
+
+def sidecar_record(number: int, pools: int) -> _types.MemberRecord:
+    """Make a sidecar's record."""
+    host = f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}"
+    return _types.MemberRecord(
+        kind=_types.MemberKind.SIDECAR,
+        rpc=_types.Address(host, 7001),
+        domain="rimouski",
+        generation=1_790_000_000_000,
+        sequence=1,
+        pool=f"pool-{number % pools}",
+        tunnel=_types.Address(host, 7002),
+    )
+
+
+def make_table(
+    address: _types.Address, seeds: list[_types.Address], client: bridge.Client
+) -> balancer.MemberTable:
+    """Make the table of one balancer."""
+    return balancer.MemberTable(
+        balancer_record(address),
+        client=client,
+        revisions=Documents(),
+        seeds=seeds,
+        gossip_interval_seconds=GOSSIP_SECONDS,
+        heartbeat_interval_seconds=HEARTBEAT_SECONDS,
+        rng=random.Random(str(address)),
+    )
+
+
+def make_announcer(
+    number: int, pools: int, seeds: list[_types.Address], client: bridge.Client
+) -> sidecar.Announcer:
+    """Make one sidecar's announcer."""
+    return sidecar.Announcer(
+        sidecar_record(number, pools),
+        client=client,
+        seeds=seeds,
+        interval_seconds=HEARTBEAT_SECONDS,
+        rng=random.Random(number),
+    )
+
+
+async def churn(announcers: list[sidecar.Announcer], per_second: float) -> None:
+    """Change one sidecar's weight after the other."""
+    step = 0
+    while per_second > 0:
+        await trio.sleep(1 / per_second)
+        step += 1
+        sidecar.change(announcers[step % len(announcers)], weight=1 / (step % 50 + 1))
+
+
+async def drain(announcer: sidecar.Announcer) -> None:
+    """Read a sidecar's updates."""
+    async for _ in announcer.updates:
+        pass
+
+
+async def drain_changes(members: balancer.MemberTable) -> None:
+    """Read a balancer's changes."""
+    async for _ in members.changes:
+        pass
+
+
+# --- Virtual clock ----------------------------------------------------------------
+
+
+@dataclasses.dataclass(slots=True)
+class Traffic:
+    """Calls and payload bytes of one kind."""
+
+    calls: int = 0
+    request_bytes: int = 0
+    reply_bytes: int = 0
+    server_seconds: float = 0.0
+
+
+class Loopback:
+    """Carries calls through the codec to the handlers of the same process."""
+
+    def __init__(self) -> None:
+        """Begin with nothing served."""
+        self.served: dict[_types.Address, Any] = {}
+        self.traffic = {method: Traffic() for method in methods.Method}
+
+    async def call(
+        self,
+        client: bridge.Client,
+        address: _types.Address,
+        method: methods.Method,
+        request: Any,
+        *,
+        timeout_seconds: float,
+    ) -> Any:
+        """Make one call and count it."""
+        handlers = self.served.get(address)
+        if handlers is None:
+            raise _exceptions.PlantainError(_exceptions.ErrorKind.PEER_UNAVAILABLE)
+        encoded = codec.encode(request)
+        started = time.process_time()
+        reply = await handlers[method](codec.decode(encoded, method.value.request))
+        encoded_reply = codec.encode(reply)
+        traffic = self.traffic[method]
+        traffic.server_seconds += time.process_time() - started
+        traffic.calls += 1
+        traffic.request_bytes += len(encoded)
+        traffic.reply_bytes += len(encoded_reply)
+        return codec.decode(encoded_reply, method.value.reply)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class VirtualResult:
+    """Rates for one balancer, from a run on the virtual clock."""
+
+    balancers: int
+    records: int
+    churn_per_second: float
+    gossip_calls: float
+    """Calls made a second; as many are received."""
+    gossip_bytes: float
+    """Payload sent and received a second."""
+    heartbeat_calls: float
+    heartbeat_bytes: float
+    cpu_milliseconds: float
+    """Processor time a second without gRPC."""
+    heartbeat_cpu_milliseconds: float
+    """The part of it that serves heartbeats."""
+
+
+async def run_virtual(
+    balancers: int, records: int, churn_per_second: float, result: list[VirtualResult]
+) -> None:
+    """Run a fleet whose tables hold the records and measure it."""
+    loopback = Loopback()
+    addresses = [_types.Address("127.0.0.1", 7000 + n) for n in range(balancers)]
+    calling = min(records, balancers * SIDECARS_PER_BALANCER)
+    pools = max(1, records // 3)
+    client = bridge.Client(TLS)
+    with mock.patch.object(bridge, "call", loopback.call):
+        async with trio.open_nursery() as nursery:
+            fleet = [balancer_record(address) for address in addresses]
+            fleet += [sidecar_record(number, pools) for number in range(records)]
+            for address in addresses:
+                members = make_table(address, addresses, client)
+                loopback.served[address] = balancer.handlers(members)
+                gossip.learn(members.state, fleet, now=trio.current_time())
+                members.state.pending.clear()
+                nursery.start_soon(balancer.run, members)
+                nursery.start_soon(drain_changes, members)
+            announcers = [
+                make_announcer(number, pools, addresses, client)
+                for number in range(calling)
+            ]
+            for announcer in announcers:
+                nursery.start_soon(sidecar.run, announcer)
+                nursery.start_soon(drain, announcer)
+            nursery.start_soon(churn, announcers, churn_per_second)
+            await trio.sleep(SETTLE_SECONDS)
+            loopback.traffic = {method: Traffic() for method in methods.Method}
+            started = time.process_time()
+            await trio.sleep(MEASURE_SECONDS)
+            seconds = time.process_time() - started
+            result.append(
+                _virtual_result(loopback, balancers, records, churn_per_second, seconds)
+            )
+            nursery.cancel_scope.cancel()
+
+
+def _virtual_result(
+    loopback: Loopback,
+    balancers: int,
+    records: int,
+    churn_per_second: float,
+    seconds: float,
+) -> VirtualResult:
+    per_node = 1 / (balancers * MEASURE_SECONDS)
+    gossiped = loopback.traffic[methods.Method.GOSSIP]
+    heartbeats = loopback.traffic[methods.Method.HEARTBEAT]
+    return VirtualResult(
+        balancers=balancers,
+        records=records,
+        churn_per_second=churn_per_second,
+        gossip_calls=gossiped.calls * per_node,
+        gossip_bytes=2 * (gossiped.request_bytes + gossiped.reply_bytes) * per_node,
+        heartbeat_calls=heartbeats.calls * per_node,
+        heartbeat_bytes=(heartbeats.request_bytes + heartbeats.reply_bytes) * per_node,
+        cpu_milliseconds=seconds * 1_000 * per_node,
+        heartbeat_cpu_milliseconds=heartbeats.server_seconds * 1_000 * per_node,
+    )
+
+
+def virtual(balancers: int, records: int, churn_per_second: float) -> VirtualResult:
+    """Measure one size on the virtual clock."""
+    result: list[VirtualResult] = []
+    trio.run(
+        run_virtual,
+        balancers,
+        records,
+        churn_per_second,
+        result,
+        clock=trio.testing.MockClock(autojump_threshold=0),
+    )
+    return result[0]
+
+
+# --- Real sockets -----------------------------------------------------------------
+
+
+async def answer_marks() -> None:
+    """Print the processor time so far for each line on standard input."""
+    stdin = trio.lowlevel.FdStream(0)
+    while await stdin.receive_some(64):
+        print(json.dumps(time.process_time()), flush=True)
+
+
+async def run_balancer(address: _types.Address, seeds: list[_types.Address]) -> None:
+    """Run one balancer behind the relay's address."""
+    async with bridge.open_client(TLS) as client:
+        members = make_table(address, seeds, client)
+        served = bridge.serve(
+            _types.Address("127.0.0.1", 0), balancer.handlers(members), tls=TLS
+        )
+        async with served as bound, trio.open_nursery() as nursery:
+            print(bound.port, flush=True)
+            nursery.start_soon(balancer.run, members)
+            nursery.start_soon(drain_changes, members)
+            await answer_marks()
+            nursery.cancel_scope.cancel()
+
+
+async def run_sidecars(count: int, rate: float, seeds: list[_types.Address]) -> None:
+    """Run sidecars; the churn begins at once."""
+    async with bridge.open_client(TLS) as client, trio.open_nursery() as nursery:
+        announcers = [make_announcer(n, 4, seeds, client) for n in range(count)]
+        for announcer in announcers:
+            nursery.start_soon(sidecar.run, announcer)
+            nursery.start_soon(drain, announcer)
+        nursery.start_soon(churn, announcers, rate)
+        print(0, flush=True)
+        await answer_marks()
+        nursery.cancel_scope.cancel()
+
+
+class Relay:
+    """A TCP relay that counts bytes."""
+
+    def __init__(self) -> None:
+        """Begin with no target."""
+        self.target_port = 0
+        self.copied_bytes = 0
+
+    async def copy(self, source: trio.SocketStream, sink: trio.SocketStream) -> None:
+        """Copy one direction."""
+        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            while data := await source.receive_some():
+                self.copied_bytes += len(data)
+                await sink.send_all(data)
+            await sink.send_eof()
+
+    async def handle(self, client: trio.SocketStream) -> None:
+        """Relay one connection."""
+        try:
+            server = await trio.open_tcp_stream("127.0.0.1", self.target_port)
+        except OSError:
+            return
+        async with server, trio.open_nursery() as nursery:
+            nursery.start_soon(self.copy, client, server)
+            nursery.start_soon(self.copy, server, client)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Worker:
+    """One started process."""
+
+    process: trio.Process
+    output: "trio.abc.ReceiveStream"
+
+    async def line(self) -> Any:
+        """Read one line of its output."""
+        line = b""
+        while not line.endswith(b"\n"):
+            line += await self.output.receive_some(64)
+        return json.loads(line)
+
+    async def cpu(self) -> float:
+        """Ask for its processor time."""
+        assert self.process.stdin is not None
+        await self.process.stdin.send_all(b"\n")
+        return float(await self.line())
+
+
+@contextlib.asynccontextmanager
+async def worker(role: str, argument: dict[str, Any]) -> AsyncIterator[Worker]:
+    """Start this module as a process; end it with the context."""
+    process = await trio.lowlevel.open_process(
+        [sys.executable, "-m", "bench.control", role, json.dumps(argument)],
+        stdin=-1,
+        stdout=-1,
+    )
+    try:
+        assert process.stdout is not None
+        yield Worker(process=process, output=process.stdout)
+    finally:
+        with trio.CancelScope(shield=True):
+            process.kill()
+            await process.wait()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SocketResult:
+    """Rates for one balancer and one sidecar, over real sockets."""
+
+    balancers: int
+    sidecars: int
+    churn_per_second: float
+    bytes_per_second: float
+    """Payload of TCP through each balancer's listener, both ways."""
+    cpu_milliseconds: float
+    """Processor time a second of one balancer."""
+    sidecar_cpu_milliseconds: float
+
+
+async def _measure(
+    relays: list[Relay], nodes: list[Worker], sidecars: Worker | None
+) -> tuple[float, float, float]:
+    """Return bytes and CPU a second for each balancer, and for all sidecars."""
+    workers = [*nodes, *([sidecars] if sidecars else [])]
+    bytes_before = sum(relay.copied_bytes for relay in relays)
+    cpu_before = [await one.cpu() for one in workers]
+    started = time.monotonic()
+    await trio.sleep(MEASURE_SECONDS)
+    cpu_after = [await one.cpu() for one in workers]
+    pairs = zip(cpu_after, cpu_before, strict=True)
+    cpu = [after - before for after, before in pairs]
+    seconds = time.monotonic() - started
+    copied = sum(relay.copied_bytes for relay in relays) - bytes_before
+    sidecar_cpu = cpu[-1] if sidecars else 0.0
+    return (
+        copied / seconds / len(nodes),
+        sum(cpu[: len(nodes)]) / seconds / len(nodes),
+        sidecar_cpu / seconds,
+    )
+
+
+async def run_sockets(size: int, results: list[SocketResult]) -> None:
+    """Measure balancers alone, then with sidecars, then under churn."""
+    async with contextlib.AsyncExitStack() as stack, trio.open_nursery() as nursery:
+        relays = [Relay() for _ in range(size)]
+        addresses = []
+        for relay in relays:
+            serve = functools.partial(trio.serve_tcp, relay.handle, 0, host="127.0.0.1")
+            listeners = await nursery.start(serve)
+            addresses.append(_types.Address(*listeners[0].socket.getsockname()))
+        nodes = []
+        for relay, address in zip(relays, addresses, strict=True):
+            argument = {"address": address, "seeds": addresses}
+            node = await stack.enter_async_context(worker("balancer", argument))
+            relay.target_port = await node.line()
+            nodes.append(node)
+        await trio.sleep(SETTLE_SECONDS)
+        many = size * SIDECARS_PER_BALANCER
+        for sidecars, rate in ((0, 0.0), (many, 0.0), (many, 4.0)):
+            async with contextlib.AsyncExitStack() as inner:
+                group = None
+                if sidecars:
+                    wanted = {"count": sidecars, "rate": rate, "seeds": addresses}
+                    group = await inner.enter_async_context(worker("sidecars", wanted))
+                    await group.line()
+                    await trio.sleep(SETTLE_SECONDS)
+                measured = await _measure(relays, nodes, group)
+            results.append(
+                SocketResult(
+                    balancers=size,
+                    sidecars=sidecars,
+                    churn_per_second=rate,
+                    bytes_per_second=measured[0],
+                    cpu_milliseconds=measured[1] * 1_000,
+                    sidecar_cpu_milliseconds=measured[2] * 1_000 / max(1, sidecars),
+                )
+            )
+        nursery.cancel_scope.cancel()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallCost:
+    """What gRPC adds to one call."""
+
+    overhead_bytes: float
+    """TCP payload of request and reply beyond the messages."""
+    call_milliseconds: float
+    """Processor time of one call, both ends together."""
+
+
+async def run_call_cost(results: list[CallCost]) -> None:
+    """Make many small calls one after the other in one process."""
+    count = 1_000
+
+    async def handle(request: Any) -> messages.PullReply:
+        return messages.PullReply()
+
+    relay = Relay()
+    request = messages.PullRequest(configuration_revision=0, key_revision=0)
+    served = bridge.serve(
+        _types.Address("127.0.0.1", 0), {methods.Method.PULL: handle}, tls=TLS
+    )
+    async with (
+        served as bound,
+        bridge.open_client(TLS) as client,
+        trio.open_nursery() as nursery,
+    ):
+        relay.target_port = bound.port
+        serve = functools.partial(trio.serve_tcp, relay.handle, 0, host="127.0.0.1")
+        listeners = await nursery.start(serve)
+        front = _types.Address(*listeners[0].socket.getsockname())
+        pull = functools.partial(
+            bridge.call,
+            client,
+            method=methods.Method.PULL,
+            request=request,
+            timeout_seconds=5,
+        )
+        await pull(address=front)
+        relayed = relay.copied_bytes
+        for _ in range(count):
+            await pull(address=front)
+        relayed = relay.copied_bytes - relayed
+        await pull(address=bound)
+        started = time.process_time()
+        for _ in range(count):
+            await pull(address=bound)
+        seconds = time.process_time() - started
+        nursery.cancel_scope.cancel()
+    payload = len(codec.encode(request)) + len(codec.encode(messages.PullReply()))
+    results.append(
+        CallCost(
+            overhead_bytes=relayed / count - payload,
+            call_milliseconds=seconds * 1_000 / count,
+        )
+    )
+
+
+# --- Report -----------------------------------------------------------------------
+
+
+def slope(
+    rows: list[VirtualResult],
+    abscissa: Callable[[VirtualResult], float],
+    ordinate: Callable[[VirtualResult], float],
+) -> float:
+    """Fit a line and return its slope."""
+    fit = numpy.polyfit([abscissa(r) for r in rows], [ordinate(r) for r in rows], 1)
+    return float(fit[0])
+
+
+def print_table(title: str, rows: list[Any]) -> None:
+    """Print data classes as a table."""
+    print(f"\n{title}")
+    names = [field.name for field in dataclasses.fields(rows[0])]
+    print(" | ".join(names))
+    for row in rows:
+        print(" | ".join(f"{getattr(row, name):,.1f}" for name in names))
+
+
+def slopes(rows: list[VirtualResult]) -> dict[str, float]:
+    """Work out how the rates grow."""
+    idle = [row for row in rows if not row.churn_per_second]
+    by_size = [row for row in idle if row.records == 1_000]
+    by_records = [row for row in idle if row.balancers == 8]
+    by_churn = [row for row in rows if row.balancers == 8 and row.records == 1_000]
+    return {
+        "gossip_bytes_per_balancer": slope(
+            by_size, lambda r: r.balancers, lambda r: r.gossip_bytes
+        ),
+        "cpu_milliseconds_per_balancer": slope(
+            by_size, lambda r: r.balancers, lambda r: r.cpu_milliseconds
+        ),
+        "gossip_bytes_per_thousand_records": 1_000
+        * slope(by_records, lambda r: r.records, lambda r: r.gossip_bytes),
+        "cpu_milliseconds_per_thousand_records": 1_000
+        * slope(by_records, lambda r: r.records, lambda r: r.cpu_milliseconds),
+        "gossip_bytes_per_change": slope(
+            by_churn, lambda r: r.churn_per_second, lambda r: r.gossip_bytes
+        ),
+        "cpu_milliseconds_per_change": slope(
+            by_churn, lambda r: r.churn_per_second, lambda r: r.cpu_milliseconds
+        ),
+    }
+
+
+def main() -> None:
+    """Run all parts, print tables and write the figures."""
+    costs: list[CallCost] = []
+    trio.run(run_call_cost, costs)
+    print_table("One call over real sockets (gRPC, TCP payload)", costs)
+    sockets: list[SocketResult] = []
+    for size in SOCKET_SIZES:
+        trio.run(run_sockets, size, sockets)
+    print_table("Real sockets, one process a balancer; a second and a node", sockets)
+    sizes = [(size, 1_000) for size in VIRTUAL_SIZES]
+    sizes += [(8, records) for records in RECORD_SIZES if records != 1_000]
+    rows = [virtual(*size, rate) for size in sizes for rate in CHURNS]
+    print_table("Virtual clock, no gRPC; a second and a balancer", rows)
+    fitted = slopes(rows)
+    print("\nSlopes on the virtual clock")
+    for name, value in fitted.items():
+        print(f"{name}: {value:,.4f}")
+    OUTPUT.parent.mkdir(exist_ok=True)
+    figures = {
+        "call": [dataclasses.asdict(row) for row in costs],
+        "sockets": [dataclasses.asdict(row) for row in sockets],
+        "virtual": [dataclasses.asdict(row) for row in rows],
+        "slopes": fitted,
+    }
+    OUTPUT.write_text(json.dumps(figures, indent=2) + "\n", encoding="utf-8")
+    print(f"\nFigures are in {OUTPUT}.")
+
+
+def _addresses(pairs: list[list[Any]]) -> list[_types.Address]:
+    return [_types.Address(*pair) for pair in pairs]
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("role", nargs="?", default="all")
+    parser.add_argument("argument", nargs="?", default="{}")
+    options = parser.parse_args()
+    given = json.loads(options.argument)
+    if options.role == "balancer":
+        own = _types.Address(*given["address"])
+        trio.run(run_balancer, own, _addresses(given["seeds"]))
+    elif options.role == "sidecars":
+        seeds = _addresses(given["seeds"])
+        trio.run(run_sidecars, given["count"], given["rate"], seeds)
+    else:
+        main()
