Bound the rate of heartbeats that a balancer takes

Cause: at 17.6 sidecars a balancer and two heartbeats a second each, heartbeats alone cost more than a node may spend on control. Ruled out: fewer homes (one less observer), a longer interval for everybody.

--- a/plantainproxy/core/heartbeat.py
+++ b/plantainproxy/core/heartbeat.py
@@ -39,7 +39,8 @@
     """One heartbeat to send."""
 
     home: _types.Address
-    request: messages.HeartbeatRequest
+    is_final: bool = False
+    """Whether the balancer is a home no more."""
 
 
 class State:
@@ -55,6 +56,8 @@
         """The balancers that a reply offered last."""
         self.siblings_digest = 0
         self.homes: tuple[_types.Address, ...] = ()
+        self.intervals: dict[_types.Address, float] = {}
+        """The interval in seconds that each home asked for."""
         self.failed_at: dict[_types.Address, float] = {}
         self.answered_at: float | None = None
         """When any home last answered."""
@@ -86,7 +89,17 @@
     )
 
 
-def _request(state: State, *, is_final: bool = False) -> messages.HeartbeatRequest:
+def interval(state: State, *, usual_seconds: float) -> float:
+    """Return the interval that suits all homes."""
+    return max(
+        usual_seconds, *(state.intervals.get(home, 0.0) for home in state.homes), 0.0
+    )
+
+
+def request(
+    state: State, beat: Beat, *, interval_seconds: float
+) -> messages.HeartbeatRequest:
+    """Make the message of one heartbeat, when it is sent."""
     knowledge = state.knowledge
     view, key_set = knowledge.view, knowledge.key_set
     return messages.HeartbeatRequest(
@@ -94,7 +107,8 @@
         configuration_revision=0 if view is None else view.revision,
         key_revision=0 if key_set is None else key_set.revision,
         siblings_digest=state.siblings_digest,
-        is_final=is_final,
+        is_final=beat.is_final,
+        interval_milliseconds=round(interval_seconds * 1_000),
     )
 
 
@@ -120,8 +134,8 @@
         if home not in state.homes and home not in state.failed_at
     ]
     return (
-        *(Beat(home=home, request=_request(state)) for home in state.homes),
-        *(Beat(home=home, request=_request(state, is_final=True)) for home in former),
+        *(Beat(home=home) for home in state.homes),
+        *(Beat(home=home, is_final=True) for home in former),
     )
 
 
@@ -140,6 +154,12 @@
     """Take what is newer from a reply; return whether the own record was raised."""
     state.answered_at = now
     state.failed_at.pop(home, None)
+    state.intervals = {
+        known: seconds
+        for known, seconds in state.intervals.items()
+        if known in state.homes
+    }
+    state.intervals[home] = reply.interval_milliseconds / 1_000
     knowledge = state.knowledge
     view, key_set = knowledge.view, knowledge.key_set
     if reply.view is not None and (view is None or reply.view.revision > view.revision):
--- a/plantainproxy/core/tests/test_membership.py
+++ b/plantainproxy/core/tests/test_membership.py
@@ -286,6 +286,19 @@
     assert len(marked_at) <= 6
 
 
+def test_many_members_are_asked_to_call_less_often() -> None:
+    """The rate of heartbeats stays bounded, and the window grows with it."""
+    watch, table = watched(60)
+    wanted = membership.wanted_interval(watch)
+    assert wanted == 60 / membership.HEARTBEATS_PER_SECOND
+    key = sidecar(0).key
+    membership.heard(watch, key, now=0, interval_seconds=wanted)
+    until = wanted * membership.MISSED_HEARTBEATS
+    assert not advance(watch, table, until=until, alive=range(1, 60))
+    lost = advance(watch, table, start=until, until=until + 1, alive=range(1, 60))
+    assert lost == [sidecar(0, lost=True)]
+
+
 def test_a_member_with_other_homes_is_not_watched_on() -> None:
     """Silence of a member that has moved to other homes means nothing."""
     watch, table = watched(5)
--- a/plantainproxy/membership/balancer.py
+++ b/plantainproxy/membership/balancer.py
@@ -304,7 +304,13 @@
     if request.is_final or record.state is _types.MemberState.LEFT:
         membership.unwatch(members.watch, (record.key,))
     else:
-        membership.heard(members.watch, record.key, now=now)
+        announced = request.interval_milliseconds / 1_000
+        membership.heard(
+            members.watch,
+            record.key,
+            now=now,
+            interval_seconds=max(announced, membership.wanted_interval(members.watch)),
+        )
     _note_changed(members, merged.changed, now)
     return _heartbeat_reply(members, request, next(iter(merged.newer), record))
 
@@ -331,6 +337,7 @@
         siblings=siblings.records if is_new else None,
         siblings_digest=siblings.digest,
         balancers=siblings.balancers if is_new else (),
+        interval_milliseconds=round(membership.wanted_interval(members.watch) * 1_000),
     )
 
 
--- a/plantainproxy/rpc/messages.py
+++ b/plantainproxy/rpc/messages.py
@@ -22,6 +22,8 @@
     """Digest of the siblings and balancers that the sidecar holds; 0 for none."""
     is_final: bool = False
     """Whether the sidecar will not call this balancer again."""
+    interval_milliseconds: int = 0
+    """When the next heartbeat comes; 0 for the usual interval."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -41,6 +43,8 @@
     """Digest of the siblings and balancers that the balancer knows."""
     balancers: tuple[_types.Address, ...] = ()
     """Addresses among which the sidecar picks its homes; present with siblings."""
+    interval_milliseconds: int = 0
+    """The shortest interval at which the balancer wants to be called."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
