Try every fault at every step of a command that must not be repeated

Cause: promises 5, 6 and 7 had no cross product of faults and steps. Ruled out: a cluster simulator; fakes at the pipeline's ports on a jumping clock do. Not caught here: forgetting that an earlier attempt may have run, which only matters for repeatable methods.

--- /dev/null
+++ b/plantainproxy/sidecar/tests/test_fault_matrix.py
@@ -0,0 +1,598 @@
+"""Every fault at every step of a command that must not be repeated.
+
+The pipelines of three sidecars run on a clock of their own, joined by fakes at their
+ports. A fault strikes when the first attempt reaches a step; the caller repeats the
+command with the same key at other sidecars. In each run the command executes at most
+once, "not run" is true, and a whole answer is the one that the execution gave.
+"""
+
+from collections.abc import Awaitable, Callable, Iterator
+import contextlib
+import dataclasses
+import itertools
+import json
+import random
+
+import pytest
+import trio
+import trio.testing
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.config import model
+from plantainproxy.core import admission, tickets
+from plantainproxy.core import claims as claim_table
+from plantainproxy.rpc import messages
+from plantainproxy.sidecar import claims, context, requests, upstream
+from plantainproxy.wire import keyring
+
+SERVICE = _types.Address("127.20.0.1", 443)
+POOL = model.Pool(name="press-telemetry", max_running=3)
+SIDECARS = 3
+ATTEMPTS = 5
+ATTEMPT_TIMEOUT_SECONDS = 2.5
+PAUSE_SECONDS = 0.4
+SERVICE_SECONDS = 0.2
+HOP_SECONDS = 0.01
+FREEZE_SECONDS = 3.0
+START_SECONDS = 1_000.0
+TOKEN = b"setpoint"
+
+KEYS = (
+    model.Key(number=1, secret=b"s" * 32),
+    model.Key(number=2, secret=b"t" * 32),
+)
+Kind = _exceptions.ErrorKind
+Lost = _exceptions.PlantainError
+
+
+class Sidecar:
+    """One sidecar with its upstream, as its peers and its caller meet it."""
+
+    def __init__(self, address: _types.Address, generation: int) -> None:
+        """Start warm, with the first key."""
+        self.address = address
+        self.alive = trio.CancelScope()
+        self.awake = trio.Event()
+        self.awake.set()
+        self.upstream_fault = ""
+        self.nursery: trio.Nursery | None = None
+        self.state = context.State(
+            own=address,
+            table=claim_table.Table(
+                home=address,
+                generation=generation,
+                tag=tickets.pool_tag(POOL.name),
+            ),
+            max_body_bytes=1_000,
+            default_timeout_seconds=ATTEMPT_TIMEOUT_SECONDS,
+        )
+
+
+class World:
+    """All sidecars, the executions, and the fault that waits for its step."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        """Start without a fault."""
+        self.nursery = nursery
+        self.sidecars: dict[_types.Address, Sidecar] = {}
+        self.executions = 0
+        self.answers: list[bytes] = []
+        """What the upstreams answered."""
+        self.pending: list[tuple[str, Callable[[World], None]]] = []
+        self.cut = False
+        self.losing_replies = False
+        self.entry = _types.Address("0.0.0.0", 0)
+        """The sidecar of the first attempt."""
+        self.home = _types.Address("0.0.0.0", 0)
+        self.attempt = trio.CancelScope()
+        self.random = random.Random(5)
+
+    def reach(self, step: str) -> None:
+        """Let the faults of a step strike once."""
+        due = [fault for name, fault in self.pending if name == step]
+        self.pending = [entry for entry in self.pending if entry[0] != step]
+        for fault in due:
+            fault(self)
+
+
+def record(address: _types.Address) -> _types.MemberRecord:
+    """Return the record of one sidecar."""
+    return _types.MemberRecord(
+        kind=_types.MemberKind.SIDECAR,
+        rpc=address,
+        domain="a",
+        generation=1,
+        sequence=1,
+        pool=POOL.name,
+        tunnel=address,
+    )
+
+
+def view(
+    *, revision: int = 1, drained: bool = False, domain_in: bool = True
+) -> model.PoolView:
+    """Return a sidecar's view of its pool."""
+    return model.PoolView(
+        revision=revision,
+        pool=POOL,
+        services=(SERVICE,),
+        domain_number=0,
+        domain_in=domain_in,
+        drained=drained,
+    )
+
+
+def ring(current: int) -> keyring.Keyring:
+    """Return the keys with one of them current."""
+    return keyring.Keyring(model.KeySet(revision=current, current=current, keys=KEYS))
+
+
+async def run_upstream(
+    world: World, sidecar: Sidecar, request: messages.Request, timeout: float
+) -> upstream.Result:
+    """Stand in for the upstream of one sidecar."""
+    await sidecar.awake.wait()
+    world.reach("dispatching")
+    await trio.sleep(HOP_SECONDS)
+    fault = sidecar.upstream_fault
+    if fault == "shed":
+        return upstream.Result(signal=admission.Signal.OVERLOAD, error=Kind.OVERLOADED)
+    if fault == "gone":
+        return upstream.Result(
+            signal=admission.Signal.CONNECTION, error=Kind.NO_UPSTREAM
+        )
+    world.executions += 1
+    world.reach("running")
+    with trio.move_on_after(timeout):
+        await trio.sleep(SERVICE_SECONDS)
+        if sidecar.upstream_fault == "frozen":
+            await trio.sleep_forever()
+        if sidecar.upstream_fault:
+            return upstream.Result(
+                signal=admission.Signal.CONNECTION, error=Kind.UPSTREAM_FAILED
+            )
+        world.reach("answered")
+        body = b"%s %d" % (request.body, world.executions)
+        world.answers.append(body)
+        response = messages.Response(status=200, body=body)
+        return upstream.Result(signal=admission.Signal.SUCCESS, response=response)
+    return upstream.Result(signal=admission.Signal.TIMEOUT, error=Kind.UPSTREAM_TIMEOUT)
+
+
+async def in_sidecar(
+    world: World, address: _types.Address, call: Callable[[Sidecar], Awaitable[object]]
+) -> object:
+    """Run a call inside a sidecar; it is lost when the sidecar ends meanwhile."""
+    sidecar = world.sidecars.get(address)
+    if sidecar is None or sidecar.nursery is None:
+        raise Lost(Kind.PEER_UNAVAILABLE)
+    results: list[object] = []
+    done = trio.Event()
+
+    async def run() -> None:
+        try:
+            await sidecar.awake.wait()
+            results.append(await call(sidecar))
+            await sidecar.awake.wait()
+        finally:
+            done.set()
+
+    sidecar.nursery.start_soon(run)
+    await done.wait()
+    if not results:
+        raise Lost(Kind.PEER_UNAVAILABLE)
+    return results[0]
+
+
+async def peer_call(
+    world: World,
+    address: _types.Address,
+    call: Callable[[Sidecar], Awaitable[object]],
+    timeout: float,
+) -> object:
+    """Carry a call between sidecars over a network that may be cut."""
+    with trio.move_on_after(timeout):
+        await trio.sleep(HOP_SECONDS)
+        if world.cut:
+            raise Lost(Kind.PEER_UNAVAILABLE)
+        reply = await in_sidecar(world, address, call)
+        await trio.sleep(HOP_SECONDS)
+        if world.cut or world.losing_replies:
+            raise Lost(Kind.PEER_UNAVAILABLE)
+        return reply
+    raise Lost(Kind.PEER_UNAVAILABLE)
+
+
+def make_ports(world: World, own: Sidecar) -> context.Ports:
+    """Return the ports of one sidecar."""
+
+    async def run(request: messages.Request, timeout: float) -> upstream.Result:
+        return await run_upstream(world, own, request, timeout)
+
+    async def execute(
+        address: _types.Address, request: messages.ExecuteRequest, timeout: float
+    ) -> messages.ExecuteReply:
+        async def serve(peer: Sidecar) -> object:
+            return await requests.handle_execute(
+                peer.state, make_ports(world, peer), request
+            )
+
+        reply = await peer_call(world, address, serve, timeout)
+        assert isinstance(reply, messages.ExecuteReply)
+        return reply
+
+    async def claim(
+        address: _types.Address, request: messages.ClaimRequest, timeout: float
+    ) -> messages.ClaimReply:
+        async def serve(peer: Sidecar) -> object:
+            reply = claims.handle_claim(
+                peer.state.table, peer.state.ring, request, now=trio.current_time()
+            )
+            world.reach("claimed")
+            return reply
+
+        world.reach("claiming")
+        reply = await peer_call(world, address, serve, timeout)
+        assert isinstance(reply, messages.ClaimReply)
+        return reply
+
+    async def settle(
+        address: _types.Address, request: messages.SettleRequest, timeout: float
+    ) -> messages.SettleReply:
+        async def serve(peer: Sidecar) -> object:
+            return claims.handle_settle(peer.state.table, request)
+
+        world.reach("settling")
+        reply = await peer_call(world, address, serve, timeout)
+        assert isinstance(reply, messages.SettleReply)
+        return reply
+
+    def start_soon(task: Callable[[], Awaitable[None]]) -> None:
+        assert own.nursery is not None
+        own.nursery.start_soon(task)
+
+    return context.Ports(
+        run=run,
+        execute=execute,
+        claims=claims.Ports(claim=claim, settle=settle),
+        start_soon=start_soon,
+        random=world.random.random,
+    )
+
+
+async def live(
+    sidecar: Sidecar, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+) -> None:
+    """Give a sidecar a life that a kill can end."""
+    with sidecar.alive:
+        async with trio.open_nursery() as nursery:
+            sidecar.nursery = nursery
+            task_status.started()
+            await trio.sleep_forever()
+
+
+def spread_members(world: World) -> None:
+    """Tell every sidecar of the present members."""
+    records = tuple(record(address) for address in world.sidecars)
+    for sidecar in world.sidecars.values():
+        context.update_siblings(sidecar.state, records)
+
+
+def add_sidecar(world: World, address: _types.Address, generation: int) -> Sidecar:
+    """Start one sidecar."""
+    sidecar = Sidecar(address, generation)
+    sidecar.state.ring = ring(1)
+    context.update_view(sidecar.state, view(), now=trio.current_time())
+    world.sidecars[address] = sidecar
+    world.nursery.start_soon(live, sidecar)
+    return sidecar
+
+
+# --- Faults -----------------------------------------------------------------------
+
+
+def kill(world: World, address: _types.Address) -> None:
+    """End a sidecar without warning."""
+    sidecar = world.sidecars.pop(address, None)
+    if sidecar is not None:
+        sidecar.alive.cancel()
+        sidecar.nursery = None
+        spread_members(world)
+
+
+def kill_home(world: World) -> None:
+    """End the key's home."""
+    kill(world, world.home)
+
+
+def restart_home(world: World) -> None:
+    """End the key's home and start another process at its address."""
+    kill(world, world.home)
+    add_sidecar(world, world.home, generation=2_000)
+    spread_members(world)
+
+
+def kill_entry(world: World) -> None:
+    """End the sidecar of the first attempt."""
+    kill(world, world.entry)
+
+
+def _freeze(world: World, address: _types.Address) -> None:
+    sidecar = world.sidecars.get(address)
+    if sidecar is None:
+        return
+    sidecar.awake = trio.Event()
+
+    async def wake_later() -> None:
+        await trio.sleep(FREEZE_SECONDS)
+        sidecar.awake.set()
+
+    world.nursery.start_soon(wake_later)
+
+
+def freeze_home(world: World) -> None:
+    """Freeze the key's home and wake it later."""
+    _freeze(world, world.home)
+
+
+def freeze_entry(world: World) -> None:
+    """Freeze the sidecar of the first attempt and wake it later."""
+    _freeze(world, world.entry)
+
+
+def cut_peers(world: World) -> None:
+    """Cut the sidecars from one another."""
+    world.cut = True
+
+
+def lose_replies(world: World) -> None:
+    """Carry calls between sidecars but lose every reply."""
+    world.losing_replies = True
+
+
+def _break_upstreams(fault: str) -> Callable[[World], None]:
+    def strike(world: World) -> None:
+        for sidecar in world.sidecars.values():
+            sidecar.upstream_fault = fault
+
+    return strike
+
+
+def caller_leaves(world: World) -> None:
+    """End the caller's line of the first attempt."""
+    world.attempt.cancel()
+
+
+def drain_entry(world: World) -> None:
+    """Let operators drain the upstream of the first attempt."""
+    sidecar = world.sidecars.get(world.entry)
+    if sidecar is not None:
+        drained = view(revision=2, drained=True)
+        context.update_view(sidecar.state, drained, now=trio.current_time())
+
+
+def take_domain_out(world: World) -> None:
+    """Take out the failure domain of the sidecar of the first attempt."""
+    sidecar = world.sidecars.get(world.entry)
+    if sidecar is not None:
+        out = view(revision=3, domain_in=False)
+        context.update_view(sidecar.state, out, now=trio.current_time())
+
+
+def stop_entry(world: World) -> None:
+    """Begin a planned stop of the sidecar of the first attempt."""
+    sidecar = world.sidecars.get(world.entry)
+    if sidecar is not None:
+        sidecar.state.stopping = True
+
+
+def rotate_keys(world: World) -> None:
+    """Make another key current everywhere."""
+    for sidecar in world.sidecars.values():
+        sidecar.state.ring = ring(2)
+
+
+def forget_members(world: World) -> None:
+    """Let every sidecar believe that it is alone."""
+    for sidecar in world.sidecars.values():
+        context.update_siblings(sidecar.state, ())
+
+
+FAULTS: dict[str, Callable[[World], None]] = {
+    "home killed": kill_home,
+    "home restarted": restart_home,
+    "home frozen and woken": freeze_home,
+    "entry killed": kill_entry,
+    "entry frozen and woken": freeze_entry,
+    "sidecars cut from one another": cut_peers,
+    "replies lost": lose_replies,
+    "upstreams cut": _break_upstreams("cut"),
+    "upstreams frozen": _break_upstreams("frozen"),
+    "upstreams shed": _break_upstreams("shed"),
+    "upstreams gone": _break_upstreams("gone"),
+    "caller leaves": caller_leaves,
+    "entry drained": drain_entry,
+    "entry stopping": stop_entry,
+    "failure domain out": take_domain_out,
+    "keys rotated": rotate_keys,
+    "members forgotten": forget_members,
+}
+STEPS = (
+    "idle",
+    "claiming",
+    "claimed",
+    "dispatching",
+    "running",
+    "answered",
+    "settling",
+)
+PAIRED_STEPS = (
+    ("running", "running"),
+    ("claimed", "answered"),
+    ("idle", "settling"),
+    ("dispatching", "running"),
+)
+
+
+# --- Runs -------------------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Told:
+    """What the caller learnt from one attempt."""
+
+    outcome: str
+    """``run``, the outcome of a refusal, or ``lost``."""
+    body: bytes = b""
+
+
+async def attempt(world: World, address: _types.Address, key: str) -> Told:
+    """Send the command once."""
+    request = messages.Request(
+        method="POST",
+        path="/setpoint",
+        headers=(messages.Header(name=b"idempotency-key", value=key.encode()),),
+        body=TOKEN,
+    )
+
+    async def serve(sidecar: Sidecar) -> object:
+        ports = make_ports(world, sidecar)
+        return await requests.handle(sidecar.state, ports, request, service=SERVICE)
+
+    with world.attempt, trio.move_on_after(ATTEMPT_TIMEOUT_SECONDS):
+        try:
+            response = await in_sidecar(world, address, serve)
+        except Lost:
+            return Told(outcome="lost")
+        assert isinstance(response, messages.Response)
+        if response.status == 200:
+            return Told(outcome=_types.Outcome.RUN, body=response.body)
+        return Told(outcome=json.loads(response.body)["outcome"])
+    return Told(outcome="lost")
+
+
+async def run_caller(world: World, key: str, order: list[_types.Address]) -> list[Told]:
+    """Repeat the command at other sidecars until it is answered."""
+    told = []
+    for number in range(ATTEMPTS):
+        world.attempt = trio.CancelScope()
+        told.append(await attempt(world, order[number % len(order)], key))
+        if told[-1].outcome == _types.Outcome.RUN:
+            break
+        await trio.sleep(PAUSE_SECONDS)
+    return told
+
+
+def verdicts(world: World, told: list[Told]) -> Iterator[str]:
+    """Yield a sentence for each broken promise."""
+    if world.executions > 1:
+        yield f"ran {world.executions} times"
+    outcomes = [entry.outcome for entry in told]
+    if set(outcomes) == {_types.Outcome.NOT_RUN} and world.executions:
+        yield "ran although every attempt was told not run"
+    for entry in told:
+        if entry.outcome == _types.Outcome.RUN and entry.body not in world.answers:
+            yield f"got {entry.body!r}, which no upstream answered"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Setting:
+    """How the first attempt meets the pool."""
+
+    entry_is_home: bool
+    entry_is_busy: bool
+    """Whether the entry's own upstream takes no more, so that a sibling runs it."""
+
+
+SETTINGS = tuple(
+    Setting(entry_is_home=is_home, entry_is_busy=is_busy)
+    for is_home, is_busy in itertools.product((True, False), repeat=2)
+)
+
+
+async def scenario(
+    strikes: list[tuple[str, str]], setting: Setting
+) -> tuple[World, list[Told]]:
+    """Run one command under faults, each at its step."""
+    async with trio.open_nursery() as nursery:
+        world = World(nursery)
+        addresses = [
+            _types.Address(f"127.30.0.{number}", 7001) for number in range(SIDECARS)
+        ]
+        for address in addresses:
+            add_sidecar(world, address, generation=1_000)
+        await trio.testing.wait_all_tasks_blocked()
+        spread_members(world)
+        await trio.sleep(START_SECONDS)
+        home = world.sidecars[addresses[0]]
+        ticket = claims.issue(
+            home.state.table,
+            ring(1),
+            home.state.sealed,
+            now=trio.current_time(),
+        )
+        world.home = addresses[0]
+        order = addresses if setting.entry_is_home else [*addresses[1:], addresses[0]]
+        world.entry = order[0]
+        if setting.entry_is_busy:
+            busy = world.sidecars[world.entry].state.admission_state
+            busy.running = POOL.max_running
+        world.pending = [(step, FAULTS[fault]) for fault, step in strikes]
+        world.reach("idle")
+        told = await run_caller(world, f"{ticket}.key", order)
+        nursery.cancel_scope.cancel()
+    return world, told
+
+
+def run(strikes: list[tuple[str, str]], setting: Setting) -> tuple[World, list[Told]]:
+    """Run a scenario on a clock that jumps over waits."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    results: list[tuple[World, list[Told]]] = []
+
+    async def main() -> None:
+        with contextlib.suppress(trio.Cancelled):
+            results.append(await scenario(strikes, setting))
+
+    trio.run(main, clock=clock)
+    return results[0]
+
+
+@pytest.mark.parametrize("setting", SETTINGS)
+def test_without_a_fault_the_command_runs_once_and_is_answered(
+    setting: Setting,
+) -> None:
+    """The harness itself lets a command through."""
+    world, told = run([], setting)
+    assert [entry.outcome for entry in told] == [_types.Outcome.RUN]
+    assert world.executions == 1
+
+
+def _proofs(fault: str, step: str) -> list[pytest.MarkDecorator]:
+    return [
+        pytest.mark.proof(promise=promise, fault=fault, step=step)
+        for promise in (5, 6, 7)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("fault", "step"),
+    [
+        pytest.param(fault, step, marks=_proofs(fault, step))
+        for fault, step in itertools.product(FAULTS, STEPS)
+    ],
+)
+def test_one_fault_at_one_step(fault: str, step: str) -> None:
+    """Whatever strikes, the command runs at most once and no answer is untrue."""
+    for setting in SETTINGS:
+        world, told = run([(fault, step)], setting)
+        assert list(verdicts(world, told)) == [], (setting, told)
+
+
+@pytest.mark.parametrize("first", FAULTS)
+@pytest.mark.parametrize("second", FAULTS)
+def test_two_faults_together_and_in_turn(first: str, second: str) -> None:
+    """Pairs of faults, at one step and at two."""
+    for setting, steps in itertools.product(SETTINGS[2:], PAIRED_STEPS):
+        strikes = [(first, steps[0]), (second, steps[1])]
+        world, told = run(strikes, setting)
+        assert list(verdicts(world, told)) == [], (setting, steps, told)
