Let stand-in callers change their source port

Lines follow the new address and answers under way reach it. The pump task changes the socket itself: a trial in which another task closed it raced with a wake-up.

--- a/plantainproxy/sidecar/tests/test_lines.py
+++ b/plantainproxy/sidecar/tests/test_lines.py
@@ -228,6 +228,27 @@
     run(main)
 
 
+def test_lines_follow_callers_that_change_their_address(
+    files: certificates.Files,
+) -> None:
+    """Answers under way reach the new address, and no line breaks."""
+
+    async def slow(event: events.RequestReceived) -> messages.Response:
+        await trio.sleep(0.1)
+        return await handle(event)
+
+    async def main() -> None:
+        async with open_bench(files, sidecar_ports=(ports(handle=slow),)) as bench:
+            report = caller.Report()
+            moving = plan(bench.services[0], seconds=3.0, migrate_seconds=0.4)
+            await caller.hold_lines(moving, report)
+            assert not faults(report)
+            assert report.counts["lines_opened"] == 5
+            assert report.counts["requests"] == report.counts["matches"]
+
+    run(main)
+
+
 def test_nothing_is_accepted_before_a_key_set_is_known(
     files: certificates.Files,
 ) -> None:
--- a/plantainproxy/sidecar/tunnel.py
+++ b/plantainproxy/sidecar/tunnel.py
@@ -39,11 +39,21 @@
 @contextlib.contextmanager
 def open_socket(address: _types.Address) -> Iterator[socket.socket]:
     """Bind the datagram socket and close it in the end."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as bound:
+    with bind(address) as bound:
+        yield bound
+
+
+def bind(address: _types.Address) -> socket.socket:
+    """Make a datagram socket that never blocks."""
+    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
         bound.setblocking(False)
         bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         bound.bind(address)
-        yield bound
+    except OSError:
+        bound.close()
+        raise
+    return bound
 
 
 async def receive_batch(bound: socket.socket) -> list[bytes]:
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -49,6 +49,8 @@
     """Size of the body of a request that must not be repeated."""
     timeout_seconds: float = 5.0
     ping_seconds: float = 5.0
+    migrate_seconds: float = 0.0
+    """How often each line moves to a new source port; 0 for never."""
     open_per_second: float = 200.0
     """How many lines are opened a second at the start."""
     idle_timeout_seconds: float = 30.0
@@ -124,6 +126,8 @@
         """Set by a GOAWAY and by the end of the connection."""
         self.told_to_go = False
         self.was_reset = False
+        self.migrating = False
+        """Whether the next turn of the pump changes the source port."""
         self.waiting: dict[int, trio.Event] = {}
         self.results: dict[int, http3_client.Event] = {}
         self.scope = trio.CancelScope()
@@ -138,8 +142,9 @@
 @contextlib.contextmanager
 def open_connection(plan: Plan) -> Iterator[Connection]:
     """Make a socket and begin a handshake; :func:`pump` carries it on."""
-    source = _types.Address(plan.source_host, 0)
-    with tunnel.open_socket(source) as bound:
+    with contextlib.ExitStack() as stack:
+        source = _types.Address(plan.source_host, 0)
+        bound = stack.enter_context(tunnel.open_socket(source))
         client = http3_client.Http3Client(
             configuration=http3_client.client_configuration(
                 authority_file=plan.authority_file,
@@ -149,12 +154,30 @@
             now=trio.current_time(),
         )
         connection = Connection(bound, client)
-        try:
-            yield connection
-        finally:
-            if not client.closed:
-                client.close()
-                flush(connection)
+        stack.callback(_leave, connection)
+        yield connection
+
+
+def _leave(connection: Connection) -> None:
+    if not connection.closed:
+        connection.client.close()
+        flush(connection)
+    connection.bound.close()
+
+
+def migrate(connection: Connection) -> None:
+    """Move a connection to a new source port, as a rebinding NAT does."""
+    connection.migrating = True
+    connection.scope.cancel()
+
+
+def _rebind(connection: Connection) -> None:
+    connection.migrating = False
+    host, _ = connection.bound.getsockname()
+    connection.bound.close()
+    connection.bound = tunnel.bind(_types.Address(host, 0))
+    connection.client.ping()
+    flush(connection)
 
 
 async def pump(connection: Connection) -> None:
@@ -170,6 +193,8 @@
         timer = connection.client.next_timer()
         if timer is not None and timer <= now:
             connection.client.handle_timer(now)
+        if connection.migrating:
+            _rebind(connection)
         flush(connection)
 
 
@@ -304,6 +329,7 @@
             holder.report.count("lines_opened")
             holder.report.lines_open += 1
             nursery.start_soon(_keep_alive, connection, holder.plan.ping_seconds)
+            nursery.start_soon(_migrate_often, connection, holder.plan.migrate_seconds)
             task_status.started(connection)
             try:
                 await _until_left(connection, holder)
@@ -339,6 +365,12 @@
         flush(connection)
 
 
+async def _migrate_often(connection: Connection, interval_seconds: float) -> None:
+    while interval_seconds > 0 and not connection.closed:
+        await trio.sleep(interval_seconds)
+        migrate(connection)
+
+
 async def _usable(holder: Holder) -> Connection:
     while holder.current is None or holder.current.closed:
         await holder.changed.wait()
