--- /dev/null
+++ b/bench/claims.py
@@ -0,0 +1,170 @@
+"""Cost of granting idempotency keys, at home and from another process.
+
+Run with ``python -m bench.claims``. The table is measured alone; a remote claim is
+measured over gRPC on the loopback interface, with its settling.
+"""
+
+from collections.abc import Callable, Iterator
+from concurrent import futures
+import contextlib
+import json
+import time
+import tracemalloc
+
+import fire
+import grpc
+
+from plantainproxy import _types
+from plantainproxy.config import model
+from plantainproxy.core import claims, tickets
+from plantainproxy.rpc import codec, messages
+from plantainproxy.sidecar import claims as claim_calls
+from plantainproxy.wire import keyring
+
+SERVICE = "bench.Claims"
+HOME = _types.Address("127.0.0.1", 7000)
+RING = keyring.Keyring(
+    model.KeySet(revision=1, current=1, keys=(model.Key(number=1, secret=b"s" * 32),))
+)
+RESPONSE = messages.Response(status=200, body=b"x" * 200)
+REQUEST = messages.Request(method="POST", path="/blade", body=b"x" * 200)
+
+
+def _table(max_entries: int = claims.MAX_ENTRIES) -> claims.Table:
+    return claims.Table(
+        home=HOME, generation=1, tag=tickets.pool_tag("fleet"), max_entries=max_entries
+    )
+
+
+def _microseconds(call: Callable[[int], object], count: int) -> dict[str, float]:
+    wall, cpu = time.perf_counter(), time.process_time()
+    for number in range(count):
+        call(number)
+    wall, cpu = time.perf_counter() - wall, time.process_time() - cpu
+    return {
+        "wall_us": round(wall / count * 1e6, 2),
+        "cpu_us": round(cpu / count * 1e6, 2),
+    }
+
+
+def _claim_request(text: str, number: int) -> messages.ClaimRequest:
+    return messages.ClaimRequest(
+        key=f"{text}.{number}",
+        fingerprint=claim_calls.fingerprint(REQUEST),
+        timeout_milliseconds=1000,
+    )
+
+
+def _settle_request(key: str, grant: int) -> messages.SettleRequest:
+    return messages.SettleRequest(
+        key=key, grant=grant, outcome=_types.Outcome.RUN, response=RESPONSE
+    )
+
+
+def _measure_local(count: int) -> dict[str, float]:
+    table = _table()
+    sealed = claim_calls.Sealed()
+    text = claim_calls.issue(table, RING, sealed, now=0.0)
+
+    def once(number: int) -> None:
+        request = _claim_request(text, number)
+        reply = claim_calls.handle_claim(table, RING, request, now=0.0)
+        assert reply.granted
+        claims.settle(table, _settle_request(request.key, reply.grant))
+
+    return _microseconds(once, count)
+
+
+def _measure_issue(count: int) -> dict[str, float]:
+    table = _table()
+    sealed = claim_calls.Sealed()
+
+    def once(_: int) -> None:
+        claim_calls.issue(table, RING, sealed, now=0.0)
+
+    return _microseconds(once, count)
+
+
+def _measure_memory(count: int) -> float:
+    """Return bytes of one entry with a stored answer of 200 bytes."""
+    table = _table()
+    text = claim_calls.issue(table, RING, claim_calls.Sealed(), now=0.0)
+    tracemalloc.start()
+    for number in range(count):
+        request = _claim_request(text, number)
+        reply = claim_calls.handle_claim(table, RING, request, now=0.0)
+        body = bytes(200)
+        response = messages.Response(status=200, body=body)
+        claims.settle(
+            table,
+            messages.SettleRequest(
+                key=request.key,
+                grant=reply.grant,
+                outcome=_types.Outcome.RUN,
+                response=response,
+            ),
+        )
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return round(held / count, 1)
+
+
+@contextlib.contextmanager
+def _serve(table: claims.Table) -> Iterator[str]:
+    def claim(encoded: bytes, _: grpc.ServicerContext) -> bytes:
+        request = codec.decode(encoded, messages.ClaimRequest)
+        reply = claim_calls.handle_claim(table, RING, request, now=0.0)
+        return codec.encode(reply)
+
+    def settle(encoded: bytes, _: grpc.ServicerContext) -> bytes:
+        request = codec.decode(encoded, messages.SettleRequest)
+        return codec.encode(claim_calls.handle_settle(table, request))
+
+    handlers = {
+        "Claim": grpc.unary_unary_rpc_method_handler(claim),
+        "Settle": grpc.unary_unary_rpc_method_handler(settle),
+    }
+    server = grpc.server(futures.ThreadPoolExecutor(max_workers=2))
+    server.add_generic_rpc_handlers(
+        (grpc.method_handlers_generic_handler(SERVICE, handlers),)
+    )
+    port = server.add_insecure_port("127.0.0.1:0")
+    server.start()
+    try:
+        yield f"127.0.0.1:{port}"
+    finally:
+        server.stop(None).wait()
+
+
+def _measure_remote(count: int) -> dict[str, float]:
+    """Measure claim and settle; the CPU of both ends is in one process."""
+    table = _table()
+    text = claim_calls.issue(table, RING, claim_calls.Sealed(), now=0.0)
+    with _serve(table) as target, grpc.insecure_channel(target) as channel:
+        claim = channel.unary_unary(f"/{SERVICE}/Claim", None, None)
+        settle = channel.unary_unary(f"/{SERVICE}/Settle", None, None)
+
+        def once(number: int) -> None:
+            request = _claim_request(text, number)
+            encoded = claim(codec.encode(request), timeout=5.0)
+            reply = codec.decode(encoded, messages.ClaimReply)
+            assert reply.granted
+            settled = _settle_request(request.key, reply.grant)
+            settle(codec.encode(settled), timeout=5.0)
+
+        return _microseconds(once, count)
+
+
+def main(local: int = 50_000, remote: int = 2_000) -> None:
+    """Print the costs as one JSON object."""
+    result = {
+        "issue_ticket": _measure_issue(local),
+        "local_claim_and_settle": _measure_local(local),
+        "remote_claim_and_settle": _measure_remote(remote),
+        "bytes_an_entry": _measure_memory(local),
+    }
+    print(json.dumps(result, indent=2))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/plantainproxy/sidecar/attempts.py
+++ b/plantainproxy/sidecar/attempts.py
@@ -92,13 +92,27 @@
     now = trio.current_time()
     if now >= job.deadline:
         return refusal(_exceptions.ErrorKind.DEADLINE_EXPIRED)
-    draws = (ports.random(), ports.random())
+    draws = (ports.random(), ports.random(), ports.random())
     placed = _place(state, job, failed, draws=draws, now=now)
     if placed.error is not None:
         return refusal(placed.error)
     if placed.sibling is None:
         return await run_own(state, ports, job)
-    return await _run_sibling(state, ports, job, placed.sibling)
+    ended = await _run_sibling(state, ports, job, placed.sibling)
+    if ended.error in REFUSALS and _own_takes(state, job, failed):
+        return await run_own(state, ports, job)
+    return ended
+
+
+def _own_takes(
+    state: context.State, job: checks.Job, failed: frozenset[_types.Address]
+) -> bool:
+    """Tell whether work that a sibling refused may run here, at no further cost."""
+    now = trio.current_time()
+    own = own_load(state, job.view, job.pool, now=now)
+    if own.draining or state.own in failed:
+        return False
+    return own.admits and now < job.deadline
 
 
 def _place(
@@ -106,7 +120,7 @@
     job: checks.Job,
     failed: frozenset[_types.Address],
     *,
-    draws: tuple[float, float],
+    draws: tuple[float, float, float],
     now: float,
 ) -> placement.Placement:
     """Place a request; where it failed once comes last."""
--- /dev/null
+++ b/plantainproxy/sidecar/tests/test_cold.py
@@ -0,0 +1,56 @@
+"""Cold upstreams under the real pipeline, on a simulated clock."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+import trio.testing
+
+from bench import fleet
+from standins import upstream as standin
+
+SETTINGS = standin.Settings(cold_seconds=3.0, service_seconds=0.05)
+WARM_SECONDS = 12.0
+
+
+def _run(scenario: Callable[[fleet.Fleet], Awaitable[None]]) -> None:
+    async def run() -> None:
+        async with fleet.running(4, SETTINGS, utilisation=0.35, seed=3) as running:
+            await fleet.measure(running, "cold start", WARM_SECONDS)
+            assert fleet.fallen(running) == 0
+            await scenario(running)
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_upstreams_that_return_cold_together_do_not_fall() -> None:
+    """All sidecars send at once, and half of the pool comes back."""
+
+    async def scenario(running: fleet.Fleet) -> None:
+        for up in (False, True):
+            for host in list(running.hosts.values())[:2]:
+                fleet.set_up(host, up=up)
+            fleet.tell_siblings(running)
+            phase = await fleet.measure(running, "returning", 5.0)
+            assert phase.fallen == 0
+            assert phase.cold_peak <= SETTINGS.cold_bears
+
+    _run(scenario)
+
+
+def test_upstream_that_turns_cold_without_warning_recovers() -> None:
+    """It falls once, under what it had; then it gets what a cold one bears."""
+
+    async def scenario(running: fleet.Fleet) -> None:
+        host = next(iter(running.hosts.values()))
+        host.standin.cold_until = trio.current_time() + SETTINGS.cold_seconds
+        phase = await fleet.measure(running, "cold without warning", 1.5)
+        answered = phase.answers["200"]
+        assert answered > 0.9 * phase.answers.total()
+        fell = fleet.fallen(running)
+        served = len(host.standin.executions)
+        assert fell > 0
+        phase = await fleet.measure(running, "recovery", 5.0)
+        assert fleet.fallen(running) == fell
+        assert len(host.standin.executions) > served + 20
+
+    _run(scenario)
