Measure a whole site while a domain moves and parts are replaced

One command runs real processes at the two sites' numbers of hosts and slots, one line in 100, through phases. Latency and counts are cut by phase from callers that run on; running requests come from the upstreams' execution logs, brought to one clock. A broken flow is attributed by decoding the connection ID that it had.

--- a/standins/caller.py
+++ b/standins/caller.py
@@ -99,6 +99,8 @@
         """Refusals by error kind."""
         self.told: dict[str, Told] = {}
         """By token."""
+        self.broken: list[bytes] = []
+        """The connection ID of each broken flow as its peer named itself."""
         self.lines_open = 0
         self.latency = histogram.HdrHistogram(
             1, MAX_LATENCY_MICROSECONDS, LATENCY_DIGITS
@@ -339,6 +341,7 @@
                 await trio.sleep(RECONNECT_SECONDS)
         return
     report.count("broken_flows")
+    report.broken.append(connection.client.peer_connection_id)
     if connection.was_reset:
         report.count("resets")
 
--- a/standins/http3_client.py
+++ b/standins/http3_client.py
@@ -186,6 +186,11 @@
         """Keep the connection from becoming idle."""
         self.quic.send_ping(0)
 
+    @property
+    def peer_connection_id(self) -> bytes:
+        """The connection ID that names the peer at present."""
+        return bytes(self.quic._peer_cid.cid)
+
     def close(self) -> None:
         """Leave; the last datagram waits to be taken."""
         self.quic.close(error_code=h3_connection.ErrorCode.H3_NO_ERROR)
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -366,6 +366,7 @@
 def _counters(state: State) -> dict[str, Any]:
     return {
         "name": state.settings.name,
+        "now": trio.current_time(),
         "running": state.running,
         "most_running": state.most_running,
         "executions": len(state.executions),
--- a/testbed/cluster.py
+++ b/testbed/cluster.py
@@ -107,6 +107,8 @@
             pool.name: _types.Address(self.take_host(), SERVICE_PORT)
             for pool in plan.pools
         }
+        self.store_seen_by: dict[str, _types.Address] = {}
+        """Where single balancers, by host, reach the store through links."""
         self.rpc_seen: dict[_types.Address, _types.Address] = {}
         """Where other processes reach a gRPC address; tests may put links there."""
         self.balancers: list[Balancer] = []
@@ -234,6 +236,7 @@
 ) -> None:
     """Write the settings file of one balancer."""
     path = cluster.directory / f"{balancer.process.name}.toml"
+    store_seen = cluster.store_seen_by.get(balancer.host, cluster.store_seen)
     path.write_text(
         f'domain = "{balancer.domain}"\n'
         f'datagram_address = "{balancer.datagrams}"\n'
@@ -242,7 +245,7 @@
         f"seeds = {_toml_list(cluster.seeds())}\n"
         f"{extra}"
         f"[store]\n"
-        f'address = "{cluster.store_seen}"\n'
+        f'address = "{store_seen}"\n'
         f"call_timeout_seconds = 1.0\n"
         f"watch_rearm_seconds = 5.0\n"
     )
--- /dev/null
+++ b/testbed/experiment.py
@@ -0,0 +1,477 @@
+"""Broken flows, imbalance and quality of service while a site changes under load.
+
+``python -m testbed.experiment --site co-op --scenario domain`` starts a whole site of
+real processes, holds callers' lines open through all phases and prints a table; the
+figures go to ``out/`` as JSON. Scenario ``domain`` takes a failure domain out and back,
+``cold`` restarts its upstreams cold meanwhile, and ``replace`` replaces all balancers
+and the upstreams of one failure domain together. ``bench.baselines`` compares other
+ways to route the packets of established flows.
+"""
+
+import argparse
+from collections.abc import AsyncIterator, Awaitable, Callable
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import time
+from typing import Any
+
+import trio
+
+from plantainproxy import _types
+from plantainproxy.config import keys
+from plantainproxy.rpc import operator_pb2
+from plantainproxy.settings import model as settings_model
+from plantainproxy.store import etcd
+from plantainproxy.wire import connection_id, keyring
+from standins import fault_proxy
+from testbed import cluster as cluster_module
+from testbed import controls, invariants, load, phases, processes, site
+
+LINES_OF_A_HOST = 2_000
+"""Lines of one host at the sites."""
+LINES_SHARE = 100
+"""One line in this many is held here."""
+SERVICE_SECONDS = 0.1
+UTILISATION = 0.4
+"""Share of all slots that run a request on average."""
+POSTS_SHARE = 1 / 3
+OPEN_PER_SECOND = 20.0
+WARM_SECONDS = 14.0
+STEADY_SECONDS = 15.0
+MOVE_SECONDS = 6.0
+OUT_SECONDS = 6.0
+RETURN_SECONDS = 12.0
+REPLACE_SECONDS = 26.0
+COLD_SECONDS = 3.0
+OUTPUT = pathlib.Path("out")
+SCENARIOS = ("domain", "cold", "replace")
+STEADY = "steady"
+
+GOAL_IMBALANCE_STEADY = 1.1
+GOAL_IMBALANCE_RETURN = 1.3
+GOAL_P99_FACTOR = 2.0
+GOAL_CONFIGURATION_SECONDS = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Options:
+    """What one run does."""
+
+    site: str
+    scenario: str
+    seed: int
+    domain: str
+    """The failure domain that leaves."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Experiment:
+    """One run while it goes on."""
+
+    options: Options
+    cluster: cluster_module.Cluster
+    recorder: phases.Recorder
+    store_link: fault_proxy.Link
+    """Between one balancer and the store."""
+    log: invariants.Log = dataclasses.field(default_factory=invariants.Log)
+    runs: list[phases.Run] = dataclasses.field(default_factory=list)
+    configuration_seconds: dict[str, float] = dataclasses.field(default_factory=dict)
+    """Time from a change's proposal until it is in force everywhere, by change."""
+
+
+def plan_of(options: Options) -> site.Site:
+    """Return the site with the upstreams' service time of the experiment."""
+    plan = site.SITES[options.site]
+    pools = tuple(
+        dataclasses.replace(pool, service_seconds=SERVICE_SECONDS)
+        for pool in plan.pools
+    )
+    return dataclasses.replace(plan, pools=pools)
+
+
+def load_plans(plan: site.Site, seed: int) -> dict[str, load.LoadPlan]:
+    """Return the callers of each pool, in proportion to its hosts and slots."""
+    plans = {}
+    for pool in plan.pools:
+        lines = pool.hosts * LINES_OF_A_HOST // LINES_SHARE
+        requests = pool.hosts * pool.slots / SERVICE_SECONDS * UTILISATION
+        plans[pool.name] = load.LoadPlan(
+            lines=lines,
+            gets_per_second=requests / lines * (1 - POSTS_SHARE),
+            posts_per_second=requests / lines * POSTS_SHARE,
+            open_per_second=OPEN_PER_SECOND,
+            seed=seed,
+        )
+    return plans
+
+
+async def _change(
+    experiment: Experiment, name: str, request: operator_pb2.ChangeRequest
+) -> None:
+    """Make one change and measure how long it takes to be in force everywhere."""
+    started = time.monotonic()
+    await cluster_module.propose(experiment.cluster, request, wait=True)
+    elapsed = time.monotonic() - started
+    experiment.configuration_seconds[name] = elapsed
+
+
+async def _set_domain(experiment: Experiment, state: _types.DomainState) -> None:
+    edit = operator_pb2.SetDomain(name=experiment.options.domain, state=state)
+    await _change(
+        experiment, f"domain {state}", operator_pb2.ChangeRequest(set_domain=edit)
+    )
+
+
+@contextlib.asynccontextmanager
+async def _lasting(seconds: float) -> AsyncIterator[None]:
+    """Stay in the block for at least the given time."""
+    ends_at = trio.current_time() + seconds
+    yield
+    await trio.sleep_until(ends_at)
+
+
+async def _change_while_cut(experiment: Experiment) -> None:
+    """Change a pool while one balancer is cut from the store."""
+    pool = experiment.cluster.plan.pools[0]
+    edit = operator_pb2.SetPool(
+        name=pool.name, lines_per_second=pool.lines_per_second + 1
+    )
+    experiment.store_link.cut()
+    await _change(
+        experiment,
+        "one balancer cut from the store",
+        operator_pb2.ChangeRequest(set_pool=edit),
+    )
+    experiment.store_link.mend()
+
+
+async def _keep_log(experiment: Experiment, host: cluster_module.Host) -> None:
+    """Read an upstream's log before its end."""
+    experiment.runs += await phases.read_runs(host)
+    await invariants.read_upstream(experiment.log, host)
+
+
+async def _restart_cold(experiment: Experiment, host: cluster_module.Host) -> None:
+    """Restart an upstream and its sidecar so that the upstream is cold."""
+    await processes.stop(host.sidecar)
+    await _keep_log(experiment, host)
+    await processes.kill(host.upstream)
+    await processes.start(host.upstream)
+    await controls.set_upstream(host, cold_seconds=COLD_SECONDS)
+    await processes.start(host.sidecar)
+
+
+def _leaving_hosts(experiment: Experiment) -> list[cluster_module.Host]:
+    domain = experiment.options.domain
+    return [host for host in experiment.cluster.hosts if host.domain == domain]
+
+
+async def _for_each(
+    items: list[Any], perform: Callable[[Experiment, Any], Awaitable[None]], own: Any
+) -> None:
+    async with trio.open_nursery() as nursery:
+        for item in items:
+            nursery.start_soon(perform, own, item)
+
+
+async def _make_cold(experiment: Experiment, host: cluster_module.Host) -> None:
+    await controls.http(host.upstream_address, "POST", "/standin/cold")
+
+
+async def _move_domain(experiment: Experiment) -> None:
+    """Take a failure domain out and bring it back."""
+    recorder = experiment.recorder
+    hosts = _leaving_hosts(experiment)
+    is_cold = experiment.options.scenario == "cold"
+    with phases.phase(recorder, "leaving", is_out=True):
+        async with _lasting(MOVE_SECONDS):
+            await _set_domain(experiment, _types.DomainState.OUT)
+    with phases.phase(recorder, "out", is_out=True):
+        async with _lasting(OUT_SECONDS):
+            if is_cold:
+                await _for_each(hosts, _restart_cold, experiment)
+                await cluster_module.wait_until_serving(experiment.cluster)
+    if is_cold:
+        await _for_each(hosts, _make_cold, experiment)
+    with phases.phase(recorder, "returning"):
+        async with _lasting(RETURN_SECONDS):
+            await _set_domain(experiment, _types.DomainState.IN)
+
+
+async def _tell_fabric(experiment: Experiment) -> None:
+    """Name the running balancers to the fabric."""
+    present = [
+        (str(balancer.datagrams), str(balancer.health))
+        for balancer in experiment.cluster.balancers
+        if processes.is_running(balancer.process)
+    ]
+    await controls.fabric(experiment.cluster, balancers=present)
+
+
+async def _replace_balancers(experiment: Experiment) -> None:
+    """Start a new balancer for each old one and stop the old one."""
+    cluster = experiment.cluster
+    for old in list(cluster.balancers):
+        new = cluster.add_balancer(old.domain)
+        await cluster_module.start_balancer(cluster, new)
+        await _tell_fabric(experiment)
+        await processes.stop(old.process)
+        await _tell_fabric(experiment)
+
+
+async def _replace_host(experiment: Experiment, old: cluster_module.Host) -> None:
+    """Start a new upstream with its sidecar, then stop the old ones."""
+    cluster = experiment.cluster
+    pool = next(pool for pool in cluster.plan.pools if pool.name == old.pool)
+    new = cluster.add_host(pool, old.domain)
+    await cluster_module.start_host(cluster, new)
+    await processes.stop(old.sidecar)
+    await _keep_log(experiment, old)
+    await processes.kill(old.upstream)
+
+
+async def _replace(experiment: Experiment) -> None:
+    """Replace all balancers and one failure domain's upstreams together."""
+    recorder = experiment.recorder
+    old_hosts = _leaving_hosts(experiment)
+    with phases.phase(recorder, "replacing"):
+        async with _lasting(REPLACE_SECONDS), trio.open_nursery() as nursery:
+            nursery.start_soon(_replace_balancers, experiment)
+            nursery.start_soon(_for_each, old_hosts, _replace_host, experiment)
+    for old in old_hosts:
+        experiment.cluster.hosts.remove(old)
+    with phases.phase(recorder, "after"):
+        await trio.sleep(STEADY_SECONDS / 2)
+
+
+def _seconds(scenario: str) -> float:
+    """Return the least time that all phases of a scenario take together."""
+    if scenario == "replace":
+        return WARM_SECONDS + STEADY_SECONDS * 1.5 + REPLACE_SECONDS + 2
+    moved = MOVE_SECONDS + OUT_SECONDS + RETURN_SECONDS
+    return WARM_SECONDS + STEADY_SECONDS + moved + 4
+
+
+async def _go_through_phases(experiment: Experiment) -> None:
+    recorder = experiment.recorder
+    with phases.phase(recorder, "warm-up"):
+        await trio.sleep(WARM_SECONDS)
+    with phases.phase(recorder, STEADY):
+        async with _lasting(STEADY_SECONDS):
+            await _change_while_cut(experiment)
+    if experiment.options.scenario == "replace":
+        await _replace(experiment)
+    else:
+        await _move_domain(experiment)
+
+
+async def _keyring(cluster: cluster_module.Cluster) -> keyring.Keyring:
+    settings = settings_model.StoreSettings(address=cluster.store_address)
+    async with etcd.open_store(settings) as store:
+        key_set = await keys.read(store, prefix=settings.prefix)
+    if key_set is None:
+        raise RuntimeError("The store holds no key set.")
+    return keyring.Keyring(key_set)
+
+
+def _broken_in_domain(
+    experiment: Experiment, ring: keyring.Keyring, domain: str
+) -> int:
+    """Count broken flows that ended in the failure domain that was taken out."""
+    tunnels = {
+        host.tunnel for host in experiment.cluster.hosts if host.domain == domain
+    }
+    count = 0
+    for report in experiment.recorder.running.reports.values():
+        for named in report.broken:
+            destination = connection_id.decode(ring, named)
+            if destination is None:
+                continue
+            count += connection_id.tunnel_address(destination) in tunnels
+    return count
+
+
+def _phase_result(experiment: Experiment, phase: phases.Phase) -> dict[str, Any]:
+    pools: dict[str, Any] = {}
+    for pool, latency in phase.latency.items():
+        runs = [run for run in experiment.runs if run.pool == pool]
+        averages = phases.running_requests(phase, pool, runs)
+        pools[pool] = {
+            "latency_milliseconds": phases.quantiles(latency),
+            "running": averages,
+            "imbalance": phases.imbalance(averages),
+        }
+    total = phases.merged(list(phase.latency.values()))
+    return {
+        "name": phase.name,
+        "seconds": phase.end - phase.start,
+        "counts": phase.counts,
+        "latency_milliseconds": phases.quantiles(total),
+        "pools": pools,
+    }
+
+
+def _goals(result: dict[str, Any]) -> dict[str, dict[str, Any]]:
+    """Compare the figures with what is wanted."""
+    by_name = {phase["name"]: phase for phase in result["phases"]}
+    steady = by_name[STEADY]
+    others = [
+        phase
+        for phase in result["phases"]
+        if phase["name"] in ("leaving", "out", "returning", "replacing")
+    ]
+    worst = max(phase["latency_milliseconds"]["p99"] for phase in others)
+    ratio = worst / steady["latency_milliseconds"]["p99"]
+
+    def imbalance(name: str) -> float:
+        return float(max(pool["imbalance"] for pool in by_name[name]["pools"].values()))
+
+    figures = {
+        "broken flows outside the domain": (result["broken_elsewhere"], 0),
+        "violations (doubled, crossed, untrue)": (len(result["violations"]), 0),
+        "imbalance steady": (imbalance(STEADY), GOAL_IMBALANCE_STEADY),
+        "p99 moving over steady": (ratio, GOAL_P99_FACTOR),
+        "configuration everywhere, s": (
+            max(result["configuration_seconds"].values()),
+            GOAL_CONFIGURATION_SECONDS,
+        ),
+    }
+    if "returning" in by_name:
+        figures["imbalance returning"] = (
+            imbalance("returning"),
+            GOAL_IMBALANCE_RETURN,
+        )
+    return {
+        name: {"measured": measured, "goal": goal, "met": measured <= goal}
+        for name, (measured, goal) in figures.items()
+    }
+
+
+async def _result(experiment: Experiment, load_average: float) -> dict[str, Any]:
+    for host in experiment.cluster.hosts:
+        await _keep_log(experiment, host)
+    running = experiment.recorder.running
+    ring = await _keyring(experiment.cluster)
+    broken = load.total(running, "broken_flows")
+    in_domain = 0
+    if experiment.options.scenario != "replace":
+        in_domain = _broken_in_domain(experiment, ring, experiment.options.domain)
+    result: dict[str, Any] = {
+        **dataclasses.asdict(experiment.options),
+        "lines_share": f"1 in {LINES_SHARE}",
+        "utilisation": UTILISATION,
+        "load_average_before": load_average,
+        "load_average_after": os.getloadavg()[0],
+        "phases": [
+            _phase_result(experiment, phase) for phase in experiment.recorder.phases
+        ],
+        "broken_in_domain": in_domain,
+        "broken_elsewhere": broken - in_domain,
+        "lost_answers": load.total(running, "timeouts")
+        + load.total(running, "unresolved"),
+        "refusals": load.refusals(running),
+        "violations": invariants.violations(experiment.log, running, log_is_whole=True),
+        "configuration_seconds": experiment.configuration_seconds,
+    }
+    result["goals"] = _goals(result)
+    return result
+
+
+def render(result: dict[str, Any]) -> str:
+    """Return the result as a readable table."""
+    lines = [
+        f"{'phase':10} {'s':>5} {'answers':>8} {'refused':>8} {'broken':>7} "
+        f"{'p50 ms':>8} {'p99 ms':>8} {'p99.9 ms':>9}  imbalance"
+    ]
+    for phase in result["phases"]:
+        latency, counts = phase["latency_milliseconds"], phase["counts"]
+        imbalance = ", ".join(
+            f"{pool} {figures['imbalance']:.2f}"
+            for pool, figures in phase["pools"].items()
+        )
+        lines.append(
+            f"{phase['name']:10} {phase['seconds']:5.1f} {counts['matches']:8} "
+            f"{counts['refusals']:8} {counts['broken_flows']:7} {latency['p50']:8.1f} "
+            f"{latency['p99']:8.1f} {latency['p99.9']:9.1f}  {imbalance}"
+        )
+    lines.append(
+        f"Broken flows: {result['broken_in_domain']} of the domain taken out, "
+        f"{result['broken_elsewhere']} others. Lost answers: "
+        f"{result['lost_answers']}. Refusals: {result['refusals']}."
+    )
+    lines += [
+        f"In force everywhere after {seconds:.2f} s: {name}."
+        for name, seconds in result["configuration_seconds"].items()
+    ]
+    lines += [f"Violation: {violation}" for violation in result["violations"]]
+    for name, goal in result["goals"].items():
+        verdict = "met" if goal["met"] else "MISSED"
+        lines.append(
+            f"{verdict:6} {name}: {goal['measured']:.2f} (goal {goal['goal']})"
+        )
+    return "\n".join(lines)
+
+
+@contextlib.asynccontextmanager
+async def _started(
+    options: Options,
+) -> AsyncIterator[tuple[cluster_module.Cluster, fault_proxy.Link]]:
+    """Start the site with a link between its second balancer and the store."""
+    async with (
+        cluster_module.open_cluster(plan_of(options)) as cluster,
+        fault_proxy.open_tcp_link(cluster.store_address) as link,
+    ):
+        cluster.store_seen_by[cluster.balancers[1].host] = link.address
+        await cluster_module.start(cluster)
+        yield cluster, link
+
+
+async def run(options: Options) -> dict[str, Any]:
+    """Run one experiment and return its figures."""
+    load_average = os.getloadavg()[0]
+    async with _started(options) as (cluster, link):
+        plans = load_plans(cluster.plan, options.seed)
+        seconds = _seconds(options.scenario)
+        async with load.offered_by_pool(cluster, plans, seconds=seconds) as running:
+            experiment = Experiment(
+                options=options,
+                cluster=cluster,
+                recorder=phases.Recorder(cluster, running, options.domain),
+                store_link=link,
+            )
+            await _go_through_phases(experiment)
+        return await _result(experiment, load_average)
+
+
+def write(result: dict[str, Any]) -> pathlib.Path:
+    """Write the result as JSON."""
+    OUTPUT.mkdir(exist_ok=True)
+    name = f"experiment-{result['site']}-{result['scenario']}-{result['seed']}.json"
+    path = OUTPUT / name
+    path.write_text(json.dumps(result, indent=2) + "\n")
+    return path
+
+
+def _parse_options() -> Options:
+    parser = argparse.ArgumentParser(prog="testbed.experiment", description=__doc__)
+    parser.add_argument("--site", choices=sorted(site.SITES), default="co-op")
+    parser.add_argument("--scenario", choices=SCENARIOS, default="domain")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--domain", default="", help="the failure domain that leaves")
+    parsed = vars(parser.parse_args())
+    parsed["domain"] = parsed["domain"] or site.SITES[parsed["site"]].domains[-1]
+    return Options(**parsed)
+
+
+def main() -> None:
+    """Run one experiment."""
+    result = trio.run(run, _parse_options())
+    print(render(result))
+    print(f"Written to {write(result)}.")
+
+
+if __name__ == "__main__":
+    main()
--- a/testbed/load.py
+++ b/testbed/load.py
@@ -57,10 +57,20 @@
 async def offered(
     cluster: cluster_module.Cluster, plan: LoadPlan, *, seconds: float
 ) -> AsyncIterator[Load]:
-    """Run callers on every service meanwhile; wait for their end."""
+    """Run the same callers on every service meanwhile; wait for their end."""
+    plans = dict.fromkeys(cluster.services, plan)
+    async with offered_by_pool(cluster, plans, seconds=seconds) as load:
+        yield load
+
+
+@contextlib.asynccontextmanager
+async def offered_by_pool(
+    cluster: cluster_module.Cluster, plans: Mapping[str, LoadPlan], *, seconds: float
+) -> AsyncIterator[Load]:
+    """Run callers on the service of each pool meanwhile; wait for their end."""
     load = Load()
     async with trio.open_nursery() as nursery:
-        for pool in cluster.services:
+        for pool, plan in plans.items():
             report = load.reports[pool] = caller.Report()
             nursery.start_soon(
                 caller.hold_lines, _caller_plan(cluster, pool, plan, seconds), report
--- /dev/null
+++ b/testbed/tests/test_phases.py
@@ -0,0 +1,59 @@
+"""Tests of what the experiment computes from logs and counts."""
+
+import pytest
+
+from testbed import experiment, phases, site
+
+
+def _phase(serving: tuple[str, ...]) -> phases.Phase:
+    return phases.Phase(
+        name="steady",
+        start=10.0,
+        end=20.0,
+        serving={"fleet-control": serving},
+        latency={},
+        counts={},
+    )
+
+
+def _run(upstream: str, start: float, end: float) -> phases.Run:
+    return phases.Run(upstream=upstream, pool="fleet-control", start=start, end=end)
+
+
+@pytest.mark.parametrize(
+    ("runs", "expected"),
+    [
+        ([], {"a": 0.0, "b": 0.0}),
+        ([_run("a", 10, 15), _run("a", 12, 17)], {"a": 1.0, "b": 0.0}),
+        ([_run("a", 5, 15), _run("b", 19, 25)], {"a": 0.5, "b": 0.1}),
+        ([_run("a", 1, 9), _run("b", 21, 22), _run("c", 10, 20)], {"a": 0, "b": 0}),
+    ],
+)
+def test_running_requests_are_averaged_over_the_phase(
+    runs: list[phases.Run], expected: dict[str, float]
+) -> None:
+    averages = phases.running_requests(_phase(("a", "b")), "fleet-control", runs)
+    assert averages == pytest.approx(expected)
+
+
+@pytest.mark.parametrize(
+    ("averages", "expected"),
+    [({}, 0.0), ({"a": 0.0}, 0.0), ({"a": 1.0, "b": 3.0}, 1.5), ({"a": 2.0}, 1.0)],
+)
+def test_imbalance_is_the_largest_over_the_mean(
+    averages: dict[str, float], expected: float
+) -> None:
+    assert phases.imbalance(averages) == expected
+
+
+@pytest.mark.parametrize("name", ["co-op", "le-guennec"])
+def test_load_fits_the_hosts_and_slots_of_a_site(name: str) -> None:
+    plan = site.SITES[name]
+    for pool, load_plan in zip(
+        plan.pools, experiment.load_plans(plan, seed=1).values(), strict=True
+    ):
+        requests = load_plan.gets_per_second + load_plan.posts_per_second
+        running = load_plan.lines * requests * experiment.SERVICE_SECONDS
+        slots = pool.hosts * pool.slots
+        assert running == pytest.approx(slots * experiment.UTILISATION)
+        assert load_plan.lines == pool.hosts * 20
