Refuse tickets of another pool and answer faults of the program

The home of another pool would have granted the key, or given its own stored answer to the same request of this pool. The test of it fails without the check.

--- a/plantainproxy/sidecar/attempts.py
+++ b/plantainproxy/sidecar/attempts.py
@@ -109,7 +109,7 @@
 ) -> bool:
     """Tell whether work that a sibling refused may run here, at no further cost."""
     now = trio.current_time()
-    own = own_load(state, job.view, job.pool, now=now)
+    own = own_load(state, state.view or job.view, job.pool, now=now)
     if own.draining or state.own in failed:
         return False
     return own.admits and now < job.deadline
@@ -124,7 +124,7 @@
     now: float,
 ) -> placement.Placement:
     """Place a request; where it failed once comes last."""
-    own = own_load(state, job.view, job.pool, now=now)
+    own = own_load(state, state.view or job.view, job.pool, now=now)
     first = own
     if state.own in failed:
         first = dataclasses.replace(own, admits=False)
--- a/plantainproxy/sidecar/requests.py
+++ b/plantainproxy/sidecar/requests.py
@@ -45,7 +45,11 @@
     sidecar gives none itself; the caller's adapter adds ``context.ticket_headers``.
     """
     retry.earn(state.budget)
-    response = await _answer(state, ports, request, service)
+    try:
+        response = await _answer(state, ports, request, service)
+    except Exception:
+        _log.exception("A request failed.")
+        response = problem.response(_exceptions.ErrorKind.INTERNAL)
     if not state.stopping:
         response = _without_ticket(response)
     if request.method == "HEAD":
@@ -105,7 +109,12 @@
 def _ticket(state: context.State, key: str) -> tickets.Ticket:
     if state.ring is None:
         raise _exceptions.PlantainError(_exceptions.ErrorKind.NOT_READY)
-    return tickets.decode(state.ring, key)
+    ticket = tickets.decode(state.ring, key)
+    if ticket.tag != state.table.tag:
+        raise _exceptions.PlantainError(
+            _exceptions.ErrorKind.OUTCOME_UNKNOWN, "the ticket is of another pool"
+        )
+    return ticket
 
 
 async def _run_claimed(
--- a/plantainproxy/sidecar/tests/test_requests.py
+++ b/plantainproxy/sidecar/tests/test_requests.py
@@ -433,6 +433,37 @@
     _run(scenario)
 
 
+def test_key_of_another_pool_never_gets_that_pools_answer() -> None:
+    """Its home would have one stored for the very same request."""
+
+    async def scenario(fleet: Fleet) -> None:
+        request = _request("POST", idempotency_key=_ticket(fleet, 1) + ".k")
+        assert (await fleet.ask(_address(1), request)).status == 200
+        fleet.states[_address(0)].table.tag = tickets.pool_tag("firmware")
+        response = await fleet.ask(_address(0), request)
+        assert _told(response) == ("outcome-unknown", "unknown")
+
+    _run(scenario)
+
+
+def test_fault_of_the_program_is_answered() -> None:
+    """Nobody is left waiting, and nothing is claimed of the outcome."""
+
+    async def scenario(fleet: Fleet) -> None:
+        async def run(request: messages.Request, timeout: float) -> upstream.Result:
+            raise RuntimeError
+
+        state = fleet.states[_address(0)]
+        ports = dataclasses.replace(fleet.ports(_address(0)), run=run)
+        key = _ticket(fleet) + ".k"
+        for request in (_request("POST"), _request("POST", idempotency_key=key)):
+            response = await requests.handle(state, ports, request, service=SERVICE)
+            assert _told(response) == ("internal", "unknown")
+        assert state.admission_state.running == 0
+
+    _run(scenario, sidecars=1)
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_no_loss_doubles_a_key_or_makes_a_refusal_untrue(seed: int) -> None:
     """Callers repeat keys through any sidecar while calls are lost."""
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -334,7 +334,9 @@
         return await _health(state)
     if request.path == "/standin/executions":
         found = [dataclasses.asdict(execution) for execution in state.executions]
-        return Reply(status=200, document={"executions": found})
+        return Reply(
+            status=200, document={"name": state.settings.name, "executions": found}
+        )
     if request.path == "/standin/counters":
         return Reply(status=200, document=_counters(state))
     if request.path == "/standin/settings" and request.method == "POST":
