Wait for the client's side of a finished call in the stop test

Cause: the server's stop returns when the reply is sent; the client's task may get its turn later, and the test read the replies before it did (seen once, load 15 on 10 cores). Ruled out: a lost reply; it arrived each time. Conclusion: the test waits for the reply and still demands exactly one, equal answer.

--- a/plantainproxy/rpc/tests/test_bridge.py
+++ b/plantainproxy/rpc/tests/test_bridge.py
@@ -213,6 +213,7 @@
 
     async def main() -> None:
         started = trio.Event()
+        answered = trio.Event()
         replies: list[Any] = []
 
         async def slow(request: Any) -> messages.PullReply:
@@ -224,10 +225,12 @@
 
             async def record(address: _types.Address) -> None:
                 replies.append(await pull(client, address))
+                answered.set()
 
             async with bridge.serve(ANY, {PULL: slow}, tls=TLS) as address:
                 nursery.start_soon(record, address)
                 await started.wait()
+            await answered.wait()
             assert replies == [messages.PullReply()]
             with pytest.raises(_exceptions.PlantainError):
                 await pull(client, address, timeout=1)
