Serve a small site with fixed addresses for operators

The demo ends by itself and its addresses differ from run to run, so that no document could name them. python -m testbed.serve starts the small site on 127.30.0.x, writes the settings, the configuration and the process ids into one directory and runs until it is interrupted. A fourth balancer is described and known to the fabric, but not started, for the runbook that replaces one.

--- a/testbed/cluster.py
+++ b/testbed/cluster.py
@@ -86,15 +86,25 @@
         return _types.Address(self.host, UPSTREAM_PORT)
 
 
+def free_network() -> str:
+    """Return the first three bytes of addresses that no other cluster uses."""
+    return f"127.{64 + os.getpid() % 128}.{next(_numbers) % 250}"
+
+
 class Cluster:
     """The processes of one site and what is needed to talk to them."""
 
-    def __init__(self, plan: site.Site, directory: pathlib.Path) -> None:
-        """Lay out the site without starting anything."""
+    def __init__(
+        self, plan: site.Site, directory: pathlib.Path, network: str = ""
+    ) -> None:
+        """Lay out the site without starting anything.
+
+        ``network`` fixes the first three bytes of every address; without it each
+        cluster of each test process gets one of its own.
+        """
         self.plan = plan
         self.directory = directory
-        block = next(_numbers)
-        self.network = f"127.{64 + os.getpid() % 128}.{block % 250}"
+        self.network = network or free_network()
         self.hosts_used = itertools.count(1)
         self.certificates = certificates.write(directory)
         self.store_address = _types.Address(self.take_host(), STORE_PORT)
@@ -279,11 +289,15 @@
     await processes.start(host.sidecar)
 
 
-async def start(cluster: Cluster) -> None:
-    """Start everything, apply the configuration and wait until it serves."""
+async def start(cluster: Cluster, *, spare_balancers: int = 0) -> None:
+    """Start everything, apply the configuration and wait until it serves.
+
+    The last ``spare_balancers`` are known to the fabric and are not started.
+    """
+    started = cluster.balancers[: len(cluster.balancers) - spare_balancers]
     await processes.start(cluster.store)
     async with trio.open_nursery() as nursery:
-        for balancer in cluster.balancers:
+        for balancer in started:
             nursery.start_soon(start_balancer, cluster, balancer)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(processes.start, cluster.fabric)
@@ -304,7 +318,7 @@
     settings = cluster.client_settings()
 
     def run() -> None:
-        changes.propose(settings, request, reason=reason, wait=wait, dry_run=False)
+        changes.propose(settings, request, changes.Options(reason=reason, wait=wait))
 
     await trio.to_thread.run_sync(run)
 
