Carry every command of plantainctl against real processes

Found by running each command against a site and mended: - check FILE needed a balancer and compared instead; it now parses and checks alone. - A key rotation was given its change ID by the balancer, so a lost answer and the next balancer could take two steps. The client chooses the ID, names the revision it saw, and a step is refused while a process lacks the one before. - explain hashed the text of a connection ID in place of its bytes. It now takes both kinds of connection ID, and without one tells each upstream's share. - A seat holder's store failures were not counted, so status told an unreachable store as reachable until its next look. - apply overwrote a change made since the operator looked; it now tells the differences first and is refused when somebody else came between. - audit could not read the trail of the keys nor name its next page. Added: show of one object, domain set and remove, states such as drained and out of service in status, key revisions, seat holders, JSON errors, and help for each command. With the store down a change answers that it is not accepted and what still works.

--- /dev/null
+++ b/plantainproxy/balancer/explanation.py
@@ -0,0 +1,156 @@
+"""What a balancer tells operators of where lines go, and why."""
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.config import model
+from plantainproxy.core import packets, routing, slots
+from plantainproxy.rpc import operator_pb2
+from plantainproxy.wire import connection_id, keyring
+
+
+def explain(
+    state: routing.State,
+    ring: keyring.Keyring | None,
+    request: operator_pb2.ExplainRequest,
+    *,
+    now: float,
+) -> operator_pb2.ExplainReply:
+    """Tell where the lines of a service address go: all, or that of one packet."""
+    configuration = state.configuration
+    if configuration is None or ring is None:
+        raise _exceptions.PlantainError(_exceptions.ErrorKind.NOT_READY)
+    route = _route_of(configuration, request.service)
+    reply = operator_pb2.ExplainReply(route=route.name, pool=route.pool)
+    if not request.flow:
+        reply.reasons.extend(_reasons(configuration, state, route))
+        _add_shares(reply, state.tables[route.pool])
+        return reply
+    flow_key = _flow_key(request.flow)
+    destination = connection_id.decode(ring, flow_key)
+    if destination is None:
+        _explain_opening(reply, configuration, state, route, flow_key, now)
+    else:
+        _explain_established(reply, state, route, destination, flow_key, now)
+    return reply
+
+
+def _route_of(configuration: model.Configuration, service: str) -> model.Route:
+    for route in configuration.routes:
+        if str(route.address) == service:
+            return route
+    raise _exceptions.PlantainError(
+        _exceptions.ErrorKind.NOT_FOUND, f"No route has address {service}."
+    )
+
+
+def _flow_key(text: str) -> bytes:
+    try:
+        return bytes.fromhex(text.removeprefix("0x"))
+    except ValueError:
+        raise _exceptions.PlantainError(
+            _exceptions.ErrorKind.BAD_REQUEST,
+            f"Expected a connection ID in hexadecimal, got {text!r}.",
+        ) from None
+
+
+def _add_shares(reply: operator_pb2.ExplainReply, table: slots.Table) -> None:
+    """Add the share of the slots that each upstream owns."""
+    owned: dict[_types.Address, int] = {}
+    for index in table.owners:
+        if index >= 0:
+            address = table.tunnels[index]
+            owned[address] = owned.get(address, 0) + 1
+    for address, count in sorted(owned.items()):
+        share = count / len(table.owners)
+        reply.shares.append(operator_pb2.Share(upstream=str(address), share=share))
+
+
+def _explain_opening(
+    reply: operator_pb2.ExplainReply,
+    configuration: model.Configuration,
+    state: routing.State,
+    route: model.Route,
+    flow_key: bytes,
+    now: float,
+) -> None:
+    """Follow the first packet of a line through the slot table."""
+    reply.reasons.append("The connection ID names no upstream, so it opens a line.")
+    reply.reasons.extend(_reasons(configuration, state, route))
+    pick = slots.pick(state.tables[route.pool], packets.flow_hash(flow_key), now=now)
+    if pick is None:
+        reply.reasons.append("No upstream is eligible, so the packet is dropped.")
+        return
+    reply.upstream = str(pick.tunnel)
+    reply.reasons.append(f"The line's slot belongs to {pick.tunnel}.")
+    reply.reasons.append(
+        "It may hand the line on to another upstream while it is at its limit."
+    )
+    reply.reasons.extend(
+        f"The slot belonged to {owner} within the last "
+        f"{slots.EARLIER_OWNER_SECONDS:.0f} s, so lines that it opened stay there."
+        for owner in pick.earlier_owners
+    )
+
+
+def _explain_established(
+    reply: operator_pb2.ExplainReply,
+    state: routing.State,
+    route: model.Route,
+    destination: packets.Destination,
+    flow_key: bytes,
+    now: float,
+) -> None:
+    """Follow a packet that names its own upstream."""
+    upstream = connection_id.tunnel_address(destination)
+    reply.reasons.append(f"The connection ID names upstream {upstream}.")
+    packet = packets.Packet(
+        flow_key=flow_key,
+        service=route.address.pack(),
+        opening=False,
+        destination=destination,
+    )
+    match routing.route(state, packet, now=now):
+        case routing.Drop(reason=reason):
+            reply.reasons.append(f"The packet is dropped: {reason}.")
+        case routing.Reset():
+            reply.reasons.append("The line has ended: its caller gets a reset.")
+        case _:
+            reply.upstream = str(upstream)
+            reply.reasons.append("The line is established and its packets go there.")
+
+
+def _reasons(
+    configuration: model.Configuration, state: routing.State, route: model.Route
+) -> list[str]:
+    """Tell which members of the pool are eligible and why the others are not."""
+    records = state.records.get(route.pool, ())
+    eligible = {member.tunnel for member in routing.eligible(configuration, records)}
+    reasons = [
+        f"Route {route.name} leads to pool {route.pool}.",
+        f"{len(eligible)} of {len(records)} known upstreams are eligible.",
+    ]
+    out = {
+        domain.name
+        for domain in configuration.domains
+        if domain.state is _types.DomainState.OUT
+    }
+    for record in records:
+        if record.tunnel in eligible:
+            continue
+        reasons.append(
+            f"{record.tunnel} is not: {_obstacle(record, configuration, out)}."
+        )
+    return reasons
+
+
+def _obstacle(
+    record: _types.MemberRecord, configuration: model.Configuration, out: set[str]
+) -> str:
+    if record.lost:
+        return "it is lost"
+    if record.state is not _types.MemberState.SERVING:
+        return f"it is {record.state}"
+    if record.tunnel in configuration.drained:
+        return "operators drain it"
+    if record.domain in out:
+        return f"failure domain {record.domain} is out"
+    return f"failure domain {record.domain} is not configured"
--- a/plantainproxy/balancer/main.py
+++ b/plantainproxy/balancer/main.py
@@ -6,7 +6,6 @@
 import logging
 import random
 import time
-import uuid
 
 import fire
 import trio
@@ -14,6 +13,7 @@
 from plantainproxy import _lifecycle, _types
 from plantainproxy.balancer import (
     datapath,
+    explanation,
     health,
     observed,
     operations,
@@ -110,15 +110,14 @@
     async def explain(
         request: operator_pb2.ExplainRequest,
     ) -> operator_pb2.ExplainReply:
+        held = parts.datapath
         now = trio.current_time()
-        return observed.explain(parts.datapath.routing, request, now=now)
+        return explanation.explain(held.routing, held.ring, request, now=now)
 
     async def rotate_keys(
         request: operator_pb2.RotateKeysRequest,
     ) -> operator_pb2.RotateKeysReply:
-        return await operations.rotate_keys(
-            parts.access, request, change_id=uuid.uuid4().hex
-        )
+        return await operations.rotate_keys(parts.access, request)
 
     return operator_service.Handlers(
         show=show,
--- a/plantainproxy/balancer/operations.py
+++ b/plantainproxy/balancer/operations.py
@@ -72,6 +72,15 @@
     return edit.undrain(base, upstream)
 
 
+def _with_domain(
+    base: model.Configuration, wanted: operator_pb2.AddDomain
+) -> model.Configuration:
+    """Add a failure domain; one that exists keeps its state."""
+    held = {domain.name: domain for domain in base.domains}
+    domain = held.get(wanted.name, model.Domain(name=wanted.name, number=0))
+    return edit.set_domain(base, dataclasses.replace(domain, number=wanted.number))
+
+
 def _edited(
     base: model.Configuration, request: operator_pb2.ChangeRequest
 ) -> model.Configuration:
@@ -93,6 +102,10 @@
         case "set_domain":
             state = _parse_domain_state(request.set_domain.state)
             return edit.set_domain_state(base, request.set_domain.name, state)
+        case "add_domain":
+            return _with_domain(base, request.add_domain)
+        case "remove_domain":
+            return edit.remove_domain(base, request.remove_domain.name)
         case "set_drained":
             return _edited_drain(base, request.set_drained)
         case "replace_all":
@@ -183,9 +196,10 @@
     query = audit.Query(
         since_seconds=request.since_ms / MILLISECONDS, name=request.object
     )
+    prefix = keys.audit_prefix(access.prefix) if request.keys else access.prefix
     page = await audit.read_page(
         access.store,
-        prefix=access.prefix,
+        prefix=prefix,
         query=query,
         before=request.before_revision,
         limit=min(request.limit or DEFAULT_AUDIT_LIMIT, MAX_AUDIT_LIMIT),
@@ -201,7 +215,7 @@
         )
         for record in page.records
     ]
-    return operator_pb2.AuditReply(entries=entries)
+    return operator_pb2.AuditReply(entries=entries, next_before=page.next_before)
 
 
 def _next_key_step(key_set: model.KeySet) -> tuple[str, model.KeySet]:
@@ -216,26 +230,66 @@
     return "The old keys are dropped.", keys.drop_old(key_set)
 
 
+def _check_expected_keys(
+    held: model.KeySet, request: operator_pb2.RotateKeysRequest
+) -> None:
+    expected = request.expected_key_revision
+    if expected and expected != held.revision:
+        raise _exceptions.PlantainError(
+            _exceptions.ErrorKind.CONFLICT,
+            f"Expected key revision {expected}, but {held.revision} is stored.",
+        )
+
+
+async def _was_taken(access: Access, change_id: str) -> bool:
+    """Tell whether an earlier attempt of this very step was accepted."""
+    prefix = keys.audit_prefix(access.prefix)
+    return (
+        await audit.find_change(access.store, prefix=prefix, change_id=change_id)
+        is not None
+    )
+
+
 async def rotate_keys(
-    access: Access, request: operator_pb2.RotateKeysRequest, *, change_id: str
+    access: Access, request: operator_pb2.RotateKeysRequest
 ) -> operator_pb2.RotateKeysReply:
-    """Take the next step of a key rotation."""
+    """Take the next step of a key rotation, once for each change ID."""
+    if not request.change_id:
+        raise _exceptions.PlantainError(
+            _exceptions.ErrorKind.BAD_REQUEST, "The step carries no change ID."
+        )
     held = await keys.read(access.store, prefix=access.prefix)
     if held is None:
         raise _exceptions.PlantainError(
             _exceptions.ErrorKind.NOT_FOUND, "No key set is stored yet."
         )
+    if await _was_taken(access, request.change_id):
+        await access.offer_keys(held)
+        return operator_pb2.RotateKeysReply(
+            key_revision=held.revision, step="The step was taken already."
+        )
+    _check_expected_keys(held, request)
     sentence, following = _next_key_step(held)
     if request.dry_run:
         return operator_pb2.RotateKeysReply(
             key_revision=held.revision, step=f"Next step: {sentence}"
         )
+
+    def step(base: model.KeySet) -> model.KeySet:
+        if base != held:
+            raise _exceptions.PlantainError(
+                _exceptions.ErrorKind.CONFLICT, "The key set was changed meanwhile."
+            )
+        return following
+
     accepted = await keys.rotate(
         access.store,
         prefix=access.prefix,
-        step=lambda base: following if base == held else _next_key_step(base)[1],
+        step=step,
         author=keys.Author(
-            change_id=change_id, operator=request.operator, reason="rotation"
+            change_id=request.change_id,
+            operator=request.operator,
+            reason=request.reason,
         ),
         now=access.wall_clock(),
     )
--- a/plantainproxy/ctl/changes.py
+++ b/plantainproxy/ctl/changes.py
@@ -1,8 +1,10 @@
-"""The commands that change the configuration."""
+"""Proposing one change, as every command that changes something does."""
 
-from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
 import getpass
 import pathlib
+import sys
 import time
 import uuid
 
@@ -11,7 +13,15 @@
 from plantainproxy.rpc import operator_pb2
 from plantainproxy.settings import model
 
-Apply = Callable[..., render.Result]
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Options:
+    """What an operator says of a change besides the change itself."""
+
+    reason: str = ""
+    wait: bool = False
+    """Return only when the change is in force everywhere."""
+    dry_run: bool = False
 
 
 def operator_name(settings: model.ClientSettings) -> str:
@@ -19,6 +29,12 @@
     return settings.operator or getpass.getuser()
 
 
+def announce(sentences: Sequence[str]) -> None:
+    """Tell what will happen before it does; standard output keeps the result."""
+    for sentence in sentences:
+        print(sentence, file=sys.stderr)
+
+
 def _propose(
     settings: model.ClientSettings, request: operator_pb2.ChangeRequest
 ) -> operator_pb2.ChangeReply:
@@ -28,38 +44,71 @@
         reply: operator_pb2.ChangeReply = stub.Change(request, timeout=timeout_seconds)
         return reply
 
-    return client.call_any(settings, run)
+    try:
+        return client.call_any(settings, run)
+    except _exceptions.PlantainError as error:
+        raise explained(error) from None
+
+
+def explained(error: _exceptions.PlantainError) -> _exceptions.PlantainError:
+    """Add to a failed change what it means and what still works."""
+    if error.kind is _exceptions.ErrorKind.STORE_UNAVAILABLE:
+        advice = f"The change is not accepted. {client.WORKS_WITHOUT_STORE}"
+    elif error.kind is _exceptions.ErrorKind.CHANGE_UNKNOWN:
+        advice = "Look at plantainctl show and audit before trying again."
+    else:
+        return error
+    return _exceptions.PlantainError(error.kind, f"{advice} ({error.detail})")
+
+
+def compare(
+    settings: model.ClientSettings, request: operator_pb2.ChangeRequest
+) -> operator_pb2.ChangeReply:
+    """Ask what a change would make different, without making it."""
+    asked = operator_pb2.ChangeRequest()
+    asked.CopyFrom(request)
+    asked.dry_run = True
+    return _propose(settings, asked)
 
 
 def propose(
     settings: model.ClientSettings,
     request: operator_pb2.ChangeRequest,
-    *,
-    reason: str,
-    wait: bool,
-    dry_run: bool,
+    options: Options,
 ) -> render.Result:
     """Send one change; with ``wait``, return when it is in force everywhere."""
     request.change_id = uuid.uuid4().hex
     request.operator = operator_name(settings)
-    request.reason = reason
-    request.dry_run = dry_run
+    request.reason = options.reason
+    request.dry_run = options.dry_run
     if not request.expected_revision and not request.HasField("replace_all"):
         request.expected_revision = client.show(settings).revision
     started = time.monotonic()
     reply = _propose(settings, request)
     lines = list(reply.differences) or ["No difference."]
-    if dry_run:
+    if options.dry_run:
         lines.append("Dry run: nothing was changed.")
     elif reply.applied:
         lines.append(f"Accepted as revision {reply.revision}.")
-    if wait and reply.applied:
+    if options.wait and not options.dry_run:
         spread.wait_in_force(settings, reply.revision)
         elapsed_seconds = time.monotonic() - started
         lines.append(f"In force everywhere after {elapsed_seconds:.1f} s.")
     return render.Result(
         lines=tuple(lines),
-        fields=(("revision", reply.revision), ("applied", reply.applied)),
+        fields=(
+            ("revision", reply.revision),
+            ("applied", reply.applied),
+            ("differences", list(reply.differences)),
+        ),
+    )
+
+
+def replacing(path: str, *, expect: int) -> operator_pb2.ChangeRequest:
+    """Make the request that replaces the whole configuration by a file."""
+    return operator_pb2.ChangeRequest(
+        expected_revision=expect,
+        replace_all=operator_pb2.ReplaceAll(toml=read_file(path)),
     )
 
 
--- a/plantainproxy/ctl/client.py
+++ b/plantainproxy/ctl/client.py
@@ -14,7 +14,14 @@
 KIND_METADATA = "plantain-kind"
 """Trailing metadata that names the error kind of a failed call."""
 
+WORKS_WITHOUT_STORE = (
+    "Without the store, status, show and explain still work, and the configuration in "
+    "force is served on."
+)
+
 Stub = operator_pb2_grpc.OperatorStub
+ReadSettings = Callable[[], model.ClientSettings]
+"""Reads the settings; a command that asks no balancer never calls it."""
 T = TypeVar("T")
 
 
@@ -22,12 +29,21 @@
     if not tls.certificate_file:
         return None
     return grpc.ssl_channel_credentials(
-        root_certificates=pathlib.Path(tls.authority_file).read_bytes(),
-        private_key=pathlib.Path(tls.private_key_file).read_bytes(),
-        certificate_chain=pathlib.Path(tls.certificate_file).read_bytes(),
+        root_certificates=_read(tls.authority_file),
+        private_key=_read(tls.private_key_file),
+        certificate_chain=_read(tls.certificate_file),
     )
 
 
+def _read(path: str) -> bytes:
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise _exceptions.PlantainError(
+            _exceptions.ErrorKind.INVALID_SETTINGS, f"{path}: {error.strerror}"
+        ) from None
+
+
 @contextlib.contextmanager
 def open_stub(address: _types.Address, tls: model.Tls) -> Iterator[Stub]:
     """Yield a stub for one balancer and close its channel afterwards."""
@@ -52,7 +68,10 @@
     kind = kinds[0] if kinds else ""
     if kind in set(_exceptions.ErrorKind):
         return _exceptions.PlantainError(_exceptions.ErrorKind(kind), detail)
-    return _exceptions.PlantainError(_exceptions.ErrorKind.PEER_UNAVAILABLE, detail)
+    code = error.code().name.lower().replace("_", " ")
+    return _exceptions.PlantainError(
+        _exceptions.ErrorKind.PEER_UNAVAILABLE, f"{code}: {detail}"
+    )
 
 
 def call_one(
--- /dev/null
+++ b/plantainproxy/ctl/configure.py
@@ -0,0 +1,308 @@
+"""The commands that show, check and change the configuration."""
+
+from collections.abc import Callable, Mapping
+import tomllib
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.config import parse
+from plantainproxy.ctl import changes, client, render, spread
+from plantainproxy.rpc import operator_pb2
+from plantainproxy.settings import model
+
+Command = Callable[..., render.Result]
+
+
+def _objects(reply: operator_pb2.ShowReply, table: str) -> list[dict[str, object]]:
+    objects: list[dict[str, object]] = tomllib.loads(reply.toml).get(table, [])
+    return objects
+
+
+def _listing(settings: model.ClientSettings, table: str) -> render.Result:
+    reply = client.show(settings)
+    objects = _objects(reply, table)
+    columns = tuple(dict.fromkeys(key for item in objects for key in item))
+    rows = tuple(tuple(item.get(key, "") for key in columns) for item in objects)
+    return render.Result(
+        columns=columns or ("name",),
+        rows=rows,
+        fields=(("revision", reply.revision),),
+    )
+
+
+def _single(settings: model.ClientSettings, table: str, name: str) -> render.Result:
+    reply = client.show(settings)
+    for item in _objects(reply, table):
+        if item["name"] == name:
+            lines = tuple(f"{key}: {value}" for key, value in item.items())
+            return render.Result(
+                lines=lines, fields=(("revision", reply.revision), *item.items())
+            )
+    raise _exceptions.PlantainError(
+        _exceptions.ErrorKind.NOT_FOUND, f"No entry of {table} is named {name!r}."
+    )
+
+
+def whole_commands(read: client.ReadSettings) -> Mapping[str, Command]:
+    """Return the commands on the configuration as a whole."""
+
+    def show() -> render.Result:
+        """Show the configuration in force as TOML."""
+        reply = client.show(read())
+        return render.Result(
+            lines=(reply.toml.rstrip() or "# revision 0: nothing is configured yet",),
+            fields=(
+                ("revision", reply.revision),
+                ("change_id", reply.change_id),
+                ("configuration", tomllib.loads(reply.toml)),
+            ),
+        )
+
+    def check(file: str) -> render.Result:
+        """Check a TOML file by itself; asks no balancer."""
+        checked = parse.parse(changes.read_file(str(file)), source=str(file))
+        counts = (
+            ("routes", len(checked.routes)),
+            ("pools", len(checked.pools)),
+            ("domains", len(checked.domains)),
+            ("drained", len(checked.drained)),
+        )
+        told = ", ".join(f"{count} {name}" for name, count in counts)
+        return render.Result(lines=(f"{file} is valid: {told}.",), fields=counts)
+
+    def diff(file: str) -> render.Result:
+        """Show how a TOML file differs from the configuration in force."""
+        request = changes.replacing(str(file), expect=0)
+        return changes.propose(read(), request, changes.Options(dry_run=True))
+
+    def apply(
+        file: str,
+        reason: str = "",
+        expect: int = 0,
+        wait: bool = False,
+        dry_run: bool = False,
+    ) -> render.Result:
+        """Replace the whole configuration by a TOML file.
+
+        What differs is told before it is written. A change by somebody else in
+        between is a conflict, and nothing is applied; --expect REVISION asks for the
+        same from an earlier revision on.
+        """
+        settings = read()
+        request = changes.replacing(str(file), expect=expect)
+        options = changes.Options(reason=str(reason), wait=wait, dry_run=dry_run)
+        if dry_run:
+            return changes.propose(settings, request, options)
+        present = changes.compare(settings, request)
+        changes.announce([f"Will change: {line}" for line in present.differences])
+        request.expected_revision = expect or present.revision
+        return changes.propose(settings, request, options)
+
+    return {"show": show, "check": check, "diff": diff, "apply": apply}
+
+
+def route_commands(read: client.ReadSettings) -> Mapping[str, Command]:
+    """Return the commands on routes."""
+
+    def list_all() -> render.Result:
+        """List all routes."""
+        return _listing(read(), "routes")
+
+    def show(name: str) -> render.Result:
+        """Show one route."""
+        return _single(read(), "routes", str(name))
+
+    def set_one(
+        name: str,
+        address: str,
+        pool: str,
+        reason: str = "",
+        wait: bool = False,
+        dry_run: bool = False,
+    ) -> render.Result:
+        """Add a route, or point an existing one at another address or pool."""
+        edit = operator_pb2.SetRoute(
+            name=str(name), address=str(address), pool=str(pool)
+        )
+        options = changes.Options(reason=str(reason), wait=wait, dry_run=dry_run)
+        request = operator_pb2.ChangeRequest(set_route=edit)
+        return changes.propose(read(), request, options)
+
+    def remove(
+        name: str, reason: str = "", wait: bool = False, dry_run: bool = False
+    ) -> render.Result:
+        """Remove a route: its address gets no service, and its lines are closed."""
+        changes.announce(
+            [
+                f"Route {name} goes: its service address gets no answers any more, "
+                "and lines that callers hold to it are closed."
+            ]
+        )
+        edit = operator_pb2.RemoveRoute(name=str(name))
+        options = changes.Options(reason=str(reason), wait=wait, dry_run=dry_run)
+        request = operator_pb2.ChangeRequest(remove_route=edit)
+        return changes.propose(read(), request, options)
+
+    return {"list": list_all, "show": show, "set": set_one, "remove": remove}
+
+
+def pool_commands(read: client.ReadSettings) -> Mapping[str, Command]:
+    """Return the commands on pools."""
+
+    def list_all() -> render.Result:
+        """List all pools."""
+        return _listing(read(), "pools")
+
+    def show(name: str) -> render.Result:
+        """Show one pool."""
+        return _single(read(), "pools", str(name))
+
+    def set_one(
+        name: str,
+        max_running: int = 0,
+        lines_per_second: float = 0.0,
+        reason: str = "",
+        wait: bool = False,
+        dry_run: bool = False,
+    ) -> render.Result:
+        """Add a pool or change its limits; 0 keeps a limit as it is."""
+        edit = operator_pb2.SetPool(
+            name=str(name),
+            max_running=max_running,
+            lines_per_second=lines_per_second,
+        )
+        options = changes.Options(reason=str(reason), wait=wait, dry_run=dry_run)
+        request = operator_pb2.ChangeRequest(set_pool=edit)
+        return changes.propose(read(), request, options)
+
+    def remove(
+        name: str, reason: str = "", wait: bool = False, dry_run: bool = False
+    ) -> render.Result:
+        """Remove a pool that no route uses: its upstreams get no work."""
+        changes.announce([f"Pool {name} goes: its upstreams get no more work."])
+        edit = operator_pb2.RemovePool(name=str(name))
+        options = changes.Options(reason=str(reason), wait=wait, dry_run=dry_run)
+        request = operator_pb2.ChangeRequest(remove_pool=edit)
+        return changes.propose(read(), request, options)
+
+    return {"list": list_all, "show": show, "set": set_one, "remove": remove}
+
+
+def _effect_of_taking_out(settings: model.ClientSettings, name: str) -> str:
+    """Tell what lives in a failure domain that is about to go out."""
+    living = [
+        member
+        for member in spread.members(spread.ask_fleet(settings))
+        if member.domain == name and spread.is_living(member)
+    ]
+    balancers = [one for one in living if one.kind == _types.MemberKind.BALANCER]
+    upstreams = len(living) - len(balancers)
+    return (
+        f"Failure domain {name} goes out: {len(balancers)} balancers leave service, "
+        f"{upstreams} upstreams get no more packets, and the flows that end there "
+        "are lost."
+    )
+
+
+def domain_commands(read: client.ReadSettings) -> Mapping[str, Command]:
+    """Return the commands on failure domains."""
+
+    def list_all() -> render.Result:
+        """List all failure domains and whether they are in or out."""
+        return _listing(read(), "domains")
+
+    def show(name: str) -> render.Result:
+        """Show one failure domain."""
+        return _single(read(), "domains", str(name))
+
+    def set_one(
+        name: str,
+        number: int,
+        reason: str = "",
+        wait: bool = False,
+        dry_run: bool = False,
+    ) -> render.Result:
+        """Add a failure domain; its number never changes afterwards."""
+        edit = operator_pb2.AddDomain(name=str(name), number=number)
+        options = changes.Options(reason=str(reason), wait=wait, dry_run=dry_run)
+        request = operator_pb2.ChangeRequest(add_domain=edit)
+        return changes.propose(read(), request, options)
+
+    def take_out(
+        name: str, reason: str = "", wait: bool = False, dry_run: bool = False
+    ) -> render.Result:
+        """Take a failure domain out: flows that end in it are lost."""
+        settings = read()
+        changes.announce([_effect_of_taking_out(settings, str(name))])
+        edit = operator_pb2.SetDomain(name=str(name), state=_types.DomainState.OUT)
+        options = changes.Options(reason=str(reason), wait=wait, dry_run=dry_run)
+        request = operator_pb2.ChangeRequest(set_domain=edit)
+        return changes.propose(settings, request, options)
+
+    def bring_in(
+        name: str, reason: str = "", wait: bool = False, dry_run: bool = False
+    ) -> render.Result:
+        """Bring a failure domain back in."""
+        edit = operator_pb2.SetDomain(name=str(name), state=_types.DomainState.IN)
+        options = changes.Options(reason=str(reason), wait=wait, dry_run=dry_run)
+        request = operator_pb2.ChangeRequest(set_domain=edit)
+        return changes.propose(read(), request, options)
+
+    def remove(
+        name: str, reason: str = "", wait: bool = False, dry_run: bool = False
+    ) -> render.Result:
+        """Remove a failure domain: flows that end in it are lost."""
+        settings = read()
+        changes.announce([_effect_of_taking_out(settings, str(name))])
+        edit = operator_pb2.RemoveDomain(name=str(name))
+        options = changes.Options(reason=str(reason), wait=wait, dry_run=dry_run)
+        request = operator_pb2.ChangeRequest(remove_domain=edit)
+        return changes.propose(settings, request, options)
+
+    return {
+        "list": list_all,
+        "show": show,
+        "set": set_one,
+        "remove": remove,
+        "out": take_out,
+        "in": bring_in,
+    }
+
+
+def _effect_of_drain(settings: model.ClientSettings, upstream: str) -> str:
+    known = {
+        member.tunnel_address
+        for member in spread.members(spread.ask_fleet(settings))
+        if spread.is_living(member)
+    }
+    if upstream not in known:
+        return f"No running upstream has address {upstream} now."
+    return (
+        f"Upstream {upstream} gets no new lines and no new requests; what runs there "
+        "finishes."
+    )
+
+
+def drain_commands(read: client.ReadSettings) -> Mapping[str, Command]:
+    """Return the commands that stop and resume the work of one upstream."""
+
+    def drain(
+        upstream: str, reason: str = "", wait: bool = False, dry_run: bool = False
+    ) -> render.Result:
+        """Give an upstream no new work; what runs there finishes."""
+        settings = read()
+        changes.announce([_effect_of_drain(settings, str(upstream))])
+        edit = operator_pb2.SetDrained(upstream=str(upstream), drained=True)
+        options = changes.Options(reason=str(reason), wait=wait, dry_run=dry_run)
+        request = operator_pb2.ChangeRequest(set_drained=edit)
+        return changes.propose(settings, request, options)
+
+    def undrain(
+        upstream: str, reason: str = "", wait: bool = False, dry_run: bool = False
+    ) -> render.Result:
+        """Give a drained upstream new work again."""
+        edit = operator_pb2.SetDrained(upstream=str(upstream), drained=False)
+        options = changes.Options(reason=str(reason), wait=wait, dry_run=dry_run)
+        request = operator_pb2.ChangeRequest(set_drained=edit)
+        return changes.propose(read(), request, options)
+
+    return {"drain": drain, "undrain": undrain}
--- a/plantainproxy/ctl/main.py
+++ b/plantainproxy/ctl/main.py
@@ -1,6 +1,6 @@
 """The ``plantainctl`` binary."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 import dataclasses
 import os
 import pathlib
@@ -15,23 +15,28 @@
 SETTINGS_VARIABLE = "PLANTAINCTL_SETTINGS"
 DEFAULT_SETTINGS = "plantainctl.toml"
 OUTPUTS = {"text": render.as_text, "json": render.as_json}
-SUCCESS = 0
+ERRORS = {"text": render.error_as_text, "json": render.error_as_json}
+INTERRUPTED = 130
+"""Exit code after an interrupt from the terminal."""
 
 HELP = """usage: plantainctl [--settings FILE] [--output text|json] COMMAND ...
 
-  show                        the configuration in force
-  check FILE, diff FILE       how a TOML file differs; writes nothing
-  apply FILE                  replace the configuration by a TOML file
-  route list|set|remove       bind service addresses to pools
-  pool list|set|remove        groups of upstreams and their limits
-  domain list|out|in          failure domains
-  drain|undrain UPSTREAM      stop or resume new work on one upstream
-  status                      processes, revisions in force, store health
-  audit                       who changed what, when and why
-  explain SERVICE [FLOW]      where a new flow goes, and why
-  keys rotate                 the next step of a key rotation
+  show                           the configuration in force
+  check FILE                     check a TOML file by itself
+  diff FILE                      how a TOML file differs from what is in force
+  apply FILE                     replace the configuration by a TOML file
+  route list|show|set|remove     bind service addresses to pools
+  pool list|show|set|remove      groups of upstreams and their limits
+  domain list|show|set|remove    failure domains
+  domain out|in                  take a failure domain out, bring it back
+  drain|undrain UPSTREAM         stop or resume new work on one upstream
+  status                         processes, revisions in force, store health
+  audit                          who changed what, when and why
+  explain SERVICE                where lines go, and why
+  keys rotate                    the next step of a key rotation
 
-plantainctl COMMAND --help tells the flags of one command."""
+plantainctl COMMAND --help tells the flags of one command. The settings file is
+--settings, else $PLANTAINCTL_SETTINGS, else plantainctl.toml."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -72,38 +77,62 @@
     )
 
 
-def _load_settings(options: Options) -> model.ClientSettings:
-    return load.load(
-        pathlib.Path(options.settings), model.ClientSettings, check=check.check_client
-    )
+def _settings_of(options: Options) -> Callable[[], model.ClientSettings]:
+    """Read the settings at the first command that needs them."""
+
+    def read() -> model.ClientSettings:
+        return load.load(
+            pathlib.Path(options.settings),
+            model.ClientSettings,
+            check=check.check_client,
+        )
+
+    return read
+
 
+def _fire(
+    command: Callable[..., render.Result], options: Options, words: list[str]
+) -> None:
+    """Let ``fire`` turn the words into the command's arguments and print its result."""
+    try:
+        fire.Fire(
+            command,
+            command=words,
+            name="plantainctl",
+            serialize=OUTPUTS[options.output],
+        )
+    except (TypeError, ValueError) as error:
+        raise _exceptions.PlantainError(
+            _exceptions.ErrorKind.USAGE, f"A value has the wrong type: {error}."
+        ) from None
 
-def run(arguments: Sequence[str]) -> int:
-    """Run one command line and return its exit code."""
-    if not arguments or arguments[0] in (*usage.HELP_FLAGS, "help"):
+
+def run(options: Options) -> None:
+    """Run one command line."""
+    tree = commands.tree(_settings_of(options))
+    if not options.words or options.words[0] in (*usage.HELP_FLAGS, "help"):
         print(HELP)
-        return SUCCESS
-    options = read_options(arguments)
-    tree = commands.tree(_load_settings(options))
+        return
+    if usage.wants_help(options.words):
+        print(usage.help_text(tree, options.words))
+        return
     command, words = usage.find(tree, options.words)
-    usage.check_flags(command, words)
-    fire.Fire(
-        command,
-        command=words,
-        name=f"plantainctl {' '.join(options.words)}".strip(),
-        serialize=OUTPUTS[options.output],
-    )
-    return SUCCESS
+    usage.check_arguments(command, words)
+    _fire(command, options, words)
 
 
 def main() -> None:
     """Run the process's own command line."""
+    output = "text"
     try:
-        code = run(sys.argv[1:])
+        options = read_options(sys.argv[1:])
+        output = options.output
+        run(options)
     except _exceptions.PlantainError as error:
-        print(f"plantainctl: {error}", file=sys.stderr)
+        print(ERRORS[output](error), file=sys.stderr)
         sys.exit(error.answer.exit_code)
-    sys.exit(code)
+    except KeyboardInterrupt:
+        sys.exit(INTERRUPTED)
 
 
 if __name__ == "__main__":
--- a/plantainproxy/ctl/render.py
+++ b/plantainproxy/ctl/render.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from plantainproxy import _exceptions
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Result:
@@ -47,3 +49,21 @@
             dict(zip(result.columns, row, strict=True)) for row in result.rows
         ]
     return msgspec.json.encode(value).decode()
+
+
+def error_as_text(error: _exceptions.PlantainError) -> str:
+    """Render an error for a person."""
+    return f"plantainctl: {error}"
+
+
+def error_as_json(error: _exceptions.PlantainError) -> str:
+    """Render an error as one JSON object."""
+    answer = error.answer
+    value = {
+        "error": error.kind,
+        "title": answer.title,
+        "detail": error.detail,
+        "outcome": answer.outcome,
+        "exit_code": answer.exit_code,
+    }
+    return msgspec.json.encode(value).decode()
--- a/plantainproxy/ctl/spread.py
+++ b/plantainproxy/ctl/spread.py
@@ -1,8 +1,10 @@
 """What is in force where, asked of every balancer."""
 
+from collections.abc import Callable
 import concurrent.futures
 import dataclasses
 import time
+import tomllib
 
 from plantainproxy import _exceptions, _types
 from plantainproxy.ctl import client
@@ -85,17 +87,64 @@
     return seen
 
 
-def lagging(fleet: Fleet, revision: int) -> list[str]:
+def key_revisions(fleet: Fleet) -> dict[str, int]:
+    """Return the revision of the key set on every process by gRPC address."""
+    seen: dict[str, int] = {}
+    for reply in fleet.replies:
+        for sidecar in reply.sidecars:
+            present = seen.get(sidecar.rpc_address, 0)
+            seen[sidecar.rpc_address] = max(present, sidecar.key_revision)
+    seen.update({reply.rpc_address: reply.key_revision for reply in fleet.replies})
+    return seen
+
+
+def members(fleet: Fleet) -> list[operator_pb2.Member]:
+    """Return the newest record of every member, by kind and address.
+
+    Of two records of one sequence the one that is marked lost is newer.
+    """
+    newest: dict[str, operator_pb2.Member] = {}
+    for reply in fleet.replies:
+        for member in reply.members:
+            known = newest.get(member.rpc_address)
+            if known is None or _order(member) > _order(known):
+                newest[member.rpc_address] = member
+    return sorted(newest.values(), key=lambda one: (one.kind, one.rpc_address))
+
+
+def _order(member: operator_pb2.Member) -> tuple[int, int, bool]:
+    return (member.generation_ms, member.sequence, member.lost)
+
+
+def drained(reply: operator_pb2.ShowReply) -> list[str]:
+    """Return the upstreams that operators drain."""
+    addresses: list[str] = tomllib.loads(reply.toml).get("drained", [])
+    return addresses
+
+
+def is_living(member: operator_pb2.Member) -> bool:
+    """Tell whether a member runs as far as its observers know."""
+    return not member.lost and member.state != _types.MemberState.LEFT
+
+
+def lagging(
+    fleet: Fleet, revision: int, *, of: Callable[[Fleet], dict[str, int]] = revisions
+) -> list[str]:
     """Name the processes that do not have a revision in force yet."""
-    behind = [name for name, seen in revisions(fleet).items() if seen < revision]
-    return sorted([*behind, *fleet.silent])
+    behind = {name for name, seen in of(fleet).items() if seen < revision}
+    return sorted(behind | set(fleet.silent))
 
 
-def wait_in_force(settings: model.ClientSettings, revision: int) -> None:
+def wait_in_force(
+    settings: model.ClientSettings,
+    revision: int,
+    *,
+    of: Callable[[Fleet], dict[str, int]] = revisions,
+) -> None:
     """Return when a revision is in force everywhere."""
     limit = time.monotonic() + WAIT_TIMEOUT_SECONDS
     while True:
-        behind = lagging(ask_fleet(settings), revision)
+        behind = lagging(ask_fleet(settings), revision, of=of)
         if not behind:
             return
         if time.monotonic() > limit:
--- a/plantainproxy/ctl/tests/test_usage.py
+++ b/plantainproxy/ctl/tests/test_usage.py
@@ -14,7 +14,7 @@
     [
         (["rout", "list"], "did you mean 'route'?"),
         (["route", "sett"], "did you mean 'set'?"),
-        (["route"], "Expected one of: list, remove, set."),
+        (["route"], "Expected one of: list, remove, set, show."),
         (["drain", "x", "--wiat"], "did you mean '--wait'?"),
         (["audit", "--objct", "x"], "did you mean '--object'?"),
     ],
@@ -22,7 +22,7 @@
 def test_an_unknown_word_names_the_nearest_match(line: list[str], hint: str) -> None:
     """Nothing is sent and the operator learns what was meant."""
     with pytest.raises(_exceptions.PlantainError) as caught:
-        command, words = usage.find(commands.tree(SETTINGS), line)
+        command, words = usage.find(commands.tree(lambda: SETTINGS), line)
         usage.check_flags(command, words)
     assert caught.value.kind is _exceptions.ErrorKind.USAGE
     assert hint in caught.value.detail
--- a/plantainproxy/ctl/usage.py
+++ b/plantainproxy/ctl/usage.py
@@ -54,3 +54,111 @@
         if flag in known or negated in known or flag in HELP_FLAGS:
             continue
         raise _fail(f"Unknown flag {flag!r}: {_nearest(flag, sorted(known))}")
+
+
+def check_arguments(command: Callable[..., Any], words: Sequence[str]) -> None:
+    """Refuse unknown flags and a wrong number of plain arguments."""
+    check_flags(command, words)
+    parameters = inspect.signature(command).parameters
+    required = [one.name for one in parameters.values() if one.default is one.empty]
+    given = {
+        word.partition("=")[0].removeprefix("--").replace("-", "_")
+        for word in words
+        if word.startswith("--")
+    }
+    plain = _plain_words(words, parameters)
+    missing = [name for name in required if name not in given][len(plain) :]
+    if missing:
+        named = " ".join(name.upper() for name in missing)
+        raise _fail(f"The command also needs {named}.")
+    if len(plain) > len(parameters):
+        raise _fail(f"Too many arguments, from {plain[len(parameters)]!r} on.")
+
+
+def _plain_words(
+    words: Sequence[str], parameters: Mapping[str, inspect.Parameter]
+) -> list[str]:
+    """Return the words that are neither a flag nor a flag's value."""
+    plain = []
+    rest = list(words)
+    while rest:
+        word = rest.pop(0)
+        if not word.startswith("--"):
+            plain.append(word)
+            continue
+        name = word.removeprefix("--").replace("-", "_")
+        known = parameters.get(name)
+        if known is not None and not isinstance(known.default, bool) and rest:
+            rest.pop(0)
+    return plain
+
+
+def wants_help(words: Sequence[str]) -> bool:
+    """Tell whether a command line asks for help instead of a run."""
+    return any(word in HELP_FLAGS for word in words)
+
+
+def help_text(tree: Tree, words: Sequence[str]) -> str:
+    """Describe the command or the group of commands that the words name."""
+    path = [word for word in words if word not in HELP_FLAGS]
+    name = "plantainctl"
+    node: Any = tree
+    while isinstance(node, Mapping) and path:
+        word = path.pop(0)
+        if word not in node:
+            nearest = _nearest(word, sorted(node))
+            raise _fail(f"Unknown command {word!r}: {nearest}")
+        name = f"{name} {word}"
+        node = node[word]
+    if isinstance(node, Mapping):
+        return _group_help(name, node)
+    return _command_help(name, node)
+
+
+def _first_line(command: Callable[..., Any]) -> str:
+    return (inspect.getdoc(command) or "").partition("\n")[0]
+
+
+def _group_help(name: str, group: Tree) -> str:
+    lines = [f"usage: {name} COMMAND ...", ""]
+    for word, node in sorted(group.items()):
+        told = _first_line(node) if callable(node) else "a group of commands"
+        lines.append(f"  {word:8} {told}")
+    return "\n".join(lines)
+
+
+def _command_help(name: str, command: Callable[..., Any]) -> str:
+    parameters = inspect.signature(command).parameters.values()
+    required = [one for one in parameters if one.default is one.empty]
+    optional = [one for one in parameters if one.default is not one.empty]
+    words = [one.name.upper() for one in required]
+    flags = [_flag_help(one) for one in optional]
+    usage = " ".join([f"usage: {name}", *words, *(["[FLAGS]"] if flags else [])])
+    lines = [usage, "", inspect.getdoc(command) or ""]
+    if flags:
+        lines += ["", *flags]
+    return "\n".join(lines)
+
+
+FLAG_HELP = {
+    "reason": "why, for the audit trail",
+    "wait": "return only when it is in force everywhere",
+    "dry_run": "tell what would change and change nothing",
+    "expect": "refuse unless this revision is in force",
+    "limit": "most records of one page",
+    "before": "only records below this revision",
+    "since": "only records at or after this time",
+    "object": "only records about the object of this name",
+    "keys": "the trail of key rotations",
+    "flow": "a destination connection ID in hexadecimal",
+    "max_running": "most requests at once on one upstream",
+    "lines_per_second": "most new lines that one warm upstream takes a second",
+}
+"""What each flag means, by the name of its parameter."""
+
+
+def _flag_help(parameter: inspect.Parameter) -> str:
+    flag = "--" + parameter.name.replace("_", "-")
+    if not isinstance(parameter.default, bool):
+        flag = f"{flag} VALUE"
+    return f"  {flag:26} {FLAG_HELP[parameter.name]}"
--- a/plantainproxy/store/seats.py
+++ b/plantainproxy/store/seats.py
@@ -44,7 +44,7 @@
         self.seat: seat_rules.Seat | None = None
         """The seat that is held."""
         self.failures = 0
-        """Looks that failed in a row."""
+        """Looks and renewals that failed in a row."""
 
 
 def is_holder(seats: Seats) -> bool:
@@ -154,8 +154,10 @@
     try:
         existed = await seats.store.keep_lease(seat.lease)
     except _exceptions.PlantainError as error:
+        seats.failures += 1
         logger.info("Renewing the seat failed: %s", error)
         return False
+    seats.failures = 0
     if not existed:
         seats.seat = None
         return False
