Prove TLS with client certificates between real processes

Settings and the bridge supported it, but only in one process with one certificate. tests/test_tls.py runs 2 balancers, 2 sidecars and an operator with certificates of one authority: a change gets in force everywhere, callers are served, and an operator in plaintext or with another authority's certificate is refused. A balancer whose gRPC address is not loopback and that has no certificate ends with the exit code of invalid-settings.

--- a/standins/certificates.py
+++ b/standins/certificates.py
@@ -1,4 +1,4 @@
-"""Self-signed certificates for tests."""
+"""Certificates for tests: self-signed ones, and ones of an authority."""
 
 import datetime
 import ipaddress
@@ -11,6 +11,7 @@
 
 NAME = "plantain.test"
 """The name that the certificates are made out to."""
+AUTHORITY_NAME = "plantain.test authority"
 _LIFETIME = datetime.timedelta(days=30)
 
 
@@ -21,27 +22,85 @@
     private_key: pathlib.Path
 
 
+class Authority(NamedTuple):
+    """What signs the certificates of one test site."""
+
+    certificate: x509.Certificate
+    private_key: ec.EllipticCurvePrivateKey
+    file: pathlib.Path
+
+
 def write(directory: pathlib.Path, *, addresses: tuple[str, ...] = ()) -> Files:
     """Make a self-signed certificate for the test name and the given addresses."""
     key = ec.generate_private_key(ec.SECP256R1())
-    subject = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, NAME)])
+    builder = _builder(NAME, NAME, key, addresses).add_extension(
+        x509.BasicConstraints(ca=True, path_length=0), critical=True
+    )
+    return _write(directory, "", builder.sign(key, hashes.SHA256()), key)
+
+
+def write_authority(directory: pathlib.Path, *, name: str = "authority") -> Authority:
+    """Make an authority and write its certificate."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    builder = _builder(AUTHORITY_NAME, AUTHORITY_NAME, key, ()).add_extension(
+        x509.BasicConstraints(ca=True, path_length=0), critical=True
+    )
+    certificate = builder.sign(key, hashes.SHA256())
+    directory.mkdir(parents=True, exist_ok=True)
+    file = directory / f"{name}.pem"
+    file.write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
+    return Authority(certificate, key, file)
+
+
+def issue(
+    authority: Authority,
+    directory: pathlib.Path,
+    *,
+    name: str,
+    addresses: tuple[str, ...] = (),
+) -> Files:
+    """Make a certificate that the authority has signed, for server and client."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    builder = _builder(name, AUTHORITY_NAME, key, addresses)
+    certificate = builder.sign(authority.private_key, hashes.SHA256())
+    return _write(directory, f"{name}-", certificate, key)
+
+
+def _builder(
+    subject: str,
+    issuer: str,
+    key: ec.EllipticCurvePrivateKey,
+    addresses: tuple[str, ...],
+) -> x509.CertificateBuilder:
     now = datetime.datetime.now(datetime.UTC)
     alternatives: list[x509.GeneralName] = [x509.DNSName(NAME)]
     alternatives += [x509.IPAddress(ipaddress.ip_address(host)) for host in addresses]
-    certificate = (
+    return (
         x509.CertificateBuilder()
-        .subject_name(subject)
-        .issuer_name(subject)
+        .subject_name(_name(subject))
+        .issuer_name(_name(issuer))
         .public_key(key.public_key())
         .serial_number(x509.random_serial_number())
         .not_valid_before(now - datetime.timedelta(hours=1))
         .not_valid_after(now + _LIFETIME)
         .add_extension(x509.SubjectAlternativeName(alternatives), critical=False)
-        .add_extension(x509.BasicConstraints(ca=True, path_length=0), critical=True)
-        .sign(key, hashes.SHA256())
     )
+
+
+def _name(text: str) -> x509.Name:
+    return x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, text)])
+
+
+def _write(
+    directory: pathlib.Path,
+    prefix: str,
+    certificate: x509.Certificate,
+    key: ec.EllipticCurvePrivateKey,
+) -> Files:
     directory.mkdir(parents=True, exist_ok=True)
-    files = Files(directory / "certificate.pem", directory / "private_key.pem")
+    files = Files(
+        directory / f"{prefix}certificate.pem", directory / f"{prefix}private_key.pem"
+    )
     files.certificate.write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
     files.private_key.write_bytes(
         key.private_bytes(
--- a/testbed/cluster.py
+++ b/testbed/cluster.py
@@ -107,6 +107,10 @@
         self.network = network or free_network()
         self.hosts_used = itertools.count(1)
         self.certificates = certificates.write(directory)
+        self.authority: certificates.Authority | None = None
+        """Signs a certificate for every process; plaintext when absent."""
+        self.client_tls = settings_model.Tls()
+        """The certificate of the operators' command line."""
         self.store_address = _types.Address(self.take_host(), STORE_PORT)
         self.store_control = _types.Address(self.store_address.host, CONTROL_PORT)
         self.store_seen = self.store_address
@@ -206,9 +210,21 @@
         return settings_model.ClientSettings(
             balancers=tuple(balancer.rpc for balancer in self.balancers),
             operator="testbed",
+            tls=self.client_tls,
         )
 
 
+def use_tls(cluster: Cluster) -> None:
+    """Let processes and operators prove themselves to one another from now on."""
+    cluster.authority = certificates.write_authority(cluster.directory)
+    files = certificates.issue(cluster.authority, cluster.directory, name="plantainctl")
+    cluster.client_tls = settings_model.Tls(
+        certificate_file=str(files.certificate),
+        private_key_file=str(files.private_key),
+        authority_file=str(cluster.authority.file),
+    )
+
+
 def configuration(cluster: Cluster) -> config_model.Configuration:
     """Return the configuration that fits the site."""
     plan = cluster.plan
@@ -255,6 +271,7 @@
         f'address = "{cluster.store_seen}"\n'
         f"call_timeout_seconds = 1.0\n"
         f"watch_rearm_seconds = 5.0\n"
+        f"{_tls_settings(cluster, balancer.process.name, balancer.host)}"
     )
 
 
@@ -273,6 +290,22 @@
         f'private_key_file = "{cluster.certificates.private_key}"\n'
         f"seeds = {_toml_list(cluster.seeds())}\n"
         f"{extra}"
+        f"{_tls_settings(cluster, name, host.host)}"
+    )
+
+
+def _tls_settings(cluster: Cluster, name: str, host: str) -> str:
+    """Issue a certificate for one instance and name it in its settings."""
+    if cluster.authority is None:
+        return ""
+    files = certificates.issue(
+        cluster.authority, cluster.directory, name=name, addresses=(host,)
+    )
+    return (
+        f"[tls]\n"
+        f'certificate_file = "{files.certificate}"\n'
+        f'private_key_file = "{files.private_key}"\n'
+        f'authority_file = "{cluster.authority.file}"\n'
     )
 
 
--- /dev/null
+++ b/tests/test_tls.py
@@ -0,0 +1,98 @@
+"""TLS with client certificates between all processes and from operators."""
+
+import dataclasses
+import pathlib
+import subprocess
+import sys
+
+import pytest
+import trio
+
+from plantainproxy import _exceptions
+from plantainproxy.ctl import client, spread
+from plantainproxy.rpc import operator_pb2
+from plantainproxy.settings import model
+from standins import certificates
+from testbed import cluster as cluster_module
+from testbed import load, processes, site
+
+HANG_SECONDS = 120
+SECONDS = 2.0
+PLAN = site.Site(
+    domains=("a",),
+    pools=(site.PoolPlan(name="mowers", hosts=2, slots=2),),
+    balancers=2,
+)
+INVALID_SETTINGS = _exceptions.ANSWERS[_exceptions.ErrorKind.INVALID_SETTINGS].exit_code
+
+
+def _stranger(directory: pathlib.Path, trusted: pathlib.Path) -> model.Tls:
+    """Make the certificate of another authority that trusts ours."""
+    other = certificates.write_authority(directory, name="other-authority")
+    files = certificates.issue(other, directory, name="stranger")
+    return model.Tls(
+        certificate_file=str(files.certificate),
+        private_key_file=str(files.private_key),
+        authority_file=str(trusted),
+    )
+
+
+def _assert_refused(settings: model.ClientSettings) -> None:
+    with pytest.raises(_exceptions.PlantainError) as caught:
+        client.show(settings)
+    assert caught.value.kind is _exceptions.ErrorKind.PEER_UNAVAILABLE
+
+
+async def _scenario() -> None:
+    async with cluster_module.open_cluster(PLAN) as cluster:
+        cluster_module.use_tls(cluster)
+        await cluster_module.start(cluster)
+        drained = operator_pb2.SetDrained(
+            upstream=str(cluster.hosts[0].tunnel), drained=True
+        )
+        request = operator_pb2.ChangeRequest(set_drained=drained)
+        await cluster_module.propose(cluster, request, wait=True)
+        plan = load.LoadPlan(lines=2, seed=5)
+        async with load.offered(cluster, plan, seconds=SECONDS) as running:
+            pass
+        assert load.total(running, "matches") > 0
+        known = await cluster_module.fleet(cluster)
+        assert len(known.replies) == PLAN.balancers
+        assert spread.lagging(known, 2) == []
+        settings = cluster.client_settings()
+        assert cluster.authority is not None
+        stranger = _stranger(cluster.directory, cluster.authority.file)
+        for tls in (model.Tls(), stranger):
+            refused = dataclasses.replace(settings, tls=tls, call_timeout_seconds=2.0)
+            await trio.to_thread.run_sync(_assert_refused, refused)
+
+
+def test_processes_and_operators_prove_themselves_by_certificates() -> None:
+    """A site works over TLS; who has no certificate of it is refused."""
+
+    async def guarded() -> None:
+        with trio.fail_after(HANG_SECONDS):
+            await _scenario()
+
+    trio.run(guarded)
+
+
+def test_plaintext_beyond_loopback_is_refused_at_start(tmp_path: pathlib.Path) -> None:
+    """A process without a certificate never listens on another address."""
+    path = tmp_path / "balancer.toml"
+    path.write_text(
+        'domain = "a"\n'
+        'datagram_address = "127.0.0.1:0"\n'
+        'rpc_address = "192.0.2.1:7001"\n'
+        'health_address = "127.0.0.1:0"\n'
+        '[store]\naddress = "127.0.0.1:1"\n'
+    )
+    ended = subprocess.run(
+        [sys.executable, "-m", "plantainproxy.balancer.main", f"--settings={path}"],
+        cwd=processes.ROOT,
+        capture_output=True,
+        text=True,
+        timeout=HANG_SECONDS,
+    )
+    assert ended.returncode == INVALID_SETTINGS
+    assert "192.0.2.1:7001 is not loopback" in ended.stderr
