--- a/plantainproxy/quic/endpoint.py
+++ b/plantainproxy/quic/endpoint.py
@@ -242,6 +242,11 @@
         self._touched[line] = known
         return known.exchange.respond(stream, response)
 
+    def is_busy(self, line: int) -> bool:
+        """Return whether a request of a connection still wants its answer."""
+        known = self.lines.get(line)
+        return known is not None and bool(known.exchange and known.exchange.unanswered)
+
     def go_away(self, line: int, *, final: bool = False) -> None:
         """Tell a caller to open its next connection elsewhere."""
         known = self.lines.get(line)
--- /dev/null
+++ b/plantainproxy/sidecar/line_state.py
@@ -0,0 +1,92 @@
+"""The state of the callers' lines and what they need from the sidecar."""
+
+import collections
+from collections.abc import Awaitable, Callable
+import dataclasses
+import itertools
+import socket
+
+import trio
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.config import model
+from plantainproxy.core import handoff
+from plantainproxy.quic import endpoint, events, stateless_reset
+from plantainproxy.rpc import messages
+from plantainproxy.sidecar import inbox
+from plantainproxy.wire import keyring
+
+INBOX_MESSAGES = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ports:
+    """What the lines need from the rest of the sidecar."""
+
+    handle: Callable[[events.RequestReceived], Awaitable[messages.Response]]
+    """Runs one request; it is cancelled when the caller gives up."""
+    refuse: Callable[[_exceptions.ErrorKind, str], messages.Response]
+    """Makes the response for an error kind and a detail."""
+    extra_headers: Callable[[], tuple[messages.Header, ...]]
+    """Header fields that every response carries."""
+    allow_line: Callable[[float], bool]
+    """Takes one new connection from the admission rate at the given time."""
+
+
+class Lines:
+    """The state of the owner task."""
+
+    def __init__(
+        self,
+        *,
+        bound: socket.socket,
+        own: _types.Address,
+        generation: int,
+        fabric_addresses: tuple[_types.Address, ...],
+        make_endpoint: Callable[
+            [endpoint.Identity, keyring.Keyring], endpoint.Endpoint
+        ],
+        ports: Ports,
+    ) -> None:
+        """Hold what stays; keys and configuration arrive as messages."""
+        self.bound = bound
+        self.own = own
+        self.generation = generation
+        self.fabric_addresses = itertools.cycle(fabric_addresses)
+        self.make_endpoint = make_endpoint
+        self.ports = ports
+        self.send, self.receive = trio.open_memory_channel[inbox.Message](
+            INBOX_MESSAGES
+        )
+        self.counters = inbox.Counters()
+        self.keys: keyring.Keyring | None = None
+        self.view: model.PoolView | None = None
+        self.endpoint: endpoint.Endpoint | None = None
+        self.peers = handoff.Peers(own=own.pack())
+        self.memory = handoff.Memory()
+        self.reset_budget = stateless_reset.ResetBudget()
+        self.draining = False
+        self.stop_at: float | None = None
+        self.final_notice_sent = False
+        self.notices: collections.deque[int] = collections.deque()
+        """Lines whose callers are still to be told to go."""
+        self.notice_at = 0.0
+        self.notice_interval_seconds = 0.0
+        self.closing: dict[int, float] = {}
+        """Latest closing time of each line whose service has left the pool."""
+        self.closing_check_at = 0.0
+        self.running: dict[tuple[int, int], trio.CancelScope] = {}
+        """Scopes of request tasks by line and stream."""
+
+
+def serving(lines: Lines) -> bool:
+    """Return whether new lines may be accepted here."""
+    view = lines.view
+    return (
+        view is not None
+        and view.pool is not None
+        and view.domain_in
+        and not view.drained
+        and not lines.draining
+        and lines.stop_at is None
+    )
--- a/plantainproxy/sidecar/tests/test_lines.py
+++ b/plantainproxy/sidecar/tests/test_lines.py
@@ -15,7 +15,7 @@
 from plantainproxy.config import model
 from plantainproxy.quic import connection, endpoint, events, http3
 from plantainproxy.rpc import messages
-from plantainproxy.sidecar import inbox, lines, tunnel
+from plantainproxy.sidecar import inbox, line_state, lines, tunnel
 from plantainproxy.wire import keyring, proxy
 from plantainproxy.wire import tunnel as tunnel_format
 from standins import caller, certificates, echo, http3_client, quic_pair, relay
@@ -47,9 +47,9 @@
     return certificates.write(tmp_path_factory.mktemp("certificates"))
 
 
-def ports(**changes: object) -> lines.Ports:
+def ports(**changes: object) -> line_state.Ports:
     """Make ports that accept and answer everything."""
-    accepting = lines.Ports(
+    accepting = line_state.Ports(
         handle=handle,
         refuse=refuse,
         extra_headers=lambda: (TICKET,),
@@ -77,7 +77,7 @@
     """Sidecars behind one relay."""
 
     relay: relay.Relay
-    sidecars: list[lines.Lines]
+    sidecars: list[line_state.Lines]
     services: tuple[_types.Address, ...]
 
 
@@ -85,7 +85,7 @@
 async def open_bench(
     files: certificates.Files,
     *,
-    sidecar_ports: tuple[lines.Ports, ...] = (ports(),),
+    sidecar_ports: tuple[line_state.Ports, ...] = (ports(),),
     hosts: tuple[str, ...] = ("127.1.0.1",),
     with_keys: bool = True,
     choice: int = 0,
@@ -105,7 +105,7 @@
             trio.open_nursery() as nursery,
         ):
             sidecars = [
-                lines.Lines(
+                line_state.Lines(
                     bound=bound,
                     own=own,
                     generation=1_000_000,
