Follow the split of the lines' owner in the sidecar's composition

Cause: the owner of the callers' lines was split by job; the daemon named the old module. Ruled out: nothing, a rename.

--- a/plantainproxy/sidecar/main.py
+++ b/plantainproxy/sidecar/main.py
@@ -19,7 +19,15 @@
 from plantainproxy.rpc import bridge, messages, methods
 from plantainproxy.settings import check, load, model
 from plantainproxy.sidecar import claims as claim_calls
-from plantainproxy.sidecar import context, inbox, lines, requests, tunnel, upstream
+from plantainproxy.sidecar import (
+    context,
+    inbox,
+    line_state,
+    lines,
+    requests,
+    tunnel,
+    upstream,
+)
 from plantainproxy.telemetry import logs, metrics
 from plantainproxy.wire import keyring
 
@@ -40,7 +48,7 @@
     announcer: membership.Announcer
     state: context.State
     ports: context.Ports
-    lines: lines.Lines
+    lines: line_state.Lines
 
 
 def _own_record(settings: model.SidecarSettings) -> _types.MemberRecord:
@@ -112,11 +120,11 @@
     )
 
 
-def _line_ports(state: context.State, ports: context.Ports) -> lines.Ports:
+def _line_ports(state: context.State, ports: context.Ports) -> line_state.Ports:
     async def handle(event: events.RequestReceived) -> messages.Response:
         return await requests.handle(state, ports, event.request, service=event.service)
 
-    return lines.Ports(
+    return line_state.Ports(
         handle=handle,
         refuse=problem.response,
         extra_headers=lambda: context.ticket_headers(state),
@@ -128,8 +136,8 @@
     settings: model.SidecarSettings,
     generation: int,
     bound: socket.socket,
-    line_ports: lines.Ports,
-) -> lines.Lines:
+    line_ports: line_state.Ports,
+) -> line_state.Lines:
     configuration = connection.server_configuration(
         certificate_file=settings.certificate_file,
         private_key_file=settings.private_key_file,
@@ -145,7 +153,7 @@
             configuration=configuration, limits=limits, identity=identity, keys=keys
         )
 
-    return lines.Lines(
+    return line_state.Lines(
         bound=bound,
         own=settings.tunnel_address,
         generation=generation,
