Reckon with a balancer's share of the sidecars

Cause: sidecars that called only to find their homes counted as watched, and the asked interval rose to seconds at every start. Conclusion: the interval follows the smaller of the watched members and the share of all sidecars.

--- a/bench/control.py
+++ b/bench/control.py
@@ -36,6 +36,7 @@
 HEARTBEAT_SECONDS = 0.5
 SIDECARS_PER_BALANCER = 6
 """Sidecars that call; with three homes each, about the target's share of 17.6."""
+SEEDS_PER_SIDECAR = 3
 SETTLE_SECONDS = 4.0
 MEASURE_SECONDS = 5.0
 TARGET_BALANCERS = 2_900
@@ -119,7 +120,9 @@
 def make_announcer(
     number: int, pools: int, seeds: list[_types.Address], client: bridge.Client
 ) -> sidecar.Announcer:
-    """Make one sidecar's announcer."""
+    """Make one sidecar's announcer, with a few of the seeds."""
+    start = number % len(seeds)
+    seeds = [*seeds[start:], *seeds[:start]][:SEEDS_PER_SIDECAR]
     return sidecar.Announcer(
         sidecar_record(number, pools),
         client=client,
--- a/plantainproxy/core/membership.py
+++ b/plantainproxy/core/membership.py
@@ -408,10 +408,17 @@
         """Since when so many members are silent that the fault is likely our own."""
 
 
-def wanted_interval(watch: Watch) -> float:
-    """Return the interval that keeps the heartbeats within the bounded rate."""
-    longer = min(len(watch.members) / HEARTBEATS_PER_SECOND, MAX_INTERVAL_SECONDS)
-    return max(watch.interval_seconds, longer)
+def wanted_interval(watch: Watch, table: Table, *, home_count: int) -> float:
+    """Return the interval that keeps the heartbeats within the bounded rate.
+
+    Members that called only to find their homes do not count, so no more than the
+    usual share of all members is reckoned with.
+    """
+    balancers = max(1, len(table.balancers))
+    sidecars = max(0, len(table.records) - len(table.balancers))
+    share = sidecars * min(home_count, balancers) / balancers
+    longer = min(share, len(watch.members)) / HEARTBEATS_PER_SECOND
+    return max(watch.interval_seconds, min(longer, MAX_INTERVAL_SECONDS))
 
 
 def heard(watch: Watch, key: str, *, now: float, interval_seconds: float = 0.0) -> None:
--- a/plantainproxy/core/tests/test_membership.py
+++ b/plantainproxy/core/tests/test_membership.py
@@ -289,7 +289,7 @@
 def test_many_members_are_asked_to_call_less_often() -> None:
     """The rate of heartbeats stays bounded, and the window grows with it."""
     watch, table = watched(60)
-    wanted = membership.wanted_interval(watch)
+    wanted = membership.wanted_interval(watch, table, home_count=3)
     assert wanted == 60 / membership.HEARTBEATS_PER_SECOND
     key = sidecar(0).key
     membership.heard(watch, key, now=0, interval_seconds=wanted)
@@ -299,6 +299,18 @@
     assert lost == [sidecar(0, lost=True)]
 
 
+def test_members_that_look_for_their_homes_do_not_slow_the_others() -> None:
+    """No more than the share of all members by balancers is reckoned with."""
+    watch, table = watched(60)
+    balancers = [
+        dataclasses.replace(sidecar(number), kind=_types.MemberKind.BALANCER, pool="")
+        for number in range(6)
+    ]
+    membership.merge(table, balancers, now=0)
+    wanted = membership.wanted_interval(watch, table, home_count=3)
+    assert wanted == 60 * 3 / 6 / membership.HEARTBEATS_PER_SECOND
+
+
 def test_a_member_with_other_homes_is_not_watched_on() -> None:
     """Silence of a member that has moved to other homes means nothing."""
     watch, table = watched(5)
--- a/plantainproxy/membership/balancer.py
+++ b/plantainproxy/membership/balancer.py
@@ -287,6 +287,12 @@
     return made
 
 
+def _wanted_interval(members: MemberTable) -> float:
+    return membership.wanted_interval(
+        members.watch, members.state.table, home_count=heartbeat.HOME_COUNT
+    )
+
+
 async def _serve_heartbeat(
     members: MemberTable, request: messages.HeartbeatRequest
 ) -> messages.HeartbeatReply:
@@ -309,7 +315,7 @@
             members.watch,
             record.key,
             now=now,
-            interval_seconds=max(announced, membership.wanted_interval(members.watch)),
+            interval_seconds=max(announced, _wanted_interval(members)),
         )
     _note_changed(members, merged.changed, now)
     return _heartbeat_reply(members, request, next(iter(merged.newer), record))
@@ -337,7 +343,7 @@
         siblings=siblings.records if is_new else None,
         siblings_digest=siblings.digest,
         balancers=siblings.balancers if is_new else (),
-        interval_milliseconds=round(membership.wanted_interval(members.watch) * 1_000),
+        interval_milliseconds=round(_wanted_interval(members) * 1_000),
     )
 
 
