--- a/plantainproxy/core/tests/test_routing.py
+++ b/plantainproxy/core/tests/test_routing.py
@@ -144,6 +144,18 @@
     assert routing.route(state, established(MEMBER.tunnel), NOW) == expected
 
 
+def test_members_known_before_the_configuration_count_after_it() -> None:
+    """The order of the first configuration and the first records does not matter."""
+    sidecar = record(1)
+    members = routing.MembersChanged(pool="fleet", records=(sidecar,))
+    configured = routing.ConfigurationChanged(configuration=CONFIGURATION)
+    late = routing.apply(routing.State(), (members,), now=0.0)
+    late = routing.apply(late, (configured,), now=0.0)
+    early = routing.apply(routing.State(), (configured, members), now=0.0)
+    assert late.upstreams == early.upstreams
+    assert late.upstreams.keys() == {sidecar.tunnel.pack()}
+
+
 def test_a_lost_sidecar_keeps_its_flows_for_a_while() -> None:
     """Callers are told after the limit, and not by a balancer that is blind."""
     state = state_with(LOST, now=NOW)
