Send changed records to one peer a round

Cause: under steady churn the calls, not the bytes, cost a balancer its processor time; and members that were only expected lengthened the heartbeat interval. Conclusion: one peer a round; new revisions still go to two.

--- a/plantainproxy/core/gossip.py
+++ b/plantainproxy/core/gossip.py
@@ -16,8 +16,10 @@
 
 BASE_SENDS = 3
 """Sends of one change, besides the logarithm of the number of balancers."""
-FANOUT = 2
-"""Peers that are sent changes in one round."""
+CHANGE_FANOUT = 1
+"""Peers that are sent changed records in one round."""
+REVISION_FANOUT = 2
+"""Peers that are told of new revisions in one round."""
 DIGEST_SECONDS = 1.0
 """Time between digest exchanges."""
 OUTSIDER_SECONDS = 5.0
@@ -276,10 +278,11 @@
     if revisions != state.revisions:
         state.revisions = revisions
         state.revision_calls = sends_per_change(len(state.peers) + 1)
-    if not state.pending and not state.revision_calls:
-        return []
-    state.revision_calls = max(0, state.revision_calls - FANOUT)
-    return rng.sample(state.peers, min(FANOUT, len(state.peers)))
+    fanout = CHANGE_FANOUT if state.pending else 0
+    if state.revision_calls:
+        fanout = REVISION_FANOUT
+        state.revision_calls = max(0, state.revision_calls - fanout)
+    return rng.sample(state.peers, min(fanout, len(state.peers)))
 
 
 def request(
--- a/plantainproxy/core/membership.py
+++ b/plantainproxy/core/membership.py
@@ -417,7 +417,8 @@
     balancers = max(1, len(table.balancers))
     sidecars = max(0, len(table.records) - len(table.balancers))
     share = sidecars * min(home_count, balancers) / balancers
-    longer = min(share, len(watch.members)) / HEARTBEATS_PER_SECOND
+    calling = sum(watched.has_called for watched in watch.members.values())
+    longer = min(share, calling) / HEARTBEATS_PER_SECOND
     return max(watch.interval_seconds, min(longer, MAX_INTERVAL_SECONDS))
 
 
