Close the list of metrics, count refusals by kind, test reload and logs

telemetry/names.py lists every metric with its meaning; tests compare it with the counters of both daemons and with what real daemons send. Added: refusals by error kind, the admission limit, availability, revisions, lagging sidecars, blindness and seat. A response of ours names its error kind (messages.Response.error), so that the sidecar can count it and never takes an upstream's problem document for its own. Gauges of two processes overwrote one another; the instance is now in the name.

On SIGHUP a change of the statsd address was neither taken over nor told, and a second reload no longer told the first one's changes. Now each difference that needs a restart is told by its dotted name at every reload. Broken exchanges and unanswered claims are logged at most once a second (sidecar/upstream.py, sidecar/claims.py).

--- a/plantainproxy/_lifecycle.py
+++ b/plantainproxy/_lifecycle.py
@@ -6,7 +6,7 @@
 import pathlib
 import signal
 import sys
-from typing import NoReturn, TypeVar
+from typing import Any, NoReturn, TypeVar
 
 import trio
 
@@ -16,7 +16,7 @@
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 FORCED_STOP_EXIT_CODE = 1
-RELOADABLE_FIELD = "telemetry"
+RELOADABLE_FIELDS = frozenset({"telemetry.log_level", "telemetry.log_format"})
 
 T = TypeVar("T")
 
@@ -112,28 +112,35 @@
 def reload(running: T, read: Callable[[], T], configure: Callable[[T], None]) -> T:
     """Read the settings again and take over what may change while running.
 
-    Only ``telemetry`` may; every other difference is told and needs a restart.
+    ``configure`` takes over ``RELOADABLE_FIELDS``. Every other difference is told at
+    each reload, needs a restart, and leaves the running value in place.
     """
     try:
         fresh = read()
     except _exceptions.PlantainError as error:
         logger.error("The settings are not reloaded. %s", error)
         return running
+    configure(fresh)
     for name in changed_fields(running, fresh):
-        if name != RELOADABLE_FIELD:
+        if name not in RELOADABLE_FIELDS:
             logger.warning("A change of %s needs a restart.", name)
-    configure(fresh)
     logger.info("The settings are reloaded.")
-    return fresh
-
-
-def changed_fields(running: object, fresh: object) -> list[str]:
-    """Name the top-level settings that differ."""
-    return [
-        field.name
-        for field in dataclasses.fields(running)  # type: ignore[arg-type]
-        if getattr(running, field.name) != getattr(fresh, field.name)
-    ]
+    return running
+
+
+def changed_fields(running: Any, fresh: Any, *, prefix: str = "") -> list[str]:
+    """Return the dotted names of the settings that differ."""
+    changed = []
+    for field in dataclasses.fields(running):
+        before, after = getattr(running, field.name), getattr(fresh, field.name)
+        if before == after:
+            continue
+        name = f"{prefix}{field.name}"
+        if dataclasses.is_dataclass(before) and dataclasses.is_dataclass(after):
+            changed += changed_fields(before, after, prefix=f"{name}.")
+        else:
+            changed.append(name)
+    return changed
 
 
 def settings_path(text: str) -> pathlib.Path:
--- a/plantainproxy/balancer/main.py
+++ b/plantainproxy/balancer/main.py
@@ -1,6 +1,6 @@
 """The ``plantain-balancer`` binary."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 import contextlib
 import dataclasses
 import logging
@@ -33,7 +33,7 @@
 )
 from plantainproxy.settings import check, load, model
 from plantainproxy.store import etcd, port, seat_rules, seats
-from plantainproxy.telemetry import logs, metrics
+from plantainproxy.telemetry import logs, metrics, names
 
 logger = logging.getLogger("plantain.balancer")
 
@@ -342,18 +342,31 @@
     logger.info("Stopped.")
 
 
+def _gauges(parts: Parts) -> Mapping[str, float]:
+    held = parts.holder.held
+    now = trio.current_time()
+    return {
+        "revision": held.configuration_revision,
+        "key_revision": held.key_revision,
+        "lagging_sidecars": observed.lagging(
+            parts.reports, held.configuration_revision, now=now
+        ),
+        "members": len(parts.members.state.table.records),
+        "in_service": _is_in_service(parts),
+        "isolated": membership.is_isolated(parts.members),
+        "blind": membership.is_blind(parts.members),
+        "seat_holder": seats.is_holder(parts.seats),
+        "store_failures": parts.seats.failures,
+    }
+
+
 async def _report_metrics(parts: Parts) -> None:
     await metrics.report(
         parts.settings.telemetry,
-        part="balancer",
+        part=names.Part.BALANCER,
+        instance=parts.settings.rpc_address,
         counters=lambda: observed.counters(parts.datapath.counters),
-        gauges=lambda: {
-            "revision": parts.holder.held.configuration_revision,
-            "members": len(parts.members.state.table.records),
-            "in_service": _is_in_service(parts),
-            "isolated": membership.is_isolated(parts.members),
-            "store_failures": parts.seats.failures,
-        },
+        gauges=lambda: _gauges(parts),
     )
 
 
--- a/plantainproxy/balancer/observed.py
+++ b/plantainproxy/balancer/observed.py
@@ -59,6 +59,14 @@
     ]
 
 
+def lagging(reports: Reports, revision: int, *, now: float) -> int:
+    """Count the sidecars whose fresh report tells an older configuration."""
+    return sum(
+        seen.revision < revision and now - seen.at <= SEEN_SECONDS
+        for seen in reports.by_address.values()
+    )
+
+
 def member(record: _types.MemberRecord) -> operator_pb2.Member:
     """Render one record."""
     return operator_pb2.Member(
--- a/plantainproxy/core/problem.py
+++ b/plantainproxy/core/problem.py
@@ -38,4 +38,5 @@
         status=answer.http_status,
         headers=tuple(headers),
         body=json.dumps(document).encode(),
+        error=kind,
     )
--- a/plantainproxy/rpc/messages.py
+++ b/plantainproxy/rpc/messages.py
@@ -118,6 +118,8 @@
     status: int
     headers: tuple[Header, ...] = ()
     body: bytes = b""
+    error: _exceptions.ErrorKind | None = None
+    """Which refusal of ours it is; absent for an upstream's answer."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/plantainproxy/sidecar/claims.py
+++ b/plantainproxy/sidecar/claims.py
@@ -10,6 +10,7 @@
 from plantainproxy import _exceptions, _types
 from plantainproxy.core import claims, tickets
 from plantainproxy.rpc import messages
+from plantainproxy.telemetry import logs
 from plantainproxy.wire import keyring
 
 SETTLE_ATTEMPTS = 3
@@ -18,6 +19,7 @@
 FINGERPRINT_BYTES = 16
 
 _log = logging.getLogger("plantain.claims")
+_warn = logs.rate_limited(_log)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -81,7 +83,7 @@
     try:
         return await ports.claim(ticket.home, request, timeout_seconds)
     except _exceptions.PlantainError as error:
-        _log.info("The home %s did not answer a claim: %s.", ticket.home, error)
+        _warn("The home %s did not answer a claim: %s.", ticket.home, error)
     return messages.ClaimReply(error=_exceptions.ErrorKind.OUTCOME_UNKNOWN)
 
 
@@ -101,7 +103,7 @@
             await ports.settle(ticket.home, request, SETTLE_TIMEOUT_SECONDS)
             return
         except _exceptions.PlantainError as error:
-            _log.info("The home %s did not settle a key: %s.", ticket.home, error)
+            _warn("The home %s did not settle a key: %s.", ticket.home, error)
         await trio.sleep(SETTLE_PAUSE_SECONDS)
 
 
--- a/plantainproxy/sidecar/main.py
+++ b/plantainproxy/sidecar/main.py
@@ -1,6 +1,7 @@
 """The ``plantain-sidecar`` binary."""
 
-from collections.abc import Awaitable, Callable
+import collections
+from collections.abc import Awaitable, Callable, Mapping
 import dataclasses
 import functools
 import logging
@@ -12,7 +13,7 @@
 import fire
 import trio
 
-from plantainproxy import _lifecycle, _types
+from plantainproxy import _exceptions, _lifecycle, _types
 from plantainproxy.core import admission, claims, problem, tickets
 from plantainproxy.membership import sidecar as membership
 from plantainproxy.quic import connection, endpoint, events, http3
@@ -20,7 +21,7 @@
 from plantainproxy.settings import check, load, model
 from plantainproxy.sidecar import claims as claim_calls
 from plantainproxy.sidecar import context, inbox, lines, requests, tunnel, upstream
-from plantainproxy.telemetry import logs, metrics
+from plantainproxy.telemetry import logs, metrics, names
 from plantainproxy.wire import keyring
 
 logger = logging.getLogger("plantain.sidecar")
@@ -41,6 +42,11 @@
     state: context.State
     ports: context.Ports
     lines: lines.Lines
+    refusals: "Refusals"
+
+
+Refusals = collections.Counter[_exceptions.ErrorKind]
+"""How often callers were answered with each error kind."""
 
 
 def _own_record(settings: model.SidecarSettings) -> _types.MemberRecord:
@@ -112,13 +118,24 @@
     )
 
 
-def _line_ports(state: context.State, ports: context.Ports) -> lines.Ports:
+def _line_ports(
+    state: context.State, ports: context.Ports, refusals: Refusals
+) -> lines.Ports:
     async def handle(event: events.RequestReceived) -> messages.Response:
-        return await requests.handle(state, ports, event.request, service=event.service)
+        response = await requests.handle(
+            state, ports, event.request, service=event.service
+        )
+        if response.error is not None:
+            refusals[response.error] += 1
+        return response
+
+    def refuse(kind: _exceptions.ErrorKind, detail: str) -> messages.Response:
+        refusals[kind] += 1
+        return problem.response(kind, detail)
 
     return lines.Ports(
         handle=handle,
-        refuse=problem.response,
+        refuse=refuse,
         extra_headers=lambda: context.ticket_headers(state),
         allow_line=functools.partial(_allow_line, state),
     )
@@ -203,18 +220,37 @@
     )
 
 
+def _counters(parts: Parts) -> Mapping[str, float]:
+    refusals = {f"refusals.{kind}": count for kind, count in parts.refusals.items()}
+    return {**dataclasses.asdict(parts.lines.counters), **refusals}
+
+
+def _gauges(parts: Parts) -> Mapping[str, float]:
+    state, held = parts.state, parts.lines.endpoint
+    view = state.view
+    max_running = 1 if view is None or view.pool is None else view.pool.max_running
+    limit = admission.limit(
+        state.admission_state, max_running=max_running, now=trio.current_time()
+    )
+    return {
+        "lines": 0 if held is None else len(held.lines),
+        "running": state.admission_state.running,
+        "admission_limit": limit,
+        "available": admission.available(state.admission_state),
+        "claims": len(state.table.entries),
+        "connected": membership.is_connected(parts.announcer),
+        "revision": 0 if view is None else view.revision,
+        "key_revision": 0 if state.ring is None else state.ring.revision,
+    }
+
+
 async def _report_metrics(parts: Parts) -> None:
-    held = parts.lines
     await metrics.report(
         parts.settings.telemetry,
-        part="sidecar",
-        counters=lambda: dataclasses.asdict(held.counters),
-        gauges=lambda: {
-            "lines": len(held.endpoint.lines) if held.endpoint else 0,
-            "running": parts.state.admission_state.running,
-            "claims": len(parts.state.table.entries),
-            "connected": membership.is_connected(parts.announcer),
-        },
+        part=names.Part.SIDECAR,
+        instance=parts.settings.rpc_address,
+        counters=lambda: _counters(parts),
+        gauges=lambda: _gauges(parts),
     )
 
 
@@ -286,15 +322,16 @@
                 interval_seconds=settings.heartbeat_interval_seconds,
                 rng=random.Random(),
             )
+            refusals: Refusals = collections.Counter()
+            line_ports = _line_ports(state, ports, refusals)
             parts = Parts(
                 settings=settings,
                 generation=record.generation,
                 announcer=announcer,
                 state=state,
                 ports=ports,
-                lines=_make_lines(
-                    settings, record.generation, bound, _line_ports(state, ports)
-                ),
+                lines=_make_lines(settings, record.generation, bound, line_ports),
+                refusals=refusals,
             )
             nursery.start_soon(_reload_forever, lifecycle, read)
             await _run_parts(parts, lifecycle, pool)
--- a/plantainproxy/sidecar/upstream.py
+++ b/plantainproxy/sidecar/upstream.py
@@ -18,6 +18,7 @@
 from plantainproxy import _exceptions, _types
 from plantainproxy.core import admission
 from plantainproxy.rpc import messages
+from plantainproxy.telemetry import logs
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 HEALTH_INTERVAL_SECONDS = 1.0
@@ -48,6 +49,7 @@
 REMOVED_RESPONSE_HEADERS = frozenset({NOT_RUN_HEADER, STARTED_HEADER})
 
 _log = logging.getLogger("plantain.upstream")
+_warn = logs.rate_limited(_log)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -357,7 +359,7 @@
     kind = _exceptions.ErrorKind.NO_UPSTREAM
     if progress.sent_bytes:
         kind = _exceptions.ErrorKind.UPSTREAM_FAILED
-    _log.info("An exchange broke after %d bytes: %s.", progress.sent_bytes, detail)
+    _warn("An exchange broke after %d bytes: %s.", progress.sent_bytes, detail)
     return Result(signal=admission.Signal.CONNECTION, error=kind, detail=detail)
 
 
--- a/plantainproxy/telemetry/metrics.py
+++ b/plantainproxy/telemetry/metrics.py
@@ -8,7 +8,9 @@
 import statsd
 import trio
 
+from plantainproxy import _types
 from plantainproxy.settings import model
+from plantainproxy.telemetry import names
 
 PREFIX = "plantain"
 
@@ -36,14 +38,29 @@
             pipeline.gauge(name, value)
 
 
+def instance_prefix(part: names.Part, instance: _types.Address) -> str:
+    """Return what the names of one process begin with."""
+    dotless = str(instance).translate({ord("."): "_", ord(":"): "_"})
+    return f"{PREFIX}.{part}.{dotless}"
+
+
 async def report(
-    telemetry: model.Telemetry, *, part: str, counters: Snapshot, gauges: Snapshot
+    telemetry: model.Telemetry,
+    *,
+    part: names.Part,
+    instance: _types.Address,
+    counters: Snapshot,
+    gauges: Snapshot,
 ) -> None:
-    """Send metrics for ever; return at once when no server is set."""
+    """Send metrics for ever; return at once when no server is set.
+
+    ``instance`` keeps the gauges of several processes apart.
+    """
     if telemetry.statsd_address is None:
         return
     host, port = telemetry.statsd_address
-    client = statsd.StatsClient(host=host, port=port, prefix=f"{PREFIX}.{part}")
+    prefix = instance_prefix(part, instance)
+    client = statsd.StatsClient(host=host, port=port, prefix=prefix)
     previous: dict[str, float] = {}
     with contextlib.closing(client):
         while True:
--- /dev/null
+++ b/plantainproxy/telemetry/tests/test_names.py
@@ -0,0 +1,29 @@
+"""The list of metrics is closed: what the processes count is in it."""
+
+import dataclasses
+
+from plantainproxy import _exceptions
+from plantainproxy.balancer import datapath, observed
+from plantainproxy.core import routing
+from plantainproxy.sidecar import inbox
+from plantainproxy.telemetry import names
+
+
+def test_no_two_metrics_share_a_name() -> None:
+    """A counter and a gauge of one name would overwrite one another."""
+    seen = [(metric.part, metric.name) for metric in names.METRICS]
+    assert len(set(seen)) == len(seen)
+
+
+def test_the_balancers_counters_are_the_listed_ones() -> None:
+    """A counter that nobody can look up is not sent."""
+    counted = frozenset(observed.counters(datapath.Counters()))
+    assert counted == names.names(names.Part.BALANCER, names.Kind.COUNTER)
+    assert set(names.DROPS) == set(routing.DropReason)
+
+
+def test_the_sidecars_counters_are_the_listed_ones() -> None:
+    """Lines, datagrams and every kind of refusal are listed."""
+    counted = {field.name for field in dataclasses.fields(inbox.Counters)}
+    counted |= {f"refusals.{kind}" for kind in _exceptions.ErrorKind}
+    assert counted == names.names(names.Part.SIDECAR, names.Kind.COUNTER)
--- /dev/null
+++ b/plantainproxy/tests/test_lifecycle.py
@@ -0,0 +1,53 @@
+"""A reload takes over what may change and tells the rest."""
+
+import dataclasses
+
+import pytest
+
+from plantainproxy import _exceptions, _lifecycle, _types
+from plantainproxy.settings import model
+
+RUNNING = model.BalancerSettings(
+    domain="a",
+    datagram_address=_types.Address("127.0.0.1", 1),
+    rpc_address=_types.Address("127.0.0.1", 2),
+    health_address=_types.Address("127.0.0.1", 3),
+    store=model.StoreSettings(address=_types.Address("127.0.0.1", 4)),
+)
+
+
+def test_a_reload_names_each_change_that_needs_a_restart(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """The log's level is taken over; other changes are told by their dotted name."""
+    fresh = dataclasses.replace(
+        RUNNING,
+        domain="b",
+        store=dataclasses.replace(RUNNING.store, prefix="other/"),
+        telemetry=model.Telemetry(log_level="ERROR", statsd_interval_seconds=9.0),
+    )
+    taken: list[model.BalancerSettings] = []
+    with caplog.at_level("INFO"):
+        kept = _lifecycle.reload(RUNNING, lambda: fresh, taken.append)
+    assert taken == [fresh]
+    assert kept == RUNNING
+    assert caplog.messages == [
+        "A change of domain needs a restart.",
+        "A change of store.prefix needs a restart.",
+        "A change of telemetry.statsd_interval_seconds needs a restart.",
+        "The settings are reloaded.",
+    ]
+
+
+def test_a_wrong_file_changes_nothing(caplog: pytest.LogCaptureFixture) -> None:
+    """The process goes on with what it has."""
+
+    def read() -> model.BalancerSettings:
+        raise _exceptions.PlantainError(
+            _exceptions.ErrorKind.INVALID_SETTINGS, "b.toml: domain: must not be empty"
+        )
+
+    taken: list[model.BalancerSettings] = []
+    assert _lifecycle.reload(RUNNING, read, taken.append) == RUNNING
+    assert taken == []
+    assert "b.toml: domain: must not be empty" in caplog.text
--- a/testbed/cluster.py
+++ b/testbed/cluster.py
@@ -109,6 +109,8 @@
         self.certificates = certificates.write(directory)
         self.authority: certificates.Authority | None = None
         """Signs a certificate for every process; plaintext when absent."""
+        self.extra_settings = ""
+        """Tables that end the settings file of every process."""
         self.client_tls = settings_model.Tls()
         """The certificate of the operators' command line."""
         self.store_address = _types.Address(self.take_host(), STORE_PORT)
@@ -272,6 +274,7 @@
         f"call_timeout_seconds = 1.0\n"
         f"watch_rearm_seconds = 5.0\n"
         f"{_tls_settings(cluster, balancer.process.name, balancer.host)}"
+        f"{cluster.extra_settings}"
     )
 
 
@@ -291,6 +294,7 @@
         f"seeds = {_toml_list(cluster.seeds())}\n"
         f"{extra}"
         f"{_tls_settings(cluster, name, host.host)}"
+        f"{cluster.extra_settings}"
     )
 
 
