Build the routing state from members that came before the configuration

Cause: since tables of unchanged pools are kept, a first configuration after the members left the upstreams empty, and balancers ended at the first packet table. No unit test had members first; one does now. Seen by the experiment, whose site did not start. The experiment also reports how late its own process wakes, as callers run in it.

--- a/plantainproxy/core/routing.py
+++ b/plantainproxy/core/routing.py
@@ -158,7 +158,7 @@
         changed.update(pool.name for pool in configuration.pools)
     tables = _tables(state.tables, configuration, records, changed, now=now)
     upstreams = state.upstreams
-    if records != state.records:
+    if state.configuration is None or records != state.records:
         upstreams = _upstreams(upstreams, records, now=now)
     return State(
         configuration=configuration,
--- a/plantainproxy/core/tests/test_routing.py
+++ b/plantainproxy/core/tests/test_routing.py
@@ -144,6 +144,17 @@
     assert routing.route(state, established(MEMBER.tunnel), NOW) == expected
 
 
+def test_members_known_before_the_configuration_take_flows() -> None:
+    """The order in which members and the configuration arrive does not matter."""
+    members = routing.MembersChanged(pool="fleet", records=(MEMBER,))
+    known = routing.ConfigurationChanged(configuration=CONFIGURATION)
+    state = routing.apply(routing.State(), [members], now=0.0)
+    state = routing.apply(state, [known], now=1.0)
+    packet = established(MEMBER.tunnel)
+    assert routing.route(state, packet, 2.0) == FORWARD
+    assert packet.destination in routing.destinations(state, SERVICE.pack())
+
+
 def test_a_lost_sidecar_keeps_its_flows_for_a_while() -> None:
     """Callers are told after the limit, and not by a balancer that is blind."""
     state = state_with(LOST, now=NOW)
--- a/testbed/experiment.py
+++ b/testbed/experiment.py
@@ -12,6 +12,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 import contextlib
 import dataclasses
+import gc
 import json
 import os
 import pathlib
@@ -259,6 +260,7 @@
     recorder = experiment.recorder
     with phases.phase(recorder, "warm-up"):
         await trio.sleep(WARM_SECONDS)
+    gc.freeze()
     with phases.phase(recorder, STEADY):
         async with _lasting(STEADY_SECONDS):
             await _change_while_cut(experiment)
@@ -310,6 +312,7 @@
         "seconds": phase.end - phase.start,
         "counts": phase.counts,
         "latency_milliseconds": phases.quantiles(total),
+        "own_lag_milliseconds": phases.quantiles(phase.lag),
         "pools": pools,
     }
 
@@ -384,7 +387,7 @@
     """Return the result as a readable table."""
     lines = [
         f"{'phase':10} {'s':>5} {'answers':>8} {'refused':>8} {'broken':>7} "
-        f"{'p50 ms':>8} {'p99 ms':>8} {'p99.9 ms':>9}  imbalance"
+        f"{'p50 ms':>8} {'p99 ms':>8} {'p99.9 ms':>9} {'own lag p99':>12}  imbalance"
     ]
     for phase in result["phases"]:
         latency, counts = phase["latency_milliseconds"], phase["counts"]
@@ -395,7 +398,8 @@
         lines.append(
             f"{phase['name']:10} {phase['seconds']:5.1f} {counts['matches']:8} "
             f"{counts['refusals']:8} {counts['broken_flows']:7} {latency['p50']:8.1f} "
-            f"{latency['p99']:8.1f} {latency['p99.9']:9.1f}  {imbalance}"
+            f"{latency['p99']:8.1f} {latency['p99.9']:9.1f} "
+            f"{phase['own_lag_milliseconds']['p99']:12.1f}  {imbalance}"
         )
     lines.append(
         f"Broken flows: {result['broken_in_domain']} of the domain taken out, "
@@ -442,7 +446,10 @@
                 recorder=phases.Recorder(cluster, running, options.domain),
                 store_link=link,
             )
-            await _go_through_phases(experiment)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(phases.watch_lag, experiment.recorder)
+                await _go_through_phases(experiment)
+                nursery.cancel_scope.cancel()
         return await _result(experiment, load_average)
 
 
--- a/testbed/phases.py
+++ b/testbed/phases.py
@@ -13,6 +13,7 @@
 
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
 MICROSECONDS_PER_MILLISECOND = 1_000
+LAG_INTERVAL_SECONDS = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -38,6 +39,8 @@
     """By pool, of the answers that came in this phase."""
     counts: Mapping[str, int]
     """What the callers counted in this phase, over all pools."""
+    lag: histogram.HdrHistogram
+    """How late this process itself was, which adds to every latency."""
 
 
 class Recorder:
@@ -51,6 +54,7 @@
         self.running = running
         self.out = out
         self.phases: list[Phase] = []
+        self.lag = _new_histogram()
 
 
 def _counts(running: load.Load) -> dict[str, int]:
@@ -85,6 +89,7 @@
     latency = {pool: _new_histogram() for pool in reports}
     for pool, report in reports.items():
         report.latency = latency[pool]
+    recorder.lag = _new_histogram()
     before = _counts(recorder.running)
     start = trio.current_time()
     yield
@@ -97,10 +102,20 @@
             serving=_serving(recorder, is_out=is_out),
             latency=latency,
             counts={key: after[key] - before[key] for key in after},
+            lag=recorder.lag,
         )
     )
 
 
+async def watch_lag(recorder: Recorder) -> None:
+    """Measure until cancelled how late this process wakes."""
+    while True:
+        due = trio.current_time() + LAG_INTERVAL_SECONDS
+        await trio.sleep_until(due)
+        late = trio.current_time() - due
+        recorder.lag.record_value(max(1, int(late * 1e6)))
+
+
 async def read_runs(host: cluster_module.Host) -> list[Run]:
     """Read what one upstream ran since its start."""
     counters = await controls.upstream_counters(host)
--- a/testbed/tests/test_phases.py
+++ b/testbed/tests/test_phases.py
@@ -13,6 +13,7 @@
         serving={"fleet-control": serving},
         latency={},
         counts={},
+        lag=phases.merged([]),
     )
 
 
