--- a/plantainproxy/core/slots.py
+++ b/plantainproxy/core/slots.py
@@ -19,7 +19,7 @@
 
 EARLIER_OWNERS = 2
 """How many earlier owners a slot remembers."""
-EARLIER_OWNER_SECONDS = 30.0
+EARLIER_OWNER_SECONDS = 5.0
 """How long opening packets still learn of an earlier owner."""
 MAX_SHARE = 1.05
 """Most slots of one member, relative to its weighted share."""
--- a/testbed/cluster.py
+++ b/testbed/cluster.py
@@ -86,17 +86,31 @@
         return _types.Address(self.host, UPSTREAM_PORT)
 
 
+def free_network() -> str:
+    """Return the first three bytes of addresses that no other cluster uses."""
+    return f"127.{64 + os.getpid() % 128}.{next(_numbers) % 250}"
+
+
 class Cluster:
     """The processes of one site and what is needed to talk to them."""
 
-    def __init__(self, plan: site.Site, directory: pathlib.Path) -> None:
-        """Lay out the site without starting anything."""
+    def __init__(
+        self, plan: site.Site, directory: pathlib.Path, network: str = ""
+    ) -> None:
+        """Lay out the site without starting anything.
+
+        ``network`` fixes the first three bytes of every address; without it each
+        cluster of each test process gets one of its own.
+        """
         self.plan = plan
         self.directory = directory
-        block = next(_numbers)
-        self.network = f"127.{64 + os.getpid() % 128}.{block % 250}"
+        self.network = network or free_network()
         self.hosts_used = itertools.count(1)
         self.certificates = certificates.write(directory)
+        self.authority: certificates.Authority | None = None
+        """Signs a certificate for every process; plaintext when absent."""
+        self.client_tls = settings_model.Tls()
+        """The certificate of the operators' command line."""
         self.store_address = _types.Address(self.take_host(), STORE_PORT)
         self.store_control = _types.Address(self.store_address.host, CONTROL_PORT)
         self.store_seen = self.store_address
@@ -198,9 +212,21 @@
         return settings_model.ClientSettings(
             balancers=tuple(balancer.rpc for balancer in self.balancers),
             operator="testbed",
+            tls=self.client_tls,
         )
 
 
+def use_tls(cluster: Cluster) -> None:
+    """Let processes and operators prove themselves to one another from now on."""
+    cluster.authority = certificates.write_authority(cluster.directory)
+    files = certificates.issue(cluster.authority, cluster.directory, name="plantainctl")
+    cluster.client_tls = settings_model.Tls(
+        certificate_file=str(files.certificate),
+        private_key_file=str(files.private_key),
+        authority_file=str(cluster.authority.file),
+    )
+
+
 def configuration(cluster: Cluster) -> config_model.Configuration:
     """Return the configuration that fits the site."""
     plan = cluster.plan
@@ -248,6 +274,7 @@
         f'address = "{store_seen}"\n'
         f"call_timeout_seconds = 1.0\n"
         f"watch_rearm_seconds = 5.0\n"
+        f"{_tls_settings(cluster, balancer.process.name, balancer.host)}"
     )
 
 
@@ -266,6 +293,22 @@
         f'private_key_file = "{cluster.certificates.private_key}"\n'
         f"seeds = {_toml_list(cluster.seeds())}\n"
         f"{extra}"
+        f"{_tls_settings(cluster, name, host.host)}"
+    )
+
+
+def _tls_settings(cluster: Cluster, name: str, host: str) -> str:
+    """Issue a certificate for one instance and name it in its settings."""
+    if cluster.authority is None:
+        return ""
+    files = certificates.issue(
+        cluster.authority, cluster.directory, name=name, addresses=(host,)
+    )
+    return (
+        f"[tls]\n"
+        f'certificate_file = "{files.certificate}"\n'
+        f'private_key_file = "{files.private_key}"\n'
+        f'authority_file = "{cluster.authority.file}"\n'
     )
 
 
@@ -282,11 +325,15 @@
     await processes.start(host.sidecar)
 
 
-async def start(cluster: Cluster) -> None:
-    """Start everything, apply the configuration and wait until it serves."""
+async def start(cluster: Cluster, *, spare_balancers: int = 0) -> None:
+    """Start everything, apply the configuration and wait until it serves.
+
+    The last ``spare_balancers`` are known to the fabric and are not started.
+    """
+    started = cluster.balancers[: len(cluster.balancers) - spare_balancers]
     await processes.start(cluster.store)
     async with trio.open_nursery() as nursery:
-        for balancer in cluster.balancers:
+        for balancer in started:
             nursery.start_soon(start_balancer, cluster, balancer)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(processes.start, cluster.fabric)
@@ -307,7 +354,7 @@
     settings = cluster.client_settings()
 
     def run() -> None:
-        changes.propose(settings, request, reason=reason, wait=wait, dry_run=False)
+        changes.propose(settings, request, changes.Options(reason=reason, wait=wait))
 
     await trio.to_thread.run_sync(run)
 
