--- a/testbed/invariants.py
+++ b/testbed/invariants.py
@@ -102,7 +102,7 @@
             yield f"{execution.token} ran in pool {execution.pool}."
 
 
-def _untrue_refusals(log: Log, reports: Mapping[str, caller.Report]) -> Iterator[str]:
+def untrue_refusals(log: Log, reports: Mapping[str, caller.Report]) -> Iterator[str]:
     """Find requests that ran although every attempt was told "not run"."""
     ran = {execution.token for execution in log.executions()}
     for report in reports.values():
@@ -201,7 +201,7 @@
     found = [
         *doubled(log),
         *_crossed(log),
-        *_untrue_refusals(log, running.reports),
+        *untrue_refusals(log, running.reports),
         *_wrong_answers(running.reports),
     ]
     if log_is_whole:
--- a/testbed/steps.py
+++ b/testbed/steps.py
@@ -60,6 +60,17 @@
         await trio.sleep(cluster_module.POLL_SECONDS)
 
 
+async def until_seat_holder(
+    cluster: cluster_module.Cluster, balancer: cluster_module.Balancer
+) -> None:
+    """Wait until a balancer holds a seat and so follows the store itself."""
+    while True:
+        reply = await status(cluster, balancer)
+        if reply is not None and reply.seat_holder:
+            return
+        await trio.sleep(cluster_module.POLL_SECONDS)
+
+
 async def set_domain(
     cluster: cluster_module.Cluster,
     name: str,
--- a/tests/test_promise_01_flows_survive.py
+++ b/tests/test_promise_01_flows_survive.py
@@ -11,7 +11,7 @@
 
 HANG_SECONDS = 150
 PLAN = load.LoadPlan(lines=8, seed=11)
-STEP_SECONDS = 0.7
+STEP_SECONDS = 0.5
 """How long the callers go on after each step."""
 FROZEN_SECONDS = 1.5
 ROTATION_STEPS = 3
