Hand a sidecar's news on in one module, with its raised generation and its drain

Cause: a refutation may raise a sidecar's generation above a predecessor's whose clock was ahead; IDs made under the old one would be reset by every balancer. A sidecar that operators drain was not announced, so siblings went on placing requests there. Calls of siblings hold a server thread each, and 32 threads were fewer than max_running allows. Ruled out: restarting the sidecar at a raised generation. Conclusion: tickets, connection IDs and records carry one generation.

--- a/plantainproxy/sidecar/inbox.py
+++ b/plantainproxy/sidecar/inbox.py
@@ -24,6 +24,14 @@
     response: messages.Response
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GenerationChanged:
+    """The generation that others know this process by was raised."""
+
+    generation: int
+    """Milliseconds since the epoch."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class KeysChanged:
     """There is a new key set."""
@@ -60,7 +68,14 @@
 
 
 Message = (
-    Datagrams | Answered | KeysChanged | ViewChanged | SiblingsChanged | Drain | Stop
+    Datagrams
+    | Answered
+    | GenerationChanged
+    | KeysChanged
+    | ViewChanged
+    | SiblingsChanged
+    | Drain
+    | Stop
 )
 
 
--- a/plantainproxy/sidecar/lines.py
+++ b/plantainproxy/sidecar/lines.py
@@ -58,15 +58,12 @@
                 arrivals.take_datagram(lines, datagram, now)
         case inbox.Answered():
             _answer(lines, message)
-        case inbox.KeysChanged(keys=keys):
-            lines.keys = keys
-            _refresh_endpoint(lines, now)
-        case inbox.ViewChanged(view=view):
-            taken_out = lines.view is not None and lines.view.domain_in
-            lines.view = view
-            _refresh_endpoint(lines, now)
-            if taken_out and not view.domain_in:
-                endings.begin_notices(lines, endings.DOMAIN_NOTICE_SECONDS, now)
+        case (
+            inbox.GenerationChanged()
+            | inbox.KeysChanged()
+            | inbox.ViewChanged() as news
+        ):
+            _take_news(lines, news, now)
         case inbox.SiblingsChanged(records=records):
             lines.peers = handoff.peers_of(lines.own, records)
         case inbox.Drain(draining=draining):
@@ -75,6 +72,25 @@
             endings.begin_stop(lines, grace_seconds, now)
 
 
+def _take_news(
+    lines: line_state.Lines,
+    news: inbox.GenerationChanged | inbox.KeysChanged | inbox.ViewChanged,
+    now: float,
+) -> None:
+    """Take what decides how connection IDs are made and which lines may stay."""
+    was_in = lines.view is not None and lines.view.domain_in
+    match news:
+        case inbox.GenerationChanged(generation=generation):
+            lines.generation = generation
+        case inbox.KeysChanged(keys=keys):
+            lines.keys = keys
+        case inbox.ViewChanged(view=view):
+            lines.view = view
+    _refresh_endpoint(lines, now)
+    if was_in and lines.view is not None and not lines.view.domain_in:
+        endings.begin_notices(lines, endings.DOMAIN_NOTICE_SECONDS, now)
+
+
 def _refresh_endpoint(lines: line_state.Lines, now: float) -> None:
     """Make the endpoint once keys and domain are known, and keep it up to date."""
     keys, view = lines.keys, lines.view
--- a/plantainproxy/sidecar/main.py
+++ b/plantainproxy/sidecar/main.py
@@ -25,6 +25,7 @@
     inbox,
     line_state,
     lines,
+    news,
     requests,
     tunnel,
     upstream,
@@ -36,6 +37,8 @@
 
 LINE_IDLE_SECONDS = 30.0
 """A line without any packet for this time is dropped."""
+SERVER_WORKERS = 96
+"""Calls of siblings that are served at once; each request of a sibling holds one."""
 HANDOVER_SECONDS = 1.0
 """How long others may need to learn that we take no new work."""
 
@@ -180,22 +183,6 @@
     )
 
 
-async def _follow_knowledge(parts: Parts) -> None:
-    """Hand what the home balancers tell on to the requests and the lines."""
-    key_revision = 0
-    async for known in parts.announcer.updates:
-        if known.key_set is not None and known.key_set.revision > key_revision:
-            key_revision = known.key_set.revision
-            keys = keyring.Keyring(known.key_set)
-            parts.state.ring = keys
-            await parts.lines.send.send(inbox.KeysChanged(keys=keys))
-        if known.view is not None:
-            context.update_view(parts.state, known.view, now=trio.current_time())
-            await parts.lines.send.send(inbox.ViewChanged(view=known.view))
-        context.update_siblings(parts.state, known.siblings)
-        await parts.lines.send.send(inbox.SiblingsChanged(records=known.siblings))
-
-
 def _handlers(parts: Parts) -> dict[methods.Method, bridge.Handler]:
     async def execute(request: messages.ExecuteRequest) -> messages.ExecuteReply:
         return await requests.handle_execute(parts.state, parts.ports, request)
@@ -282,6 +269,7 @@
             settings.rpc_address,
             _handlers(parts),
             tls=settings.tls,
+            workers=SERVER_WORKERS,
             grace_seconds=settings.grace_seconds,
         ),
         trio.open_nursery() as nursery,
@@ -292,7 +280,12 @@
             functools.partial(context.update_health, parts.state),
         )
         nursery.start_soon(membership.run, parts.announcer)
-        nursery.start_soon(_follow_knowledge, parts)
+        nursery.start_soon(
+            news.follow,
+            news.Readers(
+                announcer=parts.announcer, state=parts.state, lines=parts.lines.send
+            ),
+        )
         nursery.start_soon(_report_metrics, parts)
         nursery.start_soon(_stop_when_asked, parts, lifecycle)
         logger.info("Started for pool %s.", settings.pool)
--- /dev/null
+++ b/plantainproxy/sidecar/tests/test_news.py
@@ -0,0 +1,119 @@
+"""News from the home balancers reaches the requests and the lines."""
+
+import dataclasses
+import random
+
+import trio
+
+from plantainproxy import _types
+from plantainproxy.config import model
+from plantainproxy.core import claims, heartbeat
+from plantainproxy.membership import sidecar as membership
+from plantainproxy.rpc import bridge
+from plantainproxy.settings import model as settings_model
+from plantainproxy.sidecar import context, inbox, news
+
+RPC = _types.Address("127.0.0.1", 9001)
+RECORD = _types.MemberRecord(
+    kind=_types.MemberKind.SIDECAR,
+    rpc=RPC,
+    domain="a",
+    generation=5_000,
+    sequence=1,
+    pool="fleet",
+)
+KEY_SET = model.KeySet(
+    revision=2, current=1, keys=(model.Key(number=1, secret=b"k" * 32),)
+)
+
+
+def view(*, revision: int, drained: bool) -> model.PoolView:
+    """Return the view of a configured pool."""
+    return model.PoolView(
+        revision=revision,
+        pool=model.Pool(name="fleet"),
+        services=(),
+        domain_number=1,
+        domain_in=True,
+        drained=drained,
+    )
+
+
+def readers() -> tuple[news.Readers, trio.MemoryReceiveChannel[inbox.Message]]:
+    """Make readers whose lines only collect messages."""
+    sender, receiver = trio.open_memory_channel[inbox.Message](100)
+    made = news.Readers(
+        announcer=membership.Announcer(
+            RECORD,
+            client=bridge.Client(settings_model.Tls()),
+            seeds=(),
+            interval_seconds=1.0,
+            rng=random.Random(1),
+        ),
+        state=context.State(
+            own=RPC,
+            table=claims.Table(home=RPC, generation=RECORD.generation, tag=1),
+            max_body_bytes=1,
+            default_timeout_seconds=1.0,
+        ),
+        lines=sender,
+    )
+    return made, receiver
+
+
+def drain(
+    receiver: trio.MemoryReceiveChannel[inbox.Message],
+) -> list[type[inbox.Message]]:
+    """Return the kinds of the messages that wait."""
+    kinds: list[type[inbox.Message]] = []
+    while receiver.statistics().current_buffer_used:
+        kinds.append(type(receiver.receive_nowait()))
+    return kinds
+
+
+def test_a_raised_generation_reaches_tickets_and_connection_ids_first() -> None:
+    """Nothing is issued under a generation that others take for an ended process."""
+
+    async def main() -> None:
+        made, receiver = readers()
+        known = heartbeat.Knowledge(
+            record=dataclasses.replace(RECORD, generation=9_000),
+            key_set=KEY_SET,
+            view=view(revision=1, drained=False),
+        )
+        await news.take(made, known)
+        assert made.state.table.generation == 9_000
+        assert drain(receiver)[0] is inbox.GenerationChanged
+
+    trio.run(main)
+
+
+def test_keys_are_taken_once_for_each_revision() -> None:
+    """Repeated news does not derive the keys again."""
+
+    async def main() -> None:
+        made, receiver = readers()
+        known = heartbeat.Knowledge(record=RECORD, key_set=KEY_SET)
+        await news.take(made, known)
+        await news.take(made, known)
+        assert drain(receiver).count(inbox.KeysChanged) == 1
+
+    trio.run(main)
+
+
+def test_a_drained_upstream_is_announced_to_siblings_until_it_is_undrained() -> None:
+    """Siblings place nothing on an upstream that operators drain."""
+
+    async def main() -> None:
+        made, _ = readers()
+        states = []
+        for revision, drained in enumerate((False, True, True, False), start=1):
+            known = heartbeat.Knowledge(
+                record=RECORD, view=view(revision=revision, drained=drained)
+            )
+            await news.take(made, known)
+            states.append(membership.knowledge(made.announcer).record.state)
+        serving, draining = _types.MemberState.SERVING, _types.MemberState.DRAINING
+        assert states == [serving, draining, draining, serving]
+
+    trio.run(main)
