--- /dev/null
+++ b/plantainproxy/balancer/tests/test_explanation.py
@@ -0,0 +1,141 @@
+"""What operators are told of where lines go."""
+
+import pytest
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.balancer import explanation
+from plantainproxy.config import model
+from plantainproxy.core import packets, routing
+from plantainproxy.rpc import operator_pb2
+from plantainproxy.wire import connection_id, keyring
+
+SERVICE = _types.Address("127.1.0.1", 443)
+GENERATION = 1_800_000_000_000
+CONFIGURATION = model.Configuration(
+    revision=1,
+    routes=(model.Route(name="fleet", address=SERVICE, pool="fleet"),),
+    pools=(model.Pool(name="fleet"),),
+    domains=(
+        model.Domain(name="in", number=1),
+        model.Domain(name="out", number=2, state=_types.DomainState.OUT),
+    ),
+    drained=(_types.Address("127.0.3.1", 4),),
+)
+RING = keyring.Keyring(
+    model.KeySet(revision=1, current=0, keys=(model.Key(number=0, secret=b"k" * 32),))
+)
+
+
+def _record(
+    port: int,
+    domain: str = "in",
+    state: _types.MemberState = _types.MemberState.SERVING,
+    lost: bool = False,
+) -> _types.MemberRecord:
+    return _types.MemberRecord(
+        kind=_types.MemberKind.SIDECAR,
+        rpc=_types.Address("127.0.2.1", port),
+        domain=domain,
+        generation=GENERATION,
+        sequence=1,
+        pool="fleet",
+        tunnel=_types.Address("127.0.3.1", port),
+        state=state,
+        lost=lost,
+    )
+
+
+RECORDS = (
+    _record(1),
+    _record(2, lost=True),
+    _record(3, domain="out"),
+    _record(4),
+    _record(5, domain="nowhere"),
+    _record(6, state=_types.MemberState.DRAINING),
+    _record(7),
+)
+STATE = routing.apply(
+    routing.State(),
+    (
+        routing.ConfigurationChanged(configuration=CONFIGURATION),
+        routing.MembersChanged(pool="fleet", records=RECORDS),
+    ),
+    now=0.0,
+)
+
+
+def ask(flow: str = "", service: str = str(SERVICE)) -> operator_pb2.ExplainReply:
+    """Ask for an explanation long after the last change."""
+    request = operator_pb2.ExplainRequest(service=service, flow=flow)
+    return explanation.explain(STATE, RING, request, now=1000.0)
+
+
+def connection_id_of(port: int, domain_number: int) -> str:
+    """Make the connection ID of an established line."""
+    destination = packets.Destination(
+        _types.Address("127.0.3.1", port).pack(),
+        domain_number,
+        packets.generation_tag(GENERATION),
+        packets.service_tag(SERVICE.pack()),
+    )
+    return connection_id.encode(RING.current, destination, nonce=1).hex()
+
+
+def test_shares_name_the_eligible_and_reasons_the_others() -> None:
+    """An operator sees why an upstream gets no new line."""
+    reply = ask()
+    assert [one.upstream for one in reply.shares] == ["127.0.3.1:1", "127.0.3.1:7"]
+    assert sum(one.share for one in reply.shares) == pytest.approx(1.0)
+    for told in (
+        "2 of 7 known upstreams are eligible.",
+        "127.0.3.1:2 is not: it is lost.",
+        "127.0.3.1:3 is not: failure domain out is out.",
+        "127.0.3.1:4 is not: operators drain it.",
+        "127.0.3.1:5 is not: failure domain nowhere is not configured.",
+        "127.0.3.1:6 is not: it is draining.",
+    ):
+        assert told in reply.reasons
+
+
+def test_an_opening_packet_is_followed_as_the_datapath_does() -> None:
+    """The explained upstream is the one that the packet is sent to."""
+    for number in range(20):
+        flow_key = bytes([number]) * 8
+        packet = packets.Packet(flow_key, SERVICE.pack(), True, None)
+        sent = routing.route(STATE, packet, now=1000.0)
+        assert isinstance(sent, routing.Forward)
+        assert ask(flow_key.hex()).upstream == str(sent.tunnel)
+
+
+@pytest.mark.parametrize(
+    ("port", "domain_number", "upstream", "told"),
+    [
+        (1, 1, "127.0.3.1:1", "The line is established"),
+        (4, 1, "127.0.3.1:4", "The line is established"),
+        (3, 2, "", "its caller gets a reset"),
+        (1, 9, "", "dropped: unknown-domain"),
+    ],
+)
+def test_an_established_line_is_found_by_its_connection_id(
+    port: int, domain_number: int, upstream: str, told: str
+) -> None:
+    """A drained upstream keeps its lines; those of a domain that is out have ended."""
+    reply = ask(connection_id_of(port, domain_number))
+    assert reply.upstream == upstream
+    assert told in reply.reasons[-1]
+
+
+@pytest.mark.parametrize(
+    ("flow", "service", "kind"),
+    [
+        ("xyz", str(SERVICE), _exceptions.ErrorKind.BAD_REQUEST),
+        ("", "127.9.9.9:1", _exceptions.ErrorKind.NOT_FOUND),
+    ],
+)
+def test_a_wrong_question_is_told_as_such(
+    flow: str, service: str, kind: _exceptions.ErrorKind
+) -> None:
+    """Nothing is guessed."""
+    with pytest.raises(_exceptions.PlantainError) as caught:
+        ask(flow, service)
+    assert caught.value.kind is kind
--- /dev/null
+++ b/plantainproxy/balancer/tests/test_operations.py
@@ -0,0 +1,124 @@
+"""Operators' changes through a balancer, over the fake store."""
+
+from collections.abc import Awaitable, Callable
+
+import pytest
+import trio
+import trio.testing
+
+from plantainproxy import _exceptions
+from plantainproxy.balancer import operations
+from plantainproxy.config import keys, model
+from plantainproxy.rpc import operator_pb2
+from plantainproxy.store import memory
+
+PREFIX = "t/"
+Kind = _exceptions.ErrorKind
+
+
+async def _ignore(_: object) -> None:
+    """Stand for a balancer that takes what was accepted."""
+
+
+def access_to(store: memory.MemoryStore) -> operations.Access:
+    """Return an access whose clock stands still."""
+    return operations.Access(
+        store=store,
+        prefix=PREFIX,
+        wall_clock=lambda: 5.0,
+        offer=_ignore,
+        offer_keys=_ignore,
+    )
+
+
+def run(body: Callable[[operations.Access], Awaitable[None]]) -> None:
+    """Run a test against the fake store, without waiting for its delays."""
+
+    async def main() -> None:
+        await body(access_to(memory.MemoryStore()))
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def step(change_id: str, expected: int = 0) -> operator_pb2.RotateKeysRequest:
+    """Ask for the next step of a rotation."""
+    return operator_pb2.RotateKeysRequest(
+        change_id=change_id, operator="o", reason="r", expected_key_revision=expected
+    )
+
+
+async def _stored(access: operations.Access) -> model.KeySet:
+    held = await keys.read(access.store, prefix=PREFIX)
+    assert held is not None
+    return held
+
+
+def test_a_rotation_takes_three_steps_and_leaves_one_new_key() -> None:
+    """A key is added, becomes current, and the old one is dropped."""
+
+    async def body(access: operations.Access) -> None:
+        first = await keys.ensure(access.store, prefix=PREFIX, held=None, now=0.0)
+        for number in range(3):
+            await operations.rotate_keys(access, step(f"id-{number}"))
+        held = await _stored(access)
+        assert held.revision == 4
+        assert [one.number for one in held.keys] == [1]
+        assert held.keys[0].secret != first.keys[0].secret
+        reply = await operations.read_audit(
+            access, operator_pb2.AuditRequest(keys=True, limit=2)
+        )
+        assert [entry.revision for entry in reply.entries] == [4, 3]
+        assert reply.entries[0].reason == "r"
+        assert reply.next_before == 3
+
+    run(body)
+
+
+def test_a_step_asked_for_again_is_taken_once() -> None:
+    """A lost answer and the next balancer do not make two steps of one."""
+
+    async def body(access: operations.Access) -> None:
+        await keys.ensure(access.store, prefix=PREFIX, held=None, now=0.0)
+        first = await operations.rotate_keys(access, step("same", expected=1))
+        again = await operations.rotate_keys(access, step("same", expected=1))
+        assert first.key_revision == again.key_revision == 2
+        assert (await _stored(access)).revision == 2
+
+    run(body)
+
+
+def test_a_step_from_an_older_key_set_is_a_conflict() -> None:
+    """Two operators do not take the steps of one another."""
+
+    async def body(access: operations.Access) -> None:
+        await keys.ensure(access.store, prefix=PREFIX, held=None, now=0.0)
+        await operations.rotate_keys(access, step("mine", expected=1))
+        with pytest.raises(_exceptions.PlantainError) as caught:
+            await operations.rotate_keys(access, step("theirs", expected=1))
+        assert caught.value.kind is Kind.CONFLICT
+        assert (await _stored(access)).revision == 2
+
+    run(body)
+
+
+def test_a_failure_domain_that_is_out_stays_out_when_it_is_set_again() -> None:
+    """Setting the number does not bring a domain back in."""
+
+    async def body(access: operations.Access) -> None:
+        add = operator_pb2.AddDomain(name="a", number=1)
+        out = operator_pb2.SetDomain(name="a", state="out")
+        for number, request in enumerate(
+            (
+                operator_pb2.ChangeRequest(add_domain=add),
+                operator_pb2.ChangeRequest(set_domain=out),
+                operator_pb2.ChangeRequest(add_domain=add),
+            )
+        ):
+            request.change_id = f"id-{number}"
+            await operations.apply_change(access, request)
+        held = await operations.read_configuration(access)
+        assert held is not None
+        assert held.revision == 2
+        assert held.domains[0].state == "out"
+
+    run(body)
--- a/plantainproxy/ctl/configure.py
+++ b/plantainproxy/ctl/configure.py
@@ -100,6 +100,21 @@
     return {"show": show, "check": check, "diff": diff, "apply": apply}
 
 
+def _effect_of_moving(
+    settings: model.ClientSettings, edit: operator_pb2.SetRoute
+) -> list[str]:
+    """Tell what happens to the lines of a route that exists already."""
+    for route in _objects(client.show(settings), "routes"):
+        if route["name"] != edit.name:
+            continue
+        if (route["address"], route["pool"]) != (edit.address, edit.pool):
+            return [
+                f"Route {edit.name} leads from {route['address']} to pool "
+                f"{route['pool']} now; lines that callers hold to it are closed."
+            ]
+    return []
+
+
 def route_commands(read: client.ReadSettings) -> Mapping[str, Command]:
     """Return the commands on routes."""
 
@@ -123,9 +138,11 @@
         edit = operator_pb2.SetRoute(
             name=str(name), address=str(address), pool=str(pool)
         )
+        settings = read()
+        changes.announce(_effect_of_moving(settings, edit))
         options = changes.Options(reason=str(reason), wait=wait, dry_run=dry_run)
         request = operator_pb2.ChangeRequest(set_route=edit)
-        return changes.propose(read(), request, options)
+        return changes.propose(settings, request, options)
 
     def remove(
         name: str, reason: str = "", wait: bool = False, dry_run: bool = False
