--- a/plantainproxy/balancer/main.py
+++ b/plantainproxy/balancer/main.py
@@ -190,9 +190,10 @@
 
 
 async def _reload_forever(
-    lifecycle: _lifecycle.Lifecycle, read: Callable[[], model.BalancerSettings]
+    lifecycle: _lifecycle.Lifecycle,
+    running: model.BalancerSettings,
+    read: Callable[[], model.BalancerSettings],
 ) -> None:
-    running = read()
     async for _ in lifecycle.reloads:
         running = _lifecycle.reload(
             running, read, lambda loaded: logs.configure(loaded.telemetry)
@@ -336,7 +337,7 @@
             nursery.start_soon(_follow_documents, parts, channels.documents)
             nursery.start_soon(_follow_seats, parts, channels.holders)
             nursery.start_soon(_watch_service, parts, send_service)
-            nursery.start_soon(_reload_forever, parts.lifecycle, read)
+            nursery.start_soon(_reload_forever, parts.lifecycle, settings, read)
             nursery.start_soon(_report_metrics, parts)
             logger.info("Started in failure domain %s.", settings.domain)
             _calm_collector()
--- a/plantainproxy/sidecar/main.py
+++ b/plantainproxy/sidecar/main.py
@@ -250,9 +250,10 @@
 
 
 async def _reload_forever(
-    lifecycle: _lifecycle.Lifecycle, read: Callable[[], model.SidecarSettings]
+    lifecycle: _lifecycle.Lifecycle,
+    running: model.SidecarSettings,
+    read: Callable[[], model.SidecarSettings],
 ) -> None:
-    running = read()
     async for _ in lifecycle.reloads:
         running = _lifecycle.reload(
             running, read, lambda loaded: logs.configure(loaded.telemetry)
@@ -334,7 +335,7 @@
                 lines=_make_lines(settings, record.generation, bound, line_ports),
                 refusals=refusals,
             )
-            nursery.start_soon(_reload_forever, lifecycle, read)
+            nursery.start_soon(_reload_forever, lifecycle, settings, read)
             await _run_parts(parts, lifecycle, pool)
             nursery.cancel_scope.cancel()
 
