--- a/testbed/cluster.py
+++ b/testbed/cluster.py
@@ -28,6 +28,8 @@
 STORE_PORT = 2379
 CONTROL_PORT = 7003
 UPSTREAM_PORT = 8080
+METRICS_PORT = 8125
+METRICS_SECONDS = 0.2
 SERVICE_PORT = 4433
 SEEDS = 3
 START_TIMEOUT_SECONDS = 40
@@ -80,6 +82,11 @@
         """The sidecar's gRPC address."""
         return _types.Address(self.host, RPC_PORT)
 
+    @property
+    def metrics(self) -> _types.Address:
+        """Where the sidecar's metrics are received."""
+        return _types.Address(self.host, METRICS_PORT)
+
     @property
     def upstream_address(self) -> _types.Address:
         """Where the upstream listens."""
@@ -127,6 +134,8 @@
         """Where single balancers, by host, reach the store through links."""
         self.rpc_seen: dict[_types.Address, _types.Address] = {}
         """Where other processes reach a gRPC address; tests may put links there."""
+        self.metered = False
+        """Whether sidecars started from now on send their metrics."""
         self.balancers: list[Balancer] = []
         self.hosts: list[Host] = []
         self.all: list[processes.Process] = []
@@ -284,6 +293,13 @@
 def write_sidecar_settings(cluster: Cluster, host: Host, *, extra: str = "") -> None:
     """Write the settings file of one sidecar."""
     name = host.sidecar.name.removeprefix("sidecar-")
+    telemetry = ""
+    if cluster.metered:
+        telemetry = (
+            f"[telemetry]\n"
+            f'statsd_address = "{host.metrics}"\n'
+            f"statsd_interval_seconds = {METRICS_SECONDS}\n"
+        )
     path = cluster.directory / f"{name}.toml"
     path.write_text(
         f'domain = "{host.domain}"\n'
@@ -296,6 +312,7 @@
         f'private_key_file = "{cluster.certificates.private_key}"\n'
         f"seeds = {_toml_list(cluster.seeds())}\n"
         f"{extra}"
+        f"{telemetry}"
         f"{_tls_settings(cluster, name, host.host)}"
         f"{cluster.extra_settings}"
     )
@@ -353,14 +370,22 @@
     *,
     reason: str = "test",
     wait: bool = False,
-) -> None:
-    """Propose one change as an operator does."""
+    through: Balancer | None = None,
+) -> int:
+    """Propose one change as an operator does; return the revision in force.
+
+    ``through`` names the one balancer to ask.
+    """
     settings = cluster.client_settings()
+    if through is not None:
+        settings = dataclasses.replace(settings, balancers=(through.rpc,))
 
-    def run() -> None:
-        changes.propose(settings, request, changes.Options(reason=reason, wait=wait))
+    def run() -> int:
+        options = changes.Options(reason=reason, wait=wait)
+        result = changes.propose(settings, request, options)
+        return int(dict(result.fields)["revision"])
 
-    await trio.to_thread.run_sync(run)
+    return await trio.to_thread.run_sync(run)
 
 
 async def apply(
