Check a dry run as the change itself is checked

A dry run and diff compared without checking, so a rehearsal passed for a change that was then refused (found by tests/test_plantainctl.py: a route moved to an address that another route has).

--- a/plantainproxy/balancer/operations.py
+++ b/plantainproxy/balancer/operations.py
@@ -168,6 +168,7 @@
         revision = 0 if base is None else base.revision
         return operator_pb2.ChangeReply(revision=revision, applied=True)
     proposed = _edited(base or model.Configuration(revision=0), request)
+    change.require_valid_step(base, proposed)
     differences = diff.compare(base, proposed)
     lines = diff.render(differences).splitlines()
     if request.dry_run or not differences:
--- a/plantainproxy/balancer/tests/test_operations.py
+++ b/plantainproxy/balancer/tests/test_operations.py
@@ -122,3 +122,22 @@
         assert held.domains[0].state == "out"
 
     run(body)
+
+
+def test_a_dry_run_refuses_what_the_change_would() -> None:
+    """A rehearsal that passes means that the change is a valid one."""
+
+    async def body(access: operations.Access) -> None:
+        add = operator_pb2.AddDomain(name="a", number=1)
+        accepted = operator_pb2.ChangeRequest(change_id="1", add_domain=add)
+        await operations.apply_change(access, accepted)
+        for wanted in (
+            operator_pb2.AddDomain(name="a", number=2),
+            operator_pb2.AddDomain(name="b", number=1),
+        ):
+            request = operator_pb2.ChangeRequest(add_domain=wanted, dry_run=True)
+            with pytest.raises(_exceptions.PlantainError) as caught:
+                await operations.apply_change(access, request)
+            assert caught.value.kind is Kind.INVALID_CONFIGURATION
+
+    run(body)
--- a/plantainproxy/config/change.py
+++ b/plantainproxy/config/change.py
@@ -109,6 +109,13 @@
         raise _exceptions.PlantainError(
             _Kind.INVALID_CONFIGURATION, "change_id: expected a name for the change"
         )
+    require_valid_step(base, proposed)
+
+
+def require_valid_step(
+    base: model.Configuration | None, proposed: model.Configuration
+) -> None:
+    """Raise ``INVALID_CONFIGURATION`` when a change would be refused for itself."""
     check.require_valid(proposed, source=_SOURCE)
     problems = () if base is None else check.find_change_problems(base, proposed)
     if problems:
