Tell a drained upstream as drained, and keep test sites apart

A sidecar whose upstream operators drain now announces itself as draining, so status and explain told its planned way out instead of the operators' drain (found by the runbook test after the merge). Two test processes whose ids were equal modulo 128 got the same addresses; a network whose store address is taken is now passed over.

--- a/plantainproxy/balancer/explanation.py
+++ b/plantainproxy/balancer/explanation.py
@@ -147,10 +147,10 @@
 ) -> str:
     if record.lost:
         return "it is lost"
-    if record.state is not _types.MemberState.SERVING:
-        return f"it is {record.state}"
     if record.tunnel in configuration.drained:
         return "operators drain it"
+    if record.state is not _types.MemberState.SERVING:
+        return f"it is {record.state}"
     if record.domain in out:
         return f"failure domain {record.domain} is out"
     return f"failure domain {record.domain} is not configured"
--- a/plantainproxy/ctl/observe.py
+++ b/plantainproxy/ctl/observe.py
@@ -21,7 +21,7 @@
     """Name what an operator needs to know of one member first."""
     if member.lost:
         return "lost"
-    if member.state == _types.MemberState.SERVING and member.tunnel_address in drained:
+    if member.tunnel_address in drained:
         return "drained"
     if member.rpc_address not in balancers:
         return member.state
--- a/testbed/cluster.py
+++ b/testbed/cluster.py
@@ -9,6 +9,7 @@
 import itertools
 import os
 import pathlib
+import socket
 import tempfile
 
 import trio
@@ -35,6 +36,10 @@
 START_TIMEOUT_SECONDS = 40
 POLL_SECONDS = 0.05
 
+FIRST_NETWORK = 64
+NETWORKS = 128
+CLUSTERS_PER_PROCESS = 16
+
 _numbers = itertools.count()
 
 
@@ -94,8 +99,29 @@
 
 
 def free_network() -> str:
-    """Return the first three bytes of addresses that no other cluster uses."""
-    return f"127.{64 + os.getpid() % 128}.{next(_numbers) % 250}"
+    """Return the first three bytes of addresses that no other cluster uses.
+
+    Clusters of other test processes run at the same time, so the choice depends on
+    the process, and a network whose store's address is taken is passed over.
+    """
+    number = os.getpid()
+    for _ in range(NETWORKS):
+        second = FIRST_NETWORK + number % NETWORKS
+        third = (number // NETWORKS * CLUSTERS_PER_PROCESS + next(_numbers)) % 250
+        network = f"127.{second}.{third}"
+        if _is_free(_types.Address(f"{network}.1", STORE_PORT)):
+            return network
+    raise RuntimeError("Every network is in use.")
+
+
+def _is_free(address: _types.Address) -> bool:
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(address)
+        except OSError:
+            return False
+    return True
 
 
 class Cluster:
