Tell what was surely not handed to a sibling

Cause: every failed call to a sibling counted as unknown, also one to a dead sidecar whose connection could not even be opened, so a command was not tried elsewhere. A call to execute is now begun only on a channel that answered its last call, or that is connected; without a connection nothing was begun, and the outcome is "not run". Ruled out: reading the cause from gRPC's status or from its connectivity callbacks during a call, as both may come from a connection that carried the request. A permanent subscription costs a polling thread for each channel. Conclusion: the first call on a connection that has just broken stays unknown.

--- a/plantainproxy/rpc/bridge.py
+++ b/plantainproxy/rpc/bridge.py
@@ -52,6 +52,15 @@
 SILENT_CALLS = 2
 """A channel is replaced after this many calls in a row without any answer."""
 
+_SETTLED = frozenset(
+    {
+        grpc.ChannelConnectivity.READY,
+        grpc.ChannelConnectivity.TRANSIENT_FAILURE,
+        grpc.ChannelConnectivity.SHUTDOWN,
+    }
+)
+"""States in which a channel is connected, or has just failed to connect."""
+
 _log = logging.getLogger("plantain.rpc")
 
 _COMMON_OPTIONS: list[tuple[str, int]] = [
@@ -297,10 +306,16 @@
     running: int = 0
     silent_calls: int = 0
     """Calls in a row that ended without an answer."""
+    answered: bool = False
+    """Whether the peer answered the call that ended last."""
     retired: bool = False
     """No longer in use; closed when its last call ends."""
 
 
+class NotSentError(_exceptions.PlantainError):
+    """A call that was never begun, as there was no connection to its peer."""
+
+
 class Client:
     """The channels that one process keeps to its peers."""
 
@@ -413,6 +428,48 @@
         raise
 
 
+async def _connect(entry: _Channel, timeout_seconds: float) -> grpc.StatusCode:
+    """Wait until a channel is connected: ``OK``, or why it is not.
+
+    The channel's state is only read; no call is begun.
+    """
+    token = trio.lowlevel.current_trio_token()
+    known = trio.Event()
+    states: list[grpc.ChannelConnectivity] = []
+
+    def observe(state: grpc.ChannelConnectivity) -> None:
+        if state in _SETTLED:
+            states.append(state)
+            _run_soon(token, known.set)
+
+    entry.channel.subscribe(observe, try_to_connect=True)
+    try:
+        with trio.move_on_after(timeout_seconds):
+            await known.wait()
+    finally:
+        entry.channel.unsubscribe(observe)
+    if not states:
+        return grpc.StatusCode.DEADLINE_EXCEEDED
+    if states[-1] is grpc.ChannelConnectivity.READY:
+        return grpc.StatusCode.OK
+    return grpc.StatusCode.UNAVAILABLE
+
+
+async def _require_connection(
+    client: Client, address: _types.Address, entry: _Channel, timeout_seconds: float
+) -> None:
+    """Raise ``NotSentError`` unless the channel is or becomes connected."""
+    if entry.answered:
+        return
+    code = await _connect(entry, timeout_seconds)
+    if code is grpc.StatusCode.OK:
+        return
+    _note_silence(client, address, entry, code)
+    raise NotSentError(
+        _exceptions.ErrorKind.PEER_UNAVAILABLE, f"{address}: not connected"
+    )
+
+
 async def call(
     client: Client,
     address: _types.Address,
@@ -420,19 +477,26 @@
     request: Any,
     *,
     timeout_seconds: float,
+    connect_first: bool = False,
 ) -> Any:
     """Make one call and return its reply.
 
     Raises ``PlantainError`` of the kind that the peer answered with, or of kind
-    ``PEER_UNAVAILABLE`` when no valid answer came within the timeout.
+    ``PEER_UNAVAILABLE`` when no valid answer came within the timeout. With
+    ``connect_first`` a call on a channel that has not answered since it was opened or
+    last failed is begun only once the channel is connected; without a connection
+    ``NotSentError`` says that the peer cannot have seen the request.
     """
     with _borrowed(client, address) as entry:
+        if connect_first:
+            await _require_connection(client, address, entry, timeout_seconds)
         future = entry.channel.unary_unary(method.path, None, None).future(
             codec.encode(request), timeout=timeout_seconds
         )
         await _finished(future)
         code = future.code()
         answered = any(key == KIND_METADATA for key, _ in future.trailing_metadata())
+        entry.answered = answered or code is grpc.StatusCode.OK
         _note_silence(client, address, entry, grpc.StatusCode.OK if answered else code)
         if code is not grpc.StatusCode.OK:
             raise _as_error(future, address)
--- a/plantainproxy/rpc/tests/test_bridge.py
+++ b/plantainproxy/rpc/tests/test_bridge.py
@@ -390,6 +390,69 @@
     run(main)
 
 
+def test_a_call_without_a_connection_was_surely_not_sent() -> None:
+    """It is told apart, before the first call and once a failed call told of it."""
+    calls = 0
+
+    async def count(request: messages.PullRequest) -> messages.PullReply:
+        nonlocal calls
+        calls += 1
+        return await answer(request)
+
+    async def main() -> None:
+        async with bridge.open_client(TLS) as client:
+
+            async def pull_first(address: _types.Address) -> None:
+                await bridge.call(
+                    client,
+                    address,
+                    PULL,
+                    REQUEST,
+                    timeout_seconds=5.0,
+                    connect_first=True,
+                )
+
+            async with bridge.serve(ANY, {PULL: count}, tls=TLS) as address:
+                await pull_first(address)
+            with pytest.raises(_exceptions.PlantainError):
+                await pull_first(address)
+            with pytest.raises(bridge.NotSentError) as caught:
+                await pull_first(address)
+            assert caught.value.kind is _exceptions.ErrorKind.PEER_UNAVAILABLE
+            async with bridge.serve(address, {PULL: count}, tls=TLS):
+                while calls == 1:
+                    with contextlib.suppress(bridge.NotSentError):
+                        await pull_first(address)
+            assert calls == 2
+
+    run(main)
+
+
+def test_a_call_to_a_silent_peer_may_have_been_sent() -> None:
+    """A peer that accepts and never answers leaves the call uncertain."""
+
+    async def main() -> None:
+        async with pair(answer) as (client, address), trio.open_nursery() as nursery:
+            relay = Relay()
+            front = await relay.start(nursery, address)
+            await pull(client, front)
+            relay.silent_connections = 99
+            with pytest.raises(_exceptions.PlantainError) as caught:
+                await bridge.call(
+                    client,
+                    front,
+                    PULL,
+                    REQUEST,
+                    timeout_seconds=0.5,
+                    connect_first=True,
+                )
+            assert caught.value.kind is _exceptions.ErrorKind.PEER_UNAVAILABLE
+            assert not isinstance(caught.value, bridge.NotSentError)
+            nursery.cancel_scope.cancel()
+
+    run(main)
+
+
 def test_an_idle_channel_is_closed() -> None:
     """Only channels that were not used lately are closed."""
 
--- a/plantainproxy/sidecar/main.py
+++ b/plantainproxy/sidecar/main.py
@@ -98,12 +98,43 @@
     return call
 
 
+def _execute_call(
+    client: bridge.Client,
+) -> Callable[
+    [_types.Address, messages.ExecuteRequest, float],
+    Awaitable[messages.ExecuteReply],
+]:
+    """Return the call to a sibling, which tells what was surely not sent."""
+
+    async def call(
+        address: _types.Address,
+        request: messages.ExecuteRequest,
+        timeout_seconds: float,
+    ) -> messages.ExecuteReply:
+        try:
+            reply: messages.ExecuteReply = await bridge.call(
+                client,
+                address,
+                methods.Method.EXECUTE,
+                request,
+                timeout_seconds=timeout_seconds,
+                connect_first=True,
+            )
+        except bridge.NotSentError as error:
+            raise _exceptions.PlantainError(
+                _exceptions.ErrorKind.NO_UPSTREAM, error.detail
+            ) from None
+        return reply
+
+    return call
+
+
 def _make_ports(
     client: bridge.Client, pool: upstream.Pool, nursery: trio.Nursery
 ) -> context.Ports:
     return context.Ports(
         run=upstream.runner(pool),
-        execute=_peer_call(client, methods.Method.EXECUTE),
+        execute=_execute_call(client),
         claims=claim_calls.Ports(
             claim=_peer_call(client, methods.Method.CLAIM),
             settle=_peer_call(client, methods.Method.SETTLE),
