Announce a drain by operators to siblings

Cause: a drained sidecar kept the state "serving" in its record, so siblings placed requests there until it refused them. Ruled out: handing the list of drained upstreams to every sidecar of the pool; the record travels to them already. Conclusion: placement leaves out a drained sidecar as soon as its record arrives.

--- a/plantainproxy/sidecar/main.py
+++ b/plantainproxy/sidecar/main.py
@@ -211,6 +211,17 @@
     )
 
 
+def _announce_drain(parts: Parts, *, drained: bool) -> None:
+    """Tell siblings of a drain by operators, so that they hand no work over."""
+    if parts.state.stopping:
+        return
+    wanted = _types.MemberState.SERVING
+    if drained:
+        wanted = _types.MemberState.DRAINING
+    if membership.knowledge(parts.announcer).record.state is not wanted:
+        membership.change(parts.announcer, member_state=wanted)
+
+
 async def _follow_knowledge(parts: Parts) -> None:
     """Hand what the home balancers tell on to the requests and the lines."""
     key_revision = 0
@@ -223,6 +234,7 @@
         if known.view is not None:
             context.update_view(parts.state, known.view, now=trio.current_time())
             await parts.lines.send.send(inbox.ViewChanged(view=known.view))
+            _announce_drain(parts, drained=known.view.drained)
         context.update_siblings(parts.state, known.siblings)
         await parts.lines.send.send(inbox.SiblingsChanged(records=known.siblings))
 
