--- a/conftest.py
+++ b/conftest.py
@@ -15,6 +15,9 @@
 RESULTS = ROOT / "out" / "proofs.json"
 MARKER = "proof(promise, fault, step): what a test proves, for docs/PROOFS.md"
 
+PROOF = "proof"
+"""The name of a report's property that carries one mark as JSON."""
+
 _results: dict[str, dict[str, object]] = {}
 
 
@@ -42,21 +45,29 @@
         items[:] = [item for item in items if item.nodeid not in names]
 
 
-@pytest.hookimpl(hookwrapper=True)
-def pytest_runtest_makereport(item: pytest.Item, call: pytest.CallInfo[None]):  # type: ignore[no-untyped-def]  # noqa: ANN201
-    """Remember how each proof ended."""
-    outcome = yield
-    report = outcome.get_result()
-    marks = list(item.iter_markers("proof"))
-    if not marks or (report.when != "call" and report.passed):
+@pytest.hookimpl(tryfirst=True)
+def pytest_runtest_setup(item: pytest.Item) -> None:
+    """Let the marks of a proof travel with its report, also between processes."""
+    for mark in item.iter_markers("proof"):
+        proof = {key: str(value) for key, value in mark.kwargs.items()}
+        item.user_properties.append((PROOF, json.dumps(proof, sort_keys=True)))
+
+
+def pytest_runtest_logreport(report: pytest.TestReport) -> None:
+    """Remember how each proof ended; a failed set-up or clean-up counts, too."""
+    proofs = [
+        json.loads(str(value))
+        for name, value in report.user_properties
+        if name == PROOF
+    ]
+    if not proofs or (report.when != "call" and report.passed):
         return
-    proofs = [{key: str(value) for key, value in mark.kwargs.items()} for mark in marks]
-    _results[item.nodeid] = {"result": report.outcome, "proofs": proofs}
+    _results[report.nodeid] = {"result": report.outcome, "proofs": proofs}
 
 
-def pytest_sessionfinish() -> None:
+def pytest_sessionfinish(session: pytest.Session) -> None:
     """Write the results of this run's proofs over those of earlier runs."""
-    if not _results:
+    if not _results or hasattr(session.config, "workerinput"):
         return
     held = json.loads(RESULTS.read_text()) if RESULTS.exists() else {}
     RESULTS.parent.mkdir(exist_ok=True)
