Let a request wait briefly for a place before it is refused

Cause: after a domain left, the callers' requests came in a burst with their new lines; a sidecar whose places and siblings were full at that moment refused at once, and the callers' backoff made the tail. Now up to 4 requests a place wait at most 0.25 s, first come first served; cold upstreams get no more at once than before. A refusal still is final and says so at once then. Ruled out: a longer retry budget, which only moves the burst between siblings. The experiment's steady phase is longer, and running requests count only where an upstream served through the whole phase.

--- a/plantainproxy/sidecar/attempts.py
+++ b/plantainproxy/sidecar/attempts.py
@@ -14,6 +14,10 @@
 """A draining upstream still runs what no sibling takes for this long."""
 REPLY_MARGIN_SECONDS = 0.25
 """Extra time for a sibling to say that the deadline has passed."""
+WAIT_SECONDS = 0.25
+"""How long a request waits for a place before it is given up."""
+WAITING_PER_PLACE = 4
+"""Requests that may wait for each place on the own upstream."""
 REFUSALS = frozenset(
     {
         _exceptions.ErrorKind.OVERLOADED,
@@ -43,15 +47,19 @@
     last: Ended | None = None
     may_have_run = False
     attempt = 0
+    wait_until = min(trio.current_time() + WAIT_SECONDS, job.deadline)
     while True:
         attempt += 1
         ended = await _attempt(state, ports, job, failed)
         if ended.response is not None:
             return ended
         may_have_run |= ended.outcome is not _types.Outcome.NOT_RUN
+        wait = _retry_delay(state, ports, job, ended, attempt)
+        if wait is None and await _gets_place(state, job, ended, wait_until):
+            failed = frozenset()
+            continue
         if ended.ran_by is None and last is not None:
             return _weakened(last) if may_have_run else last
-        wait = _retry_delay(state, ports, job, ended, attempt)
         if wait is None or ended.ran_by is None:
             return _weakened(ended) if may_have_run else ended
         failed |= {ended.ran_by}
@@ -79,6 +87,30 @@
     )
 
 
+async def _gets_place(
+    state: context.State, job: checks.Job, ended: Ended, until: float
+) -> bool:
+    """Wait until a request on the own upstream ends; tell whether one did.
+
+    Only a request that found everything full waits, so that a short burst is served
+    in place of refused.
+    """
+    if ended.error is not _exceptions.ErrorKind.OVERLOADED:
+        return False
+    if ended.outcome is not _types.Outcome.NOT_RUN:
+        return False
+    now = trio.current_time()
+    own = own_load(state, state.view or job.view, job.pool, now=now)
+    if own.draining or not own.available or not own.running:
+        return False
+    if len(state.waiting) >= own.limit * WAITING_PER_PLACE:
+        return False
+    with trio.move_on_at(until):
+        await state.waiting.park()
+        return True
+    return False
+
+
 def _weakened(ended: Ended) -> Ended:
     return dataclasses.replace(ended, outcome=_types.Outcome.UNKNOWN)
 
@@ -190,6 +222,7 @@
             max_running=job.pool.max_running,
             now=now,
         )
+        state.waiting.unpark()
     if result.response is not None:
         return Ended(outcome=_types.Outcome.RUN, response=result.response)
     kind = result.error or _exceptions.ErrorKind.INTERNAL
--- a/plantainproxy/sidecar/context.py
+++ b/plantainproxy/sidecar/context.py
@@ -59,6 +59,10 @@
         default_factory=placement.State
     )
     budget: retry.Budget = dataclasses.field(default_factory=retry.Budget)
+    waiting: trio.lowlevel.ParkingLot = dataclasses.field(
+        default_factory=trio.lowlevel.ParkingLot
+    )
+    """Requests that wait for a place on the own upstream, first come first served."""
     sealed: claim_calls.Sealed = dataclasses.field(default_factory=claim_calls.Sealed)
 
 
--- a/plantainproxy/sidecar/tests/test_requests.py
+++ b/plantainproxy/sidecar/tests/test_requests.py
@@ -15,7 +15,7 @@
 from plantainproxy.core import admission, tickets
 from plantainproxy.core import claims as claim_table
 from plantainproxy.rpc import messages
-from plantainproxy.sidecar import claims, context, requests, upstream
+from plantainproxy.sidecar import attempts, claims, context, requests, upstream
 from plantainproxy.wire import keyring
 
 SERVICE = _types.Address("10.0.0.1", 443)
@@ -491,3 +491,50 @@
         assert set(fleet.runs.values()) == {1}
 
     _run(scenario, sidecars=4, seed=seed)
+
+
+@pytest.mark.parametrize(
+    ("service_seconds", "statuses"),
+    [(0.1, {200: 6}), (1.0, {200: 2, 503: 4})],
+)
+def test_a_short_burst_waits_and_a_long_one_is_refused(
+    service_seconds: float, statuses: dict[int, int]
+) -> None:
+    """A cold upstream takes two at once; the others wait briefly for a place."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.service_seconds = service_seconds
+        responses: list[messages.Response] = []
+
+        async def ask(number: int) -> None:
+            request = _request("POST", body=b"%d" % number)
+            responses.append(await fleet.ask(_address(0), request))
+
+        started_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for number in range(6):
+                nursery.start_soon(ask, number)
+        counts = collections.Counter(response.status for response in responses)
+        assert counts == statuses
+        refused = [response for response in responses if response.status == 503]
+        assert {_told(response) for response in refused} <= {("overloaded", "not-run")}
+        assert sum(fleet.runs.values()) == counts[200]
+        assert trio.current_time() - started_at <= max(service_seconds, 0.3) + 0.05
+
+    _run(scenario, sidecars=1)
+
+
+def test_what_waits_for_a_place_is_bounded() -> None:
+    """Beyond a few for each place, a request is refused at once."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.service_seconds = 1.0
+        state = fleet.states[_address(0)]
+        async with trio.open_nursery() as nursery:
+            for number in range(40):
+                request = _request(body=b"%d" % number)
+                nursery.start_soon(fleet.ask, _address(0), request)
+            await trio.sleep(0.01)
+            assert len(state.waiting) == 2 * attempts.WAITING_PER_PLACE
+
+    _run(scenario, sidecars=1)
--- a/testbed/experiment.py
+++ b/testbed/experiment.py
@@ -41,11 +41,12 @@
 POSTS_SHARE = 1 / 3
 OPEN_PER_SECOND = 20.0
 WARM_SECONDS = 14.0
-STEADY_SECONDS = 15.0
+STEADY_SECONDS = 24.0
 MOVE_SECONDS = 6.0
 OUT_SECONDS = 6.0
 RETURN_SECONDS = 12.0
 REPLACE_SECONDS = 26.0
+AFTER_SECONDS = 8.0
 COLD_SECONDS = 3.0
 OUTPUT = pathlib.Path("out")
 SCENARIOS = ("domain", "cold", "replace")
@@ -245,13 +246,13 @@
     for old in old_hosts:
         experiment.cluster.hosts.remove(old)
     with phases.phase(recorder, "after"):
-        await trio.sleep(STEADY_SECONDS / 2)
+        await trio.sleep(AFTER_SECONDS)
 
 
 def _seconds(scenario: str) -> float:
     """Return the least time that all phases of a scenario take together."""
     if scenario == "replace":
-        return WARM_SECONDS + STEADY_SECONDS * 1.5 + REPLACE_SECONDS + 2
+        return WARM_SECONDS + STEADY_SECONDS + REPLACE_SECONDS + AFTER_SECONDS + 2
     moved = MOVE_SECONDS + OUT_SECONDS + RETURN_SECONDS
     return WARM_SECONDS + STEADY_SECONDS + moved + 4
 
--- a/testbed/phases.py
+++ b/testbed/phases.py
@@ -9,7 +9,7 @@
 
 from standins import caller
 from testbed import cluster as cluster_module
-from testbed import controls, load
+from testbed import controls, load, processes
 
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
 MICROSECONDS_PER_MILLISECOND = 1_000
@@ -70,12 +70,23 @@
         pool.name: tuple(
             str(host.upstream_address)
             for host in recorder.cluster.hosts
-            if host.pool == pool.name and not (is_out and host.domain == recorder.out)
+            if host.pool == pool.name
+            and processes.is_running(host.sidecar)
+            and not (is_out and host.domain == recorder.out)
         )
         for pool in recorder.cluster.plan.pools
     }
 
 
+def _in_both(
+    first: Mapping[str, tuple[str, ...]], last: Mapping[str, tuple[str, ...]]
+) -> dict[str, tuple[str, ...]]:
+    return {
+        pool: tuple(upstream for upstream in upstreams if upstream in last[pool])
+        for pool, upstreams in first.items()
+    }
+
+
 def _new_histogram() -> histogram.HdrHistogram:
     return histogram.HdrHistogram(
         1, caller.MAX_LATENCY_MICROSECONDS, caller.LATENCY_DIGITS
@@ -91,6 +102,7 @@
         report.latency = latency[pool]
     recorder.lag = _new_histogram()
     before = _counts(recorder.running)
+    serving = _serving(recorder, is_out=is_out)
     start = trio.current_time()
     yield
     after = _counts(recorder.running)
@@ -99,7 +111,7 @@
             name=name,
             start=start,
             end=trio.current_time(),
-            serving=_serving(recorder, is_out=is_out),
+            serving=_in_both(serving, _serving(recorder, is_out=is_out)),
             latency=latency,
             counts={key: after[key] - before[key] for key in after},
             lag=recorder.lag,
