Work out each role's capacity at the target size

Slopes: bench.configuration at 650 to 6,500 routes, with the size of an operator's status reply and of the member table; the other benches as cited.

--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -15,9 +15,10 @@
 import time
 
 from plantainproxy import _types
+from plantainproxy.balancer import observed
 from plantainproxy.config import document, model
 from plantainproxy.core import membership, routing
-from plantainproxy.rpc import codec, messages
+from plantainproxy.rpc import codec, messages, operator_pb2
 
 OUTPUT = pathlib.Path("out/configuration.json")
 ROUTES = (650, 1_300, 2_600, 6_500)
@@ -53,6 +54,8 @@
     """The same after one member of each pool restarted and every slot has history."""
     table_mebibytes: float
     """Resident memory of the member table with its records."""
+    status_bytes: int
+    """What one balancer answers to an operator that asks for the status."""
     view_milliseconds: float
     """Processor time to take one sidecar's view from the configuration."""
     process_mebibytes: float
@@ -133,6 +136,11 @@
     return state
 
 
+def _status_bytes(table: membership.Table) -> int:
+    members = [observed.member(record) for record in table.records.values()]
+    return operator_pb2.StatusReply(members=members).ByteSize()
+
+
 def measure(routes: int) -> Result:
     """Measure one size in this process."""
     empty = _resident_bytes()
@@ -186,6 +194,7 @@
         state_mebibytes=(after - before) / MEBIBYTE,
         churned_mebibytes=(churned - before) / MEBIBYTE,
         table_mebibytes=(before - empty) / MEBIBYTE,
+        status_bytes=_status_bytes(table),
         view_milliseconds=_milliseconds(lambda: model.pool_view(held, record=record)),
         process_mebibytes=churned / MEBIBYTE,
     )
