--- a/testbed/experiment.py
+++ b/testbed/experiment.py
@@ -35,7 +35,8 @@
 """Lines of one host at the sites."""
 LINES_SHARE = 100
 """One line in this many is held here."""
-SERVICE_SECONDS = 0.1
+REQUESTS_PER_SECOND = 130.0
+"""What one process of callers sends without being late itself."""
 UTILISATION = 0.4
 """Share of all slots that run a request on average."""
 POSTS_SHARE = 1 / 3
@@ -84,11 +85,13 @@
     """Time from a change's proposal until it is in force everywhere, by change."""
 
 
-def plan_of(options: Options) -> site.Site:
-    """Return the site with the upstreams' service time of the experiment."""
-    plan = site.SITES[options.site]
+def plan_of(name: str) -> site.Site:
+    """Return a site with a service time that fits the rate of requests."""
+    plan = site.SITES[name]
+    slots = sum(pool.hosts * pool.slots for pool in plan.pools)
+    service_seconds = slots * UTILISATION / REQUESTS_PER_SECOND
     pools = tuple(
-        dataclasses.replace(pool, service_seconds=SERVICE_SECONDS)
+        dataclasses.replace(pool, service_seconds=service_seconds)
         for pool in plan.pools
     )
     return dataclasses.replace(plan, pools=pools)
@@ -99,7 +102,7 @@
     plans = {}
     for pool in plan.pools:
         lines = pool.hosts * LINES_OF_A_HOST // LINES_SHARE
-        requests = pool.hosts * pool.slots / SERVICE_SECONDS * UTILISATION
+        requests = pool.hosts * pool.slots / pool.service_seconds * UTILISATION
         plans[pool.name] = load.LoadPlan(
             lines=lines,
             gets_per_second=requests / lines * (1 - POSTS_SHARE),
@@ -426,7 +429,7 @@
 ) -> AsyncIterator[tuple[cluster_module.Cluster, fault_proxy.Link]]:
     """Start the site with a link between its second balancer and the store."""
     async with (
-        cluster_module.open_cluster(plan_of(options)) as cluster,
+        cluster_module.open_cluster(plan_of(options.site)) as cluster,
         fault_proxy.open_tcp_link(cluster.store_address) as link,
     ):
         cluster.store_seen_by[cluster.balancers[1].host] = link.address
--- a/testbed/tests/test_phases.py
+++ b/testbed/tests/test_phases.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from testbed import experiment, phases, site
+from testbed import experiment, phases
 
 
 def _phase(serving: tuple[str, ...]) -> phases.Phase:
@@ -52,12 +52,15 @@
 @pytest.mark.parametrize("name", ["co-op", "le-guennec"])
 def test_load_fits_the_hosts_and_slots_of_a_site(name: str) -> None:
     """Lines and requests are in proportion to the hosts."""
-    plan = site.SITES[name]
+    plan = experiment.plan_of(name)
+    total = 0.0
     for pool, load_plan in zip(
         plan.pools, experiment.load_plans(plan, seed=1).values(), strict=True
     ):
         requests = load_plan.gets_per_second + load_plan.posts_per_second
-        running = load_plan.lines * requests * experiment.SERVICE_SECONDS
+        total += load_plan.lines * requests
+        running = load_plan.lines * requests * pool.service_seconds
         slots = pool.hosts * pool.slots
         assert running == pytest.approx(slots * experiment.UTILISATION)
         assert load_plan.lines == pool.hosts * 20
+    assert total == pytest.approx(experiment.REQUESTS_PER_SECOND)
