--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -15,9 +15,10 @@
 import time
 
 from plantainproxy import _types
+from plantainproxy.balancer import observed
 from plantainproxy.config import document, model
-from plantainproxy.core import routing
-from plantainproxy.rpc import codec, messages
+from plantainproxy.core import membership, routing
+from plantainproxy.rpc import codec, messages, operator_pb2
 
 OUTPUT = pathlib.Path("out/configuration.json")
 ROUTES = (650, 1_300, 2_600, 6_500)
@@ -48,9 +49,15 @@
     member_milliseconds: float
     """Processor time of a change of one pool's members."""
     state_mebibytes: float
-    """Resident memory of the routing state, records and configuration."""
+    """Resident memory of the routing state and the configuration."""
     churned_mebibytes: float
     """The same after one member of each pool restarted and every slot has history."""
+    table_mebibytes: float
+    """Resident memory of the member table with its records."""
+    status_bytes: int
+    """What one balancer answers to an operator that asks for the status."""
+    view_milliseconds: float
+    """Processor time to take one sidecar's view from the configuration."""
     process_mebibytes: float
     """Resident memory of the whole process after that."""
 
@@ -129,8 +136,17 @@
     return state
 
 
+def _status_bytes(table: membership.Table) -> int:
+    members = [observed.member(record) for record in table.records.values()]
+    return operator_pb2.StatusReply(members=members).ByteSize()
+
+
 def measure(routes: int) -> Result:
     """Measure one size in this process."""
+    empty = _resident_bytes()
+    table = membership.Table()
+    for number in range(routes):
+        membership.merge(table, records(number, routes), now=0.0)
     before = _resident_bytes()
     started = time.process_time()
     held = configuration(routes)
@@ -138,9 +154,9 @@
         routing.ConfigurationChanged(configuration=held),
         *(
             routing.MembersChanged(
-                pool=f"pool-{number}", records=records(number, routes)
+                pool=pool, records=membership.pool_records(table, pool)
             )
-            for number in range(routes)
+            for pool in table.pools
         ),
     ]
     state = routing.apply(routing.State(), events, now=0.0)
@@ -163,6 +179,7 @@
     member_milliseconds = _milliseconds(lambda: routing.apply(state, [left], now=1.0))
     state = _churned(state, routes)
     churned = _resident_bytes()
+    record = state.records["pool-0"][0]
     return Result(
         routes=routes,
         members=members,
@@ -176,6 +193,9 @@
         member_milliseconds=member_milliseconds,
         state_mebibytes=(after - before) / MEBIBYTE,
         churned_mebibytes=(churned - before) / MEBIBYTE,
+        table_mebibytes=(before - empty) / MEBIBYTE,
+        status_bytes=_status_bytes(table),
+        view_milliseconds=_milliseconds(lambda: model.pool_view(held, record=record)),
         process_mebibytes=churned / MEBIBYTE,
     )
 
