--- a/plantainproxy/core/tickets.py
+++ b/plantainproxy/core/tickets.py
@@ -78,7 +78,7 @@
         raise _required("the ticket is not base64url") from None
     if len(sealed) != _TICKET_BYTES:
         raise _required("the ticket has the wrong length")
-    key = ring.by_number.get(sealed[0])
+    key = ring.ticket_keys.get(sealed[0])
     if key is None:
         raise _exceptions.PlantainError(
             _exceptions.ErrorKind.OUTCOME_UNKNOWN, "the ticket's key is not in force"
--- a/plantainproxy/sidecar/news.py
+++ b/plantainproxy/sidecar/news.py
@@ -59,7 +59,7 @@
     held = readers.state.ring
     if held is not None and key_set.revision <= held.revision:
         return
-    keys = keyring.Keyring(key_set)
+    keys = keyring.Keyring(key_set, previous=held)
     readers.state.ring = keys
     await readers.lines.send(inbox.KeysChanged(keys=keys))
 
--- a/plantainproxy/wire/keyring.py
+++ b/plantainproxy/wire/keyring.py
@@ -10,6 +10,8 @@
 
 RESET_TOKEN_BYTES = 16
 COOKIE_BYTES = 8
+RETIRED_KEYS = 4
+"""Dropped keys under which a process still reads tickets."""
 
 
 def _derive(secret: bytes, purpose: bytes, size_bytes: int) -> bytes:
@@ -43,10 +45,27 @@
 class Keyring:
     """All working keys of one key set."""
 
-    def __init__(self, key_set: model.KeySet) -> None:
-        """Derive the working keys of a key set."""
+    def __init__(
+        self, key_set: model.KeySet, *, previous: "Keyring | None" = None
+    ) -> None:
+        """Derive the working keys of a key set.
+
+        ``previous`` is what the process held before; tickets under its keys are
+        still read after a rotation has dropped those keys.
+        """
         self.revision = key_set.revision
         self.by_number = {key.number: WorkingKey(key) for key in key_set.keys}
         self.current = self.by_number[key_set.current]
         """The key for new connection IDs, tickets and tunnel messages."""
+        held = {} if previous is None else previous.ticket_keys
+        retired = [key for key in held.values() if key.number not in self.by_number]
+        self.ticket_keys: dict[int, WorkingKey] = {
+            key.number: key for key in retired[-RETIRED_KEYS:]
+        }
+        """The keys for reading tickets, the retired ones included, oldest first.
+
+        A forged ticket only wins what every caller is given, so a retired key does no
+        harm here.
+        """
+        self.ticket_keys.update(self.by_number)
         self.cookies = frozenset(key.cookie for key in self.by_number.values())
--- a/plantainproxy/wire/tests/test_formats.py
+++ b/plantainproxy/wire/tests/test_formats.py
@@ -91,3 +91,27 @@
     message = bytearray(tunnel.encode_prefix(ring.current.cookie) + b"datagram")
     message[position] ^= 0xFF
     assert tunnel.decode(bytes(message), cookies=ring.cookies) is None
+
+
+def test_tickets_under_a_dropped_key_are_still_read_by_who_held_it() -> None:
+    """A rotation does not make the keys of callers on held lines unknown."""
+    rotated = model.KeySet(
+        revision=2, current=8, keys=(model.Key(number=8, secret=b"t" * 32),)
+    )
+    before = keyring.Keyring(KEY_SET)
+    after = keyring.Keyring(rotated, previous=before)
+    assert after.by_number.keys() == {8}
+    assert after.ticket_keys.keys() == {7, 8}
+    assert after.cookies == {after.current.cookie}
+    assert keyring.Keyring(rotated).ticket_keys.keys() == {8}
+
+
+def test_only_the_newest_dropped_keys_are_kept() -> None:
+    """Many rotations do not grow the memory of a process."""
+    ring: keyring.Keyring | None = None
+    for number in range(10):
+        key = model.Key(number=number, secret=bytes([number]) * 32)
+        key_set = model.KeySet(revision=number + 1, current=number, keys=(key,))
+        ring = keyring.Keyring(key_set, previous=ring)
+    assert ring is not None
+    assert list(ring.ticket_keys) == [5, 6, 7, 8, 9]
