Let only the watched command of a proof be slow

Cause: every request of the steps on commands that run for long took 1.5 s, also those that open a line, so the files took longer than the suite can spare. Ruled out: fewer steps; shorter commands, as repeats have to come while one runs.

--- a/testbed/commands.py
+++ b/testbed/commands.py
@@ -137,6 +137,26 @@
     nursery.start_soon(run)
 
 
+async def start_slowly(
+    nursery: trio.Nursery,
+    line: "Line",
+    command: Command,
+    answers: list[Answer],
+    *,
+    service_seconds: float,
+    deadline_seconds: float = DEADLINE_SECONDS,
+) -> cluster_module.Host:
+    """Send a command that runs for long; return the upstream's instance.
+
+    Requests that begin after it run as fast as usual.
+    """
+    await set_upstreams(line.bench, service_seconds=service_seconds)
+    start_sending(nursery, line, command, answers, deadline_seconds=deadline_seconds)
+    host = await until_running(line.bench, command)
+    await set_upstreams(line.bench, service_seconds=WELL["service_seconds"])
+    return host
+
+
 @contextlib.asynccontextmanager
 async def loaded(
     bench: Bench, plan: load.LoadPlan, *, seconds: float
