--- a/testbed/experiment.py
+++ b/testbed/experiment.py
@@ -23,6 +23,7 @@
 
 from plantainproxy import _types
 from plantainproxy.config import keys
+from plantainproxy.ctl import spread
 from plantainproxy.rpc import operator_pb2
 from plantainproxy.settings import model as settings_model
 from plantainproxy.store import etcd
@@ -186,6 +187,26 @@
     await controls.http(host.upstream_address, "POST", "/standin/cold")
 
 
+async def _wait_until_known(
+    experiment: Experiment, hosts: list[cluster_module.Host]
+) -> None:
+    """Wait until each balancer knows that the sidecars serve again."""
+    wanted = {str(host.rpc) for host in hosts}
+
+    def is_known(fleet: spread.Fleet) -> bool:
+        return all(
+            wanted
+            <= {
+                member.rpc_address
+                for member in reply.members
+                if member.state == _types.MemberState.SERVING and not member.lost
+            }
+            for reply in fleet.replies
+        )
+
+    await cluster_module.wait_for(is_known, experiment.cluster)
+
+
 async def _move_domain(experiment: Experiment) -> None:
     """Take a failure domain out and bring it back."""
     recorder = experiment.recorder
@@ -198,7 +219,7 @@
         async with _lasting(OUT_SECONDS):
             if is_cold:
                 await _for_each(hosts, _restart_cold, experiment)
-                await cluster_module.wait_until_serving(experiment.cluster)
+                await _wait_until_known(experiment, hosts)
     if is_cold:
         await _for_each(hosts, _make_cold, experiment)
     with phases.phase(recorder, "returning"):
