--- a/plantainproxy/balancer/main.py
+++ b/plantainproxy/balancer/main.py
@@ -1,6 +1,6 @@
 """The ``plantain-balancer`` binary."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 import contextlib
 import dataclasses
 import gc
@@ -34,7 +34,7 @@
 )
 from plantainproxy.settings import check, load, model
 from plantainproxy.store import etcd, port, seat_rules, seats
-from plantainproxy.telemetry import logs, metrics
+from plantainproxy.telemetry import logs, metrics, names
 
 logger = logging.getLogger("plantain.balancer")
 
@@ -190,9 +190,10 @@
 
 
 async def _reload_forever(
-    lifecycle: _lifecycle.Lifecycle, read: Callable[[], model.BalancerSettings]
+    lifecycle: _lifecycle.Lifecycle,
+    running: model.BalancerSettings,
+    read: Callable[[], model.BalancerSettings],
 ) -> None:
-    running = read()
     async for _ in lifecycle.reloads:
         running = _lifecycle.reload(
             running, read, lambda loaded: logs.configure(loaded.telemetry)
@@ -336,7 +337,7 @@
             nursery.start_soon(_follow_documents, parts, channels.documents)
             nursery.start_soon(_follow_seats, parts, channels.holders)
             nursery.start_soon(_watch_service, parts, send_service)
-            nursery.start_soon(_reload_forever, parts.lifecycle, read)
+            nursery.start_soon(_reload_forever, parts.lifecycle, settings, read)
             nursery.start_soon(_report_metrics, parts)
             logger.info("Started in failure domain %s.", settings.domain)
             _calm_collector()
@@ -354,18 +355,31 @@
     gc.set_threshold(COLLECTOR_ALLOCATIONS)
 
 
+def _gauges(parts: Parts) -> Mapping[str, float]:
+    held = parts.holder.held
+    now = trio.current_time()
+    return {
+        "revision": held.configuration_revision,
+        "key_revision": held.key_revision,
+        "lagging_sidecars": observed.lagging(
+            parts.reports, held.configuration_revision, now=now
+        ),
+        "members": len(parts.members.state.table.records),
+        "in_service": _is_in_service(parts),
+        "isolated": membership.is_isolated(parts.members),
+        "blind": membership.is_blind(parts.members),
+        "seat_holder": seats.is_holder(parts.seats),
+        "store_failures": parts.seats.failures,
+    }
+
+
 async def _report_metrics(parts: Parts) -> None:
     await metrics.report(
         parts.settings.telemetry,
-        part="balancer",
+        part=names.Part.BALANCER,
+        instance=parts.settings.rpc_address,
         counters=lambda: observed.counters(parts.datapath.counters),
-        gauges=lambda: {
-            "revision": parts.holder.held.configuration_revision,
-            "members": len(parts.members.state.table.records),
-            "in_service": _is_in_service(parts),
-            "isolated": membership.is_isolated(parts.members),
-            "store_failures": parts.seats.failures,
-        },
+        gauges=lambda: _gauges(parts),
     )
 
 
--- a/plantainproxy/sidecar/main.py
+++ b/plantainproxy/sidecar/main.py
@@ -1,6 +1,7 @@
 """The ``plantain-sidecar`` binary."""
 
-from collections.abc import Awaitable, Callable
+import collections
+from collections.abc import Awaitable, Callable, Mapping
 import dataclasses
 import functools
 import logging
@@ -12,7 +13,7 @@
 import fire
 import trio
 
-from plantainproxy import _lifecycle, _types
+from plantainproxy import _exceptions, _lifecycle, _types
 from plantainproxy.core import admission, claims, problem, tickets
 from plantainproxy.membership import sidecar as membership
 from plantainproxy.quic import connection, endpoint, events, http3
@@ -24,17 +25,20 @@
     inbox,
     line_state,
     lines,
+    news,
     requests,
     tunnel,
     upstream,
 )
-from plantainproxy.telemetry import logs, metrics
+from plantainproxy.telemetry import logs, metrics, names
 from plantainproxy.wire import keyring
 
 logger = logging.getLogger("plantain.sidecar")
 
 LINE_IDLE_SECONDS = 30.0
 """A line without any packet for this time is dropped."""
+SERVER_WORKERS = 96
+"""Calls of siblings that are served at once; each request of a sibling holds one."""
 HANDOVER_SECONDS = 1.0
 """How long others may need to learn that we take no new work."""
 
@@ -49,6 +53,11 @@
     state: context.State
     ports: context.Ports
     lines: line_state.Lines
+    refusals: "Refusals"
+
+
+Refusals = collections.Counter[_exceptions.ErrorKind]
+"""How often callers were answered with each error kind."""
 
 
 def _own_record(settings: model.SidecarSettings) -> _types.MemberRecord:
@@ -92,12 +101,43 @@
     return call
 
 
+def _execute_call(
+    client: bridge.Client,
+) -> Callable[
+    [_types.Address, messages.ExecuteRequest, float],
+    Awaitable[messages.ExecuteReply],
+]:
+    """Return the call to a sibling, which tells what was surely not sent."""
+
+    async def call(
+        address: _types.Address,
+        request: messages.ExecuteRequest,
+        timeout_seconds: float,
+    ) -> messages.ExecuteReply:
+        try:
+            reply: messages.ExecuteReply = await bridge.call(
+                client,
+                address,
+                methods.Method.EXECUTE,
+                request,
+                timeout_seconds=timeout_seconds,
+                connect_first=True,
+            )
+        except bridge.NotSentError as error:
+            raise _exceptions.PlantainError(
+                _exceptions.ErrorKind.NO_UPSTREAM, error.detail
+            ) from None
+        return reply
+
+    return call
+
+
 def _make_ports(
     client: bridge.Client, pool: upstream.Pool, nursery: trio.Nursery
 ) -> context.Ports:
     return context.Ports(
         run=upstream.runner(pool),
-        execute=_peer_call(client, methods.Method.EXECUTE),
+        execute=_execute_call(client),
         claims=claim_calls.Ports(
             claim=_peer_call(client, methods.Method.CLAIM),
             settle=_peer_call(client, methods.Method.SETTLE),
@@ -120,13 +160,24 @@
     )
 
 
-def _line_ports(state: context.State, ports: context.Ports) -> line_state.Ports:
+def _line_ports(
+    state: context.State, ports: context.Ports, refusals: Refusals
+) -> line_state.Ports:
     async def handle(event: events.RequestReceived) -> messages.Response:
-        return await requests.handle(state, ports, event.request, service=event.service)
+        response = await requests.handle(
+            state, ports, event.request, service=event.service
+        )
+        if response.error is not None:
+            refusals[response.error] += 1
+        return response
+
+    def refuse(kind: _exceptions.ErrorKind, detail: str) -> messages.Response:
+        refusals[kind] += 1
+        return problem.response(kind, detail)
 
     return line_state.Ports(
         handle=handle,
-        refuse=problem.response,
+        refuse=refuse,
         extra_headers=lambda: context.ticket_headers(state),
         allow_line=functools.partial(_allow_line, state),
     )
@@ -163,22 +214,6 @@
     )
 
 
-async def _follow_knowledge(parts: Parts) -> None:
-    """Hand what the home balancers tell on to the requests and the lines."""
-    key_revision = 0
-    async for known in parts.announcer.updates:
-        if known.key_set is not None and known.key_set.revision > key_revision:
-            key_revision = known.key_set.revision
-            keys = keyring.Keyring(known.key_set)
-            parts.state.ring = keys
-            await parts.lines.send.send(inbox.KeysChanged(keys=keys))
-        if known.view is not None:
-            context.update_view(parts.state, known.view, now=trio.current_time())
-            await parts.lines.send.send(inbox.ViewChanged(view=known.view))
-        context.update_siblings(parts.state, known.siblings)
-        await parts.lines.send.send(inbox.SiblingsChanged(records=known.siblings))
-
-
 def _handlers(parts: Parts) -> dict[methods.Method, bridge.Handler]:
     async def execute(request: messages.ExecuteRequest) -> messages.ExecuteReply:
         return await requests.handle_execute(parts.state, parts.ports, request)
@@ -211,25 +246,45 @@
     )
 
 
+def _counters(parts: Parts) -> Mapping[str, float]:
+    refusals = {f"refusals.{kind}": count for kind, count in parts.refusals.items()}
+    return {**dataclasses.asdict(parts.lines.counters), **refusals}
+
+
+def _gauges(parts: Parts) -> Mapping[str, float]:
+    state, held = parts.state, parts.lines.endpoint
+    view = state.view
+    max_running = 1 if view is None or view.pool is None else view.pool.max_running
+    limit = admission.limit(
+        state.admission_state, max_running=max_running, now=trio.current_time()
+    )
+    return {
+        "lines": 0 if held is None else len(held.lines),
+        "running": state.admission_state.running,
+        "admission_limit": limit,
+        "available": admission.available(state.admission_state),
+        "claims": len(state.table.entries),
+        "connected": membership.is_connected(parts.announcer),
+        "revision": 0 if view is None else view.revision,
+        "key_revision": 0 if state.ring is None else state.ring.revision,
+    }
+
+
 async def _report_metrics(parts: Parts) -> None:
-    held = parts.lines
     await metrics.report(
         parts.settings.telemetry,
-        part="sidecar",
-        counters=lambda: dataclasses.asdict(held.counters),
-        gauges=lambda: {
-            "lines": len(held.endpoint.lines) if held.endpoint else 0,
-            "running": parts.state.admission_state.running,
-            "claims": len(parts.state.table.entries),
-            "connected": membership.is_connected(parts.announcer),
-        },
+        part=names.Part.SIDECAR,
+        instance=parts.settings.rpc_address,
+        counters=lambda: _counters(parts),
+        gauges=lambda: _gauges(parts),
     )
 
 
 async def _reload_forever(
-    lifecycle: _lifecycle.Lifecycle, read: Callable[[], model.SidecarSettings]
+    lifecycle: _lifecycle.Lifecycle,
+    running: model.SidecarSettings,
+    read: Callable[[], model.SidecarSettings],
 ) -> None:
-    running = read()
     async for _ in lifecycle.reloads:
         running = _lifecycle.reload(
             running, read, lambda loaded: logs.configure(loaded.telemetry)
@@ -246,6 +301,7 @@
             settings.rpc_address,
             _handlers(parts),
             tls=settings.tls,
+            workers=SERVER_WORKERS,
             grace_seconds=settings.grace_seconds,
         ),
         trio.open_nursery() as nursery,
@@ -256,7 +312,12 @@
             functools.partial(context.update_health, parts.state),
         )
         nursery.start_soon(membership.run, parts.announcer)
-        nursery.start_soon(_follow_knowledge, parts)
+        nursery.start_soon(
+            news.follow,
+            news.Readers(
+                announcer=parts.announcer, state=parts.state, lines=parts.lines.send
+            ),
+        )
         nursery.start_soon(_report_metrics, parts)
         nursery.start_soon(_stop_when_asked, parts, lifecycle)
         logger.info("Started for pool %s.", settings.pool)
@@ -294,17 +355,18 @@
                 interval_seconds=settings.heartbeat_interval_seconds,
                 rng=random.Random(),
             )
+            refusals: Refusals = collections.Counter()
+            line_ports = _line_ports(state, ports, refusals)
             parts = Parts(
                 settings=settings,
                 generation=record.generation,
                 announcer=announcer,
                 state=state,
                 ports=ports,
-                lines=_make_lines(
-                    settings, record.generation, bound, _line_ports(state, ports)
-                ),
+                lines=_make_lines(settings, record.generation, bound, line_ports),
+                refusals=refusals,
             )
-            nursery.start_soon(_reload_forever, lifecycle, read)
+            nursery.start_soon(_reload_forever, lifecycle, settings, read)
             await _run_parts(parts, lifecycle, pool)
             nursery.cancel_scope.cancel()
 
--- a/testbed/cluster.py
+++ b/testbed/cluster.py
@@ -9,6 +9,7 @@
 import itertools
 import os
 import pathlib
+import socket
 import tempfile
 
 import trio
@@ -28,11 +29,17 @@
 STORE_PORT = 2379
 CONTROL_PORT = 7003
 UPSTREAM_PORT = 8080
+METRICS_PORT = 8125
+METRICS_SECONDS = 0.2
 SERVICE_PORT = 4433
 SEEDS = 3
 START_TIMEOUT_SECONDS = 40
 POLL_SECONDS = 0.05
 
+FIRST_NETWORK = 64
+NETWORKS = 128
+CLUSTERS_PER_PROCESS = 16
+
 _numbers = itertools.count()
 
 
@@ -80,6 +87,11 @@
         """The sidecar's gRPC address."""
         return _types.Address(self.host, RPC_PORT)
 
+    @property
+    def metrics(self) -> _types.Address:
+        """Where the sidecar's metrics are received."""
+        return _types.Address(self.host, METRICS_PORT)
+
     @property
     def upstream_address(self) -> _types.Address:
         """Where the upstream listens."""
@@ -87,8 +99,29 @@
 
 
 def free_network() -> str:
-    """Return the first three bytes of addresses that no other cluster uses."""
-    return f"127.{64 + os.getpid() % 128}.{next(_numbers) % 250}"
+    """Return the first three bytes of addresses that no other cluster uses.
+
+    Clusters of other test processes run at the same time, so the choice depends on
+    the process, and a network whose store's address is taken is passed over.
+    """
+    number = os.getpid()
+    for _ in range(NETWORKS):
+        second = FIRST_NETWORK + number % NETWORKS
+        third = (number // NETWORKS * CLUSTERS_PER_PROCESS + next(_numbers)) % 250
+        network = f"127.{second}.{third}"
+        if _is_free(_types.Address(f"{network}.1", STORE_PORT)):
+            return network
+    raise RuntimeError("Every network is in use.")
+
+
+def _is_free(address: _types.Address) -> bool:
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(address)
+        except OSError:
+            return False
+    return True
 
 
 class Cluster:
@@ -109,6 +142,8 @@
         self.certificates = certificates.write(directory)
         self.authority: certificates.Authority | None = None
         """Signs a certificate for every process; plaintext when absent."""
+        self.extra_settings = ""
+        """Tables that end the settings file of every process."""
         self.client_tls = settings_model.Tls()
         """The certificate of the operators' command line."""
         self.store_address = _types.Address(self.take_host(), STORE_PORT)
@@ -125,6 +160,8 @@
         """Where single balancers, by host, reach the store through links."""
         self.rpc_seen: dict[_types.Address, _types.Address] = {}
         """Where other processes reach a gRPC address; tests may put links there."""
+        self.metered = False
+        """Whether sidecars started from now on send their metrics."""
         self.balancers: list[Balancer] = []
         self.hosts: list[Host] = []
         self.all: list[processes.Process] = []
@@ -275,12 +312,20 @@
         f"call_timeout_seconds = 1.0\n"
         f"watch_rearm_seconds = 5.0\n"
         f"{_tls_settings(cluster, balancer.process.name, balancer.host)}"
+        f"{cluster.extra_settings}"
     )
 
 
 def write_sidecar_settings(cluster: Cluster, host: Host, *, extra: str = "") -> None:
     """Write the settings file of one sidecar."""
     name = host.sidecar.name.removeprefix("sidecar-")
+    telemetry = ""
+    if cluster.metered:
+        telemetry = (
+            f"[telemetry]\n"
+            f'statsd_address = "{host.metrics}"\n'
+            f"statsd_interval_seconds = {METRICS_SECONDS}\n"
+        )
     path = cluster.directory / f"{name}.toml"
     path.write_text(
         f'domain = "{host.domain}"\n'
@@ -293,7 +338,9 @@
         f'private_key_file = "{cluster.certificates.private_key}"\n'
         f"seeds = {_toml_list(cluster.seeds())}\n"
         f"{extra}"
+        f"{telemetry}"
         f"{_tls_settings(cluster, name, host.host)}"
+        f"{cluster.extra_settings}"
     )
 
 
@@ -349,14 +396,22 @@
     *,
     reason: str = "test",
     wait: bool = False,
-) -> None:
-    """Propose one change as an operator does."""
+    through: Balancer | None = None,
+) -> int:
+    """Propose one change as an operator does; return the revision in force.
+
+    ``through`` names the one balancer to ask.
+    """
     settings = cluster.client_settings()
+    if through is not None:
+        settings = dataclasses.replace(settings, balancers=(through.rpc,))
 
-    def run() -> None:
-        changes.propose(settings, request, changes.Options(reason=reason, wait=wait))
+    def run() -> int:
+        options = changes.Options(reason=reason, wait=wait)
+        result = changes.propose(settings, request, options)
+        return int(dict(result.fields)["revision"])
 
-    await trio.to_thread.run_sync(run)
+    return await trio.to_thread.run_sync(run)
 
 
 async def apply(
