Keep certificates and error kinds of gRPC calls in one place each

Cause: the bridge and the command line each read certificates and translated failed calls; the name of the metadata stood in three modules. Ruled out: splitting the bridge itself, which the design wants as one module. Conclusion: rpc.credentials and rpc.kinds serve both sides.

--- a/plantainproxy/ctl/client.py
+++ b/plantainproxy/ctl/client.py
@@ -2,18 +2,14 @@
 
 from collections.abc import Callable, Iterator
 import contextlib
-import pathlib
 from typing import TypeVar
 
 import grpc
 
 from plantainproxy import _exceptions, _types
-from plantainproxy.rpc import operator_pb2, operator_pb2_grpc
+from plantainproxy.rpc import credentials, kinds, operator_pb2, operator_pb2_grpc
 from plantainproxy.settings import model
 
-KIND_METADATA = "plantain-kind"
-"""Trailing metadata that names the error kind of a failed call."""
-
 WORKS_WITHOUT_STORE = (
     "Without the store, status, show and explain still work, and the configuration in "
     "force is served on."
@@ -25,49 +21,24 @@
 T = TypeVar("T")
 
 
-def _credentials(tls: model.Tls) -> grpc.ChannelCredentials | None:
-    if not tls.certificate_file:
-        return None
-    return grpc.ssl_channel_credentials(
-        root_certificates=_read(tls.authority_file),
-        private_key=_read(tls.private_key_file),
-        certificate_chain=_read(tls.certificate_file),
-    )
-
-
-def _read(path: str) -> bytes:
-    try:
-        return pathlib.Path(path).read_bytes()
-    except OSError as error:
-        raise _exceptions.PlantainError(
-            _exceptions.ErrorKind.INVALID_SETTINGS, f"{path}: {error.strerror}"
-        ) from None
-
-
 @contextlib.contextmanager
 def open_stub(address: _types.Address, tls: model.Tls) -> Iterator[Stub]:
     """Yield a stub for one balancer and close its channel afterwards."""
-    credentials = _credentials(tls)
-    channel = (
-        grpc.insecure_channel(str(address))
-        if credentials is None
-        else grpc.secure_channel(str(address), credentials)
-    )
+    channel_credentials = credentials.for_channel(tls)
+    if channel_credentials is None:
+        channel = grpc.insecure_channel(str(address))
+    else:
+        channel = grpc.secure_channel(str(address), channel_credentials)
     with channel:
         yield operator_pb2_grpc.OperatorStub(channel)  # type: ignore[no-untyped-call]
 
 
 def error_of(error: grpc.RpcError) -> _exceptions.PlantainError:
     """Translate a failed call into the closed list of kinds."""
+    told = kinds.of_call(error)
+    if told is not None:
+        return told
     detail = error.details() or ""
-    kinds = [
-        item.value
-        for item in error.trailing_metadata() or ()
-        if item.key == KIND_METADATA
-    ]
-    kind = kinds[0] if kinds else ""
-    if kind in set(_exceptions.ErrorKind):
-        return _exceptions.PlantainError(_exceptions.ErrorKind(kind), detail)
     code = error.code().name.lower().replace("_", " ")
     return _exceptions.PlantainError(
         _exceptions.ErrorKind.PEER_UNAVAILABLE, f"{code}: {detail}"
--- a/plantainproxy/rpc/bridge.py
+++ b/plantainproxy/rpc/bridge.py
@@ -16,9 +16,7 @@
 import contextlib
 import dataclasses
 import functools
-import ipaddress
 import logging
-import pathlib
 import queue
 from typing import Any
 
@@ -27,13 +25,11 @@
 import trio
 
 from plantainproxy import _exceptions, _types
-from plantainproxy.rpc import codec, methods
+from plantainproxy.rpc import codec, credentials, kinds, methods
 from plantainproxy.settings import model
 
 Handler = Callable[[Any], Awaitable[Any]]
 
-KIND_METADATA = "plantain-kind"
-"""Trailing metadata that carries the error kind."""
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 KEEPALIVE_SECONDS = 2.0
 """Time without traffic after which a connection in use is probed."""
@@ -92,36 +88,6 @@
 ]
 
 
-def _read(path: str) -> bytes:
-    try:
-        return pathlib.Path(path).read_bytes()
-    except OSError as error:
-        raise _exceptions.PlantainError(
-            _exceptions.ErrorKind.INVALID_SETTINGS, f"{path}: {error.strerror}"
-        ) from None
-
-
-def _check_plaintext(address: _types.Address, tls: model.Tls) -> None:
-    if tls.allow_plaintext_beyond_loopback:
-        return
-    if ipaddress.ip_address(address.host).is_loopback:
-        return
-    raise _exceptions.PlantainError(
-        _exceptions.ErrorKind.INVALID_SETTINGS,
-        f"tls: {address} is not on loopback and no certificate is set",
-    )
-
-
-def _has_certificates(tls: model.Tls) -> bool:
-    files = (tls.certificate_file, tls.private_key_file, tls.authority_file)
-    if any(files) and not all(files):
-        raise _exceptions.PlantainError(
-            _exceptions.ErrorKind.INVALID_SETTINGS,
-            "tls: certificate, private key and authority are set together",
-        )
-    return all(files)
-
-
 # --- Server -----------------------------------------------------------------------
 
 
@@ -168,7 +134,7 @@
 ) -> bytes:
     context.set_code(grpc.StatusCode[error.answer.grpc_status])
     context.set_details(error.detail)
-    context.set_trailing_metadata(((KIND_METADATA, error.kind.value),))
+    context.set_trailing_metadata(kinds.metadata(error.kind))
     return b""
 
 
@@ -212,20 +178,14 @@
 
 
 def _bind(server: grpc.Server, address: _types.Address, tls: model.Tls) -> int:
-    if _has_certificates(tls):
-        credentials = grpc.ssl_server_credentials(
-            [(_read(tls.private_key_file), _read(tls.certificate_file))],
-            root_certificates=_read(tls.authority_file),
-            require_client_auth=True,
-        )
-    else:
-        _check_plaintext(address, tls)
-        credentials = None
+    server_credentials = credentials.for_server(tls)
+    if server_credentials is None:
+        credentials.check_plaintext(address, tls)
     try:
-        if credentials is None:
+        if server_credentials is None:
             port = server.add_insecure_port(str(address))
         else:
-            port = server.add_secure_port(str(address), credentials)
+            port = server.add_secure_port(str(address), server_credentials)
     except RuntimeError:
         port = 0
     if port == 0:
@@ -321,13 +281,7 @@
 
     def __init__(self, tls: model.Tls) -> None:
         """Hold the certificates; channels are opened by calls."""
-        self.credentials: grpc.ChannelCredentials | None = None
-        if _has_certificates(tls):
-            self.credentials = grpc.ssl_channel_credentials(
-                root_certificates=_read(tls.authority_file),
-                private_key=_read(tls.private_key_file),
-                certificate_chain=_read(tls.certificate_file),
-            )
+        self.credentials = credentials.for_channel(tls)
         self.tls = tls
         self.channels: dict[_types.Address, _Channel] = {}
         self.sweep_at = 0.0
@@ -336,7 +290,7 @@
 
 def _open_channel(client: Client, address: _types.Address) -> _Channel:
     if client.credentials is None:
-        _check_plaintext(address, client.tls)
+        credentials.check_plaintext(address, client.tls)
         channel = grpc.insecure_channel(str(address), options=_CHANNEL_OPTIONS)
     else:
         channel = grpc.secure_channel(
@@ -393,10 +347,10 @@
 
 def _as_error(call: Any, address: _types.Address) -> _exceptions.PlantainError:
     """Turn a failed call into the peer's error kind, or PEER_UNAVAILABLE."""
+    told = kinds.of_call(call)
+    if told is not None:
+        return told
     detail = call.details() or ""
-    for key, value in call.trailing_metadata() or ():
-        if key == KIND_METADATA and value in set(_exceptions.ErrorKind):
-            return _exceptions.PlantainError(_exceptions.ErrorKind(value), detail)
     return _exceptions.PlantainError(
         _exceptions.ErrorKind.PEER_UNAVAILABLE,
         f"{address}: {call.code().name.lower()} {detail}".strip(),
@@ -495,7 +449,7 @@
         )
         await _finished(future)
         code = future.code()
-        answered = any(key == KIND_METADATA for key, _ in future.trailing_metadata())
+        answered = kinds.of_call(future) is not None
         entry.answered = answered or code is grpc.StatusCode.OK
         _note_silence(client, address, entry, grpc.StatusCode.OK if answered else code)
         if code is not grpc.StatusCode.OK:
--- /dev/null
+++ b/plantainproxy/rpc/credentials.py
@@ -0,0 +1,61 @@
+"""Certificates for gRPC, and the rule on plaintext."""
+
+import ipaddress
+import pathlib
+
+import grpc
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.settings import model
+
+
+def has_certificates(tls: model.Tls) -> bool:
+    """Tell whether the settings name certificates; all three files go together."""
+    files = (tls.certificate_file, tls.private_key_file, tls.authority_file)
+    if any(files) and not all(files):
+        raise _refusal("tls: certificate, private key and authority are set together")
+    return all(files)
+
+
+def check_plaintext(address: _types.Address, tls: model.Tls) -> None:
+    """Refuse plaintext beyond loopback unless the settings allow it."""
+    if tls.allow_plaintext_beyond_loopback:
+        return
+    if not ipaddress.ip_address(address.host).is_loopback:
+        raise _refusal(f"tls: {address} is not on loopback and no certificate is set")
+
+
+def for_channel(tls: model.Tls) -> grpc.ChannelCredentials | None:
+    """Return what a client proves itself by; ``None`` for plaintext."""
+    if not has_certificates(tls):
+        return None
+    return grpc.ssl_channel_credentials(
+        root_certificates=_read(tls.authority_file),
+        private_key=_read(tls.private_key_file),
+        certificate_chain=_read(tls.certificate_file),
+    )
+
+
+def for_server(tls: model.Tls) -> grpc.ServerCredentials | None:
+    """Return what a server proves itself by; ``None`` for plaintext.
+
+    Clients without a certificate of the same authority are refused.
+    """
+    if not has_certificates(tls):
+        return None
+    return grpc.ssl_server_credentials(
+        [(_read(tls.private_key_file), _read(tls.certificate_file))],
+        root_certificates=_read(tls.authority_file),
+        require_client_auth=True,
+    )
+
+
+def _read(path: str) -> bytes:
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise _refusal(f"{path}: {error.strerror}") from None
+
+
+def _refusal(detail: str) -> _exceptions.PlantainError:
+    return _exceptions.PlantainError(_exceptions.ErrorKind.INVALID_SETTINGS, detail)
--- a/plantainproxy/rpc/operator_service.py
+++ b/plantainproxy/rpc/operator_service.py
@@ -10,10 +10,9 @@
 import trio
 
 from plantainproxy import _exceptions
-from plantainproxy.rpc import operator_pb2
+from plantainproxy.rpc import kinds, operator_pb2
 
 SERVICE = "plantainproxy.Operator"
-KIND_METADATA = "plantain-kind"
 
 logger = logging.getLogger("plantain.operator")
 
@@ -35,7 +34,7 @@
 
 
 def _fail(context: grpc.ServicerContext, error: _exceptions.PlantainError) -> None:
-    context.set_trailing_metadata(((KIND_METADATA, error.kind.value),))
+    context.set_trailing_metadata(kinds.metadata(error.kind))
     context.abort(grpc.StatusCode[error.answer.grpc_status], error.detail)
 
 
--- a/plantainproxy/rpc/tests/test_bridge.py
+++ b/plantainproxy/rpc/tests/test_bridge.py
@@ -17,7 +17,7 @@
 import trio
 
 from plantainproxy import _exceptions, _types
-from plantainproxy.rpc import bridge, messages, methods
+from plantainproxy.rpc import bridge, kinds, messages, methods
 from plantainproxy.settings import model
 
 ANY = _types.Address("127.0.0.1", 0)
@@ -127,7 +127,7 @@
 
             error: Any = await trio.to_thread.run_sync(send)
             assert error.code() is grpc.StatusCode.INVALID_ARGUMENT
-            assert dict(error.trailing_metadata())[bridge.KIND_METADATA] == (
+            assert dict(error.trailing_metadata())[kinds.METADATA_NAME] == (
                 "bad-request"
             )
 
