Share the command line and the reload of both daemons

Ruled out: moving it into the lifecycle, which imports no settings. Conclusion: _daemon holds what is common.

--- /dev/null
+++ b/plantainproxy/_daemon.py
@@ -0,0 +1,58 @@
+"""The command line that both daemons share."""
+
+from collections.abc import Awaitable, Callable, Iterator
+import pathlib
+from typing import Protocol, TypeVar
+
+from plantainproxy import _lifecycle
+from plantainproxy.settings import load, model
+from plantainproxy.telemetry import logs
+
+
+class Settings(Protocol):
+    """What the settings of every daemon have."""
+
+    @property
+    def telemetry(self) -> model.Telemetry:
+        """Where logs and metrics go."""
+
+
+T = TypeVar("T", bound=Settings)
+
+
+def configure(settings: Settings) -> None:
+    """Take over what a reload may change."""
+    logs.configure(settings.telemetry)
+
+
+async def reload_forever(
+    lifecycle: _lifecycle.Lifecycle, running: T, read: Callable[[], T]
+) -> None:
+    """Read the settings again at each request to reload."""
+    async for _ in lifecycle.reloads:
+        running = _lifecycle.reload(running, read, configure)
+
+
+def run(
+    settings_file: str,
+    *,
+    check_only: bool,
+    settings_type: type[T],
+    check: Callable[[T], Iterator[load.Problem]],
+    body: Callable[[_lifecycle.Lifecycle, Callable[[], T]], Awaitable[None]],
+) -> None:
+    """Check the settings and, unless that is all, run the daemon's body.
+
+    The body gets a function that reads the settings file again.
+    """
+    path = pathlib.Path(str(settings_file))
+
+    def read() -> T:
+        return load.load(path, settings_type, check=check)
+
+    _lifecycle.run_daemon(
+        read=read,
+        check_only=check_only,
+        configure=configure,
+        body=lambda lifecycle: body(lifecycle, read),
+    )
--- a/plantainproxy/_lifecycle.py
+++ b/plantainproxy/_lifecycle.py
@@ -3,7 +3,6 @@
 from collections.abc import Awaitable, Callable
 import dataclasses
 import logging
-import pathlib
 import signal
 import sys
 from typing import Any, NoReturn, TypeVar
@@ -141,8 +140,3 @@
         else:
             changed.append(name)
     return changed
-
-
-def settings_path(text: str) -> pathlib.Path:
-    """Turn the command line's settings argument into a path."""
-    return pathlib.Path(str(text))
--- a/plantainproxy/balancer/main.py
+++ b/plantainproxy/balancer/main.py
@@ -11,7 +11,7 @@
 import fire
 import trio
 
-from plantainproxy import _lifecycle, _types
+from plantainproxy import _daemon, _lifecycle, _types
 from plantainproxy.balancer import (
     datapath,
     explanation,
@@ -32,9 +32,9 @@
     operator_pb2,
     operator_service,
 )
-from plantainproxy.settings import check, load, model
+from plantainproxy.settings import check, model
 from plantainproxy.store import etcd, port, seat_rules, seats
-from plantainproxy.telemetry import logs, metrics, names
+from plantainproxy.telemetry import metrics, names
 
 logger = logging.getLogger("plantain.balancer")
 
@@ -189,17 +189,6 @@
         await trio.sleep(SERVICE_CHECK_SECONDS)
 
 
-async def _reload_forever(
-    lifecycle: _lifecycle.Lifecycle,
-    running: model.BalancerSettings,
-    read: Callable[[], model.BalancerSettings],
-) -> None:
-    async for _ in lifecycle.reloads:
-        running = _lifecycle.reload(
-            running, read, lambda loaded: logs.configure(loaded.telemetry)
-        )
-
-
 def _make_parts(
     settings: model.BalancerSettings,
     lifecycle: _lifecycle.Lifecycle,
@@ -337,7 +326,7 @@
             nursery.start_soon(_follow_documents, parts, channels.documents)
             nursery.start_soon(_follow_seats, parts, channels.holders)
             nursery.start_soon(_watch_service, parts, send_service)
-            nursery.start_soon(_reload_forever, parts.lifecycle, settings, read)
+            nursery.start_soon(_daemon.reload_forever, parts.lifecycle, settings, read)
             nursery.start_soon(_report_metrics, parts)
             logger.info("Started in failure domain %s.", settings.domain)
             _calm_collector()
@@ -401,16 +390,12 @@
 
     --settings names the TOML file; --check-only reads and checks it and ends.
     """
-    path = _lifecycle.settings_path(settings)
-
-    def read() -> model.BalancerSettings:
-        return load.load(path, model.BalancerSettings, check=check.check_balancer)
-
-    _lifecycle.run_daemon(
-        read=read,
+    _daemon.run(
+        settings,
         check_only=check_only,
-        configure=lambda loaded: logs.configure(loaded.telemetry),
-        body=lambda lifecycle: _run(lifecycle, read),
+        settings_type=model.BalancerSettings,
+        check=check.check_balancer,
+        body=_run,
     )
 
 
--- a/plantainproxy/sidecar/main.py
+++ b/plantainproxy/sidecar/main.py
@@ -13,12 +13,12 @@
 import fire
 import trio
 
-from plantainproxy import _exceptions, _lifecycle, _types
+from plantainproxy import _daemon, _exceptions, _lifecycle, _types
 from plantainproxy.core import admission, claims, problem, tickets
 from plantainproxy.membership import sidecar as membership
 from plantainproxy.quic import connection, endpoint, events, http3
 from plantainproxy.rpc import bridge, messages, methods
-from plantainproxy.settings import check, load, model
+from plantainproxy.settings import check, model
 from plantainproxy.sidecar import claims as claim_calls
 from plantainproxy.sidecar import (
     context,
@@ -30,7 +30,7 @@
     tunnel,
     upstream,
 )
-from plantainproxy.telemetry import logs, metrics, names
+from plantainproxy.telemetry import metrics, names
 from plantainproxy.wire import keyring
 
 logger = logging.getLogger("plantain.sidecar")
@@ -280,17 +280,6 @@
     )
 
 
-async def _reload_forever(
-    lifecycle: _lifecycle.Lifecycle,
-    running: model.SidecarSettings,
-    read: Callable[[], model.SidecarSettings],
-) -> None:
-    async for _ in lifecycle.reloads:
-        running = _lifecycle.reload(
-            running, read, lambda loaded: logs.configure(loaded.telemetry)
-        )
-
-
 async def _run_parts(
     parts: Parts, lifecycle: _lifecycle.Lifecycle, pool: upstream.Pool
 ) -> None:
@@ -366,7 +355,7 @@
                 lines=_make_lines(settings, record.generation, bound, line_ports),
                 refusals=refusals,
             )
-            nursery.start_soon(_reload_forever, lifecycle, settings, read)
+            nursery.start_soon(_daemon.reload_forever, lifecycle, settings, read)
             await _run_parts(parts, lifecycle, pool)
             nursery.cancel_scope.cancel()
 
@@ -376,16 +365,12 @@
 
     --settings names the TOML file; --check-only reads and checks it and ends.
     """
-    path = _lifecycle.settings_path(settings)
-
-    def read() -> model.SidecarSettings:
-        return load.load(path, model.SidecarSettings, check=check.check_sidecar)
-
-    _lifecycle.run_daemon(
-        read=read,
+    _daemon.run(
+        settings,
         check_only=check_only,
-        configure=lambda loaded: logs.configure(loaded.telemetry),
-        body=lambda lifecycle: _run(lifecycle, read),
+        settings_type=model.SidecarSettings,
+        check=check.check_sidecar,
+        body=_run,
     )
 
 
