Let a command finish at a planned stop when its caller has gone

Cause: a claimed command outlives its caller's line, but a stopping sidecar ended as soon as its last line had gone and cancelled the command at its upstream. Ruled out: the lines' own stop, which waits for requests of held lines only. The parts of the sidecar moved to a module of their own.

--- a/plantainproxy/_lifecycle.py
+++ b/plantainproxy/_lifecycle.py
@@ -27,6 +27,8 @@
         """Start with nothing asked."""
         self.stopping = trio.Event()
         """Set by the first stop signal: hand over, finish and leave."""
+        self.stop_asked_at = 0.0
+        """When the first stop signal came, in trio's time."""
         self.forced = False
         """Whether a second stop signal has ended the process at once."""
         self.reload_sender, self.reloads = trio.open_memory_channel[None](1)
@@ -52,6 +54,7 @@
                 scope.cancel()
                 return
             logger.info("Stop signal; leaving in order.")
+            lifecycle.stop_asked_at = trio.current_time()
             lifecycle.stopping.set()
 
 
--- /dev/null
+++ b/plantainproxy/sidecar/parts.py
@@ -0,0 +1,201 @@
+"""The parts of one sidecar and how they are joined."""
+
+import collections
+from collections.abc import Awaitable, Callable
+import dataclasses
+import functools
+import random
+import socket
+import time
+from typing import Any
+
+import trio
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.core import admission, claims, problem, tickets
+from plantainproxy.membership import sidecar as membership
+from plantainproxy.quic import connection, endpoint, events, http3
+from plantainproxy.rpc import bridge, messages, methods
+from plantainproxy.settings import model
+from plantainproxy.sidecar import claims as claim_calls
+from plantainproxy.sidecar import context, line_state, requests, upstream
+from plantainproxy.wire import keyring
+
+LINE_IDLE_SECONDS = 30.0
+"""A line without any packet for this time is dropped."""
+
+Refusals = collections.Counter[_exceptions.ErrorKind]
+"""How often callers were answered with each error kind."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Parts:
+    """The parts of one running sidecar."""
+
+    settings: model.SidecarSettings
+    generation: int
+    announcer: membership.Announcer
+    state: context.State
+    ports: context.Ports
+    lines: line_state.Lines
+    refusals: Refusals
+
+
+def own_record(settings: model.SidecarSettings) -> _types.MemberRecord:
+    """Return what the sidecar announces at its start."""
+    return _types.MemberRecord(
+        kind=_types.MemberKind.SIDECAR,
+        rpc=settings.rpc_address,
+        domain=settings.domain,
+        generation=int(time.time() * 1000),
+        sequence=1,
+        pool=settings.pool,
+        tunnel=settings.tunnel_address,
+        weight=settings.weight,
+    )
+
+
+def make_state(
+    settings: model.SidecarSettings, record: _types.MemberRecord
+) -> context.State:
+    """Make what the requests go by; nothing is known yet."""
+    return context.State(
+        own=settings.rpc_address,
+        table=claims.Table(
+            home=settings.rpc_address,
+            generation=record.generation,
+            tag=tickets.pool_tag(settings.pool),
+        ),
+        max_body_bytes=settings.max_body_bytes,
+        default_timeout_seconds=settings.default_timeout_seconds,
+    )
+
+
+def _peer_call(
+    client: bridge.Client, method: methods.Method
+) -> Callable[[_types.Address, Any, float], Awaitable[Any]]:
+    async def call(
+        address: _types.Address, request: Any, timeout_seconds: float
+    ) -> Any:
+        return await bridge.call(
+            client, address, method, request, timeout_seconds=timeout_seconds
+        )
+
+    return call
+
+
+def _execute_call(
+    client: bridge.Client,
+) -> Callable[
+    [_types.Address, messages.ExecuteRequest, float],
+    Awaitable[messages.ExecuteReply],
+]:
+    """Return the call to a sibling, which tells what was surely not sent."""
+
+    async def call(
+        address: _types.Address,
+        request: messages.ExecuteRequest,
+        timeout_seconds: float,
+    ) -> messages.ExecuteReply:
+        try:
+            reply: messages.ExecuteReply = await bridge.call(
+                client,
+                address,
+                methods.Method.EXECUTE,
+                request,
+                timeout_seconds=timeout_seconds,
+                connect_first=True,
+            )
+        except bridge.NotSentError as error:
+            raise _exceptions.PlantainError(
+                _exceptions.ErrorKind.NO_UPSTREAM, error.detail
+            ) from None
+        return reply
+
+    return call
+
+
+def make_ports(
+    client: bridge.Client, pool: upstream.Pool, nursery: trio.Nursery
+) -> context.Ports:
+    """Join the requests to the upstream and to the siblings."""
+    return context.Ports(
+        run=upstream.runner(pool),
+        execute=_execute_call(client),
+        claims=claim_calls.Ports(
+            claim=_peer_call(client, methods.Method.CLAIM),
+            settle=_peer_call(client, methods.Method.SETTLE),
+        ),
+        start_soon=nursery.start_soon,
+        random=random.random,
+    )
+
+
+def _allow_line(state: context.State, now: float) -> bool:
+    """Take one new line from the admission rate of the own upstream."""
+    if state.view is None or state.view.pool is None:
+        return False
+    pool = state.view.pool
+    return admission.allow_line(
+        state.admission_state,
+        lines_per_second=pool.lines_per_second,
+        max_running=pool.max_running,
+        now=now,
+    )
+
+
+def line_ports(
+    state: context.State, ports: context.Ports, refusals: Refusals
+) -> line_state.Ports:
+    """Join the lines to the requests."""
+
+    async def handle(event: events.RequestReceived) -> messages.Response:
+        response = await requests.handle(
+            state, ports, event.request, service=event.service
+        )
+        if response.error is not None:
+            refusals[response.error] += 1
+        return response
+
+    def refuse(kind: _exceptions.ErrorKind, detail: str) -> messages.Response:
+        refusals[kind] += 1
+        return problem.response(kind, detail)
+
+    return line_state.Ports(
+        handle=handle,
+        refuse=refuse,
+        extra_headers=lambda: context.ticket_headers(state),
+        allow_line=functools.partial(_allow_line, state),
+    )
+
+
+def make_lines(
+    settings: model.SidecarSettings,
+    generation: int,
+    bound: socket.socket,
+    line_ports: line_state.Ports,
+) -> line_state.Lines:
+    """Make the owner of the callers' lines."""
+    configuration = connection.server_configuration(
+        certificate_file=settings.certificate_file,
+        private_key_file=settings.private_key_file,
+        idle_timeout_seconds=LINE_IDLE_SECONDS,
+        max_body_bytes=settings.max_body_bytes,
+    )
+    limits = http3.Limits(max_body_bytes=settings.max_body_bytes)
+
+    def make_endpoint(
+        identity: endpoint.Identity, keys: keyring.Keyring
+    ) -> endpoint.Endpoint:
+        return endpoint.Endpoint(
+            configuration=configuration, limits=limits, identity=identity, keys=keys
+        )
+
+    return line_state.Lines(
+        bound=bound,
+        own=settings.tunnel_address,
+        generation=generation,
+        fabric_addresses=settings.fabric_addresses,
+        make_endpoint=make_endpoint,
+        ports=line_ports,
+    )
