Make the marks of proofs in one place

Cause: four files made the same parameter with the same mark. Ruled out: nothing, a move. Conclusion: step_runner.proof serves all.

--- a/testbed/step_runner.py
+++ b/testbed/step_runner.py
@@ -5,6 +5,7 @@
 from typing import cast
 
 from _pytest.mark import ParameterSet
+import pytest
 import trio
 
 from testbed import cluster as cluster_module
@@ -25,6 +26,12 @@
     return trio.run(_run, plan, steps, tuple(upstream_options))
 
 
+def proof(promise: int, step: Step, fault: str, at: str) -> ParameterSet:
+    """Make the test parameter of a step, with its mark for the page of proofs."""
+    mark = pytest.mark.proof(promise=promise, fault=fault, step=at)
+    return pytest.param(step, id=step.__name__.strip("_"), marks=mark)
+
+
 def steps_of(parameters: Iterable[ParameterSet]) -> list[Step]:
     """Return the steps that are the first values of a test's parameters."""
     return [cast("Step", parameter.values[0]) for parameter in parameters]
--- a/tests/test_promise_03_cold_upstreams.py
+++ b/tests/test_promise_03_cold_upstreams.py
@@ -4,8 +4,8 @@
 """
 
 from collections.abc import Mapping, Sequence
+import functools
 
-from _pytest.mark import ParameterSet
 import pytest
 import trio
 
@@ -122,10 +122,7 @@
     await _under_load(bench, fault)
 
 
-def _proof(step: step_runner.Step, fault: str, at: str) -> ParameterSet:
-    mark = pytest.mark.proof(promise=3, fault=fault, step=at)
-    return pytest.param(step, id=step.__name__.strip("_"), marks=mark)
-
+_proof = functools.partial(step_runner.proof, 3)
 
 PROOFS = [
     _proof(_site_starts_cold, "all upstreams cold at once", "full load"),
--- a/tests/test_promise_05_whole_answers.py
+++ b/tests/test_promise_05_whole_answers.py
@@ -1,8 +1,8 @@
 """Promise 5, with real processes: every answer is whole and its request's own."""
 
 from collections.abc import Mapping
+import functools
 
-from _pytest.mark import ParameterSet
 import pytest
 import trio
 
@@ -136,10 +136,7 @@
     assert load.total(running, "broken_flows") == 0
 
 
-def _proof(step: step_runner.Step, fault: str, at: str) -> ParameterSet:
-    mark = pytest.mark.proof(promise=5, fault=fault, step=at)
-    return pytest.param(step, id=step.__name__.strip("_"), marks=mark)
-
+_proof = functools.partial(step_runner.proof, 5)
 
 PROOFS = [
     _proof(_answers_out_of_order, "answers out of order", "running"),
--- a/tests/test_promise_06_not_run_is_true.py
+++ b/tests/test_promise_06_not_run_is_true.py
@@ -1,8 +1,8 @@
 """Promise 6, with real processes: what a refusal says of a request's run is true."""
 
 from collections.abc import Mapping
+import functools
 
-from _pytest.mark import ParameterSet
 import pytest
 import trio
 
@@ -211,10 +211,7 @@
         assert NOT_RUN in told
 
 
-def _proof(step: step_runner.Step, fault: str, at: str) -> ParameterSet:
-    mark = pytest.mark.proof(promise=6, fault=fault, step=at)
-    return pytest.param(step, id=step.__name__.strip("_"), marks=mark)
-
+_proof = functools.partial(step_runner.proof, 6)
 
 PROOFS = [
     _proof(_upstream_closes, "upstream closes", "before the answer"),
--- a/tests/test_promise_07_at_most_once.py
+++ b/tests/test_promise_07_at_most_once.py
@@ -5,8 +5,8 @@
 
 from collections.abc import Callable, Mapping
 import contextlib
+import functools
 
-from _pytest.mark import ParameterSet
 import pytest
 import trio
 
@@ -281,10 +281,7 @@
     rotation.commands(lambda: settings)["rotate"](reason="test", wait=True)
 
 
-def _proof(step: step_runner.Step, fault: str, at: str) -> ParameterSet:
-    mark = pytest.mark.proof(promise=7, fault=fault, step=at)
-    return pytest.param(step, id=step.__name__.strip("_"), marks=mark)
-
+_proof = functools.partial(step_runner.proof, 7)
 
 PROOFS = [
     _proof(_repeated_while_running, "repeated over new connections", "running"),
