Drop a sidecar's dead generation and the second loopback check

Cause: the sidecar's parts kept the generation of its start, which nothing read and which a refutation would have made wrong; gRPC's rule on plaintext computed what the settings' check already answers. Ruled out: one shared member record for both daemons; their fields differ. Conclusion: settings.check.is_loopback serves both; behaviour is as it was.

--- a/plantainproxy/rpc/credentials.py
+++ b/plantainproxy/rpc/credentials.py
@@ -1,12 +1,11 @@
 """Certificates for gRPC, and the rule on plaintext."""
 
-import ipaddress
 import pathlib
 
 import grpc
 
 from plantainproxy import _exceptions, _types
-from plantainproxy.settings import model
+from plantainproxy.settings import check, model
 
 
 def has_certificates(tls: model.Tls) -> bool:
@@ -21,7 +20,7 @@
     """Refuse plaintext beyond loopback unless the settings allow it."""
     if tls.allow_plaintext_beyond_loopback:
         return
-    if not ipaddress.ip_address(address.host).is_loopback:
+    if not check.is_loopback(address):
         raise _refusal(f"tls: {address} is not on loopback and no certificate is set")
 
 
--- a/plantainproxy/sidecar/main.py
+++ b/plantainproxy/sidecar/main.py
@@ -172,7 +172,6 @@
             line_ports = sidecar_parts.line_ports(state, ports, refusals)
             parts = sidecar_parts.Parts(
                 settings=settings,
-                generation=record.generation,
                 announcer=announcer,
                 state=state,
                 ports=ports,
--- a/plantainproxy/sidecar/parts.py
+++ b/plantainproxy/sidecar/parts.py
@@ -33,7 +33,6 @@
     """The parts of one running sidecar."""
 
     settings: model.SidecarSettings
-    generation: int
     announcer: membership.Announcer
     state: context.State
     ports: context.Ports
