--- a/plantainproxy/quic/tests/test_endpoint.py
+++ b/plantainproxy/quic/tests/test_endpoint.py
@@ -240,6 +240,24 @@
     assert responses(caller)[after].status == 200
 
 
+def test_unfinished_bodies_of_one_line_are_bounded() -> None:
+    """A caller that begins many bodies and ends none is refused."""
+    limits = http3.Limits(max_body_bytes=4000)
+    network = quic_pair.Network(quic_pair.make_endpoint(limits=limits))
+    caller = opened(network)
+    assert caller.client.h3 is not None
+    for index in range(http3.MAX_PARTIAL_BODIES + 2):
+        stream = caller.client.quic.get_next_available_stream_id()
+        fields = [(b":method", b"POST"), (b":scheme", b"https")]
+        fields += [(b":authority", b"x"), (b":path", b"/%d" % index)]
+        caller.client.h3.send_headers(stream, fields)
+        caller.client.h3.send_data(stream, b"z" * 3900, end_stream=False)
+        network.run(1.0)
+    refused = of_type(network.events, events.RequestRefused)
+    kinds = {e.kind for e in refused if isinstance(e, events.RequestRefused)}
+    assert kinds == {_exceptions.ErrorKind.OVERLOADED}
+
+
 def test_two_services_of_one_sidecar_are_never_crossed() -> None:
     """A datagram of one service's line is refused under the other's address."""
     server = quic_pair.make_endpoint()
