--- a/standins/caller.py
+++ b/standins/caller.py
@@ -31,6 +31,8 @@
 MAX_LATENCY_MICROSECONDS = 120_000_000
 LATENCY_DIGITS = 3
 QUANTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
+LOST = "lost"
+"""Stands for an attempt that got no answer."""
 PROBLEM_CONTENT_TYPE = b"application/problem+json"
 
 
@@ -56,6 +58,18 @@
     authority_file: str | None = None
     """Certificate to trust; any is trusted when absent."""
     seed: int = 1
+    label: str = ""
+    """What the token of every request begins with."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Told:
+    """What a caller was told of one request, attempt by attempt."""
+
+    method: str
+    answers: list[str] = dataclasses.field(default_factory=list)
+    """``matches`` or another verdict on a whole answer, the outcome of a refusal, or
+    ``lost`` for an attempt without an answer."""
 
 
 class Report:
@@ -83,6 +97,8 @@
         )
         self.refusals: dict[str, int] = {}
         """Refusals by error kind."""
+        self.told: dict[str, Told] = {}
+        """By token."""
         self.lines_open = 0
         self.latency = histogram.HdrHistogram(
             1, MAX_LATENCY_MICROSECONDS, LATENCY_DIGITS
@@ -381,7 +397,8 @@
     holder: Holder, method: str, *, headers: tuple[messages.Header, ...]
 ) -> None:
     plan, report = holder.plan, holder.report
-    token = f"{holder.random.getrandbits(64):016x}"
+    token = f"{plan.label}{holder.random.getrandbits(64):016x}"
+    told = report.told[token] = Told(method=method)
     path = f"/work/{token}"
     body = token.encode() * (plan.body_bytes // len(token)) if method == "POST" else b""
     wanted = echo.expected(method, path, token, body)
@@ -395,6 +412,7 @@
                     RECONNECT_SECONDS * 2**attempt * holder.random.random()
                 )
             connection = await _usable(holder)
+            told.answers.append(LOST)
             result = await send(
                 connection,
                 method,
@@ -403,6 +421,7 @@
                 body=body,
             )
             verdict = _judge(holder, wanted, result)
+            told.answers[-1] = verdict or _outcome(result)
             if verdict == echo.MATCHES:
                 elapsed = trio.current_time() - started_at
                 report.latency.record_value(max(1, int(elapsed * 1e6)))
@@ -437,9 +456,22 @@
     return verdict
 
 
+def _outcome(result: http3_client.Event) -> str:
+    """Return what a refusal said of the request's run, or ``lost``."""
+    if isinstance(result, http3_client.RequestFailed) and result.not_run:
+        return _types.Outcome.NOT_RUN
+    if not isinstance(result, http3_client.ResponseReceived):
+        return LOST
+    return _problem_member(result.response.body, "outcome")
+
+
 def _problem_kind(body: bytes) -> str:
+    return _problem_member(body, "type").rpartition(":")[2]
+
+
+def _problem_member(body: bytes, name: str) -> str:
     try:
-        return str(json.loads(body)["type"]).rpartition(":")[2]
+        return str(json.loads(body)[name])
     except (ValueError, KeyError, TypeError):
         return "unreadable"
 
--- a/testbed/demo.py
+++ b/testbed/demo.py
@@ -69,9 +69,12 @@
     print("Starting the site.", flush=True)
     async with cluster_module.running(plan) as cluster:
         print("It serves; callers open their lines.", flush=True)
-        async with load.offered(
-            cluster, load.LoadPlan(lines=LINES), seconds=SECONDS
-        ) as running, trio.open_nursery() as nursery:
+        async with (
+            load.offered(
+                cluster, load.LoadPlan(lines=LINES), seconds=SECONDS
+            ) as running,
+            trio.open_nursery() as nursery,
+        ):
             nursery.start_soon(_show_progress, running)
             await _change_under_traffic(cluster)
             nursery.cancel_scope.cancel()
--- a/testbed/load.py
+++ b/testbed/load.py
@@ -49,6 +49,7 @@
         open_per_second=plan.open_per_second,
         timeout_seconds=plan.timeout_seconds,
         seed=plan.seed,
+        label=f"{pool}.",
     )
 
 
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,45 @@
+"""The whole path, with real processes: changes under traffic go unnoticed."""
+
+import trio
+
+from plantainproxy.rpc import operator_pb2
+from testbed import cluster as cluster_module
+from testbed import invariants, load, site
+
+HANG_SECONDS = 120
+SECONDS = 8.0
+
+
+async def _scenario() -> None:
+    async with cluster_module.running(site.SMALL) as cluster:
+        plan = load.LoadPlan(lines=6, seed=3)
+        async with load.offered(cluster, plan, seconds=SECONDS) as running:
+            await trio.sleep(SECONDS / 4)
+            pool = operator_pb2.SetPool(name="firmware", max_running=4)
+            await cluster_module.propose(
+                cluster, operator_pb2.ChangeRequest(set_pool=pool), wait=True
+            )
+            route = operator_pb2.SetRoute(
+                name="fleet-control-2",
+                address=f"{cluster.take_host()}:{cluster_module.SERVICE_PORT}",
+                pool="fleet-control",
+            )
+            await cluster_module.propose(
+                cluster, operator_pb2.ChangeRequest(set_route=route), wait=True
+            )
+        log = await invariants.read_all(cluster)
+        assert invariants.violations(log, running, log_is_whole=True) == []
+        assert load.total(running, "broken_flows") == 0
+        assert load.total(running, "matches") > 0
+        for report in running.reports.values():
+            assert report.counts["lines_opened"] == plan.lines
+
+
+def test_a_pool_and_a_route_change_under_traffic_unnoticed() -> None:
+    """Every line stays up and every answer is whole and its own."""
+
+    async def guarded() -> None:
+        with trio.fail_after(HANG_SECONDS):
+            await _scenario()
+
+    trio.run(guarded)
