--- /dev/null
+++ b/plantainproxy/flows/balancer_main.py
@@ -0,0 +1,273 @@
+"""The balancer of transparent flows: ``plantain-flow-balancer``."""
+
+from collections.abc import Mapping
+import contextlib
+import functools
+import random
+import socket
+
+import trio
+
+from plantainproxy import _lifecycle, _types
+from plantainproxy.flows import (
+    balancer,
+    datagrams,
+    follower,
+    journal,
+    messages,
+    node,
+    packets,
+    policy,
+    policy_exchange,
+    registry,
+    settings,
+)
+from plantainproxy.platform import (
+    configuration,
+    metadata_store,
+    packet_format,
+)
+from plantainproxy.platform import settings as platform_settings
+
+HELLO_SECONDS = 1.0
+"""How often sidecars are asked for reports."""
+TICK_SECONDS = 0.04
+"""How often open lookups are looked at; half the wait for an answer."""
+SWEEP_SECONDS = 5.0
+LEAVE_QUIET_SECONDS = 0.6
+"""A stopping balancer that got no packet for this long is out of rotation; longer
+than the time between two health checks."""
+LEAVE_RESERVE_SECONDS = 1.0
+"""A stopping balancer leaves this long before the end of its grace."""
+
+
+class Port:
+    """Sends the engine's packets from the data socket."""
+
+    def __init__(
+        self, data_socket: socket.socket, node_settings: settings.NodeSettings
+    ) -> None:
+        """Use an open socket."""
+        self.socket = data_socket
+        self.own_host = socket.inet_aton(node_settings.host)
+        self.caller_port = node_settings.data_address.port
+        self.log = journal.Journal("balancer")
+
+    def forward(
+        self, packet: packets.Packet, to: _types.Address, purpose: packets.Purpose
+    ) -> None:
+        """Send a packet to a sidecar."""
+        data = packet_format.stamp(packet.data, balancer=self.own_host, purpose=purpose)
+        datagrams.send(self.socket, data, to, self.log)
+
+    def reset(self, packet: packets.Packet) -> None:
+        """Tell the packet's caller that the flow is closed."""
+        data = packet_format.encode_reset(packet.flow, sequence=packet.acknowledgement)
+        host = packet_format.caller_host(packet.flow)
+        to = _types.Address(host, self.caller_port)
+        datagrams.send(self.socket, data, to, self.log)
+
+
+class Balancer:
+    """The running parts of one process."""
+
+    def __init__(
+        self,
+        node_settings: settings.NodeSettings,
+        data_socket: socket.socket,
+        message_socket: socket.socket,
+    ) -> None:
+        """Join the parts."""
+        self.settings = node_settings
+        self.data_socket = data_socket
+        self.message_socket = message_socket
+        self.port = Port(data_socket, node_settings)
+        self.log = self.port.log
+        self.engine = balancer.Engine(
+            port=self.port,
+            domain=node_settings.domain,
+            draw=random.random,
+            log=self.log,
+        )
+        self.exchange = policy_exchange.Exchange(self.engine.policies, self.log)
+        self.store = metadata_store.MetadataStore(node_settings.store_address)
+        self.boot = random.getrandbits(32)
+        self.last_packet_at = float("-inf")
+
+
+def _take_policy(running: Balancer, offered: policy.Policy) -> bool:
+    return balancer.take_policy(running.engine, offered, now=trio.current_time())
+
+
+def _take_documents(
+    running: Balancer, items: Mapping[str, bytes], revision: int
+) -> None:
+    found = configuration.decode_policy(items, revision=revision)
+    if found is not None:
+        _take_policy(running, found)
+
+
+def _take_registered(
+    running: Balancer, items: Mapping[str, bytes], revision: int
+) -> None:
+    balancer.take_registered(
+        running.engine, registry.decode(items), now=trio.current_time()
+    )
+    running.log.write("sidecars listed", count=len(items), revision=revision)
+    _greet(running)
+
+
+def _greet(running: Balancer) -> None:
+    """Ask every sidecar for reports."""
+    hello = messages.encode(
+        messages.Hello(boot=running.boot, revision=running.engine.policies.revision)
+    )
+    for address in running.engine.view.upstreams:
+        datagrams.send(running.message_socket, hello, address, running.log)
+
+
+def _handle_data(running: Balancer, data: bytes, sender: _types.Address) -> None:
+    packet = packet_format.decode(data)
+    if packet is None:
+        running.log.count("dropped.malformed")
+        return
+    now = trio.current_time()
+    running.last_packet_at = now
+    balancer.handle_packet(running.engine, packet, now=now)
+
+
+def _handle_message(running: Balancer, data: bytes, sender: _types.Address) -> None:
+    message = messages.decode(data)
+    if message is None:
+        running.log.count("dropped.malformed_message")
+        return
+    if isinstance(message, (messages.Report, messages.Returned)):
+        running.exchange.hear(message.revision, sender)
+    balancer.handle_message(
+        running.engine,
+        message,
+        sender,
+        parse=packet_format.decode_returned,
+        now=trio.current_time(),
+    )
+
+
+async def _greet_forever(running: Balancer) -> None:
+    while True:
+        _greet(running)
+        await trio.sleep(HELLO_SECONDS)
+
+
+async def _tick_forever(running: Balancer) -> None:
+    while True:
+        await trio.sleep(TICK_SECONDS)
+        balancer.tick(running.engine, now=trio.current_time())
+
+
+async def _sweep_forever(running: Balancer) -> None:
+    while True:
+        await trio.sleep(SWEEP_SECONDS)
+        balancer.sweep_flows(running.engine, now=trio.current_time())
+
+
+async def _leave(running: Balancer, lifecycle: _lifecycle.Lifecycle) -> None:
+    """Wait until the fabric sends nothing more here, or the grace ends."""
+    await lifecycle.stopping.wait()
+    running.engine.stopping = True
+    running.log.write("stopping", flows=len(running.engine.flows))
+    began = trio.current_time()
+    latest = began + running.settings.grace_seconds - LEAVE_RESERVE_SECONDS
+    while trio.current_time() < latest:
+        await trio.sleep(LEAVE_QUIET_SECONDS / 4)
+        quiet_since = max(running.last_packet_at, began)
+        if trio.current_time() - quiet_since >= LEAVE_QUIET_SECONDS:
+            break
+    running.log.write("stopped")
+
+
+def _gauges(running: Balancer) -> dict[str, float]:
+    engine = running.engine
+    return {
+        "ready": float(balancer.is_ready(engine, now=trio.current_time())),
+        "revision": float(engine.policies.revision),
+        "cached_flows": float(len(engine.flows)),
+        "open_lookups": float(len(engine.lookups)),
+        "upstreams": float(len(engine.view.upstreams)),
+    }
+
+
+async def _run(
+    lifecycle: _lifecycle.Lifecycle, node_settings: settings.NodeSettings
+) -> None:
+    message_address = _types.Address(node_settings.host, node_settings.message_port)
+    with (
+        datagrams.bound(node_settings.data_address) as data_socket,
+        datagrams.bound(message_address) as message_socket,
+    ):
+        running = Balancer(node_settings, data_socket, message_socket)
+        running.log.write(
+            "started", node=node_settings.name, domain=node_settings.domain
+        )
+        async with trio.open_nursery() as nursery:
+            _start_tasks(nursery, running, lifecycle)
+            await _leave(running, lifecycle)
+            nursery.cancel_scope.cancel()
+
+
+def _start_tasks(
+    nursery: trio.Nursery, running: Balancer, lifecycle: _lifecycle.Lifecycle
+) -> None:
+    own = running.settings
+    metrics_address = _types.Address(own.host, own.metrics_port)
+    for prefix, take in (
+        (configuration.PREFIX, _take_documents),
+        (registry.PREFIX, _take_registered),
+    ):
+        nursery.start_soon(
+            functools.partial(
+                follower.follow,
+                running.store,
+                prefix,
+                take=functools.partial(take, running),
+                log=running.log,
+            )
+        )
+    for opened, handle in (
+        (running.data_socket, _handle_data),
+        (running.message_socket, _handle_message),
+    ):
+        nursery.start_soon(
+            datagrams.receive_forever, opened, functools.partial(handle, running)
+        )
+    for repeat in (_greet_forever, _tick_forever, _sweep_forever):
+        nursery.start_soon(repeat, running)
+    nursery.start_soon(
+        node.serve_readiness,
+        own.ready_address,
+        lambda: balancer.is_ready(running.engine, now=trio.current_time()),
+    )
+    nursery.start_soon(
+        node.serve_metrics,
+        metrics_address,
+        running.log,
+        functools.partial(_gauges, running),
+    )
+    nursery.start_soon(
+        node.exchange_policies,
+        running.exchange,
+        own,
+        functools.partial(_take_policy, running),
+    )
+    nursery.start_soon(
+        node.reload_forever, lifecycle, own, platform_settings.load_balancer
+    )
+
+
+def main() -> None:
+    """Run the balancer with the settings that the platform names."""
+    with contextlib.suppress(KeyboardInterrupt):
+        node.run(platform_settings.load_balancer, _run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/plantainproxy/flows/datagrams.py
@@ -0,0 +1,54 @@
+"""UDP sockets that are read in batches and never block on a send."""
+
+from collections.abc import Callable, Iterator
+import contextlib
+import socket
+
+import trio
+
+from plantainproxy import _types
+from plantainproxy.flows import journal
+
+BATCH = 64
+"""Datagrams that are read before other tasks get their turn."""
+MAX_DATAGRAM_BYTES = 65_535
+RECEIVE_BUFFER_BYTES = 4 * 1_048_576
+"""Room for a burst of some thousands of full packets."""
+
+Handler = Callable[[bytes, _types.Address], None]
+
+
+@contextlib.contextmanager
+def bound(address: _types.Address) -> Iterator[socket.socket]:
+    """Open a UDP socket at an address."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as opened:
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        opened.setblocking(False)
+        opened.bind(address)
+        yield opened
+
+
+async def receive_forever(opened: socket.socket, handle: Handler) -> None:
+    """Hand every datagram and its sender to a function."""
+    while True:
+        await trio.lowlevel.wait_readable(opened)
+        for _ in range(BATCH):
+            try:
+                data, (host, port) = opened.recvfrom(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                break
+            except OSError:
+                # The kernel tells of an earlier datagram that a port refused.
+                continue
+            handle(data, _types.Address(host, port))
+
+
+def send(
+    opened: socket.socket, data: bytes, to: _types.Address, log: journal.Journal
+) -> None:
+    """Send one datagram, or count that it could not be sent."""
+    try:
+        opened.sendto(data, to)
+    except OSError as error:
+        log.count(f"send_failed.{type(error).__name__}")
--- /dev/null
+++ b/plantainproxy/flows/follower.py
@@ -0,0 +1,121 @@
+"""Keeps a copy of the store's entries under one prefix."""
+
+from collections.abc import Callable, Mapping
+import random
+
+import trio
+
+from plantainproxy import _exceptions
+from plantainproxy.flows import journal
+from plantainproxy.store import revisioned
+
+GATHER_SECONDS = 0.2
+"""After a change, the next watch starts this much later, so that changes in quick
+succession cost one call."""
+FIRST_RETRY_SECONDS = 0.1
+LAST_RETRY_SECONDS = 1.0
+"""The wait after failed calls doubles between these; the last one keeps a store that
+returns from being noticed late."""
+
+Take = Callable[[Mapping[str, bytes], int], None]
+"""Gets all entries and the revision at which they stood so."""
+
+
+class Backoff:
+    """The growing wait after failures in a row."""
+
+    def __init__(self) -> None:
+        """Start without failures."""
+        self.seconds = 0.0
+
+    def reset(self) -> None:
+        """Note a success."""
+        self.seconds = 0.0
+
+    async def wait(self) -> None:
+        """Note a failure and wait, for between half and all of the time."""
+        doubled = max(FIRST_RETRY_SECONDS, 2 * self.seconds)
+        self.seconds = min(doubled, LAST_RETRY_SECONDS)
+        await trio.sleep(self.seconds * (0.5 + random.random() / 2))
+
+
+async def follow(
+    store: revisioned.RevisionedStore,
+    prefix: str,
+    *,
+    take: Take,
+    log: journal.Journal,
+) -> None:
+    """Read the entries and watch them for ever."""
+    health = _Health(prefix, log)
+    while True:
+        snapshot = await _read(store, prefix, health)
+        entries = {entry.key: entry.value for entry in snapshot.entries}
+        take(entries, snapshot.revision)
+        try:
+            await _watch(store, prefix, entries, snapshot.revision, take, health)
+        except revisioned.HistoryLostError as error:
+            log.write("store history lost", prefix=prefix, detail=str(error))
+
+
+class _Health:
+    """Logs when the store is lost and regained."""
+
+    def __init__(self, prefix: str, log: journal.Journal) -> None:
+        self.prefix = prefix
+        self.log = log
+        self.backoff = Backoff()
+        self.failing = False
+
+    def succeeded(self) -> None:
+        if self.failing:
+            self.log.write("store regained", prefix=self.prefix)
+        self.failing = False
+        self.backoff.reset()
+
+    async def failed(self, error: _exceptions.PlantainError) -> None:
+        if not self.failing:
+            self.log.write("store lost", prefix=self.prefix, detail=str(error))
+        self.failing = True
+        self.log.count("store.failed_calls")
+        await self.backoff.wait()
+
+
+async def _read(
+    store: revisioned.RevisionedStore, prefix: str, health: _Health
+) -> revisioned.Snapshot:
+    while True:
+        try:
+            snapshot = await store.read_all(prefix)
+        except _exceptions.PlantainError as error:
+            await health.failed(error)
+            continue
+        health.succeeded()
+        return snapshot
+
+
+async def _watch(
+    store: revisioned.RevisionedStore,
+    prefix: str,
+    entries: dict[str, bytes],
+    revision: int,
+    take: Take,
+    health: _Health,
+) -> None:
+    while True:
+        try:
+            seen = await store.watch_after(prefix, revision)
+        except _exceptions.PlantainError as error:
+            await health.failed(error)
+            continue
+        health.succeeded()
+        revision = max(revision, seen.revision)
+        if not seen.changes:
+            continue
+        for change in seen.changes:
+            if change.entry is None:
+                entries.pop(change.key, None)
+            else:
+                entries[change.key] = change.entry.value
+        take(entries, revision)
+        await trio.sleep(GATHER_SECONDS)
--- /dev/null
+++ b/plantainproxy/flows/held.py
@@ -0,0 +1,155 @@
+"""The flows that one upstream holds, learned from the packets in both directions."""
+
+from collections.abc import Iterator
+import dataclasses
+
+from plantainproxy.flows import packets
+
+SEQUENCE_MASK = 0xFFFF_FFFF
+HALF_RANGE = 0x8000_0000
+MAX_UNACKNOWLEDGED = 76_800
+"""Bytes by which an acknowledgement of a flow may lead its first number at the
+opening; four windows of 16 packets of 1,200 bytes."""
+ENDED_LINGER_SECONDS = 3.0
+"""A closed flow is kept for its last retransmissions; two longest intervals."""
+
+
+@dataclasses.dataclass(slots=True)
+class Flow:
+    """One flow."""
+
+    opened_at: float
+    used_at: float
+    upstream_sequence: int | None = None
+    """First number of the upstream, once it has accepted the flow."""
+    confirmed: bool = False
+    """Whether the caller has chosen this upstream's acceptance."""
+    caller_next: int | None = None
+    """The number after the last byte that the caller sent."""
+    caller_acknowledgement: int = 0
+    """The caller's newest acknowledgement."""
+    waiting_since: float | None = None
+    """When the request in progress came; absent without one."""
+    caller_closed: bool = False
+    upstream_closed: bool = False
+
+    @property
+    def ended(self) -> bool:
+        """Whether both ends have closed."""
+        return self.caller_closed and self.upstream_closed
+
+
+class Table:
+    """All flows by key."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.flows: dict[bytes, Flow] = {}
+        self.running = 0
+        """Requests that wait for the first byte of their answer."""
+        self.complete = False
+        """Whether the table holds every flow of the upstream."""
+
+
+def note_opening(table: Table, packet: packets.Packet, *, now: float) -> None:
+    """Note an opening packet that the upstream gets."""
+    if packet.flow not in table.flows:
+        table.flows[packet.flow] = Flow(now, now)
+
+
+def is_held(table: Table, packet: packets.Packet) -> bool:
+    """Return whether a caller's packet belongs to a flow that is held here.
+
+    Copies of an opening packet may be accepted by several upstreams; the caller's
+    first acknowledgement tells whose acceptance it took.
+    """
+    flow = table.flows.get(packet.flow)
+    if flow is None:
+        return False
+    if flow.confirmed:
+        return True
+    if flow.upstream_sequence is None:
+        return False
+    lead = (packet.acknowledgement - flow.upstream_sequence) & SEQUENCE_MASK
+    return 0 < lead <= MAX_UNACKNOWLEDGED
+
+
+def note_inbound(table: Table, packet: packets.Packet, *, now: float) -> None:
+    """Note a caller's packet that the upstream gets and that opens nothing."""
+    flow = table.flows.get(packet.flow)
+    if flow is None:
+        flow = table.flows[packet.flow] = Flow(now, now)
+    flow.confirmed = True
+    flow.used_at = now
+    flow.caller_acknowledgement = packet.acknowledgement
+    if packet.closing or packet.aborting:
+        flow.caller_closed = True
+    if packet.aborting:
+        flow.upstream_closed = True
+        _stop_waiting(table, flow)
+    if not packet.size:
+        return
+    end = (packet.sequence + packet.size) & SEQUENCE_MASK
+    is_new = flow.caller_next is None or (
+        0 < (end - flow.caller_next) & SEQUENCE_MASK < HALF_RANGE
+    )
+    if not is_new:
+        return
+    flow.caller_next = end
+    if flow.waiting_since is None:
+        flow.waiting_since = now
+        table.running += 1
+
+
+def note_outbound(table: Table, packet: packets.Packet, *, now: float) -> float | None:
+    """Note an upstream's packet; return the seconds to an answer that it starts."""
+    flow = table.flows.get(packet.flow)
+    if flow is None:
+        flow = table.flows[packet.flow] = Flow(now, now)
+        flow.confirmed = not packet.accepting
+    flow.used_at = now
+    if packet.accepting:
+        flow.upstream_sequence = packet.sequence
+    if packet.closing or packet.aborting:
+        flow.upstream_closed = True
+    if packet.aborting:
+        flow.caller_closed = True
+    if not packet.size and not packet.aborting:
+        return None
+    waited = None if flow.waiting_since is None else now - flow.waiting_since
+    _stop_waiting(table, flow)
+    return waited
+
+
+def drop(table: Table, key: bytes) -> None:
+    """Forget one flow."""
+    flow = table.flows.pop(key, None)
+    if flow is not None:
+        _stop_waiting(table, flow)
+
+
+def drop_all(table: Table) -> list[tuple[bytes, Flow]]:
+    """Forget every flow; return those that were open."""
+    dropped = [(key, flow) for key, flow in table.flows.items() if not flow.ended]
+    table.flows.clear()
+    table.running = 0
+    return dropped
+
+
+def sweep(table: Table, *, now: float, idle_seconds: float) -> None:
+    """Forget flows that have ended or have been idle for long."""
+    for key in list(_outlived(table, now=now, idle_seconds=idle_seconds)):
+        drop(table, key)
+
+
+def _outlived(table: Table, *, now: float, idle_seconds: float) -> Iterator[bytes]:
+    for key, flow in table.flows.items():
+        idle = now - flow.used_at
+        if idle >= idle_seconds or (flow.ended and idle >= ENDED_LINGER_SECONDS):
+            yield key
+
+
+def _stop_waiting(table: Table, flow: Flow) -> None:
+    if flow.waiting_since is not None:
+        flow.waiting_since = None
+        table.running -= 1
--- /dev/null
+++ b/plantainproxy/flows/journal.py
@@ -0,0 +1,60 @@
+"""Structured log lines and counters of decisions, bounded in volume."""
+
+import collections
+from collections.abc import Callable
+import logging
+import time
+from typing import Any
+
+from plantainproxy.telemetry import exposition
+
+LINES_PER_SECOND = 8
+"""Lines of one event a second that are written; the next line counts the rest."""
+
+
+class Journal:
+    """Writes what a process decided, and counts it."""
+
+    def __init__(
+        self, part: str, *, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        """Write to the logger of one part of the system."""
+        self.logger = logging.getLogger(f"plantain.{part}")
+        self.clock = clock
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.histograms: dict[str, exposition.Histogram] = {}
+        self.window_start: dict[str, float] = {}
+        self.lines: collections.Counter[str] = collections.Counter()
+        self.left_out: collections.Counter[str] = collections.Counter()
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.counters[name] += amount
+
+    def observe(self, name: str, seconds: float) -> None:
+        """Add a duration to a histogram."""
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = self.histograms[name] = exposition.Histogram()
+        histogram.observe(seconds)
+
+    def write(self, event: str, **fields: Any) -> None:
+        """Write one line."""
+        self.counters[f"events.{event.replace(' ', '_')}"] += 1
+        self.logger.info(event, extra={"fields": fields})
+
+    def write_limited(self, event: str, **fields: Any) -> None:
+        """Write one line unless the event had too many in this second."""
+        now = self.clock()
+        if now - self.window_start.get(event, float("-inf")) >= 1.0:
+            self.window_start[event] = now
+            self.lines[event] = 0
+        self.lines[event] += 1
+        if self.lines[event] > LINES_PER_SECOND:
+            self.counters[f"events.{event.replace(' ', '_')}"] += 1
+            self.left_out[event] += 1
+            return
+        left_out = self.left_out.pop(event, 0)
+        if left_out:
+            fields["left_out"] = left_out
+        self.write(event, **fields)
--- /dev/null
+++ b/plantainproxy/flows/messages.py
@@ -0,0 +1,123 @@
+"""Messages between balancers and sidecars, and their codec.
+
+Datagrams carry one message each. The policy travels over TCP, as one message that
+ends with the connection.
+"""
+
+import enum
+
+import msgspec
+
+from plantainproxy.flows import policy
+
+
+class UpstreamState(enum.StrEnum):
+    """What a sidecar knows of its upstream."""
+
+    UNKNOWN = "unknown"
+    """Nothing heard yet since the sidecar's start."""
+    READY = "ready"
+    DRAINING = "draining"
+    """Finishes what it has and takes no new flow."""
+    GONE = "gone"
+    """Its process has ended."""
+
+
+class Refusal(enum.StrEnum):
+    """Why a sidecar hands a packet back to the balancer."""
+
+    NOT_READY = "not-ready"
+    """The sidecar has no policy yet, or has not heard its upstream."""
+    WRONG_POOL = "wrong-pool"
+    """No route in force sends the service address to this pool."""
+    DOMAIN_OUT = "domain-out"
+    """Operators have taken the failure domain out of service."""
+    DRAINING = "draining"
+    """The upstream is leaving or has left."""
+    COLD = "cold"
+    """The upstream is cold and has had its share of new flows."""
+    DECLINED = "declined"
+    """The upstream itself did not accept the flow."""
+    NOT_HELD = "not-held"
+    """The upstream does not hold the flow."""
+
+
+class Hello(msgspec.Struct, frozen=True, tag="hello"):
+    """A balancer asks a sidecar for reports."""
+
+    boot: int
+    """Random number of the sender's process."""
+    revision: int
+    """Revision of the policy in force at the sender."""
+
+
+class Report(msgspec.Struct, frozen=True, tag="report"):
+    """A sidecar tells of its upstream."""
+
+    boot: int
+    number: int
+    """Raised with each report of one process."""
+    revision: int
+    pool: str
+    domain: str
+    state: UpstreamState
+    data_port: int
+    """UDP port for packets of flows."""
+    running: int
+    """Requests that wait for their answer."""
+    flows: int
+    """Flows that the upstream holds."""
+    slots: int
+    """Requests that the upstream runs at the same time."""
+    cold: bool
+    complete: bool
+    """Whether the sidecar knows every flow of its upstream."""
+    stopping: bool = False
+    """Whether the sidecar itself is about to end."""
+
+
+class Held(msgspec.Struct, frozen=True, tag="held"):
+    """The upstream beside the sender holds a flow."""
+
+    flow: bytes
+
+
+class NotHeld(msgspec.Struct, frozen=True, tag="not-held"):
+    """The upstream beside the sender does not hold a flow."""
+
+    flow: bytes
+
+
+class Returned(msgspec.Struct, frozen=True, tag="returned"):
+    """A packet that the sender could not deliver."""
+
+    reason: Refusal
+    revision: int
+    data: bytes
+    """The whole packet."""
+
+
+Message = Hello | Report | Held | NotHeld | Returned
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+_policy_decoder = msgspec.msgpack.Decoder(policy.Policy)
+
+encode = _encoder.encode
+"""Encode one message or a policy."""
+
+
+def decode(data: bytes) -> Message | None:
+    """Decode one datagram; ``None`` when it is no message."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.DecodeError:
+        return None
+
+
+def decode_policy(data: bytes) -> policy.Policy | None:
+    """Decode a policy; ``None`` when the bytes hold none."""
+    try:
+        return _policy_decoder.decode(data)
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/plantainproxy/flows/policy.py
@@ -0,0 +1,90 @@
+"""What operators have asked for: the routing table and domains out of service."""
+
+from collections.abc import Mapping
+import dataclasses
+import enum
+
+
+class RouteKind(enum.StrEnum):
+    """What a route's requests allow."""
+
+    IDEMPOTENT = "idempotent"
+    """A request may run more than once."""
+    NON_IDEMPOTENT = "non-idempotent"
+    """A request may run at most once."""
+    DOWNLOAD = "download"
+    """Like idempotent, with large answers."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Share:
+    """A pool's share of a route's new flows."""
+
+    pool: str
+    weight: float
+    """Relative to the other shares of the route; at least 0."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """Where new flows to one service address go."""
+
+    name: str
+    service: bytes
+    """The packed service address that callers use."""
+    kind: RouteKind
+    shares: tuple[Share, ...]
+
+    @property
+    def pools(self) -> frozenset[str]:
+        """The pools that may get the route's flows."""
+        return frozenset(share.pool for share in self.shares)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PoolLimits:
+    """What the upstreams of one pool can bear."""
+
+    cold_seconds: float = 0.0
+    """How long an upstream is cold after its start under traffic."""
+    cold_flows_per_second: float = 0.0
+    """New flows a second that a cold upstream bears."""
+    health_path: str = ""
+    """Path of the health check."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Policy:
+    """One state of everything that operators decide."""
+
+    revision: int
+    """The store's revision that this state was read at; it only ever rises."""
+    version: int = 0
+    """The operators' own number of the configuration."""
+    routes: Mapping[bytes, Route] = dataclasses.field(default_factory=dict)
+    """By packed service address."""
+    pools: Mapping[str, PoolLimits] = dataclasses.field(default_factory=dict)
+    idle_seconds: float = 60.0
+    """A flow without packets for this long may be forgotten."""
+    domains_out: frozenset[str] = frozenset()
+    """Failure domains whose upstreams get no new flows."""
+
+
+class Holder:
+    """The policy in force in one process; it never goes back."""
+
+    def __init__(self) -> None:
+        """Start with nothing known."""
+        self.current: Policy | None = None
+
+    @property
+    def revision(self) -> int:
+        """The revision in force; 0 while nothing is known."""
+        return self.current.revision if self.current else 0
+
+    def offer(self, policy: Policy) -> bool:
+        """Put a policy in force unless it is as old as the present one or older."""
+        if policy.revision <= self.revision:
+            return False
+        self.current = policy
+        return True
--- /dev/null
+++ b/plantainproxy/flows/sidecar.py
@@ -0,0 +1,369 @@
+"""The decisions of a sidecar about the flows of its upstream."""
+
+import dataclasses
+import socket
+from typing import Protocol
+
+from plantainproxy import _types
+from plantainproxy.flows import (
+    guard,
+    held,
+    journal,
+    messages,
+    packets,
+    policy,
+    upstream,
+)
+
+DENIAL_WAIT_SECONDS = 0.03
+"""An upstream that did not hand a packet back in this time holds its flow."""
+REPORT_SECONDS = 0.5
+"""Longest time between two reports to a balancer."""
+LOAD_REPORT_SECONDS = 0.15
+"""Shortest time between two reports when only the load has changed."""
+SUBSCRIPTION_SECONDS = 30.0
+"""A balancer that was silent for this long gets no more reports."""
+
+
+class Port(Protocol):
+    """What the engine sends; nothing blocks."""
+
+    def deliver(self, packet: packets.Packet) -> None:
+        """Send a caller's packet to the upstream."""
+
+    def answer(self, packet: packets.Packet) -> None:
+        """Send an upstream's packet to its caller."""
+
+    def reset(self, flow: bytes, acknowledgement: int) -> None:
+        """Tell a caller that its flow is closed."""
+
+    def tell(self, balancer: _types.Address, message: messages.Message) -> None:
+        """Send a message to a balancer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Identity:
+    """What a sidecar says of itself in each report."""
+
+    place: guard.Place
+    data_port: int
+    """UDP port for packets of flows."""
+    message_port: int
+    """UDP port of the balancers for messages."""
+    boot: int
+    """Random number of this process."""
+
+
+@dataclasses.dataclass(slots=True)
+class Question:
+    """A balancer waits to hear whether a flow is held."""
+
+    balancer: _types.Address
+    due_at: float
+
+
+class Engine:
+    """The state of one sidecar."""
+
+    def __init__(
+        self, *, port: Port, identity: Identity, log: journal.Journal, now: float
+    ) -> None:
+        """Start with nothing known."""
+        self.port = port
+        self.identity = identity
+        self.log = log
+        self.policies = policy.Holder()
+        self.table = held.Table()
+        self.upstream = upstream.Upstream()
+        self.cold_limit = guard.ColdLimit(started_at=now)
+        self.questions: dict[bytes, Question] = {}
+        self.subscribers: dict[_types.Address, float] = {}
+        """Balancers, and when each last asked for reports."""
+        self.report_number = 0
+        self.reported_at = float("-inf")
+        self.reported: tuple[object, ...] = ()
+        self.reported_load = (0, 0)
+        self.stopping = False
+
+
+def take_policy(engine: Engine, offered: policy.Policy, *, now: float) -> bool:
+    """Put a policy in force unless it is old; return whether it is now in force."""
+    before = engine.policies.current
+    if not engine.policies.offer(offered):
+        return False
+    domain = engine.identity.place.domain
+    if before is not None and domain in before.domains_out - offered.domains_out:
+        # Upstreams may have lost their warmth while they had no load; the next
+        # heartbeat tells.
+        limits = offered.pools.get(engine.identity.place.pool, policy.PoolLimits())
+        engine.upstream.cold_until = max(
+            engine.upstream.cold_until, now + limits.cold_seconds
+        )
+    engine.log.write(
+        "policy in force",
+        revision=offered.revision,
+        version=offered.version,
+        routes=len(offered.routes),
+        domains_out=sorted(offered.domains_out),
+    )
+    return True
+
+
+def handle_inbound(engine: Engine, packet: packets.Packet, *, now: float) -> None:
+    """Take a caller's packet from a balancer."""
+    if packet.returned or packet.accepting:
+        engine.log.count("dropped.invalid")
+        return
+    if packet.opening:
+        _handle_opening(engine, packet, now=now)
+        return
+    if held.is_held(engine.table, packet):
+        _deliver(engine, packet, now=now)
+        if packet.purpose is packets.Purpose.ASK:
+            _tell(engine, packet, messages.Held(flow=packet.flow))
+        return
+    known_not_held = (
+        engine.table.complete
+        or packet.flow in engine.table.flows
+        or engine.upstream.state is messages.UpstreamState.GONE
+    )
+    if known_not_held:
+        _deny(engine, packet)
+        return
+    engine.port.deliver(packet)
+    engine.log.count("delivered.unknown")
+    if packet.purpose is packets.Purpose.ASK:
+        balancer = _balancer(engine, packet)
+        question = Question(balancer, now + DENIAL_WAIT_SECONDS)
+        engine.questions[packet.flow] = question
+
+
+def handle_outbound(
+    engine: Engine, packet: packets.Packet, *, now: float
+) -> float | None:
+    """Take a packet of the upstream; return the seconds to an answer it starts."""
+    if packet.returned:
+        _handle_returned(engine, packet)
+        return None
+    waited = held.note_outbound(engine.table, packet, now=now)
+    engine.port.answer(packet)
+    return waited
+
+
+def handle_heartbeat(engine: Engine, beat: upstream.Heartbeat, *, now: float) -> bool:
+    """Take a heartbeat; return whether it was meant for this sidecar."""
+    if beat.pool != engine.identity.place.pool:
+        engine.log.write_limited(
+            "heartbeat refused", instance=beat.instance, pool=beat.pool
+        )
+        return False
+    before = engine.upstream.newest
+    state_before = engine.upstream.state
+    if upstream.take_heartbeat(engine.upstream, beat, now=now) and before is not None:
+        _close_all(engine, reason="upstream restarted")
+        engine.table.complete = True
+    if engine.upstream.state is not state_before:
+        engine.log.write(
+            "upstream state",
+            instance=beat.instance,
+            state=engine.upstream.state,
+            before=state_before,
+            cold_seconds=beat.cold_seconds,
+            born=beat.born,
+            number=beat.number,
+        )
+    report_if_due(engine, now=now)
+    return True
+
+
+def handle_end(
+    engine: Engine, *, reason: str, instance: str | None = None, now: float
+) -> None:
+    """Take the news that the upstream's process has ended."""
+    if not upstream.take_end(engine.upstream, instance):
+        return
+    engine.log.write("upstream state", state=engine.upstream.state, reason=reason)
+    _close_all(engine, reason=reason)
+    engine.table.complete = True
+    report_if_due(engine, now=now)
+
+
+def wanted_health_path(engine: Engine) -> str | None:
+    """Return the path of the health check while the upstream's state is unknown."""
+    current = engine.policies.current
+    if current is None or engine.upstream.state is not messages.UpstreamState.UNKNOWN:
+        return None
+    limits = current.pools.get(engine.identity.place.pool)
+    return limits.health_path if limits else None
+
+
+def handle_healthy(engine: Engine, *, now: float) -> None:
+    """Take a good health check of an upstream that has not been heard yet."""
+    if engine.upstream.state is not messages.UpstreamState.UNKNOWN:
+        return
+    engine.upstream.state = messages.UpstreamState.READY
+    current = engine.policies.current
+    limits = current.pools.get(engine.identity.place.pool) if current else None
+    cold_seconds = limits.cold_seconds if limits else 0.0
+    # The check does not tell whether the upstream is cold.
+    engine.upstream.cold_until = now + cold_seconds
+    engine.log.write("upstream state", state=engine.upstream.state, reason="healthy")
+    report_if_due(engine, now=now)
+
+
+def handle_hello(engine: Engine, sender: _types.Address, *, now: float) -> None:
+    """Take a balancer's wish for reports."""
+    is_new = sender not in engine.subscribers
+    engine.subscribers[sender] = now
+    if is_new:
+        engine.log.write("balancer seen", balancer=str(sender))
+        engine.port.tell(sender, _report(engine, now=now))
+
+
+def tick(engine: Engine, *, now: float) -> None:
+    """Answer open questions and send the reports that are due."""
+    for flow, question in list(engine.questions.items()):
+        if now >= question.due_at:
+            del engine.questions[flow]
+            engine.port.tell(question.balancer, messages.Held(flow=flow))
+    report_if_due(engine, now=now)
+
+
+def sweep(engine: Engine, *, now: float) -> None:
+    """Forget old flows and silent balancers."""
+    current = engine.policies.current
+    if current is not None:
+        held.sweep(engine.table, now=now, idle_seconds=current.idle_seconds)
+    for balancer, seen_at in list(engine.subscribers.items()):
+        if now - seen_at >= SUBSCRIPTION_SECONDS:
+            del engine.subscribers[balancer]
+            engine.log.write("balancer forgotten", balancer=str(balancer))
+
+
+def stop(engine: Engine, *, now: float) -> None:
+    """Tell the balancers that this process is about to end."""
+    engine.stopping = True
+    report_if_due(engine, now=now)
+
+
+def report_if_due(engine: Engine, *, now: float) -> None:
+    """Report to all balancers if something is new or the last report is old."""
+    load = (engine.table.running, len(engine.table.flows))
+    news = (
+        engine.upstream.state,
+        upstream.is_cold(engine.upstream, now=now),
+        engine.policies.revision,
+        engine.stopping,
+    )
+    elapsed = now - engine.reported_at
+    due = (
+        news != engine.reported
+        or elapsed >= REPORT_SECONDS
+        or (load != engine.reported_load and elapsed >= LOAD_REPORT_SECONDS)
+    )
+    if not due:
+        return
+    engine.reported, engine.reported_load, engine.reported_at = news, load, now
+    report = _report(engine, now=now)
+    for balancer in engine.subscribers:
+        engine.port.tell(balancer, report)
+
+
+def _report(engine: Engine, *, now: float) -> messages.Report:
+    engine.report_number += 1
+    identity, newest = engine.identity, engine.upstream.newest
+    return messages.Report(
+        boot=identity.boot,
+        number=engine.report_number,
+        revision=engine.policies.revision,
+        pool=identity.place.pool,
+        domain=identity.place.domain,
+        state=engine.upstream.state,
+        data_port=identity.data_port,
+        running=engine.table.running,
+        flows=len(engine.table.flows),
+        slots=newest.slots if newest else 1,
+        cold=upstream.is_cold(engine.upstream, now=now),
+        complete=engine.table.complete,
+        stopping=engine.stopping,
+    )
+
+
+def _handle_opening(engine: Engine, packet: packets.Packet, *, now: float) -> None:
+    cold = upstream.is_cold(engine.upstream, now=now)
+    is_copy = packet.flow in engine.table.flows
+    refusal = guard.check(
+        packet,
+        place=engine.identity.place,
+        current=engine.policies.current,
+        state=engine.upstream.state,
+        cold=cold,
+        limit=engine.cold_limit,
+        now=now,
+    )
+    if refusal is not None:
+        engine.log.write_limited(
+            "refused",
+            flow=packet.flow.hex(),
+            reason=refusal,
+            state=engine.upstream.state,
+            cold=cold,
+            revision=engine.policies.revision,
+        )
+        _return(engine, packet, refusal)
+        return
+    if not is_copy:
+        engine.cold_limit.note(now=now)
+    held.note_opening(engine.table, packet, now=now)
+    engine.port.deliver(packet)
+    engine.log.count("delivered.opening")
+
+
+def _deliver(engine: Engine, packet: packets.Packet, *, now: float) -> None:
+    held.note_inbound(engine.table, packet, now=now)
+    engine.port.deliver(packet)
+    engine.log.count("delivered")
+
+
+def _deny(engine: Engine, packet: packets.Packet) -> None:
+    if packet.purpose is packets.Purpose.ASK:
+        _tell(engine, packet, messages.NotHeld(flow=packet.flow))
+        return
+    _return(engine, packet, messages.Refusal.NOT_HELD)
+
+
+def _handle_returned(engine: Engine, packet: packets.Packet) -> None:
+    """Pass on that the upstream handed a packet back."""
+    held.drop(engine.table, packet.flow)
+    question = engine.questions.pop(packet.flow, None)
+    if question is not None:
+        engine.port.tell(question.balancer, messages.NotHeld(flow=packet.flow))
+        return
+    reason = messages.Refusal.DECLINED if packet.opening else messages.Refusal.NOT_HELD
+    _return(engine, packet, reason)
+
+
+def _return(engine: Engine, packet: packets.Packet, reason: messages.Refusal) -> None:
+    engine.log.count(f"returned.{reason}")
+    message = messages.Returned(
+        reason=reason, revision=engine.policies.revision, data=packet.data
+    )
+    _tell(engine, packet, message)
+
+
+def _balancer(engine: Engine, packet: packets.Packet) -> _types.Address:
+    host = socket.inet_ntoa(packet.balancer)
+    return _types.Address(host, engine.identity.message_port)
+
+
+def _tell(engine: Engine, packet: packets.Packet, message: messages.Message) -> None:
+    engine.port.tell(_balancer(engine, packet), message)
+
+
+def _close_all(engine: Engine, *, reason: str) -> None:
+    """Reset every open flow: the incarnation that held them has ended."""
+    dropped = held.drop_all(engine.table)
+    for key, flow in dropped:
+        engine.port.reset(key, flow.caller_acknowledgement)
+    if dropped:
+        engine.log.write("flows reset", count=len(dropped), reason=reason)
--- /dev/null
+++ b/plantainproxy/flows/sidecar_main.py
@@ -0,0 +1,289 @@
+"""The sidecar of transparent flows: ``plantain-flow-sidecar``."""
+
+from collections.abc import Mapping
+import contextlib
+import functools
+import random
+import socket
+
+import trio
+
+from plantainproxy import _http_server, _lifecycle, _types
+from plantainproxy.flows import (
+    datagrams,
+    follower,
+    guard,
+    journal,
+    messages,
+    node,
+    packets,
+    policy,
+    policy_exchange,
+    registry,
+    settings,
+    sidecar,
+    upstream,
+    upstream_watch,
+)
+from plantainproxy.platform import (
+    configuration,
+    heartbeats,
+    metadata_store,
+    packet_format,
+)
+from plantainproxy.platform import settings as platform_settings
+
+TICK_SECONDS = 0.02
+"""How often waiting questions and due reports are looked at."""
+SWEEP_SECONDS = 2.0
+
+
+class Port:
+    """Sends the engine's packets and messages."""
+
+    def __init__(
+        self,
+        own: settings.SidecarSettings,
+        outbound_socket: socket.socket,
+        message_socket: socket.socket,
+    ) -> None:
+        """Use open sockets."""
+        self.upstream = own.upstream_address
+        self.caller_port = own.data_address.port
+        self.outbound_socket = outbound_socket
+        self.message_socket = message_socket
+        self.log = journal.Journal("sidecar")
+
+    def deliver(self, packet: packets.Packet) -> None:
+        """Send a caller's packet to the upstream."""
+        datagrams.send(self.outbound_socket, packet.data, self.upstream, self.log)
+
+    def answer(self, packet: packets.Packet) -> None:
+        """Send an upstream's packet to its caller."""
+        self._send_to_caller(packet.flow, packet.data)
+
+    def reset(self, flow: bytes, acknowledgement: int) -> None:
+        """Tell a caller that its flow is closed."""
+        data = packet_format.encode_reset(flow, sequence=acknowledgement)
+        self._send_to_caller(flow, data)
+
+    def tell(self, balancer: _types.Address, message: messages.Message) -> None:
+        """Send a message to a balancer."""
+        datagrams.send(
+            self.message_socket, messages.encode(message), balancer, self.log
+        )
+
+    def _send_to_caller(self, flow: bytes, data: bytes) -> None:
+        to = _types.Address(packet_format.caller_host(flow), self.caller_port)
+        datagrams.send(self.outbound_socket, data, to, self.log)
+
+
+class Sidecar:
+    """The running parts of one process."""
+
+    def __init__(
+        self,
+        own: settings.SidecarSettings,
+        data_socket: socket.socket,
+        outbound_socket: socket.socket,
+        message_socket: socket.socket,
+    ) -> None:
+        """Join the parts."""
+        self.settings = own
+        self.data_socket = data_socket
+        self.outbound_socket = outbound_socket
+        self.message_socket = message_socket
+        self.port = Port(own, outbound_socket, message_socket)
+        self.log = self.port.log
+        identity = sidecar.Identity(
+            place=guard.Place(pool=own.pool, domain=own.domain),
+            data_port=own.data_address.port,
+            message_port=own.message_port,
+            boot=random.getrandbits(32),
+        )
+        self.engine = sidecar.Engine(
+            port=self.port, identity=identity, log=self.log, now=trio.current_time()
+        )
+        self.exchange = policy_exchange.Exchange(self.engine.policies, self.log)
+        self.store = metadata_store.MetadataStore(own.store_address)
+
+
+def _take_policy(running: Sidecar, offered: policy.Policy) -> bool:
+    return sidecar.take_policy(running.engine, offered, now=trio.current_time())
+
+
+def _take_documents(
+    running: Sidecar, items: Mapping[str, bytes], revision: int
+) -> None:
+    found = configuration.decode_policy(items, revision=revision)
+    if found is not None:
+        _take_policy(running, found)
+
+
+def _handle_data(running: Sidecar, data: bytes, sender: _types.Address) -> None:
+    packet = packet_format.decode(data)
+    if packet is None:
+        running.log.count("dropped.malformed")
+        return
+    sidecar.handle_inbound(running.engine, packet, now=trio.current_time())
+
+
+def _handle_outbound(running: Sidecar, data: bytes, sender: _types.Address) -> None:
+    packet = packet_format.decode(data, from_upstream=True)
+    if packet is None:
+        running.log.count("dropped.malformed")
+        return
+    waited = sidecar.handle_outbound(running.engine, packet, now=trio.current_time())
+    if waited is not None:
+        running.log.observe("answer_seconds", waited)
+
+
+def _handle_message(running: Sidecar, data: bytes, sender: _types.Address) -> None:
+    message = messages.decode(data)
+    if not isinstance(message, messages.Hello):
+        running.log.count("dropped.malformed_message")
+        return
+    running.exchange.hear(message.revision, sender)
+    sidecar.handle_hello(running.engine, sender, now=trio.current_time())
+
+
+async def _tick_forever(running: Sidecar) -> None:
+    while True:
+        await trio.sleep(TICK_SECONDS)
+        sidecar.tick(running.engine, now=trio.current_time())
+
+
+async def _sweep_forever(running: Sidecar) -> None:
+    while True:
+        await trio.sleep(SWEEP_SECONDS)
+        sidecar.sweep(running.engine, now=trio.current_time())
+
+
+async def _serve_heartbeats(running: Sidecar) -> None:
+    def take(beat: upstream.Heartbeat) -> bool:
+        return sidecar.handle_heartbeat(running.engine, beat, now=trio.current_time())
+
+    def take_leave(instance: str) -> None:
+        sidecar.handle_end(
+            running.engine,
+            reason="upstream left",
+            instance=instance,
+            now=trio.current_time(),
+        )
+
+    own = running.settings
+    handler = heartbeats.make_handler(
+        address=own.upstream_address, on_heartbeat=take, on_leave=take_leave
+    )
+    await _http_server.serve(own.heartbeat_address, handler)
+
+
+async def _watch_upstream(running: Sidecar) -> None:
+    def take_end(reason: str) -> None:
+        sidecar.handle_end(running.engine, reason=reason, now=trio.current_time())
+
+    def take_health() -> None:
+        sidecar.handle_healthy(running.engine, now=trio.current_time())
+
+    def take_absence() -> None:
+        running.engine.table.complete = True
+
+    await upstream_watch.watch(
+        running.settings.upstream_address,
+        upstream_watch.Events(
+            ended=take_end, healthy=take_health, not_started=take_absence
+        ),
+        health_path=lambda: sidecar.wanted_health_path(running.engine),
+    )
+
+
+def _gauges(running: Sidecar) -> dict[str, float]:
+    engine = running.engine
+    return {
+        "ready": float(_is_ready(running)),
+        "revision": float(engine.policies.revision),
+        "flows": float(len(engine.table.flows)),
+        "running_requests": float(engine.table.running),
+        "balancers": float(len(engine.subscribers)),
+    }
+
+
+def _is_ready(running: Sidecar) -> bool:
+    engine = running.engine
+    return engine.policies.current is not None and not engine.stopping
+
+
+async def _run(lifecycle: _lifecycle.Lifecycle, own: settings.SidecarSettings) -> None:
+    message_address = _types.Address(own.host, own.message_port)
+    with (
+        datagrams.bound(own.data_address) as data_socket,
+        datagrams.bound(own.outbound_address) as outbound_socket,
+        datagrams.bound(message_address) as message_socket,
+    ):
+        running = Sidecar(own, data_socket, outbound_socket, message_socket)
+        running.log.write("started", node=own.name, domain=own.domain, pool=own.pool)
+        async with trio.open_nursery() as nursery:
+            _start_tasks(nursery, running, lifecycle)
+            await lifecycle.stopping.wait()
+            # The upstream lives on and is out of reach until the next process has
+            # started, so this one leaves at once.
+            sidecar.stop(running.engine, now=trio.current_time())
+            running.log.write("stopped", flows=len(running.engine.table.flows))
+            nursery.cancel_scope.cancel()
+
+
+def _start_tasks(
+    nursery: trio.Nursery, running: Sidecar, lifecycle: _lifecycle.Lifecycle
+) -> None:
+    own = running.settings
+    entry = registry.Entry(
+        host=own.host, message_port=own.message_port, data_port=own.data_address.port
+    )
+    nursery.start_soon(
+        functools.partial(
+            follower.follow,
+            running.store,
+            configuration.PREFIX,
+            take=functools.partial(_take_documents, running),
+            log=running.log,
+        )
+    )
+    nursery.start_soon(registry.stay_registered, running.store, entry, running.log)
+    for opened, handle in (
+        (running.data_socket, _handle_data),
+        (running.outbound_socket, _handle_outbound),
+        (running.message_socket, _handle_message),
+    ):
+        nursery.start_soon(
+            datagrams.receive_forever, opened, functools.partial(handle, running)
+        )
+    for repeat in (_tick_forever, _sweep_forever, _serve_heartbeats, _watch_upstream):
+        nursery.start_soon(repeat, running)
+    nursery.start_soon(
+        node.serve_readiness, own.ready_address, functools.partial(_is_ready, running)
+    )
+    nursery.start_soon(
+        node.serve_metrics,
+        _types.Address(own.host, own.metrics_port),
+        running.log,
+        functools.partial(_gauges, running),
+    )
+    nursery.start_soon(
+        node.exchange_policies,
+        running.exchange,
+        own,
+        functools.partial(_take_policy, running),
+    )
+    nursery.start_soon(
+        node.reload_forever, lifecycle, own, platform_settings.load_sidecar
+    )
+
+
+def main() -> None:
+    """Run the sidecar with the settings that the platform names."""
+    with contextlib.suppress(KeyboardInterrupt):
+        node.run(platform_settings.load_sidecar, _run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/plantainproxy/flows/upstream.py
@@ -0,0 +1,78 @@
+"""What a sidecar knows of its own upstream, from heartbeats and its connection."""
+
+import dataclasses
+
+from plantainproxy.flows import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Heartbeat:
+    """What an upstream says of itself."""
+
+    instance: str
+    """The upstream's own name; it may keep it over a restart."""
+    pool: str
+    draining: bool
+    cold_seconds: float
+    """How much longer the upstream is cold."""
+    slots: int
+    """Requests that it runs at the same time."""
+    born: int
+    """Start of the incarnation, in milliseconds since the epoch on its clock."""
+    number: int
+    """Raised with each heartbeat of one incarnation."""
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """Precedence among heartbeats from one place."""
+        return (self.born, self.number)
+
+
+@dataclasses.dataclass(slots=True)
+class Upstream:
+    """The present knowledge."""
+
+    state: messages.UpstreamState = messages.UpstreamState.UNKNOWN
+    newest: Heartbeat | None = None
+    cold_until: float = float("-inf")
+    ended_born: int = -1
+    """The last incarnation that is known to have ended."""
+
+
+def take_heartbeat(upstream: Upstream, beat: Heartbeat, *, now: float) -> bool:
+    """Take a heartbeat unless it is old; return whether it began an incarnation."""
+    newest = upstream.newest
+    if beat.born <= upstream.ended_born:
+        return False
+    if newest is not None and beat.version <= newest.version:
+        return False
+    began = newest is None or beat.born > newest.born
+    upstream.newest = beat
+    upstream.cold_until = now + beat.cold_seconds
+    upstream.state = (
+        messages.UpstreamState.DRAINING
+        if beat.draining
+        else messages.UpstreamState.READY
+    )
+    return began
+
+
+def take_end(upstream: Upstream, instance: str | None = None) -> bool:
+    """Note that the present incarnation has ended; return whether that is news.
+
+    ``instance`` limits it to the incarnation of that name.
+    """
+    newest = upstream.newest
+    if instance is not None and (newest is None or newest.instance != instance):
+        return False
+    if upstream.state is messages.UpstreamState.GONE:
+        return False
+    if newest is not None:
+        upstream.ended_born = max(upstream.ended_born, newest.born)
+    upstream.state = messages.UpstreamState.GONE
+    return True
+
+
+def is_cold(upstream: Upstream, *, now: float) -> bool:
+    """Return whether the upstream bears only little load."""
+    return now < upstream.cold_until
--- /dev/null
+++ b/plantainproxy/flows/upstream_watch.py
@@ -0,0 +1,93 @@
+"""Notices the end of the upstream's process from a connection that it closes.
+
+An idle connection costs the upstream nothing. When it breaks and a new one is refused,
+nobody listens any more.
+"""
+
+from collections.abc import Callable
+import dataclasses
+
+import trio
+
+from plantainproxy import _types
+from plantainproxy.store import http
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+RETRY_SECONDS = 0.25
+"""Wait before another attempt to reach an upstream that does not listen."""
+HEARTBEAT_PATIENCE_SECONDS = 0.3
+"""How long a sidecar that has just started waits for a heartbeat before it asks the
+upstream for its health."""
+HEALTH_TIMEOUT_SECONDS = 2.0
+OK = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Events:
+    """What the watch tells."""
+
+    ended: Callable[[str], None]
+    """The upstream's process has ended; the reason is for the log."""
+    healthy: Callable[[], None]
+    """The upstream says that it takes requests."""
+    not_started: Callable[[], None]
+    """No upstream listened when the watch began."""
+
+
+async def watch(
+    address: _types.Address, events: Events, *, health_path: Callable[[], str | None]
+) -> None:
+    """Watch the upstream for ever.
+
+    ``health_path`` returns the path to ask, or ``None`` when its state is known.
+    """
+    is_first = True
+    while True:
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_SECONDS):
+                stream = await trio.open_tcp_stream(address.host, address.port)
+        except trio.TooSlowError:
+            is_first = False
+            continue
+        except OSError:
+            if is_first:
+                events.not_started()
+            else:
+                events.ended("connection refused")
+            is_first = False
+            await trio.sleep(RETRY_SECONDS)
+            continue
+        is_first = False
+        async with stream, trio.open_nursery() as nursery:
+            nursery.start_soon(_check_health, address, events, health_path)
+            await _wait_for_end(stream)
+            nursery.cancel_scope.cancel()
+
+
+async def _wait_for_end(stream: trio.SocketStream) -> None:
+    http.watch_for_silence(stream.socket)
+    try:
+        while await stream.receive_some():
+            pass
+    except trio.BrokenResourceError:
+        return
+
+
+async def _check_health(
+    address: _types.Address, events: Events, health_path: Callable[[], str | None]
+) -> None:
+    await trio.sleep(HEARTBEAT_PATIENCE_SECONDS)
+    path = health_path()
+    if not path:
+        return
+    pool = http.Pool(address)
+    try:
+        reply = await http.call(
+            pool, "GET", path, timeout_seconds=HEALTH_TIMEOUT_SECONDS
+        )
+    except (http.UnsentError, http.UnansweredError):
+        return
+    finally:
+        http.close_idle(pool)
+    if reply.status == OK:
+        events.healthy()
--- /dev/null
+++ b/plantainproxy/platform/configuration.py
@@ -0,0 +1,118 @@
+"""The operators' documents in the platform's store."""
+
+from collections.abc import Mapping
+import logging
+
+import msgspec
+
+from plantainproxy import _types
+from plantainproxy.flows import policy
+from plantainproxy.platform import packet_format
+
+logger = logging.getLogger("plantain.policy")
+
+PREFIX = "op/"
+CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+"""Followed by the name of a failure domain that must get no new flow."""
+
+MILLISECONDS = 1_000.0
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 0.0
+
+
+class _Route(msgspec.Struct):
+    name: str
+    # The IPv4 address that callers use, and its port between slashes.
+    host: str
+    prefix: str
+    # What may be repeated.
+    type: str = "non_idempotent"
+    service: str | None = None
+    traffic_split: list[_Split] = []
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = ""
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
+
+
+class _Limits(msgspec.Struct):
+    idle_timeout_ms: float = 60_000.0
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+_decoder = msgspec.json.Decoder(_Configuration)
+
+_KINDS = {
+    "idempotent": policy.RouteKind.IDEMPOTENT,
+    "download": policy.RouteKind.DOWNLOAD,
+}
+
+
+def decode_policy(items: Mapping[str, bytes], *, revision: int) -> policy.Policy | None:
+    """Build the policy from all keys under ``PREFIX``.
+
+    ``None`` when there is no configuration, or none that can be read.
+    """
+    document = items.get(CONFIGURATION_KEY)
+    if document is None:
+        return None
+    try:
+        decoded = _decoder.decode(document)
+        routes = {route.service: route for route in map(_decode_route, decoded.routes)}
+    except (msgspec.DecodeError, ValueError) as error:
+        logger.error(
+            "configuration not readable",
+            extra={"fields": {"revision": revision, "error": str(error)}},
+        )
+        return None
+    return policy.Policy(
+        revision=revision,
+        version=decoded.version,
+        routes=routes,
+        pools={
+            service.name: policy.PoolLimits(
+                cold_seconds=service.cold_start_s,
+                cold_flows_per_second=service.cold_per_s,
+                health_path=service.health_path,
+            )
+            for service in decoded.services
+        },
+        idle_seconds=decoded.limits.idle_timeout_ms / MILLISECONDS,
+        domains_out=frozenset(
+            key.removeprefix(EVACUATION_PREFIX)
+            for key in items
+            if key.startswith(EVACUATION_PREFIX)
+        ),
+    )
+
+
+def _decode_route(route: _Route) -> policy.Route:
+    address = _types.Address.parse(f"{route.host}:{route.prefix.strip('/')}")
+    if route.service is not None:
+        shares: tuple[policy.Share, ...] = (
+            policy.Share(pool=route.service, weight=1.0),
+        )
+    else:
+        shares = tuple(
+            policy.Share(pool=split.service, weight=split.weight)
+            for split in route.traffic_split
+        )
+    return policy.Route(
+        name=route.name,
+        service=packet_format.pack_service(address),
+        kind=_KINDS.get(route.type, policy.RouteKind.NON_IDEMPOTENT),
+        shares=shares,
+    )
--- /dev/null
+++ b/plantainproxy/platform/metadata_store.py
@@ -0,0 +1,183 @@
+"""The platform's metadata store as the project's revisioned store."""
+
+import base64
+from typing import TypeVar
+import urllib.parse
+
+import msgspec
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.store import http, port, revisioned
+
+T = TypeVar("T")
+
+CALL_TIMEOUT_SECONDS = 1.5
+"""Above the answer time of a store that is many times slower than usual."""
+WATCH_SECONDS = 30
+"""How long a watch waits; the longest that the store allows."""
+WATCH_MARGIN_SECONDS = 3.0
+"""An answer to a watch may come this long after its time has passed."""
+MILLISECONDS = 1_000
+
+_FINAL_STATUSES = frozenset((200, 404, 410, 412))
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str = ""
+    rev: int = 0
+    removed: bool = False
+
+
+class _Range(msgspec.Struct):
+    items: list[_Item]
+    has_more: bool
+    # The store's revision, not that of an item.
+    store_revision: int
+
+
+class _Events(msgspec.Struct):
+    events: list[_Item]
+    store_revision: int
+
+
+class _Lease(msgspec.Struct):
+    lease: int
+
+
+class MetadataStore:
+    """The connections to the store.
+
+    Implements ``revisioned.RevisionedStore`` and ``revisioned.LeasingStore``.
+    """
+
+    def __init__(self, address: _types.Address) -> None:
+        """Start without connections."""
+        self.address = address
+        self.calls = http.Pool(address)
+        self.watches = http.Pool(address)
+
+    async def read_all(self, prefix: str) -> revisioned.Snapshot:
+        """Read every entry under a prefix, page by page."""
+        entries: list[port.Entry] = []
+        revision = 0
+        after = ""
+        while True:
+            query = {"prefix": prefix} | ({"after": after} if after else {})
+            reply = await self._call("GET", "/v1/kv-range", query)
+            page = _decode(reply, _Range)
+            # Pages are read one after the other; the first one's revision is the
+            # oldest, so a watch from there misses nothing.
+            revision = revision or page.store_revision
+            entries += [_entry(item) for item in page.items]
+            if not page.has_more or not page.items:
+                return revisioned.Snapshot(entries=tuple(entries), revision=revision)
+            after = page.items[-1].key
+
+    async def watch_after(self, prefix: str, revision: int) -> revisioned.Changes:
+        """Wait for changes under a prefix after a revision."""
+        query = {
+            "prefix": prefix,
+            "after": str(revision),
+            "wait_ms": str(WATCH_SECONDS * MILLISECONDS),
+        }
+        reply = await self._call(
+            "GET",
+            "/v1/kv-watch",
+            query,
+            pool=self.watches,
+            timeout_seconds=WATCH_SECONDS + WATCH_MARGIN_SECONDS,
+        )
+        if reply.status == 410:
+            raise revisioned.HistoryLostError(prefix, revision)
+        seen = _decode(reply, _Events)
+        changes = tuple(
+            port.Change(key=item.key, entry=None if item.removed else _entry(item))
+            for item in seen.events
+        )
+        return revisioned.Changes(changes=changes, revision=seen.store_revision)
+
+    async def grant_lease(self, *, ttl_seconds: float) -> int:
+        """Create a lease and return its number."""
+        body = {"ttl_ms": int(ttl_seconds * MILLISECONDS)}
+        reply = await self._call("POST", "/v1/kv-lease", body=body)
+        return _decode(reply, _Lease).lease
+
+    async def keep_lease(self, lease: int) -> bool:
+        """Renew a lease; return whether it still existed."""
+        reply = await self._call("POST", f"/v1/kv-keep/{lease}")
+        return reply.status == 200
+
+    async def commit(self, transaction: port.Transaction) -> bool:
+        """Apply a transaction; return whether its conditions held."""
+        body = {
+            "expected": [
+                {"key": compare.key, "rev": compare.mod_revision}
+                for compare in transaction.compares
+            ],
+            "writes": [
+                {
+                    "key": put.key,
+                    "value": base64.b64encode(put.value).decode(),
+                    "lease": put.lease,
+                }
+                for put in transaction.puts
+            ],
+            "remove": [delete.key for delete in transaction.deletes],
+        }
+        reply = await self._call("POST", "/v1/kv-txn", body=body)
+        if reply.status == 404:
+            raise revisioned.LeaseEndedError(transaction.puts[0].lease)
+        return reply.status == 200
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None = None,
+        *,
+        body: object = None,
+        pool: http.Pool | None = None,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+    ) -> http.Reply:
+        """Make one call; raise unless the store has answered it for good."""
+        target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
+        encoded = b"" if body is None else msgspec.json.encode(body)
+        try:
+            reply = await http.call(
+                pool or self.calls,
+                method,
+                target,
+                encoded,
+                timeout_seconds=timeout_seconds,
+            )
+        except http.UnsentError as error:
+            raise _unavailable(str(error)) from error
+        except http.UnansweredError as error:
+            if method == "GET":
+                raise _unavailable(str(error)) from error
+            raise _exceptions.PlantainError(
+                _exceptions.ErrorKind.CHANGE_UNKNOWN, str(error)
+            ) from error
+        if reply.status not in _FINAL_STATUSES:
+            raise _unavailable(f"{path}: status {reply.status}")
+        return reply
+
+
+def _unavailable(detail: str) -> _exceptions.PlantainError:
+    return _exceptions.PlantainError(_exceptions.ErrorKind.STORE_UNAVAILABLE, detail)
+
+
+def _entry(item: _Item) -> port.Entry:
+    try:
+        value = base64.b64decode(item.value)
+    except ValueError:
+        value = b""
+    return port.Entry(key=item.key, value=value, mod_revision=item.rev)
+
+
+def _decode(reply: http.Reply, wanted: type[T]) -> T:
+    try:
+        return msgspec.json.decode(reply.body, type=wanted)
+    except msgspec.DecodeError as error:
+        raise _unavailable(f"unreadable answer: {error}") from error
--- /dev/null
+++ b/plantainproxy/platform/packet_format.py
@@ -0,0 +1,108 @@
+"""The platform's packet format: one datagram with a head of 34 bytes."""
+
+import functools
+import socket
+import struct
+
+from plantainproxy import _types
+from plantainproxy.flows import packets
+
+HEAD = struct.Struct("<B3sIHII4sH4sH4s")
+"""flags, pad, sum, len, seq, ack, dst, dport, src, sport, echo."""
+MAX_PAYLOAD_BYTES = 1_200
+
+SYN = 2
+FIN = 8
+BOUNCED = 16
+"""The host hands the packet back because it does not hold or accept the flow."""
+ACK = 64
+RST = 128
+KNOWN_FLAGS = SYN | FIN | BOUNCED | ACK | RST
+
+# ``dst`` and ``dport``, then ``src`` and ``sport``, stand side by side.
+_DESTINATION = slice(18, 24)
+_SOURCE = slice(24, 30)
+_BOTH_ENDS = slice(18, 30)
+_ECHO = slice(30, 34)
+_CALLER_HOST = slice(6, 10)
+
+_PURPOSES = {int(purpose): purpose for purpose in packets.Purpose}
+_NO_ADDRESS = bytes(4)
+
+
+def decode(data: bytes, *, from_upstream: bool = False) -> packets.Packet | None:
+    """Decode a datagram; ``None`` when it is no packet.
+
+    A packet that the upstream hands back still has the caller as its source.
+    """
+    size = len(data) - HEAD.size
+    if not 0 <= size <= MAX_PAYLOAD_BYTES:
+        return None
+    # ``pad`` and ``echo`` are not used by either end; balancers write why they
+    # forward a packet into the first and their address into the second.
+    flags, pad, _, length, sequence, acknowledgement, *_, echo = HEAD.unpack_from(data)
+    if length != size or flags & ~KNOWN_FLAGS:
+        return None
+    is_returned = bool(flags & BOUNCED)
+    if from_upstream and not is_returned:
+        flow = data[_SOURCE] + data[_DESTINATION]
+    else:
+        flow = data[_BOTH_ENDS]
+    return packets.Packet(
+        flow=flow,
+        data=data,
+        opening=flags & (SYN | ACK) == SYN,
+        accepting=flags & (SYN | ACK) == SYN | ACK,
+        closing=bool(flags & FIN),
+        aborting=bool(flags & RST),
+        returned=is_returned,
+        sequence=sequence,
+        acknowledgement=acknowledgement,
+        size=size,
+        balancer=echo,
+        purpose=_PURPOSES.get(pad[0], packets.Purpose.FORWARD),
+    )
+
+
+def decode_returned(data: bytes) -> packets.Packet | None:
+    """Decode a packet that a sidecar gave back, as its caller sent it."""
+    if len(data) < HEAD.size:
+        return None
+    return decode(bytes((data[0] & ~BOUNCED,)) + data[1:])
+
+
+def stamp(data: bytes, *, balancer: bytes, purpose: packets.Purpose) -> bytes:
+    """Return a packet with the reason to forward it and the balancer's address."""
+    pad = bytes((purpose, 0, 0))
+    return data[:1] + pad + data[4:30] + balancer + data[HEAD.size :]
+
+
+def encode_reset(flow: bytes, *, sequence: int) -> bytes:
+    """Encode a reset from a service address to a caller."""
+    service, service_port = flow[0:4], int.from_bytes(flow[4:6], "little")
+    caller, caller_port = flow[6:10], int.from_bytes(flow[10:12], "little")
+    return HEAD.pack(
+        RST,
+        bytes(3),
+        0,
+        0,
+        sequence,
+        0,
+        caller,
+        caller_port,
+        service,
+        service_port,
+        _NO_ADDRESS,
+    )
+
+
+def pack_service(address: _types.Address) -> bytes:
+    """Return a service address as it stands in a flow's key."""
+    host = socket.inet_aton(address.host)[::-1]
+    return host + address.port.to_bytes(2, "little")
+
+
+@functools.lru_cache(maxsize=16_384)
+def caller_host(flow: bytes) -> str:
+    """Return the caller's IPv4 address from a flow's key."""
+    return socket.inet_ntoa(flow[_CALLER_HOST][::-1])
--- /dev/null
+++ b/plantainproxy/platform/settings.py
@@ -0,0 +1,103 @@
+"""The platform's settings file."""
+
+from collections.abc import Callable
+import os
+import pathlib
+from typing import Any, TypeVar
+
+import msgspec
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.flows import settings
+
+T = TypeVar("T")
+
+PATH_VARIABLE = "PLANTAINPROXY_BOOT"
+MESSAGE_PORT_OFFSET = 0
+METRICS_PORT_OFFSET = 2
+"""Position of each port in the range for traffic between machines."""
+MILLISECONDS = 1_000.0
+
+
+class _Listen(msgspec.Struct):
+    data_addr: str
+    ready: str
+    # Heartbeats of the host; hosts of other machines may call it on other classes.
+    control: str = ""
+    outbound: str = ""
+
+
+class _Bounds(msgspec.Struct):
+    grace_s: float = 5.0
+
+
+class _Platform(msgspec.Struct):
+    addr: str
+
+
+class _Node(msgspec.Struct):
+    node: str
+    ip: str
+    zone: str
+    internal_port_range: list[int]
+    listen: _Listen
+    platform: _Platform
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    # The host's own address, on machines beside a host.
+    app: str = ""
+    service: str = ""
+    heartbeat_ms: float = 1_000.0
+
+
+def load_balancer() -> settings.NodeSettings:
+    """Read the settings of a balancer from the file that the environment names."""
+    return _checked(lambda: settings.NodeSettings(**_common(_read())))
+
+
+def load_sidecar() -> settings.SidecarSettings:
+    """Read the settings of a sidecar from the file that the environment names."""
+
+    def build() -> settings.SidecarSettings:
+        node = _read()
+        return settings.SidecarSettings(
+            **_common(node),
+            pool=node.service,
+            upstream_address=_types.Address.parse(node.app),
+            outbound_address=_types.Address.parse(node.listen.outbound),
+            heartbeat_address=_types.Address.parse(node.listen.control),
+            heartbeat_seconds=node.heartbeat_ms / MILLISECONDS,
+        )
+
+    return _checked(build)
+
+
+def _checked(build: Callable[[], T]) -> T:
+    try:
+        return build()
+    except (OSError, msgspec.DecodeError, ValueError, KeyError) as error:
+        raise _exceptions.PlantainError(
+            _exceptions.ErrorKind.INVALID_SETTINGS,
+            f"{os.environ.get(PATH_VARIABLE, PATH_VARIABLE)}: {error}",
+        ) from error
+
+
+def _read() -> _Node:
+    path = pathlib.Path(os.environ[PATH_VARIABLE])
+    return msgspec.toml.decode(path.read_bytes(), type=_Node)
+
+
+def _common(node: _Node) -> dict[str, Any]:
+    first, last = node.internal_port_range
+    if first + METRICS_PORT_OFFSET > last:
+        raise ValueError(f"internal_port_range: too few ports, {first} to {last}")
+    return {
+        "name": node.node,
+        "host": node.ip,
+        "domain": node.zone,
+        "data_address": _types.Address.parse(node.listen.data_addr),
+        "ready_address": _types.Address.parse(node.listen.ready),
+        "message_port": first + MESSAGE_PORT_OFFSET,
+        "metrics_port": first + METRICS_PORT_OFFSET,
+        "store_address": _types.Address.parse(node.platform.addr),
+        "grace_seconds": node.bounds.grace_s,
+    }
--- a/plantainproxy/store/http.py
+++ b/plantainproxy/store/http.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator, Iterator
 import contextlib
 import dataclasses
+import socket
 from typing import Any
 
 import h11
@@ -15,6 +16,12 @@
 MAX_IDLE_CONNECTIONS = 4
 MAX_RESPONSE_BYTES = 64 * 1_048_576
 RECEIVE_BYTES = 65_536
+KEEPALIVE_SECONDS = 1
+"""Silence before a keepalive probe, and between probes; the shortest there is."""
+KEEPALIVE_PROBES = 2
+"""Unanswered probes after which a connection counts as broken."""
+USER_TIMEOUT_MILLISECONDS = 2_500
+"""Longest wait for the acknowledgement of sent bytes; near that of the probes."""
 
 
 class UnsentError(Exception):
@@ -69,6 +76,18 @@
 
 
 async def post(pool: Pool, path: str, body: bytes, *, timeout_seconds: float) -> Reply:
+    """Send one POST request and return its answer."""
+    return await call(pool, "POST", path, body, timeout_seconds=timeout_seconds)
+
+
+async def call(
+    pool: Pool,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    *,
+    timeout_seconds: float,
+) -> Reply:
     """Send one request and return its answer.
 
     After a failure no connection that was open before is used again, because a
@@ -80,7 +99,9 @@
             connection = await _take(pool)
             with _closing_on_error(connection):
                 sent = True
-                reply = await _exchange(connection, pool.address, path, body)
+                reply = await _exchange(
+                    connection, pool.address, path, body, method=method
+                )
     except _BROKEN as error:
         close_idle(pool)
         reason = f"{pool.address}: {error!r}"
@@ -102,7 +123,25 @@
 
 
 async def _connect(address: _types.Address) -> Connection:
-    return Connection(await trio.open_tcp_stream(address.host, address.port))
+    stream = await trio.open_tcp_stream(address.host, address.port)
+    watch_for_silence(stream.socket)
+    return Connection(stream)
+
+
+def watch_for_silence(connected: trio.socket.SocketType) -> None:
+    """Let the kernel end a connection whose other end no longer answers.
+
+    A waiting watch sends nothing, so nothing else would notice.
+    """
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS),
+    )
+    for level, option, value in options:
+        connected.setsockopt(level, option, value)
 
 
 def _give_back(pool: Pool, connection: Connection) -> None:
@@ -126,9 +165,14 @@
 
 
 async def _exchange(
-    connection: Connection, address: _types.Address, path: str, body: bytes
+    connection: Connection,
+    address: _types.Address,
+    path: str,
+    body: bytes,
+    *,
+    method: str,
 ) -> Reply:
-    await _send(connection, address, path, body)
+    await _send(connection, address, path, body, method=method)
     status = await _receive_head(connection)
     received = bytearray()
     while isinstance(event := await _next_event(connection), h11.Data):
@@ -139,14 +183,19 @@
 
 
 async def _send(
-    connection: Connection, address: _types.Address, path: str, body: bytes
+    connection: Connection,
+    address: _types.Address,
+    path: str,
+    body: bytes,
+    *,
+    method: str = "POST",
 ) -> None:
     headers = [
         ("host", str(address)),
         ("content-type", "application/json"),
         ("content-length", str(len(body))),
     ]
-    request = h11.Request(method="POST", target=path, headers=headers)
+    request = h11.Request(method=method, target=path, headers=headers)
     wire = connection.protocol.send(request)
     wire += connection.protocol.send(h11.Data(data=body))
     wire += connection.protocol.send(h11.EndOfMessage())
--- /dev/null
+++ b/plantainproxy/store/revisioned.py
@@ -0,0 +1,80 @@
+"""What followers ask of a store whose watches resume at a revision."""
+
+import dataclasses
+from typing import Protocol
+
+from plantainproxy.store import port
+
+
+class HistoryLostError(Exception):
+    """The store no longer holds the changes after the wanted revision."""
+
+    def __init__(self, prefix: str, revision: int) -> None:
+        """Hold where the watch was to resume."""
+        super().__init__(prefix, revision)
+        self.prefix = prefix
+        self.revision = revision
+
+    def __str__(self) -> str:
+        """Name the keys and the revision."""
+        return f"no history of {self.prefix!r} after revision {self.revision}"
+
+
+class LeaseEndedError(Exception):
+    """A write named a lease that has ended."""
+
+    def __init__(self, lease: int) -> None:
+        """Hold the lease's number."""
+        super().__init__(lease)
+        self.lease = lease
+
+    def __str__(self) -> str:
+        """Name the lease."""
+        return f"lease {self.lease} has ended"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Snapshot:
+    """The entries under a prefix, none of them older than the revision."""
+
+    entries: tuple[port.Entry, ...]
+    revision: int
+    """Where a watch takes over."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Changes:
+    """What a watch saw; empty when its time passed."""
+
+    changes: tuple[port.Change, ...]
+    revision: int
+    """Where the next watch takes over."""
+
+
+class RevisionedStore(Protocol):
+    """Reads and watches; each raises ``PlantainError`` when the store fails."""
+
+    async def read_all(self, prefix: str) -> Snapshot:
+        """Read every entry under a prefix."""
+
+    async def watch_after(self, prefix: str, revision: int) -> Changes:
+        """Wait for changes under a prefix after a revision.
+
+        Raises ``HistoryLostError`` when the changes are no longer known.
+        """
+
+
+class LeasingStore(Protocol):
+    """Writes that end with a lease."""
+
+    async def grant_lease(self, *, ttl_seconds: float) -> int:
+        """Create a lease and return its number."""
+
+    async def keep_lease(self, lease: int) -> bool:
+        """Renew a lease; return whether it still existed."""
+
+    async def commit(self, transaction: port.Transaction) -> bool:
+        """Apply a transaction; return whether its conditions held.
+
+        Raises ``LeaseEndedError`` when a lease that it names has ended.
+        """
--- /dev/null
+++ b/plantainproxy/telemetry/exposition.py
@@ -0,0 +1,76 @@
+"""Metrics as text for a scraper, in the Prometheus format.
+
+The library is imported at the first scrape: a process starts without it.
+"""
+
+import bisect
+from collections.abc import Callable, Mapping
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+PREFIX = "plantainproxy"
+BUCKET_SECONDS = (0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 5.0)
+"""Upper bounds of a histogram's buckets; around the latency objectives of requests."""
+
+Gauges = Callable[[], Mapping[str, float]]
+"""Returns the present value of each gauge."""
+
+
+class Histogram:
+    """Counts of durations in seconds, by bucket."""
+
+    def __init__(self) -> None:
+        """Start without observations."""
+        self.counts = [0] * (len(BUCKET_SECONDS) + 1)
+        self.sum = 0.0
+
+    def observe(self, seconds: float) -> None:
+        """Count one duration."""
+        self.counts[bisect.bisect_left(BUCKET_SECONDS, seconds)] += 1
+        self.sum += seconds
+
+
+def render(
+    counters: Mapping[str, int],
+    gauges: Mapping[str, float],
+    histograms: Mapping[str, Histogram],
+) -> bytes:
+    """Return all metrics as text."""
+    import prometheus_client
+    from prometheus_client import core
+
+    class Collector:
+        def collect(self) -> list[core.Metric]:
+            return [
+                *(
+                    core.CounterMetricFamily(_name(name), name, value=value)
+                    for name, value in sorted(counters.items())
+                ),
+                *(
+                    core.GaugeMetricFamily(_name(name), name, value=value)
+                    for name, value in sorted(gauges.items())
+                ),
+                *(
+                    core.HistogramMetricFamily(
+                        _name(name), name, buckets=_buckets(found), sum_value=found.sum
+                    )
+                    for name, found in sorted(histograms.items())
+                ),
+            ]
+
+    registry = prometheus_client.CollectorRegistry(auto_describe=False)
+    registry.register(Collector())
+    return prometheus_client.generate_latest(registry)
+
+
+def _name(dotted: str) -> str:
+    return f"{PREFIX}_{dotted}".replace(".", "_").replace("-", "_").lower()
+
+
+def _buckets(histogram: Histogram) -> list[tuple[str, float]]:
+    bounds = [*(str(bound) for bound in BUCKET_SECONDS), "+Inf"]
+    total = 0
+    cumulative: list[tuple[str, float]] = []
+    for bound, count in zip(bounds, histogram.counts, strict=True):
+        total += count
+        cumulative.append((bound, float(total)))
+    return cumulative
--- a/plantainproxy/telemetry/logs.py
+++ b/plantainproxy/telemetry/logs.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import logging
+import os
 import sys
 import time
 
@@ -10,6 +11,8 @@
 from plantainproxy.settings import model
 
 TEXT_FORMAT = "%(asctime)s %(levelname)s %(name)s: %(message)s"
+ATOMIC_WRITE_BYTES = 4_095
+"""A pipe takes a line and its end of this length whole or not at all (POSIX)."""
 REPEAT_SECONDS = 1.0
 """A rate-limited sentence is logged at most once in this time."""
 
@@ -19,17 +22,52 @@
 
     def format(self, record: logging.LogRecord) -> str:
         """Return the line without its end."""
-        fields = {
+        fields: dict[str, object] = {
             "time": record.created,
             "level": record.levelname,
             "part": record.name,
             "message": record.getMessage(),
+            **getattr(record, "fields", {}),
         }
         if record.exc_info:
             fields["exception"] = self.formatException(record.exc_info)
         return msgspec.json.encode(fields).decode()
 
 
+class LineHandler(logging.Handler):
+    """Writes lines to a descriptor and leaves out those that would block."""
+
+    def __init__(self, descriptor: int) -> None:
+        """Write without blocking."""
+        super().__init__()
+        self.descriptor = descriptor
+        self.left_out = 0
+        """Lines that found no room since the last one that was written."""
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line, or count it."""
+        if self.left_out:
+            fields = getattr(record, "fields", {})
+            record.fields = {**fields, "lines_lost": self.left_out}
+        line = self.format(record).encode()[:ATOMIC_WRITE_BYTES] + b"\n"
+        try:
+            os.write(self.descriptor, line)
+        except OSError:
+            self.left_out += 1
+        else:
+            self.left_out = 0
+
+
+def configure_lines(descriptor: int = 1) -> None:
+    """Send all logs of the process as JSON lines to standard output."""
+    handler = LineHandler(descriptor)
+    handler.setFormatter(JsonFormatter())
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(logging.INFO)
+
+
 def configure(telemetry: model.Telemetry) -> None:
     """Send all logs of the process to standard error."""
     handler = logging.StreamHandler(sys.stderr)
