Keep the flows of an upstream that says it leaves

Change: leaving counts as draining; flows are reset once nobody listens any more. Conclusion: only the closed port tells that the flows are gone.

--- a/plantainproxy/flows/sidecar.py
+++ b/plantainproxy/flows/sidecar.py
@@ -176,11 +176,22 @@
     return True
 
 
-def handle_end(
-    engine: Engine, *, reason: str, instance: str | None = None, now: float
-) -> None:
+def handle_leave(engine: Engine, instance: str, *, now: float) -> None:
+    """Take the upstream's word that it is about to end."""
+    if not upstream.take_leave(engine.upstream, instance):
+        return
+    engine.log.write(
+        "upstream state",
+        instance=instance,
+        state=engine.upstream.state,
+        reason="upstream leaves",
+    )
+    report_if_due(engine, now=now)
+
+
+def handle_end(engine: Engine, *, reason: str, now: float) -> None:
     """Take the news that the upstream's process has ended."""
-    if not upstream.take_end(engine.upstream, instance):
+    if not upstream.take_end(engine.upstream):
         return
     engine.log.write("upstream state", state=engine.upstream.state, reason=reason)
     _close_all(engine, reason=reason)
--- a/plantainproxy/flows/sidecar_main.py
+++ b/plantainproxy/flows/sidecar_main.py
@@ -164,12 +164,7 @@
         return sidecar.handle_heartbeat(running.engine, beat, now=trio.current_time())
 
     def take_leave(instance: str) -> None:
-        sidecar.handle_end(
-            running.engine,
-            reason="upstream left",
-            instance=instance,
-            now=trio.current_time(),
-        )
+        sidecar.handle_leave(running.engine, instance, now=trio.current_time())
 
     own = running.settings
     handler = heartbeats.make_handler(
--- a/plantainproxy/flows/upstream.py
+++ b/plantainproxy/flows/upstream.py
@@ -57,18 +57,26 @@
     return began
 
 
-def take_end(upstream: Upstream, instance: str | None = None) -> bool:
-    """Note that the present incarnation has ended; return whether that is news.
+def take_leave(upstream: Upstream, instance: str) -> bool:
+    """Note that an incarnation is about to end; return whether that is news.
 
-    ``instance`` limits it to the incarnation of that name.
+    It still holds its open flows until its process has ended.
     """
     newest = upstream.newest
-    if instance is not None and (newest is None or newest.instance != instance):
+    if newest is None or newest.instance != instance:
         return False
+    if upstream.state is not messages.UpstreamState.READY:
+        return False
+    upstream.state = messages.UpstreamState.DRAINING
+    return True
+
+
+def take_end(upstream: Upstream) -> bool:
+    """Note that the present incarnation has ended; return whether that is news."""
     if upstream.state is messages.UpstreamState.GONE:
         return False
-    if newest is not None:
-        upstream.ended_born = max(upstream.ended_born, newest.born)
+    if upstream.newest is not None:
+        upstream.ended_born = max(upstream.ended_born, upstream.newest.born)
     upstream.state = messages.UpstreamState.GONE
     return True
 
