Let openings wait for an upstream, and start faster

Cause: after a restart of everything, balancers reset opening packets that no upstream took at that moment and callers spent their tries; a balancer on a quarter of a core took 1.1 s to start; a stated cold rate of 0 was taken as a limit.

--- a/plantainproxy/_http_server.py
+++ b/plantainproxy/_http_server.py
@@ -52,18 +52,26 @@
 async def _converse(stream: trio.SocketStream, handle: Handler) -> None:
     protocol = h11.Connection(h11.SERVER)
     async with stream:
-        while protocol.our_state is h11.IDLE:
+        while True:
             with trio.move_on_after(IDLE_SECONDS):
                 request = await _receive(stream, protocol)
                 if request is None:
                     return
                 await stream.send_all(_encode(protocol, handle(request)))
-                if protocol.our_state is h11.DONE:
-                    protocol.start_next_cycle()
+                if not _start_next(protocol):
+                    return
                 continue
             return
 
 
+def _start_next(protocol: h11.Connection) -> bool:
+    """Get ready for another request; return whether the connection stays open."""
+    if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
+        return False
+    protocol.start_next_cycle()
+    return True
+
+
 async def _receive(
     stream: trio.SocketStream, protocol: h11.Connection
 ) -> Request | None:
--- a/plantainproxy/flows/balancer.py
+++ b/plantainproxy/flows/balancer.py
@@ -1,10 +1,11 @@
 """The decisions of a balancer about packets of transparent flows."""
 
 from collections.abc import Callable, Mapping
-import dataclasses
 import itertools
 from typing import Protocol
 
+import msgspec
+
 from plantainproxy import _types
 from plantainproxy.flows import (
     journal,
@@ -14,6 +15,7 @@
     placement,
     policy,
     upstreams,
+    waiting,
 )
 
 MAX_CACHED_FLOWS = 400_000
@@ -32,18 +34,13 @@
     messages.Refusal.WRONG_POOL: 0.3,
     messages.Refusal.DOMAIN_OUT: 0.3,
     messages.Refusal.DRAINING: 0.5,
-    messages.Refusal.COLD: 0.1,
+    messages.Refusal.COLD: 0.0,
+    messages.Refusal.FULL: 0.03,
     messages.Refusal.DECLINED: 0.05,
 }
 """How long no new flow goes to an upstream after a refusal; a report may come sooner.
 About the time in which the reason can pass."""
 
-TRANSIENT_REFUSALS = frozenset(
-    (messages.Refusal.NOT_READY, messages.Refusal.WRONG_POOL)
-)
-"""Refusals that mean that one side's knowledge is old; the caller's next copy of its
-opening packet may succeed."""
-
 
 class Port(Protocol):
     """What the engine sends; nothing blocks."""
@@ -57,8 +54,7 @@
         """Tell the packet's caller that the flow is closed."""
 
 
-@dataclasses.dataclass(slots=True)
-class Cached:
+class Cached(msgspec.Struct):
     """Where a flow was placed or found."""
 
     upstream: _types.Address
@@ -83,6 +79,7 @@
         self.view = upstreams.View()
         self.flows: dict[bytes, Cached] = {}
         self.lookups: dict[bytes, lookup.Lookup] = {}
+        self.waiting = waiting.Queue()
         self.policy_since = float("inf")
         """When the first policy came into force."""
         self.stopping = False
@@ -118,13 +115,15 @@
 
 def handle_packet(engine: Engine, packet: packets.Packet, *, now: float) -> None:
     """Send one packet of a caller on, or answer it."""
-    current = engine.policies.current
-    if current is None:
-        engine.log.count("dropped.no_policy")
-        return
     if packet.returned or packet.accepting:
         engine.log.count("dropped.invalid")
         return
+    current = engine.policies.current
+    if current is None:
+        if packet.opening:
+            _wait(engine, packet, priority=0, refused_by=frozenset(), now=now)
+        engine.log.count("before_policy")
+        return
     route = current.routes.get(packet.service)
     if route is None:
         _refuse_unrouted(engine, packet)
@@ -179,10 +178,11 @@
 
 
 def tick(engine: Engine, *, now: float) -> None:
-    """Ask again where answers are missing, and forget what is old."""
+    """Ask again where answers are missing, place what waits, forget what is old."""
     for flow, search in list(engine.lookups.items()):
         if now >= search.ask_again_at:
             _continue_lookup(engine, flow, search, now=now)
+    _place_waiting(engine, now=now)
     for address in upstreams.forget_silent(engine.view, now=now):
         engine.log.write("upstream forgotten", upstream=str(address))
 
@@ -219,13 +219,19 @@
 def _handle_opening(
     engine: Engine, packet: packets.Packet, route: policy.Route, *, now: float
 ) -> None:
+    if packet.flow in engine.waiting.openings:
+        return
     cached = engine.flows.get(packet.flow)
     if cached is None:
         _place(engine, packet, route, refused_by=frozenset(), now=now)
         return
     # A copy: the upstream chosen first has not accepted the flow in time.
     avoided = cached.refused_by | {cached.upstream}
-    _place(engine, packet, route, refused_by=avoided, now=now, last_resort=cached)
+    if _try_to_place(engine, packet, route, refused_by=avoided, now=now):
+        return
+    chosen = engine.view.upstreams.get(cached.upstream)
+    if chosen is not None:
+        engine.port.forward(packet, chosen.data_address, packets.Purpose.OPEN)
 
 
 def _place(
@@ -235,8 +241,20 @@
     *,
     refused_by: frozenset[_types.Address],
     now: float,
-    last_resort: Cached | None = None,
 ) -> None:
+    if not _try_to_place(engine, packet, route, refused_by=refused_by, now=now):
+        _wait_or_refuse(engine, packet, route, refused_by, now=now)
+
+
+def _try_to_place(
+    engine: Engine,
+    packet: packets.Packet,
+    route: policy.Route,
+    *,
+    refused_by: frozenset[_types.Address],
+    now: float,
+) -> bool:
+    """Send an opening packet to an upstream; return whether there is one."""
     current = engine.policies.current
     assert current is not None
     context = placement.Context(
@@ -245,11 +263,8 @@
     chosen = placement.choose(
         engine.view, route, packet.flow, context=context, excluded=refused_by
     )
-    if chosen is None and last_resort is not None:
-        chosen = engine.view.upstreams.get(last_resort.upstream)
     if chosen is None:
-        _refuse_unplaced(engine, packet, route, refused_by, now=now)
-        return
+        return False
     chosen.placed += 1
     if len(engine.flows) >= MAX_CACHED_FLOWS:
         engine.flows.pop(next(iter(engine.flows)))
@@ -267,9 +282,10 @@
         refusals=len(refused_by),
         revision=current.revision,
     )
+    return True
 
 
-def _refuse_unplaced(
+def _wait_or_refuse(
     engine: Engine,
     packet: packets.Packet,
     route: policy.Route,
@@ -277,20 +293,64 @@
     *,
     now: float,
 ) -> None:
+    """Let an opening packet wait if an upstream may take it soon, or refuse it."""
     engine.flows.pop(packet.flow, None)
-    certain = upstreams.is_settled(engine.view, now=now) and not upstreams.is_blind(
-        engine.view, now=now
+    hopeless = (
+        upstreams.is_settled(engine.view, now=now)
+        and not upstreams.is_blind(engine.view, now=now)
+        and not placement.may_recover(engine.view, route, engine.policies.current)
     )
     engine.log.write_limited(
-        "refused" if certain else "dropped",
+        "refused" if hopeless else "waiting",
         flow=packet.flow.hex(),
         route=route.name,
         reason="no upstream takes the flow",
         refusals=len(refused_by),
         revision=engine.policies.revision,
     )
-    if certain:
+    if hopeless:
         _reset(engine, packet)
+        return
+    _wait(engine, packet, priority=route.priority, refused_by=refused_by, now=now)
+
+
+def _wait(
+    engine: Engine,
+    packet: packets.Packet,
+    *,
+    priority: int,
+    refused_by: frozenset[_types.Address],
+    now: float,
+) -> None:
+    opening = waiting.Opening(
+        packet=packet, since=now, priority=priority, refused_by=refused_by
+    )
+    if not engine.waiting.add(opening):
+        engine.log.count("dropped.queue_full")
+
+
+def _place_waiting(engine: Engine, *, now: float) -> None:
+    """Place the waiting openings as far as upstreams take them now."""
+    late = engine.waiting.drop_late(now=now)
+    if late:
+        engine.log.write_limited("openings dropped", count=late)
+    current = engine.policies.current
+    if current is None:
+        return
+    full: set[bytes] = set()
+    for opening in engine.waiting.in_order():
+        packet = opening.packet
+        route = current.routes.get(packet.service)
+        if route is None:
+            del engine.waiting.openings[packet.flow]
+            _refuse_unrouted(engine, packet)
+            continue
+        if packet.service in full:
+            continue
+        if _try_to_place(engine, packet, route, refused_by=frozenset(), now=now):
+            del engine.waiting.openings[packet.flow]
+        else:
+            full.add(packet.service)
 
 
 def _take_report(
@@ -338,14 +398,12 @@
         return
     refusing = engine.view.upstreams.get(sender)
     if refusing is not None:
-        hold_off = HOLD_OFF_SECONDS[message.reason]
+        hold_off = max(HOLD_OFF_SECONDS[message.reason], message.retry_after)
         refusing.held_off_until = max(refusing.held_off_until, now + hold_off)
         refusing.placed = max(refusing.placed - 1, 0)
     if cached is None or cached.upstream != sender:
         return
     refused_by = cached.refused_by | {sender}
-    if message.reason in TRANSIENT_REFUSALS and len(refused_by) > 1:
-        return
     _place(engine, packet, route, refused_by=refused_by, now=now)
 
 
@@ -379,6 +437,8 @@
 ) -> None:
     """Ask whom is still to be asked, or conclude."""
     step = lookup.advance(search, engine.view, now=now)
+    if step is None:
+        return
     if isinstance(step, lookup.Ask):
         for address in step.upstreams:
             target = engine.view.upstreams[address].data_address
--- a/plantainproxy/flows/held.py
+++ b/plantainproxy/flows/held.py
@@ -1,7 +1,8 @@
 """The flows that one upstream holds, learned from the packets in both directions."""
 
 from collections.abc import Iterator
-import dataclasses
+
+import msgspec
 
 from plantainproxy.flows import packets
 
@@ -10,12 +11,13 @@
 MAX_UNACKNOWLEDGED = 76_800
 """Bytes by which an acknowledgement of a flow may lead its first number at the
 opening; four windows of 16 packets of 1,200 bytes."""
+FIRST_REQUEST_SECONDS = 0.05
+"""A new flow sends its first request within this time, or it is taken as idle."""
 ENDED_LINGER_SECONDS = 3.0
 """A closed flow is kept for its last retransmissions; two longest intervals."""
 
 
-@dataclasses.dataclass(slots=True)
-class Flow:
+class Flow(msgspec.Struct):
     """One flow."""
 
     opened_at: float
@@ -47,6 +49,8 @@
         self.flows: dict[bytes, Flow] = {}
         self.running = 0
         """Requests that wait for the first byte of their answer."""
+        self.unused: dict[bytes, float] = {}
+        """Flows that have opened and sent no request yet, by the time of opening."""
         self.complete = False
         """Whether the table holds every flow of the upstream."""
 
@@ -55,6 +59,7 @@
     """Note an opening packet that the upstream gets."""
     if packet.flow not in table.flows:
         table.flows[packet.flow] = Flow(now, now)
+        table.unused[packet.flow] = now
 
 
 def is_held(table: Table, packet: packets.Packet) -> bool:
@@ -96,6 +101,7 @@
     if not is_new:
         return
     flow.caller_next = end
+    table.unused.pop(packet.flow, None)
     if flow.waiting_since is None:
         flow.waiting_since = now
         table.running += 1
@@ -121,9 +127,19 @@
     return waited
 
 
+def expected_requests(table: Table, *, now: float) -> int:
+    """Return the requests in progress and those that new flows are about to send."""
+    for key, opened_at in list(table.unused.items()):
+        if now - opened_at < FIRST_REQUEST_SECONDS:
+            break
+        del table.unused[key]
+    return table.running + len(table.unused)
+
+
 def drop(table: Table, key: bytes) -> None:
     """Forget one flow."""
     flow = table.flows.pop(key, None)
+    table.unused.pop(key, None)
     if flow is not None:
         _stop_waiting(table, flow)
 
@@ -132,6 +148,7 @@
     """Forget every flow; return those that were open."""
     dropped = [(key, flow) for key, flow in table.flows.items() if not flow.ended]
     table.flows.clear()
+    table.unused.clear()
     table.running = 0
     return dropped
 
--- a/plantainproxy/flows/lookup.py
+++ b/plantainproxy/flows/lookup.py
@@ -1,8 +1,9 @@
 """The search for the upstream that holds an unknown flow."""
 
-import dataclasses
 from typing import NamedTuple
 
+import msgspec
+
 from plantainproxy import _types
 from plantainproxy.flows import packets, placement, policy, upstreams
 
@@ -17,8 +18,7 @@
 """Upstreams outside the route's pools that are asked before a flow counts as gone."""
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Lookup:
+class Lookup(msgspec.Struct, kw_only=True):
     """One search."""
 
     route: policy.Route
@@ -30,8 +30,8 @@
     """How many groups of upstreams have been asked."""
     delivered: int = 1
     """Packets that went out with a question."""
-    asked: set[_types.Address] = dataclasses.field(default_factory=set)
-    denied: set[_types.Address] = dataclasses.field(default_factory=set)
+    asked: set[_types.Address] = msgspec.field(default_factory=set)
+    denied: set[_types.Address] = msgspec.field(default_factory=set)
     """Upstreams that certainly do not hold the flow."""
 
 
@@ -73,8 +73,13 @@
     return search.asked <= search.denied
 
 
-def advance(search: Lookup, view: upstreams.View, *, now: float) -> Ask | Conclude:
-    """Decide the next step: first questions, repeated questions, or the end."""
+def advance(
+    search: Lookup, view: upstreams.View, *, now: float
+) -> Ask | Conclude | None:
+    """Decide the next step: first questions, repeated questions, or the end.
+
+    ``None`` while there is nobody to ask and more upstreams may become known.
+    """
     unanswered = [
         address
         for address in search.asked - search.denied
@@ -98,6 +103,11 @@
             search.asked.update(fresh)
             search.ask_again_at = now + ASK_AGAIN_SECONDS
             return Ask(search.packets[0], fresh)
+    is_young = now - search.started_at < GIVE_UP_SECONDS
+    if is_young and not upstreams.is_settled(view, now=now):
+        search.wave = 0
+        search.ask_again_at = now + ASK_AGAIN_SECONDS
+        return None
     lost = sum(
         upstreams.is_lost(upstream, now=now) for upstream in view.upstreams.values()
     )
--- a/plantainproxy/flows/messages.py
+++ b/plantainproxy/flows/messages.py
@@ -36,6 +36,8 @@
     """The upstream is leaving or has left."""
     COLD = "cold"
     """The upstream is cold and has had its share of new flows."""
+    FULL = "full"
+    """The upstream has as many requests in progress as it serves in good time."""
     DECLINED = "declined"
     """The upstream itself did not accept the flow."""
     NOT_HELD = "not-held"
@@ -95,6 +97,8 @@
     revision: int
     data: bytes
     """The whole packet."""
+    retry_after: float = 0.0
+    """Seconds after which the upstream may take a new flow, where that is known."""
 
 
 Message = Hello | Report | Held | NotHeld | Returned
--- a/plantainproxy/flows/placement.py
+++ b/plantainproxy/flows/placement.py
@@ -1,7 +1,8 @@
 """Choice of the upstream for a new flow, by load among a few candidates."""
 
 from collections.abc import Callable, Sequence
-import dataclasses
+
+import msgspec
 
 from plantainproxy import _types
 from plantainproxy.flows import messages, policy, upstreams
@@ -23,8 +24,7 @@
 """Returns a random number in [0, 1)."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Context:
+class Context(msgspec.Struct, frozen=True, kw_only=True):
     """What a choice depends on beside the upstreams."""
 
     policy: policy.Policy
@@ -53,6 +53,26 @@
     return None
 
 
+def may_recover(
+    view: upstreams.View, route: policy.Route, current: policy.Policy | None
+) -> bool:
+    """Return whether an upstream of the route may take a flow before long."""
+    if current is None:
+        return True
+    pools = [share.pool for share in route.shares if share.weight > 0]
+    return any(
+        one.report is None
+        or (
+            one.report.state in _RECOVERABLE
+            and one.report.domain not in current.domains_out
+        )
+        for one in upstreams.in_pools(view, pools)
+    )
+
+
+_RECOVERABLE = (messages.UpstreamState.READY, messages.UpstreamState.UNKNOWN)
+
+
 def load(upstream: upstreams.Upstream, *, requests_per_flow: float) -> float:
     """Return the requests that are in progress or expected, as a share of the slots."""
     report = upstream.report
--- a/plantainproxy/flows/policy.py
+++ b/plantainproxy/flows/policy.py
@@ -1,9 +1,10 @@
 """What operators have asked for: the routing table and domains out of service."""
 
 from collections.abc import Mapping
-import dataclasses
 import enum
 
+import msgspec
+
 
 class RouteKind(enum.StrEnum):
     """What a route's requests allow."""
@@ -16,8 +17,7 @@
     """Like idempotent, with large answers."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Share:
+class Share(msgspec.Struct, frozen=True, kw_only=True):
     """A pool's share of a route's new flows."""
 
     pool: str
@@ -25,8 +25,7 @@
     """Relative to the other shares of the route; at least 0."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Route:
+class Route(msgspec.Struct, frozen=True, kw_only=True):
     """Where new flows to one service address go."""
 
     name: str
@@ -34,6 +33,8 @@
     """The packed service address that callers use."""
     kind: RouteKind
     shares: tuple[Share, ...]
+    priority: int = 0
+    """Which flows go first when not all can be served; 0 is the highest."""
 
     @property
     def pools(self) -> frozenset[str]:
@@ -41,29 +42,27 @@
         return frozenset(share.pool for share in self.shares)
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class PoolLimits:
+class PoolLimits(msgspec.Struct, frozen=True, kw_only=True):
     """What the upstreams of one pool can bear."""
 
     cold_seconds: float = 0.0
     """How long an upstream is cold after its start under traffic."""
-    cold_flows_per_second: float = 0.0
-    """New flows a second that a cold upstream bears."""
+    cold_flows_per_second: float | None = None
+    """New flows a second that a cold upstream bears; absent where it is not stated."""
     health_path: str = ""
     """Path of the health check."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Policy:
+class Policy(msgspec.Struct, frozen=True, kw_only=True):
     """One state of everything that operators decide."""
 
     revision: int
     """The store's revision that this state was read at; it only ever rises."""
     version: int = 0
     """The operators' own number of the configuration."""
-    routes: Mapping[bytes, Route] = dataclasses.field(default_factory=dict)
+    routes: Mapping[bytes, Route] = msgspec.field(default_factory=dict)
     """By packed service address."""
-    pools: Mapping[str, PoolLimits] = dataclasses.field(default_factory=dict)
+    pools: Mapping[str, PoolLimits] = msgspec.field(default_factory=dict)
     idle_seconds: float = 60.0
     """A flow without packets for this long may be forgotten."""
     domains_out: frozenset[str] = frozenset()
--- a/plantainproxy/flows/settings.py
+++ b/plantainproxy/flows/settings.py
@@ -41,3 +41,7 @@
     """HTTP, where the upstream announces itself."""
     heartbeat_seconds: float
     """How often the upstream does so, about."""
+    cold_rate_factor: float
+    """Times its rate of new flows that a cold upstream bears in one second."""
+    cold_spare_flows: float
+    """New flows in one second that a cold upstream bears in addition."""
--- a/plantainproxy/flows/sidecar.py
+++ b/plantainproxy/flows/sidecar.py
@@ -1,9 +1,10 @@
 """The decisions of a sidecar about the flows of its upstream."""
 
-import dataclasses
 import socket
 from typing import Protocol
 
+import msgspec
+
 from plantainproxy import _types
 from plantainproxy.flows import (
     guard,
@@ -21,6 +22,9 @@
 """Longest time between two reports to a balancer."""
 LOAD_REPORT_SECONDS = 0.15
 """Shortest time between two reports when only the load has changed."""
+REQUESTS_PER_SLOT = 2.5
+"""An upstream with this many requests in progress for each slot gets no new flow: the
+rest waits at the balancers, in the order of priority."""
 SUBSCRIPTION_SECONDS = 30.0
 """A balancer that was silent for this long gets no more reports."""
 
@@ -41,8 +45,7 @@
         """Send a message to a balancer."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Identity:
+class Identity(msgspec.Struct, frozen=True, kw_only=True):
     """What a sidecar says of itself in each report."""
 
     place: guard.Place
@@ -54,8 +57,7 @@
     """Random number of this process."""
 
 
-@dataclasses.dataclass(slots=True)
-class Question:
+class Question(msgspec.Struct):
     """A balancer waits to hear whether a flow is held."""
 
     balancer: _types.Address
@@ -66,7 +68,12 @@
     """The state of one sidecar."""
 
     def __init__(
-        self, *, port: Port, identity: Identity, log: journal.Journal, now: float
+        self,
+        *,
+        port: Port,
+        identity: Identity,
+        cold_limit: guard.ColdLimit,
+        log: journal.Journal,
     ) -> None:
         """Start with nothing known."""
         self.port = port
@@ -75,7 +82,7 @@
         self.policies = policy.Holder()
         self.table = held.Table()
         self.upstream = upstream.Upstream()
-        self.cold_limit = guard.ColdLimit(started_at=now)
+        self.cold_limit = cold_limit
         self.questions: dict[bytes, Question] = {}
         self.subscribers: dict[_types.Address, float] = {}
         """Balancers, and when each last asked for reports."""
@@ -300,17 +307,33 @@
     )
 
 
+def _cold_wait(engine: Engine, *, now: float) -> float:
+    """Return the seconds until the upstream bears one more flow."""
+    current = engine.policies.current
+    if current is None or not upstream.is_cold(engine.upstream, now=now):
+        return 0.0
+    limits = current.pools.get(engine.identity.place.pool, policy.PoolLimits())
+    return engine.cold_limit.wait(limits, now=now)
+
+
+def _is_full(engine: Engine, *, now: float) -> bool:
+    newest = engine.upstream.newest
+    if newest is None:
+        return False
+    expected = held.expected_requests(engine.table, now=now)
+    return expected >= REQUESTS_PER_SLOT * newest.slots
+
+
 def _handle_opening(engine: Engine, packet: packets.Packet, *, now: float) -> None:
-    cold = upstream.is_cold(engine.upstream, now=now)
     is_copy = packet.flow in engine.table.flows
+    cold_wait = 0.0 if is_copy else _cold_wait(engine, now=now)
     refusal = guard.check(
         packet,
         place=engine.identity.place,
         current=engine.policies.current,
         state=engine.upstream.state,
-        cold=cold,
-        limit=engine.cold_limit,
-        now=now,
+        cold_wait=cold_wait,
+        is_full=not is_copy and _is_full(engine, now=now),
     )
     if refusal is not None:
         engine.log.write_limited(
@@ -318,10 +341,10 @@
             flow=packet.flow.hex(),
             reason=refusal,
             state=engine.upstream.state,
-            cold=cold,
+            cold_wait=round(cold_wait, 3),
             revision=engine.policies.revision,
         )
-        _return(engine, packet, refusal)
+        _return(engine, packet, refusal, retry_after=cold_wait)
         return
     if not is_copy:
         engine.cold_limit.note(now=now)
@@ -354,10 +377,19 @@
     _return(engine, packet, reason)
 
 
-def _return(engine: Engine, packet: packets.Packet, reason: messages.Refusal) -> None:
+def _return(
+    engine: Engine,
+    packet: packets.Packet,
+    reason: messages.Refusal,
+    *,
+    retry_after: float = 0.0,
+) -> None:
     engine.log.count(f"returned.{reason}")
     message = messages.Returned(
-        reason=reason, revision=engine.policies.revision, data=packet.data
+        reason=reason,
+        revision=engine.policies.revision,
+        data=packet.data,
+        retry_after=retry_after,
     )
     _tell(engine, packet, message)
 
--- a/plantainproxy/flows/sidecar_main.py
+++ b/plantainproxy/flows/sidecar_main.py
@@ -102,7 +102,14 @@
             boot=random.getrandbits(32),
         )
         self.engine = sidecar.Engine(
-            port=self.port, identity=identity, log=self.log, now=trio.current_time()
+            port=self.port,
+            identity=identity,
+            cold_limit=guard.ColdLimit(
+                started_at=trio.current_time(),
+                rate_factor=own.cold_rate_factor,
+                spare=own.cold_spare_flows,
+            ),
+            log=self.log,
         )
         self.exchange = policy_exchange.Exchange(self.engine.policies, self.log)
         self.store = metadata_store.MetadataStore(own.store_address)
--- a/plantainproxy/flows/upstream.py
+++ b/plantainproxy/flows/upstream.py
@@ -1,12 +1,11 @@
 """What a sidecar knows of its own upstream, from heartbeats and its connection."""
 
-import dataclasses
+import msgspec
 
 from plantainproxy.flows import messages
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Heartbeat:
+class Heartbeat(msgspec.Struct, frozen=True, kw_only=True):
     """What an upstream says of itself."""
 
     instance: str
@@ -28,8 +27,7 @@
         return (self.born, self.number)
 
 
-@dataclasses.dataclass(slots=True)
-class Upstream:
+class Upstream(msgspec.Struct):
     """The present knowledge."""
 
     state: messages.UpstreamState = messages.UpstreamState.UNKNOWN
--- a/plantainproxy/flows/upstream_watch.py
+++ b/plantainproxy/flows/upstream_watch.py
@@ -5,8 +5,8 @@
 """
 
 from collections.abc import Callable
-import dataclasses
 
+import msgspec
 import trio
 
 from plantainproxy import _types
@@ -22,8 +22,7 @@
 OK = 200
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Events:
+class Events(msgspec.Struct, frozen=True, kw_only=True):
     """What the watch tells."""
 
     ended: Callable[[str], None]
--- a/plantainproxy/flows/upstreams.py
+++ b/plantainproxy/flows/upstreams.py
@@ -1,7 +1,8 @@
 """A balancer's view of the upstreams, from their sidecars' reports."""
 
 from collections.abc import Iterable
-import dataclasses
+
+import msgspec
 
 from plantainproxy import _types
 from plantainproxy.flows import messages, ring
@@ -18,8 +19,7 @@
 """When more sidecars than this share fall silent at once, the fault is here."""
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Upstream:
+class Upstream(msgspec.Struct, kw_only=True):
     """What is known of one upstream."""
 
     address: _types.Address
--- a/plantainproxy/platform/configuration.py
+++ b/plantainproxy/platform/configuration.py
@@ -31,6 +31,7 @@
     prefix: str
     # What may be repeated.
     type: str = "non_idempotent"
+    priority: int = 0
     service: str | None = None
     traffic_split: list[_Split] = []
 
@@ -85,7 +86,8 @@
         pools={
             service.name: policy.PoolLimits(
                 cold_seconds=service.cold_start_s,
-                cold_flows_per_second=service.cold_per_s,
+                # A rate of 0 states none: docs/QUESTIONS.md.
+                cold_flows_per_second=service.cold_per_s or None,
                 health_path=service.health_path,
             )
             for service in decoded.services
@@ -115,4 +117,5 @@
         service=packet_format.pack_service(address),
         kind=_KINDS.get(route.type, policy.RouteKind.NON_IDEMPOTENT),
         shares=shares,
+        priority=route.priority,
     )
--- a/plantainproxy/platform/settings.py
+++ b/plantainproxy/platform/settings.py
@@ -14,9 +14,12 @@
 
 PATH_VARIABLE = "PLANTAINPROXY_BOOT"
 MESSAGE_PORT_OFFSET = 0
-METRICS_PORT_OFFSET = 2
-"""Position of each port in the range for traffic between machines."""
+"""Position of the port in the range for traffic between machines."""
+METRICS_PORT = 9180
+"""The same on all machines and days, as the deploy file names it."""
 MILLISECONDS = 1_000.0
+COLD_MARGIN_FLOWS = 1
+"""A cold upstream gets this many new flows a second fewer than it may."""
 
 
 class _Listen(msgspec.Struct):
@@ -29,6 +32,10 @@
 
 class _Bounds(msgspec.Struct):
     grace_s: float = 5.0
+    # A host that is cold bears its rate times ``cold_over`` plus ``cold_slack``
+    # requests in one second.
+    cold_over: float = 1.0
+    cold_slack: float = 1.0
 
 
 class _Platform(msgspec.Struct):
@@ -66,6 +73,8 @@
             outbound_address=_types.Address.parse(node.listen.outbound),
             heartbeat_address=_types.Address.parse(node.listen.control),
             heartbeat_seconds=node.heartbeat_ms / MILLISECONDS,
+            cold_rate_factor=node.bounds.cold_over,
+            cold_spare_flows=node.bounds.cold_slack - COLD_MARGIN_FLOWS,
         )
 
     return _checked(build)
@@ -88,8 +97,8 @@
 
 def _common(node: _Node) -> dict[str, Any]:
     first, last = node.internal_port_range
-    if first + METRICS_PORT_OFFSET > last:
-        raise ValueError(f"internal_port_range: too few ports, {first} to {last}")
+    if first + MESSAGE_PORT_OFFSET > last:
+        raise ValueError(f"internal_port_range: no port from {first} to {last}")
     return {
         "name": node.node,
         "host": node.ip,
@@ -97,7 +106,7 @@
         "data_address": _types.Address.parse(node.listen.data_addr),
         "ready_address": _types.Address.parse(node.listen.ready),
         "message_port": first + MESSAGE_PORT_OFFSET,
-        "metrics_port": first + METRICS_PORT_OFFSET,
+        "metrics_port": METRICS_PORT,
         "store_address": _types.Address.parse(node.platform.addr),
         "grace_seconds": node.bounds.grace_s,
     }
--- a/plantainproxy/store/revisioned.py
+++ b/plantainproxy/store/revisioned.py
@@ -1,8 +1,9 @@
 """What followers ask of a store whose watches resume at a revision."""
 
-import dataclasses
 from typing import Protocol
 
+import msgspec
+
 from plantainproxy.store import port
 
 
@@ -33,8 +34,7 @@
         return f"lease {self.lease} has ended"
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Snapshot:
+class Snapshot(msgspec.Struct, frozen=True, kw_only=True):
     """The entries under a prefix, none of them older than the revision."""
 
     entries: tuple[port.Entry, ...]
@@ -42,8 +42,7 @@
     """Where a watch takes over."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Changes:
+class Changes(msgspec.Struct, frozen=True, kw_only=True):
     """What a watch saw; empty when its time passed."""
 
     changes: tuple[port.Change, ...]
--- a/plantainproxy/telemetry/logs.py
+++ b/plantainproxy/telemetry/logs.py
@@ -5,10 +5,13 @@
 import os
 import sys
 import time
+import typing
 
 import msgspec
 
-from plantainproxy.settings import model
+if typing.TYPE_CHECKING:
+    # At run time this would lengthen the start of every process.
+    from plantainproxy.settings import model
 
 TEXT_FORMAT = "%(asctime)s %(levelname)s %(name)s: %(message)s"
 ATOMIC_WRITE_BYTES = 4_095
@@ -68,7 +71,7 @@
     root.setLevel(logging.INFO)
 
 
-def configure(telemetry: model.Telemetry) -> None:
+def configure(telemetry: "model.Telemetry") -> None:
     """Send all logs of the process to standard error."""
     handler = logging.StreamHandler(sys.stderr)
     if telemetry.log_format == "json":
