Count only requests whose callers still wait; grant balancers room

Cause: after a restart, requests that their callers had given up stayed in progress for ever, so upstreams counted as full for 6 s; refused openings went round in circles and took the balancers' processor time. Change: a request ends with its caller's close, and after 5 s at the latest; a report tells how many new flows each balancer may send before the next one.

--- a/plantainproxy/flows/held.py
+++ b/plantainproxy/flows/held.py
@@ -13,6 +13,8 @@
 opening; four windows of 16 packets of 1,200 bytes."""
 FIRST_REQUEST_SECONDS = 0.05
 """A new flow sends its first request within this time, or it is taken as idle."""
+LOST_REQUEST_SECONDS = 5.0
+"""A request without an answer for this long no longer counts as in progress."""
 ENDED_LINGER_SECONDS = 3.0
 """A closed flow is kept for its last retransmissions; two longest intervals."""
 
@@ -89,10 +91,11 @@
     flow.caller_acknowledgement = packet.acknowledgement
     if packet.closing or packet.aborting:
         flow.caller_closed = True
+        # A caller that closes before the answer has given its request up.
+        _stop_waiting(table, flow)
     if packet.aborting:
         flow.upstream_closed = True
-        _stop_waiting(table, flow)
-    if not packet.size:
+    if not packet.size or flow.caller_closed:
         return
     end = (packet.sequence + packet.size) & SEQUENCE_MASK
     is_new = flow.caller_next is None or (
@@ -154,7 +157,10 @@
 
 
 def sweep(table: Table, *, now: float, idle_seconds: float) -> None:
-    """Forget flows that have ended or have been idle for long."""
+    """Forget flows that have ended or have been idle for long, and lost requests."""
+    for flow in table.flows.values():
+        if flow.waiting_since and now - flow.waiting_since >= LOST_REQUEST_SECONDS:
+            _stop_waiting(table, flow)
     for key in list(_outlived(table, now=now, idle_seconds=idle_seconds)):
         drop(table, key)
 
--- a/plantainproxy/flows/messages.py
+++ b/plantainproxy/flows/messages.py
@@ -71,6 +71,8 @@
     """Flows that the upstream holds."""
     slots: int
     """Requests that the upstream runs at the same time."""
+    room: int
+    """New flows that each balancer may send before the next report."""
     cold: bool
     complete: bool
     """Whether the sidecar knows every flow of its upstream."""
--- a/plantainproxy/flows/placement.py
+++ b/plantainproxy/flows/placement.py
@@ -145,6 +145,7 @@
         report is not None
         and report.state is messages.UpstreamState.READY
         and not report.stopping
+        and upstream.placed < report.room
         and report.domain not in context.policy.domains_out
         and context.now >= upstream.held_off_until
         and not upstreams.is_lost(upstream, now=context.now)
--- a/plantainproxy/flows/sidecar.py
+++ b/plantainproxy/flows/sidecar.py
@@ -1,5 +1,6 @@
 """The decisions of a sidecar about the flows of its upstream."""
 
+import math
 import socket
 from typing import Protocol
 
@@ -22,9 +23,13 @@
 """Longest time between two reports to a balancer."""
 LOAD_REPORT_SECONDS = 0.15
 """Shortest time between two reports when only the load has changed."""
+BUSY_REPORT_SECONDS = 0.04
+"""The same while all slots are in use, when balancers wait for room."""
 REQUESTS_PER_SLOT = 2.5
 """An upstream with this many requests in progress for each slot gets no new flow: the
 rest waits at the balancers, in the order of priority."""
+UNKNOWN_SLOTS = 2
+"""Slots of an upstream that has not told them; as few as they are anywhere."""
 SUBSCRIPTION_SECONDS = 30.0
 """A balancer that was silent for this long gets no more reports."""
 
@@ -277,7 +282,7 @@
     due = (
         news != engine.reported
         or elapsed >= REPORT_SECONDS
-        or (load != engine.reported_load and elapsed >= LOAD_REPORT_SECONDS)
+        or (load != engine.reported_load and elapsed >= _load_report_seconds(engine))
     )
     if not due:
         return
@@ -287,9 +292,33 @@
         engine.port.tell(balancer, report)
 
 
+def _load_report_seconds(engine: Engine) -> float:
+    is_busy = engine.table.running >= _slots(engine)
+    return BUSY_REPORT_SECONDS if is_busy else LOAD_REPORT_SECONDS
+
+
+def _slots(engine: Engine) -> int:
+    """Return how many requests the upstream runs at the same time."""
+    newest = engine.upstream.newest
+    return newest.slots if newest else UNKNOWN_SLOTS
+
+
+def _room(engine: Engine, *, now: float) -> int:
+    """Return how many more requests the upstream serves in good time."""
+    expected = held.expected_requests(engine.table, now=now)
+    return int(REQUESTS_PER_SLOT * _slots(engine)) - expected
+
+
+def _room_per_balancer(engine: Engine, *, now: float) -> int:
+    room = _room(engine, now=now)
+    if room <= 0:
+        return 0
+    return math.ceil(room / max(len(engine.subscribers), 1))
+
+
 def _report(engine: Engine, *, now: float) -> messages.Report:
     engine.report_number += 1
-    identity, newest = engine.identity, engine.upstream.newest
+    identity = engine.identity
     return messages.Report(
         boot=identity.boot,
         number=engine.report_number,
@@ -300,7 +329,8 @@
         data_port=identity.data_port,
         running=engine.table.running,
         flows=len(engine.table.flows),
-        slots=newest.slots if newest else 1,
+        slots=_slots(engine),
+        room=_room_per_balancer(engine, now=now),
         cold=upstream.is_cold(engine.upstream, now=now),
         complete=engine.table.complete,
         stopping=engine.stopping,
@@ -316,14 +346,6 @@
     return engine.cold_limit.wait(limits, now=now)
 
 
-def _is_full(engine: Engine, *, now: float) -> bool:
-    newest = engine.upstream.newest
-    if newest is None:
-        return False
-    expected = held.expected_requests(engine.table, now=now)
-    return expected >= REQUESTS_PER_SLOT * newest.slots
-
-
 def _handle_opening(engine: Engine, packet: packets.Packet, *, now: float) -> None:
     is_copy = packet.flow in engine.table.flows
     cold_wait = 0.0 if is_copy else _cold_wait(engine, now=now)
@@ -333,7 +355,7 @@
         current=engine.policies.current,
         state=engine.upstream.state,
         cold_wait=cold_wait,
-        is_full=not is_copy and _is_full(engine, now=now),
+        is_full=not is_copy and _room(engine, now=now) <= 0,
     )
     if refusal is not None:
         engine.log.write_limited(
