Give a leaving upstream a second after it stopped listening

Change: a refused connection proves a crash only for an upstream that has not said that it drains; a draining one counts as ended a second later.

--- a/plantainproxy/flows/sidecar.py
+++ b/plantainproxy/flows/sidecar.py
@@ -28,6 +28,8 @@
 REQUESTS_PER_SLOT = 2.5
 """An upstream with this many requests in progress for each slot gets no new flow: the
 rest waits at the balancers, in the order of priority."""
+LEAVE_SECONDS = 1.0
+"""A leaving upstream serves its last flows for this long after it stopped listening."""
 UNKNOWN_SLOTS = 2
 """Slots of an upstream that has not told them; as few as they are anywhere."""
 SUBSCRIPTION_SECONDS = 30.0
@@ -88,6 +90,8 @@
         self.table = held.Table()
         self.upstream = upstream.Upstream()
         self.cold_limit = cold_limit
+        self.ends_at: float | None = None
+        """When a leaving upstream that no longer listens counts as ended."""
         self.questions: dict[bytes, Question] = {}
         self.subscribers: dict[_types.Address, float] = {}
         """Balancers, and when each last asked for reports."""
@@ -171,6 +175,8 @@
         return False
     before = engine.upstream.newest
     state_before = engine.upstream.state
+    if before is None or beat.born > before.born:
+        engine.ends_at = None
     if upstream.take_heartbeat(engine.upstream, beat, now=now) and before is not None:
         _close_all(engine, reason="upstream restarted")
         engine.table.complete = True
@@ -201,8 +207,21 @@
     report_if_due(engine, now=now)
 
 
+def handle_refusal(engine: Engine, *, now: float) -> None:
+    """Take the news that nobody accepts connections at the upstream's address.
+
+    An upstream that leaves stops listening before its last flows are served; one that
+    has not said so has crashed.
+    """
+    if engine.upstream.state is not messages.UpstreamState.DRAINING:
+        handle_end(engine, reason="connection refused", now=now)
+    elif engine.ends_at is None:
+        engine.ends_at = now + LEAVE_SECONDS
+
+
 def handle_end(engine: Engine, *, reason: str, now: float) -> None:
     """Take the news that the upstream's process has ended."""
+    engine.ends_at = None
     if not upstream.take_end(engine.upstream):
         return
     engine.log.write("upstream state", state=engine.upstream.state, reason=reason)
@@ -249,6 +268,8 @@
         if now >= question.due_at:
             del engine.questions[flow]
             engine.port.tell(question.balancer, messages.Held(flow=flow))
+    if engine.ends_at is not None and now >= engine.ends_at:
+        handle_end(engine, reason="left", now=now)
     report_if_due(engine, now=now)
 
 
--- a/plantainproxy/flows/sidecar_main.py
+++ b/plantainproxy/flows/sidecar_main.py
@@ -181,8 +181,8 @@
 
 
 async def _watch_upstream(running: Sidecar) -> None:
-    def take_end(reason: str) -> None:
-        sidecar.handle_end(running.engine, reason=reason, now=trio.current_time())
+    def take_refusal() -> None:
+        sidecar.handle_refusal(running.engine, now=trio.current_time())
 
     def take_health() -> None:
         sidecar.handle_healthy(running.engine, now=trio.current_time())
@@ -193,7 +193,7 @@
     await upstream_watch.watch(
         running.settings.upstream_address,
         upstream_watch.Events(
-            ended=take_end, healthy=take_health, not_started=take_absence
+            refused=take_refusal, healthy=take_health, not_started=take_absence
         ),
         health_path=lambda: sidecar.wanted_health_path(running.engine),
     )
--- a/plantainproxy/flows/upstream_watch.py
+++ b/plantainproxy/flows/upstream_watch.py
@@ -25,8 +25,8 @@
 class Events(msgspec.Struct, frozen=True, kw_only=True):
     """What the watch tells."""
 
-    ended: Callable[[str], None]
-    """The upstream's process has ended; the reason is for the log."""
+    refused: Callable[[], None]
+    """The upstream listened before and accepts no connection now."""
     healthy: Callable[[], None]
     """The upstream says that it takes requests."""
     not_started: Callable[[], None]
@@ -52,7 +52,7 @@
             if is_first:
                 events.not_started()
             else:
-                events.ended("connection refused")
+                events.refused()
             is_first = False
             await trio.sleep(RETRY_SECONDS)
             continue
