Test the decisions on transparent flows and the adapter's formats

Cause: the thin path landed without tests. Change: tests of the balancer, the sidecar, load patterns, packets, configuration and heartbeats, with fakes in the test bed. A lookup asks further upstreams while one is silent, and the pools that its route led to before; waiting openings that can still be answered in time go first; upstreams take two requests a slot.

--- a/plantainproxy/flows/balancer.py
+++ b/plantainproxy/flows/balancer.py
@@ -121,7 +121,7 @@
     current = engine.policies.current
     if current is None:
         if packet.opening:
-            _wait(engine, packet, priority=0, refused_by=frozenset(), now=now)
+            _wait(engine, packet, now=now)
         engine.log.count("before_policy")
         return
     route = current.routes.get(packet.service)
@@ -140,7 +140,7 @@
             engine.log.count("forwarded")
             return
         del engine.flows[packet.flow]
-    _look_up(engine, packet, route, now=now)
+    _look_up(engine, packet, now=now)
 
 
 def handle_message(
@@ -311,20 +311,11 @@
     if hopeless:
         _reset(engine, packet)
         return
-    _wait(engine, packet, priority=route.priority, refused_by=refused_by, now=now)
+    _wait(engine, packet, now=now)
 
 
-def _wait(
-    engine: Engine,
-    packet: packets.Packet,
-    *,
-    priority: int,
-    refused_by: frozenset[_types.Address],
-    now: float,
-) -> None:
-    opening = waiting.Opening(
-        packet=packet, since=now, priority=priority, refused_by=refused_by
-    )
+def _wait(engine: Engine, packet: packets.Packet, *, now: float) -> None:
+    opening = waiting.Opening(packet=packet, since=now)
     if not engine.waiting.add(opening):
         engine.log.count("dropped.queue_full")
 
@@ -338,7 +329,7 @@
     if current is None:
         return
     full: set[bytes] = set()
-    for opening in engine.waiting.in_order():
+    for opening in waiting.in_order(engine.waiting, current, now=now):
         packet = opening.packet
         route = current.routes.get(packet.service)
         if route is None:
@@ -394,7 +385,7 @@
     if message.reason is messages.Refusal.NOT_HELD:
         if cached is not None and cached.upstream == sender:
             del engine.flows[packet.flow]
-        _look_up(engine, packet, route, now=now, denied_by=sender)
+        _look_up(engine, packet, now=now, denied_by=sender)
         return
     refusing = engine.view.upstreams.get(sender)
     if refusing is not None:
@@ -410,7 +401,6 @@
 def _look_up(
     engine: Engine,
     packet: packets.Packet,
-    route: policy.Route,
     *,
     now: float,
     denied_by: _types.Address | None = None,
@@ -424,7 +414,8 @@
     if len(engine.lookups) >= MAX_LOOKUPS:
         engine.log.count("dropped.lookups_full")
         return
-    search = lookup.start(engine.view, route, packet, now=now)
+    pools = engine.policies.pools_ever[packet.service]
+    search = lookup.start(pools, packet, now=now)
     if denied_by is not None:
         search.denied.add(denied_by)
     engine.lookups[packet.flow] = search
--- a/plantainproxy/flows/lookup.py
+++ b/plantainproxy/flows/lookup.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from plantainproxy import _types
-from plantainproxy.flows import packets, placement, policy, upstreams
+from plantainproxy.flows import packets, placement, upstreams
 
 ASK_AGAIN_SECONDS = 0.08
 """Wait for an answer before a question is sent again; above two slow round trips."""
@@ -21,7 +21,8 @@
 class Lookup(msgspec.Struct, kw_only=True):
     """One search."""
 
-    route: policy.Route
+    pools: frozenset[str]
+    """Pools that the flow's route leads or has led to."""
     packets: list[packets.Packet]
     """Packets that came so far, oldest first."""
     started_at: float
@@ -51,15 +52,9 @@
     """Upstreams that were silent for too long to be asked."""
 
 
-def start(
-    view: upstreams.View,
-    route: policy.Route,
-    packet: packets.Packet,
-    *,
-    now: float,
-) -> Lookup:
+def start(pools: frozenset[str], packet: packets.Packet, *, now: float) -> Lookup:
     """Begin a search for a packet's flow."""
-    return Lookup(route=route, packets=[packet], started_at=now, ask_again_at=now)
+    return Lookup(pools=pools, packets=[packet], started_at=now, ask_again_at=now)
 
 
 def park(search: Lookup, packet: packets.Packet) -> None:
@@ -76,34 +71,28 @@
 def advance(
     search: Lookup, view: upstreams.View, *, now: float
 ) -> Ask | Conclude | None:
-    """Decide the next step: first questions, repeated questions, or the end.
+    """Decide the next step: questions, or the end.
 
-    ``None`` while there is nobody to ask and more upstreams may become known.
+    Each step repeats the unanswered questions and asks the next group, so that one
+    silent upstream does not hold the search up. ``None`` while there is nobody to ask
+    and more upstreams may become known.
     """
-    unanswered = [
-        address
-        for address in search.asked - search.denied
-        if address in view.upstreams
-        and not upstreams.is_lost(view.upstreams[address], now=now)
-    ]
-    if unanswered and now - search.started_at < GIVE_UP_SECONDS:
-        search.ask_again_at = now + ASK_AGAIN_SECONDS
-        return Ask(search.packets[0], unanswered)
-    while not unanswered and search.wave < len(_WAVES):
-        wave = _WAVES[search.wave](search, view)
-        search.wave += 1
+    to_ask = [one for one in search.asked - search.denied if _lives(one, view, now)]
+    is_young = now - search.started_at < GIVE_UP_SECONDS
+    certain = not to_ask
+    fresh: list[_types.Address] = []
+    while not fresh and search.wave < len(_WAVES):
         fresh = [
             address
-            for address in wave
-            if address not in search.asked
-            and address not in search.denied
-            and not upstreams.is_lost(view.upstreams[address], now=now)
+            for address in _WAVES[search.wave](search, view)
+            if address not in search.asked | search.denied
+            and _lives(address, view, now)
         ]
-        if fresh:
-            search.asked.update(fresh)
-            search.ask_again_at = now + ASK_AGAIN_SECONDS
-            return Ask(search.packets[0], fresh)
-    is_young = now - search.started_at < GIVE_UP_SECONDS
+        search.wave += 1
+    if fresh or (to_ask and is_young):
+        search.asked.update(fresh)
+        search.ask_again_at = now + ASK_AGAIN_SECONDS
+        return Ask(search.packets[0], [*to_ask, *fresh])
     if is_young and not upstreams.is_settled(view, now=now):
         search.wave = 0
         search.ask_again_at = now + ASK_AGAIN_SECONDS
@@ -111,7 +100,12 @@
     lost = sum(
         upstreams.is_lost(upstream, now=now) for upstream in view.upstreams.values()
     )
-    return Conclude(every_answer_known=not unanswered, lost=lost)
+    return Conclude(every_answer_known=certain, lost=lost)
+
+
+def _lives(address: _types.Address, view: upstreams.View, now: float) -> bool:
+    found = view.upstreams.get(address)
+    return found is not None and not upstreams.is_lost(found, now=now)
 
 
 def _likely(search: Lookup, view: upstreams.View) -> list[_types.Address]:
@@ -119,14 +113,14 @@
     flow = search.packets[0].flow
     return [
         address
-        for pool in search.route.pools
+        for pool in search.pools
         if pool in view.rings
         for address in view.rings[pool].candidates(flow, placement.CANDIDATES)
     ]
 
 
 def _rest_of_pools(search: Lookup, view: upstreams.View) -> list[_types.Address]:
-    found = upstreams.in_pools(view, search.route.pools)
+    found = upstreams.in_pools(view, search.pools)
     return [upstream.address for upstream in found]
 
 
--- a/plantainproxy/flows/policy.py
+++ b/plantainproxy/flows/policy.py
@@ -35,6 +35,8 @@
     shares: tuple[Share, ...]
     priority: int = 0
     """Which flows go first when not all can be served; 0 is the highest."""
+    objective_seconds: float = 1.0
+    """The time in which callers want their answers."""
 
     @property
     def pools(self) -> frozenset[str]:
@@ -75,6 +77,8 @@
     def __init__(self) -> None:
         """Start with nothing known."""
         self.current: Policy | None = None
+        self.pools_ever: dict[bytes, frozenset[str]] = {}
+        """Pools that each service address has led to; open flows stay there."""
 
     @property
     def revision(self) -> int:
@@ -86,4 +90,7 @@
         if policy.revision <= self.revision:
             return False
         self.current = policy
+        for service, route in policy.routes.items():
+            known = self.pools_ever.get(service, frozenset())
+            self.pools_ever[service] = known | route.pools
         return True
--- a/plantainproxy/flows/sidecar.py
+++ b/plantainproxy/flows/sidecar.py
@@ -25,7 +25,7 @@
 """Shortest time between two reports when only the load has changed."""
 BUSY_REPORT_SECONDS = 0.04
 """The same while all slots are in use, when balancers wait for room."""
-REQUESTS_PER_SLOT = 2.5
+REQUESTS_PER_SLOT = 2.0
 """An upstream with this many requests in progress for each slot gets no new flow: the
 rest waits at the balancers, in the order of priority."""
 LEAVE_SECONDS = 1.0
--- /dev/null
+++ b/plantainproxy/flows/tests/test_load.py
@@ -0,0 +1,185 @@
+"""The patterns of heavy load: who waits, who is refused, where new flows go.
+
+No network; each test names the pattern that it answers.
+"""
+
+from plantainproxy.flows import guard, messages, packets, sidecar, waiting
+from testbed import transparent
+
+
+def _opening(number: int, service: bytes = transparent.SERVICE) -> packets.Packet:
+    return transparent.packet(transparent.flow(number, service), opening=True)
+
+
+def test_mass_reconnect_beyond_the_upstreams_room_waits() -> None:
+    """Everyone returns after a restart: what finds no room waits for a report."""
+    running = transparent.ready_balancer(count=2)
+    for number in (1, 2):
+        running.hear(number, transparent.report(number=2, room=3))
+    for number in range(10):
+        running.handle(_opening(number))
+    assert len(running.port.hosts(packets.Purpose.OPEN)) == 6
+    assert running.port.resets == []
+    running.hear(1, transparent.report(number=3, room=2))
+    running.tick(0.04)
+    assert len(running.port.hosts(packets.Purpose.OPEN)) == 8
+
+
+def test_waiting_openings_go_by_priority() -> None:
+    """When not all can be served, the urgent routes come first."""
+    urgent_service = b"\x01\x00\x12\xc6\xbb\x02"
+    running = transparent.ready_balancer(count=1)
+    running.take_policy(
+        transparent.table(
+            2,
+            transparent.route(transparent.POOL, priority=2),
+            transparent.route(transparent.POOL, service=urgent_service, priority=1),
+        )
+    )
+    running.hear(1, transparent.report(number=2, room=0))
+    usual, urgent = _opening(1), _opening(2, urgent_service)
+    running.handle(usual)
+    running.handle(urgent)
+    running.hear(1, transparent.report(number=3, room=1))
+    running.tick(0.04)
+    assert [packet for packet, _, _ in running.port.forwarded] == [urgent]
+
+
+def test_openings_that_can_be_answered_in_time_go_before_late_ones() -> None:
+    """Under overload a plain queue would answer every caller late."""
+    running = transparent.ready_balancer(count=1)
+    running.hear(1, transparent.report(number=2, room=0))
+    old, young = _opening(1), _opening(2)
+    running.handle(old)
+    running.tick(0.25)
+    running.handle(young)
+    running.hear(1, transparent.report(number=3, room=1))
+    running.tick(0.01)
+    assert [packet for packet, _, _ in running.port.forwarded] == [young]
+
+
+def test_an_opening_is_not_placed_after_its_caller_gave_up() -> None:
+    """A flow that opens too late would be work for nobody."""
+    running = transparent.ready_balancer(count=1)
+    running.hear(1, transparent.report(number=2, room=0))
+    running.handle(_opening(1))
+    running.tick(waiting.MAX_WAIT_SECONDS)
+    running.hear(1, transparent.report(number=3, room=4))
+    running.tick(0.04)
+    assert running.port.forwarded == []
+
+
+def test_a_pool_without_any_upstream_left_refuses_at_once() -> None:
+    """What certainly cannot be served is refused, not held."""
+    running = transparent.ready_balancer(count=2)
+    for number in (1, 2):
+        running.hear(
+            number,
+            transparent.report(number=2, state=messages.UpstreamState.GONE, room=0),
+        )
+    opening = _opening(1)
+    running.handle(opening)
+    assert running.port.resets == [opening]
+
+
+def test_a_full_upstream_refuses_new_flows_and_serves_its_own() -> None:
+    """Requests beyond two a slot wait at the balancers, by priority."""
+    running = transparent.ready_sidecar()
+    running.beat(2, slots=2)
+    keys = [transparent.flow(number) for number in range(5)]
+    for key in keys[:4]:
+        running.open(key)
+        running.request(key)
+    running.inbound(transparent.packet(keys[4], opening=True))
+    assert running.port.refusals() == [messages.Refusal.FULL]
+    running.outbound(transparent.packet(keys[0], size=500))
+    running.inbound(transparent.packet(keys[4], opening=True))
+    assert running.port.refusals() == [messages.Refusal.FULL]
+    assert running.port.delivered[-1].flow == keys[4]
+
+
+def test_requests_that_callers_gave_up_make_no_upstream_full() -> None:
+    """After an outage many callers close before their answers come."""
+    running = transparent.ready_sidecar()
+    for number in range(20):
+        key = transparent.flow(number)
+        running.open(key)
+        running.request(key)
+        running.inbound(
+            transparent.packet(
+                key,
+                closing=True,
+                sequence=201,
+                acknowledgement=transparent.UPSTREAM_SEQUENCE + 1,
+            )
+        )
+    assert running.engine.table.running == 0
+    assert running.port.refusals() == []
+
+
+def test_every_balancer_gets_its_part_of_the_room() -> None:
+    """Several balancers place at once between two reports."""
+    running = transparent.ready_sidecar()
+    running.beat(2, slots=4)
+    for number in (2, 3, 4):
+        sidecar.handle_hello(
+            running.engine,
+            transparent.address(number),
+            now=running.now,
+        )
+    running.tick(1.0)
+    assert running.port.last_report().room == 2
+
+
+def test_a_cold_upstream_gets_no_more_than_its_rate() -> None:
+    """A rate of 2 a second, times 1.5, and 4 spare flows are 7 in any second."""
+    running = transparent.ready_sidecar()
+    running.take_policy(transparent.table(2, cold_rate=2.0))
+    running.now += guard.COLD_WINDOW_SECONDS
+    running.beat(2, cold_seconds=5.0, slots=100)
+    for number in range(20):
+        running.inbound(transparent.packet(transparent.flow(number), opening=True))
+    assert len(running.port.delivered) == 7
+    assert set(running.port.refusals()) == {messages.Refusal.COLD}
+    running.now += guard.COLD_WINDOW_SECONDS + guard.WINDOW_MARGIN_SECONDS
+    running.inbound(transparent.packet(transparent.flow(99), opening=True))
+    assert running.port.delivered[-1].flow == transparent.flow(99)
+
+
+def test_a_restarted_sidecar_takes_the_cold_window_as_used() -> None:
+    """It cannot know what its upstream got just before."""
+    running = transparent.Sidecar()
+    running.take_policy(transparent.table(1, cold_rate=2.0))
+    running.beat(1, cold_seconds=5.0)
+    running.inbound(transparent.packet(transparent.flow(1), opening=True))
+    assert running.port.refusals() == [messages.Refusal.COLD]
+
+
+def test_upstreams_are_cold_when_their_domain_returns() -> None:
+    """Until a heartbeat tells otherwise: they had no load for a while."""
+    running = transparent.ready_sidecar()
+    running.take_policy(transparent.table(2, domains_out=[transparent.DOMAIN]))
+    running.take_policy(transparent.table(3, cold_rate=1.0))
+    running.tick(0.0)
+    assert running.port.last_report().cold
+
+
+def test_new_flows_go_to_the_least_loaded_upstream() -> None:
+    """Requests in progress and open flows both count."""
+    running = transparent.ready_balancer(count=3)
+    loads = {1: (4, 40), 2: (0, 10), 3: (1, 60)}
+    for number, (busy, flows) in loads.items():
+        running.hear(number, transparent.report(number=2, running=busy, flows=flows))
+    running.handle(_opening(1))
+    assert running.port.hosts(packets.Purpose.OPEN) == [transparent.address(2).host]
+
+
+def test_an_equally_loaded_upstream_in_the_own_domain_is_preferred() -> None:
+    """Bytes between failure domains cost callers time."""
+    running = transparent.ready_balancer(count=2)
+    running.hear(
+        1, transparent.report(number=2, domain=transparent.OTHER_DOMAIN, running=1)
+    )
+    running.hear(2, transparent.report(number=2, running=1))
+    running.handle(_opening(1))
+    assert running.port.hosts(packets.Purpose.OPEN) == [transparent.address(2).host]
--- /dev/null
+++ b/plantainproxy/flows/tests/test_sidecar.py
@@ -0,0 +1,213 @@
+"""What a sidecar lets through, hands back and tells."""
+
+from plantainproxy.flows import messages, packets, sidecar
+from testbed import transparent
+
+KEY = transparent.flow(1)
+OPENING = transparent.packet(KEY, opening=True, purpose=packets.Purpose.OPEN)
+DATA = transparent.packet(
+    KEY, sequence=1, size=100, acknowledgement=transparent.UPSTREAM_SEQUENCE + 1
+)
+
+
+def test_delivers_an_opening_that_the_policy_allows() -> None:
+    """A route that leads to the pool lets an opening through."""
+    running = transparent.ready_sidecar()
+    running.inbound(OPENING)
+    assert running.port.delivered == [OPENING]
+
+
+def test_refuses_openings_before_it_knows_policy_and_upstream() -> None:
+    """A sidecar that has just started does not guess."""
+    running = transparent.Sidecar()
+    running.inbound(OPENING)
+    running.take_policy(transparent.table(1))
+    running.inbound(OPENING)
+    assert running.port.delivered == []
+    assert running.port.refusals() == [messages.Refusal.NOT_READY] * 2
+
+
+def test_refuses_an_opening_of_a_route_to_another_pool() -> None:
+    """An address that was used again by another service gets nothing of the old."""
+    running = transparent.ready_sidecar()
+    running.take_policy(transparent.table(2, transparent.route("archive")))
+    running.inbound(OPENING)
+    assert running.port.refusals() == [messages.Refusal.WRONG_POOL]
+
+
+def test_refuses_openings_while_the_domain_is_out() -> None:
+    """An evacuated failure domain gets no new flow, and again some afterwards."""
+    running = transparent.ready_sidecar()
+    running.take_policy(transparent.table(2, domains_out=[transparent.DOMAIN]))
+    running.inbound(OPENING)
+    assert running.port.refusals() == [messages.Refusal.DOMAIN_OUT]
+    running.take_policy(transparent.table(3))
+    running.inbound(OPENING)
+    assert running.port.delivered == [OPENING]
+
+
+def test_an_older_policy_is_not_taken() -> None:
+    """What was in force never comes back."""
+    running = transparent.ready_sidecar()
+    running.take_policy(transparent.table(5, domains_out=[transparent.DOMAIN]))
+    assert not running.take_policy(transparent.table(4))
+    running.inbound(OPENING)
+    assert running.port.refusals() == [messages.Refusal.DOMAIN_OUT]
+
+
+def test_refuses_openings_of_a_draining_upstream_and_keeps_its_flows() -> None:
+    """Draining ends new flows only."""
+    running = transparent.ready_sidecar()
+    running.open(KEY)
+    running.beat(2, draining=True)
+    running.inbound(transparent.packet(transparent.flow(2), opening=True))
+    running.inbound(DATA)
+    assert running.port.refusals() == [messages.Refusal.DRAINING]
+    assert running.port.delivered[-1] == DATA
+
+
+def test_a_late_heartbeat_of_an_ended_incarnation_changes_nothing() -> None:
+    """A heartbeat that a partition delayed does not bring the dead back."""
+    running = transparent.ready_sidecar()
+    running.beat(2, born=2_000, instance="i-2", draining=True)
+    running.beat(9, born=1_000)
+    assert running.engine.upstream.state is messages.UpstreamState.DRAINING
+
+
+def test_a_heartbeat_for_another_pool_is_refused() -> None:
+    """It names no upstream of this sidecar."""
+    running = transparent.ready_sidecar()
+    assert not running.beat(2, pool="archive", draining=True)
+    assert running.engine.upstream.state is messages.UpstreamState.READY
+
+
+def test_a_new_incarnation_closes_the_flows_of_the_old_one() -> None:
+    """An upstream that started again under its name holds nothing of before."""
+    running = transparent.ready_sidecar()
+    running.open(KEY)
+    running.beat(1, born=2_000)
+    assert running.port.resets == [KEY]
+
+
+def test_a_refused_connection_proves_a_crash() -> None:
+    """Callers of a crashed upstream hear at once that their flows are gone."""
+    running = transparent.ready_sidecar()
+    running.open(KEY)
+    sidecar.handle_refusal(running.engine, now=running.now)
+    assert running.port.resets == [KEY]
+    assert running.port.last_report().state is messages.UpstreamState.GONE
+
+
+def test_a_leaving_upstream_keeps_its_flows_after_it_stopped_listening() -> None:
+    """Its last flows are served for a moment (FLOW on trbsl-lb scale-1)."""
+    running = transparent.ready_sidecar()
+    running.open(KEY)
+    running.beat(2, draining=True)
+    sidecar.handle_refusal(running.engine, now=running.now)
+    running.tick(sidecar.LEAVE_SECONDS / 2)
+    assert running.port.resets == []
+    running.tick(sidecar.LEAVE_SECONDS)
+    assert running.port.resets == [KEY]
+
+
+def test_an_upstream_that_deregistered_keeps_its_flows() -> None:
+    """It still answers on them (FLOW on trbsl-lb quiet-1)."""
+    running = transparent.ready_sidecar()
+    running.open(KEY)
+    sidecar.handle_leave(running.engine, "i-1", now=running.now)
+    assert running.port.resets == []
+    running.inbound(DATA)
+    assert running.port.delivered[-1] == DATA
+
+
+def test_denies_a_flow_that_the_upstream_does_not_hold() -> None:
+    """The balancer hears so and may look elsewhere."""
+    running = transparent.ready_sidecar()
+    running.inbound(DATA)
+    assert running.port.delivered == []
+    assert running.port.refusals() == [messages.Refusal.NOT_HELD]
+
+
+def test_a_copy_accepted_elsewhere_does_not_make_the_flow_held() -> None:
+    """The caller's first acknowledgement tells which upstream it chose."""
+    running = transparent.ready_sidecar()
+    running.inbound(OPENING)
+    running.outbound(transparent.packet(KEY, accepting=True, sequence=900_000))
+    running.inbound(DATA)
+    assert running.port.refusals() == [messages.Refusal.NOT_HELD]
+
+
+def test_answers_questions_from_its_table() -> None:
+    """Held flows get the packet and a yes, others a no."""
+    running = transparent.ready_sidecar()
+    running.open(KEY)
+    asked = DATA._replace(purpose=packets.Purpose.ASK)
+    stranger = asked._replace(flow=transparent.flow(2))
+    running.port.told.clear()
+    running.inbound(asked)
+    running.inbound(stranger)
+    assert [message for _, message in running.port.told] == [
+        messages.Held(flow=KEY),
+        messages.NotHeld(flow=transparent.flow(2)),
+    ]
+    assert running.port.delivered[-1] == asked
+
+
+def test_a_restarted_sidecar_lets_its_upstream_answer_questions() -> None:
+    """It knows no flows yet; a packet that is not handed back is held."""
+    running = transparent.ready_sidecar()
+    running.engine.table.complete = False
+    held = DATA._replace(purpose=packets.Purpose.ASK)
+    unknown = held._replace(flow=transparent.flow(2))
+    running.port.told.clear()
+    running.inbound(held)
+    running.inbound(unknown)
+    running.outbound(unknown._replace(returned=True))
+    running.tick(sidecar.DENIAL_WAIT_SECONDS)
+    verdicts = [
+        message
+        for _, message in running.port.told
+        if not isinstance(message, messages.Report)
+    ]
+    assert verdicts == [
+        messages.NotHeld(flow=transparent.flow(2)),
+        messages.Held(flow=KEY),
+    ]
+
+
+def test_an_opening_that_the_upstream_declines_goes_back() -> None:
+    """The balancer may place it elsewhere."""
+    running = transparent.ready_sidecar()
+    running.inbound(OPENING)
+    running.outbound(OPENING._replace(returned=True))
+    assert running.port.refusals() == [messages.Refusal.DECLINED]
+
+
+def test_a_forged_acceptance_from_a_caller_is_dropped() -> None:
+    """Only upstreams accept flows."""
+    running = transparent.ready_sidecar()
+    running.inbound(transparent.packet(KEY, accepting=True))
+    assert running.port.delivered == []
+
+
+def test_reports_a_change_of_state_at_once_and_load_at_intervals() -> None:
+    """Balancers must not place on a draining upstream; load may wait a little."""
+    running = transparent.ready_sidecar()
+    running.tick(1.0)
+    count = len(running.port.told)
+    running.open(KEY)
+    running.tick(0.01)
+    assert len(running.port.told) == count
+    running.beat(2, draining=True)
+    assert running.port.last_report().state is messages.UpstreamState.DRAINING
+
+
+def test_asks_for_health_only_while_the_state_is_unknown() -> None:
+    """A restarted sidecar need not wait for the next heartbeat."""
+    running = transparent.Sidecar()
+    running.take_policy(transparent.table(1))
+    assert sidecar.wanted_health_path(running.engine) == "/health"
+    sidecar.handle_healthy(running.engine, now=running.now)
+    assert sidecar.wanted_health_path(running.engine) is None
+    running.inbound(OPENING)
+    assert running.port.delivered == [OPENING]
--- a/plantainproxy/flows/upstreams.py
+++ b/plantainproxy/flows/upstreams.py
@@ -13,6 +13,8 @@
 LOST_SECONDS = 3.0
 """A sidecar that was silent for this long is taken as gone. Above the time that a
 planned restart of a sidecar takes."""
+UNHEARD_SECONDS = 1.0
+"""A listed sidecar that has never answered a greeting is taken as gone after this."""
 FORGET_SECONDS = 60.0
 """A silent sidecar is greeted for this long, in case it returns."""
 BLIND_SHARE = 0.5
@@ -58,7 +60,9 @@
 
 def is_lost(upstream: Upstream, *, now: float) -> bool:
     """Return whether the sidecar has been silent for too long."""
-    return now - max(upstream.heard_at, upstream.known_since) >= LOST_SECONDS
+    if upstream.report is None:
+        return now - upstream.known_since >= UNHEARD_SECONDS
+    return now - upstream.heard_at >= LOST_SECONDS
 
 
 def is_settled(view: View, *, now: float) -> bool:
--- a/plantainproxy/flows/waiting.py
+++ b/plantainproxy/flows/waiting.py
@@ -2,23 +2,22 @@
 
 import msgspec
 
-from plantainproxy import _types
-from plantainproxy.flows import packets
+from plantainproxy.flows import packets, policy
 
 MAX_WAITING = 4_096
 """Opening packets that wait at the same time."""
 MAX_WAIT_SECONDS = 1.2
 """A caller gives an attempt up 1.4 s after its opening packet."""
+TIMELY_SHARE = 0.6
+"""An opening that has waited for more than this share of its route's objective is
+likely to be answered late."""
 
 
-class Opening(msgspec.Struct, kw_only=True):
+class Opening(msgspec.Struct):
     """One opening packet."""
 
     packet: packets.Packet
     since: float
-    priority: int
-    """0 goes first."""
-    refused_by: frozenset[_types.Address] = frozenset()
 
 
 class Queue:
@@ -48,6 +47,19 @@
             del self.openings[flow]
         return len(late)
 
-    def in_order(self) -> list[Opening]:
-        """Return the openings by priority and age."""
-        return sorted(self.openings.values(), key=lambda one: (one.priority, one.since))
+
+def in_order(queue: Queue, current: policy.Policy, *, now: float) -> list[Opening]:
+    """Return the openings in the order in which they are to be placed.
+
+    By priority; then those that can still be answered in time, then the others; the
+    oldest first. Under overload a plain queue would answer everyone late.
+    """
+
+    def rank(opening: Opening) -> tuple[int, bool, float]:
+        route = current.routes.get(opening.packet.service)
+        if route is None:
+            return (0, False, opening.since)
+        is_late = now - opening.since > TIMELY_SHARE * route.objective_seconds
+        return (route.priority, is_late, opening.since)
+
+    return sorted(queue.openings.values(), key=rank)
--- a/plantainproxy/platform/configuration.py
+++ b/plantainproxy/platform/configuration.py
@@ -32,6 +32,7 @@
     # What may be repeated.
     type: str = "non_idempotent"
     priority: int = 0
+    slo_ms: float = 1_000.0
     service: str | None = None
     traffic_split: list[_Split] = []
 
@@ -118,4 +119,5 @@
         kind=_KINDS.get(route.type, policy.RouteKind.NON_IDEMPOTENT),
         shares=shares,
         priority=route.priority,
+        objective_seconds=route.slo_ms / MILLISECONDS,
     )
--- /dev/null
+++ b/plantainproxy/platform/tests/test_configuration.py
@@ -0,0 +1,109 @@
+"""The operators' documents."""
+
+import msgspec
+import pytest
+
+from plantainproxy import _types
+from plantainproxy.flows import policy
+from plantainproxy.platform import configuration, packet_format
+
+DOCUMENT = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "198.18.0.1",
+            "prefix": "/8443/",
+            "type": "idempotent",
+            "timeout_ms": 4000,
+            "slo_ms": 269,
+            "priority": 2,
+            "traffic_split": [
+                {"service": "a", "weight": 90},
+                {"service": "b", "weight": 10},
+            ],
+            "attempts": 2,
+            "something_new": True,
+        },
+        {
+            "name": "r-2",
+            "host": "198.18.0.2",
+            "prefix": "/8080/",
+            "type": "non_idempotent",
+            "service": "a",
+        },
+    ],
+    "services": [
+        {
+            "name": "a",
+            "health_path": "/healthz",
+            "max_conns": 2000,
+            "cold_start_s": 2.0,
+            "cold_per_s": 0.0,
+        }
+    ],
+    "limits": {"idle_timeout_ms": 15000},
+}
+
+
+def _items(document: object, **others: bytes) -> dict[str, bytes]:
+    return {configuration.CONFIGURATION_KEY: msgspec.json.encode(document), **others}
+
+
+def _service(host: str, port: int) -> bytes:
+    return packet_format.pack_service(_types.Address(host, port))
+
+
+def test_decodes_routes_pools_and_limits() -> None:
+    """Unknown fields are ignored."""
+    found = configuration.decode_policy(_items(DOCUMENT), revision=12)
+    assert found is not None
+    assert (found.revision, found.version, found.idle_seconds) == (12, 7, 15.0)
+    split = found.routes[_service("198.18.0.1", 8443)]
+    assert split.kind is policy.RouteKind.IDEMPOTENT
+    assert split.shares == (
+        policy.Share(pool="a", weight=90.0),
+        policy.Share(pool="b", weight=10.0),
+    )
+    assert (split.priority, split.objective_seconds) == (2, 0.269)
+    single = found.routes[_service("198.18.0.2", 8080)]
+    assert single.pools == {"a"}
+    assert single.kind is policy.RouteKind.NON_IDEMPOTENT
+    assert found.pools["a"].cold_seconds == 2.0
+
+
+def test_a_rate_of_zero_states_no_cold_limit() -> None:
+    """See docs/QUESTIONS.md."""
+    found = configuration.decode_policy(_items(DOCUMENT), revision=1)
+    assert found is not None
+    assert found.pools["a"].cold_flows_per_second is None
+
+
+def test_an_evacuation_takes_its_domain_out() -> None:
+    """Its key alone says so."""
+    items = {**_items(DOCUMENT), "op/evacuate/hall-a": b"{}"}
+    found = configuration.decode_policy(items, revision=1)
+    assert found is not None
+    assert found.domains_out == {"hall-a"}
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        b'{"version":"seven","routes":[]}',
+        b'{"version":1,"routes":[{"name":"r","host":"x","prefix":"/1/"}]}',
+        b'{"version":1,"routes":[{"name":"r","host":"1.2.3.4","prefix":"/x/"}]}',
+    ],
+)
+def test_an_unreadable_configuration_is_none(document: bytes) -> None:
+    """The policy in force stays."""
+    items = {configuration.CONFIGURATION_KEY: document}
+    assert configuration.decode_policy(items, revision=1) is None
+
+
+def test_evacuations_alone_make_no_policy() -> None:
+    """The first configuration is still to come."""
+    assert configuration.decode_policy({"op/evacuate/x": b"{}"}, revision=1) is None
--- /dev/null
+++ b/plantainproxy/platform/tests/test_packet_format.py
@@ -0,0 +1,90 @@
+"""The packet format, against the platform's published examples."""
+
+import pytest
+
+from plantainproxy import _types
+from plantainproxy.flows import packets
+from plantainproxy.platform import packet_format
+
+SYN = bytes.fromhex(
+    "02000000d5c3b2a100004433221100000000010012c6bb0107004064419c00000000"
+)
+RESET = bytes.fromhex(
+    "80000000000000000000000000000000000007004064419c010012c6bb0100000000"
+)
+CALLER = _types.Address("100.64.0.7", 40_001)
+SERVICE = _types.Address("198.18.0.1", 443)
+
+
+def test_decodes_the_published_opening_packet() -> None:
+    """SYN from 100.64.0.7:40001 to 198.18.0.1:443, seq 0x11223344."""
+    packet = packet_format.decode(SYN)
+    assert packet is not None
+    assert packet.opening
+    assert packet.sequence == 0x11223344
+    assert packet.service == packet_format.pack_service(SERVICE)
+    assert packet_format.caller_host(packet.flow) == CALLER.host
+
+
+def test_encodes_the_published_reset() -> None:
+    """It goes from the service address to the caller, with no sum."""
+    packet = packet_format.decode(SYN)
+    assert packet is not None
+    assert packet_format.encode_reset(packet.flow, sequence=0) == RESET
+
+
+def test_both_directions_have_one_key() -> None:
+    """An answer belongs to the flow of its request."""
+    answer = packet_format.decode(RESET, from_upstream=True)
+    request = packet_format.decode(SYN)
+    assert answer is not None
+    assert request is not None
+    assert answer.flow == request.flow
+
+
+def test_a_stamp_keeps_what_the_ends_wrote() -> None:
+    """Only the two unused fields change."""
+    stamped = packet_format.stamp(
+        SYN, balancer=bytes((10, 0, 0, 9)), purpose=packets.Purpose.ASK
+    )
+    packet = packet_format.decode(stamped)
+    assert packet is not None
+    assert packet.balancer == bytes((10, 0, 0, 9))
+    assert packet.purpose is packets.Purpose.ASK
+    assert stamped[:1] + bytes(3) + stamped[4:30] + bytes(4) + stamped[34:] == SYN
+
+
+def test_a_returned_packet_decodes_as_its_caller_sent_it() -> None:
+    """The mark of the upstream is taken off before it goes to another."""
+    returned = bytes((SYN[0] | packet_format.BOUNCED,)) + SYN[1:]
+    as_returned = packet_format.decode(returned, from_upstream=True)
+    assert as_returned is not None
+    assert as_returned.returned
+    again = packet_format.decode_returned(returned)
+    assert again is not None
+    assert again.data == SYN
+    assert again.opening
+    assert not again.returned
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        SYN[:33],
+        SYN + b"x",
+        bytes((SYN[0] | 1,)) + SYN[1:],
+        SYN[:8] + (1_201).to_bytes(2, "little") + SYN[10:] + bytes(1_201),
+    ],
+    ids=["empty", "short", "wrong length", "unknown flag", "too long"],
+)
+def test_malformed_datagrams_are_no_packets(data: bytes) -> None:
+    """They are dropped before anything else looks at them."""
+    assert packet_format.decode(data) is None
+
+
+def test_an_unknown_purpose_counts_as_a_usual_packet() -> None:
+    """The field is not trusted."""
+    packet = packet_format.decode(SYN[:1] + b"\xff\x00\x00" + SYN[4:])
+    assert packet is not None
+    assert packet.purpose is packets.Purpose.FORWARD
--- /dev/null
+++ b/testbed/transparent.py
@@ -0,0 +1,363 @@
+"""Parts for tests of transparent flows: packets, policies, and engines with fakes."""
+
+from collections.abc import Iterable
+
+from plantainproxy import _types
+from plantainproxy.flows import (
+    balancer,
+    guard,
+    journal,
+    messages,
+    packets,
+    policy,
+    sidecar,
+    upstream,
+)
+
+SERVICE = b"\x01\x00\x12\xc6\xbb\x01"
+"""Packed address of the service that the usual route serves."""
+POOL = "feed"
+DOMAIN = "hall-a"
+OTHER_DOMAIN = "hall-b"
+MESSAGE_PORT = 7700
+DATA_PORT = 7800
+UPSTREAM_SEQUENCE = 5_000
+
+
+def flow(number: int, service: bytes = SERVICE) -> bytes:
+    """Return the key of a caller's flow."""
+    return service + b"\x0a\x00\x40\x64" + number.to_bytes(2, "little")
+
+
+def packet(
+    key: bytes,
+    *,
+    opening: bool = False,
+    accepting: bool = False,
+    closing: bool = False,
+    aborting: bool = False,
+    returned: bool = False,
+    sequence: int = 0,
+    acknowledgement: int = 0,
+    size: int = 0,
+    balancer: str = "10.0.0.1",
+    purpose: packets.Purpose = packets.Purpose.FORWARD,
+) -> packets.Packet:
+    """Return one packet."""
+    return packets.Packet(
+        flow=key,
+        data=b"",
+        opening=opening,
+        accepting=accepting,
+        closing=closing,
+        aborting=aborting,
+        returned=returned,
+        sequence=sequence,
+        acknowledgement=acknowledgement,
+        size=size,
+        balancer=bytes(int(part) for part in balancer.split(".")),
+        purpose=purpose,
+    )
+
+
+def route(
+    *pools: str,
+    service: bytes = SERVICE,
+    priority: int = 0,
+    objective_seconds: float = 0.3,
+) -> policy.Route:
+    """Return a route that leads to some pools in equal shares."""
+    return policy.Route(
+        name="r",
+        service=service,
+        kind=policy.RouteKind.IDEMPOTENT,
+        shares=tuple(policy.Share(pool=pool, weight=1.0) for pool in pools),
+        priority=priority,
+        objective_seconds=objective_seconds,
+    )
+
+
+def table(
+    revision: int,
+    *routes: policy.Route,
+    domains_out: Iterable[str] = (),
+    cold_rate: float | None = None,
+) -> policy.Policy:
+    """Return a policy; the usual route leads to the usual pool."""
+    chosen = routes or (route(POOL),)
+    pools = {pool for one in chosen for pool in one.pools}
+    return policy.Policy(
+        revision=revision,
+        version=revision,
+        routes={one.service: one for one in chosen},
+        pools={
+            pool: policy.PoolLimits(
+                cold_seconds=2.0, cold_flows_per_second=cold_rate, health_path="/health"
+            )
+            for pool in pools
+        },
+        idle_seconds=15.0,
+        domains_out=frozenset(domains_out),
+    )
+
+
+def address(number: int) -> _types.Address:
+    """Return a sidecar's address for messages."""
+    return _types.Address(f"10.0.1.{number}", MESSAGE_PORT)
+
+
+def report(
+    *,
+    number: int = 1,
+    boot: int = 1,
+    pool: str = POOL,
+    domain: str = DOMAIN,
+    state: messages.UpstreamState = messages.UpstreamState.READY,
+    running: int = 0,
+    flows: int = 0,
+    slots: int = 4,
+    room: int = 8,
+    cold: bool = False,
+    stopping: bool = False,
+    revision: int = 1,
+) -> messages.Report:
+    """Return a sidecar's report."""
+    return messages.Report(
+        boot=boot,
+        number=number,
+        revision=revision,
+        pool=pool,
+        domain=domain,
+        state=state,
+        data_port=DATA_PORT,
+        running=running,
+        flows=flows,
+        slots=slots,
+        room=room,
+        cold=cold,
+        complete=True,
+        stopping=stopping,
+    )
+
+
+class BalancerPort:
+    """Records what a balancer sends."""
+
+    def __init__(self) -> None:
+        """Start with nothing sent."""
+        self.forwarded: list[tuple[packets.Packet, str, packets.Purpose]] = []
+        self.resets: list[packets.Packet] = []
+
+    def forward(
+        self, packet: packets.Packet, to: _types.Address, purpose: packets.Purpose
+    ) -> None:
+        """Record a packet for a sidecar."""
+        self.forwarded.append((packet, to.host, purpose))
+
+    def reset(self, packet: packets.Packet) -> None:
+        """Record a reset."""
+        self.resets.append(packet)
+
+    def hosts(self, purpose: packets.Purpose) -> list[str]:
+        """Return where packets of one purpose went."""
+        return [host for _, host, why in self.forwarded if why is purpose]
+
+
+class Balancer:
+    """A balancer's engine with a port that records and a clock of its own."""
+
+    def __init__(self) -> None:
+        """Start with nothing known, at 100 s."""
+        self.port = BalancerPort()
+        self.now = 100.0
+        self.engine = balancer.Engine(
+            port=self.port,
+            domain=DOMAIN,
+            draw=lambda: 0.5,
+            log=journal.Journal("test", clock=lambda: self.now),
+        )
+
+    def list_sidecars(self, *numbers: int) -> None:
+        """Let the store's list be known."""
+        registered = {
+            address(number): _types.Address(address(number).host, DATA_PORT)
+            for number in numbers
+        }
+        balancer.take_registered(self.engine, registered, now=self.now)
+
+    def take_policy(self, offered: policy.Policy) -> bool:
+        """Offer a policy."""
+        return balancer.take_policy(self.engine, offered, now=self.now)
+
+    def hear(self, number: int, message: messages.Message) -> None:
+        """Take a message from a sidecar."""
+        balancer.handle_message(
+            self.engine,
+            message,
+            address(number),
+            parse=lambda data: _PARSED.get(data),
+            now=self.now,
+        )
+
+    def hear_returned(
+        self, number: int, returned: packets.Packet, reason: messages.Refusal
+    ) -> None:
+        """Take a packet that a sidecar gave back."""
+        data = repr(returned).encode()
+        _PARSED[data] = returned
+        message = messages.Returned(reason=reason, revision=1, data=data)
+        self.hear(number, message)
+
+    def handle(self, arrived: packets.Packet) -> None:
+        """Take a caller's packet."""
+        balancer.handle_packet(self.engine, arrived, now=self.now)
+
+    def tick(self, seconds: float = 0.0) -> None:
+        """Let time pass, then do what is due."""
+        self.now += seconds
+        balancer.tick(self.engine, now=self.now)
+
+
+_PARSED: dict[bytes, packets.Packet] = {}
+
+
+def ready_balancer(count: int = 3) -> Balancer:
+    """Return a balancer that knows a policy and some upstreams."""
+    made = Balancer()
+    made.list_sidecars(*range(1, count + 1))
+    made.take_policy(table(1))
+    for number in range(1, count + 1):
+        made.hear(number, report())
+    return made
+
+
+class SidecarPort:
+    """Records what a sidecar sends."""
+
+    def __init__(self) -> None:
+        """Start with nothing sent."""
+        self.delivered: list[packets.Packet] = []
+        self.answered: list[packets.Packet] = []
+        self.resets: list[bytes] = []
+        self.told: list[tuple[str, messages.Message]] = []
+
+    def deliver(self, packet: packets.Packet) -> None:
+        """Record a packet for the upstream."""
+        self.delivered.append(packet)
+
+    def answer(self, packet: packets.Packet) -> None:
+        """Record a packet for a caller."""
+        self.answered.append(packet)
+
+    def reset(self, flow: bytes, acknowledgement: int) -> None:
+        """Record a reset."""
+        self.resets.append(flow)
+
+    def tell(self, balancer: _types.Address, message: messages.Message) -> None:
+        """Record a message."""
+        self.told.append((balancer.host, message))
+
+    def refusals(self) -> list[messages.Refusal]:
+        """Return why packets were handed back."""
+        return [
+            message.reason
+            for _, message in self.told
+            if isinstance(message, messages.Returned)
+        ]
+
+    def last_report(self) -> messages.Report:
+        """Return the newest report to any balancer."""
+        return next(
+            message
+            for _, message in reversed(self.told)
+            if isinstance(message, messages.Report)
+        )
+
+
+class Sidecar:
+    """A sidecar's engine with a port that records and a clock of its own."""
+
+    def __init__(self) -> None:
+        """Start with nothing known, at 100 s."""
+        self.port = SidecarPort()
+        self.now = 100.0
+        self.engine = sidecar.Engine(
+            port=self.port,
+            identity=sidecar.Identity(
+                place=guard.Place(pool=POOL, domain=DOMAIN),
+                data_port=DATA_PORT,
+                message_port=MESSAGE_PORT,
+                boot=7,
+            ),
+            cold_limit=guard.ColdLimit(started_at=self.now, rate_factor=1.5, spare=4),
+            log=journal.Journal("test", clock=lambda: self.now),
+        )
+
+    def take_policy(self, offered: policy.Policy) -> bool:
+        """Offer a policy."""
+        return sidecar.take_policy(self.engine, offered, now=self.now)
+
+    def beat(
+        self,
+        number: int = 1,
+        *,
+        born: int = 1_000,
+        draining: bool = False,
+        cold_seconds: float = 0.0,
+        instance: str = "i-1",
+        pool: str = POOL,
+        slots: int = 4,
+    ) -> bool:
+        """Take a heartbeat of the upstream."""
+        heartbeat = upstream.Heartbeat(
+            instance=instance,
+            pool=pool,
+            draining=draining,
+            cold_seconds=cold_seconds,
+            slots=slots,
+            born=born,
+            number=number,
+        )
+        return sidecar.handle_heartbeat(self.engine, heartbeat, now=self.now)
+
+    def inbound(self, arrived: packets.Packet) -> None:
+        """Take a caller's packet from a balancer."""
+        sidecar.handle_inbound(self.engine, arrived, now=self.now)
+
+    def outbound(self, sent: packets.Packet) -> float | None:
+        """Take a packet of the upstream."""
+        return sidecar.handle_outbound(self.engine, sent, now=self.now)
+
+    def open(self, key: bytes, *, sequence: int = UPSTREAM_SEQUENCE) -> None:
+        """Open a flow from its first packet to the caller's acknowledgement."""
+        self.inbound(packet(key, opening=True, purpose=packets.Purpose.OPEN))
+        self.outbound(packet(key, accepting=True, sequence=sequence))
+        self.inbound(packet(key, acknowledgement=sequence + 1))
+
+    def request(self, key: bytes, *, sequence: int = 1, size: int = 200) -> None:
+        """Let a caller send a request on an open flow."""
+        self.inbound(
+            packet(
+                key,
+                sequence=sequence,
+                size=size,
+                acknowledgement=UPSTREAM_SEQUENCE + 1,
+            )
+        )
+
+    def tick(self, seconds: float = 0.0) -> None:
+        """Let time pass, then do what is due."""
+        self.now += seconds
+        sidecar.tick(self.engine, now=self.now)
+
+
+def ready_sidecar() -> Sidecar:
+    """Return a sidecar whose upstream is ready and knows all its flows."""
+    made = Sidecar()
+    made.take_policy(table(1))
+    made.beat()
+    made.engine.table.complete = True
+    sidecar.handle_hello(
+        made.engine, _types.Address("10.0.0.1", MESSAGE_PORT), now=made.now
+    )
+    return made
