Stand in for the platform's store, and test its calls and failures

Change: a stand-in that serves ranges by page, watches, leases and transactions, and refuses, falls silent, loses answers and forgets its history; tests of the client, the follower and the registration.

--- a/plantainproxy/_http_server.py
+++ b/plantainproxy/_http_server.py
@@ -1,6 +1,6 @@
 """A small HTTP/1.1 server for health checks, heartbeats and metrics."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 import logging
 from typing import NamedTuple
 
@@ -33,7 +33,8 @@
     content_type: str = "application/json"
 
 
-Handler = Callable[[Request], Response]
+Handler = Callable[[Request], Response | Awaitable[Response]]
+"""Answers a request, at once or later."""
 
 
 async def serve(address: _types.Address, handle: Handler) -> None:
@@ -57,7 +58,10 @@
                 request = await _receive(stream, protocol)
                 if request is None:
                     return
-                await stream.send_all(_encode(protocol, handle(request)))
+                answer = handle(request)
+                if not isinstance(answer, Response):
+                    answer = await answer
+                await stream.send_all(_encode(protocol, answer))
                 if not _start_next(protocol):
                     return
                 continue
--- a/plantainproxy/platform/heartbeats.py
+++ b/plantainproxy/platform/heartbeats.py
@@ -61,7 +61,7 @@
     address: _types.Address,
     on_heartbeat: Callable[[upstream.Heartbeat], bool],
     on_leave: Callable[[str], None],
-) -> _http_server.Handler:
+) -> Callable[[_http_server.Request], _http_server.Response]:
     """Make the HTTP handler that the upstream at an address calls.
 
     ``on_heartbeat`` returns whether the heartbeat was meant for this sidecar.
--- a/plantainproxy/platform/metadata_store.py
+++ b/plantainproxy/platform/metadata_store.py
@@ -138,7 +138,7 @@
         *,
         body: object = None,
         pool: http.Pool | None = None,
-        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+        timeout_seconds: float | None = None,
     ) -> http.Reply:
         """Make one call; raise unless the store has answered it for good."""
         target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
@@ -149,7 +149,7 @@
                 method,
                 target,
                 encoded,
-                timeout_seconds=timeout_seconds,
+                timeout_seconds=timeout_seconds or CALL_TIMEOUT_SECONDS,
             )
         except http.UnsentError as error:
             raise _unavailable(str(error)) from error
--- /dev/null
+++ b/plantainproxy/platform/tests/test_metadata_store.py
@@ -0,0 +1,301 @@
+"""The store's calls and their failures, against the stand-in."""
+
+import base64
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+import contextlib
+import functools
+import socket
+
+import pytest
+import trio
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.flows import follower, journal, registry
+from plantainproxy.platform import metadata_store
+from plantainproxy.store import port, revisioned
+from standins import metadata_store as standin
+
+DEADLINE_SECONDS = 10.0
+
+
+def _free_address() -> _types.Address:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return _types.Address(*probe.getsockname())
+
+
+@contextlib.asynccontextmanager
+async def _running(
+    store: standin.MetadataStore,
+) -> AsyncIterator[tuple[metadata_store.MetadataStore, trio.Nursery]]:
+    address = _free_address()
+    with trio.fail_after(DEADLINE_SECONDS):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(standin.serve, store, address)
+            await _until_open(address)
+            yield metadata_store.MetadataStore(address), nursery
+            nursery.cancel_scope.cancel()
+
+
+async def _until_open(address: _types.Address) -> None:
+    while True:
+        with contextlib.suppress(OSError):
+            stream = await trio.open_tcp_stream(*address)
+            await stream.aclose()
+            return
+        await trio.sleep(0.01)
+
+
+async def _until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await trio.sleep(0.01)
+
+
+def _run(
+    test: Callable[
+        [standin.MetadataStore, metadata_store.MetadataStore, trio.Nursery],
+        Awaitable[None],
+    ],
+    store: standin.MetadataStore | None = None,
+) -> None:
+    held = store or standin.MetadataStore()
+
+    async def main() -> None:
+        async with _running(held) as (client, nursery):
+            await test(held, client, nursery)
+
+    trio.run(main)
+
+
+def test_reads_all_pages() -> None:
+    """A range has at most one page of items."""
+
+    async def check(
+        held: standin.MetadataStore,
+        client: metadata_store.MetadataStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        for number in range(7):
+            held.put(f"a/{number}", str(number).encode())
+        held.put("b/0", b"other")
+        snapshot = await client.read_all("a/")
+        assert [entry.value for entry in snapshot.entries] == [
+            str(number).encode() for number in range(7)
+        ]
+        assert snapshot.revision == held.revision
+
+    _run(check, standin.MetadataStore(page=3))
+
+
+def test_a_watch_resumes_at_a_revision() -> None:
+    """What happened in between is seen."""
+
+    async def check(
+        held: standin.MetadataStore,
+        client: metadata_store.MetadataStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        held.put("a/1", b"one")
+        revision = held.revision
+        held.put("a/2", b"two")
+        held.remove("a/1")
+        seen = await client.watch_after("a/", revision)
+        assert [(change.key, change.entry is None) for change in seen.changes] == [
+            ("a/2", False),
+            ("a/1", True),
+        ]
+
+    _run(check)
+
+
+def test_lost_history_is_told() -> None:
+    """The reader must read everything again."""
+
+    async def check(
+        held: standin.MetadataStore,
+        client: metadata_store.MetadataStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        held.put("a/1", b"one")
+        held.forget_history()
+        with pytest.raises(revisioned.HistoryLostError):
+            await client.watch_after("a/", 1)
+
+    _run(check)
+
+
+@pytest.mark.parametrize("status", [429, 503, 500])
+def test_a_refused_call_did_nothing(status: int) -> None:
+    """Its error says that the store is unavailable."""
+
+    async def check(
+        held: standin.MetadataStore,
+        client: metadata_store.MetadataStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        held.faults.status = status
+        with pytest.raises(_exceptions.PlantainError) as caught:
+            await client.grant_lease(ttl_seconds=3.0)
+        assert caught.value.kind is _exceptions.ErrorKind.STORE_UNAVAILABLE
+
+    _run(check)
+
+
+def test_a_lost_answer_leaves_a_write_unknown() -> None:
+    """It may have been done."""
+
+    async def check(
+        held: standin.MetadataStore,
+        client: metadata_store.MetadataStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        held.faults.lose_answers = 1
+        put = port.Put(key="a", value=b"x")
+        with pytest.raises(_exceptions.PlantainError) as caught:
+            await client.commit(port.Transaction(compares=(), puts=(put,)))
+        assert caught.value.kind is _exceptions.ErrorKind.CHANGE_UNKNOWN
+        assert "a" in held.items
+
+    _run(check)
+
+
+def test_a_condition_that_does_not_hold_changes_nothing() -> None:
+    """A write over an unseen change is refused."""
+
+    async def check(
+        held: standin.MetadataStore,
+        client: metadata_store.MetadataStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        held.put("a", b"theirs")
+        transaction = port.Transaction(
+            compares=(port.Compare(key="a", mod_revision=0),),
+            puts=(port.Put(key="a", value=b"mine"),),
+        )
+        assert not await client.commit(transaction)
+
+    _run(check)
+
+
+class _Copy:
+    """Takes what a follower reads."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, bytes] = {}
+        self.revision = 0
+
+    def take(self, entries: Mapping[str, bytes], revision: int) -> None:
+        self.entries = dict(entries)
+        self.revision = revision
+
+
+def _start_follower(
+    nursery: trio.Nursery, client: metadata_store.MetadataStore
+) -> _Copy:
+    copy = _Copy()
+    nursery.start_soon(
+        functools.partial(
+            follower.follow, client, "a/", take=copy.take, log=journal.Journal("test")
+        )
+    )
+    return copy
+
+
+def test_a_follower_sees_changes_and_survives_lost_history() -> None:
+    """Its copy is that of the store again."""
+
+    async def check(
+        held: standin.MetadataStore,
+        client: metadata_store.MetadataStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        held.put("a/1", b"one")
+        copy = _start_follower(nursery, client)
+        await _until(lambda: copy.entries == {"a/1": b"one"})
+        held.put("a/2", b"two")
+        await _until(lambda: "a/2" in copy.entries)
+        held.remove("a/1")
+        held.forget_history()
+        await _until(lambda: copy.entries == {"a/2": b"two"})
+
+    _run(check)
+
+
+def test_a_follower_resumes_after_the_store_was_down() -> None:
+    """It reads on where it was, without reading everything again."""
+
+    async def check(
+        held: standin.MetadataStore,
+        client: metadata_store.MetadataStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        copy = _start_follower(nursery, client)
+        await _until(lambda: "GET /v1/kv-watch" in held.calls)
+        held.faults.status = 503
+        held.put("a/1", b"one")
+        await trio.sleep(0.3)
+        held.put("a/2", b"two")
+        held.faults.status = 0
+        await _until(lambda: set(copy.entries) == {"a/1", "a/2"})
+        assert held.calls.count("GET /v1/kv-range") == 1
+
+    _run(check)
+
+
+def _register(
+    nursery: trio.Nursery, client: metadata_store.MetadataStore
+) -> registry.Entry:
+    entry = registry.Entry(host="10.0.0.1", message_port=7700, data_port=7800)
+    nursery.start_soon(registry.stay_registered, client, entry, journal.Journal("test"))
+    return entry
+
+
+def test_a_sidecar_registers_again_when_its_lease_was_dropped(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The store may drop keys and leases without telling."""
+    monkeypatch.setattr(registry, "RENEWAL_SECONDS", 0.05)
+
+    async def check(
+        held: standin.MetadataStore,
+        client: metadata_store.MetadataStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        _register(nursery, client)
+        await _until(lambda: len(held.items) == 1)
+        (lease,) = held.leases
+        held.end_lease(lease)
+        assert held.items == {}
+        await _until(lambda: len(held.items) == 1)
+
+    _run(check)
+
+
+def test_a_registration_whose_answer_was_lost_ends_with_one_entry(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The write is repeated under a condition."""
+    monkeypatch.setattr(metadata_store, "CALL_TIMEOUT_SECONDS", 0.2)
+
+    async def check(
+        held: standin.MetadataStore,
+        client: metadata_store.MetadataStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        held.faults.lose_answers = 2
+        entry = _register(nursery, client)
+        await _until(lambda: any("kv-keep" in call for call in held.calls))
+        assert list(registry.decode(_values(held))) == [
+            _types.Address(entry.host, entry.message_port)
+        ]
+
+    _run(check)
+
+
+def _values(held: standin.MetadataStore) -> dict[str, bytes]:
+    return {key: base64.b64decode(item.value) for key, item in held.items.items()}
+
+
+def test_entries_of_another_writer_are_left_out() -> None:
+    """Bytes that cannot be read name no sidecar."""
+    assert registry.decode({"x": b"\xff", "y": b"{}"}) == {}
