--- a/plantainproxy/flows/sidecar.py
+++ b/plantainproxy/flows/sidecar.py
@@ -284,6 +284,14 @@
             engine.log.write("balancer forgotten", balancer=str(balancer))
 
 
+def has_left(engine: Engine) -> bool:
+    """Return whether the upstream takes no new flows any more."""
+    return engine.upstream.state in (
+        messages.UpstreamState.DRAINING,
+        messages.UpstreamState.GONE,
+    )
+
+
 def stop(engine: Engine, *, now: float) -> None:
     """Tell the balancers that this process is about to end."""
     engine.stopping = True
--- a/plantainproxy/platform/metadata_store.py
+++ b/plantainproxy/platform/metadata_store.py
@@ -108,6 +108,10 @@
         reply = await self._call("POST", f"/v1/kv-keep/{lease}")
         return reply.status == 200
 
+    async def end_lease(self, lease: int) -> None:
+        """End a lease; its keys go with it."""
+        await self._call("DELETE", f"/v1/kv-lease-end/{lease}")
+
     async def commit(self, transaction: port.Transaction) -> bool:
         """Apply a transaction; return whether its conditions held."""
         body = {
--- a/plantainproxy/store/revisioned.py
+++ b/plantainproxy/store/revisioned.py
@@ -72,6 +72,9 @@
     async def keep_lease(self, lease: int) -> bool:
         """Renew a lease; return whether it still existed."""
 
+    async def end_lease(self, lease: int) -> None:
+        """End a lease; its keys go with it."""
+
     async def commit(self, transaction: port.Transaction) -> bool:
         """Apply a transaction; return whether its conditions held.
 
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -113,6 +113,9 @@
             lease = len(self.calls) + 1_000
             self.leases[lease] = msgspec.json.decode(body)["ttl_ms"]
             return _json(200, {"lease": lease, "ttl_ms": self.leases[lease]})
+        if path.startswith("/v1/kv-lease-end/"):
+            self.end_lease(int(path.rpartition("/")[2]))
+            return _json(200, {})
         if path.startswith("/v1/kv-keep/"):
             lease = int(path.rpartition("/")[2])
             return _json(200 if lease in self.leases else 404, {})
