Shorten reports between failure domains; rank openings by their true age

Cause: reports with field names to all balancers were most of the bytes between failure domains; copies of openings counted as new; far balancers ran out of room for 0.5 s.

--- a/plantainproxy/flows/balancer.py
+++ b/plantainproxy/flows/balancer.py
@@ -315,7 +315,7 @@
 
 
 def _wait(engine: Engine, packet: packets.Packet, *, now: float) -> None:
-    opening = waiting.Opening(packet=packet, since=now)
+    opening = waiting.Opening(packet=packet, since=waiting.sent_at(packet, now=now))
     if not engine.waiting.add(opening):
         engine.log.count("dropped.queue_full")
 
--- a/plantainproxy/flows/messages.py
+++ b/plantainproxy/flows/messages.py
@@ -1,7 +1,8 @@
 """Messages between balancers and sidecars, and their codec.
 
-Datagrams carry one message each. The policy travels over TCP, as one message that
-ends with the connection.
+Datagrams carry one message each, as arrays without field names: reports are most of
+the control traffic between failure domains. The policy travels over TCP, as one
+message that ends with the connection.
 """
 
 import enum
@@ -44,16 +45,16 @@
     """The upstream does not hold the flow."""
 
 
-class Hello(msgspec.Struct, frozen=True, tag="hello"):
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag="hello"):
     """A balancer asks a sidecar for reports."""
 
-    boot: int
-    """Random number of the sender's process."""
     revision: int
     """Revision of the policy in force at the sender."""
+    domain: str
+    """The sender's failure domain."""
 
 
-class Report(msgspec.Struct, frozen=True, tag="report"):
+class Report(msgspec.Struct, frozen=True, array_like=True, tag="report"):
     """A sidecar tells of its upstream."""
 
     boot: int
@@ -80,19 +81,19 @@
     """Whether the sidecar itself is about to end."""
 
 
-class Held(msgspec.Struct, frozen=True, tag="held"):
+class Held(msgspec.Struct, frozen=True, array_like=True, tag="held"):
     """The upstream beside the sender holds a flow."""
 
     flow: bytes
 
 
-class NotHeld(msgspec.Struct, frozen=True, tag="not-held"):
+class NotHeld(msgspec.Struct, frozen=True, array_like=True, tag="not-held"):
     """The upstream beside the sender does not hold a flow."""
 
     flow: bytes
 
 
-class Returned(msgspec.Struct, frozen=True, tag="returned"):
+class Returned(msgspec.Struct, frozen=True, array_like=True, tag="returned"):
     """A packet that the sender could not deliver."""
 
     reason: Refusal
--- a/plantainproxy/flows/registry.py
+++ b/plantainproxy/flows/registry.py
@@ -19,7 +19,7 @@
 """Longest delay of a stop for the withdrawal; the lease's end does the same later."""
 
 
-class Entry(msgspec.Struct, frozen=True):
+class Entry(msgspec.Struct, frozen=True, array_like=True):
     """Where one sidecar listens."""
 
     host: str
--- a/plantainproxy/flows/sidecar_main.py
+++ b/plantainproxy/flows/sidecar_main.py
@@ -160,7 +160,7 @@
         running.log.count("dropped.malformed_message")
         return
     running.exchange.hear(message.revision, sender)
-    sidecar.handle_hello(running.engine, sender, now=trio.current_time())
+    sidecar.handle_hello(running.engine, message, sender, now=trio.current_time())
 
 
 async def _tick_forever(running: Sidecar) -> None:
--- a/plantainproxy/flows/waiting.py
+++ b/plantainproxy/flows/waiting.py
@@ -8,6 +8,8 @@
 """Opening packets that wait at the same time."""
 MAX_WAIT_SECONDS = 1.2
 """A caller gives an attempt up 1.4 s after its opening packet."""
+COPY_AGES_SECONDS = (0.0, 0.2, 0.6)
+"""When a caller sends its opening packet and the copies, after the first."""
 TIMELY_SHARE = 0.6
 """An opening that has waited for more than this share of its route's objective is
 likely to be answered late."""
@@ -18,6 +20,13 @@
 
     packet: packets.Packet
     since: float
+    """When the caller sent the first copy."""
+
+
+def sent_at(packet: packets.Packet, *, now: float) -> float:
+    """Return when the caller sent the first copy of an opening that came just now."""
+    copy = min(packet.acknowledgement, len(COPY_AGES_SECONDS) - 1)
+    return now - COPY_AGES_SECONDS[copy]
 
 
 class Queue:
@@ -51,8 +60,9 @@
 def in_order(queue: Queue, current: policy.Policy, *, now: float) -> list[Opening]:
     """Return the openings in the order in which they are to be placed.
 
-    By priority; then those that can still be answered in time, then the others; the
-    oldest first. Under overload a plain queue would answer everyone late.
+    By priority; then those that can still be answered in time, the oldest first; then
+    the others, the youngest first, as its caller has the most time left. Under overload
+    a plain queue would answer everyone late.
     """
 
     def rank(opening: Opening) -> tuple[int, bool, float]:
@@ -60,6 +70,6 @@
         if route is None:
             return (0, False, opening.since)
         is_late = now - opening.since > TIMELY_SHARE * route.objective_seconds
-        return (route.priority, is_late, opening.since)
+        return (route.priority, is_late, -opening.since if is_late else opening.since)
 
     return sorted(queue.openings.values(), key=rank)
--- a/testbed/transparent.py
+++ b/testbed/transparent.py
@@ -320,6 +320,11 @@
         )
         return sidecar.handle_heartbeat(self.engine, heartbeat, now=self.now)
 
+    def greet(self, balancer: _types.Address, *, domain: str = DOMAIN) -> None:
+        """Take a balancer's wish for reports."""
+        hello = messages.Hello(revision=1, domain=domain)
+        sidecar.handle_hello(self.engine, hello, balancer, now=self.now)
+
     def inbound(self, arrived: packets.Packet) -> None:
         """Take a caller's packet from a balancer."""
         sidecar.handle_inbound(self.engine, arrived, now=self.now)
@@ -357,7 +362,5 @@
     made.take_policy(table(1))
     made.beat()
     made.engine.table.complete = True
-    sidecar.handle_hello(
-        made.engine, _types.Address("10.0.0.1", MESSAGE_PORT), now=made.now
-    )
+    made.greet(_types.Address("10.0.0.1", MESSAGE_PORT))
     return made
