Record flows in the store and reset them after their upstream has ended

Cause: after a loss of power, callers sent non-idempotent requests on flows whose upstream had ended; they may not repeat them, so those requests were lost.

--- a/plantainproxy/flows/balancer_main.py
+++ b/plantainproxy/flows/balancer_main.py
@@ -124,7 +124,9 @@
     """Ask sidecars for reports: all, or those that have not answered yet."""
     hello = messages.encode(
         messages.Hello(
-            revision=running.engine.policies.revision, domain=running.settings.domain
+            revision=running.engine.policies.revision,
+            domain=running.settings.domain,
+            sidecars=len(running.engine.view.upstreams),
         )
     )
     now = trio.current_time()
--- a/plantainproxy/flows/messages.py
+++ b/plantainproxy/flows/messages.py
@@ -52,6 +52,8 @@
     """Revision of the policy in force at the sender."""
     domain: str
     """The sender's failure domain."""
+    sidecars: int
+    """Sidecars that the sender knows."""
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, tag="report"):
--- a/plantainproxy/flows/registry.py
+++ b/plantainproxy/flows/registry.py
@@ -1,7 +1,6 @@
 """The list of sidecars in the store: one entry each, under a lease."""
 
 from collections.abc import Mapping
-from typing import Protocol
 
 import msgspec
 import trio
@@ -27,10 +26,6 @@
     data_port: int
 
 
-class Store(revisioned.RevisionedStore, revisioned.LeasingStore, Protocol):
-    """What a registration needs of the store."""
-
-
 def decode(entries: Mapping[str, bytes]) -> dict[_types.Address, _types.Address]:
     """Return the addresses for data by those for messages; leave out foreign bytes."""
     found = {}
@@ -47,9 +42,12 @@
 class Registration:
     """The own entry in the store."""
 
-    def __init__(self, store: Store, entry: Entry, log: journal.Journal) -> None:
+    def __init__(
+        self, store: revisioned.LeasingStore, entry: Entry, log: journal.Journal
+    ) -> None:
         """Start without an entry."""
         self.store = store
+        self.entry = entry
         self.key = f"{PREFIX}{entry.host}/"
         self.value = msgspec.msgpack.encode(entry)
         self.log = log
@@ -89,7 +87,9 @@
         own.log.write("withdrawn", key=own.key, lease=own.lease)
 
 
-async def _write(store: Store, key: str, value: bytes, lease: int) -> None:
+async def _write(
+    store: revisioned.LeasingStore, key: str, value: bytes, lease: int
+) -> None:
     """Write the entry over whatever is there.
 
     The condition keeps a write that is executed late from undoing a newer one.
@@ -100,11 +100,11 @@
         compares=(port.Compare(key=key, mod_revision=revision),),
         puts=(port.Put(key=key, value=value, lease=lease),),
     )
-    if not await store.commit(transaction):
+    if await store.write(transaction) is None:
         raise _exceptions.PlantainError(_exceptions.ErrorKind.CONFLICT, key)
 
 
-async def _renew(store: Store, lease: int) -> None:
+async def _renew(store: revisioned.LeasingStore, lease: int) -> None:
     """Renew a lease until it has ended; a call that fails is made again."""
     while True:
         await trio.sleep(RENEWAL_SECONDS)
--- a/plantainproxy/flows/settings.py
+++ b/plantainproxy/flows/settings.py
@@ -23,6 +23,8 @@
     """UDP for messages and TCP for policies, the same on all machines."""
     metrics_port: int
     store_address: _types.Address
+    store_writes_per_second: float
+    """Writes that the store takes from all processes together."""
     grace_seconds: float
     """How long a planned stop may take."""
 
--- a/plantainproxy/flows/sidecar.py
+++ b/plantainproxy/flows/sidecar.py
@@ -106,6 +106,13 @@
         """When a leaving upstream that no longer listens counts as ended."""
         self.questions: dict[bytes, Question] = {}
         self.subscribers: dict[_types.Address, Subscriber] = {}
+        self.fleet_size = 1
+        """Sidecars that the balancers know."""
+        self.record: tuple[int, dict[bytes, int]] | None = None
+        """What an earlier process recorded: the incarnation, and its flows with their
+        callers' acknowledgements; absent once it is used."""
+        self.nothing_before = False
+        """Whether no upstream listened when this process started."""
         self.report_number = 0
         self.reported_news: tuple[object, ...] = ()
         self.stopping = False
@@ -199,6 +206,7 @@
             born=beat.born,
             number=beat.number,
         )
+    _use_record(engine)
     report_if_due(engine, now=now)
     return True
 
@@ -239,6 +247,38 @@
     report_if_due(engine, now=now)
 
 
+def handle_absence(engine: Engine) -> None:
+    """Take the news that no upstream listened when this process started."""
+    engine.table.complete = True
+    engine.nothing_before = True
+    _use_record(engine)
+
+
+def take_record(engine: Engine, born: int, flows: dict[bytes, int]) -> None:
+    """Take the flows that an earlier process recorded."""
+    engine.record = (born, flows)
+    _use_record(engine)
+
+
+def _use_record(engine: Engine) -> None:
+    """Reset the recorded flows once it is certain that their upstream has ended."""
+    if engine.record is None:
+        return
+    born, flows = engine.record
+    newest = engine.upstream.newest
+    if not engine.nothing_before and newest is None:
+        return
+    engine.record = None
+    if newest is not None and newest.born <= born:
+        return
+    for key, acknowledgement in flows.items():
+        if key not in engine.table.flows:
+            engine.port.reset(key, acknowledgement)
+    engine.log.write(
+        "flows reset", count=len(flows), reason="upstream ended before this process"
+    )
+
+
 def wanted_health_path(engine: Engine) -> str | None:
     """Return the path of the health check while the upstream's state is unknown."""
     current = engine.policies.current
@@ -266,6 +306,7 @@
     engine: Engine, hello: messages.Hello, sender: _types.Address, *, now: float
 ) -> None:
     """Take a balancer's wish for reports."""
+    engine.fleet_size = hello.sidecars
     known = engine.subscribers.get(sender)
     if known is not None:
         known.heard_at = now
--- a/plantainproxy/flows/sidecar_main.py
+++ b/plantainproxy/flows/sidecar_main.py
@@ -19,6 +19,7 @@
     packets,
     policy,
     policy_exchange,
+    record,
     registry,
     settings,
     sidecar,
@@ -197,7 +198,7 @@
         sidecar.handle_healthy(running.engine, now=trio.current_time())
 
     def take_absence() -> None:
-        running.engine.table.complete = True
+        sidecar.handle_absence(running.engine)
 
     await upstream_watch.watch(
         running.settings.upstream_address,
@@ -259,6 +260,10 @@
         )
     )
     nursery.start_soon(registry.stay_registered, running.registration)
+    keeper = record.Keeper(
+        running.registration, writes_per_second=own.store_writes_per_second
+    )
+    nursery.start_soon(record.keep, keeper, running.engine)
     for opened, handle in (
         (running.data_socket, _handle_data),
         (running.outbound_socket, _handle_outbound),
--- a/plantainproxy/flows/tests/test_sidecar.py
+++ b/plantainproxy/flows/tests/test_sidecar.py
@@ -1,6 +1,8 @@
 """What a sidecar lets through, hands back and tells."""
 
-from plantainproxy.flows import messages, packets, sidecar
+import msgspec
+
+from plantainproxy.flows import messages, packets, policy, record, sidecar
 from testbed import transparent
 
 KEY = transparent.flow(1)
@@ -211,3 +213,52 @@
     assert sidecar.wanted_health_path(running.engine) is None
     running.inbound(OPENING)
     assert running.port.delivered == [OPENING]
+
+
+def test_recorded_flows_of_an_ended_upstream_are_reset() -> None:
+    """After a loss of power their callers hear before they use them again."""
+    running = transparent.Sidecar()
+    running.take_policy(transparent.table(1))
+    sidecar.take_record(running.engine, 1_000, {KEY: 42})
+    assert running.port.resets == []
+    running.beat(1, born=2_000)
+    assert running.port.resets == [KEY]
+    running.beat(2, born=2_000)
+    assert running.port.resets == [KEY]
+
+
+def test_recorded_flows_of_a_living_upstream_stay() -> None:
+    """Only the sidecar has restarted."""
+    running = transparent.Sidecar()
+    running.take_policy(transparent.table(1))
+    running.beat(7, born=1_000)
+    sidecar.take_record(running.engine, 1_000, {KEY: 42})
+    assert running.port.resets == []
+
+
+def test_recorded_flows_are_reset_where_no_upstream_listened() -> None:
+    """The old incarnation is certainly gone."""
+    running = transparent.Sidecar()
+    sidecar.handle_absence(running.engine)
+    sidecar.take_record(running.engine, 1_000, {KEY: 42})
+    assert running.port.resets == [KEY]
+
+
+def test_records_open_flows_whose_requests_run_at_most_once() -> None:
+    """Callers repeat the others by themselves."""
+    single = transparent.route(transparent.POOL)
+    other_service = b"\x01\x00\x12\xc6\xbb\x02"
+    running = transparent.ready_sidecar()
+    running.take_policy(
+        transparent.table(
+            2,
+            msgspec.structs.replace(single, kind=policy.RouteKind.NON_IDEMPOTENT),
+            transparent.route(transparent.POOL, service=other_service),
+        )
+    )
+    running.open(KEY)
+    running.open(transparent.flow(2, other_service))
+    found = record.make(running.engine)
+    assert found == record.Record(
+        born=1_000, flows={KEY: transparent.UPSTREAM_SEQUENCE + 1}
+    )
--- a/plantainproxy/platform/metadata_store.py
+++ b/plantainproxy/platform/metadata_store.py
@@ -41,6 +41,10 @@
     store_revision: int
 
 
+class _Written(msgspec.Struct):
+    rev: int
+
+
 class _Lease(msgspec.Struct):
     lease: int
 
@@ -112,8 +116,8 @@
         """End a lease; its keys go with it."""
         await self._call("DELETE", f"/v1/kv-lease-end/{lease}")
 
-    async def commit(self, transaction: port.Transaction) -> bool:
-        """Apply a transaction; return whether its conditions held."""
+    async def write(self, transaction: port.Transaction) -> int | None:
+        """Apply a transaction; return its revision, or ``None`` where it failed."""
         body = {
             "expected": [
                 {"key": compare.key, "rev": compare.mod_revision}
@@ -132,7 +136,9 @@
         reply = await self._call("POST", "/v1/kv-txn", body=body)
         if reply.status == 404:
             raise revisioned.LeaseEndedError(transaction.puts[0].lease)
-        return reply.status == 200
+        if reply.status != 200:
+            return None
+        return _decode(reply, _Written).rev
 
     async def _call(
         self,
--- a/plantainproxy/platform/settings.py
+++ b/plantainproxy/platform/settings.py
@@ -40,6 +40,7 @@
 
 class _Platform(msgspec.Struct):
     addr: str
+    writes_per_s: float = 100.0
 
 
 class _Node(msgspec.Struct):
@@ -108,5 +109,6 @@
         "message_port": first + MESSAGE_PORT_OFFSET,
         "metrics_port": METRICS_PORT,
         "store_address": _types.Address.parse(node.platform.addr),
+        "store_writes_per_second": node.platform.writes_per_s,
         "grace_seconds": node.bounds.grace_s,
     }
--- a/plantainproxy/platform/tests/test_metadata_store.py
+++ b/plantainproxy/platform/tests/test_metadata_store.py
@@ -10,10 +10,11 @@
 import trio
 
 from plantainproxy import _exceptions, _types
-from plantainproxy.flows import follower, journal, registry
+from plantainproxy.flows import follower, journal, policy, record, registry
 from plantainproxy.platform import metadata_store
 from plantainproxy.store import port, revisioned
 from standins import metadata_store as standin
+from testbed import transparent
 
 DEADLINE_SECONDS = 10.0
 
@@ -152,7 +153,7 @@
         held.faults.lose_answers = 1
         put = port.Put(key="a", value=b"x")
         with pytest.raises(_exceptions.PlantainError) as caught:
-            await client.commit(port.Transaction(compares=(), puts=(put,)))
+            await client.write(port.Transaction(compares=(), puts=(put,)))
         assert caught.value.kind is _exceptions.ErrorKind.CHANGE_UNKNOWN
         assert "a" in held.items
 
@@ -172,7 +173,7 @@
             compares=(port.Compare(key="a", mod_revision=0),),
             puts=(port.Put(key="a", value=b"mine"),),
         )
-        assert not await client.commit(transaction)
+        assert await client.write(transaction) is None
 
     _run(check)
 
@@ -313,6 +314,36 @@
     return {key: base64.b64decode(item.value) for key, item in held.items.items()}
 
 
+def test_a_record_is_read_by_the_next_process(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It is written while flows change, under the lease of the registration."""
+    monkeypatch.setattr(record, "SAVE_SECONDS", 0.05)
+
+    async def check(
+        held: standin.MetadataStore,
+        client: metadata_store.MetadataStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        own = _register(nursery, client)
+        await _until(lambda: len(held.items) == 1)
+        before = transparent.ready_sidecar()
+        before.open(transparent.flow(1))
+        keeper = record.Keeper(own, writes_per_second=400.0)
+        nursery.start_soon(record.keep, keeper, before.engine)
+        await _until(lambda: keeper.key in held.items)
+        assert held.items[keeper.key].lease == own.lease
+        after = transparent.Sidecar()
+        nursery.start_soon(
+            record.keep, record.Keeper(own, writes_per_second=400.0), after.engine
+        )
+        await _until(lambda: after.engine.record is not None)
+        assert after.engine.record == (1_000, {transparent.flow(1): 5_001})
+
+    monkeypatch.setattr(transparent, "KIND", policy.RouteKind.NON_IDEMPOTENT)
+    _run(check)
+
+
 def test_entries_of_another_writer_are_left_out() -> None:
     """Bytes that cannot be read name no sidecar."""
     assert registry.decode({"x": b"\xff", "y": b"{}"}) == {}
--- a/plantainproxy/store/revisioned.py
+++ b/plantainproxy/store/revisioned.py
@@ -63,8 +63,8 @@
         """
 
 
-class LeasingStore(Protocol):
-    """Writes that end with a lease."""
+class LeasingStore(RevisionedStore, Protocol):
+    """Reads, and writes that end with a lease."""
 
     async def grant_lease(self, *, ttl_seconds: float) -> int:
         """Create a lease and return its number."""
@@ -75,8 +75,8 @@
     async def end_lease(self, lease: int) -> None:
         """End a lease; its keys go with it."""
 
-    async def commit(self, transaction: port.Transaction) -> bool:
-        """Apply a transaction; return whether its conditions held.
+    async def write(self, transaction: port.Transaction) -> int | None:
+        """Apply a transaction; return its revision, or ``None`` if a condition failed.
 
         Raises ``LeaseEndedError`` when a lease that it names has ended.
         """
--- a/testbed/transparent.py
+++ b/testbed/transparent.py
@@ -17,6 +17,8 @@
 SERVICE = b"\x01\x00\x12\xc6\xbb\x01"
 """Packed address of the service that the usual route serves."""
 POOL = "feed"
+KIND = policy.RouteKind.IDEMPOTENT
+"""What the usual route's requests allow."""
 DOMAIN = "hall-a"
 OTHER_DOMAIN = "hall-b"
 MESSAGE_PORT = 7700
@@ -70,7 +72,7 @@
     return policy.Route(
         name="r",
         service=service,
-        kind=policy.RouteKind.IDEMPOTENT,
+        kind=KIND,
         shares=tuple(policy.Share(pool=pool, weight=1.0) for pool in pools),
         priority=priority,
         objective_seconds=objective_seconds,
@@ -322,7 +324,7 @@
 
     def greet(self, balancer: _types.Address, *, domain: str = DOMAIN) -> None:
         """Take a balancer's wish for reports."""
-        hello = messages.Hello(revision=1, domain=domain)
+        hello = messages.Hello(revision=1, domain=domain, sidecars=3)
         sidecar.handle_hello(self.engine, hello, balancer, now=self.now)
 
     def inbound(self, arrived: packets.Packet) -> None:
