Leave silent upstreams sooner where requests may be repeated; design note

Cause: callers of idempotent requests waited 3 s for an upstream whose machine was gone. Conclusion: what may be repeated follows from the route's kind.

--- a/plantainproxy/flows/balancer.py
+++ b/plantainproxy/flows/balancer.py
@@ -29,6 +29,9 @@
 ISOLATED_SECONDS = 2.5
 """A balancer that heard no sidecar for this long asks to be taken out of rotation."""
 
+PAUSE_SECONDS = 0.6
+"""A process that was not run for this long has missed reports."""
+
 HOLD_OFF_SECONDS = {
     messages.Refusal.NOT_READY: 0.2,
     messages.Refusal.WRONG_POOL: 0.3,
@@ -83,6 +86,9 @@
         self.policy_since = float("inf")
         """When the first policy came into force."""
         self.stopping = False
+        self.ticked_at = float("inf")
+        self.doubtful_until = float("-inf")
+        """Until then, reports may be late because this process stood still."""
 
 
 def is_ready(engine: Engine, *, now: float) -> bool:
@@ -134,13 +140,16 @@
     cached = engine.flows.get(packet.flow)
     if cached is not None:
         found = engine.view.upstreams.get(cached.upstream)
-        if found is not None and not upstreams.is_lost(found, now=now):
+        lost_after = _lost_after(route)
+        if found is not None and not upstreams.is_lost(
+            found, now=now, after_seconds=lost_after
+        ):
             cached.used_at = now
             engine.port.forward(packet, found.data_address, packets.Purpose.FORWARD)
             engine.log.count("forwarded")
             return
         del engine.flows[packet.flow]
-    _look_up(engine, packet, now=now)
+    _look_up(engine, packet, route, now=now)
 
 
 def handle_message(
@@ -179,6 +188,10 @@
 
 def tick(engine: Engine, *, now: float) -> None:
     """Ask again where answers are missing, place what waits, forget what is old."""
+    if now - engine.ticked_at >= PAUSE_SECONDS:
+        engine.doubtful_until = now + upstreams.SUSPECT_SECONDS
+        engine.log.write("paused", seconds=round(now - engine.ticked_at, 3))
+    engine.ticked_at = now
     for flow, search in list(engine.lookups.items()):
         if now >= search.ask_again_at:
             _continue_lookup(engine, flow, search, now=now)
@@ -198,6 +211,15 @@
             del engine.flows[flow]
 
 
+def _sees_clearly(engine: Engine, *, now: float) -> bool:
+    """Return whether silence means that others are gone, and not that this one was."""
+    return (
+        now >= engine.doubtful_until
+        and upstreams.is_settled(engine.view, now=now)
+        and not upstreams.is_blind(engine.view, now=now)
+    )
+
+
 def _refuse_unrouted(engine: Engine, packet: packets.Packet) -> None:
     engine.log.write_limited(
         "refused",
@@ -295,10 +317,8 @@
 ) -> None:
     """Let an opening packet wait if an upstream may take it soon, or refuse it."""
     engine.flows.pop(packet.flow, None)
-    hopeless = (
-        upstreams.is_settled(engine.view, now=now)
-        and not upstreams.is_blind(engine.view, now=now)
-        and not placement.may_recover(engine.view, route, engine.policies.current)
+    hopeless = _sees_clearly(engine, now=now) and not placement.may_recover(
+        engine.view, route, engine.policies.current
     )
     engine.log.write_limited(
         "refused" if hopeless else "waiting",
@@ -385,7 +405,7 @@
     if message.reason is messages.Refusal.NOT_HELD:
         if cached is not None and cached.upstream == sender:
             del engine.flows[packet.flow]
-        _look_up(engine, packet, now=now, denied_by=sender)
+        _look_up(engine, packet, route, now=now, denied_by=sender)
         return
     refusing = engine.view.upstreams.get(sender)
     if refusing is not None:
@@ -398,9 +418,17 @@
     _place(engine, packet, route, refused_by=refused_by, now=now)
 
 
+def _lost_after(route: policy.Route) -> float:
+    """Return the silence in seconds after which a flow's upstream is given up."""
+    if route.is_repeatable:
+        return upstreams.SUSPECT_SECONDS
+    return upstreams.LOST_SECONDS
+
+
 def _look_up(
     engine: Engine,
     packet: packets.Packet,
+    route: policy.Route,
     *,
     now: float,
     denied_by: _types.Address | None = None,
@@ -415,7 +443,7 @@
         engine.log.count("dropped.lookups_full")
         return
     pools = engine.policies.pools_ever[packet.service]
-    search = lookup.start(pools, packet, now=now)
+    search = lookup.start(pools, packet, lost_after=_lost_after(route), now=now)
     if denied_by is not None:
         search.denied.add(denied_by)
     engine.lookups[packet.flow] = search
@@ -436,11 +464,7 @@
             engine.port.forward(step.packet, target, packets.Purpose.ASK)
         return
     del engine.lookups[flow]
-    certain = (
-        step.every_answer_known
-        and upstreams.is_settled(engine.view, now=now)
-        and not upstreams.is_blind(engine.view, now=now)
-    )
+    certain = step.every_answer_known and _sees_clearly(engine, now=now)
     engine.log.write_limited(
         "flow not found",
         flow=flow.hex(),
--- a/plantainproxy/flows/lookup.py
+++ b/plantainproxy/flows/lookup.py
@@ -29,6 +29,8 @@
     """Packets that came so far, oldest first."""
     started_at: float
     ask_again_at: float
+    lost_after: float = upstreams.LOST_SECONDS
+    """Silence in seconds after which an upstream's answer is not waited for."""
     ask_again_seconds: float = ASK_AGAIN_SECONDS
     wave: int = 0
     """How many groups of upstreams have been asked."""
@@ -55,9 +57,17 @@
     """Upstreams that were silent for too long to be asked."""
 
 
-def start(pools: frozenset[str], packet: packets.Packet, *, now: float) -> Lookup:
+def start(
+    pools: frozenset[str], packet: packets.Packet, *, lost_after: float, now: float
+) -> Lookup:
     """Begin a search for a packet's flow."""
-    return Lookup(pools=pools, packets=[packet], started_at=now, ask_again_at=now)
+    return Lookup(
+        pools=pools,
+        packets=[packet],
+        started_at=now,
+        ask_again_at=now,
+        lost_after=lost_after,
+    )
 
 
 def park(search: Lookup, packet: packets.Packet) -> None:
@@ -80,7 +90,9 @@
     silent upstream does not hold the search up. ``None`` while there is nobody to ask
     and more upstreams may become known.
     """
-    to_ask = [one for one in search.asked - search.denied if _lives(one, view, now)]
+    to_ask = [
+        one for one in search.asked - search.denied if _lives(search, one, view, now)
+    ]
     is_young = now - search.started_at < GIVE_UP_SECONDS
     certain = not to_ask
     fresh: list[_types.Address] = []
@@ -89,7 +101,7 @@
             address
             for address in _WAVES[search.wave](search, view)
             if address not in search.asked | search.denied
-            and _lives(address, view, now)
+            and _lives(search, address, view, now)
         ]
         search.wave += 1
     if fresh or (to_ask and is_young):
@@ -100,9 +112,7 @@
         search.wave = 0
         _wait(search, now)
         return None
-    lost = sum(
-        upstreams.is_lost(upstream, now=now) for upstream in view.upstreams.values()
-    )
+    lost = sum(not _lives(search, address, view, now) for address in view.upstreams)
     return Conclude(every_answer_known=certain, lost=lost)
 
 
@@ -113,9 +123,13 @@
     )
 
 
-def _lives(address: _types.Address, view: upstreams.View, now: float) -> bool:
+def _lives(
+    search: Lookup, address: _types.Address, view: upstreams.View, now: float
+) -> bool:
     found = view.upstreams.get(address)
-    return found is not None and not upstreams.is_lost(found, now=now)
+    return found is not None and not upstreams.is_lost(
+        found, now=now, after_seconds=search.lost_after
+    )
 
 
 def _likely(search: Lookup, view: upstreams.View) -> list[_types.Address]:
--- a/plantainproxy/flows/policy.py
+++ b/plantainproxy/flows/policy.py
@@ -38,6 +38,11 @@
     objective_seconds: float = 1.0
     """The time in which callers want their answers."""
 
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is not RouteKind.NON_IDEMPOTENT
+
     @property
     def pools(self) -> frozenset[str]:
         """The pools that may get the route's flows."""
--- a/plantainproxy/flows/tests/test_balancer.py
+++ b/plantainproxy/flows/tests/test_balancer.py
@@ -1,6 +1,15 @@
 """Where a balancer sends packets, and when it resets a flow."""
 
-from plantainproxy.flows import balancer, lookup, messages, packets, upstreams
+import msgspec
+
+from plantainproxy.flows import (
+    balancer,
+    lookup,
+    messages,
+    packets,
+    policy,
+    upstreams,
+)
 from testbed import transparent
 
 KEY = transparent.flow(1)
@@ -93,16 +102,51 @@
     running.handle(DATA)
     for number in (1, 2):
         running.hear(number, messages.NotHeld(flow=KEY))
-    running.tick(lookup.GIVE_UP_SECONDS - lookup.ASK_AGAIN_LIMIT_SECONDS)
-    running.tick(2 * lookup.ASK_AGAIN_LIMIT_SECONDS)
+    for _ in range(int(lookup.GIVE_UP_SECONDS / lookup.ASK_AGAIN_LIMIT_SECONDS) + 2):
+        running.pass_time(lookup.ASK_AGAIN_LIMIT_SECONDS)
+        for number in (1, 2, 3):
+            running.hear(number, transparent.report(number=int(running.now * 100)))
     assert running.port.resets == []
     assert running.engine.lookups == {}
 
 
+def test_a_flow_that_may_be_repeated_leaves_a_silent_upstream_sooner() -> None:
+    """Its caller is served elsewhere; a command may still be answered where it is."""
+    for kind, resets in (
+        (policy.RouteKind.IDEMPOTENT, 1),
+        (policy.RouteKind.NON_IDEMPOTENT, 0),
+    ):
+        running = transparent.ready_balancer()
+        usual = transparent.route(transparent.POOL)
+        running.take_policy(
+            transparent.table(2, msgspec.structs.replace(usual, kind=kind))
+        )
+        running.pass_time(upstreams.SUSPECT_SECONDS + 0.1)
+        for number in (1, 2):
+            running.hear(number, transparent.report(number=2))
+        running.handle(DATA)
+        for number in (1, 2):
+            running.hear(number, messages.NotHeld(flow=KEY))
+        assert len(running.port.resets) == resets
+
+
+def test_a_balancer_that_stood_still_resets_nothing_at_first() -> None:
+    """The reports that it missed are no sign of silence."""
+    running = transparent.ready_balancer()
+    running.tick(0.04)
+    running.tick(upstreams.LOST_SECONDS)
+    for number in (1, 2):
+        running.hear(number, transparent.report(number=2))
+    running.handle(DATA)
+    for number in (1, 2):
+        running.hear(number, messages.NotHeld(flow=KEY))
+    assert running.port.resets == []
+
+
 def test_a_lost_sidecar_does_not_hold_a_reset_up() -> None:
     """Every upstream that lives has denied the flow."""
     running = transparent.ready_balancer()
-    running.tick(upstreams.LOST_SECONDS)
+    running.pass_time(upstreams.LOST_SECONDS + 0.1)
     for number in (1, 2):
         running.hear(number, transparent.report(number=2))
     running.handle(DATA)
--- a/plantainproxy/flows/upstreams.py
+++ b/plantainproxy/flows/upstreams.py
@@ -13,6 +13,9 @@
 LOST_SECONDS = 3.0
 """A sidecar that was silent for this long is taken as gone. Above the time that a
 planned restart of a sidecar takes."""
+SUSPECT_SECONDS = 1.6
+"""The same for flows whose requests may be repeated: their callers are served sooner
+elsewhere. Above the time in which a killed sidecar is back."""
 UNHEARD_SECONDS = 1.0
 """A listed sidecar that has never answered a greeting is taken as gone after this."""
 FORGET_SECONDS = 60.0
@@ -58,11 +61,13 @@
     return now - upstream.heard_at < FRESH_SECONDS
 
 
-def is_lost(upstream: Upstream, *, now: float) -> bool:
+def is_lost(
+    upstream: Upstream, *, now: float, after_seconds: float = LOST_SECONDS
+) -> bool:
     """Return whether the sidecar has been silent for too long."""
     if upstream.report is None:
         return now - upstream.known_since >= UNHEARD_SECONDS
-    return now - upstream.heard_at >= LOST_SECONDS
+    return now - upstream.heard_at >= after_seconds
 
 
 def is_settled(view: View, *, now: float) -> bool:
--- a/testbed/transparent.py
+++ b/testbed/transparent.py
@@ -219,6 +219,11 @@
         self.now += seconds
         balancer.tick(self.engine, now=self.now)
 
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass in steps in which the process is run."""
+        for _ in range(10):
+            self.tick(seconds / 10)
+
 
 _PARSED: dict[bytes, packets.Packet] = {}
 
