--- /dev/null
+++ b/testbed/flow_site.py
@@ -0,0 +1,257 @@
+"""A small site of transparent flows: real processes on loopback addresses."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+
+import msgspec
+import trio
+
+from plantainproxy import _types
+from plantainproxy.store import http
+from standins import flow_ends, metadata_store
+
+ROOT = pathlib.Path(__file__).parents[1]
+SERVICE_NAME = "feed"
+SERVICE = _types.Address("198.18.0.1", 8443)
+STOP_SECONDS = 8.0
+READY_SECONDS = 15.0
+POLL_SECONDS = 0.02
+
+SETTINGS = """\
+node = "{name}"
+ip = "{host}"
+zone = "{domain}"
+internal_port_range = [{first}, {last}]
+app = "{host}:{app}"
+service = "{service}"
+heartbeat_ms = 200
+something_new = [1, 2]
+[listen]
+data_addr = "{host}:{data}"
+outbound = "{host}:{outbound}"
+ready = "{host}:{ready}"
+control = "{host}:{control}"
+[bounds]
+grace_s = 4
+cold_over = 1.5
+cold_slack = 5
+[platform]
+addr = "{store}"
+writes_per_s = 400
+"""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ports:
+    """The ports that are the same on all instances of a site."""
+
+    data: int
+    outbound: int
+    ready: int
+    control: int
+    app: int
+    first: int
+
+    @classmethod
+    def draw(cls) -> "Ports":
+        """Draw ports that are free on 127.0.0.1 just now."""
+        with contextlib.ExitStack() as stack:
+            found = []
+            for _ in range(6):
+                probe = stack.enter_context(socket.socket())
+                probe.bind(("127.0.0.1", 0))
+                found.append(probe.getsockname()[1])
+        return cls(
+            data=found[0],
+            outbound=found[1],
+            ready=found[2],
+            control=found[3],
+            app=found[4],
+            first=found[5],
+        )
+
+
+class Node:
+    """One instance of a balancer or a sidecar, and its process."""
+
+    def __init__(self, *, module: str, host: str, domain: str, boot: pathlib.Path):
+        """Start without a process."""
+        self.module = module
+        self.host = host
+        self.domain = domain
+        self.boot = boot
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def start(self, output: pathlib.Path) -> None:
+        """Start the process; its logs are appended to a file."""
+        with output.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", self.module],
+                cwd=ROOT,
+                env={**os.environ, "PLANTAINPROXY_BOOT": str(self.boot)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    async def wait(self) -> int:
+        """Return the exit code once the process has ended."""
+        assert self.process is not None
+        while (code := self.process.poll()) is None:
+            await trio.sleep(POLL_SECONDS)
+        return code
+
+
+class Site:
+    """All parts of one site."""
+
+    def __init__(self, directory: pathlib.Path, *, number: int) -> None:
+        """Use addresses of a loopback network of its own, by number."""
+        self.directory = directory
+        self.number = number
+        self.ports = Ports.draw()
+        self.store = metadata_store.MetadataStore()
+        self.store_address = _types.Address("127.0.0.1", Ports.draw().ready)
+        self.balancers: list[Node] = []
+        self.sidecars: list[Node] = []
+        self.upstreams: list[flow_ends.Upstream] = []
+        self.version = 0
+
+    def add_node(self, kind: str, index: int, *, domain: str) -> Node:
+        """Write the settings of one instance."""
+        host = f"127.{self.number}.{1 if kind == 'balancer' else 2}.{index + 1}"
+        boot = self.directory / f"{kind}-{index}.toml"
+        ports = self.ports
+        boot.write_text(
+            SETTINGS.format(
+                name=f"{kind}-{index}",
+                host=host,
+                domain=domain,
+                first=ports.first,
+                last=ports.first + 15,
+                service=SERVICE_NAME,
+                store=self.store_address,
+                **{
+                    field.name: getattr(ports, field.name)
+                    for field in dataclasses.fields(ports)
+                    if field.name != "first"
+                },
+            )
+        )
+        module = f"plantainproxy.flows.{kind}_main"
+        node = Node(module=module, host=host, domain=domain, boot=boot)
+        (self.balancers if kind == "balancer" else self.sidecars).append(node)
+        return node
+
+    def log_of(self, node: Node) -> pathlib.Path:
+        """Return the file with a node's log lines."""
+        return node.boot.with_suffix(".log")
+
+    def start(self, node: Node) -> None:
+        """Start a node's process."""
+        node.start(self.log_of(node))
+
+    def configure(self, *, routes: bool = True, name: str = SERVICE_NAME) -> None:
+        """Let the operators write a configuration."""
+        self.version += 1
+        route = {
+            "name": "r-feed",
+            "host": SERVICE.host,
+            "prefix": f"/{SERVICE.port}/",
+            "type": "idempotent",
+            "slo_ms": 200,
+            "priority": 1,
+            "service": name,
+        }
+        document = {
+            "version": self.version,
+            "routes": [route] if routes else [],
+            "services": [{"name": name, "health_path": "/healthz"}],
+            "limits": {"idle_timeout_ms": 15_000},
+        }
+        self.store.put("op/config", msgspec.json.encode(document))
+
+    def caller(self, index: int = 0) -> flow_ends.Caller:
+        """Return a caller that sends through all balancers in turn."""
+        return flow_ends.Caller(
+            _types.Address(f"127.{self.number}.3.{index + 1}", self.ports.data),
+            [
+                _types.Address(node.host, self.ports.data)
+                for node in self.balancers
+                if node.process is not None and node.process.poll() is None
+            ],
+        )
+
+    async def until_ready(self, nodes: list[Node]) -> None:
+        """Wait until balancers take packets and sidecars have a policy."""
+        with trio.fail_after(READY_SECONDS):
+            for node in nodes:
+                pool = http.Pool(_types.Address(node.host, self.ports.ready))
+                while not await _is_ready(pool):
+                    await trio.sleep(POLL_SECONDS)
+                http.close_idle(pool)
+
+
+async def _is_ready(pool: http.Pool) -> bool:
+    try:
+        reply = await http.call(pool, "GET", "/v1/readyz", timeout_seconds=1.0)
+    except (http.UnsentError, http.UnansweredError):
+        return False
+    return reply.status == 200
+
+
+@contextlib.asynccontextmanager
+async def running(
+    directory: pathlib.Path, *, number: int, balancers: int = 2, upstreams: int = 3
+) -> AsyncIterator[Site]:
+    """Run a site whose processes are ready; end exactly these processes at exit."""
+    site = Site(directory, number=number)
+    site.configure()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(metadata_store.serve, site.store, site.store_address)
+        try:
+            for index in range(upstreams):
+                node = site.add_node("sidecar", index, domain=f"d{index % 2}")
+                ports = site.ports
+                upstream = flow_ends.Upstream(
+                    address=_types.Address(node.host, ports.app),
+                    outbound=_types.Address(node.host, ports.outbound),
+                    heartbeat_address=_types.Address(node.host, ports.control),
+                    service=SERVICE_NAME,
+                    domain=node.domain,
+                )
+                site.upstreams.append(upstream)
+                site.start(node)
+                nursery.start_soon(upstream.run)
+            for index in range(balancers):
+                site.start(site.add_node("balancer", index, domain=f"d{index % 2}"))
+            await site.until_ready([*site.sidecars, *site.balancers])
+            yield site
+        finally:
+            _end_processes([*site.sidecars, *site.balancers])
+            nursery.cancel_scope.cancel()
+
+
+def _end_processes(nodes: list[Node]) -> None:
+    started = [node.process for node in nodes if node.process is not None]
+    for process in started:
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+    for process in started:
+        try:
+            process.wait(STOP_SECONDS)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
--- /dev/null
+++ b/tests/test_flow_site.py
@@ -0,0 +1,129 @@
+"""The whole path of transparent flows, with real processes."""
+
+from collections.abc import Awaitable, Callable
+import json
+import pathlib
+import signal
+
+import pytest
+import trio
+
+from standins import flow_ends
+from testbed import flow_site
+
+DEADLINE_SECONDS = 40.0
+
+
+def _play(
+    directory: pathlib.Path,
+    number: int,
+    check: Callable[[flow_site.Site], Awaitable[None]],
+) -> None:
+    async def main() -> None:
+        with trio.fail_after(DEADLINE_SECONDS):
+            async with flow_site.running(directory, number=number) as site:
+                await check(site)
+
+    trio.run(main)
+
+
+def test_a_flow_is_served_whichever_balancer_gets_its_packets(
+    tmp_path: pathlib.Path,
+) -> None:
+    """The fabric hands the packets of one flow to the balancers in turn."""
+
+    async def check(site: flow_site.Site) -> None:
+        async with flow_ends.open_flow(site.caller(), flow_site.SERVICE) as flow:
+            for number in range(6):
+                payload = b"request %d" % number
+                assert await flow.request(payload) == payload
+        ran = [len(upstream.ran) for upstream in site.upstreams]
+        assert sorted(ran) == [0, 0, 6]
+
+    _play(tmp_path, 41, check)
+
+
+def test_a_flow_survives_the_restart_of_every_process(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Balancers and sidecars are stopped and started one after the other."""
+
+    async def check(site: flow_site.Site) -> None:
+        caller = site.caller()
+        async with flow_ends.open_flow(caller, flow_site.SERVICE) as flow:
+            assert await flow.request(b"before") == b"before"
+            for node in [*site.balancers, *site.sidecars]:
+                node.signal(signal.SIGTERM)
+                assert await node.wait() == 0
+                site.start(node)
+                await site.until_ready([node])
+            assert await flow.request(b"after", timeout_seconds=8.0) == b"after"
+
+    _play(tmp_path, 42, check)
+
+
+def test_openings_avoid_a_draining_upstream(tmp_path: pathlib.Path) -> None:
+    """Its sidecar refuses them from its acknowledgement on."""
+
+    async def check(site: flow_site.Site) -> None:
+        leaving = site.upstreams[0]
+        leaving.draining = True
+        await trio.sleep(3 * leaving.heartbeat_seconds)
+        opened = leaving.opened
+        for index in range(12):
+            async with flow_ends.open_flow(
+                site.caller(index), flow_site.SERVICE
+            ) as flow:
+                assert await flow.request(b"x") == b"x"
+        assert leaving.opened == opened
+
+    _play(tmp_path, 43, check)
+
+
+def test_flows_without_a_route_are_reset(tmp_path: pathlib.Path) -> None:
+    """A removed route is in force on all processes within seconds."""
+
+    async def check(site: flow_site.Site) -> None:
+        site.configure(routes=False)
+        await trio.sleep(1.5)
+        with pytest.raises(flow_ends.FlowResetError):
+            async with flow_ends.open_flow(site.caller(), flow_site.SERVICE):
+                pass
+
+    _play(tmp_path, 44, check)
+
+
+def test_serves_while_the_store_is_down(tmp_path: pathlib.Path) -> None:
+    """Also through a balancer that has started meanwhile."""
+
+    async def check(site: flow_site.Site) -> None:
+        site.store.faults.status = 503
+        first = site.balancers[0]
+        first.signal(signal.SIGKILL)
+        await first.wait()
+        site.start(first)
+        await site.until_ready([first])
+        caller = flow_ends.Caller(site.caller(5).address, [site.caller().balancers[0]])
+        async with flow_ends.open_flow(caller, flow_site.SERVICE) as flow:
+            assert await flow.request(b"x") == b"x"
+
+    _play(tmp_path, 45, check)
+
+
+def test_a_request_can_be_followed_in_the_logs(tmp_path: pathlib.Path) -> None:
+    """Every line is JSON; the balancer's line names the flow and what decided it."""
+
+    async def check(site: flow_site.Site) -> None:
+        async with flow_ends.open_flow(site.caller(), flow_site.SERVICE) as flow:
+            await flow.request(b"x")
+        await trio.sleep(0.2)
+        lines = [
+            json.loads(line)
+            for node in site.balancers
+            for line in site.log_of(node).read_text().splitlines()
+        ]
+        placed = [line for line in lines if line["message"] == "placed"]
+        assert placed
+        assert {"flow", "route", "upstream", "report_age", "revision"} <= set(placed[0])
+
+    _play(tmp_path, 46, check)
