Soak transparent flows under faults from outside

Change: a seeded soak of real processes: stop, kill, pause and reload signals, faults of the store and of each process's link to it, configurations, drains, a domain out; checks from what callers and upstreams saw.

--- a/standins/flow_ends.py
+++ b/standins/flow_ends.py
@@ -105,6 +105,8 @@
         self.domain = domain
         self.heartbeat_seconds = heartbeat_seconds
         self.draining = False
+        self.half_open: dict[tuple[_types.Address, _types.Address], int] = {}
+        """The first number that was offered to each opening."""
         self.flows: dict[tuple[_types.Address, _types.Address], int] = {}
         """The upstream's next sequence number, by caller and service address."""
         self.ran: list[bytes] = []
@@ -159,17 +161,20 @@
             if head.flags & packet_format.ACK:
                 self.foreign.append(head)
                 return []
-            start = self.flows.setdefault(key, 1_000 * (len(self.flows) + 1))
+            start = self.half_open.setdefault(key, 1_000 * (len(self.half_open) + 1))
             self.opened += 1
             flags = packet_format.SYN | packet_format.ACK
             return [_answer(head, flags, start)]
+        offered = self.half_open.get(key)
+        if offered is not None and head.acknowledgement == offered + 1:
+            self.flows.setdefault(key, offered)
         if key not in self.flows:
             returned = bytes((head.flags | packet_format.BOUNCED,))
             return [returned + bytes(3) + data[4:]]
         if not head.payload:
             return []
         end = head.sequence + len(head.payload)
-        if self.answered_until.get(key) != end:
+        if end > self.answered_until.get(key, 0):
             self.answered_until[key] = end
             self.ran.append(head.payload)
             self.flows[key] += len(head.payload)
--- a/testbed/flow_site.py
+++ b/testbed/flow_site.py
@@ -15,7 +15,7 @@
 
 from plantainproxy import _types
 from plantainproxy.store import http
-from standins import flow_ends, metadata_store
+from standins import fault_proxy, flow_ends, metadata_store
 
 ROOT = pathlib.Path(__file__).parents[1]
 SERVICE_NAME = "feed"
@@ -87,6 +87,8 @@
         self.host = host
         self.domain = domain
         self.boot = boot
+        self.store_link: fault_proxy.Link | None = None
+        """What stands between the process and the store, where a test asks for it."""
         self.process: subprocess.Popen[bytes] | None = None
 
     def start(self, output: pathlib.Path) -> None:
@@ -128,7 +130,14 @@
         self.upstreams: list[flow_ends.Upstream] = []
         self.version = 0
 
-    def add_node(self, kind: str, index: int, *, domain: str) -> Node:
+    def add_node(
+        self,
+        kind: str,
+        index: int,
+        *,
+        domain: str,
+        store_link: fault_proxy.Link | None = None,
+    ) -> Node:
         """Write the settings of one instance."""
         host = f"127.{self.number}.{1 if kind == 'balancer' else 2}.{index + 1}"
         boot = self.directory / f"{kind}-{index}.toml"
@@ -141,7 +150,7 @@
                 first=ports.first,
                 last=ports.first + 15,
                 service=SERVICE_NAME,
-                store=self.store_address,
+                store=store_link.address if store_link else self.store_address,
                 **{
                     field.name: getattr(ports, field.name)
                     for field in dataclasses.fields(ports)
@@ -151,6 +160,7 @@
         )
         module = f"plantainproxy.flows.{kind}_main"
         node = Node(module=module, host=host, domain=domain, boot=boot)
+        node.store_link = store_link
         (self.balancers if kind == "balancer" else self.sidecars).append(node)
         return node
 
@@ -213,16 +223,33 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    directory: pathlib.Path, *, number: int, balancers: int = 2, upstreams: int = 3
+    directory: pathlib.Path,
+    *,
+    number: int,
+    balancers: int = 2,
+    upstreams: int = 3,
+    store_links: bool = False,
 ) -> AsyncIterator[Site]:
-    """Run a site whose processes are ready; end exactly these processes at exit."""
+    """Run a site whose processes are ready; end exactly these processes at exit.
+
+    With ``store_links`` each process reaches the store through a link of its own.
+    """
     site = Site(directory, number=number)
     site.configure()
-    async with trio.open_nursery() as nursery:
+    async with trio.open_nursery() as nursery, contextlib.AsyncExitStack() as stack:
+
+        async def link() -> fault_proxy.Link | None:
+            if not store_links:
+                return None
+            opened = fault_proxy.open_tcp_link(site.store_address)
+            return await stack.enter_async_context(opened)
+
         nursery.start_soon(metadata_store.serve, site.store, site.store_address)
         try:
             for index in range(upstreams):
-                node = site.add_node("sidecar", index, domain=f"d{index % 2}")
+                node = site.add_node(
+                    "sidecar", index, domain=f"d{index % 2}", store_link=await link()
+                )
                 ports = site.ports
                 upstream = flow_ends.Upstream(
                     address=_types.Address(node.host, ports.app),
@@ -235,7 +262,13 @@
                 site.start(node)
                 nursery.start_soon(upstream.run)
             for index in range(balancers):
-                site.start(site.add_node("balancer", index, domain=f"d{index % 2}"))
+                node = site.add_node(
+                    "balancer",
+                    index,
+                    domain=f"d{index % 2}",
+                    store_link=await link(),
+                )
+                site.start(node)
             await site.until_ready([*site.sidecars, *site.balancers])
             yield site
         finally:
