--- a/plantainproxy/flows/balancer.py
+++ b/plantainproxy/flows/balancer.py
@@ -223,7 +223,7 @@
 def _refuse_unrouted(engine: Engine, packet: packets.Packet) -> None:
     engine.log.write_limited(
         "refused",
-        flow=packet.flow.hex(),
+        flow=packet.flow,
         reason="no route",
         revision=engine.policies.revision,
     )
@@ -295,7 +295,7 @@
     assert chosen.report is not None
     engine.log.write_limited(
         "placed",
-        flow=packet.flow.hex(),
+        flow=packet.flow,
         route=route.name,
         upstream=str(chosen.address),
         running=chosen.report.running,
@@ -322,7 +322,7 @@
     )
     engine.log.write_limited(
         "refused" if hopeless else "waiting",
-        flow=packet.flow.hex(),
+        flow=packet.flow,
         route=route.name,
         reason="no upstream takes the flow",
         refusals=len(refused_by),
@@ -396,7 +396,7 @@
         return
     engine.log.write_limited(
         "returned",
-        flow=packet.flow.hex(),
+        flow=packet.flow,
         upstream=str(sender),
         reason=message.reason,
         revision=message.revision,
@@ -467,7 +467,7 @@
     certain = step.every_answer_known and _sees_clearly(engine, now=now)
     engine.log.write_limited(
         "flow not found",
-        flow=flow.hex(),
+        flow=flow,
         asked=len(search.asked),
         denied=len(search.denied),
         lost=step.lost,
@@ -488,7 +488,7 @@
     engine.flows[flow] = Cached(sender, now, now)
     engine.log.write_limited(
         "flow found",
-        flow=flow.hex(),
+        flow=flow,
         upstream=str(sender),
         asked=len(search.asked),
         waited=round(now - search.started_at, 3),
--- a/plantainproxy/flows/balancer_main.py
+++ b/plantainproxy/flows/balancer_main.py
@@ -55,7 +55,7 @@
         self.socket = data_socket
         self.own_host = socket.inet_aton(node_settings.host)
         self.caller_port = node_settings.data_address.port
-        self.log = journal.Journal("balancer")
+        self.log = journal.Journal("balancer", render_flow=packet_format.render_flow)
 
     def forward(
         self, packet: packets.Packet, to: _types.Address, purpose: packets.Purpose
@@ -205,6 +205,7 @@
         "revision": float(engine.policies.revision),
         "cached_flows": float(len(engine.flows)),
         "open_lookups": float(len(engine.lookups)),
+        "waiting_openings": float(len(engine.waiting.openings)),
         "upstreams": float(len(engine.view.upstreams)),
     }
 
--- a/plantainproxy/flows/held.py
+++ b/plantainproxy/flows/held.py
@@ -81,6 +81,14 @@
     return 0 < lead <= MAX_UNACKNOWLEDGED
 
 
+def waiting_seconds(table: Table, key: bytes, *, now: float) -> float | None:
+    """Return how long a flow's request has waited; ``None`` when there is none."""
+    flow = table.flows.get(key)
+    if flow is None or flow.waiting_since is None:
+        return None
+    return now - flow.waiting_since
+
+
 def note_inbound(table: Table, packet: packets.Packet, *, now: float) -> None:
     """Note a caller's packet that the upstream gets and that opens nothing."""
     flow = table.flows.get(packet.flow)
--- a/plantainproxy/flows/journal.py
+++ b/plantainproxy/flows/journal.py
@@ -16,11 +16,19 @@
     """Writes what a process decided, and counts it."""
 
     def __init__(
-        self, part: str, *, clock: Callable[[], float] = time.monotonic
+        self,
+        part: str,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+        render_flow: Callable[[bytes], str] = bytes.hex,
     ) -> None:
-        """Write to the logger of one part of the system."""
+        """Write to the logger of one part of the system.
+
+        ``render_flow`` makes a flow's key readable; the key is the field ``flow``.
+        """
         self.logger = logging.getLogger(f"plantain.{part}")
         self.clock = clock
+        self.render_flow = render_flow
         self.counters: collections.Counter[str] = collections.Counter()
         self.histograms: dict[str, exposition.Histogram] = {}
         self.window_start: dict[str, float] = {}
@@ -41,6 +49,8 @@
     def write(self, event: str, **fields: Any) -> None:
         """Write one line."""
         self.counters[f"events.{event.replace(' ', '_')}"] += 1
+        if "flow" in fields:
+            fields["flow"] = self.render_flow(fields["flow"])
         self.logger.info(event, extra={"fields": fields})
 
     def write_limited(self, event: str, **fields: Any) -> None:
--- a/plantainproxy/flows/sidecar.py
+++ b/plantainproxy/flows/sidecar.py
@@ -29,6 +29,8 @@
 REQUESTS_PER_SLOT = 2.0
 """An upstream with this many requests in progress for each slot gets no new flow: the
 rest waits at the balancers, in the order of priority."""
+LATE_SECONDS = 1.0
+"""An answer that took longer is logged; far above the objectives of requests."""
 LEAVE_SECONDS = 1.0
 """A leaving upstream serves its last flows for this long after it stopped listening."""
 UNKNOWN_SLOTS = 2
@@ -179,6 +181,13 @@
         return None
     waited = held.note_outbound(engine.table, packet, now=now)
     engine.port.answer(packet)
+    if waited is None:
+        return None
+    if packet.aborting:
+        _log_request(engine, packet, "request cut by upstream", waited)
+        return None
+    if waited >= LATE_SECONDS:
+        _log_request(engine, packet, "request answered late", waited)
     return waited
 
 
@@ -452,7 +461,7 @@
     if refusal is not None:
         engine.log.write_limited(
             "refused",
-            flow=packet.flow.hex(),
+            flow=packet.flow,
             reason=refusal,
             state=engine.upstream.state,
             cold_wait=round(cold_wait, 3),
@@ -467,7 +476,24 @@
     engine.log.count("delivered.opening")
 
 
+def _log_request(
+    engine: Engine, packet: packets.Packet, event: str, waited: float
+) -> None:
+    engine.log.write_limited(
+        event,
+        flow=packet.flow,
+        waited=round(waited, 3),
+        running=engine.table.running,
+        slots=_slots(engine),
+        state=engine.upstream.state,
+    )
+
+
 def _deliver(engine: Engine, packet: packets.Packet, *, now: float) -> None:
+    if packet.closing or packet.aborting:
+        waited = held.waiting_seconds(engine.table, packet.flow, now=now)
+        if waited is not None:
+            _log_request(engine, packet, "request given up by caller", waited)
     held.note_inbound(engine.table, packet, now=now)
     engine.port.deliver(packet)
     engine.log.count("delivered")
--- a/plantainproxy/flows/sidecar_main.py
+++ b/plantainproxy/flows/sidecar_main.py
@@ -53,7 +53,7 @@
         self.caller_port = own.data_address.port
         self.outbound_socket = outbound_socket
         self.message_socket = message_socket
-        self.log = journal.Journal("sidecar")
+        self.log = journal.Journal("sidecar", render_flow=packet_format.render_flow)
 
     def deliver(self, packet: packets.Packet) -> None:
         """Send a caller's packet to the upstream."""
--- a/plantainproxy/flows/tests/test_sidecar.py
+++ b/plantainproxy/flows/tests/test_sidecar.py
@@ -1,6 +1,7 @@
 """What a sidecar lets through, hands back and tells."""
 
 import msgspec
+import pytest
 
 from plantainproxy.flows import messages, packets, policy, record, sidecar
 from testbed import transparent
@@ -262,3 +263,34 @@
     assert found == record.Record(
         born=1_000, flows={KEY: transparent.UPSTREAM_SEQUENCE + 1}
     )
+
+
+def _events(caplog: pytest.LogCaptureFixture) -> list[str]:
+    return [record.message for record in caplog.records]
+
+
+def test_tells_of_requests_that_were_late_given_up_or_cut(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """The three ends of a request that a caller may complain about."""
+    caplog.set_level("INFO")
+    running = transparent.ready_sidecar()
+    keys = [transparent.flow(number) for number in range(3)]
+    for key in keys:
+        running.open(key)
+        running.request(key)
+    running.now += sidecar.LATE_SECONDS
+    running.outbound(transparent.packet(keys[0], size=10))
+    running.inbound(
+        transparent.packet(
+            keys[1],
+            closing=True,
+            acknowledgement=transparent.UPSTREAM_SEQUENCE + 1,
+        )
+    )
+    running.outbound(transparent.packet(keys[2], aborting=True))
+    assert [event for event in _events(caplog) if event.startswith("request")] == [
+        "request answered late",
+        "request given up by caller",
+        "request cut by upstream",
+    ]
--- a/plantainproxy/platform/packet_format.py
+++ b/plantainproxy/platform/packet_format.py
@@ -102,6 +102,17 @@
     return host + address.port.to_bytes(2, "little")
 
 
+def render_flow(flow: bytes) -> str:
+    """Return a flow's key as ``caller>service``, each an address and a port."""
+    service, caller = (
+        _types.Address(
+            socket.inet_ntoa(end[:4][::-1]), int.from_bytes(end[4:], "little")
+        )
+        for end in (flow[:6], flow[6:])
+    )
+    return f"{caller}>{service}"
+
+
 @functools.lru_cache(maxsize=16_384)
 def caller_host(flow: bytes) -> str:
     """Return the caller's IPv4 address from a flow's key."""
--- a/plantainproxy/platform/tests/test_packet_format.py
+++ b/plantainproxy/platform/tests/test_packet_format.py
@@ -26,6 +26,13 @@
     assert packet_format.caller_host(packet.flow) == CALLER.host
 
 
+def test_renders_a_flow_for_people() -> None:
+    """Caller first, as in the callers' own logs."""
+    packet = packet_format.decode(SYN)
+    assert packet is not None
+    assert packet_format.render_flow(packet.flow) == f"{CALLER}>{SERVICE}"
+
+
 def test_encodes_the_published_reset() -> None:
     """It goes from the service address to the caller, with no sum."""
     packet = packet_format.decode(SYN)
--- a/standins/flow_ends.py
+++ b/standins/flow_ends.py
@@ -105,6 +105,7 @@
         self.domain = domain
         self.heartbeat_seconds = heartbeat_seconds
         self.draining = False
+        self.lifetime = trio.CancelScope()
         self.half_open: dict[tuple[_types.Address, _types.Address], int] = {}
         """The first number that was offered to each opening."""
         self.flows: dict[tuple[_types.Address, _types.Address], int] = {}
@@ -116,9 +117,16 @@
         self.born = time.time_ns() // 1_000_000
         self.answered_until: dict[tuple[_types.Address, _types.Address], int] = {}
 
+    def crash(self) -> None:
+        """End at once, without a word."""
+        self.lifetime.cancel()
+
     async def run(self) -> None:
         """Serve packets and health checks, and send heartbeats, for ever."""
-        with trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as opened:
+        with (
+            self.lifetime,
+            trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as opened,
+        ):
             await opened.bind(self.address)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_http_server.serve, self.address, self._health)
--- /dev/null
+++ b/tests/test_flow_runbook.py
@@ -0,0 +1,103 @@
+"""The operators' way from a failed request to its cause, with real logs."""
+
+from collections.abc import Awaitable, Callable
+import pathlib
+import re
+import signal
+import subprocess
+
+import pytest
+import trio
+
+from standins import flow_ends
+from testbed import flow_site, processes
+
+BLOCK = re.compile(r"^```shell\n(.*?)^```$", re.MULTILINE | re.DOTALL)
+DEADLINE_SECONDS = 40.0
+SETTLE_SECONDS = 0.5
+
+
+def _runbook(number: int) -> list[str]:
+    text = (processes.ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
+    lines = BLOCK.findall(text)[number].splitlines()
+    return [line.removeprefix("$ ") for line in lines]
+
+
+def _type(command: str, *, caller: str, logs: pathlib.Path) -> str:
+    done = subprocess.run(
+        ["bash", "-c", command],
+        env={"PATH": "/usr/bin:/bin", "CALLER": caller, "LOGS": str(logs)},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    return done.stdout
+
+
+async def _refuse(site: flow_site.Site) -> str:
+    """Remove the route before the request."""
+    site.configure(routes=False)
+    await trio.sleep(1.5)
+    caller = site.caller()
+    with pytest.raises(flow_ends.FlowResetError):
+        async with flow_ends.open_flow(caller, flow_site.SERVICE):
+            pass
+    return f"{caller.address.host}:{caller.port}"
+
+
+async def _time_out(site: flow_site.Site) -> str:
+    """Let every sidecar stand still."""
+    for node in site.sidecars:
+        node.signal(signal.SIGSTOP)
+    await trio.sleep(3.5)
+    caller = site.caller()
+    with pytest.raises(flow_ends.NoAnswerError):
+        async with flow_ends.open_flow(caller, flow_site.SERVICE):
+            pass
+    for node in site.sidecars:
+        node.signal(signal.SIGCONT)
+    return f"{caller.address.host}:{caller.port}"
+
+
+async def _cut(site: flow_site.Site) -> str:
+    """Let the upstream end while the flow is open."""
+    caller = site.caller()
+    async with flow_ends.open_flow(caller, flow_site.SERVICE) as flow:
+        await flow.request(b"x")
+        for upstream in site.upstreams:
+            upstream.crash()
+        with pytest.raises(flow_ends.FlowResetError):
+            await flow.request(b"y")
+    return f"{caller.address.host}:{caller.port}"
+
+
+@pytest.mark.parametrize(
+    ("number", "fail", "cause"),
+    [
+        (0, _refuse, '"reason":"no route"'),
+        (1, _time_out, '"message":"waiting"'),
+        (2, _cut, '"reason":"connection refused"'),
+    ],
+    ids=["refused", "timed out", "cut"],
+)
+def test_the_runbook_leads_to_the_cause(
+    tmp_path: pathlib.Path,
+    number: int,
+    fail: Callable[[flow_site.Site], Awaitable[str]],
+    cause: str,
+) -> None:
+    """Every command prints something, and one of them the cause."""
+
+    async def main() -> str:
+        with trio.fail_after(DEADLINE_SECONDS):
+            async with flow_site.running(tmp_path, number=50 + number) as site:
+                caller = await fail(site)
+                await trio.sleep(SETTLE_SECONDS)
+                return caller
+
+    caller = trio.run(main)
+    printed = [
+        _type(command, caller=caller, logs=tmp_path) for command in _runbook(number)
+    ]
+    assert all(printed), printed
+    assert cause in "".join(printed)
