Reset no flow before every sidecar that lives is known

Cause: a balancer that had just started reset a live flow: its list of sidecars was older than the flow's upstream, and the only upstream that it knew denied the flow. Found by test_a_flow_survives_the_restart_of_every_process, which failed once under load; the cause stands in the balancer's log (asked 1, denied 1). Change: no flow is reset in the first 2 s of a list, the time in which lapsed entries return; the list is watched with less delay; an unconfirmed flow is held only by the upstream whose first number is acknowledged exactly.

--- a/plantainproxy/flows/balancer.py
+++ b/plantainproxy/flows/balancer.py
@@ -214,7 +214,7 @@
 def _sees_clearly(engine: Engine, *, now: float) -> bool:
     """Return whether silence means that others are gone, and not that this one was."""
     return (
-        now >= engine.doubtful_until
+        now >= max(engine.doubtful_until, engine.view.complete_at)
         and upstreams.is_settled(engine.view, now=now)
         and not upstreams.is_blind(engine.view, now=now)
     )
--- a/plantainproxy/flows/balancer_main.py
+++ b/plantainproxy/flows/balancer_main.py
@@ -233,9 +233,9 @@
 ) -> None:
     own = running.settings
     metrics_address = _types.Address(own.host, own.metrics_port)
-    for prefix, take in (
-        (configuration.PREFIX, _take_documents),
-        (registry.PREFIX, _take_registered),
+    for prefix, take, gather_seconds in (
+        (configuration.PREFIX, _take_documents, follower.GATHER_SECONDS),
+        (registry.PREFIX, _take_registered, registry.GATHER_SECONDS),
     ):
         nursery.start_soon(
             functools.partial(
@@ -244,6 +244,7 @@
                 prefix,
                 take=functools.partial(take, running),
                 log=running.log,
+                gather_seconds=gather_seconds,
             )
         )
     for opened, handle in (
--- a/plantainproxy/flows/follower.py
+++ b/plantainproxy/flows/follower.py
@@ -45,9 +45,13 @@
     *,
     take: Take,
     log: journal.Journal,
+    gather_seconds: float = GATHER_SECONDS,
 ) -> None:
-    """Read the entries and watch them for ever."""
-    health = _Health(prefix, log)
+    """Read the entries and watch them for ever.
+
+    After a change the next watch starts ``gather_seconds`` later.
+    """
+    health = _Health(prefix, log, gather_seconds)
     while True:
         snapshot = await _read(store, prefix, health)
         entries = {entry.key: entry.value for entry in snapshot.entries}
@@ -61,11 +65,14 @@
 class _Health:
     """Logs when the store is lost and regained."""
 
-    def __init__(self, prefix: str, log: journal.Journal) -> None:
+    def __init__(
+        self, prefix: str, log: journal.Journal, gather_seconds: float
+    ) -> None:
         self.prefix = prefix
         self.log = log
         self.backoff = Backoff()
         self.failing = False
+        self.gather_seconds = gather_seconds
 
     def succeeded(self) -> None:
         if self.failing:
@@ -118,4 +125,4 @@
             else:
                 entries[change.key] = change.entry.value
         take(entries, revision)
-        await trio.sleep(GATHER_SECONDS)
+        await trio.sleep(health.gather_seconds)
--- a/plantainproxy/flows/held.py
+++ b/plantainproxy/flows/held.py
@@ -8,9 +8,6 @@
 
 SEQUENCE_MASK = 0xFFFF_FFFF
 HALF_RANGE = 0x8000_0000
-MAX_UNACKNOWLEDGED = 76_800
-"""Bytes by which an acknowledgement of a flow may lead its first number at the
-opening; four windows of 16 packets of 1,200 bytes."""
 FIRST_REQUEST_SECONDS = 0.05
 """A new flow sends its first request within this time, or it is taken as idle."""
 LOST_REQUEST_SECONDS = 5.0
@@ -68,7 +65,8 @@
     """Return whether a caller's packet belongs to a flow that is held here.
 
     Copies of an opening packet may be accepted by several upstreams; the caller's
-    first acknowledgement tells whose acceptance it took.
+    first acknowledgement tells whose acceptance it took. An upstream sends nothing
+    before that, so the acknowledgement is exactly the number after its first.
     """
     flow = table.flows.get(packet.flow)
     if flow is None:
@@ -77,8 +75,7 @@
         return True
     if flow.upstream_sequence is None:
         return False
-    lead = (packet.acknowledgement - flow.upstream_sequence) & SEQUENCE_MASK
-    return 0 < lead <= MAX_UNACKNOWLEDGED
+    return packet.acknowledgement == (flow.upstream_sequence + 1) & SEQUENCE_MASK
 
 
 def waiting_seconds(table: Table, key: bytes, *, now: float) -> float | None:
--- a/plantainproxy/flows/lookup.py
+++ b/plantainproxy/flows/lookup.py
@@ -11,9 +11,10 @@
 """Wait for an answer before a question is sent again; above two slow round trips. It
 doubles with each repetition."""
 ASK_AGAIN_LIMIT_SECONDS = 0.3
-GIVE_UP_SECONDS = 2.0
+GIVE_UP_SECONDS = 2.5
 """A search without all answers ends after this; above the longest time between two
-retransmissions of a caller, so that one search lasts from one to the next."""
+retransmissions of a caller, so that one search lasts from one to the next, and above
+the time in which a balancer that has just started knows every sidecar."""
 MAX_PARKED = 16
 """Packets that wait for a search; an end has no more in flight."""
 MAX_LAST_WAVE = 256
@@ -108,7 +109,8 @@
         search.asked.update(fresh)
         _wait(search, now)
         return Ask(search.packets[0], [*to_ask, *fresh])
-    if is_young and not upstreams.is_settled(view, now=now):
+    is_known = now >= view.complete_at and upstreams.is_settled(view, now=now)
+    if is_young and not is_known:
         search.wave = 0
         _wait(search, now)
         return None
--- a/plantainproxy/flows/registry.py
+++ b/plantainproxy/flows/registry.py
@@ -10,6 +10,9 @@
 from plantainproxy.store import port, revisioned
 
 PREFIX = "plantainproxy/sidecars/"
+GATHER_SECONDS = 0.05
+"""The list must be nearly the same on all balancers: one may place a flow on a new
+upstream whose packets reach another balancer next."""
 LEASE_SECONDS = 10.0
 """An entry of a sidecar that has ended stays for this long; a restart is shorter."""
 RENEWAL_SECONDS = 1.8
--- a/plantainproxy/flows/tests/test_balancer.py
+++ b/plantainproxy/flows/tests/test_balancer.py
@@ -188,6 +188,25 @@
     assert running.port.resets == []
 
 
+def test_a_new_list_of_sidecars_may_lack_one_that_lives() -> None:
+    """A flow placed by another balancer a moment ago was reset at start."""
+    running = transparent.Balancer()
+    running.list_sidecars(1)
+    running.take_policy(transparent.table(1))
+    running.hear(1, transparent.report())
+    running.handle(DATA)
+    running.hear(1, messages.NotHeld(flow=KEY))
+    assert running.port.resets == []
+    running.list_sidecars(1, 2)
+    running.hear(2, transparent.report())
+    running.pass_time(0.5)
+    running.hear(2, messages.Held(flow=KEY))
+    running.handle(DATA)
+    assert running.port.hosts(packets.Purpose.FORWARD)[-1] == (
+        transparent.address(2).host
+    )
+
+
 def test_openings_wait_for_the_first_policy_and_reports() -> None:
     """A balancer that has just started serves as soon as it can."""
     running = transparent.Balancer()
--- a/plantainproxy/flows/tests/test_sidecar.py
+++ b/plantainproxy/flows/tests/test_sidecar.py
@@ -140,6 +140,16 @@
     assert running.port.refusals() == [messages.Refusal.NOT_HELD]
 
 
+def test_a_copy_accepted_elsewhere_with_a_near_number_is_not_held() -> None:
+    """Soak seed 17: two upstreams chose first numbers within one window."""
+    running = transparent.ready_sidecar()
+    running.inbound(OPENING)
+    near = transparent.UPSTREAM_SEQUENCE - 1_000
+    running.outbound(transparent.packet(KEY, accepting=True, sequence=near))
+    running.inbound(DATA)
+    assert running.port.refusals() == [messages.Refusal.NOT_HELD]
+
+
 def test_answers_questions_from_its_table() -> None:
     """Held flows get the packet and a yes, others a no."""
     running = transparent.ready_sidecar()
--- a/plantainproxy/flows/upstreams.py
+++ b/plantainproxy/flows/upstreams.py
@@ -20,6 +20,10 @@
 """A listed sidecar that has never answered a greeting is taken as gone after this."""
 FORGET_SECONDS = 60.0
 """A silent sidecar is greeted for this long, in case it returns."""
+COMPLETE_SECONDS = 2.0
+"""The store's list may lack a sidecar that lives for this long: one that registers just
+now, or whose lease the store dropped while it was away. Above a sidecar's renewal
+interval."""
 BLIND_SHARE = 0.5
 """When more sidecars than this share fall silent at once, the fault is here."""
 
@@ -52,6 +56,8 @@
         self.rings: dict[str, ring.Ring] = {}
         self.listed = False
         """Whether the store's list has been read."""
+        self.complete_at = float("inf")
+        """From when on every sidecar that lives is known."""
         self.version = 0
         """Raised when a pool gains or loses an upstream."""
 
@@ -99,7 +105,9 @@
         found.registered = True
     for upstream in view.upstreams.values():
         upstream.registered = upstream.address in addresses
-    view.listed = True
+    if not view.listed:
+        view.listed = True
+        view.complete_at = now + COMPLETE_SECONDS
 
 
 def take_report(
--- a/standins/flow_ends.py
+++ b/standins/flow_ends.py
@@ -8,6 +8,7 @@
 import contextlib
 import dataclasses
 import itertools
+import random
 import socket
 import time
 
@@ -23,6 +24,8 @@
 """Waits after the opening packet, its first and its second copy."""
 HEARTBEAT_TIMEOUT_SECONDS = 1.0
 SEQUENCE_MASK = 0xFFFF_FFFF
+SEQUENCE_BITS = 30
+"""First numbers are drawn below 2**30, so that none wraps in a test."""
 
 
 def encode(
@@ -169,7 +172,7 @@
             if head.flags & packet_format.ACK:
                 self.foreign.append(head)
                 return []
-            start = self.half_open.setdefault(key, 1_000 * (len(self.half_open) + 1))
+            start = self.half_open.setdefault(key, random.getrandbits(SEQUENCE_BITS))
             self.opened += 1
             flags = packet_format.SYN | packet_format.ACK
             return [_answer(head, flags, start)]
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -33,6 +33,11 @@
 NETWORK_BASE = 60
 """First loopback network of the soak; each seed has one of its own."""
 NETWORKS = 100
+FAILED_SEEDS = {
+    1: "the stand-in ran a late retransmission again; the soak started a node twice",
+    17: "two upstreams accepted one opening with first numbers within one window",
+}
+"""Every seed that ever failed, with the cause; played again in each session."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/testbed/transparent.py
+++ b/testbed/transparent.py
@@ -229,9 +229,10 @@
 
 
 def ready_balancer(count: int = 3) -> Balancer:
-    """Return a balancer that knows a policy and some upstreams."""
+    """Return a balancer that knows a policy and all of some upstreams."""
     made = Balancer()
     made.list_sidecars(*range(1, count + 1))
+    made.engine.view.complete_at = made.now
     made.take_policy(table(1))
     for number in range(1, count + 1):
         made.hear(number, report())
