Let a stopping balancer leave after two failed health checks

Cause: it waited for 0.6 s without a packet, and restarts that overlap left a failure domain with fewer than half of its balancers. Without health checks it waits 1.2 s.

--- a/plantainproxy/flows/balancer_main.py
+++ b/plantainproxy/flows/balancer_main.py
@@ -38,9 +38,12 @@
 TICK_SECONDS = 0.04
 """How often open lookups are looked at; half the wait for an answer."""
 SWEEP_SECONDS = 5.0
-LEAVE_QUIET_SECONDS = 0.6
-"""A stopping balancer that got no packet for this long is out of rotation; longer
-than the time between two health checks."""
+LEAVE_CHECKS = 2
+"""Failed health checks after which the fabric sends nothing more to a balancer."""
+LEAVE_QUIET_SECONDS = 0.2
+"""Time without a packet after these checks; packets on their way take less."""
+UNCHECKED_QUIET_SECONDS = 1.2
+"""The same for a balancer that nobody checks."""
 LEAVE_RESERVE_SECONDS = 1.0
 """A stopping balancer leaves this long before the end of its grace."""
 
@@ -96,6 +99,8 @@
         self.exchange = policy_exchange.Exchange(self.engine.policies, self.log)
         self.store = metadata_store.MetadataStore(node_settings.store_address)
         self.last_packet_at = float("-inf")
+        self.failed_checks = 0
+        """Health checks since the stop began."""
 
 
 def _take_policy(running: Balancer, offered: policy.Policy) -> bool:
@@ -164,6 +169,13 @@
     )
 
 
+def _answer_check(running: Balancer) -> bool:
+    """Return whether the fabric may send packets here."""
+    if running.engine.stopping:
+        running.failed_checks += 1
+    return balancer.is_ready(running.engine, now=trio.current_time())
+
+
 async def _greet_forever(running: Balancer) -> None:
     rounds = int(HELLO_SECONDS / FIRST_HELLO_SECONDS)
     for number in itertools.count():
@@ -191,9 +203,10 @@
     began = trio.current_time()
     latest = began + running.settings.grace_seconds - LEAVE_RESERVE_SECONDS
     while trio.current_time() < latest:
-        await trio.sleep(LEAVE_QUIET_SECONDS / 4)
-        quiet_since = max(running.last_packet_at, began)
-        if trio.current_time() - quiet_since >= LEAVE_QUIET_SECONDS:
+        await trio.sleep(LEAVE_QUIET_SECONDS / 2)
+        quiet = trio.current_time() - max(running.last_packet_at, began)
+        is_out = running.failed_checks >= LEAVE_CHECKS
+        if quiet >= (LEAVE_QUIET_SECONDS if is_out else UNCHECKED_QUIET_SECONDS):
             break
     running.log.write("stopped")
 
@@ -259,7 +272,7 @@
     nursery.start_soon(
         node.serve_readiness,
         own.ready_address,
-        lambda: balancer.is_ready(running.engine, now=trio.current_time()),
+        functools.partial(_answer_check, running),
     )
     nursery.start_soon(
         node.serve_metrics,
