--- /dev/null
+++ b/bench/flows.py
@@ -0,0 +1,180 @@
+"""Transparent flows: time for a packet, for a miss, and memory of a flow.
+
+python -m bench.flows
+"""
+
+from collections.abc import Callable
+import random
+import socket
+import time
+import tracemalloc
+
+from plantainproxy import _types
+from plantainproxy.flows import (
+    balancer,
+    datagrams,
+    journal,
+    messages,
+    packets,
+    policy,
+    upstreams,
+)
+from plantainproxy.platform import packet_format
+from standins import flow_ends
+
+PACKETS = 20_000
+FLOWS = 100_000
+POOL_SIZES = (10, 100, 1_000, 17_000)
+SERVICE = _types.Address("198.18.0.1", 8443)
+CALLER = "10.64.0.7"
+POOL = "feed"
+PAYLOAD = b"x" * 200
+SINK = _types.Address("127.0.0.1", 9)
+MICROSECONDS = 1e6
+
+
+class Port:
+    """Sends what a balancer forwards to one socket."""
+
+    def __init__(self, sender: socket.socket, log: journal.Journal) -> None:
+        """Use an open socket."""
+        self.sender = sender
+        self.log = log
+        self.own = socket.inet_aton("127.0.0.1")
+
+    def forward(
+        self, packet: packets.Packet, to: _types.Address, purpose: packets.Purpose
+    ) -> None:
+        """Stamp a packet and send it."""
+        data = packet_format.stamp(packet.data, balancer=self.own, purpose=purpose)
+        datagrams.send(self.sender, data, SINK, self.log)
+
+    def reset(self, packet: packets.Packet) -> None:
+        """Send nothing."""
+
+
+def _packet(port: int, *, flags: int = packet_format.ACK) -> bytes:
+    source = _types.Address(CALLER, port)
+    return flow_ends.encode(flags, source, SERVICE, payload=PAYLOAD)
+
+
+def _engine(port: Port, size: int) -> balancer.Engine:
+    engine = balancer.Engine(
+        port=port, domain="d", draw=random.random, log=journal.Journal("bench")
+    )
+    service = packet_format.pack_service(SERVICE)
+    route = policy.Route(
+        name="r",
+        service=service,
+        kind=policy.RouteKind.IDEMPOTENT,
+        shares=(policy.Share(pool=POOL, weight=1.0),),
+    )
+    balancer.take_policy(
+        engine, policy.Policy(revision=1, routes={service: route}), now=0.0
+    )
+    addresses = [
+        _types.Address(f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}", 7_000)
+        for n in range(size)
+    ]
+    balancer.take_registered(engine, {one: one for one in addresses}, now=0.0)
+    engine.view.complete_at = 0.0
+    report = messages.Report(
+        boot=1,
+        number=1,
+        revision=1,
+        pool=POOL,
+        domain="d",
+        state=messages.UpstreamState.READY,
+        data_port=7_000,
+        running=0,
+        flows=0,
+        slots=4,
+        room=1_000_000,
+        cold=False,
+        complete=True,
+    )
+    for one in engine.view.upstreams.values():
+        one.report, one.heard_at = report, 0.0
+    upstreams.rebuild_rings(engine.view)
+    return engine
+
+
+def _time(work: Callable[[int], None], count: int) -> float:
+    """Return the microseconds of one call."""
+    began = time.process_time()
+    for number in range(count):
+        work(number)
+    return (time.process_time() - began) / count * MICROSECONDS
+
+
+def _receive(receiver: socket.socket, data: bytes, sender: socket.socket) -> bytes:
+    sender.sendto(data, receiver.getsockname())
+    return receiver.recv(65_536)
+
+
+def main() -> None:
+    """Print all figures."""
+    with (
+        socket.socket(type=socket.SOCK_DGRAM) as sender,
+        socket.socket(type=socket.SOCK_DGRAM) as receiver,
+    ):
+        receiver.bind(("127.0.0.1", 0))
+        log = journal.Journal("bench")
+        port = Port(sender, log)
+        data = _packet(2_000)
+
+        def bare(_: int) -> None:
+            datagrams.send(sender, _receive(receiver, data, sender), SINK, log)
+
+        bare_time = _time(bare, PACKETS)
+        print(f"bare receive and send: {bare_time:.1f} us")
+        for size in POOL_SIZES:
+            _measure_size(port, sender, receiver, size)
+    _measure_memory(Port(socket.socket(type=socket.SOCK_DGRAM), log))
+
+
+def _measure_size(
+    port: Port, sender: socket.socket, receiver: socket.socket, size: int
+) -> None:
+    engine = _engine(port, size)
+    opening = packet_format.decode(_packet(2_000, flags=packet_format.SYN))
+    assert opening is not None
+    balancer.handle_packet(engine, opening, now=0.1)
+    data = _packet(2_000)
+
+    def forward(_: int) -> None:
+        packet = packet_format.decode(_receive(receiver, data, sender))
+        assert packet is not None
+        balancer.handle_packet(engine, packet, now=0.1)
+
+    def place(number: int) -> None:
+        key = opening.flow[:10] + number.to_bytes(2, "little")
+        balancer.handle_packet(engine, opening._replace(flow=key), now=0.1)
+
+    established = opening._replace(opening=False)
+
+    def miss(number: int) -> None:
+        key = opening.flow[:8] + number.to_bytes(4, "little")
+        balancer.handle_packet(engine, established._replace(flow=key), now=0.1)
+
+    print(
+        f"{size} upstreams: established {_time(forward, PACKETS):.1f} us, "
+        f"opening {_time(place, PACKETS // 4):.1f} us, "
+        f"miss {_time(miss, PACKETS // 4):.1f} us"
+    )
+
+
+def _measure_memory(port: Port) -> None:
+    engine = _engine(port, 10)
+    opening = packet_format.decode(_packet(2_000, flags=packet_format.SYN))
+    assert opening is not None
+    tracemalloc.start()
+    for number in range(FLOWS):
+        key = opening.flow[:8] + number.to_bytes(4, "little")
+        balancer.handle_packet(engine, opening._replace(flow=key), now=0.1)
+    held, _ = tracemalloc.get_traced_memory()
+    print(f"memory of a cached flow: {held / FLOWS:.0f} bytes at {FLOWS} flows")
+
+
+if __name__ == "__main__":
+    main()
--- a/plantainproxy/flows/upstreams.py
+++ b/plantainproxy/flows/upstreams.py
@@ -128,7 +128,7 @@
     upstream.heard_at = now
     upstream.placed = 0
     if known is None or known.pool != report.pool:
-        _rebuild_rings(view)
+        rebuild_rings(view)
         return True
     return (
         known.boot != report.boot
@@ -149,7 +149,7 @@
     for address in gone:
         del view.upstreams[address]
     if gone:
-        _rebuild_rings(view)
+        rebuild_rings(view)
     return gone
 
 
@@ -163,7 +163,8 @@
     ]
 
 
-def _rebuild_rings(view: View) -> None:
+def rebuild_rings(view: View) -> None:
+    """Make the rings of all pools anew from the reports."""
     by_pool: dict[str, list[_types.Address]] = {}
     for upstream in view.upstreams.values():
         if upstream.report is not None:
