Show the state of transparent flows to operators

Change: plantain-flow-ctl status and explain, answered from the store and from the sidecars' metrics; tests against real processes, also of a store that is down and of the metrics' text.

--- /dev/null
+++ b/plantainproxy/flows/ctl_main.py
@@ -0,0 +1,135 @@
+"""The operators' look at transparent flows: ``plantain-flow-ctl``.
+
+Answers come from the store and from the metrics of the sidecars that it lists.
+"""
+
+from collections.abc import Awaitable, Callable
+import sys
+
+import fire
+import trio
+
+from plantainproxy import _exceptions, _types
+from plantainproxy.flows import policy, registry
+from plantainproxy.platform import configuration, metadata_store, packet_format
+from plantainproxy.platform import settings as platform_settings
+from plantainproxy.store import http
+from plantainproxy.telemetry import exposition
+
+SCRAPE_SECONDS = 1.0
+"""A process that has not answered by then is shown as silent."""
+SHOWN = ("ready", "revision", "flows", "running_requests", "balancers")
+"""Gauges of a sidecar that are shown."""
+SILENT = "silent"
+
+
+def status(store: str, *, metrics_port: int = platform_settings.METRICS_PORT) -> None:
+    """Show the policy in the store and every listed sidecar.
+
+    Args:
+        store: Address of the platform's store, such as 10.200.1.7:8169.
+        metrics_port: Port of the metrics on every instance.
+
+    """
+
+    async def show(client: metadata_store.MetadataStore) -> None:
+        current = await _read_policy(client)
+        print(
+            f"version {current.version}, {len(current.routes)} routes, "
+            f"domains out: {', '.join(sorted(current.domains_out)) or 'none'}"
+        )
+        snapshot = await client.read_all(registry.PREFIX)
+        listed = registry.decode({entry.key: entry.value for entry in snapshot.entries})
+        for address in sorted(listed):
+            gauges = await _scrape(_types.Address(address.host, metrics_port))
+            shown = SILENT if gauges is None else _render(gauges)
+            print(f"{address.host}: {shown}")
+
+    _run(store, show)
+
+
+def explain(service: str, *, store: str) -> None:
+    """Tell where new flows to a service address go.
+
+    Args:
+        service: The service address, such as 198.18.0.1:8443.
+        store: Address of the platform's store, such as 10.200.1.7:8169.
+
+    """
+
+    async def show(client: metadata_store.MetadataStore) -> None:
+        current = await _read_policy(client)
+        route = current.routes.get(packet_format.pack_service(_parse(service)))
+        if route is None:
+            raise _exceptions.PlantainError(
+                _exceptions.ErrorKind.NOT_FOUND, f"no route has the address {service}"
+            )
+        print(
+            f"route {route.name}: {route.kind}, priority {route.priority}, "
+            f"objective {route.objective_seconds:g} s"
+        )
+        total = sum(share.weight for share in route.shares) or 1.0
+        for share in route.shares:
+            print(f"pool {share.pool}: {share.weight / total:.0%} of new flows")
+        for domain in sorted(current.domains_out):
+            print(f"domain {domain} is out: its upstreams get no new flow")
+
+    _run(store, show)
+
+
+def _run(
+    store: str, show: Callable[[metadata_store.MetadataStore], Awaitable[None]]
+) -> None:
+    try:
+        client = metadata_store.MetadataStore(_parse(store))
+        trio.run(show, client)
+    except _exceptions.PlantainError as error:
+        print(error, file=sys.stderr)
+        raise SystemExit(error.answer.exit_code) from error
+
+
+def _parse(text: str) -> _types.Address:
+    try:
+        return _types.Address.parse(text)
+    except ValueError as error:
+        raise _exceptions.PlantainError(
+            _exceptions.ErrorKind.USAGE, str(error)
+        ) from error
+
+
+async def _read_policy(client: metadata_store.MetadataStore) -> policy.Policy:
+    snapshot = await client.read_all(configuration.PREFIX)
+    items = {entry.key: entry.value for entry in snapshot.entries}
+    found = configuration.decode_policy(items, revision=snapshot.revision)
+    if found is None:
+        raise _exceptions.PlantainError(
+            _exceptions.ErrorKind.NOT_FOUND, "the store holds no configuration"
+        )
+    return found
+
+
+async def _scrape(address: _types.Address) -> dict[str, float] | None:
+    """Return a process's metrics by name; ``None`` when it does not answer."""
+    pool = http.Pool(address)
+    try:
+        reply = await http.call(pool, "GET", "/metrics", timeout_seconds=SCRAPE_SECONDS)
+    except (http.UnsentError, http.UnansweredError):
+        return None
+    finally:
+        http.close_idle(pool)
+    return exposition.parse(reply.body)
+
+
+def _render(gauges: dict[str, float]) -> str:
+    return ", ".join(
+        f"{name.replace('_', ' ')} {gauges.get(name, float('nan')):g}" for name in SHOWN
+    )
+
+
+def main() -> None:
+    """Run one command."""
+    fire.Fire({"status": status, "explain": explain})
+
+
+if __name__ == "__main__":
+    main()
--- a/plantainproxy/telemetry/exposition.py
+++ b/plantainproxy/telemetry/exposition.py
@@ -62,6 +62,18 @@
     return prometheus_client.generate_latest(registry)
 
 
+def parse(text: bytes) -> dict[str, float]:
+    """Return the samples without labels, by name without the prefix."""
+    from prometheus_client import parser
+
+    return {
+        sample.name.removeprefix(f"{PREFIX}_"): sample.value
+        for family in parser.text_string_to_metric_families(text.decode())
+        for sample in family.samples
+        if not sample.labels
+    }
+
+
 def _name(dotted: str) -> str:
     return f"{PREFIX}_{dotted}".replace(".", "_").replace("-", "_").lower()
 
--- /dev/null
+++ b/tests/test_flow_ctl.py
@@ -0,0 +1,83 @@
+"""The operators' look at a site of transparent flows."""
+
+import pathlib
+import subprocess
+import sys
+
+import pytest
+import trio
+
+from plantainproxy import _types
+from plantainproxy.store import http
+from plantainproxy.telemetry import exposition
+from testbed import flow_site, processes
+
+DEADLINE_SECONDS = 40.0
+HANG_SECONDS = 20
+
+
+async def _type(*words: str) -> subprocess.CompletedProcess[str]:
+    return await trio.to_thread.run_sync(
+        lambda: subprocess.run(
+            [sys.executable, "-m", "plantainproxy.flows.ctl_main", *words],
+            cwd=processes.ROOT,
+            capture_output=True,
+            text=True,
+            timeout=HANG_SECONDS,
+            check=False,
+        )
+    )
+
+
+def test_shows_policy_and_sidecars_and_explains_a_route(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Also an address without a route, a wrong one, and a store that is down."""
+
+    async def main() -> None:
+        with trio.fail_after(DEADLINE_SECONDS):
+            async with flow_site.running(tmp_path, number=55) as site:
+                store = f"--store={site.store_address}"
+                shown = await _type("status", store)
+                assert shown.returncode == 0, shown.stderr
+                assert "version 1, 1 routes, domains out: none" in shown.stdout
+                for node in site.sidecars:
+                    assert f"{node.host}: ready 1, revision" in shown.stdout
+                told = await _type("explain", str(flow_site.SERVICE), store)
+                assert "route r-feed: idempotent, priority 1" in told.stdout
+                assert "pool feed: 100% of new flows" in told.stdout
+                missing = await _type("explain", "198.18.0.9:1", store)
+                assert missing.returncode == 24
+                wrong = await _type("explain", "nowhere", store)
+                assert wrong.returncode == 2
+                site.store.faults.status = 503
+                down = await _type("status", store)
+                assert down.returncode == 26
+
+    trio.run(main)
+
+
+def test_metrics_are_a_scraper_s_text(tmp_path: pathlib.Path) -> None:
+    """Counters, gauges and the histogram of answers."""
+
+    async def main() -> dict[str, float]:
+        with trio.fail_after(DEADLINE_SECONDS):
+            async with flow_site.running(tmp_path, number=56) as site:
+                address = _types.Address(site.sidecars[0].host, 9180)
+                reply = await http.call(
+                    http.Pool(address), "GET", "/metrics", timeout_seconds=5.0
+                )
+                return exposition.parse(reply.body)
+
+    found = trio.run(main)
+    assert found["ready"] == 1.0
+    assert found["events_started_total"] == 1.0
+
+
+@pytest.mark.parametrize("seconds", [0.0005, 0.3, 9.0])
+def test_a_histogram_counts_each_duration_once(seconds: float) -> None:
+    """Buckets are cumulative in the text."""
+    histogram = exposition.Histogram()
+    histogram.observe(seconds)
+    text = exposition.render({}, {}, {"answer_seconds": histogram})
+    assert b'plantainproxy_answer_seconds_bucket{le="+Inf"} 1.0' in text
