Start the common tasks of both daemons in one place

Cause: balancer_main and sidecar_main started the same six tasks, and both engines wrote the same log line. Change: node.start with typed parts; behaviour is as it was.

--- a/plantainproxy/flows/balancer.py
+++ b/plantainproxy/flows/balancer.py
@@ -109,13 +109,7 @@
     if not engine.policies.offer(offered):
         return False
     engine.policy_since = min(engine.policy_since, now)
-    engine.log.write(
-        "policy in force",
-        revision=offered.revision,
-        version=offered.version,
-        routes=len(offered.routes),
-        domains_out=sorted(offered.domains_out),
-    )
+    engine.log.write_policy(offered)
     return True
 
 
--- a/plantainproxy/flows/balancer_main.py
+++ b/plantainproxy/flows/balancer_main.py
@@ -107,14 +107,6 @@
     return balancer.take_policy(running.engine, offered, now=trio.current_time())
 
 
-def _take_documents(
-    running: Balancer, items: Mapping[str, bytes], revision: int
-) -> None:
-    found = configuration.decode_policy(items, revision=revision)
-    if found is not None:
-        _take_policy(running, found)
-
-
 def _take_registered(
     running: Balancer, items: Mapping[str, bytes], revision: int
 ) -> None:
@@ -223,71 +215,47 @@
     }
 
 
-async def _run(
-    lifecycle: _lifecycle.Lifecycle, node_settings: settings.NodeSettings
-) -> None:
-    message_address = _types.Address(node_settings.host, node_settings.message_port)
+async def _run(lifecycle: _lifecycle.Lifecycle, own: settings.NodeSettings) -> None:
     with (
-        datagrams.bound(node_settings.data_address) as data_socket,
-        datagrams.bound(message_address) as message_socket,
+        datagrams.bound(own.data_address) as data_socket,
+        datagrams.bound(own.message_address) as message_socket,
     ):
-        running = Balancer(node_settings, data_socket, message_socket)
-        running.log.write(
-            "started", node=node_settings.name, domain=node_settings.domain
-        )
+        running = Balancer(own, data_socket, message_socket)
+        running.log.write("started", node=own.name, domain=own.domain)
         async with trio.open_nursery() as nursery:
-            _start_tasks(nursery, running, lifecycle)
+            node.start(nursery, lifecycle, _parts(running))
+            nursery.start_soon(
+                functools.partial(
+                    follower.follow,
+                    running.store,
+                    registry.PREFIX,
+                    take=functools.partial(_take_registered, running),
+                    log=running.log,
+                    gather_seconds=registry.GATHER_SECONDS,
+                )
+            )
+            for repeat in (_greet_forever, _tick_forever, _sweep_forever):
+                nursery.start_soon(repeat, running)
             await _leave(running, lifecycle)
             nursery.cancel_scope.cancel()
 
 
-def _start_tasks(
-    nursery: trio.Nursery, running: Balancer, lifecycle: _lifecycle.Lifecycle
-) -> None:
-    own = running.settings
-    metrics_address = _types.Address(own.host, own.metrics_port)
-    for prefix, take, gather_seconds in (
-        (configuration.PREFIX, _take_documents, follower.GATHER_SECONDS),
-        (registry.PREFIX, _take_registered, registry.GATHER_SECONDS),
-    ):
-        nursery.start_soon(
-            functools.partial(
-                follower.follow,
-                running.store,
-                prefix,
-                take=functools.partial(take, running),
-                log=running.log,
-                gather_seconds=gather_seconds,
-            )
-        )
-    for opened, handle in (
-        (running.data_socket, _handle_data),
-        (running.message_socket, _handle_message),
-    ):
-        nursery.start_soon(
-            datagrams.receive_forever, opened, functools.partial(handle, running)
-        )
-    for repeat in (_greet_forever, _tick_forever, _sweep_forever):
-        nursery.start_soon(repeat, running)
-    nursery.start_soon(
-        node.serve_readiness,
-        own.ready_address,
-        functools.partial(_answer_check, running),
-    )
-    nursery.start_soon(
-        node.serve_metrics,
-        metrics_address,
-        running.log,
-        functools.partial(_gauges, running),
-    )
-    nursery.start_soon(
-        node.exchange_policies,
-        running.exchange,
-        own,
-        functools.partial(_take_policy, running),
-    )
-    nursery.start_soon(
-        node.reload_forever, lifecycle, own, platform_settings.load_balancer
+def _parts(running: Balancer) -> node.Parts[settings.NodeSettings]:
+    return node.Parts(
+        settings=running.settings,
+        read_settings=platform_settings.load_balancer,
+        store=running.store,
+        policy_prefix=configuration.PREFIX,
+        decode_policy=configuration.decode_policy,
+        take_policy=functools.partial(_take_policy, running),
+        exchange=running.exchange,
+        log=running.log,
+        is_ready=functools.partial(_answer_check, running),
+        gauges=functools.partial(_gauges, running),
+        receivers=(
+            (running.data_socket, functools.partial(_handle_data, running)),
+            (running.message_socket, functools.partial(_handle_message, running)),
+        ),
     )
 
 
--- a/plantainproxy/flows/journal.py
+++ b/plantainproxy/flows/journal.py
@@ -6,6 +6,7 @@
 import time
 from typing import Any
 
+from plantainproxy.flows import policy
 from plantainproxy.telemetry import exposition
 
 LINES_PER_SECOND = 8
@@ -53,6 +54,16 @@
             fields["flow"] = self.render_flow(fields["flow"])
         self.logger.info(event, extra={"fields": fields})
 
+    def write_policy(self, current: policy.Policy) -> None:
+        """Write that a policy came into force."""
+        self.write(
+            "policy in force",
+            revision=current.revision,
+            version=current.version,
+            routes=len(current.routes),
+            domains_out=sorted(current.domains_out),
+        )
+
     def write_limited(self, event: str, **fields: Any) -> None:
         """Write one line unless the event had too many in this second."""
         now = self.clock()
--- a/plantainproxy/flows/node.py
+++ b/plantainproxy/flows/node.py
@@ -1,12 +1,23 @@
 """Tasks that balancers and sidecars have in common."""
 
-from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from collections.abc import Awaitable, Callable, Mapping
+import functools
+import socket
+from typing import Generic, TypeVar
 
+import msgspec
 import trio
 
 from plantainproxy import _http_server, _lifecycle, _types
-from plantainproxy.flows import journal, policy, policy_exchange, settings
+from plantainproxy.flows import (
+    datagrams,
+    follower,
+    journal,
+    policy,
+    policy_exchange,
+    settings,
+)
+from plantainproxy.store import revisioned
 from plantainproxy.telemetry import exposition, logs
 
 METRICS_PATH = "/metrics"
@@ -17,6 +28,9 @@
 T = TypeVar("T", bound=settings.NodeSettings)
 
 TakePolicy = Callable[[policy.Policy], bool]
+"""Puts a policy in force unless it is old; returns whether it is in force."""
+DecodePolicy = Callable[[Mapping[str, bytes], int], policy.Policy | None]
+"""Builds a policy from the store's documents and their revision."""
 
 
 def run(
@@ -37,7 +51,53 @@
     )
 
 
-async def reload_forever(
+class Parts(msgspec.Struct, Generic[T], frozen=True, kw_only=True):
+    """What the common tasks of one process work on."""
+
+    settings: T
+    read_settings: Callable[[], T]
+    store: revisioned.RevisionedStore
+    policy_prefix: str
+    """The store's keys that hold the policy."""
+    decode_policy: DecodePolicy
+    take_policy: TakePolicy
+    exchange: policy_exchange.Exchange
+    log: journal.Journal
+    is_ready: Callable[[], bool]
+    gauges: exposition.Gauges
+    receivers: tuple[tuple[socket.socket, datagrams.Handler], ...]
+    """Sockets, and what handles their datagrams."""
+
+
+def start(
+    nursery: trio.Nursery, lifecycle: _lifecycle.Lifecycle, parts: Parts[T]
+) -> None:
+    """Start the tasks that follow the policy, receive, serve and reload."""
+    own = parts.settings
+
+    def take_documents(documents: Mapping[str, bytes], revision: int) -> None:
+        found = parts.decode_policy(documents, revision)
+        if found is not None:
+            parts.take_policy(found)
+
+    nursery.start_soon(
+        functools.partial(
+            follower.follow,
+            parts.store,
+            parts.policy_prefix,
+            take=take_documents,
+            log=parts.log,
+        )
+    )
+    for opened, handle in parts.receivers:
+        nursery.start_soon(datagrams.receive_forever, opened, handle)
+    nursery.start_soon(serve_readiness, own.ready_address, parts.is_ready)
+    nursery.start_soon(serve_metrics, own.metrics_address, parts.log, parts.gauges)
+    nursery.start_soon(exchange_policies, parts.exchange, own, parts.take_policy)
+    nursery.start_soon(_reload_forever, lifecycle, own, parts.read_settings)
+
+
+async def _reload_forever(
     lifecycle: _lifecycle.Lifecycle, running: T, read: Callable[[], T]
 ) -> None:
     """Check the settings at each request to reload and tell what needs a restart."""
@@ -75,5 +135,5 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(policy_exchange.pull_forever, exchange, take)
         await policy_exchange.serve(
-            node.host, node.message_port, exchange.holder, log=exchange.log
+            node.message_address, exchange.holder, log=exchange.log
         )
--- a/plantainproxy/flows/policy_exchange.py
+++ b/plantainproxy/flows/policy_exchange.py
@@ -59,7 +59,7 @@
 
 
 async def serve(
-    host: str, port: int, holder: policy.Holder, *, log: journal.Journal
+    address: _types.Address, holder: policy.Holder, *, log: journal.Journal
 ) -> None:
     """Give the policy in force to every process that connects."""
 
@@ -73,7 +73,7 @@
             except trio.BrokenResourceError:
                 log.count("policy.give_failed")
 
-    await trio.serve_tcp(give, port, host=host)
+    await trio.serve_tcp(give, address.port, host=address.host)
 
 
 async def _pull(sender: _types.Address) -> policy.Policy | None:
--- a/plantainproxy/flows/settings.py
+++ b/plantainproxy/flows/settings.py
@@ -28,6 +28,16 @@
     grace_seconds: float
     """How long a planned stop may take."""
 
+    @property
+    def message_address(self) -> _types.Address:
+        """UDP for messages and TCP for policies."""
+        return _types.Address(self.host, self.message_port)
+
+    @property
+    def metrics_address(self) -> _types.Address:
+        """HTTP for metrics."""
+        return _types.Address(self.host, self.metrics_port)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SidecarSettings(NodeSettings):
--- a/plantainproxy/flows/sidecar.py
+++ b/plantainproxy/flows/sidecar.py
@@ -133,13 +133,7 @@
         engine.upstream.cold_until = max(
             engine.upstream.cold_until, now + limits.cold_seconds
         )
-    engine.log.write(
-        "policy in force",
-        revision=offered.revision,
-        version=offered.version,
-        routes=len(offered.routes),
-        domains_out=sorted(offered.domains_out),
-    )
+    engine.log.write_policy(offered)
     return True
 
 
--- a/plantainproxy/flows/sidecar_main.py
+++ b/plantainproxy/flows/sidecar_main.py
@@ -1,6 +1,5 @@
 """The sidecar of transparent flows: ``plantain-flow-sidecar``."""
 
-from collections.abc import Mapping
 import contextlib
 import functools
 import random
@@ -11,7 +10,6 @@
 from plantainproxy import _http_server, _lifecycle, _types
 from plantainproxy.flows import (
     datagrams,
-    follower,
     guard,
     journal,
     messages,
@@ -129,14 +127,6 @@
     return sidecar.take_policy(running.engine, offered, now=trio.current_time())
 
 
-def _take_documents(
-    running: Sidecar, items: Mapping[str, bytes], revision: int
-) -> None:
-    found = configuration.decode_policy(items, revision=revision)
-    if found is not None:
-        _take_policy(running, found)
-
-
 def _handle_data(running: Sidecar, data: bytes, sender: _types.Address) -> None:
     packet = packet_format.decode(data)
     if packet is None:
@@ -226,16 +216,15 @@
 
 
 async def _run(lifecycle: _lifecycle.Lifecycle, own: settings.SidecarSettings) -> None:
-    message_address = _types.Address(own.host, own.message_port)
     with (
         datagrams.bound(own.data_address) as data_socket,
         datagrams.bound(own.outbound_address) as outbound_socket,
-        datagrams.bound(message_address) as message_socket,
+        datagrams.bound(own.message_address) as message_socket,
     ):
         running = Sidecar(own, data_socket, outbound_socket, message_socket)
         running.log.write("started", node=own.name, domain=own.domain, pool=own.pool)
         async with trio.open_nursery() as nursery:
-            _start_tasks(nursery, running, lifecycle)
+            _start_tasks(nursery, lifecycle, running)
             await lifecycle.stopping.wait()
             sidecar.stop(running.engine, now=trio.current_time())
             if sidecar.has_left(running.engine):
@@ -247,50 +236,36 @@
 
 
 def _start_tasks(
-    nursery: trio.Nursery, running: Sidecar, lifecycle: _lifecycle.Lifecycle
+    nursery: trio.Nursery, lifecycle: _lifecycle.Lifecycle, running: Sidecar
 ) -> None:
-    own = running.settings
-    nursery.start_soon(
-        functools.partial(
-            follower.follow,
-            running.store,
-            configuration.PREFIX,
-            take=functools.partial(_take_documents, running),
-            log=running.log,
-        )
-    )
-    nursery.start_soon(registry.stay_registered, running.registration)
+    node.start(nursery, lifecycle, _parts(running))
     keeper = record.Keeper(
-        running.registration, writes_per_second=own.store_writes_per_second
+        running.registration,
+        writes_per_second=running.settings.store_writes_per_second,
     )
+    nursery.start_soon(registry.stay_registered, running.registration)
     nursery.start_soon(record.keep, keeper, running.engine)
-    for opened, handle in (
-        (running.data_socket, _handle_data),
-        (running.outbound_socket, _handle_outbound),
-        (running.message_socket, _handle_message),
-    ):
-        nursery.start_soon(
-            datagrams.receive_forever, opened, functools.partial(handle, running)
-        )
     for repeat in (_tick_forever, _sweep_forever, _serve_heartbeats, _watch_upstream):
         nursery.start_soon(repeat, running)
-    nursery.start_soon(
-        node.serve_readiness, own.ready_address, functools.partial(_is_ready, running)
-    )
-    nursery.start_soon(
-        node.serve_metrics,
-        _types.Address(own.host, own.metrics_port),
-        running.log,
-        functools.partial(_gauges, running),
-    )
-    nursery.start_soon(
-        node.exchange_policies,
-        running.exchange,
-        own,
-        functools.partial(_take_policy, running),
-    )
-    nursery.start_soon(
-        node.reload_forever, lifecycle, own, platform_settings.load_sidecar
+
+
+def _parts(running: Sidecar) -> node.Parts[settings.SidecarSettings]:
+    return node.Parts(
+        settings=running.settings,
+        read_settings=platform_settings.load_sidecar,
+        store=running.store,
+        policy_prefix=configuration.PREFIX,
+        decode_policy=configuration.decode_policy,
+        take_policy=functools.partial(_take_policy, running),
+        exchange=running.exchange,
+        log=running.log,
+        is_ready=functools.partial(_is_ready, running),
+        gauges=functools.partial(_gauges, running),
+        receivers=(
+            (running.data_socket, functools.partial(_handle_data, running)),
+            (running.outbound_socket, functools.partial(_handle_outbound, running)),
+            (running.message_socket, functools.partial(_handle_message, running)),
+        ),
     )
 
 
--- a/plantainproxy/platform/configuration.py
+++ b/plantainproxy/platform/configuration.py
@@ -63,7 +63,7 @@
 }
 
 
-def decode_policy(items: Mapping[str, bytes], *, revision: int) -> policy.Policy | None:
+def decode_policy(items: Mapping[str, bytes], revision: int) -> policy.Policy | None:
     """Build the policy from all keys under ``PREFIX``.
 
     ``None`` when there is no configuration, or none that can be read.
