--- a/plantainproxy/flows/tests/test_load.py
+++ b/plantainproxy/flows/tests/test_load.py
@@ -3,7 +3,7 @@
 No network; each test names the pattern that it answers.
 """
 
-from plantainproxy.flows import guard, messages, packets, waiting
+from plantainproxy.flows import balancer, guard, messages, packets, placement, waiting
 from testbed import transparent
 
 
@@ -191,6 +191,33 @@
     assert running.port.last_report().cold
 
 
+def test_a_change_of_rotation_does_not_bury_a_balancer_under_its_questions() -> None:
+    """All its flows are unknown at once, and no answer comes for a while.
+
+    On guennec-lb-grown a balancer with a sixth of a core asked all 50 sidecars about
+    every flow up to ten times and heard no answer for ten seconds.
+    """
+    running = transparent.ready_balancer(count=50)
+    for number in range(300):
+        running.handle(
+            transparent.packet(
+                transparent.flow(number), sequence=1, size=100, acknowledgement=5_001
+            )
+        )
+    candidates, flows = placement.CANDIDATES, balancer.LOOKUPS_AT_ONCE
+    assert len(running.port.hosts(packets.Purpose.ASK)) == candidates * flows
+    running.tick(0.2)
+    assert len(running.port.hosts(packets.Purpose.ASK)) == candidates * flows
+    for (packet, host, _), _ in zip(
+        list(running.port.forwarded), range(candidates * flows), strict=True
+    ):
+        sender = int(host.rpartition(".")[2])
+        running.hear(sender, messages.Held(flow=packet.flow))
+    running.tick(0.04)
+    asked = {packet.flow for packet, _, _ in running.port.forwarded}
+    assert len(asked) == 2 * flows
+
+
 def test_new_flows_go_to_the_least_loaded_upstream() -> None:
     """Requests in progress and open flows both count."""
     running = transparent.ready_balancer(count=3)
