Keep the flows of a leaving upstream when its sidecar restarts

Cause: found by reading: a sidecar that starts beside an upstream that no longer listens took it as ended at once, denied its flows and reset the recorded ones; one that leaves still serves them for a second.

--- a/plantainproxy/flows/sidecar_main.py
+++ b/plantainproxy/flows/sidecar_main.py
@@ -188,7 +188,7 @@
         sidecar.handle_healthy(running.engine, now=trio.current_time())
 
     def take_absence() -> None:
-        sidecar.handle_absence(running.engine)
+        sidecar.handle_absence(running.engine, now=trio.current_time())
 
     await upstream_watch.watch(
         running.settings.upstream_address,
