Let a stand-in's caller give up a request that was just answered

One: a caller's deadline came with its answer, and aioquic raised for a stream that it had forgotten; reproduced by a test that fails without the change. Conclusion: the stand-in logs that there was nothing to give up.

--- a/plantainproxy/quic/tests/test_endpoint.py
+++ b/plantainproxy/quic/tests/test_endpoint.py
@@ -375,3 +375,15 @@
     flipped = bytearray(payload)
     flipped[generator.randrange(len(flipped))] ^= 1 << generator.randrange(8)
     return bytes(flipped)
+
+
+def test_a_caller_may_give_up_a_request_that_was_just_answered() -> None:
+    """Its deadline and the answer come together on a busy machine."""
+    server = quic_pair.make_endpoint()
+    network = quic_pair.Network(server, seed=1, faults=quic_pair.Faults())
+    caller = opened(network)
+    stream = caller.client.request("GET", "/1")
+    network.run(1.0)
+    assert stream in responses(caller)
+    caller.client.cancel(stream)
+    network.run(1.0)
--- a/standins/http3_client.py
+++ b/standins/http3_client.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import logging
 import ssl
 
 from aioquic._buffer import Buffer, BufferReadError
@@ -19,6 +20,8 @@
 from plantainproxy.rpc import messages
 from standins import certificates
 
+logger = logging.getLogger("standins.http3_client")
+
 RESET_TOKEN_BYTES = 16
 _CONTROL_STREAM = 0
 _SERVER_UNIDIRECTIONAL = 3
@@ -179,8 +182,12 @@
         code = h3_connection.ErrorCode.H3_REQUEST_CANCELLED
         self.open_requests.discard(stream)
         self._partial.pop(stream, None)
-        self.quic.reset_stream(stream, code)
-        self.quic.stop_stream(stream, code)
+        try:
+            self.quic.reset_stream(stream, code)
+            self.quic.stop_stream(stream, code)
+        except ValueError as error:
+            # The answer came whole just before, and the library forgot the stream.
+            logger.debug("Nothing to give up on stream %d: %s", stream, error)
 
     def ping(self) -> None:
         """Keep the connection from becoming idle."""
