Drop state that nothing reads from transparent flows

Cause: found on a last read of the change: a view's version, a search's count of delivered packets that was always 1, the heartbeat interval in the sidecar's settings and the slice of a packet's echo were written and never read. Conclusion: behaviour is as it was.

--- a/plantainproxy/flows/balancer.py
+++ b/plantainproxy/flows/balancer.py
@@ -1,7 +1,6 @@
 """The decisions of a balancer about packets of transparent flows."""
 
 from collections.abc import Callable, Mapping
-import itertools
 from typing import Protocol
 
 import msgspec
@@ -504,7 +503,7 @@
         waited=round(now - search.started_at, 3),
     )
     # The packet that carried the question has reached the upstream already.
-    for packet in itertools.islice(search.packets, search.delivered, None):
+    for packet in search.packets[1:]:
         engine.port.forward(packet, found.data_address, packets.Purpose.FORWARD)
 
 
--- a/plantainproxy/flows/lookup.py
+++ b/plantainproxy/flows/lookup.py
@@ -29,7 +29,7 @@
     pools: frozenset[str]
     """Pools that the flow's route leads or has led to."""
     packets: list[packets.Packet]
-    """Packets that came so far, oldest first."""
+    """Packets that came so far, oldest first; the first goes out with each question."""
     started_at: float
     ask_again_at: float
     lost_after: float = upstreams.LOST_SECONDS
@@ -39,8 +39,6 @@
     """How many groups of upstreams have been asked."""
     repeats: int = 0
     """How often the questions to the last group have been repeated."""
-    delivered: int = 1
-    """Packets that went out with a question."""
     asked: set[_types.Address] = msgspec.field(default_factory=set)
     denied: set[_types.Address] = msgspec.field(default_factory=set)
     """Upstreams that certainly do not hold the flow."""
--- a/plantainproxy/flows/settings.py
+++ b/plantainproxy/flows/settings.py
@@ -51,8 +51,6 @@
     """UDP, where the upstream sends all its packets."""
     heartbeat_address: _types.Address
     """HTTP, where the upstream announces itself."""
-    heartbeat_seconds: float
-    """How often the upstream does so, about."""
     cold_rate_factor: float
     """Times its rate of new flows that a cold upstream bears in one second."""
     cold_spare_flows: float
--- a/plantainproxy/flows/upstreams.py
+++ b/plantainproxy/flows/upstreams.py
@@ -58,8 +58,6 @@
         """Whether the store's list has been read."""
         self.complete_at = float("inf")
         """From when on every sidecar that lives is known."""
-        self.version = 0
-        """Raised when a pool gains or loses an upstream."""
 
 
 def is_fresh(upstream: Upstream, *, now: float) -> bool:
@@ -170,4 +168,3 @@
         if upstream.report is not None:
             by_pool.setdefault(upstream.report.pool, []).append(upstream.address)
     view.rings = {pool: ring.Ring(members) for pool, members in by_pool.items()}
-    view.version += 1
--- a/plantainproxy/platform/packet_format.py
+++ b/plantainproxy/platform/packet_format.py
@@ -23,7 +23,6 @@
 _DESTINATION = slice(18, 24)
 _SOURCE = slice(24, 30)
 _BOTH_ENDS = slice(18, 30)
-_ECHO = slice(30, 34)
 _CALLER_HOST = slice(6, 10)
 
 _PURPOSES = {int(purpose): purpose for purpose in packets.Purpose}
--- a/plantainproxy/platform/settings.py
+++ b/plantainproxy/platform/settings.py
@@ -17,7 +17,6 @@
 """Position of the port in the range for traffic between machines."""
 METRICS_PORT = 9180
 """The same on all machines and days, as the deploy file names it."""
-MILLISECONDS = 1_000.0
 COLD_MARGIN_FLOWS = 1
 """A cold upstream gets this many new flows a second fewer than it may."""
 
@@ -54,7 +53,6 @@
     # The host's own address, on machines beside a host.
     app: str = ""
     service: str = ""
-    heartbeat_ms: float = 1_000.0
 
 
 def load_balancer() -> settings.NodeSettings:
@@ -73,7 +71,6 @@
             upstream_address=_types.Address.parse(node.app),
             outbound_address=_types.Address.parse(node.listen.outbound),
             heartbeat_address=_types.Address.parse(node.listen.control),
-            heartbeat_seconds=node.heartbeat_ms / MILLISECONDS,
             cold_rate_factor=node.bounds.cold_over,
             cold_spare_flows=node.bounds.cold_slack - COLD_MARGIN_FLOWS,
         )
