--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -6,7 +6,7 @@
 that holds it. Run it with ``python -m bench.baselines``.
 """
 
-from collections.abc import Callable, Sequence
+from collections import abc
 import dataclasses
 import pathlib
 import random
@@ -58,14 +58,16 @@
     flows: int
 
 
-Choose = Callable[[Balancer, int, _types.Address, float], Sequence[_types.Address]]
+Choose = abc.Callable[
+    [Balancer, int, _types.Address, float], abc.Sequence[_types.Address]
+]
 """Returns the sidecars that see a packet, in order. The third argument is the flow's
 holder, which only the connection ID may name; the fourth is the time."""
 
 
 def _per_flow_table(
     balancer: Balancer, flow: int, holder: _types.Address, now: float
-) -> Sequence[_types.Address]:
+) -> abc.Sequence[_types.Address]:
     known = balancer.flows.get(flow)
     if known is None:
         known = _owners(balancer, flow)[0]
@@ -75,19 +77,19 @@
 
 def _hash_alone(
     balancer: Balancer, flow: int, holder: _types.Address, now: float
-) -> Sequence[_types.Address]:
+) -> abc.Sequence[_types.Address]:
     return _owners(balancer, flow)[:1]
 
 
 def _earlier_owners(
     balancer: Balancer, flow: int, holder: _types.Address, now: float
-) -> Sequence[_types.Address]:
+) -> abc.Sequence[_types.Address]:
     return _owners(balancer, flow)
 
 
 def _destination(
     balancer: Balancer, flow: int, holder: _types.Address, now: float
-) -> Sequence[_types.Address]:
+) -> abc.Sequence[_types.Address]:
     """Let the real routing rules decide on a packet with our connection ID."""
     service = SERVICE.pack()
     destination = packets.Destination(
@@ -194,7 +196,7 @@
 
 def _send_packets(
     choose: Choose,
-    balancers: Sequence[Balancer],
+    balancers: abc.Sequence[Balancer],
     holders: dict[int, _types.Address],
     source: random.Random,
     *,
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -4,7 +4,7 @@
 measured over gRPC on the loopback interface, with its settling.
 """
 
-from collections.abc import Callable, Iterator
+from collections import abc
 from concurrent import futures
 import contextlib
 import json
@@ -36,7 +36,7 @@
     )
 
 
-def _microseconds(call: Callable[[int], object], count: int) -> dict[str, float]:
+def _microseconds(call: abc.Callable[[int], object], count: int) -> dict[str, float]:
     wall, cpu = time.perf_counter(), time.process_time()
     for number in range(count):
         call(number)
@@ -110,7 +110,7 @@
 
 
 @contextlib.contextmanager
-def _serve(table: claims.Table) -> Iterator[str]:
+def _serve(table: claims.Table) -> abc.Iterator[str]:
     def claim(encoded: bytes, _: grpc.ServicerContext) -> bytes:
         request = codec.decode(encoded, messages.ClaimRequest)
         reply = claim_calls.handle_claim(table, RING, request, now=0.0)
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -5,7 +5,7 @@
 """
 
 import argparse
-from collections.abc import Callable
+from collections import abc
 import dataclasses
 import gc
 import json
@@ -113,7 +113,7 @@
     )
 
 
-def _milliseconds(work: Callable[[], object], *, repeats: int = REPEATS) -> float:
+def _milliseconds(work: abc.Callable[[], object], *, repeats: int = REPEATS) -> float:
     """Return the least processor time of several runs."""
     times = []
     for _ in range(repeats):
--- a/bench/control.py
+++ b/bench/control.py
@@ -7,7 +7,7 @@
 """
 
 import argparse
-from collections.abc import AsyncIterator, Callable
+from collections import abc
 import contextlib
 import dataclasses
 import functools
@@ -16,7 +16,7 @@
 import random
 import sys
 import time
-from typing import Any
+import typing
 from unittest import mock
 
 import numpy
@@ -171,7 +171,7 @@
 
     def __init__(self) -> None:
         """Begin with nothing served."""
-        self.served: dict[_types.Address, Any] = {}
+        self.served: dict[_types.Address, typing.Any] = {}
         self.traffic = {method: Traffic() for method in methods.Method}
 
     async def call(
@@ -179,10 +179,10 @@
         client: bridge.Client,
         address: _types.Address,
         method: methods.Method,
-        request: Any,
+        request: typing.Any,
         *,
         timeout_seconds: float,
-    ) -> Any:
+    ) -> typing.Any:
         """Make one call and count it."""
         handlers = self.served.get(address)
         if handlers is None:
@@ -368,7 +368,7 @@
     process: trio.Process
     output: "trio.abc.ReceiveStream"
 
-    async def line(self) -> Any:
+    async def line(self) -> typing.Any:
         """Read one line of its output."""
         line = b""
         while not line.endswith(b"\n"):
@@ -383,7 +383,9 @@
 
 
 @contextlib.asynccontextmanager
-async def worker(role: str, argument: dict[str, Any]) -> AsyncIterator[Worker]:
+async def worker(
+    role: str, argument: dict[str, typing.Any]
+) -> abc.AsyncIterator[Worker]:
     """Start this module as a process; end it with the context."""
     process = await trio.lowlevel.open_process(
         [sys.executable, "-m", "bench.control", role, json.dumps(argument)],
@@ -488,7 +490,7 @@
     """Make many small calls one after the other in one process."""
     count = 1_000
 
-    async def handle(request: Any) -> messages.PullReply:
+    async def handle(request: typing.Any) -> messages.PullReply:
         return messages.PullReply()
 
     relay = Relay()
@@ -537,15 +539,15 @@
 
 def slope(
     rows: list[VirtualResult],
-    abscissa: Callable[[VirtualResult], float],
-    ordinate: Callable[[VirtualResult], float],
+    abscissa: abc.Callable[[VirtualResult], float],
+    ordinate: abc.Callable[[VirtualResult], float],
 ) -> float:
     """Fit a line and return its slope."""
     fit = numpy.polyfit([abscissa(r) for r in rows], [ordinate(r) for r in rows], 1)
     return float(fit[0])
 
 
-def print_table(title: str, rows: list[Any]) -> None:
+def print_table(title: str, rows: list[typing.Any]) -> None:
     """Print data classes as a table."""
     print(f"\n{title}")
     names = [field.name for field in dataclasses.fields(rows[0])]
@@ -608,7 +610,7 @@
     print(f"\nFigures are in {OUTPUT}.")
 
 
-def _addresses(pairs: list[list[Any]]) -> list[_types.Address]:
+def _addresses(pairs: list[list[typing.Any]]) -> list[_types.Address]:
     return [_types.Address(*pair) for pair in pairs]
 
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -4,7 +4,7 @@
 """
 
 import collections
-from collections.abc import AsyncIterator
+from collections import abc
 import contextlib
 import dataclasses
 import random
@@ -257,7 +257,7 @@
     utilisation: float,
     seed: int,
     spread: bool = True,
-) -> AsyncIterator[Fleet]:
+) -> abc.AsyncIterator[Fleet]:
     """Run a fleet under load; every second sidecar gets three times the arrivals."""
     made = [make_host(number, settings) for number in range(hosts)]
     fleet = Fleet(
--- a/bench/flows.py
+++ b/bench/flows.py
@@ -3,7 +3,7 @@
 python -m bench.flows
 """
 
-from collections.abc import Callable
+from collections import abc
 import random
 import socket
 import time
@@ -99,7 +99,7 @@
     return engine
 
 
-def _time(work: Callable[[int], None], count: int) -> float:
+def _time(work: abc.Callable[[int], None], count: int) -> float:
     """Return the microseconds of one call."""
     began = time.process_time()
     for number in range(count):
--- a/bench/forwarding.py
+++ b/bench/forwarding.py
@@ -5,7 +5,7 @@
 that other load on the machine falls on all alike. Times are CPU time of the process.
 """
 
-from collections.abc import Callable, Iterator
+from collections import abc
 import contextlib
 import dataclasses
 import itertools
@@ -15,7 +15,7 @@
 import socket
 import statistics
 import time
-from typing import Any, NamedTuple
+import typing
 
 import numpy as np
 import trio
@@ -45,7 +45,7 @@
 OUTPUT = pathlib.Path("out/forwarding.json")
 
 
-class Sockets(NamedTuple):
+class Sockets(typing.NamedTuple):
     """The fabric's sender, the balancer's socket and all sidecars' receiver."""
 
     sender: socket.socket
@@ -58,7 +58,7 @@
     """One measured path with the datagrams that go through it."""
 
     name: str
-    drain: Callable[[], object]
+    drain: abc.Callable[[], object]
     datagrams: list[bytes]
     position: int = 0
     microseconds: list[float] = dataclasses.field(default_factory=list)
@@ -66,7 +66,7 @@
 
 
 @contextlib.contextmanager
-def opened() -> Iterator[Sockets]:
+def opened() -> abc.Iterator[Sockets]:
     """Open the sockets; the receiver takes datagrams to any loopback address."""
     with (
         socket.socket(type=socket.SOCK_DGRAM) as sender,
@@ -140,7 +140,9 @@
     return [header + start + generator.randbytes(8) + filler for _ in range(flows)]
 
 
-def bare_drain(sockets: Sockets, targets: list[_types.Address]) -> Callable[[], object]:
+def bare_drain(
+    sockets: Sockets, targets: list[_types.Address]
+) -> abc.Callable[[], object]:
     """Return a loop that receives and sends and does nothing else."""
     receive, send = sockets.balancer.recvfrom, sockets.balancer.sendto
     turns = itertools.cycle(targets)
@@ -156,7 +158,7 @@
     return drain
 
 
-def real_drain(sockets: Sockets, state: datapath.State) -> Callable[[], object]:
+def real_drain(sockets: Sockets, state: datapath.State) -> abc.Callable[[], object]:
     """Return the balancer's own loop on a state."""
     receive, send = sockets.balancer.recvfrom_into, sockets.balancer.sendto
     buffer = datapath.make_buffer()
@@ -280,7 +282,7 @@
     ]
 
 
-def owner_numbers(members: list[slots.Member]) -> "np.ndarray[Any, Any]":
+def owner_numbers(members: list[slots.Member]) -> "np.ndarray[typing.Any, typing.Any]":
     """Return a number for each slot's owner that does not depend on the others."""
     ordered, owners = slots.assign(members)
     numbers = np.array(
--- a/bench/lines.py
+++ b/bench/lines.py
@@ -7,7 +7,7 @@
 """
 
 import argparse
-from collections.abc import Callable
+from collections import abc
 import dataclasses
 import gc
 import json
@@ -56,7 +56,7 @@
         """Start at zero."""
         self.seconds = 0.0
 
-    def run(self, work: Callable[[], object]) -> None:
+    def run(self, work: abc.Callable[[], object]) -> None:
         """Do some work and add its time."""
         started = time.process_time()
         work()
--- a/plantainproxy/_daemon.py
+++ b/plantainproxy/_daemon.py
@@ -1,15 +1,15 @@
 """The command line that both daemons share."""
 
-from collections.abc import Awaitable, Callable, Iterator
+from collections import abc
 import pathlib
-from typing import Protocol, TypeVar
+import typing
 
 from plantainproxy import _lifecycle
 from plantainproxy.settings import load, model
 from plantainproxy.telemetry import logs
 
 
-class Settings(Protocol):
+class Settings(typing.Protocol):
     """What the settings of every daemon have."""
 
     @property
@@ -17,7 +17,7 @@
         """Where logs and metrics go."""
 
 
-T = TypeVar("T", bound=Settings)
+T = typing.TypeVar("T", bound=Settings)
 
 
 def configure(settings: Settings) -> None:
@@ -26,7 +26,7 @@
 
 
 async def reload_forever(
-    lifecycle: _lifecycle.Lifecycle, running: T, read: Callable[[], T]
+    lifecycle: _lifecycle.Lifecycle, running: T, read: abc.Callable[[], T]
 ) -> None:
     """Read the settings again at each request to reload."""
     async for _ in lifecycle.reloads:
@@ -38,8 +38,10 @@
     *,
     check_only: bool,
     settings_type: type[T],
-    check: Callable[[T], Iterator[load.Problem]],
-    body: Callable[[_lifecycle.Lifecycle, Callable[[], T]], Awaitable[None]],
+    check: abc.Callable[[T], abc.Iterator[load.Problem]],
+    body: abc.Callable[
+        [_lifecycle.Lifecycle, abc.Callable[[], T]], abc.Awaitable[None]
+    ],
 ) -> None:
     """Check the settings and, unless that is all, run the daemon's body.
 
--- a/plantainproxy/_http_server.py
+++ b/plantainproxy/_http_server.py
@@ -1,8 +1,8 @@
 """A small HTTP/1.1 server for health checks, heartbeats and metrics."""
 
-from collections.abc import Awaitable, Callable
+from collections import abc
 import logging
-from typing import NamedTuple
+import typing
 
 import h11
 import trio
@@ -17,7 +17,7 @@
 """A connection without a request for this long is closed."""
 
 
-class Request(NamedTuple):
+class Request(typing.NamedTuple):
     """One whole request."""
 
     method: str
@@ -25,7 +25,7 @@
     body: bytes
 
 
-class Response(NamedTuple):
+class Response(typing.NamedTuple):
     """One whole response."""
 
     status: int
@@ -33,7 +33,7 @@
     content_type: str = "application/json"
 
 
-Handler = Callable[[Request], Response | Awaitable[Response]]
+Handler = abc.Callable[[Request], Response | abc.Awaitable[Response]]
 """Answers a request, at once or later."""
 
 
--- a/plantainproxy/_lifecycle.py
+++ b/plantainproxy/_lifecycle.py
@@ -1,11 +1,11 @@
 """Start, reload and planned stop, the same for every daemon."""
 
-from collections.abc import Awaitable, Callable
+from collections import abc
 import dataclasses
 import logging
 import signal
 import sys
-from typing import Any, NoReturn, TypeVar
+import typing
 
 import trio
 
@@ -17,7 +17,7 @@
 FORCED_STOP_EXIT_CODE = 1
 RELOADABLE_FIELDS = frozenset({"telemetry.log_level", "telemetry.log_format"})
 
-T = TypeVar("T")
+T = typing.TypeVar("T")
 
 
 class Lifecycle:
@@ -58,7 +58,9 @@
             lifecycle.stopping.set()
 
 
-async def _run_with_signals(body: Callable[[Lifecycle], Awaitable[None]]) -> bool:
+async def _run_with_signals(
+    body: abc.Callable[[Lifecycle], abc.Awaitable[None]],
+) -> bool:
     lifecycle = Lifecycle()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_watch_signals, lifecycle, nursery.cancel_scope)
@@ -69,10 +71,10 @@
 
 def run_daemon(
     *,
-    read: Callable[[], T],
+    read: abc.Callable[[], T],
     check_only: bool,
-    configure: Callable[[T], None],
-    body: Callable[[Lifecycle], Awaitable[None]],
+    configure: abc.Callable[[T], None],
+    body: abc.Callable[[Lifecycle], abc.Awaitable[None]],
 ) -> None:
     """Check the settings, then run until the body returns or a signal forces it.
 
@@ -93,7 +95,7 @@
         sys.exit(FORCED_STOP_EXIT_CODE)
 
 
-def leave_with(error: _exceptions.PlantainError) -> NoReturn:
+def leave_with(error: _exceptions.PlantainError) -> typing.NoReturn:
     """Tell the error and end the process with the exit code of its kind."""
     print(error, file=sys.stderr)
     sys.exit(error.answer.exit_code)
@@ -111,7 +113,9 @@
     return found
 
 
-def reload(running: T, read: Callable[[], T], configure: Callable[[T], None]) -> T:
+def reload(
+    running: T, read: abc.Callable[[], T], configure: abc.Callable[[T], None]
+) -> T:
     """Read the settings again and take over what may change while running.
 
     ``configure`` takes over ``RELOADABLE_FIELDS``. Every other difference is told at
@@ -130,7 +134,9 @@
     return running
 
 
-def changed_fields(running: Any, fresh: Any, *, prefix: str = "") -> list[str]:
+def changed_fields(
+    running: typing.Any, fresh: typing.Any, *, prefix: str = ""
+) -> list[str]:
     """Return the dotted names of the settings that differ."""
     changed = []
     for field in dataclasses.fields(running):
--- a/plantainproxy/_types.py
+++ b/plantainproxy/_types.py
@@ -3,10 +3,10 @@
 import dataclasses
 import enum
 import socket
-from typing import NamedTuple
+import typing
 
 
-class Address(NamedTuple):
+class Address(typing.NamedTuple):
     """An IPv4 address and port; usable directly as a socket address."""
 
     host: str
--- a/plantainproxy/balancer/answers.py
+++ b/plantainproxy/balancer/answers.py
@@ -1,6 +1,6 @@
 """What a balancer answers operators and tells the metrics server."""
 
-from collections.abc import Mapping
+from collections import abc
 
 import trio
 
@@ -67,7 +67,7 @@
     )
 
 
-def gauges(parts: balancer_parts.Parts) -> Mapping[str, float]:
+def gauges(parts: balancer_parts.Parts) -> abc.Mapping[str, float]:
     """Return the present value of each gauge."""
     held = parts.holder.held
     now = trio.current_time()
--- a/plantainproxy/balancer/datapath.py
+++ b/plantainproxy/balancer/datapath.py
@@ -4,12 +4,12 @@
 no state of flows, and learns of changes over a channel.
 """
 
-from collections.abc import Callable, Sequence
+from collections import abc
 import contextlib
 import dataclasses
 import os
 import socket
-from typing import NamedTuple
+import typing
 
 import trio
 
@@ -69,8 +69,8 @@
         self.reset_limit = resets.RateLimit()
 
 
-Receive = Callable[[memoryview], tuple[int, tuple[str, int]]]
-Send = Callable[[bytes | memoryview, tuple[str, int]], object]
+Receive = abc.Callable[[memoryview], tuple[int, tuple[str, int]]]
+Send = abc.Callable[[bytes | memoryview, tuple[str, int]], object]
 
 
 def open_socket(address: _types.Address) -> socket.socket:
@@ -98,7 +98,7 @@
         nursery.cancel_scope.cancel()
 
 
-async def apply(state: State, events: Sequence[Event]) -> None:
+async def apply(state: State, events: abc.Sequence[Event]) -> None:
     """Take events in; packets keep being decided on the old state meanwhile."""
     for event in events:
         if isinstance(event, KeysChanged):
@@ -190,7 +190,7 @@
         counters.established += 1
 
 
-class Arrival(NamedTuple):
+class Arrival(typing.NamedTuple):
     """One datagram as it came."""
 
     datagram: bytes
--- a/plantainproxy/balancer/health.py
+++ b/plantainproxy/balancer/health.py
@@ -1,6 +1,6 @@
 """The TCP listener by which the fabric sees whether to send datagrams here."""
 
-from collections.abc import AsyncIterator
+from collections import abc
 import contextlib
 import logging
 
@@ -51,7 +51,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _listener(address: _types.Address) -> AsyncIterator[trio.SocketListener]:
+async def _listener(address: _types.Address) -> abc.AsyncIterator[trio.SocketListener]:
     (listener,) = await trio.open_tcp_listeners(address.port, host=address.host)
     async with listener:
         yield listener
--- a/plantainproxy/balancer/main.py
+++ b/plantainproxy/balancer/main.py
@@ -1,6 +1,6 @@
 """The ``plantain-balancer`` binary."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections import abc
 import contextlib
 import gc
 import logging
@@ -80,7 +80,7 @@
     handlers = dict(membership.handlers(parts.members))
     serve = handlers[methods.Method.HEARTBEAT]
 
-    def serve_and_note(request: messages.HeartbeatRequest) -> Awaitable[object]:
+    def serve_and_note(request: messages.HeartbeatRequest) -> abc.Awaitable[object]:
         observed.note(parts.reports, request, now=trio.current_time())
         return serve(request)
 
@@ -89,7 +89,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _serving(parts: balancer_parts.Parts) -> AsyncIterator[None]:
+async def _serving(parts: balancer_parts.Parts) -> abc.AsyncIterator[None]:
     """Answer peers, sidecars and operators while the context lasts."""
     settings = parts.settings
     operator_handler = operator_service.generic_handler(
@@ -115,7 +115,7 @@
 async def _run_parts(
     parts: balancer_parts.Parts,
     channels: balancer_parts.Channels,
-    read: Callable[[], model.BalancerSettings],
+    read: abc.Callable[[], model.BalancerSettings],
 ) -> None:
     settings = parts.settings
     send_service, in_service = trio.open_memory_channel[bool](1)
@@ -161,7 +161,7 @@
 
 
 async def _run(
-    lifecycle: _lifecycle.Lifecycle, read: Callable[[], model.BalancerSettings]
+    lifecycle: _lifecycle.Lifecycle, read: abc.Callable[[], model.BalancerSettings]
 ) -> None:
     settings = read()
     channels = balancer_parts.open_channels()
--- a/plantainproxy/balancer/observed.py
+++ b/plantainproxy/balancer/observed.py
@@ -1,6 +1,6 @@
 """What a balancer tells operators of itself and of the members it knows."""
 
-from collections.abc import Mapping
+from collections import abc
 import dataclasses
 
 from plantainproxy import _types
@@ -83,7 +83,7 @@
     )
 
 
-def counters(counted: datapath.Counters) -> Mapping[str, int]:
+def counters(counted: datapath.Counters) -> abc.Mapping[str, int]:
     """Name the datapath's counters for status and metrics."""
     drops = {f"drops.{reason.value}": count for reason, count in counted.drops.items()}
     return {
--- a/plantainproxy/balancer/operations.py
+++ b/plantainproxy/balancer/operations.py
@@ -3,7 +3,7 @@
 All of it goes through the store, so any balancer can serve any operator.
 """
 
-from collections.abc import Awaitable, Callable
+from collections import abc
 import dataclasses
 import secrets
 
@@ -25,11 +25,11 @@
     store: port.Store
     prefix: str
     """Every key of this installation begins with it."""
-    wall_clock: Callable[[], float]
+    wall_clock: abc.Callable[[], float]
     """Returns seconds since the epoch."""
-    offer: Callable[[model.Configuration], Awaitable[None]]
+    offer: abc.Callable[[model.Configuration], abc.Awaitable[None]]
     """Takes an accepted configuration in force on this balancer at once."""
-    offer_keys: Callable[[model.KeySet], Awaitable[None]]
+    offer_keys: abc.Callable[[model.KeySet], abc.Awaitable[None]]
 
 
 def _parse_address(text: str) -> _types.Address:
--- a/plantainproxy/balancer/resets.py
+++ b/plantainproxy/balancer/resets.py
@@ -1,6 +1,6 @@
 """Stateless resets for connections whose sidecar is gone (RFC 9000, 10.3)."""
 
-from collections.abc import Callable
+from collections import abc
 import dataclasses
 
 from plantainproxy.quic import classify
@@ -36,7 +36,7 @@
 
 
 def payload(
-    ring: keyring.Keyring, packet: bytes, random_bytes: Callable[[int], bytes]
+    ring: keyring.Keyring, packet: bytes, random_bytes: abc.Callable[[int], bytes]
 ) -> bytes | None:
     """Make the reset that answers a packet; ``None`` when its form allows none.
 
--- a/plantainproxy/balancer/shortcut.py
+++ b/plantainproxy/balancer/shortcut.py
@@ -5,14 +5,14 @@
 everything else takes the long way. The look-up is built anew at each change.
 """
 
-from collections.abc import Callable
+from collections import abc
 import struct
 
 from plantainproxy import _types
 from plantainproxy.core import routing
 from plantainproxy.wire import connection_id, keyring, proxy, tunnel
 
-Find = Callable[[bytearray], _types.Address | None]
+Find = abc.Callable[[bytearray], _types.Address | None]
 """Returns the sidecar to forward to; ``None`` for the long way.
 
 The argument is a buffer with the tunnel prefix, then at least ``SMALLEST_BYTES`` of
@@ -23,7 +23,7 @@
 """Header start, service host, service port with first byte and key number, block."""
 SMALLEST_BYTES = _FIELDS.size - tunnel.PREFIX_BYTES
 """Size of the smallest datagram that may go the short way."""
-_Way = tuple[Callable[[bytes], bytes], dict[bytes, _types.Address]]
+_Way = tuple[abc.Callable[[bytes], bytes], dict[bytes, _types.Address]]
 """The decryption of one key, and the tunnels of one service."""
 _SHORT_HEADERS = range(0x40, 0x80)
 """First bytes of short headers (RFC 9000, 17.3)."""
@@ -61,7 +61,9 @@
     return _finder(ways, prepare)
 
 
-def _finder(ways: dict[bytes, _Way], prepare: Callable[[bytes], _Way | None]) -> Find:
+def _finder(
+    ways: dict[bytes, _Way], prepare: abc.Callable[[bytes], _Way | None]
+) -> Find:
     unpack, way_of = _FIELDS.unpack_from, ways.get
     plain_start, naming_bytes = proxy.PLAIN_START, connection_id.NAMING_BYTES
 
--- a/plantainproxy/balancer/tests/test_datapath.py
+++ b/plantainproxy/balancer/tests/test_datapath.py
@@ -1,11 +1,11 @@
 """The datapath over real sockets, and on bad input."""
 
-from collections.abc import AsyncIterator
+from collections import abc
 import contextlib
 import dataclasses
 import random
 import socket
-from typing import NamedTuple
+import typing
 
 import pytest
 import trio
@@ -68,7 +68,7 @@
     return proxy.encode(source=CALLER, destination=service) + payload
 
 
-class Rig(NamedTuple):
+class Rig(typing.NamedTuple):
     """A running datapath with two sidecars' sockets and the fabric's."""
 
     state: datapath.State
@@ -88,7 +88,7 @@
 
 
 @contextlib.asynccontextmanager
-async def running() -> AsyncIterator[Rig]:
+async def running() -> abc.AsyncIterator[Rig]:
     """Run a datapath that knows two sidecars."""
     sidecars = (await _bound(), await _bound())
     fabric = await _bound()
@@ -180,7 +180,7 @@
     trio.run(main)
 
 
-class Case(NamedTuple):
+class Case(typing.NamedTuple):
     """A bad datagram and how it is counted."""
 
     datagram: bytes
--- a/plantainproxy/balancer/tests/test_operations.py
+++ b/plantainproxy/balancer/tests/test_operations.py
@@ -1,6 +1,6 @@
 """Operators' changes through a balancer, over the fake store."""
 
-from collections.abc import Awaitable, Callable
+from collections import abc
 
 import pytest
 import trio
@@ -31,7 +31,7 @@
     )
 
 
-def run(body: Callable[[operations.Access], Awaitable[None]]) -> None:
+def run(body: abc.Callable[[operations.Access], abc.Awaitable[None]]) -> None:
     """Run a test against the fake store, without waiting for its delays."""
 
     async def main() -> None:
--- a/plantainproxy/config/check.py
+++ b/plantainproxy/config/check.py
@@ -1,6 +1,6 @@
 """Rules that a configuration has to meet as a whole."""
 
-from collections.abc import Hashable, Iterable, Iterator
+from collections import abc
 import dataclasses
 import math
 
@@ -28,7 +28,9 @@
         return f"{self.place}: {self.expected}"
 
 
-def refusal(problems: Iterable[Problem], *, source: str) -> _exceptions.PlantainError:
+def refusal(
+    problems: abc.Iterable[Problem], *, source: str
+) -> _exceptions.PlantainError:
     """Make the error that tells every problem, one a line."""
     lines = [f"{source}: {problem}" for problem in problems]
     return _exceptions.PlantainError(
@@ -73,7 +75,7 @@
     )
 
 
-def _check_routes(configuration: model.Configuration) -> Iterator[Problem]:
+def _check_routes(configuration: model.Configuration) -> abc.Iterator[Problem]:
     routes = configuration.routes
     pools = {pool.name for pool in configuration.pools}
     yield from _check_names("routes", [route.name for route in routes])
@@ -88,7 +90,7 @@
             )
 
 
-def _check_service_tags(addresses: list[_types.Address]) -> Iterator[Problem]:
+def _check_service_tags(addresses: list[_types.Address]) -> abc.Iterator[Problem]:
     """Refuse two addresses that connection IDs cannot tell apart."""
     by_tag: dict[int, tuple[int, _types.Address]] = {}
     for index, address in enumerate(addresses):
@@ -104,7 +106,7 @@
             )
 
 
-def _check_pools(pools: tuple[model.Pool, ...]) -> Iterator[Problem]:
+def _check_pools(pools: tuple[model.Pool, ...]) -> abc.Iterator[Problem]:
     yield from _check_names("pools", [pool.name for pool in pools])
     for index, pool in enumerate(pools):
         if not 1 <= pool.max_running <= MAX_RUNNING_LIMIT:
@@ -120,7 +122,7 @@
             )
 
 
-def _check_domains(domains: tuple[model.Domain, ...]) -> Iterator[Problem]:
+def _check_domains(domains: tuple[model.Domain, ...]) -> abc.Iterator[Problem]:
     yield from _check_names("domains", [domain.name for domain in domains])
     numbers = [domain.number for domain in domains]
     yield from _check_unique("domains[{}].number", numbers)
@@ -132,7 +134,7 @@
             )
 
 
-def _check_drained(configuration: model.Configuration) -> Iterator[Problem]:
+def _check_drained(configuration: model.Configuration) -> abc.Iterator[Problem]:
     yield from _check_addresses("drained[{}]", list(configuration.drained))
     services = {route.address: route.name for route in configuration.routes}
     for index, address in enumerate(configuration.drained):
@@ -144,7 +146,7 @@
             )
 
 
-def _check_names(table: str, names: list[str]) -> Iterator[Problem]:
+def _check_names(table: str, names: list[str]) -> abc.Iterator[Problem]:
     yield from _check_unique(table + "[{}].name", names)
     for index, name in enumerate(names):
         if not name or len(name) > MAX_NAME_LENGTH or not name.isprintable():
@@ -155,7 +157,9 @@
             )
 
 
-def _check_addresses(place: str, addresses: list[_types.Address]) -> Iterator[Problem]:
+def _check_addresses(
+    place: str, addresses: list[_types.Address]
+) -> abc.Iterator[Problem]:
     yield from _check_unique(place, addresses)
     for index, address in enumerate(addresses):
         if not _is_well_formed(address):
@@ -177,8 +181,10 @@
         return False
 
 
-def _check_unique(place: str, values: Iterable[Hashable]) -> Iterator[Problem]:
-    first_at: dict[Hashable, int] = {}
+def _check_unique(
+    place: str, values: abc.Iterable[abc.Hashable]
+) -> abc.Iterator[Problem]:
+    first_at: dict[abc.Hashable, int] = {}
     for index, value in enumerate(values):
         first = first_at.setdefault(value, index)
         if first != index:
--- a/plantainproxy/config/diff.py
+++ b/plantainproxy/config/diff.py
@@ -1,6 +1,6 @@
 """Differences between two configurations, typed and as text."""
 
-from collections.abc import Iterator
+from collections import abc
 import dataclasses
 import enum
 
@@ -63,7 +63,7 @@
 
 def _compare(
     kind: ObjectKind, before: tuple[_Item, ...], after: tuple[_Item, ...]
-) -> Iterator[Difference]:
+) -> abc.Iterator[Difference]:
     old = {item.name: item for item in before}
     new = {item.name: item for item in after}
     for name in sorted(old.keys() | new.keys()):
@@ -75,7 +75,7 @@
 
 def _compare_drained(
     before: model.Configuration, after: model.Configuration
-) -> Iterator[Difference]:
+) -> abc.Iterator[Difference]:
     old = set(before.drained)
     new = set(after.drained)
     for address in sorted(old ^ new):
--- a/plantainproxy/config/document.py
+++ b/plantainproxy/config/document.py
@@ -1,7 +1,7 @@
 """The stored form of documents, and the limit on their size."""
 
 import dataclasses
-from typing import TypeVar
+import typing
 
 import msgspec
 
@@ -13,7 +13,7 @@
 FORMAT = 1
 """The version of the stored form; another one is refused."""
 
-T = TypeVar("T")
+T = typing.TypeVar("T")
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/plantainproxy/config/edit.py
+++ b/plantainproxy/config/edit.py
@@ -1,12 +1,12 @@
 """Edits: each makes a new configuration from one and changes nothing else."""
 
 import dataclasses
-from typing import TypeVar
+import typing
 
 from plantainproxy import _exceptions, _types
 from plantainproxy.config import model
 
-_Item = TypeVar("_Item", bound=model.Route | model.Pool | model.Domain)
+_Item = typing.TypeVar("_Item", bound=model.Route | model.Pool | model.Domain)
 
 
 def set_route(
--- a/plantainproxy/config/follow.py
+++ b/plantainproxy/config/follow.py
@@ -1,6 +1,6 @@
 """Following of the stored documents by a holder of a seat."""
 
-from collections.abc import Callable
+from collections import abc
 import logging
 import random
 
@@ -25,9 +25,9 @@
         store: port.Store,
         *,
         prefix: str,
-        held: Callable[[], configuration_core.Held],
+        held: abc.Callable[[], configuration_core.Held],
         news: trio.MemorySendChannel[configuration_core.Document],
-        wall_clock: Callable[[], float],
+        wall_clock: abc.Callable[[], float],
         generator: random.Random,
     ) -> None:
         """Take the store, what the process holds, and where news goes."""
--- a/plantainproxy/config/keys.py
+++ b/plantainproxy/config/keys.py
@@ -4,7 +4,7 @@
 until no connection ID of the old keys is in use, and drops those.
 """
 
-from collections.abc import Callable
+from collections import abc
 import dataclasses
 import secrets
 
@@ -158,7 +158,7 @@
     store: port.Store,
     *,
     prefix: str,
-    step: Callable[[model.KeySet], model.KeySet],
+    step: abc.Callable[[model.KeySet], model.KeySet],
     author: Author,
     now: float,
 ) -> model.KeySet:
--- a/plantainproxy/config/parse.py
+++ b/plantainproxy/config/parse.py
@@ -1,15 +1,15 @@
 """Configuration as TOML text, read with every error at once and written."""
 
-from collections.abc import Callable
+from collections import abc
 import dataclasses
 import json
 import tomllib
-from typing import Any, TypeVar
+import typing
 
 from plantainproxy import _types
 from plantainproxy.config import check, model
 
-T = TypeVar("T")
+T = typing.TypeVar("T")
 
 _UNREADABLE_ADDRESS = _types.Address(check.WILDCARD_HOST, 0)
 
@@ -19,32 +19,32 @@
     """How one key of a table is read."""
 
     expected: str
-    read: Callable[[Any], Any]
+    read: abc.Callable[[typing.Any], typing.Any]
     """Raises ``ValueError`` for a value that does not fit."""
-    unreadable: Any
+    unreadable: typing.Any
     """Stands in for a value that does not fit, and is invalid itself."""
     required: bool = True
 
 
-def _read_text(value: Any) -> str:
+def _read_text(value: typing.Any) -> str:
     if not isinstance(value, str):
         raise ValueError
     return value
 
 
-def _read_integer(value: Any) -> int:
+def _read_integer(value: typing.Any) -> int:
     if not isinstance(value, int) or isinstance(value, bool):
         raise ValueError
     return value
 
 
-def _read_number(value: Any) -> float:
+def _read_number(value: typing.Any) -> float:
     if not isinstance(value, int | float) or isinstance(value, bool):
         raise ValueError
     return float(value)
 
 
-def _read_address(value: Any) -> _types.Address:
+def _read_address(value: typing.Any) -> _types.Address:
     return _types.Address.parse(_read_text(value))
 
 
@@ -118,14 +118,14 @@
     ]
 
 
-def _expect(reader: _Reader, place: str, expected: str, found: Any) -> None:
+def _expect(reader: _Reader, place: str, expected: str, found: typing.Any) -> None:
     reader.problems.append(
         check.Problem(place=place, expected=f"expected {expected}, got {found!r}")
     )
 
 
 def _refuse_unknown(
-    reader: _Reader, place: str, table: dict[str, Any], known: tuple[str, ...]
+    reader: _Reader, place: str, table: dict[str, typing.Any], known: tuple[str, ...]
 ) -> None:
     for name in table:
         if name not in known:
@@ -135,7 +135,9 @@
             )
 
 
-def _read_list(reader: _Reader, document: dict[str, Any], name: str) -> list[Any]:
+def _read_list(
+    reader: _Reader, document: dict[str, typing.Any], name: str
+) -> list[typing.Any]:
     value = document.get(name, [])
     if isinstance(value, list):
         return value
@@ -145,10 +147,10 @@
 
 def _read_tables(
     reader: _Reader,
-    document: dict[str, Any],
+    document: dict[str, typing.Any],
     name: str,
     fields: dict[str, _Field],
-    table_type: Callable[..., T],
+    table_type: abc.Callable[..., T],
 ) -> tuple[T, ...]:
     return tuple(
         table_type(**_read_fields(reader, f"{name}[{index}]", table, fields))
@@ -157,8 +159,8 @@
 
 
 def _read_fields(
-    reader: _Reader, place: str, table: Any, fields: dict[str, _Field]
-) -> dict[str, Any]:
+    reader: _Reader, place: str, table: typing.Any, fields: dict[str, _Field]
+) -> dict[str, typing.Any]:
     if not isinstance(table, dict):
         _expect(reader, place, "a table", table)
         table = {}
@@ -179,7 +181,9 @@
     return values
 
 
-def _read_value(reader: _Reader, place: str, value: Any, field: _Field) -> Any:
+def _read_value(
+    reader: _Reader, place: str, value: typing.Any, field: _Field
+) -> typing.Any:
     try:
         return field.read(value)
     except (ValueError, OverflowError):
@@ -188,7 +192,7 @@
 
 
 def _read_drained(
-    reader: _Reader, document: dict[str, Any]
+    reader: _Reader, document: dict[str, typing.Any]
 ) -> tuple[_types.Address, ...]:
     return tuple(
         _read_value(reader, f"drained[{index}]", value, _ADDRESS)
@@ -218,7 +222,7 @@
     ]
 
 
-def _render_value(value: Any) -> str:
+def _render_value(value: typing.Any) -> str:
     if isinstance(value, int | float):
         return repr(value)
     # TOML's basic strings take JSON's escapes, but for the delete character.
--- a/plantainproxy/config/swap.py
+++ b/plantainproxy/config/swap.py
@@ -1,7 +1,7 @@
 """Repetition of one compare-and-swap until its outcome is known."""
 
-from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from collections import abc
+import typing
 
 import trio
 
@@ -15,7 +15,7 @@
 """Doubled at each further attempt."""
 
 _Kind = _exceptions.ErrorKind
-T = TypeVar("T")
+T = typing.TypeVar("T")
 
 
 class Swap:
@@ -43,7 +43,7 @@
 
 
 async def until_known(
-    swap: Swap, attempt: Callable[[], Awaitable[T | None]], *, name: str
+    swap: Swap, attempt: abc.Callable[[], abc.Awaitable[T | None]], *, name: str
 ) -> T:
     """Repeat an attempt until it returns a result or raises for certain.
 
--- a/plantainproxy/config/tests/test_change.py
+++ b/plantainproxy/config/tests/test_change.py
@@ -1,6 +1,6 @@
 """Acceptance of changes against the fake and the stand-in store."""
 
-from collections.abc import Awaitable, Callable
+from collections import abc
 import dataclasses
 import functools
 
@@ -38,14 +38,16 @@
     )
 
 
-async def failure(call: Callable[[], Awaitable[object]]) -> _exceptions.PlantainError:
+async def failure(
+    call: abc.Callable[[], abc.Awaitable[object]],
+) -> _exceptions.PlantainError:
     """Return the error that a call raises."""
     with pytest.raises(_exceptions.PlantainError) as caught:
         await call()
     return caught.value
 
 
-def run(main: Callable[[memory.MemoryStore], Awaitable[None]]) -> None:
+def run(main: abc.Callable[[memory.MemoryStore], abc.Awaitable[None]]) -> None:
     """Run a test against the fake, without waiting for its delays."""
     clock = trio.testing.MockClock(autojump_threshold=0)
     trio.run(main, memory.MemoryStore(), clock=clock)
--- a/plantainproxy/config/tests/test_change_faults.py
+++ b/plantainproxy/config/tests/test_change_faults.py
@@ -1,7 +1,7 @@
 """Every fault of the store at every step of a change, singly and in pairs."""
 
 import itertools
-from typing import Any
+import typing
 
 import pytest
 import trio
@@ -142,7 +142,7 @@
         assert times_applied(store) == applied == 0
 
 
-def _marked(step: str) -> list[Any]:
+def _marked(step: str) -> list[typing.Any]:
     """Return the faults, each with its mark for the page of proofs."""
     return [
         pytest.param(fault, marks=pytest.mark.proof(promise=10, fault=fault, step=step))
--- a/plantainproxy/config/tests/test_edit.py
+++ b/plantainproxy/config/tests/test_edit.py
@@ -1,6 +1,6 @@
 """Edits and key rotation."""
 
-from collections.abc import Callable
+from collections import abc
 
 import hypothesis
 from hypothesis import strategies
@@ -13,7 +13,7 @@
 from plantainproxy.store import memory
 
 Kind = _exceptions.ErrorKind
-Edit = Callable[[model.Configuration], model.Configuration]
+Edit = abc.Callable[[model.Configuration], model.Configuration]
 PREFIX = "t/"
 
 NAMES = strategies.sampled_from(["a", "b", "c"])
@@ -127,7 +127,9 @@
         first = await keys.ensure(store, prefix=PREFIX, held=None, now=1.0)
         assert await keys.ensure(store, prefix=PREFIX, held=None, now=2.0) == first
 
-        async def take(step: Callable[[model.KeySet], model.KeySet]) -> model.KeySet:
+        async def take(
+            step: abc.Callable[[model.KeySet], model.KeySet],
+        ) -> model.KeySet:
             store.lose_answers = 1
             author = keys.Author(
                 change_id=f"id-{store.writes}", operator="o", reason="r"
--- a/plantainproxy/config/tests/test_follow.py
+++ b/plantainproxy/config/tests/test_follow.py
@@ -1,6 +1,6 @@
 """Following: each newer document is told once and no revision falls."""
 
-from collections.abc import Awaitable, Callable
+from collections import abc
 import dataclasses
 import random
 
@@ -42,7 +42,7 @@
 
 
 Receiver = trio.MemoryReceiveChannel[configuration_core.Document]
-Main = Callable[[memory.MemoryStore, Receiver], Awaitable[None]]
+Main = abc.Callable[[memory.MemoryStore, Receiver], abc.Awaitable[None]]
 
 
 def run(main: Main, held: configuration_core.Held | None = None) -> memory.MemoryStore:
--- a/plantainproxy/core/delta.py
+++ b/plantainproxy/core/delta.py
@@ -5,9 +5,9 @@
 """
 
 import collections
-from collections.abc import Iterable
+from collections import abc
 import dataclasses
-from typing import TypeVar
+import typing
 
 from plantainproxy import _types
 from plantainproxy.config import model
@@ -15,7 +15,7 @@
 MAX_EARLIER = 32
 """Configurations before the present one from which a delta can be made."""
 
-_Item = TypeVar("_Item", model.Route, model.Pool, model.Domain)
+_Item = typing.TypeVar("_Item", model.Route, model.Pool, model.Domain)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -118,7 +118,7 @@
 
 
 def _applied(
-    items: tuple[_Item, ...], changed: Iterable[_Item], removed: Iterable[str]
+    items: tuple[_Item, ...], changed: abc.Iterable[_Item], removed: abc.Iterable[str]
 ) -> tuple[_Item, ...]:
     """Replace items in place, drop the removed ones, and append the new ones."""
     by_name = {item.name: item for item in items}
--- a/plantainproxy/core/gossip.py
+++ b/plantainproxy/core/gossip.py
@@ -5,7 +5,7 @@
 bounded by budgets that refill at a fixed rate.
 """
 
-from collections.abc import Collection, Iterable
+from collections import abc
 import dataclasses
 import math
 import random
@@ -160,7 +160,7 @@
 
 
 def learn(
-    state: State, records: Iterable[_types.MemberRecord], *, now: float
+    state: State, records: abc.Iterable[_types.MemberRecord], *, now: float
 ) -> membership.Merged:
     """Merge records, refute what is untrue of ourselves, and queue the changes."""
     merged = membership.merge(state.table, records, now=now)
@@ -188,7 +188,7 @@
 
 
 def _take(
-    records: Iterable[_types.MemberRecord], budget: Budget, now: float
+    records: abc.Iterable[_types.MemberRecord], budget: Budget, now: float
 ) -> tuple[_types.MemberRecord, ...]:
     """Take as many records as one message and the budget allow."""
     _refill(budget, now)
@@ -216,7 +216,7 @@
 
 
 def _outsiders(
-    state: State, contacts: Collection[_types.Address]
+    state: State, contacts: abc.Collection[_types.Address]
 ) -> list[_types.Address]:
     """Return addresses where a balancer may be that is not known as live."""
     lost = {record.rpc for record in state.table.balancers.values() if record.lost}
@@ -229,7 +229,7 @@
     *,
     now: float,
     rng: random.Random,
-    contacts: Collection[_types.Address],
+    contacts: abc.Collection[_types.Address],
     revisions: Revisions,
 ) -> tuple[Send, ...]:
     """Decide the calls of one round.
@@ -253,7 +253,7 @@
     state: State,
     now: float,
     rng: random.Random,
-    contacts: Collection[_types.Address],
+    contacts: abc.Collection[_types.Address],
 ) -> list[_types.Address]:
     """Choose whom to compare digests with in this round."""
     digest_peers: list[_types.Address] = []
@@ -301,7 +301,7 @@
 # --- Exchange ---------------------------------------------------------------------
 
 
-def _summarized(table: membership.Table, buckets: Iterable[int]) -> tuple[int, ...]:
+def _summarized(table: membership.Table, buckets: abc.Iterable[int]) -> tuple[int, ...]:
     """Return as many buckets as one reply may summarize."""
     room = MAX_SUMMARY_BYTES
     chosen = []
--- a/plantainproxy/core/handoff.py
+++ b/plantainproxy/core/handoff.py
@@ -7,7 +7,7 @@
 """
 
 import bisect
-from collections.abc import Callable, Iterable
+from collections import abc
 import dataclasses
 import enum
 
@@ -75,7 +75,7 @@
         """Target and expiry time by flow key, oldest first."""
 
 
-def peers_of(own: _types.Address, records: Iterable[_types.MemberRecord]) -> Peers:
+def peers_of(own: _types.Address, records: abc.Iterable[_types.MemberRecord]) -> Peers:
     """Sort the members of a pool by what they may be sent."""
     packed_own = own.pack()
     alive = {
@@ -100,7 +100,7 @@
     peers: Peers,
     memory: Memory,
     serving: bool,
-    allow_line: Callable[[], bool],
+    allow_line: abc.Callable[[], bool],
     now: float,
 ) -> Decision:
     """Decide on an opening packet; ``allow_line`` is asked at most once."""
--- a/plantainproxy/core/heartbeat.py
+++ b/plantainproxy/core/heartbeat.py
@@ -1,6 +1,6 @@
 """What a sidecar announces, to whom, and what it takes from the replies."""
 
-from collections.abc import Sequence
+from collections import abc
 import dataclasses
 
 from plantainproxy import _types
@@ -47,7 +47,7 @@
     """What a sidecar knows and whom it calls."""
 
     def __init__(
-        self, record: _types.MemberRecord, seeds: Sequence[_types.Address]
+        self, record: _types.MemberRecord, seeds: abc.Sequence[_types.Address]
     ) -> None:
         """Begin with the seeds as the only balancers."""
         self.knowledge = Knowledge(record=record)
--- a/plantainproxy/core/homes.py
+++ b/plantainproxy/core/homes.py
@@ -4,7 +4,7 @@
 that comes or goes moves only the keys that it gains or loses.
 """
 
-from collections.abc import Sequence
+from collections import abc
 import dataclasses
 import functools
 
@@ -39,7 +39,7 @@
     return point(str(address))
 
 
-def candidates(addresses: Sequence[_types.Address]) -> Candidates:
+def candidates(addresses: abc.Sequence[_types.Address]) -> Candidates:
     """Hash each address once, in an order that all processes share."""
     ordered = tuple(sorted(set(addresses)))
     points = numpy.array([_address_point(address) for address in ordered], numpy.uint64)
--- a/plantainproxy/core/membership.py
+++ b/plantainproxy/core/membership.py
@@ -5,7 +5,7 @@
 bucket lets two balancers find their differences.
 """
 
-from collections.abc import Callable, Iterable, Iterator
+from collections import abc
 import dataclasses
 import struct
 
@@ -198,7 +198,7 @@
 
 
 def merge(
-    table: Table, records: Iterable[_types.MemberRecord], *, now: float
+    table: Table, records: abc.Iterable[_types.MemberRecord], *, now: float
 ) -> Merged:
     """Take in the records that are newer than ours; tell which of ours are newer.
 
@@ -264,7 +264,7 @@
     return tuple(record for record in table.balancers.values() if not has_ended(record))
 
 
-def records_digest(records: Iterable[_types.MemberRecord]) -> int:
+def records_digest(records: abc.Iterable[_types.MemberRecord]) -> int:
     """Digest a set of records in any order; 0 only for the empty set, in effect."""
     digest = 0
     for record in records:
@@ -294,7 +294,7 @@
     return packed[bucket * 4 : bucket * 4 + 4] == bytes(4)
 
 
-def pack_summaries(table: Table, buckets: Iterable[int]) -> bytes:
+def pack_summaries(table: Table, buckets: abc.Iterable[int]) -> bytes:
     """Pack key hash and record hash of every record in some buckets."""
     return b"".join(
         _SUMMARY.pack(homes.point(key), record_hash(table.records[key]))
@@ -304,8 +304,8 @@
 
 
 def bucket_records(
-    table: Table, buckets: Iterable[int]
-) -> Iterator[_types.MemberRecord]:
+    table: Table, buckets: abc.Iterable[int]
+) -> abc.Iterator[_types.MemberRecord]:
     """Yield the live records in some buckets."""
     for bucket in buckets:
         for key in sorted(table.buckets[bucket]):
@@ -506,7 +506,7 @@
     *,
     now: float,
     is_connected: bool,
-    is_home: Callable[[str], bool],
+    is_home: abc.Callable[[str], bool],
 ) -> tuple[_types.MemberRecord, ...]:
     """Return lost records for the members that went silent.
 
@@ -532,7 +532,7 @@
     return tuple(lost)
 
 
-def unwatch(watch: Watch, keys: Iterable[str]) -> None:
+def unwatch(watch: Watch, keys: abc.Iterable[str]) -> None:
     """End the watch over members that were forgotten."""
     for key in keys:
         watch.members.pop(key, None)
--- a/plantainproxy/core/packets.py
+++ b/plantainproxy/core/packets.py
@@ -1,7 +1,7 @@
 """Packets of any datagram protocol, as the routing rules see them."""
 
-from collections.abc import Callable
-from typing import NamedTuple
+from collections import abc
+import typing
 
 import xxhash
 
@@ -10,7 +10,7 @@
 _GENERATION_HALF_RANGE = 0x8000
 
 
-class Destination(NamedTuple):
+class Destination(typing.NamedTuple):
     """Where an established flow lives, as the flow itself says."""
 
     tunnel: bytes
@@ -23,7 +23,7 @@
     """The tag of the service address, 16 bits."""
 
 
-class Packet(NamedTuple):
+class Packet(typing.NamedTuple):
     """One datagram of a flow."""
 
     flow_key: bytes
@@ -36,7 +36,7 @@
     """Where the flow lives; absent when the packet does not carry it."""
 
 
-flow_hash: Callable[[bytes], int] = xxhash.xxh3_64_intdigest
+flow_hash: abc.Callable[[bytes], int] = xxhash.xxh3_64_intdigest
 """Hashes a flow key to 64 bits."""
 
 
--- a/plantainproxy/core/placement.py
+++ b/plantainproxy/core/placement.py
@@ -5,7 +5,7 @@
 requests that are placed at once do not all go to the sibling that seemed idle.
 """
 
-from collections.abc import Iterable
+from collections import abc
 import dataclasses
 
 from plantainproxy import _exceptions, _types
@@ -87,7 +87,7 @@
 
 def update_siblings(
     state: State,
-    records: Iterable[_types.MemberRecord],
+    records: abc.Iterable[_types.MemberRecord],
     *,
     own: _types.Address,
     domains_out: frozenset[str],
--- a/plantainproxy/core/routing.py
+++ b/plantainproxy/core/routing.py
@@ -4,11 +4,11 @@
 looks at a clock or a socket, so another harness can drive the whole role.
 """
 
-from collections.abc import Iterable, Mapping, Sequence, Set
+from collections import abc
 import dataclasses
 import enum
 import math
-from typing import NamedTuple
+import typing
 
 from plantainproxy import _types
 from plantainproxy.config import model
@@ -51,11 +51,11 @@
 """Send the packet to the owner's sidecar, and let it know of the earlier owners."""
 
 
-class Reset(NamedTuple):
+class Reset(typing.NamedTuple):
     """Tell the caller that the flow is dead."""
 
 
-class Drop(NamedTuple):
+class Drop(typing.NamedTuple):
     """Do nothing with the packet."""
 
     reason: DropReason
@@ -89,7 +89,7 @@
 Event = ConfigurationChanged | MembersChanged | BlindnessChanged
 
 
-class Service(NamedTuple):
+class Service(typing.NamedTuple):
     """What is known of one service address."""
 
     tag: int
@@ -101,7 +101,7 @@
     """When the route left the earlier pool."""
 
 
-class Upstream(NamedTuple):
+class Upstream(typing.NamedTuple):
     """What is known of the sidecar at one tunnel address."""
 
     forward: Forward
@@ -118,17 +118,17 @@
 
     configuration: model.Configuration | None = None
     blind: bool = False
-    records: Mapping[str, tuple[_types.MemberRecord, ...]] = dataclasses.field(
+    records: abc.Mapping[str, tuple[_types.MemberRecord, ...]] = dataclasses.field(
         default_factory=dict
     )
     """The records of each pool."""
-    tables: Mapping[str, slots.Table] = dataclasses.field(default_factory=dict)
+    tables: abc.Mapping[str, slots.Table] = dataclasses.field(default_factory=dict)
     """The slot table of each configured pool."""
-    services: Mapping[bytes, Service] = dataclasses.field(default_factory=dict)
+    services: abc.Mapping[bytes, Service] = dataclasses.field(default_factory=dict)
     """By packed service address."""
     domains: tuple[_types.DomainState | None, ...] = (None,) * _DOMAIN_NUMBERS
     """By domain number; absent where none is configured."""
-    upstreams: Mapping[bytes, Upstream] = dataclasses.field(default_factory=dict)
+    upstreams: abc.Mapping[bytes, Upstream] = dataclasses.field(default_factory=dict)
     """By packed tunnel address."""
 
 
@@ -138,7 +138,7 @@
 _NO_UPSTREAM = _DROPS[DropReason.NO_UPSTREAM]
 
 
-def apply(state: State, events: Iterable[Event], *, now: float) -> State:
+def apply(state: State, events: abc.Iterable[Event], *, now: float) -> State:
     """Return the state after the events."""
     configuration, blind = state.configuration, state.blind
     records = dict(state.records)
@@ -289,7 +289,7 @@
 
 
 def eligible(
-    configuration: model.Configuration, records: Iterable[_types.MemberRecord]
+    configuration: model.Configuration, records: abc.Iterable[_types.MemberRecord]
 ) -> list[slots.Member]:
     """Return the members that may get new flows."""
     domains = _domains_in(configuration)
@@ -306,7 +306,7 @@
 
 
 def _gone(
-    configuration: model.Configuration, records: Sequence[_types.MemberRecord]
+    configuration: model.Configuration, records: abc.Sequence[_types.MemberRecord]
 ) -> frozenset[_types.Address]:
     """Return the tunnel addresses that can take no packet of an earlier flow."""
     domains = _domains_in(configuration)
@@ -321,10 +321,10 @@
 
 
 def _tables(
-    held: Mapping[str, slots.Table],
+    held: abc.Mapping[str, slots.Table],
     configuration: model.Configuration,
-    records: Mapping[str, tuple[_types.MemberRecord, ...]],
-    changed: Set[str],
+    records: abc.Mapping[str, tuple[_types.MemberRecord, ...]],
+    changed: abc.Set[str],
     *,
     now: float,
 ) -> dict[str, slots.Table]:
@@ -347,7 +347,7 @@
 def _services(
     state: State,
     configuration: model.Configuration,
-    tables: Mapping[str, slots.Table],
+    tables: abc.Mapping[str, slots.Table],
     *,
     now: float,
 ) -> dict[bytes, Service]:
@@ -366,7 +366,9 @@
 
 
 def _with_tables(
-    held: Mapping[bytes, Service], tables: Mapping[str, slots.Table], changed: Set[str]
+    held: abc.Mapping[bytes, Service],
+    tables: abc.Mapping[str, slots.Table],
+    changed: abc.Set[str],
 ) -> dict[bytes, Service]:
     """Return the services of the same configuration with their present tables."""
     services = dict(held)
@@ -386,10 +388,10 @@
 
 
 def _touched(
-    held: Mapping[str, tuple[_types.MemberRecord, ...]],
-    records: Mapping[str, tuple[_types.MemberRecord, ...]],
-    changed: Set[str],
-) -> Set[_types.Address]:
+    held: abc.Mapping[str, tuple[_types.MemberRecord, ...]],
+    records: abc.Mapping[str, tuple[_types.MemberRecord, ...]],
+    changed: abc.Set[str],
+) -> abc.Set[_types.Address]:
     """Return the tunnel addresses whose records may have changed."""
     return {
         record.tunnel
@@ -400,12 +402,12 @@
 
 
 def _upstreams(
-    held: Mapping[bytes, Upstream],
-    records: Mapping[str, tuple[_types.MemberRecord, ...]],
-    touched: Set[_types.Address] | None,
+    held: abc.Mapping[bytes, Upstream],
+    records: abc.Mapping[str, tuple[_types.MemberRecord, ...]],
+    touched: abc.Set[_types.Address] | None,
     *,
     now: float,
-) -> Mapping[bytes, Upstream]:
+) -> abc.Mapping[bytes, Upstream]:
     """Return what is known by tunnel address, from the newest record of each.
 
     Only the addresses in ``touched`` are looked at again; all when it is absent.
--- a/plantainproxy/core/slots.py
+++ b/plantainproxy/core/slots.py
@@ -5,11 +5,11 @@
 See ``docs/design/slots.md``.
 """
 
-from collections.abc import Iterable, Sequence
+from collections import abc
 import dataclasses
 import functools
 import math
-from typing import Any, NamedTuple
+import typing
 
 import numpy as np
 import numpy.typing as npt
@@ -37,12 +37,12 @@
 _NUMBER_TYPES = (np.dtype(np.int8), np.dtype(np.int16), np.dtype(np.int32))
 """Types of the indexes into a table's addresses, smallest first."""
 
-_Owners = npt.NDArray[np.signedinteger[Any]]
+_Owners = npt.NDArray[np.signedinteger[typing.Any]]
 _Times = npt.NDArray[np.float32]
 _Hashes = npt.NDArray[np.uint64]
 
 
-class Member(NamedTuple):
+class Member(typing.NamedTuple):
     """One eligible upstream of a pool."""
 
     key: str
@@ -52,7 +52,7 @@
     """Share of new flows relative to the other members, in (0, 1]."""
 
 
-class Pick(NamedTuple):
+class Pick(typing.NamedTuple):
     """The owners of one slot."""
 
     tunnel: _types.Address
@@ -84,7 +84,7 @@
     """When each slot last changed, likewise."""
 
 
-def assign(members: Iterable[Member]) -> tuple[tuple[Member, ...], _Owners]:
+def assign(members: abc.Iterable[Member]) -> tuple[tuple[Member, ...], _Owners]:
     """Give each slot its owner, as an index into the members ordered by key."""
     ordered = tuple(sorted(members))
     if not ordered:
@@ -133,7 +133,7 @@
 
 def replace(
     table: Table,
-    members: Sequence[Member],
+    members: abc.Sequence[Member],
     *,
     now: float,
     gone: frozenset[_types.Address] = frozenset(),
@@ -200,13 +200,13 @@
     return bits
 
 
-def _member_hashes(members: Sequence[Member]) -> list[int]:
+def _member_hashes(members: abc.Sequence[Member]) -> list[int]:
     return [xxhash.xxh3_64_intdigest(member.key.encode()) for member in members]
 
 
 def _rank(
     owners: _Owners,
-    members: Sequence[Member],
+    members: abc.Sequence[Member],
     weights: npt.NDArray[np.float64],
     capacity: npt.NDArray[np.int64],
 ) -> None:
@@ -225,7 +225,7 @@
             return
 
 
-def _occupants(members: Sequence[Member], position_count: int) -> _Owners:
+def _occupants(members: abc.Sequence[Member], position_count: int) -> _Owners:
     """Place members by ordered linear probing, whatever order they arrived in."""
     hashes = _member_hashes(members)
     order = sorted(range(len(members)), key=lambda number: (hashes[number], number))
@@ -353,7 +353,7 @@
 
 def _compacted(
     members: tuple[Member, ...],
-    tunnels: Sequence[_types.Address],
+    tunnels: abc.Sequence[_types.Address],
     owners: _Owners,
     earlier: tuple[_Owners, ...],
     changed: tuple[_Times, ...],
--- a/plantainproxy/core/tests/test_claims.py
+++ b/plantainproxy/core/tests/test_claims.py
@@ -1,7 +1,7 @@
 """The home's table grants a key at most once, whatever happens in between."""
 
 import collections
-from collections.abc import Callable
+from collections import abc
 import dataclasses
 
 import hypothesis
@@ -258,7 +258,7 @@
     ],
 )
 def test_key_without_a_valid_ticket_is_refused(
-    change: Callable[[str], str],
+    change: abc.Callable[[str], str],
     expected: _exceptions.ErrorKind,
 ) -> None:
     """Forged tickets are refused; a retired key leaves the outcome unknown."""
--- a/plantainproxy/core/tests/test_delta.py
+++ b/plantainproxy/core/tests/test_delta.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 
-from hypothesis import given, settings, strategies
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from plantainproxy import _types
@@ -46,8 +47,8 @@
 LIMITS = strategies.integers(1, 5)
 
 
-@settings(derandomize=True, max_examples=300, deadline=None)
-@given(before=NAMES, after=NAMES, limits=strategies.tuples(LIMITS, LIMITS))
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(before=NAMES, after=NAMES, limits=strategies.tuples(LIMITS, LIMITS))
 def test_a_delta_leads_to_exactly_the_newer_configuration(
     before: tuple[int, ...], after: tuple[int, ...], limits: tuple[int, int]
 ) -> None:
--- a/plantainproxy/core/tests/test_membership.py
+++ b/plantainproxy/core/tests/test_membership.py
@@ -3,9 +3,10 @@
 import dataclasses
 import itertools
 import random
-from typing import Any
+import typing
 
-from hypothesis import given, settings, stateful, strategies
+import hypothesis
+from hypothesis import stateful, strategies
 import pytest
 
 from plantainproxy import _types
@@ -76,7 +77,7 @@
         {"pool": "x" * 256},
     ],
 )
-def test_a_record_out_of_bounds_is_passed_over(field: dict[str, Any]) -> None:
+def test_a_record_out_of_bounds_is_passed_over(field: dict[str, typing.Any]) -> None:
     """Neither the table nor the digests change."""
     table = membership.Table()
     record = dataclasses.replace(sidecar(), **field)
@@ -384,14 +385,16 @@
             assert table.digests == self.tables[0].digests
 
 
-Convergence.TestCase.settings = settings(
+Convergence.TestCase.settings = hypothesis.settings(
     derandomize=True, max_examples=60, stateful_step_count=25, deadline=None
 )
 TestConvergence = Convergence.TestCase
 
 
-@settings(derandomize=True, max_examples=100, deadline=None)
-@given(records=strategies.lists(RECORDS, max_size=12), order=strategies.randoms())
+@hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
+@hypothesis.given(
+    records=strategies.lists(RECORDS, max_size=12), order=strategies.randoms()
+)
 def test_any_order_of_merges_gives_the_same_table(
     records: list[_types.MemberRecord], order: random.Random
 ) -> None:
--- a/plantainproxy/core/tests/test_routing.py
+++ b/plantainproxy/core/tests/test_routing.py
@@ -1,7 +1,7 @@
 """Rules of the balancer's decisions."""
 
 import dataclasses
-from typing import Any
+import typing
 
 import pytest
 
@@ -28,7 +28,9 @@
 )
 
 
-def record(number: int, pool: str = "fleet", **changes: Any) -> _types.MemberRecord:
+def record(
+    number: int, pool: str = "fleet", **changes: typing.Any
+) -> _types.MemberRecord:
     """Make a sidecar's record."""
     made = _types.MemberRecord(
         kind=_types.MemberKind.SIDECAR,
--- a/plantainproxy/core/tests/test_slots.py
+++ b/plantainproxy/core/tests/test_slots.py
@@ -2,7 +2,8 @@
 
 import random
 
-from hypothesis import given, settings, strategies
+import hypothesis
+from hypothesis import strategies
 import numpy as np
 import pytest
 
@@ -39,8 +40,8 @@
 )
 
 
-@settings(derandomize=True, max_examples=25, deadline=None)
-@given(GROUPS, strategies.integers())
+@hypothesis.settings(derandomize=True, max_examples=25, deadline=None)
+@hypothesis.given(GROUPS, strategies.integers())
 def test_the_order_of_members_does_not_matter(
     group: list[tuple[int, float]], seed: int
 ) -> None:
@@ -50,8 +51,8 @@
     assert owner_keys(made) == owner_keys(shuffled)
 
 
-@settings(derandomize=True, max_examples=25, deadline=None)
-@given(GROUPS)
+@hypothesis.settings(derandomize=True, max_examples=25, deadline=None)
+@hypothesis.given(GROUPS)
 def test_no_member_exceeds_its_share(group: list[tuple[int, float]]) -> None:
     """Every slot has an owner and nobody owns more than the bound."""
     ordered, owners = slots.assign([member(*pair) for pair in group])
--- a/plantainproxy/core/tickets.py
+++ b/plantainproxy/core/tickets.py
@@ -9,7 +9,7 @@
 import binascii
 import functools
 import struct
-from typing import NamedTuple
+import typing
 
 from cryptography import exceptions
 from cryptography.hazmat.primitives.ciphers import aead
@@ -30,7 +30,7 @@
 _TICKET_BYTES = 1 + _SIV_BYTES + _BODY.size
 
 
-class Ticket(NamedTuple):
+class Ticket(typing.NamedTuple):
     """What a ticket says."""
 
     home: _types.Address
--- a/plantainproxy/ctl/changes.py
+++ b/plantainproxy/ctl/changes.py
@@ -1,6 +1,6 @@
 """Proposing one change, as every command that changes something does."""
 
-from collections.abc import Sequence
+from collections import abc
 import dataclasses
 import getpass
 import pathlib
@@ -29,7 +29,7 @@
     return settings.operator or getpass.getuser()
 
 
-def announce(sentences: Sequence[str]) -> None:
+def announce(sentences: abc.Sequence[str]) -> None:
     """Tell what will happen before it does; standard output keeps the result."""
     for sentence in sentences:
         print(sentence, file=sys.stderr)
--- a/plantainproxy/ctl/client.py
+++ b/plantainproxy/ctl/client.py
@@ -1,8 +1,8 @@
 """Calls from an operator's terminal to the balancers."""
 
-from collections.abc import Callable, Iterator
+from collections import abc
 import contextlib
-from typing import TypeVar
+import typing
 
 import grpc
 
@@ -16,13 +16,13 @@
 )
 
 Stub = operator_pb2_grpc.OperatorStub
-ReadSettings = Callable[[], model.ClientSettings]
+ReadSettings = abc.Callable[[], model.ClientSettings]
 """Reads the settings; a command that asks no balancer never calls it."""
-T = TypeVar("T")
+T = typing.TypeVar("T")
 
 
 @contextlib.contextmanager
-def open_stub(address: _types.Address, tls: model.Tls) -> Iterator[Stub]:
+def open_stub(address: _types.Address, tls: model.Tls) -> abc.Iterator[Stub]:
     """Yield a stub for one balancer and close its channel afterwards."""
     channel_credentials = credentials.for_channel(tls)
     if channel_credentials is None:
@@ -46,7 +46,9 @@
 
 
 def call_one(
-    address: _types.Address, settings: model.ClientSettings, run: Callable[[Stub], T]
+    address: _types.Address,
+    settings: model.ClientSettings,
+    run: abc.Callable[[Stub], T],
 ) -> T:
     """Run one call against one balancer; raise ``PlantainError`` when it fails."""
     with open_stub(address, settings.tls) as stub:
@@ -56,7 +58,7 @@
             raise error_of(error) from None
 
 
-def call_any(settings: model.ClientSettings, run: Callable[[Stub], T]) -> T:
+def call_any(settings: model.ClientSettings, run: abc.Callable[[Stub], T]) -> T:
     """Run one call against the first balancer that answers.
 
     The call must be safe to repeat: a balancer whose answer was lost may have
--- a/plantainproxy/ctl/commands.py
+++ b/plantainproxy/ctl/commands.py
@@ -1,12 +1,12 @@
 """The tree of commands. Each command is a closure over the client's settings."""
 
-from collections.abc import Mapping
-from typing import Any
+from collections import abc
+import typing
 
 from plantainproxy.ctl import client, configure, observe, rotation
 
 
-def tree(read: client.ReadSettings) -> Mapping[str, Any]:
+def tree(read: client.ReadSettings) -> abc.Mapping[str, typing.Any]:
     """Return all commands by name; ``read`` is called by those that need settings."""
     return {
         **configure.whole_commands(read),
--- a/plantainproxy/ctl/configure.py
+++ b/plantainproxy/ctl/configure.py
@@ -1,6 +1,6 @@
 """The commands that show, check and change the configuration."""
 
-from collections.abc import Callable, Mapping
+from collections import abc
 import tomllib
 
 from plantainproxy import _exceptions, _types
@@ -9,7 +9,7 @@
 from plantainproxy.rpc import operator_pb2
 from plantainproxy.settings import model
 
-Command = Callable[..., render.Result]
+Command = abc.Callable[..., render.Result]
 
 
 def _objects(reply: operator_pb2.ShowReply, table: str) -> list[dict[str, object]]:
@@ -42,7 +42,7 @@
     )
 
 
-def whole_commands(read: client.ReadSettings) -> Mapping[str, Command]:
+def whole_commands(read: client.ReadSettings) -> abc.Mapping[str, Command]:
     """Return the commands on the configuration as a whole."""
 
     def show() -> render.Result:
@@ -115,7 +115,7 @@
     return []
 
 
-def route_commands(read: client.ReadSettings) -> Mapping[str, Command]:
+def route_commands(read: client.ReadSettings) -> abc.Mapping[str, Command]:
     """Return the commands on routes."""
 
     def list_all() -> render.Result:
@@ -162,7 +162,7 @@
     return {"list": list_all, "show": show, "set": set_one, "remove": remove}
 
 
-def pool_commands(read: client.ReadSettings) -> Mapping[str, Command]:
+def pool_commands(read: client.ReadSettings) -> abc.Mapping[str, Command]:
     """Return the commands on pools."""
 
     def list_all() -> render.Result:
@@ -220,7 +220,7 @@
     )
 
 
-def domain_commands(read: client.ReadSettings) -> Mapping[str, Command]:
+def domain_commands(read: client.ReadSettings) -> abc.Mapping[str, Command]:
     """Return the commands on failure domains."""
 
     def list_all() -> render.Result:
@@ -299,7 +299,7 @@
     )
 
 
-def drain_commands(read: client.ReadSettings) -> Mapping[str, Command]:
+def drain_commands(read: client.ReadSettings) -> abc.Mapping[str, Command]:
     """Return the commands that stop and resume the work of one upstream."""
 
     def drain(
--- a/plantainproxy/ctl/main.py
+++ b/plantainproxy/ctl/main.py
@@ -1,6 +1,6 @@
 """The ``plantainctl`` binary."""
 
-from collections.abc import Callable, Sequence
+from collections import abc
 import dataclasses
 import os
 import pathlib
@@ -49,7 +49,7 @@
     """The command and its own arguments."""
 
 
-def read_options(arguments: Sequence[str]) -> Options:
+def read_options(arguments: abc.Sequence[str]) -> Options:
     """Take the shared options out of a command line."""
     shared = {
         "settings": os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS),
@@ -77,7 +77,7 @@
     )
 
 
-def _settings_of(options: Options) -> Callable[[], model.ClientSettings]:
+def _settings_of(options: Options) -> abc.Callable[[], model.ClientSettings]:
     """Read the settings at the first command that needs them."""
 
     def read() -> model.ClientSettings:
@@ -91,7 +91,7 @@
 
 
 def _fire(
-    command: Callable[..., render.Result], options: Options, words: list[str]
+    command: abc.Callable[..., render.Result], options: Options, words: list[str]
 ) -> None:
     """Let ``fire`` turn the words into the command's arguments and print its result."""
     try:
--- a/plantainproxy/ctl/observe.py
+++ b/plantainproxy/ctl/observe.py
@@ -1,21 +1,21 @@
 """The commands that only look: status, audit and explain."""
 
-from collections.abc import Callable, Mapping
+from collections import abc
 import datetime
-from typing import Any
+import typing
 
 from plantainproxy import _exceptions, _types
 from plantainproxy.ctl import client, render, spread
 from plantainproxy.rpc import operator_pb2
 
-Command = Callable[..., render.Result]
+Command = abc.Callable[..., render.Result]
 DEFAULT_AUDIT_LIMIT = 50
 MILLISECONDS = 1000
 
 
 def _condition(
     member: operator_pb2.Member,
-    balancers: Mapping[str, operator_pb2.StatusReply],
+    balancers: abc.Mapping[str, operator_pb2.StatusReply],
     drained: frozenset[str],
 ) -> str:
     """Name what an operator needs to know of one member first."""
@@ -33,7 +33,9 @@
     return member.state
 
 
-def _member_rows(fleet: spread.Fleet, drained: frozenset[str]) -> list[tuple[Any, ...]]:
+def _member_rows(
+    fleet: spread.Fleet, drained: frozenset[str]
+) -> list[tuple[typing.Any, ...]]:
     balancers = {reply.rpc_address: reply for reply in fleet.replies}
     seen = spread.revisions(fleet)
     keys = spread.key_revisions(fleet)
@@ -125,7 +127,7 @@
     return int(moment.timestamp() * MILLISECONDS)
 
 
-def _audit_row(entry: operator_pb2.AuditEntry) -> tuple[Any, ...]:
+def _audit_row(entry: operator_pb2.AuditEntry) -> tuple[typing.Any, ...]:
     moment = datetime.datetime.fromtimestamp(entry.time_ms / MILLISECONDS, datetime.UTC)
     return (
         entry.revision,
--- a/plantainproxy/ctl/render.py
+++ b/plantainproxy/ctl/render.py
@@ -1,8 +1,8 @@
 """Rendering of results as text or JSON."""
 
-from collections.abc import Sequence
+from collections import abc
 import dataclasses
-from typing import Any
+import typing
 
 import msgspec
 
@@ -17,12 +17,14 @@
     """Sentences for a person."""
     columns: tuple[str, ...] = ()
     """Heads of the table; empty for no table."""
-    rows: tuple[tuple[Any, ...], ...] = ()
-    fields: tuple[tuple[str, Any], ...] = ()
+    rows: tuple[tuple[typing.Any, ...], ...] = ()
+    fields: tuple[tuple[str, typing.Any], ...] = ()
     """Further values for programs, by name."""
 
 
-def _table(columns: Sequence[str], rows: Sequence[Sequence[Any]]) -> list[str]:
+def _table(
+    columns: abc.Sequence[str], rows: abc.Sequence[abc.Sequence[typing.Any]]
+) -> list[str]:
     cells = [list(columns), *[[str(value) for value in row] for row in rows]]
     widths = [max(len(row[index]) for row in cells) for index in range(len(columns))]
     return [
@@ -41,7 +43,7 @@
 
 def as_json(result: Result) -> str:
     """Render as one JSON object."""
-    value: dict[str, Any] = dict(result.fields)
+    value: dict[str, typing.Any] = dict(result.fields)
     if result.lines:
         value["messages"] = list(result.lines)
     if result.columns:
--- a/plantainproxy/ctl/rotation.py
+++ b/plantainproxy/ctl/rotation.py
@@ -1,6 +1,6 @@
 """The commands on the shared key set."""
 
-from collections.abc import Callable, Mapping
+from collections import abc
 import uuid
 
 from plantainproxy import _exceptions
@@ -23,7 +23,9 @@
     return newest
 
 
-def commands(read: client.ReadSettings) -> Mapping[str, Callable[..., render.Result]]:
+def commands(
+    read: client.ReadSettings,
+) -> abc.Mapping[str, abc.Callable[..., render.Result]]:
     """Return the commands by name."""
 
     def rotate(
--- a/plantainproxy/ctl/spread.py
+++ b/plantainproxy/ctl/spread.py
@@ -1,6 +1,6 @@
 """What is in force where, asked of every balancer."""
 
-from collections.abc import Callable
+from collections import abc
 import concurrent.futures
 import dataclasses
 import time
@@ -128,7 +128,10 @@
 
 
 def lagging(
-    fleet: Fleet, revision: int, *, of: Callable[[Fleet], dict[str, int]] = revisions
+    fleet: Fleet,
+    revision: int,
+    *,
+    of: abc.Callable[[Fleet], dict[str, int]] = revisions,
 ) -> list[str]:
     """Name the processes that do not have a revision in force yet."""
     behind = {name for name, seen in of(fleet).items() if seen < revision}
@@ -139,7 +142,7 @@
     settings: model.ClientSettings,
     revision: int,
     *,
-    of: Callable[[Fleet], dict[str, int]] = revisions,
+    of: abc.Callable[[Fleet], dict[str, int]] = revisions,
 ) -> None:
     """Return when a revision is in force everywhere."""
     limit = time.monotonic() + WAIT_TIMEOUT_SECONDS
--- a/plantainproxy/ctl/usage.py
+++ b/plantainproxy/ctl/usage.py
@@ -1,19 +1,19 @@
 """Checks of a command line before it runs, with the nearest match."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections import abc
 import difflib
 import inspect
-from typing import Any
+import typing
 
 from plantainproxy import _exceptions
 
-Tree = Mapping[str, Any]
+Tree = abc.Mapping[str, typing.Any]
 """Commands by name; a nested mapping is a group."""
 
 HELP_FLAGS = ("--help", "-h")
 
 
-def _nearest(word: str, known: Sequence[str]) -> str:
+def _nearest(word: str, known: abc.Sequence[str]) -> str:
     matches = difflib.get_close_matches(word, known, n=1, cutoff=0.0)
     return f"did you mean {matches[0]!r}?" if matches else "nothing is near it"
 
@@ -22,15 +22,17 @@
     return _exceptions.PlantainError(_exceptions.ErrorKind.USAGE, sentence)
 
 
-def find(tree: Tree, arguments: Sequence[str]) -> tuple[Callable[..., Any], list[str]]:
+def find(
+    tree: Tree, arguments: abc.Sequence[str]
+) -> tuple[abc.Callable[..., typing.Any], list[str]]:
     """Find the command that the arguments name; return it and the rest.
 
     Raise ``PlantainError`` of kind ``USAGE`` with the nearest match when a word is
     unknown, or with the known words when one is missing.
     """
-    node: Any = tree
+    node: typing.Any = tree
     words = list(arguments)
-    while isinstance(node, Mapping):
+    while isinstance(node, abc.Mapping):
         if not words or words[0].startswith("-"):
             raise _fail(f"Expected one of: {', '.join(sorted(node))}.")
         word = words.pop(0)
@@ -41,7 +43,9 @@
     return node, words
 
 
-def check_flags(command: Callable[..., Any], words: Sequence[str]) -> None:
+def check_flags(
+    command: abc.Callable[..., typing.Any], words: abc.Sequence[str]
+) -> None:
     """Refuse a flag that the command does not have."""
     known = [
         f"--{name.replace('_', '-')}" for name in inspect.signature(command).parameters
@@ -56,7 +60,9 @@
         raise _fail(f"Unknown flag {flag!r}: {_nearest(flag, sorted(known))}")
 
 
-def check_arguments(command: Callable[..., Any], words: Sequence[str]) -> None:
+def check_arguments(
+    command: abc.Callable[..., typing.Any], words: abc.Sequence[str]
+) -> None:
     """Refuse unknown flags and a wrong number of plain arguments."""
     check_flags(command, words)
     parameters = inspect.signature(command).parameters
@@ -76,7 +82,7 @@
 
 
 def _plain_words(
-    words: Sequence[str], parameters: Mapping[str, inspect.Parameter]
+    words: abc.Sequence[str], parameters: abc.Mapping[str, inspect.Parameter]
 ) -> list[str]:
     """Return the words that are neither a flag nor a flag's value."""
     plain = []
@@ -93,29 +99,29 @@
     return plain
 
 
-def wants_help(words: Sequence[str]) -> bool:
+def wants_help(words: abc.Sequence[str]) -> bool:
     """Tell whether a command line asks for help instead of a run."""
     return any(word in HELP_FLAGS for word in words)
 
 
-def help_text(tree: Tree, words: Sequence[str]) -> str:
+def help_text(tree: Tree, words: abc.Sequence[str]) -> str:
     """Describe the command or the group of commands that the words name."""
     path = [word for word in words if word not in HELP_FLAGS]
     name = "plantainctl"
-    node: Any = tree
-    while isinstance(node, Mapping) and path:
+    node: typing.Any = tree
+    while isinstance(node, abc.Mapping) and path:
         word = path.pop(0)
         if word not in node:
             nearest = _nearest(word, sorted(node))
             raise _fail(f"Unknown command {word!r}: {nearest}")
         name = f"{name} {word}"
         node = node[word]
-    if isinstance(node, Mapping):
+    if isinstance(node, abc.Mapping):
         return _group_help(name, node)
     return _command_help(name, node)
 
 
-def _first_line(command: Callable[..., Any]) -> str:
+def _first_line(command: abc.Callable[..., typing.Any]) -> str:
     return (inspect.getdoc(command) or "").partition("\n")[0]
 
 
@@ -127,7 +133,7 @@
     return "\n".join(lines)
 
 
-def _command_help(name: str, command: Callable[..., Any]) -> str:
+def _command_help(name: str, command: abc.Callable[..., typing.Any]) -> str:
     parameters = inspect.signature(command).parameters.values()
     required = [one for one in parameters if one.default is one.empty]
     optional = [one for one in parameters if one.default is not one.empty]
--- a/plantainproxy/flows/balancer.py
+++ b/plantainproxy/flows/balancer.py
@@ -1,7 +1,7 @@
 """The decisions of a balancer about packets of transparent flows."""
 
-from collections.abc import Callable, Mapping
-from typing import Protocol
+from collections import abc
+import typing
 
 import msgspec
 
@@ -48,7 +48,7 @@
 About the time in which the reason can pass."""
 
 
-class Port(Protocol):
+class Port(typing.Protocol):
     """What the engine sends; nothing blocks."""
 
     def forward(
@@ -154,7 +154,7 @@
     message: messages.Message,
     sender: _types.Address,
     *,
-    parse: Callable[[bytes], packets.Packet | None],
+    parse: abc.Callable[[bytes], packets.Packet | None],
     now: float,
 ) -> None:
     """Take a sidecar's message."""
@@ -175,7 +175,7 @@
 
 def take_registered(
     engine: Engine,
-    registered: Mapping[_types.Address, _types.Address],
+    registered: abc.Mapping[_types.Address, _types.Address],
     *,
     now: float,
 ) -> None:
--- a/plantainproxy/flows/balancer_main.py
+++ b/plantainproxy/flows/balancer_main.py
@@ -1,6 +1,6 @@
 """The balancer of transparent flows: ``plantain-flow-balancer``."""
 
-from collections.abc import Mapping
+from collections import abc
 import contextlib
 import functools
 import itertools
@@ -108,7 +108,7 @@
 
 
 def _take_registered(
-    running: Balancer, items: Mapping[str, bytes], revision: int
+    running: Balancer, items: abc.Mapping[str, bytes], revision: int
 ) -> None:
     balancer.take_registered(
         running.engine, registry.decode(items), now=trio.current_time()
--- a/plantainproxy/flows/ctl_main.py
+++ b/plantainproxy/flows/ctl_main.py
@@ -3,7 +3,7 @@
 Answers come from the store and from the metrics of the sidecars that it lists.
 """
 
-from collections.abc import Awaitable, Callable
+from collections import abc
 import sys
 
 import fire
@@ -78,7 +78,7 @@
 
 
 def _run(
-    store: str, show: Callable[[metadata_store.MetadataStore], Awaitable[None]]
+    store: str, show: abc.Callable[[metadata_store.MetadataStore], abc.Awaitable[None]]
 ) -> None:
     try:
         client = metadata_store.MetadataStore(_parse(store))
--- a/plantainproxy/flows/datagrams.py
+++ b/plantainproxy/flows/datagrams.py
@@ -1,6 +1,6 @@
 """UDP sockets that are read in batches and never block on a send."""
 
-from collections.abc import Callable, Iterator
+from collections import abc
 import contextlib
 import socket
 
@@ -15,11 +15,11 @@
 RECEIVE_BUFFER_BYTES = 4 * 1_048_576
 """Room for a burst of some thousands of full packets."""
 
-Handler = Callable[[bytes, _types.Address], None]
+Handler = abc.Callable[[bytes, _types.Address], None]
 
 
 @contextlib.contextmanager
-def bound(address: _types.Address) -> Iterator[socket.socket]:
+def bound(address: _types.Address) -> abc.Iterator[socket.socket]:
     """Open a UDP socket at an address."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as opened:
         opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/plantainproxy/flows/follower.py
+++ b/plantainproxy/flows/follower.py
@@ -1,6 +1,6 @@
 """Keeps a copy of the store's entries under one prefix."""
 
-from collections.abc import Callable, Mapping
+from collections import abc
 import random
 
 import trio
@@ -17,7 +17,7 @@
 """The wait after failed calls doubles between these; the last one keeps a store that
 returns from being noticed late."""
 
-Take = Callable[[Mapping[str, bytes], int], None]
+Take = abc.Callable[[abc.Mapping[str, bytes], int], None]
 """Gets all entries and the revision at which they stood so."""
 
 
--- a/plantainproxy/flows/held.py
+++ b/plantainproxy/flows/held.py
@@ -1,6 +1,6 @@
 """The flows that one upstream holds, learned from the packets in both directions."""
 
-from collections.abc import Iterator
+from collections import abc
 
 import msgspec
 
@@ -170,7 +170,7 @@
         drop(table, key)
 
 
-def _outlived(table: Table, *, now: float, idle_seconds: float) -> Iterator[bytes]:
+def _outlived(table: Table, *, now: float, idle_seconds: float) -> abc.Iterator[bytes]:
     for key, flow in table.flows.items():
         idle = now - flow.used_at
         if idle >= idle_seconds or (flow.ended and idle >= ENDED_LINGER_SECONDS):
--- a/plantainproxy/flows/journal.py
+++ b/plantainproxy/flows/journal.py
@@ -1,10 +1,10 @@
 """Structured log lines and counters of decisions, bounded in volume."""
 
 import collections
-from collections.abc import Callable
+from collections import abc
 import logging
 import time
-from typing import Any
+import typing
 
 from plantainproxy.flows import policy
 from plantainproxy.telemetry import exposition
@@ -20,8 +20,8 @@
         self,
         part: str,
         *,
-        clock: Callable[[], float] = time.monotonic,
-        render_flow: Callable[[bytes], str] = bytes.hex,
+        clock: abc.Callable[[], float] = time.monotonic,
+        render_flow: abc.Callable[[bytes], str] = bytes.hex,
     ) -> None:
         """Write to the logger of one part of the system.
 
@@ -47,7 +47,7 @@
             histogram = self.histograms[name] = exposition.Histogram()
         histogram.observe(seconds)
 
-    def write(self, event: str, **fields: Any) -> None:
+    def write(self, event: str, **fields: typing.Any) -> None:
         """Write one line."""
         self.counters[f"events.{event.replace(' ', '_')}"] += 1
         if "flow" in fields:
@@ -64,7 +64,7 @@
             domains_out=sorted(current.domains_out),
         )
 
-    def write_limited(self, event: str, **fields: Any) -> None:
+    def write_limited(self, event: str, **fields: typing.Any) -> None:
         """Write one line unless the event had too many in this second."""
         now = self.clock()
         if now - self.window_start.get(event, float("-inf")) >= 1.0:
--- a/plantainproxy/flows/lookup.py
+++ b/plantainproxy/flows/lookup.py
@@ -1,6 +1,6 @@
 """The search for the upstream that holds an unknown flow."""
 
-from typing import NamedTuple
+import typing
 
 import msgspec
 
@@ -44,14 +44,14 @@
     """Upstreams that certainly do not hold the flow."""
 
 
-class Ask(NamedTuple):
+class Ask(typing.NamedTuple):
     """Put the question to some upstreams."""
 
     packet: packets.Packet
     upstreams: list[_types.Address]
 
 
-class Conclude(NamedTuple):
+class Conclude(typing.NamedTuple):
     """Stop; no upstream said that it holds the flow."""
 
     every_answer_known: bool
--- a/plantainproxy/flows/node.py
+++ b/plantainproxy/flows/node.py
@@ -1,9 +1,9 @@
 """Tasks that balancers and sidecars have in common."""
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections import abc
 import functools
 import socket
-from typing import Generic, TypeVar
+import typing
 
 import msgspec
 import trio
@@ -25,16 +25,17 @@
 READY = _http_server.Response(200, b"{}")
 NOT_READY = _http_server.Response(503, b"{}")
 
-T = TypeVar("T", bound=settings.NodeSettings)
+T = typing.TypeVar("T", bound=settings.NodeSettings)
 
-TakePolicy = Callable[[policy.Policy], bool]
+TakePolicy = abc.Callable[[policy.Policy], bool]
 """Puts a policy in force unless it is old; returns whether it is in force."""
-DecodePolicy = Callable[[Mapping[str, bytes], int], policy.Policy | None]
+DecodePolicy = abc.Callable[[abc.Mapping[str, bytes], int], policy.Policy | None]
 """Builds a policy from the store's documents and their revision."""
 
 
 def run(
-    read: Callable[[], T], body: Callable[[_lifecycle.Lifecycle, T], Awaitable[None]]
+    read: abc.Callable[[], T],
+    body: abc.Callable[[_lifecycle.Lifecycle, T], abc.Awaitable[None]],
 ) -> None:
     """Read the settings and run a daemon until a signal ends it."""
     found: list[T] = []
@@ -51,11 +52,11 @@
     )
 
 
-class Parts(msgspec.Struct, Generic[T], frozen=True, kw_only=True):
+class Parts(msgspec.Struct, typing.Generic[T], frozen=True, kw_only=True):
     """What the common tasks of one process work on."""
 
     settings: T
-    read_settings: Callable[[], T]
+    read_settings: abc.Callable[[], T]
     store: revisioned.RevisionedStore
     policy_prefix: str
     """The store's keys that hold the policy."""
@@ -63,7 +64,7 @@
     take_policy: TakePolicy
     exchange: policy_exchange.Exchange
     log: journal.Journal
-    is_ready: Callable[[], bool]
+    is_ready: abc.Callable[[], bool]
     gauges: exposition.Gauges
     receivers: tuple[tuple[socket.socket, datagrams.Handler], ...]
     """Sockets, and what handles their datagrams."""
@@ -75,7 +76,7 @@
     """Start the tasks that follow the policy, receive, serve and reload."""
     own = parts.settings
 
-    def take_documents(documents: Mapping[str, bytes], revision: int) -> None:
+    def take_documents(documents: abc.Mapping[str, bytes], revision: int) -> None:
         found = parts.decode_policy(documents, revision)
         if found is not None:
             parts.take_policy(found)
@@ -98,7 +99,7 @@
 
 
 async def _reload_forever(
-    lifecycle: _lifecycle.Lifecycle, running: T, read: Callable[[], T]
+    lifecycle: _lifecycle.Lifecycle, running: T, read: abc.Callable[[], T]
 ) -> None:
     """Check the settings at each request to reload and tell what needs a restart."""
     async for _ in lifecycle.reloads:
@@ -106,7 +107,7 @@
 
 
 async def serve_readiness(
-    address: _types.Address, is_ready: Callable[[], bool]
+    address: _types.Address, is_ready: abc.Callable[[], bool]
 ) -> None:
     """Answer health checks of this process."""
     await _http_server.serve(address, lambda _: READY if is_ready() else NOT_READY)
--- a/plantainproxy/flows/packets.py
+++ b/plantainproxy/flows/packets.py
@@ -1,7 +1,7 @@
 """Packets of transparent flows, as the decisions see them."""
 
 import enum
-from typing import NamedTuple
+import typing
 
 SERVICE_BYTES = 6
 """Length of a packed service address; it comes first in a flow's key."""
@@ -18,7 +18,7 @@
     """The balancer does not know the flow and asks several sidecars at once."""
 
 
-class Packet(NamedTuple):
+class Packet(typing.NamedTuple):
     """One packet of a flow."""
 
     flow: bytes
--- a/plantainproxy/flows/placement.py
+++ b/plantainproxy/flows/placement.py
@@ -1,6 +1,6 @@
 """Choice of the upstream for a new flow, by load among a few candidates."""
 
-from collections.abc import Callable, Sequence
+from collections import abc
 
 import msgspec
 
@@ -20,7 +20,7 @@
 REQUESTS_PER_FLOW = 0.05
 """Requests in progress that one open flow stands for while none is known."""
 
-Draw = Callable[[], float]
+Draw = abc.Callable[[], float]
 """Returns a random number in [0, 1)."""
 
 
@@ -125,7 +125,7 @@
 
 
 def _willing(
-    candidates: Sequence[upstreams.Upstream],
+    candidates: abc.Sequence[upstreams.Upstream],
     context: Context,
     excluded: frozenset[_types.Address],
 ) -> list[upstreams.Upstream]:
@@ -152,7 +152,7 @@
     )
 
 
-def _requests_per_flow(candidates: Sequence[upstreams.Upstream]) -> float:
+def _requests_per_flow(candidates: abc.Sequence[upstreams.Upstream]) -> float:
     """Return the requests in progress that one open flow stands for."""
     reports = [upstream.report for upstream in candidates if upstream.report]
     flows = sum(report.flows for report in reports)
--- a/plantainproxy/flows/policy.py
+++ b/plantainproxy/flows/policy.py
@@ -1,6 +1,6 @@
 """What operators have asked for: the routing table and domains out of service."""
 
-from collections.abc import Mapping
+from collections import abc
 import enum
 
 import msgspec
@@ -67,9 +67,9 @@
     """The store's revision that this state was read at; it only ever rises."""
     version: int = 0
     """The operators' own number of the configuration."""
-    routes: Mapping[bytes, Route] = msgspec.field(default_factory=dict)
+    routes: abc.Mapping[bytes, Route] = msgspec.field(default_factory=dict)
     """By packed service address."""
-    pools: Mapping[str, PoolLimits] = msgspec.field(default_factory=dict)
+    pools: abc.Mapping[str, PoolLimits] = msgspec.field(default_factory=dict)
     idle_seconds: float = 60.0
     """A flow without packets for this long may be forgotten."""
     domains_out: frozenset[str] = frozenset()
--- a/plantainproxy/flows/policy_exchange.py
+++ b/plantainproxy/flows/policy_exchange.py
@@ -4,7 +4,7 @@
 its own watch, then asks the sender for its policy over TCP.
 """
 
-from collections.abc import Callable
+from collections import abc
 
 import trio
 
@@ -39,7 +39,7 @@
 
 
 async def pull_forever(
-    exchange: Exchange, take: Callable[[policy.Policy], bool]
+    exchange: Exchange, take: abc.Callable[[policy.Policy], bool]
 ) -> None:
     """Take newer policies from the processes that have them."""
     while True:
--- a/plantainproxy/flows/registry.py
+++ b/plantainproxy/flows/registry.py
@@ -1,6 +1,6 @@
 """The list of sidecars in the store: one entry each, under a lease."""
 
-from collections.abc import Mapping
+from collections import abc
 
 import msgspec
 import trio
@@ -29,7 +29,7 @@
     data_port: int
 
 
-def decode(entries: Mapping[str, bytes]) -> dict[_types.Address, _types.Address]:
+def decode(entries: abc.Mapping[str, bytes]) -> dict[_types.Address, _types.Address]:
     """Return the addresses for data by those for messages; leave out foreign bytes."""
     found = {}
     for value in entries.values():
--- a/plantainproxy/flows/ring.py
+++ b/plantainproxy/flows/ring.py
@@ -6,7 +6,7 @@
 """
 
 import bisect
-from collections.abc import Iterable
+from collections import abc
 
 import xxhash
 
@@ -19,7 +19,7 @@
 class Ring:
     """The points of the upstreams of one pool."""
 
-    def __init__(self, upstreams: Iterable[_types.Address]) -> None:
+    def __init__(self, upstreams: abc.Iterable[_types.Address]) -> None:
         """Hash every upstream."""
         points = sorted(
             (xxhash.xxh3_64_intdigest(upstream.pack() + bytes((number,))), upstream)
--- a/plantainproxy/flows/sidecar.py
+++ b/plantainproxy/flows/sidecar.py
@@ -2,7 +2,7 @@
 
 import math
 import socket
-from typing import Protocol
+import typing
 
 import msgspec
 
@@ -39,7 +39,7 @@
 """A balancer that was silent for this long gets no more reports."""
 
 
-class Port(Protocol):
+class Port(typing.Protocol):
     """What the engine sends; nothing blocks."""
 
     def deliver(self, packet: packets.Packet) -> None:
--- a/plantainproxy/flows/upstream_watch.py
+++ b/plantainproxy/flows/upstream_watch.py
@@ -4,7 +4,7 @@
 nobody listens any more.
 """
 
-from collections.abc import Callable
+from collections import abc
 
 import msgspec
 import trio
@@ -25,16 +25,19 @@
 class Events(msgspec.Struct, frozen=True, kw_only=True):
     """What the watch tells."""
 
-    refused: Callable[[], None]
+    refused: abc.Callable[[], None]
     """The upstream listened before and accepts no connection now."""
-    healthy: Callable[[], None]
+    healthy: abc.Callable[[], None]
     """The upstream says that it takes requests."""
-    not_started: Callable[[], None]
+    not_started: abc.Callable[[], None]
     """No upstream listened when the watch began."""
 
 
 async def watch(
-    address: _types.Address, events: Events, *, health_path: Callable[[], str | None]
+    address: _types.Address,
+    events: Events,
+    *,
+    health_path: abc.Callable[[], str | None],
 ) -> None:
     """Watch the upstream for ever.
 
@@ -73,7 +76,7 @@
 
 
 async def _check_health(
-    address: _types.Address, events: Events, health_path: Callable[[], str | None]
+    address: _types.Address, events: Events, health_path: abc.Callable[[], str | None]
 ) -> None:
     await trio.sleep(HEARTBEAT_PATIENCE_SECONDS)
     path = health_path()
--- a/plantainproxy/flows/upstreams.py
+++ b/plantainproxy/flows/upstreams.py
@@ -1,6 +1,6 @@
 """A balancer's view of the upstreams, from their sidecars' reports."""
 
-from collections.abc import Iterable
+from collections import abc
 
 import msgspec
 
@@ -90,7 +90,9 @@
 
 
 def list_registered(
-    view: View, registered: Iterable[tuple[_types.Address, _types.Address]], now: float
+    view: View,
+    registered: abc.Iterable[tuple[_types.Address, _types.Address]],
+    now: float,
 ) -> None:
     """Take the store's list of sidecars: addresses for messages and for data."""
     addresses = dict(registered)
@@ -151,7 +153,7 @@
     return gone
 
 
-def in_pools(view: View, pools: Iterable[str]) -> list[Upstream]:
+def in_pools(view: View, pools: abc.Iterable[str]) -> list[Upstream]:
     """Return every known upstream of the pools, and those of unknown pool."""
     wanted = frozenset(pools)
     return [
--- a/plantainproxy/membership/balancer.py
+++ b/plantainproxy/membership/balancer.py
@@ -4,11 +4,11 @@
 them, and reports each pool whose members changed.
 """
 
-from collections.abc import Iterable, Mapping
+from collections import abc
 import dataclasses
 import logging
 import random
-from typing import Protocol
+import typing
 
 import trio
 
@@ -32,7 +32,7 @@
 _log = logging.getLogger("plantain.members")
 
 
-class Revisions(Protocol):
+class Revisions(typing.Protocol):
     """The holder of the configuration and the keys."""
 
     def configuration(self) -> model.Configuration | None:
@@ -85,7 +85,7 @@
         *,
         client: bridge.Client,
         revisions: Revisions,
-        seeds: Iterable[_types.Address],
+        seeds: abc.Iterable[_types.Address],
         gossip_interval_seconds: float,
         heartbeat_interval_seconds: float,
         rng: random.Random,
@@ -114,7 +114,7 @@
         self.history = delta.History()
 
 
-def add_contacts(members: MemberTable, addresses: Iterable[_types.Address]) -> None:
+def add_contacts(members: MemberTable, addresses: abc.Iterable[_types.Address]) -> None:
     """Add addresses where balancers may be, such as those of leased seats."""
     members.contacts |= frozenset(addresses)
 
@@ -149,7 +149,7 @@
 
 
 def _note_changed(
-    members: MemberTable, changed: Iterable[_types.MemberRecord], now: float
+    members: MemberTable, changed: abc.Iterable[_types.MemberRecord], now: float
 ) -> None:
     """Pass changed records on to the watch and to the readers of changes."""
     for record in changed:
@@ -391,7 +391,7 @@
     return messages.PullReply(key_set=key_set, configuration=configuration)
 
 
-def handlers(members: MemberTable) -> Mapping[methods.Method, bridge.Handler]:
+def handlers(members: MemberTable) -> abc.Mapping[methods.Method, bridge.Handler]:
     """Return the handlers to serve on the balancer's gRPC address."""
 
     async def serve_heartbeat(
--- a/plantainproxy/membership/sidecar.py
+++ b/plantainproxy/membership/sidecar.py
@@ -1,6 +1,6 @@
 """The task that announces a sidecar to its home balancers."""
 
-from collections.abc import Iterable
+from collections import abc
 import logging
 import random
 
@@ -25,7 +25,7 @@
         record: _types.MemberRecord,
         *,
         client: bridge.Client,
-        seeds: Iterable[_types.Address],
+        seeds: abc.Iterable[_types.Address],
         interval_seconds: float,
         rng: random.Random,
     ) -> None:
--- a/plantainproxy/membership/tests/test_membership_tasks.py
+++ b/plantainproxy/membership/tests/test_membership_tasks.py
@@ -1,6 +1,6 @@
 """Balancers and sidecars that find one another over real sockets."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections import abc
 import contextlib
 import dataclasses
 import random
@@ -185,7 +185,7 @@
 @contextlib.asynccontextmanager
 async def fleet(
     balancers: int, pools: str
-) -> AsyncIterator[tuple[Fleet, list[Balancer], list[sidecar.Announcer]]]:
+) -> abc.AsyncIterator[tuple[Fleet, list[Balancer], list[sidecar.Announcer]]]:
     """Start a fleet with one sidecar for each letter of ``pools``."""
     async with trio.open_nursery() as nursery:
         started = Fleet(nursery)
@@ -197,7 +197,7 @@
         nursery.cancel_scope.cancel()
 
 
-async def eventually(condition: Callable[[], bool]) -> None:
+async def eventually(condition: abc.Callable[[], bool]) -> None:
     """Wait until a condition holds."""
     while not condition():
         await trio.sleep(0.02)
@@ -212,7 +212,7 @@
     }
 
 
-def run(main: Callable[[], Awaitable[None]]) -> None:
+def run(main: abc.Callable[[], abc.Awaitable[None]]) -> None:
     """Run a test under trio with a guard against hanging."""
 
     async def guarded() -> None:
--- a/plantainproxy/platform/configuration.py
+++ b/plantainproxy/platform/configuration.py
@@ -1,6 +1,6 @@
 """The operators' documents in the platform's store."""
 
-from collections.abc import Mapping
+from collections import abc
 import logging
 
 import msgspec
@@ -63,7 +63,9 @@
 }
 
 
-def decode_policy(items: Mapping[str, bytes], revision: int) -> policy.Policy | None:
+def decode_policy(
+    items: abc.Mapping[str, bytes], revision: int
+) -> policy.Policy | None:
     """Build the policy from all keys under ``PREFIX``.
 
     ``None`` when there is no configuration, or none that can be read.
--- a/plantainproxy/platform/heartbeats.py
+++ b/plantainproxy/platform/heartbeats.py
@@ -1,6 +1,6 @@
 """The calls with which an upstream announces itself to its sidecar."""
 
-from collections.abc import Callable
+from collections import abc
 
 import msgspec
 
@@ -59,9 +59,9 @@
 def make_handler(
     *,
     address: _types.Address,
-    on_heartbeat: Callable[[upstream.Heartbeat], bool],
-    on_leave: Callable[[str], None],
-) -> Callable[[_http_server.Request], _http_server.Response]:
+    on_heartbeat: abc.Callable[[upstream.Heartbeat], bool],
+    on_leave: abc.Callable[[str], None],
+) -> abc.Callable[[_http_server.Request], _http_server.Response]:
     """Make the HTTP handler that the upstream at an address calls.
 
     ``on_heartbeat`` returns whether the heartbeat was meant for this sidecar.
--- a/plantainproxy/platform/metadata_store.py
+++ b/plantainproxy/platform/metadata_store.py
@@ -1,7 +1,7 @@
 """The platform's metadata store as the project's revisioned store."""
 
 import base64
-from typing import TypeVar
+import typing
 import urllib.parse
 
 import msgspec
@@ -9,7 +9,7 @@
 from plantainproxy import _exceptions, _types
 from plantainproxy.store import http, port, revisioned
 
-T = TypeVar("T")
+T = typing.TypeVar("T")
 
 CALL_TIMEOUT_SECONDS = 1.5
 """Above the answer time of a store that is many times slower than usual."""
--- a/plantainproxy/platform/settings.py
+++ b/plantainproxy/platform/settings.py
@@ -1,16 +1,16 @@
 """The platform's settings file."""
 
-from collections.abc import Callable
+from collections import abc
 import os
 import pathlib
-from typing import Any, TypeVar
+import typing
 
 import msgspec
 
 from plantainproxy import _exceptions, _types
 from plantainproxy.flows import settings
 
-T = TypeVar("T")
+T = typing.TypeVar("T")
 
 PATH_VARIABLE = "PLANTAINPROXY_BOOT"
 MESSAGE_PORT_OFFSET = 0
@@ -78,7 +78,7 @@
     return _checked(build)
 
 
-def _checked(build: Callable[[], T]) -> T:
+def _checked(build: abc.Callable[[], T]) -> T:
     try:
         return build()
     except (OSError, msgspec.DecodeError, ValueError, KeyError) as error:
@@ -93,7 +93,7 @@
     return msgspec.toml.decode(path.read_bytes(), type=_Node)
 
 
-def _common(node: _Node) -> dict[str, Any]:
+def _common(node: _Node) -> dict[str, typing.Any]:
     first, last = node.internal_port_range
     if first + MESSAGE_PORT_OFFSET > last:
         raise ValueError(f"internal_port_range: no port from {first} to {last}")
--- a/plantainproxy/platform/tests/test_metadata_store.py
+++ b/plantainproxy/platform/tests/test_metadata_store.py
@@ -1,7 +1,7 @@
 """The store's calls and their failures, against the stand-in."""
 
 import base64
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from collections import abc
 import contextlib
 import functools
 import socket
@@ -28,7 +28,7 @@
 @contextlib.asynccontextmanager
 async def _running(
     store: standin.MetadataStore,
-) -> AsyncIterator[tuple[metadata_store.MetadataStore, trio.Nursery]]:
+) -> abc.AsyncIterator[tuple[metadata_store.MetadataStore, trio.Nursery]]:
     address = _free_address()
     with trio.fail_after(DEADLINE_SECONDS):
         async with trio.open_nursery() as nursery:
@@ -47,15 +47,15 @@
         await trio.sleep(0.01)
 
 
-async def _until(condition: Callable[[], bool]) -> None:
+async def _until(condition: abc.Callable[[], bool]) -> None:
     while not condition():
         await trio.sleep(0.01)
 
 
 def _run(
-    test: Callable[
+    test: abc.Callable[
         [standin.MetadataStore, metadata_store.MetadataStore, trio.Nursery],
-        Awaitable[None],
+        abc.Awaitable[None],
     ],
     store: standin.MetadataStore | None = None,
 ) -> None:
@@ -185,7 +185,7 @@
         self.entries: dict[str, bytes] = {}
         self.revision = 0
 
-    def take(self, entries: Mapping[str, bytes], revision: int) -> None:
+    def take(self, entries: abc.Mapping[str, bytes], revision: int) -> None:
         self.entries = dict(entries)
         self.revision = revision
 
--- a/plantainproxy/quic/connection.py
+++ b/plantainproxy/quic/connection.py
@@ -5,13 +5,13 @@
 module fail when the reach no longer fits.
 """
 
-from collections.abc import Callable
+from collections import abc
 import dataclasses
 import functools
 import logging
 import pathlib
 
-from aioquic._buffer import Buffer
+from aioquic import _buffer
 from aioquic.quic import configuration as quic_configuration
 from aioquic.quic import connection as quic_connection
 from aioquic.quic import events as quic_events
@@ -44,7 +44,7 @@
     reset_token: bytes
 
 
-Issue = Callable[[], IssuedId]
+Issue = abc.Callable[[], IssuedId]
 """Makes a new, unused connection ID."""
 
 
@@ -149,7 +149,7 @@
 def forget_handshake(quic: ServerConnection) -> None:
     """Free the buffers that only the handshake needs, 48 KiB of each connection."""
     quic._crypto_buffers = {
-        epoch: Buffer(capacity=POST_HANDSHAKE_BUFFER_BYTES)
+        epoch: _buffer.Buffer(capacity=POST_HANDSHAKE_BUFFER_BYTES)
         for epoch in quic._crypto_buffers
     }
 
--- a/plantainproxy/quic/header.py
+++ b/plantainproxy/quic/header.py
@@ -3,7 +3,7 @@
 Source: RFC 8999 for the fields that no version changes, RFC 9000 for the rest.
 """
 
-from typing import NamedTuple
+import typing
 
 from plantainproxy.wire import connection_id
 
@@ -21,7 +21,7 @@
 _LONG_START_BYTES = 6
 
 
-class PacketHeader(NamedTuple):
+class PacketHeader(typing.NamedTuple):
     """What the first packet of a datagram says of itself."""
 
     is_long: bool
--- a/plantainproxy/quic/http3.py
+++ b/plantainproxy/quic/http3.py
@@ -6,7 +6,7 @@
 
 import dataclasses
 
-from aioquic.buffer import encode_uint_var
+from aioquic import buffer
 from aioquic.h3 import connection as h3_connection
 from aioquic.h3 import events as h3_events
 from aioquic.quic import connection as quic_connection
@@ -144,7 +144,7 @@
         """
         last = self.next_stream if final else GO_AWAY_NOTICE_ID
         frame = h3_connection.encode_frame(
-            h3_connection.FrameType.GOAWAY, encode_uint_var(last)
+            h3_connection.FrameType.GOAWAY, buffer.encode_uint_var(last)
         )
         control = self.h3._local_control_stream_id
         if control is not None:
--- a/plantainproxy/rpc/bridge.py
+++ b/plantainproxy/rpc/bridge.py
@@ -4,21 +4,14 @@
 are futures whose completion wakes the trio task that waits for them.
 """
 
-from collections.abc import (
-    AsyncIterator,
-    Awaitable,
-    Callable,
-    Iterator,
-    Mapping,
-    Sequence,
-)
+from collections import abc
 import concurrent.futures
 import contextlib
 import dataclasses
 import functools
 import logging
 import queue
-from typing import Any
+import typing
 
 import grpc
 import msgspec
@@ -28,7 +21,7 @@
 from plantainproxy.rpc import codec, credentials, kinds, methods
 from plantainproxy.settings import model
 
-Handler = Callable[[Any], Awaitable[Any]]
+Handler = abc.Callable[[typing.Any], abc.Awaitable[typing.Any]]
 
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 KEEPALIVE_SECONDS = 2.0
@@ -96,16 +89,16 @@
     """One call that a server thread hands to trio."""
 
     handler: Handler
-    request: Any
+    request: typing.Any
     scope: trio.CancelScope
-    answer: "queue.SimpleQueue[Any]"
+    answer: "queue.SimpleQueue[typing.Any]"
     """Takes the reply, or the exception."""
     is_done: bool = False
 
 
 async def _run_arrival(arrival: _Arrival) -> None:
     """Run one handler; its result or error becomes the thread's answer."""
-    result: Any = None
+    result: typing.Any = None
     error: Exception | None = None
     with arrival.scope:
         try:
@@ -120,7 +113,9 @@
     arrival.answer.put(result if error is None else error)
 
 
-def _run_soon(token: trio.lowlevel.TrioToken, function: Callable[[], object]) -> bool:
+def _run_soon(
+    token: trio.lowlevel.TrioToken, function: abc.Callable[[], object]
+) -> bool:
     """Call a function in the trio thread; return whether trio still runs."""
     try:
         token.run_sync_soon(function)
@@ -141,14 +136,14 @@
 def _serve_call(
     method: methods.Method,
     handler: Handler,
-    submit: Callable[[_Arrival], bool],
-    cancel: Callable[[_Arrival], None],
+    submit: abc.Callable[[_Arrival], bool],
+    cancel: abc.Callable[[_Arrival], None],
     encoded: bytes,
     context: grpc.ServicerContext,
 ) -> bytes:
     """Answer one call; runs in a server thread."""
     try:
-        request: Any = codec.decode(encoded, method.value.request)
+        request: typing.Any = codec.decode(encoded, method.value.request)
     except (msgspec.MsgspecError, ValueError) as error:
         return _set_error(
             context,
@@ -204,13 +199,13 @@
 @contextlib.asynccontextmanager
 async def serve(
     address: _types.Address,
-    handlers: Mapping[methods.Method, Handler],
+    handlers: abc.Mapping[methods.Method, Handler],
     *,
     tls: model.Tls,
-    extra_handlers: "Sequence[grpc.GenericRpcHandler[Any, Any]]" = (),
+    extra_handlers: "abc.Sequence[grpc.GenericRpcHandler[typing.Any, typing.Any]]" = (),
     workers: int = DEFAULT_WORKERS,
     grace_seconds: float = DEFAULT_GRACE_SECONDS,
-) -> AsyncIterator[_types.Address]:
+) -> abc.AsyncIterator[_types.Address]:
     """Serve calls while the context lasts; yield the bound address.
 
     Each handler runs in a task of its own and is cancelled when its caller gives up.
@@ -318,7 +313,7 @@
 
 
 @contextlib.asynccontextmanager
-async def open_client(tls: model.Tls) -> AsyncIterator[Client]:
+async def open_client(tls: model.Tls) -> abc.AsyncIterator[Client]:
     """Keep channels while the context lasts."""
     client = Client(tls)
     try:
@@ -330,7 +325,7 @@
 
 
 @contextlib.contextmanager
-def _borrowed(client: Client, address: _types.Address) -> Iterator[_Channel]:
+def _borrowed(client: Client, address: _types.Address) -> abc.Iterator[_Channel]:
     _close_idle(client, trio.current_time())
     entry = client.channels.get(address)
     if entry is None:
@@ -345,7 +340,7 @@
             entry.channel.close()
 
 
-def _as_error(call: Any, address: _types.Address) -> _exceptions.PlantainError:
+def _as_error(call: typing.Any, address: _types.Address) -> _exceptions.PlantainError:
     """Turn a failed call into the peer's error kind, or PEER_UNAVAILABLE."""
     told = kinds.of_call(call)
     if told is not None:
@@ -370,7 +365,7 @@
         _retire(client, address, entry)
 
 
-async def _finished(call: Any) -> None:
+async def _finished(call: typing.Any) -> None:
     """Wait for a gRPC future; cancel it when the waiting task is cancelled."""
     token = trio.lowlevel.current_trio_token()
     done = trio.Event()
@@ -428,11 +423,11 @@
     client: Client,
     address: _types.Address,
     method: methods.Method,
-    request: Any,
+    request: typing.Any,
     *,
     timeout_seconds: float,
     connect_first: bool = False,
-) -> Any:
+) -> typing.Any:
     """Make one call and return its reply.
 
     Raises ``PlantainError`` of the kind that the peer answered with, or of kind
--- a/plantainproxy/rpc/codec.py
+++ b/plantainproxy/rpc/codec.py
@@ -5,19 +5,18 @@
 last fields, so that fields may be added at the end.
 """
 
-from collections.abc import Hashable
+from collections import abc
 import dataclasses
 import functools
 import types
 import typing
-from typing import Any, TypeVar
 
 import msgspec
 
-T = TypeVar("T")
+T = typing.TypeVar("T")
 
 
-def _array_type(annotation: Any) -> Any:
+def _array_type(annotation: typing.Any) -> typing.Any:
     """Replace each data class inside a type by its array form."""
     if isinstance(annotation, type) and dataclasses.is_dataclass(annotation):
         return _array_struct(annotation)
@@ -31,11 +30,11 @@
 
 
 @functools.cache
-def _array_struct(message_type: Hashable) -> Any:
+def _array_struct(message_type: abc.Hashable) -> typing.Any:
     """Make the array form of one data class."""
-    data_class: Any = message_type
+    data_class: typing.Any = message_type
     hints = typing.get_type_hints(data_class)
-    fields: list[Any] = []
+    fields: list[typing.Any] = []
     for field in dataclasses.fields(data_class):
         wire_type = _array_type(hints[field.name])
         if field.default is dataclasses.MISSING:
@@ -48,7 +47,7 @@
 
 def encode(message: object) -> bytes:
     """Encode one frozen message."""
-    message_type: Any = type(message)
+    message_type: typing.Any = type(message)
     struct_type = _array_struct(message_type)
     return msgspec.msgpack.encode(
         msgspec.convert(message, struct_type, from_attributes=True)
@@ -57,6 +56,6 @@
 
 def decode(encoded: bytes, message_type: type[T]) -> T:
     """Decode one message; raise ``msgspec.DecodeError`` when it does not fit."""
-    wanted: Any = message_type
+    wanted: typing.Any = message_type
     struct = msgspec.msgpack.decode(encoded, type=_array_struct(wanted))
     return msgspec.convert(struct, message_type, from_attributes=True)
--- a/plantainproxy/rpc/kinds.py
+++ b/plantainproxy/rpc/kinds.py
@@ -1,6 +1,6 @@
 """How an error kind travels with a failed gRPC call."""
 
-from typing import Any
+import typing
 
 from plantainproxy import _exceptions
 
@@ -13,7 +13,7 @@
     return ((METADATA_NAME, kind.value),)
 
 
-def of_call(call: Any) -> _exceptions.PlantainError | None:
+def of_call(call: typing.Any) -> _exceptions.PlantainError | None:
     """Return the error that the peer answered; ``None`` when no peer answered one."""
     for name, value in call.trailing_metadata() or ():
         if name == METADATA_NAME and value in set(_exceptions.ErrorKind):
--- a/plantainproxy/rpc/operator_service.py
+++ b/plantainproxy/rpc/operator_service.py
@@ -1,9 +1,9 @@
 """The operators' gRPC service, answered by plain async functions in trio."""
 
-from collections.abc import Awaitable, Callable
+from collections import abc
 import dataclasses
 import logging
-from typing import Any
+import typing
 
 from google.protobuf import message
 import grpc
@@ -21,15 +21,23 @@
 class Handlers:
     """One function for each call of the service."""
 
-    show: Callable[[operator_pb2.ShowRequest], Awaitable[operator_pb2.ShowReply]]
-    change: Callable[[operator_pb2.ChangeRequest], Awaitable[operator_pb2.ChangeReply]]
-    status: Callable[[operator_pb2.StatusRequest], Awaitable[operator_pb2.StatusReply]]
-    audit: Callable[[operator_pb2.AuditRequest], Awaitable[operator_pb2.AuditReply]]
-    explain: Callable[
-        [operator_pb2.ExplainRequest], Awaitable[operator_pb2.ExplainReply]
+    show: abc.Callable[
+        [operator_pb2.ShowRequest], abc.Awaitable[operator_pb2.ShowReply]
     ]
-    rotate_keys: Callable[
-        [operator_pb2.RotateKeysRequest], Awaitable[operator_pb2.RotateKeysReply]
+    change: abc.Callable[
+        [operator_pb2.ChangeRequest], abc.Awaitable[operator_pb2.ChangeReply]
+    ]
+    status: abc.Callable[
+        [operator_pb2.StatusRequest], abc.Awaitable[operator_pb2.StatusReply]
+    ]
+    audit: abc.Callable[
+        [operator_pb2.AuditRequest], abc.Awaitable[operator_pb2.AuditReply]
+    ]
+    explain: abc.Callable[
+        [operator_pb2.ExplainRequest], abc.Awaitable[operator_pb2.ExplainReply]
+    ]
+    rotate_keys: abc.Callable[
+        [operator_pb2.RotateKeysRequest], abc.Awaitable[operator_pb2.RotateKeysReply]
     ]
 
 
@@ -39,11 +47,11 @@
 
 
 def _method(
-    handler: Callable[[Any], Awaitable[Any]],
+    handler: abc.Callable[[typing.Any], abc.Awaitable[typing.Any]],
     request_type: type[message.Message],
     token: trio.lowlevel.TrioToken,
-) -> Any:
-    def serve(request: Any, context: grpc.ServicerContext) -> Any:
+) -> typing.Any:
+    def serve(request: typing.Any, context: grpc.ServicerContext) -> typing.Any:
         """Answer one call; runs in a thread of the server."""
         try:
             return trio.from_thread.run(handler, request, trio_token=token)
@@ -64,7 +72,7 @@
     )
 
 
-def generic_handler(handlers: Handlers) -> Any:
+def generic_handler(handlers: Handlers) -> typing.Any:
     """Make the gRPC handler of the service; call it inside trio."""
     token = trio.lowlevel.current_trio_token()
     methods = {
--- a/plantainproxy/rpc/tests/test_bridge.py
+++ b/plantainproxy/rpc/tests/test_bridge.py
@@ -1,13 +1,13 @@
 """The bridge between trio and gRPC over real sockets."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections import abc
 import contextlib
 import datetime
 import functools
 import ipaddress
 import pathlib
 import socket
-from typing import Any
+import typing
 
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
@@ -27,7 +27,7 @@
 HANG_SECONDS = 20
 
 
-def run(main: Callable[[], Awaitable[None]]) -> None:
+def run(main: abc.Callable[[], abc.Awaitable[None]]) -> None:
     """Run a test under trio with a guard against hanging."""
 
     async def guarded() -> None:
@@ -39,15 +39,15 @@
 
 async def pull(
     client: bridge.Client, address: _types.Address, *, timeout: float = 5.0
-) -> Any:
+) -> typing.Any:
     """Make one call."""
     return await bridge.call(client, address, PULL, REQUEST, timeout_seconds=timeout)
 
 
 @contextlib.asynccontextmanager
 async def pair(
-    handler: bridge.Handler, **options: Any
-) -> AsyncIterator[tuple[bridge.Client, _types.Address]]:
+    handler: bridge.Handler, **options: typing.Any
+) -> abc.AsyncIterator[tuple[bridge.Client, _types.Address]]:
     """Start a server and a client."""
     async with (
         bridge.open_client(TLS) as client,
@@ -75,7 +75,7 @@
 def test_every_error_kind_travels(kind: _exceptions.ErrorKind) -> None:
     """The caller sees the kind and the detail that the handler raised."""
 
-    async def fail(request: Any) -> Any:
+    async def fail(request: typing.Any) -> typing.Any:
         raise _exceptions.PlantainError(kind, "détail")
 
     async def main() -> None:
@@ -91,7 +91,7 @@
     """An unexpected exception becomes INTERNAL and the server lives on."""
     faults: list[Exception] = [ZeroDivisionError("first")]
 
-    async def fail_once(request: Any) -> Any:
+    async def fail_once(request: typing.Any) -> typing.Any:
         if faults:
             raise faults.pop()
         return messages.PullReply()
@@ -125,7 +125,7 @@
                     )
                 return caught.value
 
-            error: Any = await trio.to_thread.run_sync(send)
+            error: typing.Any = await trio.to_thread.run_sync(send)
             assert error.code() is grpc.StatusCode.INVALID_ARGUMENT
             assert dict(error.trailing_metadata())[kinds.METADATA_NAME] == (
                 "bad-request"
@@ -161,7 +161,7 @@
     async def main() -> None:
         started, ended = trio.Event(), trio.Event()
 
-        async def wait(request: Any) -> Any:
+        async def wait(request: typing.Any) -> typing.Any:
             started.set()
             try:
                 await trio.sleep_forever()
@@ -189,7 +189,7 @@
         release = trio.Event()
         calls: list[int] = []
 
-        async def first_waits(request: Any) -> messages.PullReply:
+        async def first_waits(request: typing.Any) -> messages.PullReply:
             calls.append(1)
             if len(calls) == 1:
                 await release.wait()
@@ -214,9 +214,9 @@
     async def main() -> None:
         started = trio.Event()
         answered = trio.Event()
-        replies: list[Any] = []
+        replies: list[typing.Any] = []
 
-        async def slow(request: Any) -> messages.PullReply:
+        async def slow(request: typing.Any) -> messages.PullReply:
             started.set()
             await trio.sleep(0.3)
             return messages.PullReply()
@@ -244,7 +244,7 @@
     async def main() -> None:
         started = trio.Event()
 
-        async def forever(request: Any) -> Any:
+        async def forever(request: typing.Any) -> typing.Any:
             started.set()
             await trio.sleep_forever()
 
@@ -347,7 +347,7 @@
         relay = Relay()
         started = trio.Event()
 
-        async def forever(request: Any) -> Any:
+        async def forever(request: typing.Any) -> typing.Any:
             started.set()
             await trio.sleep_forever()
 
--- a/plantainproxy/settings/check.py
+++ b/plantainproxy/settings/check.py
@@ -1,6 +1,6 @@
 """Checks of settings that go beyond types."""
 
-from collections.abc import Iterator
+from collections import abc
 import dataclasses
 import ipaddress
 import logging
@@ -17,7 +17,7 @@
     return ipaddress.ip_address(address.host).is_loopback
 
 
-def _check_positive(settings: object, *, place: str = "") -> Iterator[load.Problem]:
+def _check_positive(settings: object, *, place: str = "") -> abc.Iterator[load.Problem]:
     """Every duration, rate and size must be above zero."""
     for field in dataclasses.fields(settings):  # type: ignore[arg-type]
         value = getattr(settings, field.name)
@@ -29,7 +29,7 @@
 
 def _check_tls(
     tls: model.Tls, addresses: tuple[_types.Address, ...]
-) -> Iterator[load.Problem]:
+) -> abc.Iterator[load.Problem]:
     files = {
         "tls.certificate_file": tls.certificate_file,
         "tls.private_key_file": tls.private_key_file,
@@ -55,7 +55,7 @@
             )
 
 
-def _check_telemetry(telemetry: model.Telemetry) -> Iterator[load.Problem]:
+def _check_telemetry(telemetry: model.Telemetry) -> abc.Iterator[load.Problem]:
     if telemetry.log_format not in LOG_FORMATS:
         yield load.Problem(
             place="telemetry.log_format",
@@ -69,7 +69,7 @@
     yield from _check_positive(telemetry, place="telemetry.")
 
 
-def check_balancer(settings: model.BalancerSettings) -> Iterator[load.Problem]:
+def check_balancer(settings: model.BalancerSettings) -> abc.Iterator[load.Problem]:
     """Yield what is wrong with a balancer's settings."""
     if not settings.domain:
         yield load.Problem(place="domain", expected="must not be empty")
@@ -79,7 +79,7 @@
     yield from _check_tls(settings.tls, (settings.rpc_address, *settings.seeds))
 
 
-def check_sidecar(settings: model.SidecarSettings) -> Iterator[load.Problem]:
+def check_sidecar(settings: model.SidecarSettings) -> abc.Iterator[load.Problem]:
     """Yield what is wrong with a sidecar's settings."""
     for name in ("domain", "pool"):
         if not getattr(settings, name):
@@ -97,7 +97,7 @@
     yield from _check_tls(settings.tls, (settings.rpc_address, *settings.seeds))
 
 
-def check_client(settings: model.ClientSettings) -> Iterator[load.Problem]:
+def check_client(settings: model.ClientSettings) -> abc.Iterator[load.Problem]:
     """Yield what is wrong with the command line's settings."""
     if not settings.balancers:
         yield load.Problem(place="balancers", expected="needs at least one address")
--- a/plantainproxy/settings/load.py
+++ b/plantainproxy/settings/load.py
@@ -1,17 +1,16 @@
 """Reading of settings files, with every error at once."""
 
-from collections.abc import Iterator, Mapping
+from collections import abc
 import dataclasses
 import pathlib
 import tomllib
 import typing
-from typing import Any, TypeVar
 
 import msgspec
 
 from plantainproxy import _exceptions, _types
 
-T = TypeVar("T")
+T = typing.TypeVar("T")
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -30,14 +29,16 @@
         return f"{self.place}: {self.expected}"
 
 
-def decode_hook(wanted: type, value: Any) -> Any:
+def decode_hook(wanted: type, value: typing.Any) -> typing.Any:
     """Decode the project's own value types for ``msgspec``."""
     if wanted is _types.Address and isinstance(value, str):
         return _types.Address.parse(value)
     raise NotImplementedError(f"cannot decode {wanted.__name__}")
 
 
-def _convert(value: Any, wanted: Any, place: str, problems: list[Problem]) -> Any:
+def _convert(
+    value: typing.Any, wanted: typing.Any, place: str, problems: list[Problem]
+) -> typing.Any:
     if wanted is _types.Address:
         return _convert_address(value, place, problems)
     if wanted == _types.Address | None:
@@ -53,7 +54,9 @@
         return None
 
 
-def _convert_address(value: Any, place: str, problems: list[Problem]) -> Any:
+def _convert_address(
+    value: typing.Any, place: str, problems: list[Problem]
+) -> typing.Any:
     if not isinstance(value, str):
         problems.append(Problem(place=place, expected='expected "host:port"'))
         return None
@@ -64,7 +67,9 @@
         return None
 
 
-def _convert_addresses(value: Any, place: str, problems: list[Problem]) -> Any:
+def _convert_addresses(
+    value: typing.Any, place: str, problems: list[Problem]
+) -> typing.Any:
     if not isinstance(value, list):
         expected = 'expected a list of "host:port"'
         problems.append(Problem(place=place, expected=expected))
@@ -76,9 +81,9 @@
 
 
 def _convert_table(
-    table: Any, wanted: type, place: str, problems: list[Problem]
-) -> Any:
-    if not isinstance(table, Mapping):
+    table: typing.Any, wanted: type, place: str, problems: list[Problem]
+) -> typing.Any:
+    if not isinstance(table, abc.Mapping):
         problems.append(Problem(place=place, expected="expected a table"))
         return None
     before = len(problems)
@@ -109,7 +114,7 @@
     settings_type: type[T],
     *,
     source: str,
-    check: typing.Callable[[T], Iterator[Problem]] = lambda settings: iter(()),
+    check: typing.Callable[[T], abc.Iterator[Problem]] = lambda settings: iter(()),
 ) -> T:
     """Decode TOML text and run ``check`` on the result.
 
@@ -117,7 +122,7 @@
     problem on a line of its own; ``source`` names the file.
     """
     problems: list[Problem] = []
-    settings: Any = None
+    settings: typing.Any = None
     try:
         settings = _convert_table(tomllib.loads(text), settings_type, "", problems)
     except tomllib.TOMLDecodeError as error:
@@ -134,7 +139,7 @@
     path: pathlib.Path,
     settings_type: type[T],
     *,
-    check: typing.Callable[[T], Iterator[Problem]] = lambda settings: iter(()),
+    check: typing.Callable[[T], abc.Iterator[Problem]] = lambda settings: iter(()),
 ) -> T:
     """Read, decode and check one settings file."""
     try:
--- a/plantainproxy/sidecar/claims.py
+++ b/plantainproxy/sidecar/claims.py
@@ -1,6 +1,6 @@
 """Claiming and settling idempotency keys, here or at the key's home."""
 
-from collections.abc import Awaitable, Callable
+from collections import abc
 import dataclasses
 import hashlib
 import logging
@@ -29,13 +29,13 @@
     They raise ``PlantainError``, also when no answer came.
     """
 
-    claim: Callable[
+    claim: abc.Callable[
         [_types.Address, messages.ClaimRequest, float],
-        Awaitable[messages.ClaimReply],
+        abc.Awaitable[messages.ClaimReply],
     ]
-    settle: Callable[
+    settle: abc.Callable[
         [_types.Address, messages.SettleRequest, float],
-        Awaitable[messages.SettleReply],
+        abc.Awaitable[messages.SettleReply],
     ]
 
 
--- a/plantainproxy/sidecar/context.py
+++ b/plantainproxy/sidecar/context.py
@@ -1,6 +1,6 @@
 """What one sidecar knows for its requests, and the calls that they need."""
 
-from collections.abc import Awaitable, Callable
+from collections import abc
 import dataclasses
 
 import trio
@@ -22,17 +22,17 @@
 
     run: upstream.Run
     """Runs a request on the own upstream."""
-    execute: Callable[
+    execute: abc.Callable[
         [_types.Address, messages.ExecuteRequest, float],
-        Awaitable[messages.ExecuteReply],
+        abc.Awaitable[messages.ExecuteReply],
     ]
     """Runs a request at a sibling; raises ``PlantainError`` for a lost answer. Any
     kind whose outcome is "not run" must mean that the request was not sent or was
     refused unseen, except PEER_UNAVAILABLE, which counts as unknown."""
     claims: claim_calls.Ports
-    start_soon: Callable[[Callable[[], Awaitable[None]]], None]
+    start_soon: abc.Callable[[abc.Callable[[], abc.Awaitable[None]]], None]
     """Starts a task that outlives the caller's connection."""
-    random: Callable[[], float]
+    random: abc.Callable[[], float]
     """Draws a random number in [0, 1)."""
 
 
--- a/plantainproxy/sidecar/endings.py
+++ b/plantainproxy/sidecar/endings.py
@@ -1,7 +1,7 @@
 """How lines end on purpose: notices to callers, and when lines are closed."""
 
 import collections
-from collections.abc import Iterable
+from collections import abc
 import logging
 
 from plantainproxy.config import model
@@ -104,7 +104,7 @@
     return min(times, default=float("inf"))
 
 
-def _present(time: float | None) -> Iterable[float]:
+def _present(time: float | None) -> abc.Iterable[float]:
     return () if time is None else (time,)
 
 
--- a/plantainproxy/sidecar/line_state.py
+++ b/plantainproxy/sidecar/line_state.py
@@ -1,7 +1,7 @@
 """The state of the callers' lines and what they need from the sidecar."""
 
 import collections
-from collections.abc import Awaitable, Callable
+from collections import abc
 import dataclasses
 import itertools
 import socket
@@ -23,13 +23,13 @@
 class Ports:
     """What the lines need from the rest of the sidecar."""
 
-    handle: Callable[[events.RequestReceived], Awaitable[messages.Response]]
+    handle: abc.Callable[[events.RequestReceived], abc.Awaitable[messages.Response]]
     """Runs one request; it is cancelled when the caller gives up."""
-    refuse: Callable[[_exceptions.ErrorKind, str], messages.Response]
+    refuse: abc.Callable[[_exceptions.ErrorKind, str], messages.Response]
     """Makes the response for an error kind and a detail."""
-    extra_headers: Callable[[], tuple[messages.Header, ...]]
+    extra_headers: abc.Callable[[], tuple[messages.Header, ...]]
     """Header fields that every response carries."""
-    allow_line: Callable[[float], bool]
+    allow_line: abc.Callable[[float], bool]
     """Takes one new connection from the admission rate at the given time."""
 
 
@@ -43,7 +43,7 @@
         own: _types.Address,
         generation: int,
         fabric_addresses: tuple[_types.Address, ...],
-        make_endpoint: Callable[
+        make_endpoint: abc.Callable[
             [endpoint.Identity, keyring.Keyring], endpoint.Endpoint
         ],
         ports: Ports,
--- a/plantainproxy/sidecar/main.py
+++ b/plantainproxy/sidecar/main.py
@@ -1,7 +1,7 @@
 """The ``plantain-sidecar`` binary."""
 
 import collections
-from collections.abc import Callable, Mapping
+from collections import abc
 import dataclasses
 import functools
 import logging
@@ -68,12 +68,12 @@
     )
 
 
-def _counters(parts: sidecar_parts.Parts) -> Mapping[str, float]:
+def _counters(parts: sidecar_parts.Parts) -> abc.Mapping[str, float]:
     refusals = {f"refusals.{kind}": count for kind, count in parts.refusals.items()}
     return {**dataclasses.asdict(parts.lines.counters), **refusals}
 
 
-def _gauges(parts: sidecar_parts.Parts) -> Mapping[str, float]:
+def _gauges(parts: sidecar_parts.Parts) -> abc.Mapping[str, float]:
     state, held = parts.state, parts.lines.endpoint
     view = state.view
     max_running = 1 if view is None or view.pool is None else view.pool.max_running
@@ -147,7 +147,7 @@
 
 
 async def _run(
-    lifecycle: _lifecycle.Lifecycle, read: Callable[[], model.SidecarSettings]
+    lifecycle: _lifecycle.Lifecycle, read: abc.Callable[[], model.SidecarSettings]
 ) -> None:
     settings = read()
     record = sidecar_parts.own_record(settings)
--- a/plantainproxy/sidecar/parts.py
+++ b/plantainproxy/sidecar/parts.py
@@ -1,13 +1,13 @@
 """The parts of one sidecar and how they are joined."""
 
 import collections
-from collections.abc import Awaitable, Callable
+from collections import abc
 import dataclasses
 import functools
 import random
 import socket
 import time
-from typing import Any
+import typing
 
 import trio
 
@@ -72,10 +72,10 @@
 
 def _peer_call(
     client: bridge.Client, method: methods.Method
-) -> Callable[[_types.Address, Any, float], Awaitable[Any]]:
+) -> abc.Callable[[_types.Address, typing.Any, float], abc.Awaitable[typing.Any]]:
     async def call(
-        address: _types.Address, request: Any, timeout_seconds: float
-    ) -> Any:
+        address: _types.Address, request: typing.Any, timeout_seconds: float
+    ) -> typing.Any:
         return await bridge.call(
             client, address, method, request, timeout_seconds=timeout_seconds
         )
@@ -85,9 +85,9 @@
 
 def _execute_call(
     client: bridge.Client,
-) -> Callable[
+) -> abc.Callable[
     [_types.Address, messages.ExecuteRequest, float],
-    Awaitable[messages.ExecuteReply],
+    abc.Awaitable[messages.ExecuteReply],
 ]:
     """Return the call to a sibling, which tells what was surely not sent."""
 
--- a/plantainproxy/sidecar/tests/test_cold.py
+++ b/plantainproxy/sidecar/tests/test_cold.py
@@ -1,6 +1,6 @@
 """Cold upstreams under the real pipeline, on a simulated clock."""
 
-from collections.abc import Awaitable, Callable
+from collections import abc
 
 import trio
 import trio.testing
@@ -12,7 +12,7 @@
 WARM_SECONDS = 12.0
 
 
-def _run(scenario: Callable[[fleet.Fleet], Awaitable[None]]) -> None:
+def _run(scenario: abc.Callable[[fleet.Fleet], abc.Awaitable[None]]) -> None:
     async def run() -> None:
         async with fleet.running(4, SETTINGS, utilisation=0.35, seed=3) as running:
             await fleet.measure(running, "cold start", WARM_SECONDS)
--- a/plantainproxy/sidecar/tests/test_fault_matrix.py
+++ b/plantainproxy/sidecar/tests/test_fault_matrix.py
@@ -6,7 +6,7 @@
 once, "not run" is true, and a whole answer is the one that the execution gave.
 """
 
-from collections.abc import Awaitable, Callable, Iterator
+from collections import abc
 import contextlib
 import dataclasses
 import itertools
@@ -78,7 +78,7 @@
         self.executions = 0
         self.answers: list[bytes] = []
         """What the upstreams answered."""
-        self.pending: list[tuple[str, Callable[[World], None]]] = []
+        self.pending: list[tuple[str, abc.Callable[[World], None]]] = []
         self.cut = False
         self.losing_replies = False
         self.entry = _types.Address("0.0.0.0", 0)
@@ -160,7 +160,9 @@
 
 
 async def in_sidecar(
-    world: World, address: _types.Address, call: Callable[[Sidecar], Awaitable[object]]
+    world: World,
+    address: _types.Address,
+    call: abc.Callable[[Sidecar], abc.Awaitable[object]],
 ) -> object:
     """Run a call inside a sidecar; it is lost when the sidecar ends meanwhile."""
     sidecar = world.sidecars.get(address)
@@ -187,7 +189,7 @@
 async def peer_call(
     world: World,
     address: _types.Address,
-    call: Callable[[Sidecar], Awaitable[object]],
+    call: abc.Callable[[Sidecar], abc.Awaitable[object]],
     timeout: float,
 ) -> object:
     """Carry a call between sidecars over a network that may be cut."""
@@ -247,7 +249,7 @@
         assert isinstance(reply, messages.SettleReply)
         return reply
 
-    def start_soon(task: Callable[[], Awaitable[None]]) -> None:
+    def start_soon(task: abc.Callable[[], abc.Awaitable[None]]) -> None:
         assert own.nursery is not None
         own.nursery.start_soon(task)
 
@@ -350,7 +352,7 @@
     world.losing_replies = True
 
 
-def _break_upstreams(fault: str) -> Callable[[World], None]:
+def _break_upstreams(fault: str) -> abc.Callable[[World], None]:
     def strike(world: World) -> None:
         for sidecar in world.sidecars.values():
             sidecar.upstream_fault = fault
@@ -398,7 +400,7 @@
         context.update_siblings(sidecar.state, ())
 
 
-FAULTS: dict[str, Callable[[World], None]] = {
+FAULTS: dict[str, abc.Callable[[World], None]] = {
     "home killed": kill_home,
     "home restarted": restart_home,
     "home frozen and woken": freeze_home,
@@ -483,7 +485,7 @@
     return told
 
 
-def verdicts(world: World, told: list[Told]) -> Iterator[str]:
+def verdicts(world: World, told: list[Told]) -> abc.Iterator[str]:
     """Yield a sentence for each broken promise."""
     if world.executions > 1:
         yield f"ran {world.executions} times"
--- a/plantainproxy/sidecar/tests/test_lines.py
+++ b/plantainproxy/sidecar/tests/test_lines.py
@@ -1,6 +1,6 @@
 """The callers' lines over real sockets on loopback addresses."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections import abc
 import contextlib
 import dataclasses
 import json
@@ -89,7 +89,7 @@
     hosts: tuple[str, ...] = ("127.1.0.1",),
     with_keys: bool = True,
     choice: int = 0,
-) -> AsyncIterator[Bench]:
+) -> abc.AsyncIterator[Bench]:
     """Run sidecars; opening packets go to the one that ``choice`` names."""
     keys = quic_pair.make_keys()
     with contextlib.ExitStack() as stack:
@@ -173,7 +173,7 @@
     return dataclasses.replace(short, **changes)  # type: ignore[arg-type]
 
 
-def run(main: Callable[[], Awaitable[None]]) -> None:
+def run(main: abc.Callable[[], abc.Awaitable[None]]) -> None:
     """Run a test's main function, but not for ever."""
 
     async def guarded() -> None:
--- a/plantainproxy/sidecar/tests/test_requests.py
+++ b/plantainproxy/sidecar/tests/test_requests.py
@@ -1,7 +1,7 @@
 """The pipeline of a request, driven through its ports without sockets."""
 
 import collections
-from collections.abc import Awaitable, Callable
+from collections import abc
 import dataclasses
 import json
 import random
@@ -72,7 +72,7 @@
             return upstream.Result(signal=admission.Signal.SUCCESS, response=response)
         return _failed(Kind.UPSTREAM_TIMEOUT)
 
-    async def deliver(self, call: Callable[[], Awaitable[object]]) -> object:
+    async def deliver(self, call: abc.Callable[[], abc.Awaitable[object]]) -> object:
         """Carry a call; lose it on the way there or back."""
         if self.draw.random() < self.loss:
             raise _exceptions.PlantainError(Kind.PEER_UNAVAILABLE)
@@ -169,7 +169,10 @@
 
 
 def _run(
-    scenario: Callable[[Fleet], Awaitable[None]], *, sidecars: int = 2, seed: int = 1
+    scenario: abc.Callable[[Fleet], abc.Awaitable[None]],
+    *,
+    sidecars: int = 2,
+    seed: int = 1,
 ) -> None:
     async def run() -> None:
         async with trio.open_nursery() as nursery:
--- a/plantainproxy/sidecar/tests/test_upstream.py
+++ b/plantainproxy/sidecar/tests/test_upstream.py
@@ -1,6 +1,6 @@
 """The truth of "not run" and whole answers, over real sockets."""
 
-from collections.abc import Awaitable, Callable
+from collections import abc
 import dataclasses
 
 import pytest
@@ -25,8 +25,8 @@
 )
 HEAD = b"HTTP/1.1 200 OK\r\n"
 
-Serve = Callable[[trio.SocketStream], Awaitable[None]]
-Drive = Callable[[upstream.Pool], Awaitable[None]]
+Serve = abc.Callable[[trio.SocketStream], abc.Awaitable[None]]
+Drive = abc.Callable[[upstream.Pool], abc.Awaitable[None]]
 
 
 def _with_server(serve: Serve, drive: Drive) -> None:
@@ -205,7 +205,7 @@
     _with_server(serve, with_state)
 
 
-StandinDrive = Callable[[upstream.Pool, standin.State], Awaitable[None]]
+StandinDrive = abc.Callable[[upstream.Pool, standin.State], abc.Awaitable[None]]
 
 
 def test_answer_is_whole_and_connections_are_kept() -> None:
--- a/plantainproxy/sidecar/tunnel.py
+++ b/plantainproxy/sidecar/tunnel.py
@@ -4,7 +4,7 @@
 waiting for each.
 """
 
-from collections.abc import Iterator
+from collections import abc
 import contextlib
 import dataclasses
 import socket
@@ -37,7 +37,7 @@
 
 
 @contextlib.contextmanager
-def open_socket(address: _types.Address) -> Iterator[socket.socket]:
+def open_socket(address: _types.Address) -> abc.Iterator[socket.socket]:
     """Bind the datagram socket and close it in the end."""
     with bind(address) as bound:
         yield bound
--- a/plantainproxy/sidecar/upstream.py
+++ b/plantainproxy/sidecar/upstream.py
@@ -5,7 +5,7 @@
 itself by a 503 with the header ``plantain-not-run: true``.
 """
 
-from collections.abc import Awaitable, Callable, Iterator
+from collections import abc
 import contextlib
 import dataclasses
 import logging
@@ -97,7 +97,7 @@
 
 
 @contextlib.contextmanager
-def open_pool(address: _types.Address) -> Iterator[Pool]:
+def open_pool(address: _types.Address) -> abc.Iterator[Pool]:
     """Hold the connections to one upstream."""
     pool = Pool(address=address)
     try:
@@ -124,7 +124,7 @@
 
 
 async def poll_health(
-    pool: Pool, observe: Callable[[admission.Report | None], None]
+    pool: Pool, observe: abc.Callable[[admission.Report | None], None]
 ) -> None:
     """Ask for a health report every second; ``None`` where nobody answered."""
     while True:
@@ -163,7 +163,7 @@
 
 
 @contextlib.contextmanager
-def _lease() -> Iterator[list[Connection]]:
+def _lease() -> abc.Iterator[list[Connection]]:
     """Close the connections that are still in the lease at its end."""
     lease: list[Connection] = []
     try:
@@ -370,7 +370,7 @@
     return Result(signal=admission.Signal.TIMEOUT, error=kind)
 
 
-Run = Callable[[messages.Request, float], Awaitable[Result]]
+Run = abc.Callable[[messages.Request, float], abc.Awaitable[Result]]
 """The port through which requests reach the upstream."""
 
 
--- a/plantainproxy/store/etcd.py
+++ b/plantainproxy/store/etcd.py
@@ -1,6 +1,6 @@
 """The store port over etcd v3's JSON gateway."""
 
-from collections.abc import AsyncIterator
+from collections import abc
 import contextlib
 import logging
 
@@ -85,7 +85,7 @@
     @contextlib.asynccontextmanager
     async def watch(
         self, prefix: str
-    ) -> AsyncIterator[AsyncIterator[tuple[port.Change, ...]]]:
+    ) -> abc.AsyncIterator[abc.AsyncIterator[tuple[port.Change, ...]]]:
         """Observe writes under a prefix from now on."""
         settings = self.settings
         rearm_at = trio.current_time() + settings.watch_rearm_seconds
@@ -103,7 +103,7 @@
 
 
 @contextlib.asynccontextmanager
-async def open_store(settings: model.StoreSettings) -> AsyncIterator[port.Store]:
+async def open_store(settings: model.StoreSettings) -> abc.AsyncIterator[port.Store]:
     """Give access to the store; connections are opened at the first call."""
     store = EtcdStore(settings)
     try:
@@ -198,7 +198,7 @@
 
 async def _changes(
     stream: http.Connection, rearm_at: float
-) -> AsyncIterator[tuple[port.Change, ...]]:
+) -> abc.AsyncIterator[tuple[port.Change, ...]]:
     while True:
         line = None
         with trio.move_on_at(rearm_at):
--- a/plantainproxy/store/gateway.py
+++ b/plantainproxy/store/gateway.py
@@ -4,13 +4,13 @@
 """
 
 import base64
-from typing import Any, TypeVar
+import typing
 
 import msgspec
 
 from plantainproxy.store import port
 
-T = TypeVar("T")
+T = typing.TypeVar("T")
 
 RANGE_PATH = "/v3/kv/range"
 TXN_PATH = "/v3/kv/txn"
@@ -122,7 +122,7 @@
         end = start.encode() + b"\0"
     elif start:
         first = start
-    body: dict[str, Any] = {
+    body: dict[str, typing.Any] = {
         "key": _text(first),
         "range_end": _text(end),
         "sort_target": "KEY",
@@ -158,7 +158,7 @@
         }
         for compare in transaction.compares
     ]
-    operations: list[dict[str, Any]] = [
+    operations: list[dict[str, typing.Any]] = [
         {
             "request_put": {
                 "key": _text(put.key),
--- a/plantainproxy/store/http.py
+++ b/plantainproxy/store/http.py
@@ -1,10 +1,10 @@
 """HTTP/1.1 calls over pooled connections, with a deadline on each."""
 
-from collections.abc import AsyncIterator, Iterator
+from collections import abc
 import contextlib
 import dataclasses
 import socket
-from typing import Any
+import typing
 
 import h11
 import trio
@@ -156,7 +156,7 @@
 
 
 @contextlib.contextmanager
-def _closing_on_error(connection: Connection) -> Iterator[None]:
+def _closing_on_error(connection: Connection) -> abc.Iterator[None]:
     try:
         yield
     except BaseException:
@@ -211,7 +211,7 @@
     return event.status_code
 
 
-async def _next_event(connection: Connection) -> Any:
+async def _next_event(connection: Connection) -> typing.Any:
     while (event := connection.protocol.next_event()) is h11.NEED_DATA:
         received = await connection.stream.receive_some(RECEIVE_BYTES)
         connection.protocol.receive_data(received)
@@ -221,7 +221,7 @@
 @contextlib.asynccontextmanager
 async def open_stream(
     address: _types.Address, path: str, body: bytes, *, timeout_seconds: float
-) -> AsyncIterator[Connection]:
+) -> abc.AsyncIterator[Connection]:
     """Send a request whose answer is an endless stream of lines.
 
     The connection is its own and is closed on exit.
--- a/plantainproxy/store/memory.py
+++ b/plantainproxy/store/memory.py
@@ -1,7 +1,7 @@
 """A store in memory for tests, with outages and lost answers."""
 
 import collections
-from collections.abc import AsyncIterator, Callable
+from collections import abc
 import contextlib
 import dataclasses
 
@@ -24,7 +24,7 @@
 class MemoryStore:
     """The state of the fake; implements ``port.Store``."""
 
-    def __init__(self, *, clock: Callable[[], float] = trio.current_time) -> None:
+    def __init__(self, *, clock: abc.Callable[[], float] = trio.current_time) -> None:
         """Start empty."""
         self.clock = clock
         self.revision = 1
@@ -118,7 +118,7 @@
     @contextlib.asynccontextmanager
     async def watch(
         self, prefix: str
-    ) -> AsyncIterator[AsyncIterator[tuple[port.Change, ...]]]:
+    ) -> abc.AsyncIterator[abc.AsyncIterator[tuple[port.Change, ...]]]:
         """Observe writes under a prefix from now on."""
         await _begin_read(self)
         sender, receiver = trio.open_memory_channel[tuple[port.Change, ...]](
--- a/plantainproxy/store/port.py
+++ b/plantainproxy/store/port.py
@@ -5,10 +5,10 @@
 lost. Every call ends within the adapter's deadline.
 """
 
-from collections.abc import AsyncIterator
+from collections import abc
 import contextlib
 import dataclasses
-from typing import Protocol
+import typing
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -64,7 +64,7 @@
     entry: Entry | None
 
 
-class Store(Protocol):
+class Store(typing.Protocol):
     """The port to the store."""
 
     async def get(self, key: str) -> Entry | None:
@@ -101,7 +101,7 @@
 
     def watch(
         self, prefix: str
-    ) -> contextlib.AbstractAsyncContextManager[AsyncIterator[tuple[Change, ...]]]:
+    ) -> contextlib.AbstractAsyncContextManager[abc.AsyncIterator[tuple[Change, ...]]]:
         """Observe writes under a prefix from now on.
 
         The iterator ends when the watch broke or its bounded time passed; the
--- a/plantainproxy/store/revisioned.py
+++ b/plantainproxy/store/revisioned.py
@@ -1,6 +1,6 @@
 """What followers ask of a store whose watches resume at a revision."""
 
-from typing import Protocol
+import typing
 
 import msgspec
 
@@ -50,7 +50,7 @@
     """Where the next watch takes over."""
 
 
-class RevisionedStore(Protocol):
+class RevisionedStore(typing.Protocol):
     """Reads and watches; each raises ``PlantainError`` when the store fails."""
 
     async def read_all(self, prefix: str) -> Snapshot:
@@ -63,7 +63,7 @@
         """
 
 
-class LeasingStore(RevisionedStore, Protocol):
+class LeasingStore(RevisionedStore, typing.Protocol):
     """Reads, and writes that end with a lease."""
 
     async def grant_lease(self, *, ttl_seconds: float) -> int:
--- a/plantainproxy/store/seats.py
+++ b/plantainproxy/store/seats.py
@@ -1,6 +1,6 @@
 """The task that looks for a seat and holds it."""
 
-from collections.abc import Awaitable, Callable
+from collections import abc
 import dataclasses
 import logging
 import random
@@ -23,10 +23,10 @@
         store: port.Store,
         identity: seat_rules.Identity,
         *,
-        as_holder: Callable[[], Awaitable[None]],
+        as_holder: abc.Callable[[], abc.Awaitable[None]],
         holders: trio.MemorySendChannel[tuple[_types.Address, ...]],
-        fleet_size: Callable[[], int],
-        urgent: Callable[[], bool],
+        fleet_size: abc.Callable[[], int],
+        urgent: abc.Callable[[], bool],
         generator: random.Random,
     ) -> None:
         """Take the store, the duties of a holder and where its findings go."""
--- a/plantainproxy/store/tests/test_etcd.py
+++ b/plantainproxy/store/tests/test_etcd.py
@@ -1,6 +1,6 @@
 """The adapter against the stand-in store over real sockets."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections import abc
 import contextlib
 
 import pytest
@@ -21,7 +21,7 @@
 @contextlib.asynccontextmanager
 async def open_pair(
     *, timeout_seconds: float = 5.0, rearm_seconds: float = 30.0
-) -> AsyncIterator[tuple[store_stand_in.StandIn, port.Store]]:
+) -> abc.AsyncIterator[tuple[store_stand_in.StandIn, port.Store]]:
     """Run a stand-in and an adapter that talks to it."""
     stand_in = store_stand_in.StandIn("127.0.0.1", 0)
     settings = model.StoreSettings(
@@ -45,7 +45,9 @@
     )
 
 
-async def failure(call: Callable[[], Awaitable[object]]) -> _exceptions.ErrorKind:
+async def failure(
+    call: abc.Callable[[], abc.Awaitable[object]],
+) -> _exceptions.ErrorKind:
     """Return the kind of the error that a call raises."""
     with pytest.raises(_exceptions.PlantainError) as caught:
         await call()
--- a/plantainproxy/store/tests/test_seats.py
+++ b/plantainproxy/store/tests/test_seats.py
@@ -1,6 +1,6 @@
 """Seats: few holders, few calls, and no act of a holder after a lapse."""
 
-from collections.abc import Awaitable, Callable
+from collections import abc
 import random
 
 import pytest
@@ -52,7 +52,7 @@
         )
 
 
-def run(size: int, main: Callable[[Fleet], Awaitable[None]]) -> None:
+def run(size: int, main: abc.Callable[[Fleet], abc.Awaitable[None]]) -> None:
     """Run a fleet while a test looks at it, in virtual time."""
 
     async def run_fleet() -> None:
--- a/plantainproxy/telemetry/exposition.py
+++ b/plantainproxy/telemetry/exposition.py
@@ -4,14 +4,14 @@
 """
 
 import bisect
-from collections.abc import Callable, Mapping
+from collections import abc
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 PREFIX = "plantainproxy"
 BUCKET_SECONDS = (0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 5.0)
 """Upper bounds of a histogram's buckets; around the latency objectives of requests."""
 
-Gauges = Callable[[], Mapping[str, float]]
+Gauges = abc.Callable[[], abc.Mapping[str, float]]
 """Returns the present value of each gauge."""
 
 
@@ -30,9 +30,9 @@
 
 
 def render(
-    counters: Mapping[str, int],
-    gauges: Mapping[str, float],
-    histograms: Mapping[str, Histogram],
+    counters: abc.Mapping[str, int],
+    gauges: abc.Mapping[str, float],
+    histograms: abc.Mapping[str, Histogram],
 ) -> bytes:
     """Return all metrics as text."""
     import prometheus_client
--- a/plantainproxy/telemetry/logs.py
+++ b/plantainproxy/telemetry/logs.py
@@ -1,6 +1,6 @@
 """Set-up of ``logging`` for the binaries, as text or JSON lines."""
 
-from collections.abc import Callable
+from collections import abc
 import logging
 import os
 import sys
@@ -86,9 +86,9 @@
 def rate_limited(
     logger: logging.Logger,
     *,
-    clock: Callable[[], float] = time.monotonic,
+    clock: abc.Callable[[], float] = time.monotonic,
     repeat_seconds: float = REPEAT_SECONDS,
-) -> Callable[..., None]:
+) -> abc.Callable[..., None]:
     """Make a warning function for hot paths.
 
     Each format string is logged at most once in ``repeat_seconds``; the next line
--- a/plantainproxy/telemetry/metrics.py
+++ b/plantainproxy/telemetry/metrics.py
@@ -1,6 +1,6 @@
 """Batched counters and gauges to a statsd server."""
 
-from collections.abc import Callable, Mapping
+from collections import abc
 import contextlib
 import logging
 import socket
@@ -16,15 +16,15 @@
 
 logger = logging.getLogger("plantain.metrics")
 
-Snapshot = Callable[[], Mapping[str, float]]
+Snapshot = abc.Callable[[], abc.Mapping[str, float]]
 """Returns the present value of each metric by name."""
 
 
 def send_once(
     client: statsd.StatsClient,
     *,
-    counters: Mapping[str, float],
-    gauges: Mapping[str, float],
+    counters: abc.Mapping[str, float],
+    gauges: abc.Mapping[str, float],
     previous: dict[str, float],
 ) -> None:
     """Send the growth of each counter and the value of each gauge in one batch."""
--- a/plantainproxy/telemetry/names.py
+++ b/plantainproxy/telemetry/names.py
@@ -4,7 +4,7 @@
 prints.
 """
 
-from collections.abc import Iterable, Mapping
+from collections import abc
 import dataclasses
 import enum
 
@@ -38,7 +38,7 @@
     meaning: str
 
 
-DROPS: Mapping[routing.DropReason, str] = {
+DROPS: abc.Mapping[routing.DropReason, str] = {
     routing.DropReason.NOT_READY: "no configuration or no keys known yet",
     routing.DropReason.BAD_HEADER: "no valid PROXY header",
     routing.DropReason.TOO_LARGE: "larger than the limit",
@@ -104,7 +104,9 @@
 }
 
 
-def _metrics(part: Part, kind: Kind, meanings: Mapping[str, str]) -> tuple[Metric, ...]:
+def _metrics(
+    part: Part, kind: Kind, meanings: abc.Mapping[str, str]
+) -> tuple[Metric, ...]:
     return tuple(
         Metric(part=part, name=name, kind=kind, meaning=meaning)
         for name, meaning in meanings.items()
@@ -127,7 +129,7 @@
     )
 
 
-def render(metrics: Iterable[Metric] = METRICS) -> str:
+def render(metrics: abc.Iterable[Metric] = METRICS) -> str:
     """Write the list as the table of the documents."""
     lines = ["| part | name | kind | meaning |", "|---|---|---|---|"]
     lines += [
--- a/plantainproxy/wire/keyring.py
+++ b/plantainproxy/wire/keyring.py
@@ -1,10 +1,11 @@
 """Working keys derived from the shared key set."""
 
-from collections.abc import Callable
+from collections import abc
 import hashlib
 import hmac
 
-from cryptography.hazmat.primitives.ciphers import Cipher, algorithms, modes
+from cryptography.hazmat.primitives import ciphers
+from cryptography.hazmat.primitives.ciphers import algorithms, modes
 
 from plantainproxy.config import model
 
@@ -23,13 +24,13 @@
 
     def __init__(self, key: model.Key) -> None:
         """Derive everything once, so that each use costs one call."""
-        cipher = Cipher(
+        cipher = ciphers.Cipher(
             algorithms.AES(_derive(key.secret, b"connection-id", 16)), modes.ECB()
         )
         self.number = key.number
-        self.encrypt: Callable[[bytes], bytes] = cipher.encryptor().update
+        self.encrypt: abc.Callable[[bytes], bytes] = cipher.encryptor().update
         """Encrypts exactly one block of 16 bytes."""
-        self.decrypt: Callable[[bytes], bytes] = cipher.decryptor().update
+        self.decrypt: abc.Callable[[bytes], bytes] = cipher.decryptor().update
         """Decrypts exactly one block of 16 bytes."""
         self.cookie = _derive(key.secret, b"tunnel", COOKIE_BYTES)
         """Proves to a tunnel's receiver that the sender belongs to the system."""
--- a/plantainproxy/wire/proxy.py
+++ b/plantainproxy/wire/proxy.py
@@ -4,7 +4,7 @@
 """
 
 import struct
-from typing import NamedTuple
+import typing
 
 from plantainproxy import _types
 
@@ -23,7 +23,7 @@
 _unpack = struct.Struct("!14sH4s4s2s2s").unpack_from
 
 
-class Header(NamedTuple):
+class Header(typing.NamedTuple):
     """The addresses of one datagram, each packed into six bytes."""
 
     source: bytes
--- a/plantainproxy/wire/tunnel.py
+++ b/plantainproxy/wire/tunnel.py
@@ -6,7 +6,7 @@
 """
 
 import struct
-from typing import NamedTuple
+import typing
 
 VERSION = 1
 MAX_HOPS = 2
@@ -20,7 +20,7 @@
 """Size of a prefix without earlier owners."""
 
 
-class Message(NamedTuple):
+class Message(typing.NamedTuple):
     """One datagram with what its receiver needs to pass it on."""
 
     hops: int
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -5,7 +5,7 @@
 """
 
 import argparse
-from collections.abc import Awaitable, Callable, Iterator
+from collections import abc
 import contextlib
 import dataclasses
 import json
@@ -158,7 +158,7 @@
 
 
 @contextlib.contextmanager
-def open_connection(plan: Plan) -> Iterator[Connection]:
+def open_connection(plan: Plan) -> abc.Iterator[Connection]:
     """Make a socket and begin a handshake; :func:`pump` carries it on."""
     with contextlib.ExitStack() as stack:
         source = _types.Address(plan.source_host, 0)
@@ -413,7 +413,7 @@
 async def _repeat(
     holder: Holder,
     per_second: float,
-    perform: Callable[[Holder], Awaitable[None]],
+    perform: abc.Callable[[Holder], abc.Awaitable[None]],
     over: trio.Event,
 ) -> None:
     """Send requests at a mean rate, each without waiting for the last one."""
--- a/standins/certificates.py
+++ b/standins/certificates.py
@@ -3,7 +3,7 @@
 import datetime
 import ipaddress
 import pathlib
-from typing import NamedTuple
+import typing
 
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
@@ -15,14 +15,14 @@
 _LIFETIME = datetime.timedelta(days=30)
 
 
-class Files(NamedTuple):
+class Files(typing.NamedTuple):
     """Where a certificate and its private key were written."""
 
     certificate: pathlib.Path
     private_key: pathlib.Path
 
 
-class Authority(NamedTuple):
+class Authority(typing.NamedTuple):
     """What signs the certificates of one test site."""
 
     certificate: x509.Certificate
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -6,12 +6,12 @@
 """
 
 import argparse
-from collections.abc import AsyncIterator, Iterator
+from collections import abc
 import contextlib
 import dataclasses
 import random
 import socket
-from typing import NamedTuple
+import typing
 
 import msgspec
 import trio
@@ -40,7 +40,7 @@
     """Most of a random delay that comes on top."""
 
 
-class Balancer(NamedTuple):
+class Balancer(typing.NamedTuple):
     """Where one balancer takes datagrams and health checks."""
 
     datagrams: _types.Address
@@ -89,7 +89,7 @@
     counters: Counters = dataclasses.field(default_factory=Counters)
 
 
-class Sockets(NamedTuple):
+class Sockets(typing.NamedTuple):
     """The sockets, all bound and non-blocking."""
 
     back: socket.socket
@@ -98,7 +98,7 @@
     """Towards callers, by packed service address."""
 
 
-class Outgoing(NamedTuple):
+class Outgoing(typing.NamedTuple):
     """One datagram on its way out."""
 
     sender: socket.socket
@@ -156,7 +156,7 @@
 
 async def _datagrams(
     opened: socket.socket,
-) -> AsyncIterator[tuple[bytes, _types.Address]]:
+) -> abc.AsyncIterator[tuple[bytes, _types.Address]]:
     while True:
         await trio.lowlevel.wait_readable(opened)
         for _ in range(BATCH_DATAGRAMS):
@@ -285,7 +285,7 @@
 
 
 @contextlib.contextmanager
-def _opened(addresses: list[_types.Address]) -> Iterator[list[socket.socket]]:
+def _opened(addresses: list[_types.Address]) -> abc.Iterator[list[socket.socket]]:
     with contextlib.ExitStack() as stack:
         yield [stack.enter_context(_bind(address)) for address in addresses]
 
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -4,7 +4,7 @@
 silent, one way only, slow, and for datagrams lost, duplicated or out of order.
 """
 
-from collections.abc import AsyncIterator
+from collections import abc
 import contextlib
 import dataclasses
 import random
@@ -125,7 +125,7 @@
 
 
 @contextlib.asynccontextmanager
-async def open_tcp_link(target: _types.Address) -> AsyncIterator[Link]:
+async def open_tcp_link(target: _types.Address) -> abc.AsyncIterator[Link]:
     """Listen on a free port and pass connections on to the target."""
     link = Link(target=target)
     (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
@@ -188,7 +188,9 @@
 
 
 @contextlib.asynccontextmanager
-async def open_udp_link(target: _types.Address, *, seed: int) -> AsyncIterator[Link]:
+async def open_udp_link(
+    target: _types.Address, *, seed: int
+) -> abc.AsyncIterator[Link]:
     """Receive datagrams on a free port and pass them on to the target."""
     link = Link(target=target, seed=seed)
     near = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
--- a/standins/flow_ends.py
+++ b/standins/flow_ends.py
@@ -4,7 +4,7 @@
 request, which is one packet, with one packet that holds the request's bytes.
 """
 
-from collections.abc import AsyncIterator
+from collections import abc
 import contextlib
 import dataclasses
 import itertools
@@ -290,7 +290,7 @@
 
 
 @contextlib.asynccontextmanager
-async def open_flow(caller: Caller, service: _types.Address) -> AsyncIterator[Flow]:
+async def open_flow(caller: Caller, service: _types.Address) -> abc.AsyncIterator[Flow]:
     """Open a flow with an opening packet and its copies.
 
     Raises ``NoAnswerError`` or ``FlowResetError``.
--- a/standins/http3_client.py
+++ b/standins/http3_client.py
@@ -8,7 +8,7 @@
 import logging
 import ssl
 
-from aioquic._buffer import Buffer, BufferReadError
+from aioquic import _buffer
 from aioquic.h3 import connection as h3_connection
 from aioquic.h3 import events as h3_events
 from aioquic.quic import configuration as quic_configuration
@@ -283,25 +283,25 @@
         if stream & _STREAM_KIND_MASK != _SERVER_UNIDIRECTIONAL:
             return
         gathered = self._control.get(stream, b"") + event.data
-        buffer = Buffer(data=gathered)
+        buffer = _buffer.Buffer(data=gathered)
         try:
             if stream not in self._control:
                 if buffer.pull_uint_var() != _CONTROL_STREAM:
                     self._control[stream] = b""
                     return
                 gathered = gathered[buffer.tell() :]
-                buffer = Buffer(data=gathered)
+                buffer = _buffer.Buffer(data=gathered)
             while not buffer.eof():
                 self._read_control_frame(buffer)
                 gathered = gathered[buffer.tell() :]
-                buffer = Buffer(data=gathered)
-        except BufferReadError:
+                buffer = _buffer.Buffer(data=gathered)
+        except _buffer.BufferReadError:
             pass
         self._control[stream] = gathered
 
-    def _read_control_frame(self, buffer: Buffer) -> None:
+    def _read_control_frame(self, buffer: _buffer.Buffer) -> None:
         frame_type = buffer.pull_uint_var()
         frame = buffer.pull_bytes(buffer.pull_uint_var())
         if frame_type == h3_connection.FrameType.GOAWAY:
-            stream = Buffer(data=frame).pull_uint_var()
+            stream = _buffer.Buffer(data=frame).pull_uint_var()
             self._events.append(GoAway(stream=stream))
--- a/standins/quic_pair.py
+++ b/standins/quic_pair.py
@@ -1,6 +1,6 @@
 """An endpoint and its callers joined by a seeded, faulty network and a fake clock."""
 
-from collections.abc import Callable
+from collections import abc
 import dataclasses
 import pathlib
 import random
@@ -90,7 +90,8 @@
         *,
         seed: int = 1,
         faults: Faults | None = None,
-        respond: Callable[[events.RequestReceived], messages.Response] | None = echo,
+        respond: abc.Callable[[events.RequestReceived], messages.Response]
+        | None = echo,
     ) -> None:
         """Join callers to an endpoint; ``respond`` answers their requests."""
         self.server = server
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -4,7 +4,7 @@
 of our connection IDs go to the sidecar that the ID names.
 """
 
-from collections.abc import AsyncIterator, Callable
+from collections import abc
 import contextlib
 import dataclasses
 import random
@@ -33,7 +33,7 @@
     fabric: socket.socket
     """Takes the sidecars' answers."""
     services: dict[_types.Address, socket.socket]
-    choose: Callable[[bytes], _types.Address]
+    choose: abc.Callable[[bytes], _types.Address]
     """Picks a sidecar's tunnel address for the connection ID of an opening packet."""
     loss: float = 0.0
     random: random.Random
@@ -49,10 +49,10 @@
 async def open_relay(
     *,
     keys: keyring.Keyring,
-    choose: Callable[[bytes], _types.Address],
+    choose: abc.Callable[[bytes], _types.Address],
     hosts: tuple[str, ...] = ("127.1.0.1",),
     seed: int = 1,
-) -> AsyncIterator[Relay]:
+) -> abc.AsyncIterator[Relay]:
     """Run a relay with one service address on each host."""
     with contextlib.ExitStack() as stack:
         fabric = stack.enter_context(tunnel.open_socket(_types.Address("127.0.0.1", 0)))
--- a/standins/store.py
+++ b/standins/store.py
@@ -7,12 +7,12 @@
 
 import argparse
 import collections
-from collections.abc import Awaitable, Callable
+from collections import abc
 import contextlib
 import json
 import math
 import socket
-from typing import Any
+import typing
 
 import h11
 import msgspec
@@ -138,7 +138,7 @@
         await _wait_until(stand_in, lambda: stand_in.faults.down != "refused")
 
 
-async def _wait_until(stand_in: StandIn, condition: Callable[[], bool]) -> None:
+async def _wait_until(stand_in: StandIn, condition: abc.Callable[[], bool]) -> None:
     while not condition():
         await stand_in.changed.wait()
 
@@ -179,7 +179,7 @@
     return await _answer_call(stand_in, connection, path, bytes(body))
 
 
-async def _next_event(connection: Connection) -> Any:
+async def _next_event(connection: Connection) -> typing.Any:
     while (event := connection.protocol.next_event()) is h11.NEED_DATA:
         received = await connection.stream.receive_some(RECEIVE_BYTES)
         connection.protocol.receive_data(received)
@@ -303,10 +303,10 @@
     await _run_until_one_ends(send_events, wait_for_fault, wait_for_hang_up)
 
 
-async def _run_until_one_ends(*tasks: Callable[[], Awaitable[None]]) -> None:
+async def _run_until_one_ends(*tasks: abc.Callable[[], abc.Awaitable[None]]) -> None:
     async with trio.open_nursery() as nursery:
 
-        async def run_one(task: Callable[[], Awaitable[None]]) -> None:
+        async def run_one(task: abc.Callable[[], abc.Awaitable[None]]) -> None:
             with contextlib.suppress(trio.BrokenResourceError):
                 await task()
             nursery.cancel_scope.cancel()
--- a/standins/store_data.py
+++ b/standins/store_data.py
@@ -1,7 +1,7 @@
 """Data of the stand-in store: keys with revisions, leases and watchers."""
 
 import collections
-from collections.abc import Callable, Iterator
+from collections import abc
 import dataclasses
 
 HISTORY_VERSIONS_PER_KEY = 64
@@ -37,7 +37,7 @@
         self.versions: dict[bytes, collections.deque[Version]] = {}
         self.leases: dict[int, Lease] = {}
         self.next_lease = 7_000
-        self.observers: set[Callable[[list[Version]], None]] = set()
+        self.observers: set[abc.Callable[[list[Version]], None]] = set()
         """Called with the writes of each revision."""
 
 
@@ -70,7 +70,7 @@
 
 def _scan_range(
     data: Data, key: bytes, range_end: bytes, at_revision: int
-) -> Iterator[Version]:
+) -> abc.Iterator[Version]:
     for name in sorted(data.versions):
         if not in_range(name, key, range_end):
             continue
--- a/standins/store_gateway.py
+++ b/standins/store_gateway.py
@@ -1,16 +1,16 @@
 """The subset of etcd v3's JSON gateway that the stand-in store answers."""
 
 import base64
-from collections.abc import Callable
+from collections import abc
 import dataclasses
-from typing import Any
+import typing
 
 from standins import store_data
 
 MAX_VALUE_BYTES = 1_048_576
 MAX_REQUEST_BYTES = 1_572_864
 
-Body = dict[str, Any]
+Body = dict[str, typing.Any]
 
 
 class GatewayError(Exception):
@@ -156,7 +156,7 @@
     return {"result": result}
 
 
-CALLS: dict[str, tuple[str, Callable[[Call], Body]]] = {
+CALLS: dict[str, tuple[str, abc.Callable[[Call], Body]]] = {
     "/v3/kv/range": ("range", _range),
     "/v3/kv/txn": ("txn", _txn),
     "/v3/lease/grant": ("grant", _grant),
--- a/standins/tests/test_fabric.py
+++ b/standins/tests/test_fabric.py
@@ -1,13 +1,13 @@
 """The stand-in fabric as a real process's sockets see it."""
 
-from collections.abc import AsyncIterator
+from collections import abc
 import contextlib
 import functools
 import json
 import socket
 import subprocess
 import sys
-from typing import Any
+import typing
 
 import trio
 
@@ -30,7 +30,7 @@
 @contextlib.asynccontextmanager
 async def fabric(
     *balancers: tuple[_types.Address, _types.Address],
-) -> AsyncIterator[dict[str, _types.Address]]:
+) -> abc.AsyncIterator[dict[str, _types.Address]]:
     """Run the fabric process and give the addresses that it reports."""
     arguments = [sys.executable, "-m", "standins.fabric", "--service", "127.1.0.1:0"]
     for pair in balancers:
@@ -52,14 +52,16 @@
         process.terminate()
 
 
-async def command(control: trio.SocketStream, **fields: object) -> dict[str, Any]:
+async def command(
+    control: trio.SocketStream, **fields: object
+) -> dict[str, typing.Any]:
     """Send one command and return the answer."""
     await control.send_all(json.dumps(fields).encode() + b"\n")
-    answer: dict[str, Any] = json.loads(await control.receive_some())
+    answer: dict[str, typing.Any] = json.loads(await control.receive_some())
     return answer
 
 
-async def healthy(control: trio.SocketStream, count: int) -> dict[str, Any]:
+async def healthy(control: trio.SocketStream, count: int) -> dict[str, typing.Any]:
     """Wait until so many balancers accept health checks."""
     while True:
         answer = await command(control)
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -11,7 +11,7 @@
 import json
 import secrets
 import sys
-from typing import Any
+import typing
 
 import fire
 import h11
@@ -106,7 +106,7 @@
     """One answer; half of a cut one is sent before the connection is closed."""
 
     status: int
-    document: dict[str, Any]
+    document: dict[str, typing.Any]
     headers: tuple[tuple[bytes, bytes], ...] = ()
     cut: bool = False
 
@@ -355,7 +355,7 @@
         raise ExchangeClosedError
     at = trio.current_time() - settings.health_delay_seconds
     loads = [load for time, load in state.loads if time <= at]
-    document: dict[str, Any] = {
+    document: dict[str, typing.Any] = {
         "started": state.started,
         "draining": settings.draining,
         "running": loads[-1] if loads else 0,
@@ -365,7 +365,7 @@
     return Reply(status=200, document=document)
 
 
-def _counters(state: State) -> dict[str, Any]:
+def _counters(state: State) -> dict[str, typing.Any]:
     return {
         "name": state.settings.name,
         "now": trio.current_time(),
@@ -381,7 +381,7 @@
 
 def _change(state: State, body: bytes) -> Reply:
     try:
-        changes = msgspec.json.decode(body, type=dict[str, Any])
+        changes = msgspec.json.decode(body, type=dict[str, typing.Any])
         merged = msgspec.structs.asdict(state.settings) | changes
         settings = msgspec.convert(merged, Settings)
         _check(settings)
@@ -436,7 +436,7 @@
     await trio.serve_listeners(serve, listeners)
 
 
-def main(host: str = "127.0.0.1", port: int = 0, **settings: Any) -> None:
+def main(host: str = "127.0.0.1", port: int = 0, **settings: typing.Any) -> None:
     """Run the stand-in; any member of the settings is an option."""
     trio.run(_run_until_stopped, msgspec.convert(settings, Settings), host, port)
 
--- a/testbed/cluster.py
+++ b/testbed/cluster.py
@@ -3,7 +3,7 @@
 Each instance has a loopback address of its own, so ports never collide.
 """
 
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections import abc
 import contextlib
 import dataclasses
 import itertools
@@ -429,14 +429,16 @@
     return await trio.to_thread.run_sync(spread.ask_fleet, cluster.client_settings())
 
 
-async def wait_for(condition: Callable[[spread.Fleet], bool], cluster: Cluster) -> None:
+async def wait_for(
+    condition: abc.Callable[[spread.Fleet], bool], cluster: Cluster
+) -> None:
     """Ask the fleet until a condition holds."""
     with trio.fail_after(START_TIMEOUT_SECONDS):
         while not condition(await fleet(cluster)):
             await trio.sleep(POLL_SECONDS)
 
 
-def _serving_members(reply: operator_pb2.StatusReply) -> Mapping[str, str]:
+def _serving_members(reply: operator_pb2.StatusReply) -> abc.Mapping[str, str]:
     return {
         member.rpc_address: member.state
         for member in reply.members
@@ -470,7 +472,7 @@
 
 
 @contextlib.asynccontextmanager
-async def open_cluster(plan: site.Site) -> AsyncIterator[Cluster]:
+async def open_cluster(plan: site.Site) -> abc.AsyncIterator[Cluster]:
     """Lay out a site; end whatever runs of it when the block is left."""
     with tempfile.TemporaryDirectory(prefix="plantain-") as directory:
         cluster = Cluster(plan, pathlib.Path(directory))
@@ -479,7 +481,7 @@
 
 
 @contextlib.asynccontextmanager
-async def running(plan: site.Site) -> AsyncIterator[Cluster]:
+async def running(plan: site.Site) -> abc.AsyncIterator[Cluster]:
     """Start a whole site and yield it once it serves."""
     async with open_cluster(plan) as cluster:
         await start(cluster)
--- a/testbed/commands.py
+++ b/testbed/commands.py
@@ -4,7 +4,7 @@
 :mod:`testbed.invariants` judges both.
 """
 
-from collections.abc import AsyncIterator, Callable
+from collections import abc
 import contextlib
 import dataclasses
 import json
@@ -160,7 +160,7 @@
 @contextlib.asynccontextmanager
 async def loaded(
     bench: Bench, plan: load.LoadPlan, *, seconds: float
-) -> AsyncIterator[load.Load]:
+) -> abc.AsyncIterator[load.Load]:
     """Run a load beside the test's own lines; it is judged with the rest."""
     own = dataclasses.replace(plan, seed=bench.random.getrandbits(32))
     async with load.offered(bench.cluster, own, seconds=seconds) as running:
@@ -192,7 +192,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _try_line(bench: Bench, pool: str) -> AsyncIterator[Line]:
+async def _try_line(bench: Bench, pool: str) -> abc.AsyncIterator[Line]:
     plan = caller.Plan(service=bench.cluster.services[pool])
     with caller.open_connection(plan) as connection:
         async with trio.open_nursery() as nursery:
@@ -211,8 +211,8 @@
 async def open_line(
     bench: Bench,
     pool: str,
-    wanted: Callable[[cluster_module.Host], bool] = _any_host,
-) -> AsyncIterator[Line]:
+    wanted: abc.Callable[[cluster_module.Host], bool] = _any_host,
+) -> abc.AsyncIterator[Line]:
     """Open lines until one is at a wanted sidecar and an answer brought a ticket."""
     for _ in range(MAX_OPENED):
         async with _try_line(bench, pool) as line:
@@ -223,7 +223,9 @@
     raise RuntimeError(f"No line of pool {pool} came to a wanted sidecar.")
 
 
-async def _is_usable(line: Line, wanted: Callable[[cluster_module.Host], bool]) -> bool:
+async def _is_usable(
+    line: Line, wanted: abc.Callable[[cluster_module.Host], bool]
+) -> bool:
     if line.connection.closed or not line.connection.connected.is_set():
         return False
     if not wanted(await host_of(line)):
--- a/testbed/controls.py
+++ b/testbed/controls.py
@@ -1,7 +1,7 @@
 """The control ports of the stand-ins."""
 
 import json
-from typing import Any
+import typing
 
 import h11
 import trio
@@ -13,8 +13,8 @@
 
 
 async def http(
-    address: _types.Address, method: str, path: str, document: Any = None
-) -> Any:
+    address: _types.Address, method: str, path: str, document: typing.Any = None
+) -> typing.Any:
     """Send one HTTP request and return the JSON answer."""
     body = b"" if document is None else json.dumps(document).encode()
     connection = h11.Connection(our_role=h11.CLIENT)
@@ -39,32 +39,36 @@
                 return json.loads(received or b"null")
 
 
-async def set_store_faults(cluster: cluster_module.Cluster, **faults: Any) -> None:
+async def set_store_faults(
+    cluster: cluster_module.Cluster, **faults: typing.Any
+) -> None:
     """Change the faults of the stand-in store."""
     await http(cluster.store_control, "POST", "/standin/faults", faults)
 
 
-async def set_upstream(host: cluster_module.Host, **settings: Any) -> None:
+async def set_upstream(host: cluster_module.Host, **settings: typing.Any) -> None:
     """Change the settings of one stand-in upstream."""
     await http(host.upstream_address, "POST", "/standin/settings", settings)
 
 
-async def upstream_executions(host: cluster_module.Host) -> list[dict[str, Any]]:
+async def upstream_executions(host: cluster_module.Host) -> list[dict[str, typing.Any]]:
     """Return what one stand-in upstream ran."""
     answer = await http(host.upstream_address, "GET", "/standin/executions")
-    executions: list[dict[str, Any]] = answer["executions"]
+    executions: list[dict[str, typing.Any]] = answer["executions"]
     return executions
 
 
-async def upstream_counters(host: cluster_module.Host) -> dict[str, Any]:
+async def upstream_counters(host: cluster_module.Host) -> dict[str, typing.Any]:
     """Return the counters of one stand-in upstream."""
-    counters: dict[str, Any] = await http(
+    counters: dict[str, typing.Any] = await http(
         host.upstream_address, "GET", "/standin/counters"
     )
     return counters
 
 
-async def fabric(cluster: cluster_module.Cluster, **command: Any) -> dict[str, Any]:
+async def fabric(
+    cluster: cluster_module.Cluster, **command: typing.Any
+) -> dict[str, typing.Any]:
     """Send one command to the stand-in fabric; return its counters."""
     stream = await trio.open_tcp_stream(*cluster.fabric_control)
     async with stream:
@@ -75,5 +79,5 @@
             if not chunk:
                 break
             received += chunk
-    counters: dict[str, Any] = json.loads(received)
+    counters: dict[str, typing.Any] = json.loads(received)
     return counters
--- a/testbed/experiment.py
+++ b/testbed/experiment.py
@@ -9,7 +9,7 @@
 """
 
 import argparse
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections import abc
 import contextlib
 import dataclasses
 import gc
@@ -17,7 +17,7 @@
 import os
 import pathlib
 import time
-from typing import Any
+import typing
 
 import trio
 
@@ -132,7 +132,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _lasting(seconds: float) -> AsyncIterator[None]:
+async def _lasting(seconds: float) -> abc.AsyncIterator[None]:
     """Stay in the block for at least the given time."""
     ends_at = trio.current_time() + seconds
     yield
@@ -176,7 +176,9 @@
 
 
 async def _for_each(
-    items: list[Any], perform: Callable[[Experiment, Any], Awaitable[None]], own: Any
+    items: list[typing.Any],
+    perform: abc.Callable[[Experiment, typing.Any], abc.Awaitable[None]],
+    own: typing.Any,
 ) -> None:
     async with trio.open_nursery() as nursery:
         for item in items:
@@ -321,8 +323,8 @@
     return count
 
 
-def _phase_result(experiment: Experiment, phase: phases.Phase) -> dict[str, Any]:
-    pools: dict[str, Any] = {}
+def _phase_result(experiment: Experiment, phase: phases.Phase) -> dict[str, typing.Any]:
+    pools: dict[str, typing.Any] = {}
     for pool, latency in phase.latency.items():
         runs = [run for run in experiment.runs if run.pool == pool]
         averages = phases.running_requests(phase, pool, runs)
@@ -342,7 +344,7 @@
     }
 
 
-def _goals(result: dict[str, Any]) -> dict[str, dict[str, Any]]:
+def _goals(result: dict[str, typing.Any]) -> dict[str, dict[str, typing.Any]]:
     """Compare the figures with what is wanted."""
     by_name = {phase["name"]: phase for phase in result["phases"]}
     steady = by_name[STEADY]
@@ -378,7 +380,7 @@
     }
 
 
-async def _result(experiment: Experiment, load_average: float) -> dict[str, Any]:
+async def _result(experiment: Experiment, load_average: float) -> dict[str, typing.Any]:
     for host in experiment.cluster.hosts:
         await _keep_log(experiment, host)
     running = experiment.recorder.running
@@ -387,7 +389,7 @@
     in_domain = 0
     if experiment.options.scenario != "replace":
         in_domain = _broken_in_domain(experiment, ring, experiment.options.domain)
-    result: dict[str, Any] = {
+    result: dict[str, typing.Any] = {
         **dataclasses.asdict(experiment.options),
         "lines_share": f"1 in {LINES_SHARE}",
         "utilisation": UTILISATION,
@@ -408,7 +410,7 @@
     return result
 
 
-def render(result: dict[str, Any]) -> str:
+def render(result: dict[str, typing.Any]) -> str:
     """Return the result as a readable table."""
     lines = [
         f"{'phase':10} {'s':>5} {'answers':>8} {'refused':>8} {'broken':>7} "
@@ -447,7 +449,7 @@
 @contextlib.asynccontextmanager
 async def _started(
     options: Options,
-) -> AsyncIterator[tuple[cluster_module.Cluster, fault_proxy.Link]]:
+) -> abc.AsyncIterator[tuple[cluster_module.Cluster, fault_proxy.Link]]:
     """Start the site with a link between its second balancer and the store."""
     async with (
         cluster_module.open_cluster(plan_of(options.site)) as cluster,
@@ -458,7 +460,7 @@
         yield cluster, link
 
 
-async def run(options: Options) -> dict[str, Any]:
+async def run(options: Options) -> dict[str, typing.Any]:
     """Run one experiment and return its figures."""
     load_average = os.getloadavg()[0]
     async with _started(options) as (cluster, link):
@@ -478,7 +480,7 @@
         return await _result(experiment, load_average)
 
 
-def write(result: dict[str, Any]) -> pathlib.Path:
+def write(result: dict[str, typing.Any]) -> pathlib.Path:
     """Write the result as JSON."""
     OUTPUT.mkdir(exist_ok=True)
     name = f"experiment-{result['site']}-{result['scenario']}-{result['seed']}.json"
--- a/testbed/flow_site.py
+++ b/testbed/flow_site.py
@@ -1,6 +1,6 @@
 """A small site of transparent flows: real processes on loopback addresses."""
 
-from collections.abc import AsyncIterator
+from collections import abc
 import contextlib
 import dataclasses
 import os
@@ -229,7 +229,7 @@
     balancers: int = 2,
     upstreams: int = 3,
     store_links: bool = False,
-) -> AsyncIterator[Site]:
+) -> abc.AsyncIterator[Site]:
     """Run a site whose processes are ready; end exactly these processes at exit.
 
     With ``store_links`` each process reaches the store through a link of its own.
--- a/testbed/invariants.py
+++ b/testbed/invariants.py
@@ -5,10 +5,10 @@
 """
 
 import collections
-from collections.abc import AsyncIterator, Iterator, Mapping, Sequence
+from collections import abc
 import contextlib
 import dataclasses
-from typing import Any
+import typing
 
 import trio
 
@@ -42,13 +42,15 @@
         """Start empty."""
         self.by_upstream: dict[str, list[Execution]] = {}
 
-    def executions(self) -> Iterator[Execution]:
+    def executions(self) -> abc.Iterator[Execution]:
         """Return every execution that was read."""
         for executions in self.by_upstream.values():
             yield from executions
 
 
-def _execution(host: cluster_module.Host, logged: Mapping[str, Any]) -> Execution:
+def _execution(
+    host: cluster_module.Host, logged: abc.Mapping[str, typing.Any]
+) -> Execution:
     return Execution(
         upstream=str(host.upstream_address),
         pool=host.pool,
@@ -86,7 +88,7 @@
     return kept
 
 
-def doubled(log: Log) -> Iterator[str]:
+def doubled(log: Log) -> abc.Iterator[str]:
     """Find idempotency keys that ran more than once."""
     counts = collections.Counter(
         execution.key for execution in log.executions() if execution.key
@@ -96,13 +98,15 @@
             yield f"Key {key} ran {count} times."
 
 
-def _crossed(log: Log) -> Iterator[str]:
+def _crossed(log: Log) -> abc.Iterator[str]:
     for execution in log.executions():
         if execution.token and not execution.token.startswith(f"{execution.pool}."):
             yield f"{execution.token} ran in pool {execution.pool}."
 
 
-def untrue_refusals(log: Log, reports: Mapping[str, caller.Report]) -> Iterator[str]:
+def untrue_refusals(
+    log: Log, reports: abc.Mapping[str, caller.Report]
+) -> abc.Iterator[str]:
     """Find requests that ran although every attempt was told "not run"."""
     ran = {execution.token for execution in log.executions()}
     for report in reports.values():
@@ -112,14 +116,16 @@
                 yield f"{token} ran; its caller was told it did not."
 
 
-def _wrong_answers(reports: Mapping[str, caller.Report]) -> Iterator[str]:
+def _wrong_answers(reports: abc.Mapping[str, caller.Report]) -> abc.Iterator[str]:
     for pool, report in reports.items():
         for name in WRONG_ANSWERS:
             if report.counts[name]:
                 yield f"{report.counts[name]} answers of {pool} were {name}."
 
 
-def _unanswered(log: Log, reports: Mapping[str, caller.Report]) -> Iterator[str]:
+def _unanswered(
+    log: Log, reports: abc.Mapping[str, caller.Report]
+) -> abc.Iterator[str]:
     """Find whole answers to requests that no upstream ran."""
     ran = {execution.token for execution in log.executions()}
     for report in reports.values():
@@ -162,7 +168,7 @@
 @contextlib.asynccontextmanager
 async def revisions_watched(
     cluster: cluster_module.Cluster,
-) -> AsyncIterator[list[RevisionSample]]:
+) -> abc.AsyncIterator[list[RevisionSample]]:
     """Sample the revisions of every balancer while the block runs."""
     samples: list[RevisionSample] = []
     async with trio.open_nursery() as nursery:
@@ -172,7 +178,7 @@
         nursery.cancel_scope.cancel()
 
 
-def reverted(samples: Sequence[RevisionSample]) -> Sequence[str]:
+def reverted(samples: abc.Sequence[RevisionSample]) -> abc.Sequence[str]:
     """Find balancers whose configuration or key set went back."""
     found = []
     last: dict[int, RevisionSample] = {}
@@ -186,7 +192,7 @@
     return found
 
 
-def unanswered(running: load.Load) -> Sequence[str]:
+def unanswered(running: load.Load) -> abc.Sequence[str]:
     """Find requests that never got a whole answer, with what was told instead."""
     return [
         f"{told.method} {token}: {told.answers}"
@@ -196,7 +202,7 @@
     ]
 
 
-def cut(running: load.Load) -> Sequence[str]:
+def cut(running: load.Load) -> abc.Sequence[str]:
     """Find requests without a whole answer that were not just refused as not run."""
     return [
         f"{told.method} {token}: {told.answers}"
@@ -207,7 +213,9 @@
     ]
 
 
-def violations(log: Log, running: load.Load, *, log_is_whole: bool) -> Sequence[str]:
+def violations(
+    log: Log, running: load.Load, *, log_is_whole: bool
+) -> abc.Sequence[str]:
     """Return every violation; a lost log cannot show that a request never ran."""
     found = [
         *doubled(log),
--- a/testbed/load.py
+++ b/testbed/load.py
@@ -1,6 +1,6 @@
 """Callers on every service of a running site, and what they and the upstreams saw."""
 
-from collections.abc import AsyncIterator, Mapping
+from collections import abc
 import contextlib
 import dataclasses
 import functools
@@ -60,7 +60,7 @@
 @contextlib.asynccontextmanager
 async def offered(
     cluster: cluster_module.Cluster, plan: LoadPlan, *, seconds: float
-) -> AsyncIterator[Load]:
+) -> abc.AsyncIterator[Load]:
     """Run the same callers on every service meanwhile; wait for their end."""
     plans = dict.fromkeys(cluster.services, plan)
     async with offered_by_pool(cluster, plans, seconds=seconds) as load:
@@ -69,8 +69,11 @@
 
 @contextlib.asynccontextmanager
 async def offered_by_pool(
-    cluster: cluster_module.Cluster, plans: Mapping[str, LoadPlan], *, seconds: float
-) -> AsyncIterator[Load]:
+    cluster: cluster_module.Cluster,
+    plans: abc.Mapping[str, LoadPlan],
+    *,
+    seconds: float,
+) -> abc.AsyncIterator[Load]:
     """Run callers on the service of each pool meanwhile; wait for their end."""
     load = Load()
     async with trio.open_nursery() as nursery:
@@ -87,7 +90,9 @@
 
 
 @contextlib.asynccontextmanager
-async def held(cluster: cluster_module.Cluster, plan: LoadPlan) -> AsyncIterator[Load]:
+async def held(
+    cluster: cluster_module.Cluster, plan: LoadPlan
+) -> abc.AsyncIterator[Load]:
     """Run callers on every service until the block is left, from when all are up."""
     async with offered(cluster, plan, seconds=math.inf) as load:
         wanted = plan.lines * len(cluster.services)
@@ -102,7 +107,7 @@
     return sum(report.counts[name] for report in load.reports.values())
 
 
-def refusals(load: Load) -> Mapping[str, int]:
+def refusals(load: Load) -> abc.Mapping[str, int]:
     """Add up the refusals by kind over all services."""
     added: dict[str, int] = {}
     for report in load.reports.values():
@@ -123,7 +128,7 @@
     return counts
 
 
-def imbalance(counts: Mapping[str, int]) -> float:
+def imbalance(counts: abc.Mapping[str, int]) -> float:
     """Return the largest count over the mean."""
     mean = sum(counts.values()) / max(1, len(counts))
     return max(counts.values(), default=0) / mean if mean else 0.0
--- a/testbed/packets.py
+++ b/testbed/packets.py
@@ -1,7 +1,7 @@
 """Counts of the datagrams that reach each sidecar, by its own metrics."""
 
 import collections
-from collections.abc import AsyncIterator
+from collections import abc
 import contextlib
 import socket
 
@@ -41,7 +41,7 @@
 
 
 @contextlib.asynccontextmanager
-async def opened(cluster: cluster_module.Cluster) -> AsyncIterator[Taps]:
+async def opened(cluster: cluster_module.Cluster) -> abc.AsyncIterator[Taps]:
     """Receive the metrics of sidecars that are started within the block."""
     cluster.metered = True
     taps = Taps()
--- a/testbed/phases.py
+++ b/testbed/phases.py
@@ -1,6 +1,6 @@
 """What happened in each phase of a run: latency, counts and running requests."""
 
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections import abc
 import contextlib
 import dataclasses
 
@@ -33,11 +33,11 @@
     name: str
     start: float
     end: float
-    serving: Mapping[str, tuple[str, ...]]
+    serving: abc.Mapping[str, tuple[str, ...]]
     """By pool, the upstreams that were to run requests all the while."""
-    latency: Mapping[str, histogram.HdrHistogram]
+    latency: abc.Mapping[str, histogram.HdrHistogram]
     """By pool, of the answers that came in this phase."""
-    counts: Mapping[str, int]
+    counts: abc.Mapping[str, int]
     """What the callers counted in this phase, over all pools."""
     lag: histogram.HdrHistogram
     """How late this process itself was, which adds to every latency."""
@@ -79,7 +79,7 @@
 
 
 def _in_both(
-    first: Mapping[str, tuple[str, ...]], last: Mapping[str, tuple[str, ...]]
+    first: abc.Mapping[str, tuple[str, ...]], last: abc.Mapping[str, tuple[str, ...]]
 ) -> dict[str, tuple[str, ...]]:
     return {
         pool: tuple(upstream for upstream in upstreams if upstream in last[pool])
@@ -94,7 +94,7 @@
 
 
 @contextlib.contextmanager
-def phase(recorder: Recorder, name: str, *, is_out: bool = False) -> Iterator[None]:
+def phase(recorder: Recorder, name: str, *, is_out: bool = False) -> abc.Iterator[None]:
     """Give the callers' reports fresh histograms for the time of the block."""
     reports = recorder.running.reports
     latency = {pool: _new_histogram() for pool in reports}
@@ -146,8 +146,8 @@
 
 
 def running_requests(
-    phase: Phase, pool: str, runs: Iterable[Run]
-) -> Mapping[str, float]:
+    phase: Phase, pool: str, runs: abc.Iterable[Run]
+) -> abc.Mapping[str, float]:
     """Return how many requests ran on each serving upstream, averaged over time."""
     seconds = dict.fromkeys(phase.serving[pool], 0.0)
     for run in runs:
@@ -158,13 +158,13 @@
     return {upstream: spent / length for upstream, spent in seconds.items()}
 
 
-def imbalance(averages: Mapping[str, float]) -> float:
+def imbalance(averages: abc.Mapping[str, float]) -> float:
     """Return the largest average over the mean of all; 0 when nothing ran."""
     mean = sum(averages.values()) / max(1, len(averages))
     return max(averages.values(), default=0.0) / mean if mean else 0.0
 
 
-def quantiles(measured: histogram.HdrHistogram) -> Mapping[str, float]:
+def quantiles(measured: histogram.HdrHistogram) -> abc.Mapping[str, float]:
     """Return the quantiles of a histogram in milliseconds."""
     return {
         f"p{quantile:g}": measured.get_value_at_percentile(quantile)
@@ -173,7 +173,7 @@
     }
 
 
-def merged(histograms: Sequence[histogram.HdrHistogram]) -> histogram.HdrHistogram:
+def merged(histograms: abc.Sequence[histogram.HdrHistogram]) -> histogram.HdrHistogram:
     """Add up histograms."""
     added = _new_histogram()
     for one in histograms:
--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -1,6 +1,6 @@
 """Real processes that the test owning them starts, freezes and ends."""
 
-from collections.abc import AsyncIterator, Sequence
+from collections import abc
 import contextlib
 import os
 import pathlib
@@ -18,7 +18,9 @@
 class Process:
     """One running process and the arguments to start it again."""
 
-    def __init__(self, name: str, arguments: Sequence[str], log: pathlib.Path) -> None:
+    def __init__(
+        self, name: str, arguments: abc.Sequence[str], log: pathlib.Path
+    ) -> None:
         """Describe a process that is not running yet."""
         self.name = name
         self.arguments = tuple(arguments)
@@ -97,7 +99,7 @@
 
 
 @contextlib.asynccontextmanager
-async def owned(processes: list[Process]) -> AsyncIterator[None]:
+async def owned(processes: list[Process]) -> abc.AsyncIterator[None]:
     """End whatever the list holds when the block is left."""
     try:
         yield
--- a/testbed/proofs.py
+++ b/testbed/proofs.py
@@ -3,11 +3,11 @@
 Run ``python -m pytest`` and then ``python -m testbed.proofs``.
 """
 
-from collections.abc import Iterator, Mapping
+from collections import abc
 import dataclasses
 import json
 import pathlib
-from typing import Any
+import typing
 
 ROOT = pathlib.Path(__file__).parent.parent
 RESULTS = ROOT / "out" / "proofs.json"
@@ -41,7 +41,7 @@
     result: str
 
 
-def rows(results: Mapping[str, Any]) -> Iterator[Row]:
+def rows(results: abc.Mapping[str, typing.Any]) -> abc.Iterator[Row]:
     """Return one row for each proof of each test."""
     for test, entry in results.items():
         for proof in entry["proofs"]:
@@ -54,7 +54,7 @@
             )
 
 
-def render(results: Mapping[str, Any]) -> str:
+def render(results: abc.Mapping[str, typing.Any]) -> str:
     """Render the whole page."""
     lines = [
         "# Proofs",
--- a/testbed/replay.py
+++ b/testbed/replay.py
@@ -1,6 +1,6 @@
 """Senders of connection IDs that were seen on real lines, whatever became of those."""
 
-from collections.abc import AsyncIterator, Iterable, Sequence
+from collections import abc
 import contextlib
 import os
 import socket
@@ -22,7 +22,7 @@
     return bytes((SHORT_HEADER,)) + connection_id + os.urandom(REST_BYTES)
 
 
-async def harvest(service: _types.Address, *, lines: int) -> Sequence[bytes]:
+async def harvest(service: _types.Address, *, lines: int) -> abc.Sequence[bytes]:
     """Open lines one after another and return the connection IDs they were given."""
     plan = caller.Plan(service=service)
     return [await _connection_id(plan) for _ in range(lines)]
@@ -40,7 +40,7 @@
                 return found
 
 
-async def _send_forever(service: _types.Address, packets: Iterable[bytes]) -> None:
+async def _send_forever(service: _types.Address, packets: abc.Iterable[bytes]) -> None:
     with trio.socket.socket(type=socket.SOCK_DGRAM) as bound:
         await bound.bind(("127.0.0.1", 0))
         while True:
@@ -51,8 +51,8 @@
 
 @contextlib.asynccontextmanager
 async def sending(
-    cluster: cluster_module.Cluster, packets: dict[str, Sequence[bytes]]
-) -> AsyncIterator[None]:
+    cluster: cluster_module.Cluster, packets: dict[str, abc.Sequence[bytes]]
+) -> abc.AsyncIterator[None]:
     """Send packets to the services, by pool, over and over while the block runs."""
     async with trio.open_nursery() as nursery:
         for pool, payloads in packets.items():
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -7,7 +7,7 @@
 and upstreams saw is checked against the promises; each failed seed prints what broke.
 """
 
-from collections.abc import Awaitable, Callable, Iterator
+from collections import abc
 import contextlib
 import dataclasses
 import pathlib
@@ -90,11 +90,11 @@
         await trio.sleep(0.02)
 
 
-Action = Callable[[Run], Awaitable[None]]
+Action = abc.Callable[[Run], abc.Awaitable[None]]
 
 
 @contextlib.contextmanager
-def _picked(run: Run) -> Iterator[flow_site.Node | None]:
+def _picked(run: Run) -> abc.Iterator[flow_site.Node | None]:
     """Pick a running node that no other action stops; ``None`` without one."""
     nodes = [
         node
@@ -262,7 +262,7 @@
             await trio.sleep(run.random.uniform(0.1, 1.2))
 
 
-def check(run: Run, *, end: float) -> Iterator[str]:
+def check(run: Run, *, end: float) -> abc.Iterator[str]:
     """Return what broke."""
     yield from run.verdict.broken
     ran = [payload for upstream in run.site.upstreams for payload in upstream.ran]
--- a/testbed/step_runner.py
+++ b/testbed/step_runner.py
@@ -1,10 +1,10 @@
 """Runs many short proofs on one running site, and keeps how each of them ended."""
 
-from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
+from collections import abc
 import contextlib
-from typing import cast
+import typing
 
-from _pytest.mark import ParameterSet
+from _pytest import mark
 import pytest
 import trio
 
@@ -14,30 +14,33 @@
 STEP_HANG_SECONDS = 40
 SEED = 7
 
-Step = Callable[[commands.Bench], Awaitable[None]]
+Step = abc.Callable[[commands.Bench], abc.Awaitable[None]]
 Result = BaseException | None
 """What a step raised; ``None`` when it went through."""
 
 
 def run(
-    plan: site.Site, steps: Sequence[Step], *, upstream_options: Sequence[str] = ()
-) -> Mapping[str, Result]:
+    plan: site.Site,
+    steps: abc.Sequence[Step],
+    *,
+    upstream_options: abc.Sequence[str] = (),
+) -> abc.Mapping[str, Result]:
     """Run the steps one after another; return their results by name."""
     return trio.run(_run, plan, steps, tuple(upstream_options))
 
 
-def proof(promise: int, step: Step, fault: str, at: str) -> ParameterSet:
+def proof(promise: int, step: Step, fault: str, at: str) -> mark.ParameterSet:
     """Make the test parameter of a step, with its mark for the page of proofs."""
-    mark = pytest.mark.proof(promise=promise, fault=fault, step=at)
-    return pytest.param(step, id=step.__name__.strip("_"), marks=mark)
+    proof_mark = pytest.mark.proof(promise=promise, fault=fault, step=at)
+    return pytest.param(step, id=step.__name__.strip("_"), marks=proof_mark)
 
 
-def steps_of(parameters: Iterable[ParameterSet]) -> list[Step]:
+def steps_of(parameters: abc.Iterable[mark.ParameterSet]) -> list[Step]:
     """Return the steps that are the first values of a test's parameters."""
-    return [cast("Step", parameter.values[0]) for parameter in parameters]
+    return [typing.cast("Step", parameter.values[0]) for parameter in parameters]
 
 
-def conclude(results: Mapping[str, Result], step: Step) -> None:
+def conclude(results: abc.Mapping[str, Result], step: Step) -> None:
     """Raise what a step raised."""
     raised = results[step.__name__]
     if raised is not None:
@@ -45,8 +48,8 @@
 
 
 async def _run(
-    plan: site.Site, steps: Sequence[Step], upstream_options: tuple[str, ...]
-) -> Mapping[str, Result]:
+    plan: site.Site, steps: abc.Sequence[Step], upstream_options: tuple[str, ...]
+) -> abc.Mapping[str, Result]:
     results: dict[str, Result] = {}
     async with cluster_module.open_cluster(plan) as cluster:
         for host in cluster.hosts:
