--- a/testbed/steps.py
+++ b/testbed/steps.py
@@ -1,6 +1,6 @@
 """What operators and faults do to a running site, one function for each step."""
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections import abc
 import dataclasses
 import functools
 import uuid
@@ -16,7 +16,7 @@
 STATUS_TIMEOUT_SECONDS = 1.0
 
 
-async def until(condition: Callable[[], bool]) -> None:
+async def until(condition: abc.Callable[[], bool]) -> None:
     """Wait for a condition; the caller sets the hang guard."""
     while not condition():
         await trio.sleep(cluster_module.POLL_SECONDS)
@@ -36,7 +36,7 @@
 async def until_revision(
     cluster: cluster_module.Cluster,
     revision: int,
-    balancers: Sequence[cluster_module.Balancer] | None = None,
+    balancers: abc.Sequence[cluster_module.Balancer] | None = None,
 ) -> float:
     """Wait until balancers have a revision in force; return the time it took."""
     began_at = trio.current_time()
@@ -144,7 +144,7 @@
 
 
 async def point_fabric(
-    cluster: cluster_module.Cluster, balancers: Sequence[cluster_module.Balancer]
+    cluster: cluster_module.Cluster, balancers: abc.Sequence[cluster_module.Balancer]
 ) -> None:
     """Tell the fabric its balancers and wait until it sends to all of them."""
     pairs = [(str(one.datagrams), str(one.health)) for one in balancers]
@@ -153,7 +153,7 @@
 
 
 async def until_healthy(
-    cluster: cluster_module.Cluster, balancers: Sequence[cluster_module.Balancer]
+    cluster: cluster_module.Cluster, balancers: abc.Sequence[cluster_module.Balancer]
 ) -> None:
     """Wait until the fabric sends to just these balancers."""
     wanted = {str(one.datagrams) for one in balancers}
@@ -162,7 +162,7 @@
 
 
 async def outcome_of(
-    change: Callable[[], Awaitable[int]],
+    change: abc.Callable[[], abc.Awaitable[int]],
 ) -> int | _exceptions.ErrorKind:
     """Return the revision that a change was accepted as, or the kind of its refusal."""
     try:
@@ -173,9 +173,9 @@
 
 async def race(
     cluster: cluster_module.Cluster,
-    requests: Sequence[operator_pb2.ChangeRequest],
+    requests: abc.Sequence[operator_pb2.ChangeRequest],
     *,
-    through: Sequence[cluster_module.Balancer],
+    through: abc.Sequence[cluster_module.Balancer],
 ) -> list[int | _exceptions.ErrorKind]:
     """Propose changes at the same moment, each through its own balancer."""
     outcomes: dict[int, int | _exceptions.ErrorKind] = {}
--- a/testbed/transparent.py
+++ b/testbed/transparent.py
@@ -1,6 +1,6 @@
 """Parts for tests of transparent flows: packets, policies, and engines with fakes."""
 
-from collections.abc import Iterable
+from collections import abc
 
 from plantainproxy import _types
 from plantainproxy.flows import (
@@ -82,7 +82,7 @@
 def table(
     revision: int,
     *routes: policy.Route,
-    domains_out: Iterable[str] = (),
+    domains_out: abc.Iterable[str] = (),
     cold_rate: float | None = None,
 ) -> policy.Policy:
     """Return a policy; the usual route leads to the usual pool."""
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -1,6 +1,6 @@
 """Settings, reload, logs and metrics of the real daemons."""
 
-from collections.abc import Callable
+from collections import abc
 import json
 import pathlib
 import signal
@@ -78,7 +78,7 @@
 
 
 async def _log_until(
-    process: processes.Process, holds: Callable[[list[str]], bool]
+    process: processes.Process, holds: abc.Callable[[list[str]], bool]
 ) -> list[str]:
     while True:
         lines = process.log.read_text().splitlines()
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -1,6 +1,6 @@
 """The documents hold: runbooks run word for word, links and lists are true."""
 
-from collections.abc import Iterator, Sequence
+from collections import abc
 import contextlib
 import dataclasses
 import os
@@ -66,7 +66,7 @@
 
 
 @contextlib.contextmanager
-def _site(directory: pathlib.Path, network: str) -> Iterator[None]:
+def _site(directory: pathlib.Path, network: str) -> abc.Iterator[None]:
     """Run the README's site with addresses of this test's own."""
     arguments = [f"--directory={directory / 'out/site'}", f"--network={network}"]
     running = subprocess.Popen(
@@ -85,7 +85,7 @@
 
 
 @contextlib.contextmanager
-def _shell(directory: pathlib.Path) -> Iterator[subprocess.Popen[str]]:
+def _shell(directory: pathlib.Path) -> abc.Iterator[subprocess.Popen[str]]:
     environment = {
         **os.environ,
         "PATH": f"{directory / 'bin'}:{os.environ['PATH']}",
@@ -124,7 +124,9 @@
     raise AssertionError(f"the shell ended at: {command}")
 
 
-def _follow(shell: subprocess.Popen[str], steps: Sequence[Step], network: str) -> None:
+def _follow(
+    shell: subprocess.Popen[str], steps: abc.Sequence[Step], network: str
+) -> None:
     for step in steps:
         command = step.command.replace(serve.DEFAULT_NETWORK, network)
         started = time.monotonic()
--- a/tests/test_flow_runbook.py
+++ b/tests/test_flow_runbook.py
@@ -1,6 +1,6 @@
 """The operators' way from a failed request to its cause, with real logs."""
 
-from collections.abc import Awaitable, Callable
+from collections import abc
 import pathlib
 import re
 import signal
@@ -83,7 +83,7 @@
 def test_the_runbook_leads_to_the_cause(
     tmp_path: pathlib.Path,
     number: int,
-    fail: Callable[[flow_site.Site], Awaitable[str]],
+    fail: abc.Callable[[flow_site.Site], abc.Awaitable[str]],
     cause: str,
 ) -> None:
     """Every command prints something, and one of them the cause."""
--- a/tests/test_flow_site.py
+++ b/tests/test_flow_site.py
@@ -1,6 +1,6 @@
 """The whole path of transparent flows, with real processes."""
 
-from collections.abc import Awaitable, Callable
+from collections import abc
 import json
 import pathlib
 import signal
@@ -17,7 +17,7 @@
 def _play(
     directory: pathlib.Path,
     number: int,
-    check: Callable[[flow_site.Site], Awaitable[None]],
+    check: abc.Callable[[flow_site.Site], abc.Awaitable[None]],
 ) -> None:
     async def main() -> None:
         with trio.fail_after(DEADLINE_SECONDS):
--- a/tests/test_foreign_client.py
+++ b/tests/test_foreign_client.py
@@ -1,7 +1,6 @@
 """A caller on another QUIC and HTTP/3 library (ngtcp2 and nghttp3, through curl)."""
 
-from curl_cffi import requests
-from curl_cffi.const import CurlHttpVersion
+from curl_cffi import const, requests
 import pytest
 import trio
 
@@ -23,7 +22,7 @@
         url,
         headers={"token": "fleet-control.curl", **headers},
         data=b"schedule" if method == "POST" else None,
-        http_version=CurlHttpVersion.V3ONLY,
+        http_version=const.CurlHttpVersion.V3ONLY,
         verify=False,
         timeout=CALL_TIMEOUT_SECONDS,
     )
--- a/tests/test_plantainctl.py
+++ b/tests/test_plantainctl.py
@@ -1,6 +1,6 @@
 """Every command of ``plantainctl`` against one running site."""
 
-from collections.abc import Callable, Sequence
+from collections import abc
 import contextlib
 import io
 import json
@@ -95,7 +95,7 @@
 ]
 
 
-def run(arguments: Sequence[str]) -> tuple[int, str, str]:
+def run(arguments: abc.Sequence[str]) -> tuple[int, str, str]:
     """Run one command line; return exit code, standard output and error."""
     out, error = io.StringIO(), io.StringIO()
     held = sys.argv
@@ -125,11 +125,11 @@
     assert isinstance(json.loads(last), dict)
 
 
-Fill = Callable[[str], str]
+Fill = abc.Callable[[str], str]
 
 
 async def _walk(
-    settings: str, fill: Fill, steps: Sequence[tuple[str, int, str]]
+    settings: str, fill: Fill, steps: abc.Sequence[tuple[str, int, str]]
 ) -> None:
     for line, code, told in steps:
         await trio.to_thread.run_sync(_check_step, settings, fill(line), code, told)
--- a/tests/test_promise_01_flows_survive.py
+++ b/tests/test_promise_01_flows_survive.py
@@ -1,6 +1,6 @@
 """Promise 1: an established flow survives any planned change, and lost balancers."""
 
-from collections.abc import Awaitable, Callable
+from collections import abc
 import dataclasses
 
 import pytest
@@ -97,7 +97,7 @@
         await trio.sleep(STEP_SECONDS)
 
 
-STEPS: tuple[Callable[[cluster_module.Cluster], Awaitable[None]], ...] = (
+STEPS: tuple[abc.Callable[[cluster_module.Cluster], abc.Awaitable[None]], ...] = (
     _kill_and_replace,
     _freeze_and_wake,
     _join,
@@ -119,7 +119,7 @@
 async def _take_step(
     cluster: cluster_module.Cluster,
     running: load.Load,
-    step: Callable[[cluster_module.Cluster], Awaitable[None]],
+    step: abc.Callable[[cluster_module.Cluster], abc.Awaitable[None]],
 ) -> None:
     before = load.total(running, "matches")
     await step(cluster)
--- a/tests/test_promise_02_right_service.py
+++ b/tests/test_promise_02_right_service.py
@@ -1,6 +1,6 @@
 """Promise 2: a packet meant for one service never reaches another."""
 
-from collections.abc import AsyncIterator, Sequence
+from collections import abc
 import contextlib
 import dataclasses
 import functools
@@ -38,7 +38,7 @@
 async def _arrivals_of(
     cluster: cluster_module.Cluster,
     taps: packets.Taps,
-    sent: dict[str, Sequence[bytes]],
+    sent: dict[str, abc.Sequence[bytes]],
 ) -> dict[str, int]:
     """Send packets for a whole window; return how many reached each pool."""
     before = {pool: _arrived(cluster, taps, pool) for pool in cluster.services}
@@ -48,7 +48,7 @@
     return {pool: _arrived(cluster, taps, pool) - n for pool, n in before.items()}
 
 
-def _forged(ids: Sequence[bytes]) -> list[bytes]:
+def _forged(ids: abc.Sequence[bytes]) -> list[bytes]:
     """Make IDs of the right size and key number: random ones, and one bit changed."""
     generator = random.Random(SEED)
     number = ids[0][:1]
@@ -101,7 +101,7 @@
 @contextlib.asynccontextmanager
 async def _lines_to(
     cluster: cluster_module.Cluster, pool: str
-) -> AsyncIterator[caller.Report]:
+) -> abc.AsyncIterator[caller.Report]:
     """Hold lines to the address that a pool had at first."""
     report = caller.Report()
     over = trio.Event()
--- a/tests/test_promise_04_domain_out.py
+++ b/tests/test_promise_04_domain_out.py
@@ -1,6 +1,6 @@
 """Promise 4: a failure domain taken out receives no packets after a few seconds."""
 
-from collections.abc import Sequence
+from collections import abc
 
 import pytest
 import trio
@@ -24,9 +24,9 @@
 
 async def _old_packets(
     cluster: cluster_module.Cluster, taps: packets.Taps
-) -> dict[str, Sequence[bytes]]:
+) -> dict[str, abc.Sequence[bytes]]:
     """Return packets of lines of which some were opened in the domain to be out."""
-    found: dict[str, Sequence[bytes]] = {}
+    found: dict[str, abc.Sequence[bytes]] = {}
     for pool, service in cluster.services.items():
         ids: list[bytes] = []
         while len(ids) < OLD_LINES or not _opened_in_domain(cluster, taps, pool):
--- a/tests/test_promise_05_whole_answers.py
+++ b/tests/test_promise_05_whole_answers.py
@@ -1,6 +1,6 @@
 """Promise 5, with real processes: every answer is whole and its request's own."""
 
-from collections.abc import Mapping
+from collections import abc
 import functools
 
 import pytest
@@ -151,14 +151,14 @@
 
 
 @pytest.fixture(scope="module")
-def results() -> Mapping[str, step_runner.Result]:
+def results() -> abc.Mapping[str, step_runner.Result]:
     """Run every step on one site."""
     return step_runner.run(PLAN, step_runner.steps_of(PROOFS))
 
 
 @pytest.mark.parametrize("step", PROOFS)
 def test_every_answer_is_whole_and_its_own(
-    results: Mapping[str, step_runner.Result], step: step_runner.Step
+    results: abc.Mapping[str, step_runner.Result], step: step_runner.Step
 ) -> None:
     """No caller gets half an answer, or that of another request."""
     step_runner.conclude(results, step)
--- a/tests/test_promise_06_not_run_is_true.py
+++ b/tests/test_promise_06_not_run_is_true.py
@@ -1,6 +1,6 @@
 """Promise 6, with real processes: what a refusal says of a request's run is true."""
 
-from collections.abc import Mapping
+from collections import abc
 import functools
 
 import pytest
@@ -230,14 +230,14 @@
 
 
 @pytest.fixture(scope="module")
-def results() -> Mapping[str, step_runner.Result]:
+def results() -> abc.Mapping[str, step_runner.Result]:
     """Run every step on one site."""
     return step_runner.run(PLAN, step_runner.steps_of(PROOFS))
 
 
 @pytest.mark.parametrize("step", PROOFS)
 def test_what_a_refusal_says_is_true(
-    results: Mapping[str, step_runner.Result], step: step_runner.Step
+    results: abc.Mapping[str, step_runner.Result], step: step_runner.Step
 ) -> None:
     """Only what never ran is said not to have run; Retry-After stands with it."""
     step_runner.conclude(results, step)
--- a/tests/test_promise_07_at_most_once.py
+++ b/tests/test_promise_07_at_most_once.py
@@ -3,7 +3,7 @@
 One site serves all steps of a test; each step ends with every sidecar serving again.
 """
 
-from collections.abc import Callable, Mapping
+from collections import abc
 import contextlib
 import functools
 
@@ -34,7 +34,7 @@
     await cluster_module.wait_until_serving(bench.cluster)
 
 
-def _other_than(host: cluster_module.Host) -> Callable[[cluster_module.Host], bool]:
+def _other_than(host: cluster_module.Host) -> abc.Callable[[cluster_module.Host], bool]:
     return lambda found: found is not host
 
 
@@ -304,14 +304,14 @@
 
 
 @pytest.fixture(scope="module")
-def results() -> Mapping[str, step_runner.Result]:
+def results() -> abc.Mapping[str, step_runner.Result]:
     """Run every step on one site."""
     return step_runner.run(PLAN, step_runner.steps_of(PROOFS))
 
 
 @pytest.mark.parametrize("step", PROOFS)
 def test_a_command_runs_at_most_once(
-    results: Mapping[str, step_runner.Result], step: step_runner.Step
+    results: abc.Mapping[str, step_runner.Result], step: step_runner.Step
 ) -> None:
     """A repeat gets the stored answer, or is told that the outcome is unknown."""
     step_runner.conclude(results, step)
--- a/tests/test_promise_08_leaving_upstreams.py
+++ b/tests/test_promise_08_leaving_upstreams.py
@@ -1,6 +1,6 @@
 """Promise 8: a leaving upstream receives no new work after a few seconds."""
 
-from collections.abc import Sequence
+from collections import abc
 
 import pytest
 import trio
@@ -24,14 +24,14 @@
 """How long no new work may come."""
 
 
-async def _ran(hosts: Sequence[cluster_module.Host]) -> list[int]:
+async def _ran(hosts: abc.Sequence[cluster_module.Host]) -> list[int]:
     return [len(await controls.upstream_executions(host)) for host in hosts]
 
 
 async def _check_no_new_work(
     cluster: cluster_module.Cluster,
     taps: packets.Taps,
-    leaving: Sequence[cluster_module.Host],
+    leaving: abc.Sequence[cluster_module.Host],
 ) -> None:
     """Check a whole window; lines beside the upstreams go on sending requests."""
     await trio.sleep(NOTICE_SECONDS)
@@ -49,7 +49,7 @@
             assert not execution["cancelled"]
 
 
-async def _until_new_work(hosts: Sequence[cluster_module.Host]) -> None:
+async def _until_new_work(hosts: abc.Sequence[cluster_module.Host]) -> None:
     ran = await _ran(hosts)
     while any(
         after <= before for after, before in zip(await _ran(hosts), ran, strict=True)
--- a/tests/test_promise_10_configuration.py
+++ b/tests/test_promise_10_configuration.py
@@ -1,6 +1,6 @@
 """Promise 10: an accepted configuration is in force everywhere and never reverts."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections import abc
 import contextlib
 import dataclasses
 
@@ -86,7 +86,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _store_faults(bench: Bench, **faults: object) -> AsyncIterator[None]:
+async def _store_faults(bench: Bench, **faults: object) -> abc.AsyncIterator[None]:
     await controls.set_store_faults(bench.cluster, **faults)
     yield
     await controls.set_store_faults(bench.cluster, **NO_FAULTS)
@@ -252,7 +252,7 @@
         print("restarted without the store: has the newest revision")
 
 
-STEPS: tuple[Callable[[Bench], Awaitable[None]], ...] = (
+STEPS: tuple[abc.Callable[[Bench], abc.Awaitable[None]], ...] = (
     _stale_answers,
     _store_lost_before,
     _lose_store_during,
