Offer load to a returned domain however long its start takes

Change: the load goes on for the cold time and 1.5 s after the fault is over, instead of a fixed time from its beginning.

--- a/tests/test_promise_03_cold_upstreams.py
+++ b/tests/test_promise_03_cold_upstreams.py
@@ -3,8 +3,9 @@
 A stand-in that is cold falls over as soon as it has one request more than it bears.
 """
 
-from collections.abc import Mapping, Sequence
+from collections import abc
 import functools
+import math
 
 import pytest
 import trio
@@ -23,14 +24,16 @@
 COLD_OPTIONS = (f"--cold_seconds={COLD_SECONDS}", "--cold_bears=2", "--cold_factor=5")
 LOAD = load.LoadPlan(lines=24, gets_per_second=3.0, posts_per_second=1.0)
 BEFORE_SECONDS = 1.0
-LOAD_SECONDS = 6.5
+AFTER_SECONDS = COLD_SECONDS + 1.5
+"""How long the load goes on once a fault is over: the cold time and some seconds at
+full limits, however long the processes took to start."""
 HEALTH_DELAY_SECONDS = 5.0
 CLAIMED_LIMIT = 50
 
 
 async def _counters(
-    hosts: Sequence[cluster_module.Host],
-) -> list[Mapping[str, int]]:
+    hosts: abc.Sequence[cluster_module.Host],
+) -> list[abc.Mapping[str, int]]:
     return [await controls.upstream_counters(host) for host in hosts]
 
 
@@ -44,9 +47,11 @@
 
 async def _under_load(bench: commands.Bench, fault: step_runner.Step) -> None:
     """Bring about a fault under full load, and judge all upstreams at the end."""
-    async with commands.loaded(bench, LOAD, seconds=LOAD_SECONDS) as running:
+    async with commands.loaded(bench, LOAD, seconds=math.inf) as running:
         await trio.sleep(BEFORE_SECONDS)
         await fault(bench)
+        await trio.sleep(AFTER_SECONDS)
+        running.over.set()
     assert load.total(running, "matches") > 0
     await _check_none_overloaded(bench)
     for counters in await _counters(bench.cluster.hosts):
@@ -54,7 +59,7 @@
 
 
 async def _restart_upstreams(
-    bench: commands.Bench, hosts: Sequence[cluster_module.Host]
+    bench: commands.Bench, hosts: abc.Sequence[cluster_module.Host]
 ) -> None:
     """Kill upstreams and start them again at once; nobody is told."""
     await commands.read_log(bench)
@@ -133,7 +138,7 @@
 
 
 @pytest.fixture(scope="module")
-def results() -> Mapping[str, step_runner.Result]:
+def results() -> abc.Mapping[str, step_runner.Result]:
     """Run every step on one site."""
     return step_runner.run(
         PLAN, step_runner.steps_of(PROOFS), upstream_options=COLD_OPTIONS
@@ -142,7 +147,7 @@
 
 @pytest.mark.parametrize("step", PROOFS)
 def test_no_upstream_gets_more_than_it_bears(
-    results: Mapping[str, step_runner.Result], step: step_runner.Step
+    results: abc.Mapping[str, step_runner.Result], step: step_runner.Step
 ) -> None:
     """Neither a cold upstream nor its siblings fall or have to shed work."""
     step_runner.conclude(results, step)
