Do not reset openings of a crashed upstream that nobody confirmed

A copy of the opening may have been accepted by another upstream since, and the reset closed that live flow. Change: only flows that callers had confirmed here are reset; the others are opened by their next copy.

--- a/plantainproxy/flows/held.py
+++ b/plantainproxy/flows/held.py
@@ -153,8 +153,15 @@
 
 
 def drop_all(table: Table) -> list[tuple[bytes, Flow]]:
-    """Forget every flow; return those that were open."""
-    dropped = [(key, flow) for key, flow in table.flows.items() if not flow.ended]
+    """Forget every flow; return those that callers had open here.
+
+    An opening that no caller has confirmed may have been accepted elsewhere since.
+    """
+    dropped = [
+        (key, flow)
+        for key, flow in table.flows.items()
+        if flow.confirmed and not flow.ended
+    ]
     table.flows.clear()
     table.unused.clear()
     table.running = 0
--- a/plantainproxy/flows/tests/test_sidecar.py
+++ b/plantainproxy/flows/tests/test_sidecar.py
@@ -92,6 +92,16 @@
     assert running.port.resets == [KEY]
 
 
+def test_a_crash_does_not_reset_openings_that_nobody_confirmed() -> None:
+    """A copy of the opening packet may have been accepted elsewhere."""
+    site = transparent.ready_sidecar()
+    opening = transparent.packet(KEY, opening=True, purpose=packets.Purpose.OPEN)
+    site.inbound(opening)
+    site.outbound(transparent.packet(KEY, accepting=True, sequence=7))
+    sidecar.handle_refusal(site.engine, now=site.now)
+    assert not site.port.resets
+
+
 def test_a_refused_connection_proves_a_crash() -> None:
     """Callers of a crashed upstream hear at once that their flows are gone."""
     running = transparent.ready_sidecar()
