Do not transfer a policy that has not changed

Change: messages carry a digest of the policy; an equal one is only confirmed at the later revision, and reports go out at once for a change of content alone.

--- a/plantainproxy/flows/balancer_main.py
+++ b/plantainproxy/flows/balancer_main.py
@@ -124,6 +124,7 @@
             revision=running.engine.policies.revision,
             domain=running.settings.domain,
             sidecars=len(running.engine.view.upstreams),
+            digest=running.engine.policies.digest,
         )
     )
     now = trio.current_time()
@@ -150,8 +151,8 @@
     if message is None:
         running.log.count("dropped.malformed_message")
         return
-    if isinstance(message, (messages.Report, messages.Returned)):
-        running.exchange.hear(message.revision, sender)
+    if isinstance(message, messages.Report):
+        running.exchange.hear(message.revision, message.digest, sender)
     balancer.handle_message(
         running.engine,
         message,
--- a/plantainproxy/flows/messages.py
+++ b/plantainproxy/flows/messages.py
@@ -54,6 +54,8 @@
     """The sender's failure domain."""
     sidecars: int
     """Sidecars that the sender knows."""
+    digest: int = policy.UNKNOWN_DIGEST
+    """Digest of the policy in force at the sender."""
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, tag="report"):
@@ -81,6 +83,8 @@
     """Whether the sidecar knows every flow of its upstream."""
     stopping: bool = False
     """Whether the sidecar itself is about to end."""
+    digest: int = policy.UNKNOWN_DIGEST
+    """Digest of the policy in force."""
 
 
 class Held(msgspec.Struct, frozen=True, array_like=True, tag="held"):
--- a/plantainproxy/flows/policy.py
+++ b/plantainproxy/flows/policy.py
@@ -4,6 +4,7 @@
 import enum
 
 import msgspec
+import xxhash
 
 
 class RouteKind(enum.StrEnum):
@@ -76,12 +77,29 @@
     """Failure domains whose upstreams get no new flows."""
 
 
+UNKNOWN_DIGEST = 0
+"""Stands for the digest of a process that has no policy."""
+
+
+def digest(policy: Policy) -> int:
+    """Return a number that two policies share when only their revisions differ."""
+    content = (
+        policy.version,
+        policy.idle_seconds,
+        sorted(policy.routes.items()),
+        sorted(policy.pools.items()),
+        sorted(policy.domains_out),
+    )
+    return xxhash.xxh32_intdigest(msgspec.msgpack.encode(content))
+
+
 class Holder:
     """The policy in force in one process; it never goes back."""
 
     def __init__(self) -> None:
         """Start with nothing known."""
         self.current: Policy | None = None
+        self.digest = UNKNOWN_DIGEST
         self.pools_ever: dict[bytes, frozenset[str]] = {}
         """Pools that each service address has led to; open flows stay there."""
 
@@ -95,7 +113,13 @@
         if policy.revision <= self.revision:
             return False
         self.current = policy
+        self.digest = digest(policy)
         for service, route in policy.routes.items():
             known = self.pools_ever.get(service, frozenset())
             self.pools_ever[service] = known | route.pools
         return True
+
+    def confirm(self, revision: int) -> None:
+        """Note that the policy in force stood unchanged at a later revision."""
+        if self.current is not None and revision > self.revision:
+            self.current = msgspec.structs.replace(self.current, revision=revision)
--- a/plantainproxy/flows/policy_exchange.py
+++ b/plantainproxy/flows/policy_exchange.py
@@ -1,7 +1,8 @@
 """Policies from other processes, for when the store does not serve this one.
 
-Messages carry their sender's revision. A process that hears of a newer one waits for
-its own watch, then asks the sender for its policy over TCP.
+Messages carry their sender's revision and a digest of its policy. A process that hears
+of a newer revision with another digest waits for its own watch, then asks the sender
+for its policy over TCP.
 """
 
 from collections import abc
@@ -29,10 +30,17 @@
         self.newest: tuple[int, _types.Address] | None = None
         self.heard = trio.Event()
 
-    def hear(self, revision: int, sender: _types.Address) -> None:
-        """Note the revision of another process."""
+    def hear(self, revision: int, digest: int, sender: _types.Address) -> None:
+        """Note the revision and the digest of another process's policy.
+
+        A process that has read the store later has a higher revision even where
+        nothing has changed.
+        """
         if revision <= self.holder.revision:
             return
+        if digest == self.holder.digest:
+            self.holder.confirm(revision)
+            return
         if self.newest is None or revision >= self.newest[0]:
             self.newest = (revision, sender)
         self.heard.set()
--- a/plantainproxy/flows/sidecar.py
+++ b/plantainproxy/flows/sidecar.py
@@ -382,7 +382,7 @@
     news = (
         engine.upstream.state,
         upstream.is_cold(engine.upstream, now=now),
-        engine.policies.revision,
+        engine.policies.digest,
         engine.stopping,
     )
     has_news = news != engine.reported_news
@@ -449,6 +449,7 @@
         cold=upstream.is_cold(engine.upstream, now=now),
         complete=engine.table.complete,
         stopping=engine.stopping,
+        digest=engine.policies.digest,
     )
 
 
--- a/plantainproxy/flows/sidecar_main.py
+++ b/plantainproxy/flows/sidecar_main.py
@@ -150,7 +150,7 @@
     if not isinstance(message, messages.Hello):
         running.log.count("dropped.malformed_message")
         return
-    running.exchange.hear(message.revision, sender)
+    running.exchange.hear(message.revision, message.digest, sender)
     sidecar.handle_hello(running.engine, message, sender, now=trio.current_time())
 
 
