Make fewer calls to the store as the fleet grows

Change: while changes come in quick succession the follower waits up to 0.4 s between watches; an entry is created without a look before; a record is read only where an earlier process's entry was still there; a watch ends before the history does.

--- a/plantainproxy/flows/balancer_main.py
+++ b/plantainproxy/flows/balancer_main.py
@@ -97,7 +97,10 @@
             log=self.log,
         )
         self.exchange = policy_exchange.Exchange(self.engine.policies, self.log)
-        self.store = metadata_store.MetadataStore(node_settings.store_address)
+        self.store = metadata_store.MetadataStore(
+            node_settings.store_address,
+            history_seconds=node_settings.store_history_seconds,
+        )
         self.last_packet_at = float("-inf")
         self.failed_checks = 0
         """Health checks since the stop began."""
--- a/plantainproxy/flows/follower.py
+++ b/plantainproxy/flows/follower.py
@@ -12,6 +12,11 @@
 GATHER_SECONDS = 0.2
 """After a change, the next watch starts this much later, so that changes in quick
 succession cost one call."""
+LAST_GATHER_SECONDS = 0.4
+"""While changes go on, the delay doubles up to this: a whole site that starts makes a
+change for each process, and each change wakes every watch."""
+IN_SUCCESSION_SECONDS = 0.2
+"""A watch that is answered sooner than this has met a change in quick succession."""
 FIRST_RETRY_SECONDS = 0.1
 LAST_RETRY_SECONDS = 1.0
 """The wait after failed calls doubles between these; the last one keeps a store that
@@ -49,7 +54,7 @@
 ) -> None:
     """Read the entries and watch them for ever.
 
-    After a change the next watch starts ``gather_seconds`` later.
+    After a single change the next watch starts ``gather_seconds`` later.
     """
     health = _Health(prefix, log, gather_seconds)
     while True:
@@ -109,7 +114,9 @@
     take: Take,
     health: _Health,
 ) -> None:
+    gather_seconds = health.gather_seconds
     while True:
+        began = trio.current_time()
         try:
             seen = await store.watch_after(prefix, revision)
         except _exceptions.PlantainError as error:
@@ -125,4 +132,8 @@
             else:
                 entries[change.key] = change.entry.value
         take(entries, revision)
-        await trio.sleep(health.gather_seconds)
+        if trio.current_time() - began < IN_SUCCESSION_SECONDS:
+            gather_seconds = min(2 * gather_seconds, LAST_GATHER_SECONDS)
+        else:
+            gather_seconds = health.gather_seconds
+        await trio.sleep(gather_seconds)
--- a/plantainproxy/flows/record.py
+++ b/plantainproxy/flows/record.py
@@ -65,6 +65,13 @@
 
 
 async def _read_first(own: Keeper) -> Record | None:
+    """Return the earlier process's record.
+
+    It lies under the same lease as that process's entry, so there is none without it.
+    """
+    await own.registration.written.wait()
+    if not own.registration.replaced_entry:
+        return None
     backoff = follower.Backoff()
     while True:
         try:
--- a/plantainproxy/flows/registry.py
+++ b/plantainproxy/flows/registry.py
@@ -55,6 +55,10 @@
         self.value = msgspec.msgpack.encode(entry)
         self.log = log
         self.lease: int | None = None
+        self.written = trio.Event()
+        """Set once the entry has been in the store."""
+        self.replaced_entry = False
+        """Whether an earlier process's entry was still there at the first write."""
 
 
 async def stay_registered(own: Registration) -> None:
@@ -64,7 +68,10 @@
         try:
             if own.lease is None:
                 own.lease = await own.store.grant_lease(ttl_seconds=LEASE_SECONDS)
-            await _write(own.store, own.key, own.value, own.lease)
+            replaced = await _write(own.store, own.key, own.value, own.lease)
+            if not own.written.is_set():
+                own.replaced_entry = replaced
+                own.written.set()
             own.log.write("registered", key=own.key, lease=own.lease)
             backoff.reset()
             await _renew(own.store, own.lease)
@@ -92,19 +99,26 @@
 
 async def _write(
     store: revisioned.LeasingStore, key: str, value: bytes, lease: int
-) -> None:
-    """Write the entry over whatever is there.
+) -> bool:
+    """Write the entry over whatever is there; return whether there was one.
 
-    The condition keeps a write that is executed late from undoing a newer one.
+    The condition keeps a write that is executed late from undoing a newer one. Most
+    entries are new, so the present one is read only after a first try.
     """
+
+    def over(revision: int) -> port.Transaction:
+        return port.Transaction(
+            compares=(port.Compare(key=key, mod_revision=revision),),
+            puts=(port.Put(key=key, value=value, lease=lease),),
+        )
+
+    if await store.write(over(0)) is not None:
+        return False
     snapshot = await store.read_all(key)
     revision = snapshot.entries[0].mod_revision if snapshot.entries else 0
-    transaction = port.Transaction(
-        compares=(port.Compare(key=key, mod_revision=revision),),
-        puts=(port.Put(key=key, value=value, lease=lease),),
-    )
-    if await store.write(transaction) is None:
+    if await store.write(over(revision)) is None:
         raise _exceptions.PlantainError(_exceptions.ErrorKind.CONFLICT, key)
+    return True
 
 
 async def _renew(store: revisioned.LeasingStore, lease: int) -> None:
--- a/plantainproxy/flows/settings.py
+++ b/plantainproxy/flows/settings.py
@@ -25,6 +25,8 @@
     store_address: _types.Address
     store_writes_per_second: float
     """Writes that the store takes from all processes together."""
+    store_history_seconds: float
+    """How long the store keeps changes for watches."""
     grace_seconds: float
     """How long a planned stop may take."""
 
--- a/plantainproxy/flows/sidecar_main.py
+++ b/plantainproxy/flows/sidecar_main.py
@@ -111,7 +111,9 @@
             log=self.log,
         )
         self.exchange = policy_exchange.Exchange(self.engine.policies, self.log)
-        self.store = metadata_store.MetadataStore(own.store_address)
+        self.store = metadata_store.MetadataStore(
+            own.store_address, history_seconds=own.store_history_seconds
+        )
         self.registration = registry.Registration(
             self.store,
             registry.Entry(
--- a/plantainproxy/platform/metadata_store.py
+++ b/plantainproxy/platform/metadata_store.py
@@ -1,6 +1,7 @@
 """The platform's metadata store as the project's revisioned store."""
 
 import base64
+import math
 import typing
 import urllib.parse
 
@@ -13,8 +14,10 @@
 
 CALL_TIMEOUT_SECONDS = 1.5
 """Above the answer time of a store that is many times slower than usual."""
-WATCH_SECONDS = 30
-"""How long a watch waits; the longest that the store allows."""
+MAX_WATCH_SECONDS = 30.0
+"""The longest that the store lets a watch wait."""
+HISTORY_SHARE = 0.9
+"""A watch that waits for longer than the store keeps its history cannot be resumed."""
 WATCH_MARGIN_SECONDS = 3.0
 """An answer to a watch may come this long after its time has passed."""
 MILLISECONDS = 1_000
@@ -55,9 +58,15 @@
     Implements ``revisioned.RevisionedStore`` and ``revisioned.LeasingStore``.
     """
 
-    def __init__(self, address: _types.Address) -> None:
-        """Start without connections."""
+    def __init__(
+        self, address: _types.Address, *, history_seconds: float = math.inf
+    ) -> None:
+        """Start without connections.
+
+        ``history_seconds`` is for how long the store keeps changes for watches.
+        """
         self.address = address
+        self.watch_seconds = min(MAX_WATCH_SECONDS, HISTORY_SHARE * history_seconds)
         self.calls = http.Pool(address)
         self.watches = http.Pool(address)
 
@@ -83,14 +92,14 @@
         query = {
             "prefix": prefix,
             "after": str(revision),
-            "wait_ms": str(WATCH_SECONDS * MILLISECONDS),
+            "wait_ms": str(int(self.watch_seconds * MILLISECONDS)),
         }
         reply = await self._call(
             "GET",
             "/v1/kv-watch",
             query,
             pool=self.watches,
-            timeout_seconds=WATCH_SECONDS + WATCH_MARGIN_SECONDS,
+            timeout_seconds=self.watch_seconds + WATCH_MARGIN_SECONDS,
         )
         if reply.status == 410:
             raise revisioned.HistoryLostError(prefix, revision)
--- a/plantainproxy/platform/settings.py
+++ b/plantainproxy/platform/settings.py
@@ -40,6 +40,7 @@
 class _Platform(msgspec.Struct):
     addr: str
     writes_per_s: float = 100.0
+    history_s: float = 20.0
 
 
 class _Node(msgspec.Struct):
@@ -107,5 +108,6 @@
         "metrics_port": METRICS_PORT,
         "store_address": _types.Address.parse(node.platform.addr),
         "store_writes_per_second": node.platform.writes_per_s,
+        "store_history_seconds": node.platform.history_s,
         "grace_seconds": node.bounds.grace_s,
     }
--- a/plantainproxy/platform/tests/test_metadata_store.py
+++ b/plantainproxy/platform/tests/test_metadata_store.py
@@ -8,6 +8,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from plantainproxy import _exceptions, _types
 from plantainproxy.flows import follower, journal, policy, record, registry
@@ -34,7 +35,10 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(standin.serve, store, address)
             await _until_open(address)
-            yield metadata_store.MetadataStore(address), nursery
+            client = metadata_store.MetadataStore(
+                address, history_seconds=store.history_seconds
+            )
+            yield client, nursery
             nursery.cancel_scope.cancel()
 
 
@@ -191,12 +195,20 @@
 
 
 def _start_follower(
-    nursery: trio.Nursery, client: metadata_store.MetadataStore
+    nursery: trio.Nursery,
+    client: metadata_store.MetadataStore,
+    *,
+    gather_seconds: float = follower.GATHER_SECONDS,
 ) -> _Copy:
     copy = _Copy()
     nursery.start_soon(
         functools.partial(
-            follower.follow, client, "a/", take=copy.take, log=journal.Journal("test")
+            follower.follow,
+            client,
+            "a/",
+            take=copy.take,
+            log=journal.Journal("test"),
+            gather_seconds=gather_seconds,
         )
     )
     return copy
@@ -243,6 +255,45 @@
     _run(check)
 
 
+def test_a_follower_watches_no_longer_than_the_history_lasts() -> None:
+    """Changes under other prefixes drive what it waits for out of the history."""
+
+    async def check(
+        held: standin.MetadataStore,
+        client: metadata_store.MetadataStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        held.put("a/1", b"one")
+        copy = _start_follower(nursery, client)
+        for number in range(20):
+            held.put(f"b/{number}", b"other")
+            await trio.sleep(0.05)
+        held.put("a/2", b"two")
+        await _until(lambda: "a/2" in copy.entries)
+        assert held.calls.count("GET /v1/kv-range") == 1
+
+    _run(check, standin.MetadataStore(history_seconds=0.4))
+
+
+def test_a_follower_makes_few_calls_for_many_changes() -> None:
+    """Sidecars that start one after the other wake each balancer a few times."""
+
+    async def check(
+        held: standin.MetadataStore,
+        client: metadata_store.MetadataStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        copy = _start_follower(nursery, client, gather_seconds=0.05)
+        await _until(lambda: "GET /v1/kv-watch" in held.calls)
+        for number in range(100):
+            held.put(f"a/{number}", b"x")
+            await trio.sleep(0.02)
+        await _until(lambda: len(copy.entries) == 100)
+        assert held.calls.count("GET /v1/kv-watch") <= 10
+
+    _run(check)
+
+
 def _register(
     nursery: trio.Nursery, client: metadata_store.MetadataStore
 ) -> registry.Registration:
@@ -334,9 +385,9 @@
         await _until(lambda: keeper.key in held.items)
         assert held.items[keeper.key].lease == own.lease
         after = transparent.Sidecar()
-        nursery.start_soon(
-            record.keep, record.Keeper(own, writes_per_second=400.0), after.engine
-        )
+        next_own = _register(nursery, client)
+        next_keeper = record.Keeper(next_own, writes_per_second=400.0)
+        nursery.start_soon(record.keep, next_keeper, after.engine)
         await _until(lambda: after.engine.record is not None)
         assert after.engine.record == (1_000, {transparent.flow(1): 5_001})
 
@@ -344,6 +395,24 @@
     _run(check)
 
 
+def test_a_sidecar_without_a_predecessor_makes_no_reads() -> None:
+    """A whole site that starts at once takes two calls of the store each."""
+
+    async def check(
+        held: standin.MetadataStore,
+        client: metadata_store.MetadataStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        own = _register(nursery, client)
+        keeper = record.Keeper(own, writes_per_second=400.0)
+        nursery.start_soon(record.keep, keeper, transparent.Sidecar().engine)
+        await own.written.wait()
+        await trio.testing.wait_all_tasks_blocked(0.1)
+        assert held.calls == ["POST /v1/kv-lease", "POST /v1/kv-txn"]
+
+    _run(check)
+
+
 def test_entries_of_another_writer_are_left_out() -> None:
     """Bytes that cannot be read name no sidecar."""
     assert registry.decode({"x": b"\xff", "y": b"{}"}) == {}
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -6,6 +6,8 @@
 
 import base64
 import dataclasses
+import math
+import time
 import urllib.parse
 
 import msgspec
@@ -41,9 +43,14 @@
 class MetadataStore:
     """The keys, their history and their leases."""
 
-    def __init__(self, *, page: int = MAX_PAGE) -> None:
+    def __init__(
+        self, *, page: int = MAX_PAGE, history_seconds: float = math.inf
+    ) -> None:
         """Start empty."""
         self.page = page
+        self.history_seconds = history_seconds
+        self.changed_at: dict[int, float] = {}
+        """The time of each change that is in the history, by revision."""
         self.items: dict[str, Item] = {}
         self.history: list[dict[str, object]] = []
         self.oldest = 0
@@ -143,7 +150,7 @@
         after = int(query["after"])
         with trio.move_on_after(int(query["wait_ms"]) / 1_000):
             while True:
-                if after < self.oldest:
+                if self._is_forgotten(after):
                     return _json(410, {})
                 events = [
                     event
@@ -154,8 +161,18 @@
                 if events:
                     break
                 await self.changed.wait()
+        if not events and self._is_forgotten(after):
+            return _json(410, {})
         return _json(200, {"events": events, "store_revision": self.revision})
 
+    def _is_forgotten(self, after: int) -> bool:
+        """Return whether changes after a revision have been forgotten."""
+        expired = time.monotonic() - self.history_seconds
+        for revision, changed_at in self.changed_at.items():
+            if changed_at < expired:
+                self.oldest = max(self.oldest, revision)
+        return after < self.oldest
+
     def _transact(
         self, wanted: dict[str, list[dict[str, object]]]
     ) -> _http_server.Response:
@@ -175,6 +192,7 @@
 
     def _note(self, event: dict[str, object]) -> None:
         self.history.append(event)
+        self.changed_at[self.revision] = time.monotonic()
         self._wake()
 
     def _wake(self) -> None:
