--- a/plantainproxy/flows/balancer_main.py
+++ b/plantainproxy/flows/balancer_main.py
@@ -100,6 +100,7 @@
         self.store = metadata_store.MetadataStore(
             node_settings.store_address,
             history_seconds=node_settings.store_history_seconds,
+            count=self.log.count,
         )
         self.last_packet_at = float("-inf")
         self.failed_checks = 0
--- a/plantainproxy/flows/sidecar_main.py
+++ b/plantainproxy/flows/sidecar_main.py
@@ -112,7 +112,9 @@
         )
         self.exchange = policy_exchange.Exchange(self.engine.policies, self.log)
         self.store = metadata_store.MetadataStore(
-            own.store_address, history_seconds=own.store_history_seconds
+            own.store_address,
+            history_seconds=own.store_history_seconds,
+            count=self.log.count,
         )
         self.registration = registry.Registration(
             self.store,
--- a/plantainproxy/platform/metadata_store.py
+++ b/plantainproxy/platform/metadata_store.py
@@ -1,6 +1,7 @@
 """The platform's metadata store as the project's revisioned store."""
 
 import base64
+from collections import abc
 import math
 import typing
 import urllib.parse
@@ -59,13 +60,19 @@
     """
 
     def __init__(
-        self, address: _types.Address, *, history_seconds: float = math.inf
+        self,
+        address: _types.Address,
+        *,
+        history_seconds: float = math.inf,
+        count: abc.Callable[[str], None] = lambda name: None,
     ) -> None:
         """Start without connections.
 
         ``history_seconds`` is for how long the store keeps changes for watches.
+        ``count`` adds to the counter of a kind of call.
         """
         self.address = address
+        self.count = count
         self.watch_seconds = min(MAX_WATCH_SECONDS, HISTORY_SHARE * history_seconds)
         self.calls = http.Pool(address)
         self.watches = http.Pool(address)
@@ -77,7 +84,7 @@
         after = ""
         while True:
             query = {"prefix": prefix} | ({"after": after} if after else {})
-            reply = await self._call("GET", "/v1/kv-range", query)
+            reply = await self._call("read", "GET", "/v1/kv-range", query)
             page = _decode(reply, _Range)
             # Pages are read one after the other; the first one's revision is the
             # oldest, so a watch from there misses nothing.
@@ -95,6 +102,7 @@
             "wait_ms": str(int(self.watch_seconds * MILLISECONDS)),
         }
         reply = await self._call(
+            "watch",
             "GET",
             "/v1/kv-watch",
             query,
@@ -113,17 +121,17 @@
     async def grant_lease(self, *, ttl_seconds: float) -> int:
         """Create a lease and return its number."""
         body = {"ttl_ms": int(ttl_seconds * MILLISECONDS)}
-        reply = await self._call("POST", "/v1/kv-lease", body=body)
+        reply = await self._call("grant", "POST", "/v1/kv-lease", body=body)
         return _decode(reply, _Lease).lease
 
     async def keep_lease(self, lease: int) -> bool:
         """Renew a lease; return whether it still existed."""
-        reply = await self._call("POST", f"/v1/kv-keep/{lease}")
+        reply = await self._call("renew", "POST", f"/v1/kv-keep/{lease}")
         return reply.status == 200
 
     async def end_lease(self, lease: int) -> None:
         """End a lease; its keys go with it."""
-        await self._call("DELETE", f"/v1/kv-lease-end/{lease}")
+        await self._call("end", "DELETE", f"/v1/kv-lease-end/{lease}")
 
     async def write(self, transaction: port.Transaction) -> int | None:
         """Apply a transaction; return its revision, or ``None`` where it failed."""
@@ -142,7 +150,7 @@
             ],
             "remove": [delete.key for delete in transaction.deletes],
         }
-        reply = await self._call("POST", "/v1/kv-txn", body=body)
+        reply = await self._call("write", "POST", "/v1/kv-txn", body=body)
         if reply.status == 404:
             raise revisioned.LeaseEndedError(transaction.puts[0].lease)
         if reply.status != 200:
@@ -151,6 +159,7 @@
 
     async def _call(
         self,
+        kind: str,
         method: str,
         path: str,
         query: dict[str, str] | None = None,
@@ -160,6 +169,7 @@
         timeout_seconds: float | None = None,
     ) -> http.Reply:
         """Make one call; raise unless the store has answered it for good."""
+        self.count(f"store.calls.{kind}")
         target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
         encoded = b"" if body is None else msgspec.json.encode(body)
         try:
--- a/plantainproxy/platform/tests/test_metadata_store.py
+++ b/plantainproxy/platform/tests/test_metadata_store.py
@@ -395,6 +395,28 @@
     _run(check)
 
 
+def test_calls_are_counted_by_kind() -> None:
+    """Operators see who uses up the store's rate."""
+
+    async def check(
+        held: standin.MetadataStore,
+        client: metadata_store.MetadataStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        counted: list[str] = []
+        client.count = counted.append
+        lease = await client.grant_lease(ttl_seconds=3.0)
+        await client.keep_lease(lease)
+        await client.read_all("a/")
+        await client.write(port.Transaction(compares=(), puts=()))
+        await client.end_lease(lease)
+        assert counted == [
+            f"store.calls.{kind}" for kind in ("grant", "renew", "read", "write", "end")
+        ]
+
+    _run(check)
+
+
 def test_a_sidecar_without_a_predecessor_makes_no_reads() -> None:
     """A whole site that starts at once takes two calls of the store each."""
 
