--- a/plantainproxy/flows/balancer_main.py
+++ b/plantainproxy/flows/balancer_main.py
@@ -123,21 +123,27 @@
 
 def _greet(running: Balancer, *, only_unheard: bool = False) -> None:
     """Ask sidecars for reports: all, or those that have not answered yet."""
+    now = trio.current_time()
+    known = running.engine.view.upstreams
+    greeted = [
+        found.address
+        for found in known.values()
+        if not only_unheard
+        or (found.report is None and not upstreams.is_lost(found, now=now))
+    ]
+    if not greeted:
+        return
+    policies = running.engine.policies
     hello = messages.encode(
         messages.Hello(
-            revision=running.engine.policies.revision,
+            revision=policies.revision,
             domain=running.settings.domain,
-            sidecars=len(running.engine.view.upstreams),
-            digest=running.engine.policies.digest,
+            sidecars=len(known),
+            digest=policies.digest,
         )
     )
-    now = trio.current_time()
-    for found in running.engine.view.upstreams.values():
-        if only_unheard and (
-            found.report is not None or upstreams.is_lost(found, now=now)
-        ):
-            continue
-        datagrams.send(running.message_socket, hello, found.address, running.log)
+    for address in greeted:
+        datagrams.send(running.message_socket, hello, address, running.log)
 
 
 def _handle_data(running: Balancer, data: bytes, sender: _types.Address) -> None:
--- a/plantainproxy/flows/upstreams.py
+++ b/plantainproxy/flows/upstreams.py
@@ -97,12 +97,7 @@
     """Take the store's list of sidecars: addresses for messages and for data."""
     addresses = dict(registered)
     for address, data_address in addresses.items():
-        found = view.upstreams.get(address)
-        if found is None:
-            found = view.upstreams[address] = Upstream(
-                address=address, data_address=data_address, known_since=now
-            )
-        found.registered = True
+        _known(view, address, data_address, now=now)
     for upstream in view.upstreams.values():
         upstream.registered = upstream.address in addresses
     if not view.listed:
@@ -115,11 +110,7 @@
 ) -> bool:
     """Take a sidecar's report; return whether anything but its load is new."""
     data_address = _types.Address(address.host, report.data_port)
-    upstream = view.upstreams.get(address)
-    if upstream is None:
-        upstream = view.upstreams[address] = Upstream(
-            address=address, data_address=data_address, known_since=now
-        )
+    upstream = _known(view, address, data_address, now=now)
     known = upstream.report
     if known and known.boot == report.boot and known.number >= report.number:
         return False
@@ -138,6 +129,18 @@
     )
 
 
+def _known(
+    view: View, address: _types.Address, data_address: _types.Address, *, now: float
+) -> Upstream:
+    """Return what is known of an upstream; it may be new."""
+    found = view.upstreams.get(address)
+    if found is None:
+        found = view.upstreams[address] = Upstream(
+            address=address, data_address=data_address, known_since=now
+        )
+    return found
+
+
 def forget_silent(view: View, *, now: float) -> list[_types.Address]:
     """Forget sidecars that are neither listed nor heard; return their addresses."""
     gone = [
