Avoid upstreams that crash or cut requests repeatedly

An upstream that resets every request would draw flows as well, as it never has one in progress. Change: the sidecar notes crashes and requests that its upstream cut; on the second crash in 10 s, or when a fifth of the ended requests were cut, it reports its upstream as suspect for 2, 4, then 8 s, and balancers place new flows elsewhere while there is anywhere else.

--- a/plantainproxy/flows/balancer.py
+++ b/plantainproxy/flows/balancer.py
@@ -372,6 +372,7 @@
         state=report.state,
         cold=report.cold,
         stopping=report.stopping,
+        suspect=report.suspect,
         boot=report.boot,
         number=report.number,
     )
--- a/plantainproxy/flows/messages.py
+++ b/plantainproxy/flows/messages.py
@@ -85,6 +85,8 @@
     """Whether the sidecar itself is about to end."""
     digest: int = policy.UNKNOWN_DIGEST
     """Digest of the policy in force."""
+    suspect: bool = False
+    """Whether the upstream has failed repeatedly although it is ready."""
 
 
 class Held(msgspec.Struct, frozen=True, array_like=True, tag="held"):
--- a/plantainproxy/flows/placement.py
+++ b/plantainproxy/flows/placement.py
@@ -129,14 +129,19 @@
     context: Context,
     excluded: frozenset[_types.Address],
 ) -> list[upstreams.Upstream]:
-    """Return the candidates that may take a flow, or late ones if there is no other."""
+    """Return the candidates that may take a flow.
+
+    Those that have failed repeatedly are left out if there are others, and so are
+    those whose report is late.
+    """
     able = [
         upstream
         for upstream in candidates
         if upstream.address not in excluded and _is_able(upstream, context)
     ]
     fresh = [one for one in able if upstreams.is_fresh(one, now=context.now)]
-    return fresh or able
+    sound = [one for one in fresh if one.report and not one.report.suspect]
+    return sound or fresh or able
 
 
 def _is_able(upstream: upstreams.Upstream, context: Context) -> bool:
--- a/plantainproxy/flows/sidecar.py
+++ b/plantainproxy/flows/sidecar.py
@@ -8,6 +8,7 @@
 
 from plantainproxy import _types
 from plantainproxy.flows import (
+    faults,
     guard,
     held,
     journal,
@@ -104,6 +105,7 @@
         self.table = held.Table()
         self.upstream = upstream.Upstream()
         self.cold_limit = cold_limit
+        self.faults = faults.Record()
         self.ends_at: float | None = None
         """When a leaving upstream that no longer listens counts as ended."""
         self.questions: dict[bytes, Question] = {}
@@ -180,7 +182,9 @@
         return None
     if packet.aborting:
         _log_request(engine, packet, "request cut by upstream", waited)
+        faults.note_cut(engine.faults, now=now)
         return None
+    faults.note_answer(engine.faults, now=now)
     if waited >= LATE_SECONDS:
         _log_request(engine, packet, "request answered late", waited)
     return waited
@@ -198,6 +202,8 @@
     if before is None or beat.born > before.born:
         engine.ends_at = None
     if upstream.take_heartbeat(engine.upstream, beat, now=now) and before is not None:
+        if state_before is messages.UpstreamState.READY:
+            faults.note_crash(engine.faults, now=now)
         _close_all(engine, reason="upstream restarted")
         engine.table.complete = True
     if engine.upstream.state is not state_before:
@@ -244,8 +250,11 @@
 def handle_end(engine: Engine, *, reason: str, now: float) -> None:
     """Take the news that the upstream's process has ended."""
     engine.ends_at = None
+    was_ready = engine.upstream.state is messages.UpstreamState.READY
     if not upstream.take_end(engine.upstream):
         return
+    if was_ready:
+        faults.note_crash(engine.faults, now=now)
     engine.log.write("upstream state", state=engine.upstream.state, reason=reason)
     _close_all(engine, reason=reason)
     engine.table.complete = True
@@ -384,6 +393,7 @@
         upstream.is_cold(engine.upstream, now=now),
         engine.policies.digest,
         engine.stopping,
+        faults.is_suspect(engine.faults, now=now),
     )
     has_news = news != engine.reported_news
     engine.reported_news = news
@@ -450,6 +460,7 @@
         complete=engine.table.complete,
         stopping=engine.stopping,
         digest=engine.policies.digest,
+        suspect=faults.is_suspect(engine.faults, now=now),
     )
 
 
--- a/plantainproxy/flows/tests/test_load.py
+++ b/plantainproxy/flows/tests/test_load.py
@@ -3,7 +3,18 @@
 No network; each test names the pattern that it answers.
 """
 
-from plantainproxy.flows import balancer, guard, messages, packets, placement, waiting
+import pytest
+
+from plantainproxy.flows import (
+    balancer,
+    faults,
+    guard,
+    messages,
+    packets,
+    placement,
+    sidecar,
+    waiting,
+)
 from testbed import transparent
 
 
@@ -237,3 +248,89 @@
     running.hear(2, transparent.report(number=2, running=1))
     running.handle(_opening(1))
     assert running.port.hosts(packets.Purpose.OPEN) == [transparent.address(2).host]
+
+
+def _fail(site: transparent.Sidecar, key: bytes) -> None:
+    """Open a flow, send a request and let the upstream reset it."""
+    site.open(key)
+    site.request(key)
+    site.outbound(transparent.packet(key, aborting=True))
+
+
+def test_an_upstream_that_resets_its_requests_does_not_attract_flows() -> None:
+    """It never has a request in progress, so it would look like the best one."""
+    site = transparent.ready_sidecar()
+    for number in range(3):
+        _fail(site, transparent.flow(number))
+    site.tick(0.01)
+    assert site.port.last_report().suspect
+    running = transparent.ready_balancer(count=2)
+    running.hear(1, transparent.report(number=2, suspect=True, room=100))
+    running.hear(2, transparent.report(number=2, running=3, room=100))
+    for number in range(20):
+        running.handle(_opening(number))
+    assert set(running.port.hosts(packets.Purpose.OPEN)) == {"10.0.1.2"}
+
+
+def test_a_few_resets_among_many_answers_change_nothing() -> None:
+    """A busy upstream has single faults."""
+    site = transparent.ready_sidecar()
+    for number in range(100, 120):
+        key = transparent.flow(number)
+        site.open(key)
+        site.request(key)
+        site.outbound(transparent.packet(key, size=500))
+    for number in range(3):
+        _fail(site, transparent.flow(number))
+    site.tick(0.01)
+    assert not site.port.last_report().suspect
+
+
+def test_an_upstream_that_crashes_again_and_again_gets_no_new_flows() -> None:
+    """Each start would take new flows, and each crash would break them."""
+    site = transparent.ready_sidecar()
+    for start in range(2, 6):
+        site.tick(0.7)
+        sidecar.handle_refusal(site.engine, now=site.now)
+        site.tick(0.7)
+        site.beat(1, born=1_000 * start)
+        is_pattern = start >= 3
+        assert site.port.last_report().suspect is is_pattern
+    site.tick(faults.LAST_HOLD_SECONDS)
+    assert not site.port.last_report().suspect
+
+
+def test_a_single_crash_and_planned_ends_are_no_pattern() -> None:
+    """Releases replace each upstream of a pool, one after the other."""
+    site = transparent.ready_sidecar()
+    sidecar.handle_refusal(site.engine, now=site.now)
+    for start in range(2, 5):
+        site.beat(1, born=1_000 * start)
+        site.beat(2, born=1_000 * start, draining=True)
+        site.tick(0.5)
+        sidecar.handle_refusal(site.engine, now=site.now)
+        site.tick(sidecar.LEAVE_SECONDS)
+    site.beat(1, born=9_000)
+    assert not site.port.last_report().suspect
+
+
+def test_suspects_serve_where_there_is_no_other() -> None:
+    """A fault that all share is no reason to serve nobody."""
+    running = transparent.ready_balancer(count=2)
+    for number in (1, 2):
+        running.hear(number, transparent.report(number=2, suspect=True))
+    running.handle(_opening(1))
+    assert len(running.port.hosts(packets.Purpose.OPEN)) == 1
+
+
+def test_an_upstream_that_fails_again_is_avoided_for_longer() -> None:
+    """Each probe of a bad upstream costs its callers a request."""
+    record = faults.Record()
+    held: list[float] = []
+    now = 0.0
+    for _ in range(4):
+        for _ in range(faults.MIN_CUTS):
+            faults.note_cut(record, now=now)
+        held.append(record.avoided_until - now)
+        now = record.avoided_until + 0.1
+    assert held == pytest.approx([2.0, 4.0, 8.0, 8.0])
--- a/plantainproxy/flows/upstreams.py
+++ b/plantainproxy/flows/upstreams.py
@@ -126,6 +126,7 @@
         or known.state is not report.state
         or known.cold is not report.cold
         or known.stopping is not report.stopping
+        or known.suspect is not report.suspect
     )
 
 
--- a/testbed/transparent.py
+++ b/testbed/transparent.py
@@ -121,6 +121,7 @@
     room: int = 8,
     cold: bool = False,
     stopping: bool = False,
+    suspect: bool = False,
     revision: int = 1,
 ) -> messages.Report:
     """Return a sidecar's report."""
@@ -139,6 +140,7 @@
         cold=cold,
         complete=True,
         stopping=stopping,
+        suspect=suspect,
     )
 
 
