A balancer that has heard nobody since its start is cut off

Cause, found by the state machine (restart of a balancer, cut of the network, a packet of a live flow): blindness counted only sidecars that had been heard before. A balancer that was cut off from its start on took all listed ones as lost after 1 s, and reset flows that lived. The other way round, sidecars that a release had replaced counted as silent for a minute, so that a balancer took itself as cut off and reset nothing. Change: expected are the sidecars that the store lists and those heard in the last 10 s.

--- a/plantainproxy/flows/tests/test_balancer.py
+++ b/plantainproxy/flows/tests/test_balancer.py
@@ -143,6 +143,30 @@
     assert running.port.resets == []
 
 
+def test_a_balancer_that_has_heard_nobody_since_its_start_resets_nothing() -> None:
+    """It is cut off, and the silence of those that the store lists proves nothing."""
+    running = transparent.Balancer()
+    running.list_sidecars(1, 2, 3)
+    running.take_policy(transparent.table(1))
+    running.handle(DATA)
+    running.pass_time(upstreams.COMPLETE_SECONDS + lookup.GIVE_UP_SECONDS)
+    running.handle(DATA)
+    running.pass_time(lookup.GIVE_UP_SECONDS)
+    assert running.port.resets == []
+
+
+def test_sidecars_that_have_left_the_list_do_not_make_a_balancer_blind() -> None:
+    """After a release most of those that it ever heard are gone for good."""
+    running = transparent.ready_balancer(count=3)
+    running.list_sidecars(3)
+    for _ in range(12):
+        running.pass_time(1.0)
+        running.hear(3, transparent.report(number=int(running.now * 100)))
+    running.handle(DATA)
+    running.hear(3, messages.NotHeld(flow=KEY))
+    assert running.port.resets == [DATA]
+
+
 def test_a_lost_sidecar_does_not_hold_a_reset_up() -> None:
     """Every upstream that lives has denied the flow."""
     running = transparent.ready_balancer()
--- a/plantainproxy/flows/tests/test_flow_machine.py
+++ b/plantainproxy/flows/tests/test_flow_machine.py
@@ -33,6 +33,8 @@
 DOMAINS = ("hall-a", "hall-b", "hall-a", "hall-b")
 BALANCERS = 2
 FLOWS = 8
+OPEN_FLOWS = 5
+"""Flows that are open from the beginning."""
 COLD_FACTOR = 1.5
 COLD_SPARE = 2
 COLD_RATE = 2.0
@@ -105,6 +107,8 @@
         self.ended: list[set[int]] = [set() for _ in POOLS]
         """Incarnations whose end each sidecar's process was told."""
         self.records: list[record.Record | None] = [None] * len(POOLS)
+        self.is_cut = False
+        """Whether nothing arrives at or from the balancers now."""
         self.late: set[int] = set()
         """Sidecars whose reports are late now."""
         self.sidecars = [self.start_sidecar(number) for number in range(len(POOLS))]
@@ -159,6 +163,8 @@
     def send(self, arrive: abc.Callable[[], None]) -> None:
         """Put something under way."""
         assert self.hops <= MOST_HOPS, "a packet goes in circles"
+        if self.is_cut:
+            return
         self.wire.append(Transit(arrive, self.hops + 1))
 
     def arrive(self, transit: Transit) -> None:
@@ -393,6 +399,8 @@
             )
 
         is_report = isinstance(message, messages.Report)
+        if is_report and self.site.is_cut:
+            return
         if is_report and self.number not in self.site.late:
             arrive()
         else:
@@ -425,6 +433,9 @@
         """Start a site on which nothing has happened."""
         super().__init__()
         self.site = Site()
+        for caller in self.site.callers[:OPEN_FLOWS]:
+            self.site.send_opening(caller, via=0)
+        self.site.settle()
         self.revisions: dict[int, int] = {}
         """The highest revision seen in force, by engine."""
 
@@ -472,6 +483,21 @@
         self.site.late.clear()
         self.site.pass_time(2 * STEP_SECONDS)
 
+    @stateful.rule(
+        seconds=strategies.sampled_from((0.5, 2.0, 4.0)), flow=FLOW, via=INDEX
+    )
+    def cut_network(self, seconds: float, flow: int, via: int) -> None:
+        """Lose everything for a while; nobody may take that for the others' end.
+
+        A caller goes on before the balancers have heard anyone again.
+        """
+        self.site.wire.clear()
+        self.site.is_cut = True
+        self.site.pass_time(seconds)
+        self.site.is_cut = False
+        self.use_flow(flow, via)
+        self.site.settle()
+
     @stateful.rule(number=SIDECARS)
     def delay_reports(self, number: int) -> None:
         """Hold up the reports of one sidecar for a while."""
--- a/plantainproxy/flows/upstreams.py
+++ b/plantainproxy/flows/upstreams.py
@@ -24,6 +24,9 @@
 """The store's list may lack a sidecar that lives for this long: one that registers just
 now, or whose lease the store dropped while it was away. Above a sidecar's renewal
 interval."""
+EXPECTED_SECONDS = 10.0
+"""A sidecar that is no longer listed is expected for this long after its last report,
+as the store may have dropped its lease; the same time as a lease's."""
 BLIND_SHARE = 0.5
 """When more sidecars than this share fall silent at once, the fault is here."""
 
@@ -83,8 +86,16 @@
 
 
 def is_blind(view: View, *, now: float) -> bool:
-    """Return whether so many sidecars are silent that the fault is likely here."""
-    expected = [one for one in view.upstreams.values() if one.report is not None]
+    """Return whether so many sidecars are silent that the fault is likely here.
+
+    One that is listed counts even if it was never heard: a process that is cut off
+    from its start on has heard nobody.
+    """
+    expected = [
+        one
+        for one in view.upstreams.values()
+        if one.registered or now - one.heard_at < EXPECTED_SECONDS
+    ]
     silent = sum(not is_fresh(upstream, now=now) for upstream in expected)
     return silent > BLIND_SHARE * len(expected)
 
