Reset nothing until all sidecars can have reported after a cut

Cause, found by the state machine (three cuts of the network, two upstreams that drain): when a cut ends, sidecars report one after the other. As soon as half of them had, a balancer no longer took itself as cut off, and reset the flows of one that had not reported yet.

--- a/plantainproxy/flows/balancer.py
+++ b/plantainproxy/flows/balancer.py
@@ -91,7 +91,10 @@
         self.stopping = False
         self.ticked_at = float("inf")
         self.doubtful_until = float("-inf")
-        """Until then, reports may be late because this process stood still."""
+        """Until then, reports may be late because this process stood still or was cut
+        off."""
+        self.blind = False
+        """Whether most sidecars were silent at the last tick."""
 
 
 def is_ready(engine: Engine, *, now: float) -> bool:
@@ -189,6 +192,7 @@
         engine.doubtful_until = now + upstreams.SUSPECT_SECONDS
         engine.log.write("paused", seconds=round(now - engine.ticked_at, 3))
     engine.ticked_at = now
+    _note_blindness(engine, now=now)
     _continue_lookups(engine, now=now)
     _place_waiting(engine, now=now)
     for address in upstreams.forget_silent(engine.view, now=now):
@@ -206,6 +210,20 @@
             del engine.flows[flow]
 
 
+def _note_blindness(engine: Engine, *, now: float) -> None:
+    """Note whether this process is cut off.
+
+    Once it is not, the reports of all sidecars come one after the other.
+    """
+    is_blind = upstreams.is_blind(engine.view, now=now)
+    if is_blind:
+        engine.doubtful_until = now + upstreams.SUSPECT_SECONDS
+    if is_blind is not engine.blind:
+        event = "most sidecars silent" if is_blind else "most sidecars heard"
+        engine.log.write(event, known=len(engine.view.upstreams))
+    engine.blind = is_blind
+
+
 def _sees_clearly(engine: Engine, *, now: float) -> bool:
     """Return whether silence means that others are gone, and not that this one was."""
     return (
