--- a/conftest.py
+++ b/conftest.py
@@ -8,6 +8,7 @@
 import json
 import pathlib
 
+import hypothesis
 import pytest
 
 ROOT = pathlib.Path(__file__).parent
@@ -18,6 +19,15 @@
 PROOF = "proof"
 """The name of a report's property that carries one mark as JSON."""
 
+hypothesis.settings.register_profile(
+    "fixed", derandomize=True, deadline=None, max_examples=150
+)
+hypothesis.settings.register_profile(
+    "fresh", deadline=None, max_examples=2_000, print_blob=True
+)
+hypothesis.settings.load_profile("fixed")
+# --hypothesis-profile=fresh draws new histories for the state machines.
+
 _results: dict[str, dict[str, object]] = {}
 
 
--- a/plantainproxy/flows/tests/test_flow_machine.py
+++ b/plantainproxy/flows/tests/test_flow_machine.py
@@ -420,9 +420,6 @@
 
 
 @hypothesis.settings(
-    derandomize=True,
-    deadline=None,
-    max_examples=150,
     stateful_step_count=40,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
