--- a/plantainproxy/flows/tests/test_flow_machine.py
+++ b/plantainproxy/flows/tests/test_flow_machine.py
@@ -490,6 +490,7 @@
         between two cuts: a single sidecar that is silent for longer than one cut may
         be given up.
         """
+        self.site.late.clear()
         self.site.pass_time(sidecar.REPORT_SECONDS + STEP_SECONDS)
         self.site.wire.clear()
         self.site.is_cut = True
