State machine: leases that the store drops, lists that lack sidecars

Balancers start with, or fall back to, a list that lacks any of the sidecars, and get the whole one within a renewal interval; they greet only those that they know.

--- a/plantainproxy/flows/tests/test_flow_machine.py
+++ b/plantainproxy/flows/tests/test_flow_machine.py
@@ -40,6 +40,9 @@
 COLD_RATE = 2.0
 COLD_SECONDS = 2.0
 STEP_SECONDS = 0.1
+RELIST_SECONDS = 1.8
+"""The longest that a living sidecar is missing in the store's list after its lease was
+dropped: one interval of renewal."""
 LONGEST_SILENCE_SECONDS = 0.9
 """How long reports may be late; below the time after which a sidecar counts as lost,
 as a caller may be told that its flow is gone then."""
@@ -107,6 +110,8 @@
         self.ended: list[set[int]] = [set() for _ in POOLS]
         """Incarnations whose end each sidecar's process was told."""
         self.records: list[record.Record | None] = [None] * len(POOLS)
+        self.whole_list_at: dict[int, float] = {}
+        """When each balancer with a list that lacks sidecars gets the whole one."""
         self.is_cut = False
         """Whether nothing arrives at or from the balancers now."""
         self.late: set[int] = set()
@@ -142,23 +147,32 @@
         sidecar.take_policy(engine, self.policies[-1], now=self.now)
         return engine
 
-    def start_balancer(self, number: int) -> balancer.Engine:
-        """Start a balancer's process, which knows the store's list and a policy."""
+    def start_balancer(
+        self, number: int, *, listed: abc.Collection[int] = range(len(POOLS))
+    ) -> balancer.Engine:
+        """Start a balancer's process, which knows a list of the store and a policy."""
         engine = balancer.Engine(
             port=BalancerPort(self, number),
             domain=DOMAINS[number],
             draw=random.Random(number).random,
             log=journal.Journal("machine", clock=lambda: self.now),
         )
+        self.list_sidecars(number, engine, listed)
+        balancer.take_policy(engine, self.policies[-1], now=self.now)
+        return engine
+
+    def list_sidecars(
+        self, number: int, engine: balancer.Engine, listed: abc.Collection[int]
+    ) -> None:
+        """Let a balancer read the store's list; it is whole again before long."""
+        addresses = [transparent.address(one) for one in listed]
         registered = {
-            transparent.address(number): _types.Address(
-                transparent.address(number).host, transparent.DATA_PORT
-            )
-            for number in range(len(POOLS))
+            address: _types.Address(address.host, transparent.DATA_PORT)
+            for address in addresses
         }
         balancer.take_registered(engine, registered, now=self.now)
-        balancer.take_policy(engine, self.policies[-1], now=self.now)
-        return engine
+        if len(listed) < len(POOLS):
+            self.whole_list_at[number] = self.now + RELIST_SECONDS
 
     def send(self, arrive: abc.Callable[[], None]) -> None:
         """Put something under way."""
@@ -182,9 +196,17 @@
         """Let time pass for processes that are run and a network that works."""
         for _ in range(round(seconds / STEP_SECONDS)):
             self.now += STEP_SECONDS
+            for reader, due_at in list(self.whole_list_at.items()):
+                if self.now >= due_at:
+                    del self.whole_list_at[reader]
+                    self.list_sidecars(
+                        reader, self.balancers[reader], range(len(POOLS))
+                    )
             hello = messages.Hello(revision=1, domain="hall-a", sidecars=len(POOLS))
             for number, engine in enumerate(self.sidecars):
-                for sender in range(BALANCERS):
+                for sender, greeting in enumerate(self.balancers):
+                    if transparent.address(number) not in greeting.view.upstreams:
+                        continue
                     sidecar.handle_hello(
                         engine, hello, balancer_address(sender), now=self.now
                     )
@@ -555,13 +577,19 @@
         self.site.sidecars[number] = self.site.start_sidecar(number)
         self.revisions.pop(BALANCERS + number, None)
 
-    @stateful.rule(number=INDEX)
-    def restart_balancer(self, number: int) -> None:
-        """Replace a balancer's process, which loses all."""
+    @stateful.rule(number=INDEX, listed=strategies.sets(SIDECARS))
+    def restart_balancer(self, number: int, listed: set[int]) -> None:
+        """Replace a balancer's process, which loses all; the list may lack some."""
         number %= BALANCERS
-        self.site.balancers[number] = self.site.start_balancer(number)
+        self.site.balancers[number] = self.site.start_balancer(number, listed=listed)
         self.revisions.pop(number, None)
 
+    @stateful.rule(listed=strategies.sets(SIDECARS))
+    def drop_leases(self, listed: set[int]) -> None:
+        """Drop the leases of living sidecars; they register again before long."""
+        for number, engine in enumerate(self.site.balancers):
+            self.site.list_sidecars(number, engine, listed)
+
     @stateful.rule(
         out=strategies.sets(strategies.sampled_from(("hall-a", "hall-b")), max_size=1),
         pool=strategies.sampled_from(sorted(set(POOLS))),
