Ask sidecars that fell silent for reports, not only new ones

Usually the store's list tells of its new entry; here the balancers' watch hung in a store that had been silent. After 1.6 s without a report its flows, whose requests may be repeated, were reset. Change: whoever has sent no report for 0.7 s is greeted ten times a second until it counts as lost. Test: one that failed before (there was no such list).

--- a/plantainproxy/flows/balancer_main.py
+++ b/plantainproxy/flows/balancer_main.py
@@ -34,7 +34,7 @@
 HELLO_SECONDS = 1.0
 """How often sidecars are asked for reports."""
 FIRST_HELLO_SECONDS = 0.1
-"""How often a sidecar that has not answered yet is asked."""
+"""How often a sidecar that sends no reports is asked."""
 TICK_SECONDS = 0.04
 """How often open lookups are looked at; half the wait for an answer."""
 SWEEP_SECONDS = 5.0
@@ -121,16 +121,15 @@
     _greet(running)
 
 
-def _greet(running: Balancer, *, only_unheard: bool = False) -> None:
-    """Ask sidecars for reports: all, or those that have not answered yet."""
+def _greet(running: Balancer, *, only_silent: bool = False) -> None:
+    """Ask sidecars for reports: all, or those that send none."""
     now = trio.current_time()
     known = running.engine.view.upstreams
-    greeted = [
-        found.address
-        for found in known.values()
-        if not only_unheard
-        or (found.report is None and not upstreams.is_lost(found, now=now))
-    ]
+    greeted = (
+        upstreams.without_reports(running.engine.view, now=now)
+        if only_silent
+        else list(known)
+    )
     if not greeted:
         return
     policies = running.engine.policies
@@ -182,7 +181,7 @@
 async def _greet_forever(running: Balancer) -> None:
     rounds = int(HELLO_SECONDS / FIRST_HELLO_SECONDS)
     for number in itertools.count():
-        _greet(running, only_unheard=number % rounds != 0)
+        _greet(running, only_silent=number % rounds != 0)
         await trio.sleep(FIRST_HELLO_SECONDS)
 
 
--- a/plantainproxy/flows/tests/test_balancer.py
+++ b/plantainproxy/flows/tests/test_balancer.py
@@ -177,6 +177,18 @@
     assert running.port.resets == []
 
 
+def test_a_sidecar_that_fell_silent_is_asked_for_reports_until_it_is_lost() -> None:
+    """It may have restarted; the store may be away and not tell (trbsl-lb, hunted)."""
+    running = transparent.ready_balancer(count=2)
+    running.pass_time(0.5)
+    running.hear(1, transparent.report(number=2))
+    running.pass_time(0.5)
+    view = running.engine.view
+    assert upstreams.without_reports(view, now=running.now) == [transparent.address(2)]
+    running.pass_time(upstreams.LOST_SECONDS)
+    assert upstreams.without_reports(view, now=running.now) == []
+
+
 def test_sidecars_that_have_left_the_list_do_not_make_a_balancer_blind() -> None:
     """After a release most of those that it ever heard are gone for good."""
     running = transparent.ready_balancer(count=3)
--- a/plantainproxy/flows/upstreams.py
+++ b/plantainproxy/flows/upstreams.py
@@ -10,6 +10,9 @@
 FRESH_SECONDS = 1.3
 """A report older than this is late; new flows go elsewhere. Twice the reports'
 longest interval, and some delay."""
+SILENT_SECONDS = 0.7
+"""A sidecar that missed a report may have restarted, and knows nobody then; just above
+the reports' longest interval."""
 LOST_SECONDS = 3.0
 """A sidecar that was silent for this long is taken as gone. Above the time that a
 planned restart of a sidecar takes."""
@@ -77,6 +80,15 @@
     return now - upstream.heard_at >= after_seconds
 
 
+def without_reports(view: View, *, now: float) -> list[_types.Address]:
+    """Return the sidecars that may live and do not know that reports are wanted."""
+    return [
+        upstream.address
+        for upstream in view.upstreams.values()
+        if now - upstream.heard_at >= SILENT_SECONDS and not is_lost(upstream, now=now)
+    ]
+
+
 def is_settled(view: View, *, now: float) -> bool:
     """Return whether every sidecar that is expected has been heard or is lost."""
     return view.listed and all(
