Watch briefly until a store that failed answers again

Change: after a failure the next watch waits 0.5 s, until one succeeds. Test: one that failed before.

--- a/plantainproxy/flows/follower.py
+++ b/plantainproxy/flows/follower.py
@@ -118,7 +118,7 @@
     while True:
         began = trio.current_time()
         try:
-            seen = await store.watch_after(prefix, revision)
+            seen = await store.watch_after(prefix, revision, brief=health.failing)
         except _exceptions.PlantainError as error:
             await health.failed(error)
             continue
--- a/plantainproxy/platform/metadata_store.py
+++ b/plantainproxy/platform/metadata_store.py
@@ -19,6 +19,9 @@
 """The longest that the store lets a watch wait."""
 HISTORY_SHARE = 0.9
 """A watch that waits for longer than the store keeps its history cannot be resumed."""
+BRIEF_WATCH_SECONDS = 0.5
+"""How long a watch waits after a failure: a store that falls silent never answers calls
+from that time, and a long watch would go on waiting after the store's return."""
 WATCH_MARGIN_SECONDS = 3.0
 """An answer to a watch may come this long after its time has passed."""
 MILLISECONDS = 1_000
@@ -94,12 +97,19 @@
                 return revisioned.Snapshot(entries=tuple(entries), revision=revision)
             after = page.items[-1].key
 
-    async def watch_after(self, prefix: str, revision: int) -> revisioned.Changes:
-        """Wait for changes under a prefix after a revision."""
+    async def watch_after(
+        self, prefix: str, revision: int, *, brief: bool = False
+    ) -> revisioned.Changes:
+        """Wait for changes under a prefix after a revision.
+
+        A brief watch soon tells whether the store answers again.
+        """
+        wait_seconds = BRIEF_WATCH_SECONDS if brief else self.watch_seconds
+        margin_seconds = CALL_TIMEOUT_SECONDS if brief else WATCH_MARGIN_SECONDS
         query = {
             "prefix": prefix,
             "after": str(revision),
-            "wait_ms": str(int(self.watch_seconds * MILLISECONDS)),
+            "wait_ms": str(int(wait_seconds * MILLISECONDS)),
         }
         reply = await self._call(
             "watch",
@@ -107,7 +117,7 @@
             "/v1/kv-watch",
             query,
             pool=self.watches,
-            timeout_seconds=self.watch_seconds + WATCH_MARGIN_SECONDS,
+            timeout_seconds=wait_seconds + margin_seconds,
         )
         if reply.status == 410:
             raise revisioned.HistoryLostError(prefix, revision)
--- a/plantainproxy/platform/tests/test_metadata_store.py
+++ b/plantainproxy/platform/tests/test_metadata_store.py
@@ -255,6 +255,33 @@
     _run(check)
 
 
+def test_a_follower_is_soon_back_after_the_store_was_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Calls that a silent store got are never answered, also after its return."""
+    monkeypatch.setattr(metadata_store, "WATCH_MARGIN_SECONDS", 0.1)
+    monkeypatch.setattr(metadata_store, "CALL_TIMEOUT_SECONDS", 0.2)
+
+    async def check(
+        held: standin.MetadataStore,
+        client: metadata_store.MetadataStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        client.watch_seconds = 0.1
+        copy = _start_follower(nursery, client)
+        await _until(lambda: "GET /v1/kv-watch" in held.calls)
+        held.faults.silent = True
+        watches = held.calls.count("GET /v1/kv-watch")
+        await _until(lambda: held.calls.count("GET /v1/kv-watch") == watches + 2)
+        client.watch_seconds = 2 * DEADLINE_SECONDS
+        await _until(lambda: held.calls.count("GET /v1/kv-watch") == watches + 3)
+        held.faults.silent = False
+        held.put("a/1", b"one")
+        await _until(lambda: "a/1" in copy.entries)
+
+    _run(check)
+
+
 def test_a_follower_watches_no_longer_than_the_history_lasts() -> None:
     """Changes under other prefixes drive what it waits for out of the history."""
 
--- a/plantainproxy/store/revisioned.py
+++ b/plantainproxy/store/revisioned.py
@@ -56,10 +56,13 @@
     async def read_all(self, prefix: str) -> Snapshot:
         """Read every entry under a prefix."""
 
-    async def watch_after(self, prefix: str, revision: int) -> Changes:
+    async def watch_after(
+        self, prefix: str, revision: int, *, brief: bool = False
+    ) -> Changes:
         """Wait for changes under a prefix after a revision.
 
-        Raises ``HistoryLostError`` when the changes are no longer known.
+        A brief watch returns soon, also without changes: it tells whether the store
+        answers. Raises ``HistoryLostError`` when the changes are no longer known.
         """
 
 
