Simulated QUIC network: the clock advances past a timer that stays due

Cause (traced before): aioquic's loss timer is due at sent + delay, which rounds to the current instant, while now - delay is one float step below sent. The simulated clock stood still there until the step limit; a real clock advances.

--- a/standins/quic_pair.py
+++ b/standins/quic_pair.py
@@ -6,6 +6,7 @@
 
 from collections import abc
 import dataclasses
+import math
 import pathlib
 import random
 import tempfile
@@ -136,7 +137,9 @@
             if upcoming is None or upcoming > end:
                 self.now = end
                 return
-            self.now = max(self.now, upcoming)
+            # A timer may be set again for the instant at which it fired, because of
+            # rounding; a real clock has advanced by then.
+            self.now = max(math.nextafter(self.now, math.inf), upcoming)
             self._deliver_due()
         raise AssertionError(
             f"network still has events to handle after {MAX_STEPS} steps"
