Transparent flows: reports and the store's documents travel through relays

Cause: every balancer got reports of every sidecar (up to 25 a second while all slots are in use), and every process watched the policy in the store; both grow with the square of the fleet.

Change: two sidecars of each domain, chosen by rendezvous hashing, exchange the reports of their domains in batches and watch the policy and the list of sidecars for their domain. A sidecar of another domain answers a direct request once; balancers ask so when the relays have brought nothing for 0.95 s. Ring candidates of the own domain come first, in placement and in lookups.

--- a/plantainproxy/flows/balancer.py
+++ b/plantainproxy/flows/balancer.py
@@ -86,7 +86,7 @@
         self.draw = draw
         self.log = log
         self.policies = policy.ActivePolicy()
-        self.view = upstreams.View()
+        self.view = upstreams.View(domain)
         self.flows: dict[bytes, CachedFlow] = {}
         self.lookups: dict[bytes, lookup.Lookup] = {}
         self.waiting = waiting.Queue()
@@ -173,6 +173,8 @@
     match message:
         case messages.Report():
             _handle_report(engine, message, sender, now=now)
+        case messages.ReportBatch():
+            _handle_batch(engine, message, sender, now=now)
         case messages.FlowHeld():
             _handle_held(engine, message.flow, sender, now=now)
         case messages.FlowNotHeld():
@@ -181,18 +183,18 @@
             packet = parse(message.data)
             if packet is not None:
                 _handle_returned(engine, message, packet, sender, now=now)
-        case messages.ReportRequest():
+        case _:
             engine.log.count("dropped.invalid_message")
 
 
 def apply_registrations(
     engine: Engine,
-    registered: abc.Mapping[_types.Address, _types.Address],
+    registered: abc.Mapping[_types.Address, upstreams.ListedSidecar],
     *,
     now: float,
 ) -> None:
-    """Apply the store's list of sidecars: message address to data address."""
-    upstreams.apply_registrations(engine.view, registered.items(), now)
+    """Apply the store's list of sidecars by message address."""
+    upstreams.apply_registrations(engine.view, registered, now)
 
 
 def tick(engine: Engine, *, now: float) -> None:
@@ -412,6 +414,19 @@
     )
 
 
+def _handle_batch(
+    engine: Engine, batch: messages.ReportBatch, relay: _types.Address, *, now: float
+) -> None:
+    """Apply reports that a relay passed on, each at the time of its sending."""
+    for relayed in batch.reports:
+        address = _types.Address(relayed.host, relay.port)
+        sent_at = now - relayed.age_ms / messages.MILLISECONDS_PER_SECOND
+        if isinstance(relayed.report, messages.Report):
+            _handle_report(engine, relayed.report, address, now=sent_at)
+        else:
+            upstreams.apply_load(engine.view, address, relayed.report, now=sent_at)
+
+
 def _handle_returned(
     engine: Engine,
     message: messages.ReturnedPacket,
--- /dev/null
+++ b/plantainproxy/flows/control/document_exchange.py
@@ -0,0 +1,174 @@
+"""Transfer of the store's documents to processes that do not read them themselves.
+
+The documents are the policy and the list of sidecars. Messages carry the sender's
+revision and digest of them. A process that receives a higher revision with a different
+digest pulls the document from the sender over TCP.
+"""
+
+from collections import abc
+import random
+import typing
+
+import trio
+
+from plantainproxy import _types
+from plantainproxy.flows import event_log
+
+T = typing.TypeVar("T")
+
+RELAY_DELAY_SECONDS = 0.25
+"""Time allowed for the own watch or a relay of the own domain, which may lag behind
+another process. A transfer between domains costs more than one within a domain."""
+PULL_SPREAD_SECONDS = 0.05
+"""Pulls of the processes of one domain are spread over this time."""
+PULL_TIMEOUT_SECONDS = 1.0
+MAX_DOCUMENT_BYTES = 16 * 1_048_576
+"""Limit on a pulled document, far above the size of a table of 6,500 routes."""
+RECEIVE_BYTES = 64
+
+POLICY = b"policy"
+"""Request for the policy, the first bytes on a connection."""
+SIDECAR_LIST = b"sidecars"
+"""Request for the list of sidecars."""
+
+
+class Document(typing.Protocol):
+    """A document of this process; its revision never decreases."""
+
+    @property
+    def revision(self) -> int:
+        """Revision of the document; 0 without one."""
+
+    @property
+    def digest(self) -> int:
+        """Hash of the content."""
+
+    def advance_revision(self, revision: int) -> None:
+        """Raise the revision of an unchanged document."""
+
+
+class Exchange:
+    """Tracks which process has advertised the newest version of a document."""
+
+    def __init__(
+        self, document: Document, log: event_log.EventLog, *, kind: bytes = POLICY
+    ) -> None:
+        """Start without an advertised version."""
+        self.document = document
+        self.kind = kind
+        self.log = log
+        self.newest: tuple[int, _types.Address] | None = None
+        self.update_available = trio.Event()
+        self.relay_has_update = trio.Event()
+
+    def handle_revision(
+        self,
+        revision: int,
+        digest: int,
+        sender: _types.Address,
+        *,
+        is_relay: bool = False,
+    ) -> None:
+        """Compare another process's revision and digest with the local ones.
+
+        A process that read the store later has a higher revision even if the document
+        has not changed. An equal digest therefore only raises the local revision.
+        ``is_relay`` states that the sender is a relay of this process's domain.
+        """
+        if revision <= self.document.revision:
+            return
+        if digest == self.document.digest:
+            self.document.advance_revision(revision)
+            return
+        if self.newest is None or is_relay or revision > self.newest[0]:
+            self.newest = (revision, sender)
+        self.update_available.set()
+        if is_relay:
+            self.relay_has_update.set()
+
+
+class Puller(typing.Generic[T]):
+    """How one kind of document is decoded and applied."""
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        *,
+        decode: abc.Callable[[bytes], T | None],
+        apply: abc.Callable[[T], bool],
+    ) -> None:
+        """Create a puller; ``apply`` returns whether the document was newer."""
+        self.exchange = exchange
+        self.decode = decode
+        self.apply = apply
+
+
+async def pull_forever(puller: Puller[T]) -> None:
+    """Pull and apply newer versions from the processes that advertise them."""
+    exchange = puller.exchange
+    while True:
+        await exchange.update_available.wait()
+        exchange.update_available = trio.Event()
+        if exchange.document.revision:
+            with trio.move_on_after(RELAY_DELAY_SECONDS):
+                await exchange.relay_has_update.wait()
+            await trio.sleep(random.random() * PULL_SPREAD_SECONDS)
+        exchange.relay_has_update = trio.Event()
+        if exchange.newest is None or exchange.newest[0] <= exchange.document.revision:
+            continue
+        _, sender = exchange.newest
+        exchange.newest = None
+        received = await _pull(sender, exchange.kind)
+        pulled = puller.decode(received) if received else None
+        if pulled is not None and puller.apply(pulled):
+            exchange.log.write(
+                f"{exchange.kind.decode()} pulled",
+                sender=str(sender),
+                revision=exchange.document.revision,
+            )
+        else:
+            exchange.log.count(f"{exchange.kind.decode()}.pull_failed")
+
+
+async def serve(
+    address: _types.Address,
+    documents: abc.Mapping[bytes, abc.Callable[[], bytes]],
+    *,
+    log: event_log.EventLog,
+) -> None:
+    """Send the requested document to every process that connects.
+
+    ``documents`` has a function for each kind that returns the encoded document, or
+    nothing if this process has none.
+    """
+
+    async def send_document(stream: trio.SocketStream) -> None:
+        async with stream:
+            try:
+                with trio.move_on_after(PULL_TIMEOUT_SECONDS):
+                    kind = bytes(await stream.receive_some(RECEIVE_BYTES))
+                    if kind not in documents:
+                        log.count("documents.invalid_request")
+                        return
+                    await stream.send_all(documents[kind]())
+            except trio.BrokenResourceError:
+                log.count("documents.give_failed")
+
+    await trio.serve_tcp(send_document, address.port, host=address.host)
+
+
+async def _pull(sender: _types.Address, kind: bytes) -> bytes:
+    """Return the encoded document of a process; empty if it does not send one."""
+    received = bytearray()
+    try:
+        with trio.fail_after(PULL_TIMEOUT_SECONDS):
+            stream = await trio.open_tcp_stream(sender.host, sender.port)
+            async with stream:
+                await stream.send_all(kind)
+                async for chunk in stream:
+                    received += chunk
+                    if len(received) > MAX_DOCUMENT_BYTES:
+                        return b""
+    except (OSError, trio.BrokenResourceError, trio.TooSlowError):
+        return b""
+    return bytes(received)
--- /dev/null
+++ b/plantainproxy/flows/control/documents.py
@@ -0,0 +1,79 @@
+"""The store's documents in one process: the policy and the list of sidecars.
+
+A process follows the store itself, or leaves that to the relays of its domain and pulls
+what they announce. Both ways lead to the same rule: a document is only ever replaced by
+one of a higher revision.
+"""
+
+from collections import abc
+
+import msgspec
+
+from plantainproxy import _types
+from plantainproxy.flows import event_log, messages, policy, registry
+from plantainproxy.flows.control import coverage, document_exchange, follower
+
+FIRST_WATCH_GRACE_SECONDS = 0.6
+"""How long a process waits for a relay's notice after a read before it watches the
+store itself: longer than the interval of notices."""
+
+
+class Documents:
+    """Copies of the store's documents, and how they are kept current."""
+
+    def __init__(
+        self, policies: policy.ActivePolicy, *, log: event_log.EventLog
+    ) -> None:
+        """Start without documents."""
+        self.policies = policies
+        self.sidecars = registry.ActiveList()
+        self.coverage = coverage.Coverage()
+        self.policy_exchange = document_exchange.Exchange(
+            policies, log, kind=document_exchange.POLICY
+        )
+        self.list_exchange = document_exchange.Exchange(
+            self.sidecars, log, kind=document_exchange.SIDECAR_LIST
+        )
+        self.policy_status = follower.Status()
+        self.list_status = follower.Status()
+
+
+def handle_notice(
+    documents: Documents,
+    notice: messages.Notice,
+    sender: _types.Address,
+    *,
+    now: float,
+) -> None:
+    """Handle the statement of a relay of this process's domain."""
+    coverage.record_notice(documents.coverage, is_current=notice.is_current, now=now)
+    documents.policy_exchange.handle_revision(
+        notice.revision, notice.digest, sender, is_relay=True
+    )
+    documents.list_exchange.handle_revision(
+        notice.list_revision, notice.list_digest, sender, is_relay=True
+    )
+
+
+def make_notice(documents: Documents) -> messages.Notice:
+    """Return the statement that this process makes as a relay."""
+    return messages.Notice(
+        revision=documents.policies.revision,
+        digest=documents.policies.digest,
+        list_revision=documents.sidecars.revision,
+        list_digest=documents.sidecars.digest,
+        is_current=documents.policy_status.is_current
+        and documents.list_status.is_current,
+    )
+
+
+def encoders(documents: Documents) -> dict[bytes, abc.Callable[[], bytes]]:
+    """Return the functions that encode each kind of document for other processes."""
+    return {
+        document_exchange.POLICY: lambda: _encode(documents.policies.current),
+        document_exchange.SIDECAR_LIST: lambda: _encode(documents.sidecars.current),
+    }
+
+
+def _encode(document: msgspec.Struct | None) -> bytes:
+    return msgspec.msgpack.encode(document) if document is not None else b""
--- /dev/null
+++ b/plantainproxy/flows/control/report_requests.py
@@ -0,0 +1,84 @@
+"""Which processes a balancer asks for reports, and when. Free of I/O."""
+
+import typing
+
+from plantainproxy import _types
+from plantainproxy.flows import messages, policy, upstreams
+from plantainproxy.flows.control import relay_selection
+
+
+class Request(typing.NamedTuple):
+    """One message and the processes that it is sent to."""
+
+    recipients: list[_types.Address]
+    message: messages.Message
+
+
+def periodic_requests(
+    view: upstreams.View, policies: policy.ActivePolicy, *, now: float
+) -> list[Request]:
+    """Return the requests to the sidecars and relays of the domain.
+
+    Sidecars of other domains are asked while they count as lost, or if this domain has
+    no relay; otherwise their reports arrive through the relays.
+    """
+    relays = relay_selection.choose_relays(view, view.domain, now=now)
+    recipients = [
+        upstream.address
+        for upstream in view.upstreams.values()
+        if upstream.domain == view.domain
+        or not relays
+        or upstream.report is None
+        or upstreams.is_lost(upstream, now=now)
+    ]
+    return [
+        Request(recipients, _report_request(view, policies, relays)),
+        *_relay_requests(view, relays, now=now),
+    ]
+
+
+def overdue_requests(
+    view: upstreams.View, policies: policy.ActivePolicy, *, now: float
+) -> list[Request]:
+    """Return the request to the sidecars of any domain whose report is overdue."""
+    recipients = upstreams.overdue_sidecars(view, now=now)
+    if not recipients:
+        return []
+    return [Request(recipients, _report_request(view, policies, ()))]
+
+
+def _report_request(
+    view: upstreams.View,
+    policies: policy.ActivePolicy,
+    relays: tuple[_types.Address, ...],
+) -> messages.ReportRequest:
+    return messages.ReportRequest(
+        revision=policies.revision,
+        domain=view.domain,
+        sidecars=len(view.upstreams),
+        digest=policies.digest,
+        relays=tuple(relay.host for relay in relays),
+    )
+
+
+def _relay_requests(
+    view: upstreams.View, relays: tuple[_types.Address, ...], *, now: float
+) -> list[Request]:
+    """Return the requests to the relays, each with one relay of every other domain."""
+    domains = {upstream.domain for upstream in view.upstreams.values()}
+    peers_by_domain = [
+        relay_selection.choose_relays(view, domain, now=now)
+        for domain in sorted(domains - {view.domain, ""})
+    ]
+    return [
+        Request(
+            [relay],
+            messages.RelayRequest(
+                domain=view.domain,
+                peers=tuple(
+                    peers[index % len(peers)].host for peers in peers_by_domain if peers
+                ),
+            ),
+        )
+        for index, relay in enumerate(relays)
+    ]
--- a/plantainproxy/flows/flow_snapshot.py
+++ b/plantainproxy/flows/flow_snapshot.py
@@ -11,7 +11,8 @@
 import trio
 
 from plantainproxy import _exceptions
-from plantainproxy.flows import follower, packets, policy, registry, sidecar
+from plantainproxy.flows import packets, policy, registry, sidecar
+from plantainproxy.flows.control import follower
 from plantainproxy.store import port, revisioned
 
 PREFIX = "plantainproxy/flows/"
--- a/plantainproxy/flows/registry.py
+++ b/plantainproxy/flows/registry.py
@@ -4,9 +4,11 @@
 
 import msgspec
 import trio
+import xxhash
 
 from plantainproxy import _exceptions, _types
-from plantainproxy.flows import event_log, follower
+from plantainproxy.flows import event_log, upstreams
+from plantainproxy.flows.control import follower
 from plantainproxy.store import port, revisioned
 
 PREFIX = "plantainproxy/sidecars/"
@@ -29,19 +31,70 @@
     host: str
     message_port: int
     data_port: int
+    domain: str = ""
+    """Failure domain of the sidecar."""
 
 
-def decode(entries: abc.Mapping[str, bytes]) -> dict[_types.Address, _types.Address]:
-    """Return data addresses by message address; skip entries that do not decode."""
-    data_addresses = {}
+class SidecarList(msgspec.Struct, frozen=True, array_like=True):
+    """All entries at one revision of the store."""
+
+    revision: int
+    entries: dict[str, bytes]
+
+
+class ActiveList:
+    """The list of sidecars of a process; its revision never decreases."""
+
+    def __init__(self) -> None:
+        """Start without a list."""
+        self.current: SidecarList | None = None
+        self.digest = 0
+
+    @property
+    def revision(self) -> int:
+        """Revision of the list; 0 without one."""
+        return self.current.revision if self.current else 0
+
+    def apply_if_newer(self, offered: SidecarList) -> bool:
+        """Activate a list of a higher revision; return whether it was activated."""
+        if offered.revision <= self.revision:
+            return False
+        self.current = offered
+        self.digest = xxhash.xxh32_intdigest(
+            msgspec.msgpack.encode(sorted(offered.entries.items()))
+        )
+        return True
+
+    def advance_revision(self, revision: int) -> None:
+        """Raise the revision if the list is unchanged at a later store revision."""
+        if self.current is not None and revision > self.revision:
+            self.current = msgspec.structs.replace(self.current, revision=revision)
+
+
+def decode_list(data: bytes) -> SidecarList | None:
+    """Decode a list that another process sent; ``None`` if it is not valid."""
+    try:
+        return msgspec.msgpack.decode(data, type=SidecarList)
+    except msgspec.DecodeError:
+        return None
+
+
+def decode(
+    entries: abc.Mapping[str, bytes],
+) -> dict[_types.Address, upstreams.ListedSidecar]:
+    """Return the sidecars by message address; skip entries that do not decode."""
+    listed = {}
     for value in entries.values():
         try:
             entry = msgspec.msgpack.decode(value, type=Entry)
         except msgspec.DecodeError:
             continue
         address = _types.Address(entry.host, entry.message_port)
-        data_addresses[address] = _types.Address(entry.host, entry.data_port)
-    return data_addresses
+        listed[address] = upstreams.ListedSidecar(
+            data_address=_types.Address(entry.host, entry.data_port),
+            domain=entry.domain,
+        )
+    return listed
 
 
 class Registration:
--- a/plantainproxy/flows/sidecar_main.py
+++ b/plantainproxy/flows/sidecar_main.py
@@ -1,5 +1,6 @@
 """Daemon of the sidecar of transparent flows: ``plantain-flow-sidecar``."""
 
+from collections import abc
 import contextlib
 import functools
 import random
@@ -17,13 +18,13 @@
     node,
     packets,
     policy,
-    policy_exchange,
     registry,
     settings,
     sidecar,
     upstream,
     upstream_monitor,
 )
+from plantainproxy.flows.control import documents, relay
 from plantainproxy.platform import (
     configuration,
     heartbeats,
@@ -72,6 +73,14 @@
             self.message_socket, messages.encode(message), balancer, self.log
         )
 
+    def send_to_all(
+        self, recipients: abc.Iterable[_types.Address], message: messages.Message
+    ) -> None:
+        """Send one message to several processes."""
+        encoded = messages.encode(message)
+        for recipient in recipients:
+            datagrams.send(self.message_socket, encoded, recipient, self.log)
+
     def _send_to_caller(self, flow: bytes, data: bytes) -> None:
         to = _types.Address(packet_format.caller_host(flow), self.caller_port)
         datagrams.send(self.outbound_socket, data, to, self.log)
@@ -112,7 +121,10 @@
             ),
             log=self.log,
         )
-        self.exchange = policy_exchange.Exchange(self.engine.policies, self.log)
+        self.documents = documents.Documents(self.engine.policies, log=self.log)
+        self.relay = relay.Relay(
+            port=self.port, domain=node_settings.domain, log=self.log
+        )
         self.store = metadata_store.MetadataStore(
             node_settings.store_address,
             history_seconds=node_settings.store_history_seconds,
@@ -124,6 +136,7 @@
                 host=node_settings.host,
                 message_port=node_settings.message_port,
                 data_port=node_settings.data_address.port,
+                domain=node_settings.domain,
             ),
             self.log,
         )
@@ -159,19 +172,41 @@
     process: SidecarProcess, data: bytes, sender: _types.Address
 ) -> None:
     message = messages.decode(data)
-    if not isinstance(message, messages.ReportRequest):
-        process.log.count("dropped.malformed_message")
-        return
-    process.exchange.handle_revision(message.revision, message.digest, sender)
-    sidecar.handle_report_request(
-        process.engine, message, sender, now=trio.current_time()
-    )
+    now = trio.current_time()
+    match message:
+        case messages.ReportRequest():
+            process.documents.policy_exchange.handle_revision(
+                message.revision, message.digest, sender
+            )
+            sidecar.handle_report_request(process.engine, message, sender, now=now)
+        case messages.Report():
+            relay.handle_report(process.relay, message, sender, now=now)
+        case messages.ReportBatch():
+            relay.handle_batch(process.relay, message, now=now)
+        case messages.RelayRequest():
+            relay.handle_relay_request(process.relay, message, sender, now=now)
+        case messages.GatherRequest():
+            relay.handle_gather_request(process.relay, message, sender, now=now)
+        case messages.Notice():
+            documents.handle_notice(process.documents, message, sender, now=now)
+        case _:
+            process.log.count("dropped.malformed_message")
+
+
+def _apply_list(process: SidecarProcess, offered: registry.SidecarList) -> bool:
+    return process.documents.sidecars.apply_if_newer(offered)
+
+
+def _is_relay(process: SidecarProcess) -> bool:
+    return relay.is_appointed(process.relay, now=trio.current_time())
 
 
 async def _tick_forever(process: SidecarProcess) -> None:
     while True:
         await trio.sleep(TICK_INTERVAL_SECONDS)
-        sidecar.tick(process.engine, now=trio.current_time())
+        now = trio.current_time()
+        sidecar.tick(process.engine, now=now)
+        relay.tick(process.relay, documents.make_notice(process.documents), now=now)
 
 
 async def _evict_forever(process: SidecarProcess) -> None:
@@ -226,7 +261,13 @@
         "revision": float(engine.policies.revision),
         "flows": float(len(engine.table.flows)),
         "running_requests": float(engine.table.running_requests),
-        "balancers": float(len(engine.subscribers)),
+        "balancers": float(sidecar.balancer_count(engine)),
+        "relay": float(_is_relay(process)),
+        "relay_members": float(len(process.relay.members)),
+        "relay_peers": float(len(process.relay.peers)),
+        "relay_oldest_report_seconds": relay.oldest_report_seconds(
+            process.relay, now=trio.current_time()
+        ),
     }
 
 
@@ -288,7 +329,10 @@
         policy_prefix=configuration.PREFIX,
         decode_policy=configuration.decode_policy,
         apply_policy=functools.partial(_apply_policy, process),
-        exchange=process.exchange,
+        apply_list=functools.partial(_apply_list, process),
+        documents=process.documents,
+        is_relay=functools.partial(_is_relay, process),
+        needs_list=functools.partial(_is_relay, process),
         log=process.log,
         is_ready=functools.partial(_is_ready, process),
         gauges=functools.partial(_gauges, process),
--- a/plantainproxy/platform/tests/test_metadata_store.py
+++ b/plantainproxy/platform/tests/test_metadata_store.py
@@ -11,7 +11,8 @@
 import trio.testing
 
 from plantainproxy import _exceptions, _types
-from plantainproxy.flows import event_log, flow_snapshot, follower, policy, registry
+from plantainproxy.flows import event_log, flow_snapshot, policy, registry
+from plantainproxy.flows.control import follower
 from plantainproxy.platform import metadata_store
 from plantainproxy.store import port, revisioned
 from standins import metadata_store as standin
--- a/testbed/transparent.py
+++ b/testbed/transparent.py
@@ -16,6 +16,7 @@
     policy,
     sidecar,
     upstream,
+    upstreams,
 )
 
 SERVICE = b"\x01\x00\x12\xc6\xbb\x01"
@@ -113,6 +114,12 @@
     return _types.Address(f"10.0.1.{number}", MESSAGE_PORT)
 
 
+def listed_sidecar(number: int, domain: str = DOMAIN) -> upstreams.ListedSidecar:
+    """Return what the store's list states about the sidecar with this number."""
+    data_address = _types.Address(address(number).host, DATA_PORT)
+    return upstreams.ListedSidecar(data_address=data_address, domain=domain)
+
+
 def make_report(
     *,
     number: int = 1,
@@ -190,10 +197,7 @@
 
     def apply_registrations(self, *numbers: int) -> None:
         """Apply the store's list of registered sidecars, given by their numbers."""
-        registered = {
-            address(number): _types.Address(address(number).host, DATA_PORT)
-            for number in numbers
-        }
+        registered = {address(number): listed_sidecar(number) for number in numbers}
         balancer.apply_registrations(self.engine, registered, now=self.now)
 
     def apply_policy(self, new_policy: policy.Policy) -> bool:
@@ -344,10 +348,16 @@
         return sidecar.handle_heartbeat(self.engine, heartbeat, now=self.now)
 
     def handle_report_request(
-        self, balancer: _types.Address, *, domain: str = DOMAIN
+        self,
+        balancer: _types.Address,
+        *,
+        domain: str = DOMAIN,
+        relays: tuple[str, ...] = (),
     ) -> None:
         """Pass a balancer's request for reports to the engine."""
-        report_request = messages.ReportRequest(revision=1, domain=domain, sidecars=3)
+        report_request = messages.ReportRequest(
+            revision=1, domain=domain, sidecars=3, relays=relays
+        )
         sidecar.handle_report_request(
             self.engine, report_request, balancer, now=self.now
         )
