--- a/plantainproxy/flows/balancer_main.py
+++ b/plantainproxy/flows/balancer_main.py
@@ -255,6 +255,9 @@
         "open_lookups": float(len(engine.lookups)),
         "waiting_openings": float(len(engine.waiting.openings)),
         "upstreams": float(len(engine.view.upstreams)),
+        "report_age_seconds": upstreams.oldest_report_seconds(
+            engine.view, now=trio.current_time()
+        ),
         "covered": float(
             coverage.is_covered(process.documents.coverage, now=trio.current_time())
         ),
--- a/plantainproxy/flows/ctl_main.py
+++ b/plantainproxy/flows/ctl_main.py
@@ -19,13 +19,13 @@
 
 SCRAPE_TIMEOUT_SECONDS = 1.0
 """A sidecar whose metrics do not arrive in this time is shown as silent."""
-SHOWN_GAUGES = ("ready", "revision", "flows", "running_requests", "balancers")
+SHOWN_GAUGES = ("ready", "revision", "flows", "running_requests", "balancers", "relay")
 """Sidecar gauges that ``status`` prints."""
 NO_ANSWER = "silent"
 
 
 def status(store: str, *, metrics_port: int = platform_settings.METRICS_PORT) -> None:
-    """Show the policy in the store and the state of every listed sidecar.
+    """Show the policy in the store, every listed sidecar, and the domains' relays.
 
     Args:
         store: Address of the platform's store, such as 10.200.1.7:8169.
@@ -43,10 +43,16 @@
         registered = registry.decode(
             {entry.key: entry.value for entry in snapshot.entries}
         )
-        for address in sorted(registered):
+        relays: dict[str, list[str]] = {}
+        for address, listed in sorted(registered.items()):
             gauges = await _scrape(_types.Address(address.host, metrics_port))
             summary = NO_ANSWER if gauges is None else _render_gauges(gauges)
             print(f"{address.host}: {summary}")
+            in_domain = relays.setdefault(listed.domain, [])
+            if gauges is not None and gauges.get("relay"):
+                in_domain.append(address.host)
+        for domain, hosts in sorted(relays.items()):
+            print(f"domain {domain}: relays {', '.join(hosts) or 'none'}")
 
     _run(store, show)
 
--- a/plantainproxy/flows/upstreams.py
+++ b/plantainproxy/flows/upstreams.py
@@ -116,6 +116,18 @@
     return now - upstream.last_report_at >= timeout_seconds
 
 
+def oldest_report_seconds(view: View, *, now: float) -> float:
+    """Return the age of the oldest of the newest reports of upstreams not lost."""
+    return max(
+        (
+            now - upstream.last_report_at
+            for upstream in view.upstreams.values()
+            if upstream.report is not None and not is_lost(upstream, now=now)
+        ),
+        default=0.0,
+    )
+
+
 def overdue_sidecars(view: View, *, now: float) -> list[_types.Address]:
     """Return the sidecars whose report is overdue but that do not count as lost."""
     return [
--- a/tests/test_flow_ctl.py
+++ b/tests/test_flow_ctl.py
@@ -47,6 +47,14 @@
                 assert "version 1, 1 routes, domains out: none" in status.stdout
                 for node in site.sidecars:
                     assert f"{node.host}: ready 1, revision" in status.stdout
+                first, second, third = (node.host for node in site.sidecars)
+                for domain, hosts in (("d0", {first, third}), ("d1", {second})):
+                    (line,) = (
+                        line
+                        for line in status.stdout.splitlines()
+                        if line.startswith(f"domain {domain}: relays ")
+                    )
+                    assert set(line.rpartition("relays ")[2].split(", ")) == hosts
                 explained = await _run_command("explain", str(flow_site.SERVICE), store)
                 assert "route r-feed: idempotent, priority 1" in explained.stdout
                 assert "pool feed: 100% of new flows" in explained.stdout
