--- a/tests/test_promise_10_configuration.py
+++ b/tests/test_promise_10_configuration.py
@@ -228,6 +228,8 @@
 async def _seat_holder_frozen(harness: Harness) -> None:
     """Freeze a seat holder until its lease has expired, while changes are made."""
     frozen_balancer = harness.cluster.balancers[1]
+    # The steps before take the store down, so the seat may not be claimed again yet.
+    await steps.wait_until_seat_holder(harness.cluster, frozen_balancer)
     reply = await steps.status(harness.cluster, frozen_balancer)
     assert reply is not None
     assert reply.seat_holder
