An answer is only given to the request that it names; stale relays cover nobody

Faults that operators of similar systems met, looked for here:

Requests now carry their number on the connection, and only connections whose upstream repeats it are reused; bytes after an answer end the reuse, also in the client of the store. - A relay that had been paused counted as a current one by its notice alone: a notice with an older policy than the receiver's covers nobody, and the relay's clock counts the time in which its machine is suspended.

--- a/plantainproxy/flows/control/documents.py
+++ b/plantainproxy/flows/control/documents.py
@@ -45,8 +45,20 @@
     *,
     now: float,
 ) -> None:
-    """Handle the statement of a relay of this process's domain."""
-    coverage.record_notice(documents.coverage, is_current=notice.is_current, now=now)
+    """Handle the statement of a relay of this process's domain.
+
+    A relay that holds less than this process, such as one that was paused, covers it as
+    little as one that the store turns away.
+    """
+    policies = documents.policies
+    lags_behind = (
+        notice.revision < policies.revision and notice.digest != policies.digest
+    )
+    coverage.record_notice(
+        documents.coverage,
+        is_current=notice.is_current and not lags_behind,
+        now=now,
+    )
     documents.policy_exchange.handle_revision(
         notice.revision, notice.digest, sender, is_relay=True
     )
--- a/plantainproxy/flows/sidecar_main.py
+++ b/plantainproxy/flows/sidecar_main.py
@@ -5,6 +5,7 @@
 import functools
 import random
 import socket
+import time
 
 import trio
 
@@ -180,13 +181,15 @@
             )
             sidecar.handle_report_request(process.engine, message, sender, now=now)
         case messages.Report():
-            relay.handle_report(process.relay, message, sender, now=now)
+            relay.handle_report(process.relay, message, sender, now=_boot_time())
         case messages.ReportBatch():
-            relay.handle_batch(process.relay, message, now=now)
+            relay.handle_batch(process.relay, message, now=_boot_time())
         case messages.RelayRequest():
-            relay.handle_relay_request(process.relay, message, sender, now=now)
+            relay.handle_relay_request(process.relay, message, sender, now=_boot_time())
         case messages.GatherRequest():
-            relay.handle_gather_request(process.relay, message, sender, now=now)
+            relay.handle_gather_request(
+                process.relay, message, sender, now=_boot_time()
+            )
         case messages.Notice():
             documents.handle_notice(process.documents, message, sender, now=now)
         case _:
@@ -197,16 +200,25 @@
     return process.documents.sidecars.apply_if_newer(offered)
 
 
+def _boot_time() -> float:
+    """Return the relay's clock, which also counts while the machine is suspended.
+
+    A relay that wakes up must not act on an appointment from before its sleep, nor
+    state ages that leave the sleep out.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def _is_relay(process: SidecarProcess) -> bool:
-    return relay.is_appointed(process.relay, now=trio.current_time())
+    return relay.is_appointed(process.relay, now=_boot_time())
 
 
 async def _tick_forever(process: SidecarProcess) -> None:
     while True:
         await trio.sleep(TICK_INTERVAL_SECONDS)
-        now = trio.current_time()
-        sidecar.tick(process.engine, now=now)
-        relay.tick(process.relay, documents.make_notice(process.documents), now=now)
+        sidecar.tick(process.engine, now=trio.current_time())
+        notice = documents.make_notice(process.documents)
+        relay.tick(process.relay, notice, now=_boot_time())
 
 
 async def _evict_forever(process: SidecarProcess) -> None:
@@ -266,7 +278,7 @@
         "relay_members": float(len(process.relay.members)),
         "relay_peers": float(len(process.relay.peers)),
         "relay_oldest_report_seconds": relay.oldest_report_seconds(
-            process.relay, now=trio.current_time()
+            process.relay, now=_boot_time()
         ),
     }
 
--- a/plantainproxy/flows/tests/test_document_exchange.py
+++ b/plantainproxy/flows/tests/test_document_exchange.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from plantainproxy.flows import event_log, messages, policy
-from plantainproxy.flows.control import document_exchange
+from plantainproxy.flows.control import coverage, document_exchange, documents
 from testbed import transparent
 
 PEER = transparent.address(9)
@@ -45,6 +45,34 @@
     assert exchange.newest == (9, PEER)
 
 
+def _is_covered_by(notice: messages.Notice) -> bool:
+    """Return whether a notice covers a process that holds a policy of revision 5."""
+    active_policy = policy.ActivePolicy()
+    active_policy.apply_if_newer(transparent.make_policy(5))
+    held = documents.Documents(active_policy, log=event_log.EventLog("test"))
+    documents.handle_notice(held, notice, PEER, now=1.0)
+    return coverage.is_covered(held.coverage, now=1.0)
+
+
+def test_only_a_relay_that_is_up_to_date_covers_a_process() -> None:
+    """A relay that was paused may still state that its old copies are current."""
+    newer, older = (
+        messages.Notice(
+            revision=revision,
+            digest=policy.digest(transparent.make_policy(revision)),
+            list_revision=1,
+            list_digest=1,
+            is_current=True,
+        )
+        for revision in (9, 4)
+    )
+    assert _is_covered_by(newer)
+    assert not _is_covered_by(older)
+    same_content = policy.digest(transparent.make_policy(5))
+    assert _is_covered_by(msgspec.structs.replace(older, digest=same_content))
+    assert not _is_covered_by(msgspec.structs.replace(newer, is_current=False))
+
+
 def test_a_relay_of_the_domain_is_asked_before_others() -> None:
     """A transfer from another domain costs more, even if it starts earlier."""
     changed = policy.digest(transparent.make_policy(9, domains_out=["hall-a"]))
--- a/plantainproxy/sidecar/tests/test_upstream.py
+++ b/plantainproxy/sidecar/tests/test_upstream.py
@@ -105,7 +105,7 @@
     ExchangeCase(
         name="not run by contract",
         response_bytes=b"HTTP/1.1 503 Full\r\nplantain-not-run: true\r\n"
-        b"content-length: 0\r\n\r\n",
+        b"plantain-exchange: 1\r\ncontent-length: 0\r\n\r\n",
         error=_exceptions.ErrorKind.OVERLOADED,
         is_complete=True,
     ),
@@ -178,7 +178,7 @@
         nonlocal accepted
         accepted += 1
         await _read_request(stream)
-        await stream.send_all(HEAD + b"content-length: 2\r\n\r\nok")
+        await stream.send_all(_numbered_response(1, b"ok"))
         await stream.aclose()
 
     async def drive(pool: upstream.ConnectionPool) -> None:
@@ -195,6 +195,63 @@
     _with_server(serve, drive)
 
 
+def _numbered_response(number: int, body: bytes) -> bytes:
+    """Return a response that names the request of its connection that it answers."""
+    fields = b"plantain-exchange: %d\r\ncontent-length: %d" % (number, len(body))
+    return HEAD + fields + b"\r\n\r\n" + body
+
+
+@pytest.mark.parametrize("with_first_answer", [True, False])
+def test_a_second_copy_of_an_answer_reaches_no_other_caller(
+    with_first_answer: bool,
+) -> None:
+    """An upstream repeats an answer at once, or when the connection is in use again."""
+    connection_count = 0
+
+    async def serve(stream: trio.SocketStream) -> None:
+        nonlocal connection_count
+        connection_count += 1
+        name = b"answer %d" % connection_count
+        await _read_request(stream)
+        answer = _numbered_response(1, name)
+        await stream.send_all(answer * (2 if with_first_answer else 1))
+        if await _read_request(stream):
+            await stream.send_all(answer + _numbered_response(2, b"own answer"))
+        await stream.aclose()
+
+    async def drive(pool: upstream.ConnectionPool) -> None:
+        request = messages.Request(method="GET", path="/")
+        first = await upstream.exchange(pool, request, timeout_seconds=2.0)
+        assert first.response is not None
+        assert first.response.body == b"answer 1"
+        second = await upstream.exchange(pool, request, timeout_seconds=2.0)
+        if second.response is None:
+            assert second.error is _exceptions.ErrorKind.UPSTREAM_FAILED
+        else:
+            assert second.response.body == b"answer 2"
+
+    _with_server(serve, drive)
+
+
+def test_a_connection_is_not_reused_if_answers_name_no_request() -> None:
+    """Without the number, a second copy could not be told from the next answer."""
+
+    async def serve(stream: trio.SocketStream) -> None:
+        await _read_request(stream)
+        await stream.send_all(HEAD + b"content-length: 2\r\n\r\nok")
+        assert not await _read_request(stream)
+
+    async def drive(pool: upstream.ConnectionPool) -> None:
+        request = messages.Request(method="GET", path="/")
+        for _ in range(2):
+            result = await upstream.exchange(pool, request, timeout_seconds=2.0)
+            assert result.response is not None
+            assert result.response.body == b"ok"
+            assert pool.idle == []
+
+    _with_server(serve, drive)
+
+
 def _with_standin(settings: standin.Settings, drive: "StandinDrive") -> None:
     async def run_all(pool: upstream.ConnectionPool) -> None:
         await drive(pool, states[0])
--- a/plantainproxy/sidecar/upstream.py
+++ b/plantainproxy/sidecar/upstream.py
@@ -3,6 +3,11 @@
 Each exchange has exclusive use of a connection and counts the bytes that the kernel
 accepted from it. A failed exchange is reported as "not run" only if that count is zero,
 or if the upstream sent a 503 with the header ``plantain-not-run: true``.
+
+HTTP/1.1 does not state which request a response answers. An upstream may send a second
+copy of a response when its connection is in use again. Each request therefore carries
+its number on the connection, and a connection is reused only while the upstream repeats
+the numbers in its responses.
 """
 
 from collections import abc
@@ -32,6 +37,8 @@
 TIMEOUT_HEADER = b"request-timeout-ms"
 NOT_RUN_HEADER = b"plantain-not-run"
 STARTED_HEADER = b"plantain-started"
+EXCHANGE_HEADER = b"plantain-exchange"
+"""Number of the request on its connection, from 1; the response repeats it."""
 HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -45,8 +52,10 @@
         b"upgrade",
     }
 )
-REPLACED_REQUEST_HEADERS = frozenset({b"content-length", b"expect", TIMEOUT_HEADER})
-REMOVED_RESPONSE_HEADERS = frozenset({NOT_RUN_HEADER, STARTED_HEADER})
+REPLACED_REQUEST_HEADERS = frozenset(
+    {b"content-length", b"expect", TIMEOUT_HEADER, EXCHANGE_HEADER}
+)
+REMOVED_RESPONSE_HEADERS = frozenset({NOT_RUN_HEADER, STARTED_HEADER, EXCHANGE_HEADER})
 
 _log = logging.getLogger("plantain.upstream")
 _warn = logs.rate_limited(_log)
@@ -71,6 +80,10 @@
     socket: trio.socket.SocketType
     http: h11.Connection
     idle_since: float = 0.0
+    exchange_number: int = 0
+    """Number of the newest request."""
+    is_reusable: bool = False
+    """Whether the newest response repeated the number of its request."""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -181,10 +194,15 @@
 def _return_to_pool(
     pool: ConnectionPool, connection: Connection, lease: list[Connection]
 ) -> None:
-    """Return a connection to the pool if both sides completed the exchange."""
+    """Return a connection to the pool if both sides completed the exchange.
+
+    Bytes after the response are not the answer to any request.
+    """
     http = connection.http
     if (http.our_state, http.their_state) != (h11.DONE, h11.DONE):
         return
+    if not connection.is_reusable or http.trailing_data[0]:
+        return
     if len(pool.idle) >= MAX_IDLE_CONNECTIONS:
         return
     http.start_next_cycle()
@@ -256,7 +274,8 @@
     response is still read: the upstream may have sent one before it read the request
     to its end.
     """
-    unsent = memoryview(_encode(connection.http, request, timeout_seconds))
+    connection.exchange_number += 1
+    unsent = memoryview(_encode(connection, request, timeout_seconds))
     while unsent:
         try:
             sent_bytes = await connection.socket.send(unsent)
@@ -268,8 +287,9 @@
 
 
 def _encode(
-    http: h11.Connection, request: messages.Request, timeout_seconds: float
+    connection: Connection, request: messages.Request, timeout_seconds: float
 ) -> bytes:
+    http = connection.http
     milliseconds = max(int(timeout_seconds * 1000), 1)
     connection_options = _connection_options(request.headers)
     removed_names = HOP_BY_HOP | REPLACED_REQUEST_HEADERS | connection_options
@@ -281,6 +301,7 @@
     if not any(name.lower() == b"host" for name, _ in fields):
         fields.insert(0, (b"host", b"upstream"))
     fields.append((TIMEOUT_HEADER, b"%d" % milliseconds))
+    fields.append((EXCHANGE_HEADER, b"%d" % connection.exchange_number))
     if request.body or request.method not in {"GET", "HEAD", "OPTIONS"}:
         fields.append((b"content-length", b"%d" % len(request.body)))
     head = h11.Request(
@@ -312,6 +333,7 @@
             connection.http.receive_data(await _read(connection.socket))
         elif isinstance(event, h11.Response):
             head = event
+            _check_exchange_number(connection, head)
         elif isinstance(event, h11.Data):
             body += event.data
             if len(body) > MAX_RESPONSE_BYTES:
@@ -322,6 +344,19 @@
             raise h11.RemoteProtocolError("the answer is cut")
 
 
+def _check_exchange_number(connection: Connection, head: h11.Response) -> None:
+    """Raise an error if a response answers another request of its connection."""
+    repeated = dict(head.headers).get(EXCHANGE_HEADER)
+    expected = b"%d" % connection.exchange_number
+    connection.is_reusable = repeated == expected
+    is_first = connection.exchange_number == 1
+    if repeated != expected and not (is_first and repeated is None):
+        raise h11.RemoteProtocolError(
+            f"the answer is for request {repeated!r} of the connection, "
+            f"expected {expected!r}"
+        )
+
+
 async def _read(source: trio.socket.SocketType) -> bytes:
     """Read some bytes; the end of the stream is always an error.
 
--- a/plantainproxy/store/http.py
+++ b/plantainproxy/store/http.py
@@ -157,7 +157,12 @@
 
 def _release(pool: Pool, connection: Connection) -> None:
     protocol = connection.protocol
-    is_reusable = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
+    # Bytes after the response are not the answer to any request.
+    is_reusable = (
+        protocol.our_state is h11.DONE
+        and protocol.their_state is h11.DONE
+        and not protocol.trailing_data[0]
+    )
     if not is_reusable or len(pool.idle) >= MAX_IDLE_CONNECTIONS:
         connection.stream.socket.close()
         return
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -23,6 +23,8 @@
 TIMEOUT_HEADER = b"request-timeout-ms"
 KEY_HEADER = b"idempotency-key"
 TOKEN_HEADER = b"token"
+EXCHANGE_HEADER = b"plantain-exchange"
+"""Number of a request on its connection; responses repeat it."""
 FREEZE = "freeze"
 CUT = "cut"
 CLOSE = "close"
@@ -432,6 +434,8 @@
         (b"content-length", b"%d" % len(body)),
         *response.headers,
     ]
+    if number := request.headers.get(EXCHANGE_HEADER):
+        fields.append((EXCHANGE_HEADER, number))
     head = connection.send(h11.Response(status_code=response.status, headers=fields))
     if request.method == "HEAD":
         body = b""
