A sidecar that was paused does not start requests whose sender has given up

The time that a sibling states for a request also passes while this process is frozen or its machine suspended. Tests failed before: a request that waited 2 s of a stated 1 s was started.

--- a/plantainproxy/sidecar/context.py
+++ b/plantainproxy/sidecar/context.py
@@ -7,7 +7,7 @@
 
 from plantainproxy import _types
 from plantainproxy.config import model
-from plantainproxy.core import admission, claims, placement, retry
+from plantainproxy.core import admission, claims, pauses, placement, retry
 from plantainproxy.rpc import messages
 from plantainproxy.sidecar import claims as claim_calls
 from plantainproxy.sidecar import upstream
@@ -67,6 +67,9 @@
         default_factory=trio.lowlevel.ParkingLot
     )
     """Requests that wait for capacity on the local upstream, first in, first out."""
+    pause_detector: pauses.Detector = dataclasses.field(
+        default_factory=lambda: pauses.Detector(last_run_at=pauses.clock())
+    )
     ticket_cache: claim_calls.TicketCache = dataclasses.field(
         default_factory=claim_calls.TicketCache
     )
--- a/plantainproxy/sidecar/main.py
+++ b/plantainproxy/sidecar/main.py
@@ -11,7 +11,7 @@
 import trio
 
 from plantainproxy import _daemon, _lifecycle, _types
-from plantainproxy.core import admission
+from plantainproxy.core import admission, pauses
 from plantainproxy.membership import sidecar as membership
 from plantainproxy.rpc import bridge, messages, methods
 from plantainproxy.settings import check, model
@@ -117,6 +117,12 @@
     )
 
 
+async def _detect_pauses(components: sidecar_components.Components) -> None:
+    while True:
+        pauses.record_run(components.state.pause_detector, now=pauses.clock())
+        await trio.sleep(pauses.CHECK_INTERVAL_SECONDS)
+
+
 async def _run_components(
     components: sidecar_components.Components,
     lifecycle: _lifecycle.Lifecycle,
@@ -149,6 +155,7 @@
             ),
         )
         nursery.start_soon(_report_metrics, components)
+        nursery.start_soon(_detect_pauses, components)
         nursery.start_soon(_stop_on_signal, components, lifecycle)
         logger.info("Started for pool %s.", settings.pool)
         print(f"ready {settings.tunnel_address}", flush=True)
--- a/plantainproxy/sidecar/requests.py
+++ b/plantainproxy/sidecar/requests.py
@@ -12,7 +12,7 @@
 import trio
 
 from plantainproxy import _exceptions, _types
-from plantainproxy.core import admission, problem, retry, tickets
+from plantainproxy.core import admission, pauses, problem, retry, tickets
 from plantainproxy.rpc import messages
 from plantainproxy.sidecar import attempts, checks, claims, context
 
@@ -66,9 +66,11 @@
 ) -> messages.ExecuteReply:
     """Run a sibling's request on the local upstream, or refuse it.
 
-    The request is never forwarded again.
+    The request is never forwarded again. The sender's time also passes while this
+    process is paused, so a request that may have waited that long is refused.
     """
-    deadline = trio.current_time() + request.timeout_milliseconds / 1000
+    waited = pauses.waited_seconds(state.pause_detector, now=pauses.clock())
+    deadline = trio.current_time() + request.timeout_milliseconds / 1000 - waited
     checked = _admit_execute(state, request, deadline)
     if isinstance(checked, _exceptions.ErrorKind):
         return _execute_reply(
@@ -203,7 +205,7 @@
         return _exceptions.ErrorKind.NO_UPSTREAM
     if not local.admits:
         return _exceptions.ErrorKind.OVERLOADED
-    if request.timeout_milliseconds <= 0:
+    if deadline <= trio.current_time():
         return _exceptions.ErrorKind.DEADLINE_EXPIRED
     return checks.CheckedRequest(
         request=request.request,
--- a/plantainproxy/sidecar/tests/test_requests.py
+++ b/plantainproxy/sidecar/tests/test_requests.py
@@ -12,7 +12,7 @@
 
 from plantainproxy import _exceptions, _types
 from plantainproxy.config import model
-from plantainproxy.core import admission, tickets
+from plantainproxy.core import admission, pauses, tickets
 from plantainproxy.core import claims as claim_table
 from plantainproxy.rpc import messages
 from plantainproxy.sidecar import attempts, claims, context, requests, upstream
@@ -383,6 +383,38 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize(
+    ("pause_seconds", "detected_first", "runs"),
+    [(0.0, False, 1), (2.0, False, 0), (2.0, True, 0), (0.6, True, 1)],
+)
+def test_a_request_that_waited_for_a_paused_sidecar_is_not_started_late(
+    pause_seconds: float, detected_first: bool, runs: int
+) -> None:
+    """The sibling that handed it over has given it up and told its caller so.
+
+    After the pause the periodic check or the request may be handled first.
+    """
+
+    async def scenario(fleet: Fleet) -> None:
+        state = fleet.states[_address(0)]
+        state.pause_detector.last_run_at = pauses.clock() - pause_seconds
+        if detected_first:
+            pauses.record_run(state.pause_detector, now=pauses.clock())
+        reply = await requests.handle_execute(
+            state,
+            fleet.ports(_address(0)),
+            messages.ExecuteRequest(
+                service=SERVICE, request=_request(), timeout_milliseconds=1000
+            ),
+        )
+        assert len(fleet.runs) == runs
+        if not runs:
+            assert reply.error is Kind.DEADLINE_EXPIRED
+            assert _exceptions.ANSWERS[reply.error].outcome is Outcome.NOT_RUN
+
+    _run(scenario)
+
+
 @pytest.mark.parametrize("second", [0, 1, 2])
 def test_repeated_key_gets_the_stored_answer_everywhere(second: int) -> None:
     """A repeated key gets the stored response through any sidecar.
