--- a/testbed/proofs.py
+++ b/testbed/proofs.py
@@ -12,6 +12,7 @@
 ROOT = pathlib.Path(__file__).parent.parent
 RESULTS = ROOT / "out" / "proofs.json"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+FIELD_FAULTS = ROOT / "docs" / "FIELD_FAULTS.md"
 UNPROVED = ROOT / "docs" / "UNPROVED.md"
 OUTPUT = ROOT / "docs" / "PROOFS.md"
 
@@ -79,8 +80,11 @@
     lines += ["## Known red", ""]
     known_red = KNOWN_RED.read_text(encoding="utf-8") if KNOWN_RED.exists() else ""
     lines += [known_red.strip() or "None.", ""]
-    if UNPROVED.exists():
-        lines.append(UNPROVED.read_text(encoding="utf-8"))
+    lines += [
+        page.read_text(encoding="utf-8")
+        for page in (FIELD_FAULTS, UNPROVED)
+        if page.exists()
+    ]
     return "\n".join(lines)
 
 
