--- a/plantainproxy/flows/control/relay_selection.py
+++ b/plantainproxy/flows/control/relay_selection.py
@@ -5,6 +5,8 @@
 a moment, which only costs some messages.
 """
 
+import heapq
+
 import xxhash
 
 from plantainproxy import _types
@@ -15,26 +17,27 @@
 report."""
 
 
-def choose_relays(
-    view: upstreams.View, domain: str, *, now: float
-) -> tuple[_types.Address, ...]:
-    """Return the relays of a domain, best first; empty if it has no live sidecar.
+def relays_by_domain(
+    view: upstreams.View, *, now: float
+) -> dict[str, tuple[_types.Address, ...]]:
+    """Return the relays of each domain that has a live sidecar, best first.
 
     Sidecars with a recent report come first. Without one, a listed sidecar may be
     chosen: after a start no report has arrived yet.
     """
-    candidates = [
-        upstream
-        for upstream in view.upstreams.values()
-        if upstream.domain == domain and _may_relay(upstream, now=now)
-    ]
-    candidates.sort(
-        key=lambda upstream: (
-            not upstreams.is_fresh(upstream, now=now),
-            _rank(upstream.address, domain),
+    ranked: dict[str, list[tuple[bool, int, _types.Address]]] = {}
+    for upstream in view.upstreams.values():
+        domain = upstream.domain
+        if domain and _may_relay(upstream, now=now):
+            is_stale = not upstreams.is_fresh(upstream, now=now)
+            rank = _rank(upstream.address, domain)
+            ranked.setdefault(domain, []).append((is_stale, rank, upstream.address))
+    return {
+        domain: tuple(
+            address for _, _, address in heapq.nsmallest(RELAYS_PER_DOMAIN, candidates)
         )
-    )
-    return tuple(upstream.address for upstream in candidates[:RELAYS_PER_DOMAIN])
+        for domain, candidates in ranked.items()
+    }
 
 
 def _may_relay(upstream: upstreams.Upstream, *, now: float) -> bool:
--- a/plantainproxy/flows/control/report_requests.py
+++ b/plantainproxy/flows/control/report_requests.py
@@ -23,7 +23,8 @@
     while they count as lost. In a domain without a relay, balancers subscribe to all
     sidecars.
     """
-    relays = relay_selection.choose_relays(view, view.domain, now=now)
+    relays_by_domain = relay_selection.relays_by_domain(view, now=now)
+    relays = relays_by_domain.pop(view.domain, ())
     if not relays:
         subscription = _report_request(view, policies, relays, subscribes=True)
         return [Request(list(view.upstreams), subscription)]
@@ -41,7 +42,7 @@
     return [
         Request(in_domain, _report_request(view, policies, relays, subscribes=True)),
         Request(lost, _report_request(view, policies, (), subscribes=False)),
-        *_relay_requests(view, relays, now=now),
+        *_relay_requests(view, relays, list(relays_by_domain.values())),
     ]
 
 
@@ -73,21 +74,18 @@
 
 
 def _relay_requests(
-    view: upstreams.View, relays: tuple[_types.Address, ...], *, now: float
+    view: upstreams.View,
+    relays: tuple[_types.Address, ...],
+    peers_by_domain: list[tuple[_types.Address, ...]],
 ) -> list[Request]:
     """Return the requests to the relays, each with one relay of every other domain."""
-    domains = {upstream.domain for upstream in view.upstreams.values()}
-    peers_by_domain = [
-        relay_selection.choose_relays(view, domain, now=now)
-        for domain in sorted(domains - {view.domain, ""})
-    ]
     return [
         Request(
             [relay],
             messages.RelayRequest(
                 domain=view.domain,
                 peers=tuple(
-                    peers[index % len(peers)].host for peers in peers_by_domain if peers
+                    peers[index % len(peers)].host for peers in peers_by_domain
                 ),
             ),
         )
--- a/plantainproxy/flows/tests/test_relay.py
+++ b/plantainproxy/flows/tests/test_relay.py
@@ -92,9 +92,9 @@
         report = first.upstreams[address].report
         assert report is not None
         upstreams.apply_report(second, address, report, now=100.0)
-    chosen = relay_selection.choose_relays(first, HOME, now=100.0)
+    chosen = relay_selection.relays_by_domain(first, now=100.0)[HOME]
     assert len(chosen) == relay_selection.RELAYS_PER_DOMAIN
-    assert relay_selection.choose_relays(second, HOME, now=100.0) == chosen
+    assert relay_selection.relays_by_domain(second, now=100.0)[HOME] == chosen
 
 
 @pytest.mark.parametrize(
@@ -108,21 +108,21 @@
 def test_a_sidecar_that_is_about_to_stop_is_no_relay(report: messages.Report) -> None:
     """A release replaces all hosts of a pool, relays among them."""
     view = view_with(*[HOME] * 6)
-    leaving = relay_selection.choose_relays(view, HOME, now=100.0)[0]
+    leaving = relay_selection.relays_by_domain(view, now=100.0)[HOME][0]
     upstreams.apply_report(view, leaving, report, now=100.1)
-    assert leaving not in relay_selection.choose_relays(view, HOME, now=100.1)
+    assert leaving not in relay_selection.relays_by_domain(view, now=100.1)[HOME]
 
 
 def test_a_silent_sidecar_is_replaced_as_relay_before_it_counts_as_lost() -> None:
     """Both relays may be frozen at once."""
     view = view_with(*[HOME] * 6)
-    silent = relay_selection.choose_relays(view, HOME, now=100.0)
+    silent = relay_selection.relays_by_domain(view, now=100.0)[HOME]
     now = 100.1 + upstreams.REPORT_FRESH_SECONDS
     for address in view.upstreams:
         if address not in silent:
             report = transparent.make_report(number=2)
             upstreams.apply_report(view, address, report, now=now)
-    assert not set(silent) & set(relay_selection.choose_relays(view, HOME, now=now))
+    assert not set(silent) & set(relay_selection.relays_by_domain(view, now=now)[HOME])
 
 
 def test_a_balancer_asks_its_domain_and_the_relays_only() -> None:
--- a/testbed/flow_site.py
+++ b/testbed/flow_site.py
@@ -234,10 +234,13 @@
     number: int,
     balancers: int = 2,
     upstreams: int = 3,
+    domains: int = 2,
     store_links: bool = False,
 ) -> abc.AsyncIterator[Site]:
     """Run a site whose processes are ready, and terminate these processes at exit.
 
+    Balancers and sidecars are distributed over the failure domains in turn.
+
     With ``store_links`` each process reaches the store through its own fault proxy.
     """
     site = Site(directory, number=number)
@@ -256,7 +259,7 @@
                 node = site.add_node(
                     "sidecar",
                     index,
-                    domain=f"d{index % 2}",
+                    domain=f"d{index % domains}",
                     store_link=await open_store_link(),
                 )
                 ports = site.ports
@@ -274,7 +277,7 @@
                 node = site.add_node(
                     "balancer",
                     index,
-                    domain=f"d{index % 2}",
+                    domain=f"d{index % domains}",
                     store_link=await open_store_link(),
                 )
                 site.start(node)
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -23,8 +23,6 @@
 from testbed import flow_site
 
 CALLERS = 8
-UPSTREAMS = 4
-BALANCERS = 3
 RECOVERY_SECONDS = 4.0
 """Time without faults at the end of a run, in which service must recover.
 
@@ -43,6 +41,21 @@
 NETWORK_BASE = 60
 """First loopback network of the soak test; each seed uses a network of its own."""
 NETWORKS = 100
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SitePlan:
+    """Size of the site on which a seed runs."""
+
+    domains: int
+    upstreams: int
+    balancers: int
+
+
+SMALL = SitePlan(domains=2, upstreams=4, balancers=3)
+"""Every sidecar is a relay of its domain."""
+WITH_RELAYS = SitePlan(domains=3, upstreams=9, balancers=4)
+"""Each domain has a sidecar that is no relay; one has two balancers."""
 REGRESSION_SEEDS = {
     1: (
         "the stand-in upstream executed a delayed retransmission again; "
@@ -162,6 +175,39 @@
         node.signal(signal.SIGCONT)
 
 
+async def pause_domain(run: SoakRun) -> None:
+    """Pause all sidecars of a failure domain, and so its relays, for 0.2 s to 2.5 s."""
+    domain = run.random.choice(sorted({node.domain for node in run.site.sidecars}))
+    nodes = [
+        node
+        for node in run.site.sidecars
+        if node.domain == domain and node.settings_path not in run.reserved_nodes
+    ]
+    run.record_action(f"SIGSTOP sidecars of {domain}")
+    paths = {node.settings_path for node in nodes}
+    run.reserved_nodes |= paths
+    for node in nodes:
+        node.signal(signal.SIGSTOP)
+    await trio.sleep(run.random.uniform(0.2, 2.5))
+    for node in nodes:
+        node.signal(signal.SIGCONT)
+    run.reserved_nodes -= paths
+
+
+async def restart_in_series(run: SoakRun) -> None:
+    """Stop and start the sidecars of a failure domain one after the other."""
+    domain = run.random.choice(sorted({node.domain for node in run.site.sidecars}))
+    run.record_action(f"SIGTERM sidecars of {domain} in turn")
+    for node in run.site.sidecars:
+        if node.domain != domain or node.settings_path in run.reserved_nodes:
+            continue
+        run.reserved_nodes.add(node.settings_path)
+        node.signal(signal.SIGTERM)
+        await node.wait()
+        run.site.start(node)
+        run.reserved_nodes.discard(node.settings_path)
+
+
 async def reload_settings(run: SoakRun) -> None:
     """Send SIGHUP to a process, which reloads its settings."""
     with _reserve_node(run) as node:
@@ -283,14 +329,17 @@
     drain,
     evacuate,
 )
+RELAY_ACTIONS: tuple[Action, ...] = (*ACTIONS, pause_domain, restart_in_series)
 
 
-async def inject_faults(run: SoakRun, seconds: float) -> None:
+async def inject_faults(
+    run: SoakRun, seconds: float, actions: abc.Sequence[Action]
+) -> None:
     """Start random actions at random intervals; several may overlap."""
     async with trio.open_nursery() as nursery:
         end = trio.current_time() + seconds
         while trio.current_time() < end:
-            nursery.start_soon(run.random.choice(ACTIONS), run)
+            nursery.start_soon(run.random.choice(actions), run)
             await trio.sleep(run.random.uniform(0.1, 1.2))
 
 
@@ -319,20 +368,28 @@
             yield f"{node.settings_path.stem} exited unexpectedly with code {code}"
 
 
-async def run_seed(seed: int, seconds: float, directory: pathlib.Path) -> SoakRun:
+async def run_seed(
+    seed: int,
+    seconds: float,
+    directory: pathlib.Path,
+    *,
+    plan: SitePlan = WITH_RELAYS,
+) -> SoakRun:
     """Run one seed: inject faults for ``seconds``, then check the recovery."""
     async with flow_site.running(
         directory,
         number=NETWORK_BASE + seed % NETWORKS,
-        balancers=BALANCERS,
-        upstreams=UPSTREAMS,
+        balancers=plan.balancers,
+        upstreams=plan.upstreams,
+        domains=plan.domains,
         store_links=True,
     ) as site:
         run = SoakRun(site, seed)
         async with trio.open_nursery() as nursery:
             for index in range(CALLERS):
                 nursery.start_soon(send_requests_forever, run, index)
-            await inject_faults(run, seconds)
+            actions = ACTIONS if plan is SMALL else RELAY_ACTIONS
+            await inject_faults(run, seconds, actions)
             await trio.sleep(RECOVERY_SECONDS)
             run.result.violations = list(find_violations(run, end=trio.current_time()))
             nursery.cancel_scope.cancel()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Regression tests: short runs of the soak test under seeds that have failed."""
 
+import functools
 import pathlib
 
 import pytest
@@ -15,6 +16,19 @@
     tmp_path: pathlib.Path, seed: int
 ) -> None:
     """``REGRESSION_SEEDS`` states the cause of each seed's failure."""
-    run = trio.run(soak.run_seed, seed, SECONDS, tmp_path)
+    _check_seed(seed, tmp_path, soak.SMALL)
+
+
+@pytest.mark.parametrize("seed", [101, 102])
+def test_nothing_breaks_on_a_site_with_relays(
+    tmp_path: pathlib.Path, seed: int
+) -> None:
+    """Faults include pauses of all relays of a domain, and signals in series."""
+    _check_seed(seed, tmp_path, soak.WITH_RELAYS)
+
+
+def _check_seed(seed: int, directory: pathlib.Path, plan: soak.SitePlan) -> None:
+    run_seed = functools.partial(soak.run_seed, plan=plan)
+    run = trio.run(run_seed, seed, SECONDS, directory)
     assert run.result.violations == []
     assert run.result.answered > 0
