--- a/plantainproxy/flows/flow_snapshot.py
+++ b/plantainproxy/flows/flow_snapshot.py
@@ -19,6 +19,10 @@
 SAVE_INTERVAL_SECONDS = 5.0
 """Minimum interval between writes of a changed snapshot. Flows live for about a minute,
 and the store limits the rate of writes."""
+MIN_CHANGED_SHARE = 0.25
+"""Share of the flows that must have been opened or ended for a new write. A snapshot
+that names most flows is worth nearly as much as one that names all, and each write is
+one of the calls that all processes share."""
 MAX_WRITE_SHARE = 0.05
 """Maximum share of the store's write rate that all snapshots together may use."""
 
@@ -58,11 +62,14 @@
     while True:
         await trio.sleep(_save_interval_seconds(writer, engine))
         new_snapshot = take_snapshot(engine)
-        if new_snapshot is None or frozenset(new_snapshot.flows) == saved_flows:
+        if new_snapshot is None:
+            continue
+        flows = frozenset(new_snapshot.flows)
+        if not is_worth_writing(flows, saved_flows):
             continue
         try:
             if await _write(writer, new_snapshot):
-                saved_flows = frozenset(new_snapshot.flows)
+                saved_flows = flows
         except (_exceptions.PlantainError, revisioned.LeaseEndedError) as error:
             writer.log.write_limited("record not written", detail=str(error))
 
@@ -85,6 +92,14 @@
             await backoff.wait()
 
 
+def is_worth_writing(flows: frozenset[bytes], saved_flows: frozenset[bytes]) -> bool:
+    """Return whether enough flows differ from those in the stored snapshot."""
+    changed_count = len(flows ^ saved_flows)
+    return changed_count > 0 and changed_count >= MIN_CHANGED_SHARE * max(
+        len(flows), len(saved_flows)
+    )
+
+
 def take_snapshot(engine: sidecar.Engine) -> FlowSnapshot | None:
     """Return a snapshot of the open flows.
 
