--- a/plantainproxy/store/port.py
+++ b/plantainproxy/store/port.py
@@ -3,16 +3,19 @@
 A call raises ``PlantainError`` of kind ``STORE_UNAVAILABLE`` if the store did not
 apply it, and of kind ``CHANGE_UNKNOWN`` if the response to a write was lost, so that
 its outcome is unknown. Each call returns or raises within the adapter's call timeout.
+
+The values are structs, whose definition takes a tenth of the time of data classes: it
+counts at the start of every process.
 """
 
 from collections import abc
 import contextlib
-import dataclasses
 import typing
 
+import msgspec
+
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Entry:
+class Entry(msgspec.Struct, frozen=True, kw_only=True):
     """A key with its value and revision."""
 
     key: str
@@ -21,8 +24,7 @@
     """The store revision of the last write to the key."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Compare:
+class Compare(msgspec.Struct, frozen=True, kw_only=True):
     """A precondition of a transaction on one key."""
 
     key: str
@@ -30,8 +32,7 @@
     """The required revision of the last write; 0 if the key must not exist."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Put:
+class Put(msgspec.Struct, frozen=True, kw_only=True):
     """An operation that sets one key."""
 
     key: str
@@ -43,15 +44,13 @@
     """
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Delete:
+class Delete(msgspec.Struct, frozen=True, kw_only=True):
     """An operation that deletes one key."""
 
     key: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Transaction:
+class Transaction(msgspec.Struct, frozen=True, kw_only=True):
     """Operations that are applied atomically if all preconditions hold."""
 
     compares: tuple[Compare, ...]
@@ -59,8 +58,7 @@
     deletes: tuple[Delete, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Change:
+class Change(msgspec.Struct, frozen=True, kw_only=True):
     """A change that a watch received.
 
     ``entry`` is ``None`` if the key was deleted.
