Wait for a relay's notice for 1.8 s after the first read

After a mass restart the balancers, which name the relays, start after the sidecars: with 0.6 s every sidecar would have armed a watch of its own (worked out, not measured).

--- a/plantainproxy/flows/control/documents.py
+++ b/plantainproxy/flows/control/documents.py
@@ -14,9 +14,10 @@
 from plantainproxy.flows.control import coverage, document_exchange
 from plantainproxy.flows.stored import follower, registry
 
-FIRST_WATCH_GRACE_SECONDS = 0.6
+FIRST_WATCH_GRACE_SECONDS = 1.8
 """How long a process waits for a relay's notice after a read before it watches the
-store itself: longer than the interval of notices."""
+store itself. After a mass restart the balancers that name the relays start last; well
+below the time in which a change has to be in force."""
 
 
 class Documents:
