Reports of a sidecar's processes are ordered by their start

Boot IDs are now start times, and a relayed report replaces that of another process only if its process started later; what the sidecar sends itself always counts.

--- a/plantainproxy/flows/engine/balancer.py
+++ b/plantainproxy/flows/engine/balancer.py
@@ -388,9 +388,16 @@
 
 
 def _handle_report(
-    engine: Engine, report: messages.Report, sender: _types.Address, *, now: float
+    engine: Engine,
+    report: messages.Report,
+    sender: _types.Address,
+    *,
+    now: float,
+    is_relayed: bool = False,
 ) -> None:
-    if not upstreams.apply_report(engine.view, sender, report, now=now):
+    if not upstreams.apply_report(
+        engine.view, sender, report, now=now, is_relayed=is_relayed
+    ):
         return
     engine.log.write(
         "upstream seen",
@@ -414,7 +421,9 @@
         address = _types.Address(relayed.host, relay.port)
         sent_at = now - relayed.age_ms / messages.MILLISECONDS_PER_SECOND
         if isinstance(relayed.report, messages.Report):
-            _handle_report(engine, relayed.report, address, now=sent_at)
+            _handle_report(
+                engine, relayed.report, address, now=sent_at, is_relayed=True
+            )
         else:
             upstreams.apply_load(engine.view, address, relayed.report, now=sent_at)
 
--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -74,7 +74,7 @@
     message_port: int
     """UDP port on which balancers receive messages."""
     boot: int
-    """Random number that identifies this process."""
+    """Start of this process in milliseconds since the epoch, which identifies it."""
 
 
 class PendingQuery(msgspec.Struct):
--- a/plantainproxy/flows/engine/upstreams.py
+++ b/plantainproxy/flows/engine/upstreams.py
@@ -21,8 +21,6 @@
 RELAYED_REPORT_OVERDUE_SECONDS = 0.95
 """The same for sidecars of other domains: relays delay their reports by up to a quarter
 of a second. Early enough for several requests before the sidecar counts as lost."""
-MAX_SUPERSEDED_BOOTS = 8
-"""How many earlier processes of a sidecar are remembered."""
 LOSS_TIMEOUT_SECONDS = 3.0
 """Time without a report after which a sidecar counts as lost. Above the time that a
 planned restart of a sidecar takes."""
@@ -64,9 +62,6 @@
     """The upstream gets no new flows before this time."""
     listed_domain: str = ""
     """Failure domain according to the store's list."""
-    superseded_boots: tuple[int, ...] = ()
-    """Boot IDs of earlier processes of the sidecar. A relay that was paused may still
-    pass on their reports."""
 
     @property
     def domain(self) -> str:
@@ -184,10 +179,20 @@
 
 
 def apply_report(
-    view: View, address: _types.Address, report: messages.Report, *, now: float
+    view: View,
+    address: _types.Address,
+    report: messages.Report,
+    *,
+    now: float,
+    is_relayed: bool = False,
 ) -> bool:
     """Apply a report that the sidecar sent at ``now`` unless it is outdated.
 
+    A relay that was paused may pass on reports of an earlier process of the sidecar.
+    So a relayed report replaces that of another process only if its process started
+    later. If the sidecar's clock was set back between the two starts, the next report
+    that this balancer requests from the sidecar itself ends the confusion.
+
     Returns whether the report is the first one or differs from the previous one in its
     pool, boot ID, state or flags ``cold``, ``stopping`` and ``suspect``.
     """
@@ -196,11 +201,8 @@
     previous = upstream.report
     if previous and previous.boot == report.boot and previous.number >= report.number:
         return False
-    if report.boot in upstream.superseded_boots:
+    if is_relayed and previous and previous.boot > report.boot:
         return False
-    if previous and previous.boot != report.boot:
-        superseded = (*upstream.superseded_boots, previous.boot)
-        upstream.superseded_boots = superseded[-MAX_SUPERSEDED_BOOTS:]
     upstream.report = report
     upstream.data_address = data_address
     upstream.last_report_at = max(upstream.last_report_at, now)
--- a/plantainproxy/flows/messages.py
+++ b/plantainproxy/flows/messages.py
@@ -91,7 +91,7 @@
     """State and load of an upstream, sent by its sidecar."""
 
     boot: int
-    """Random ID of the sidecar process; it changes with each restart."""
+    """Start of the sidecar process in milliseconds since the epoch, on its clock."""
     number: int
     """Sequence number that rises with each report of one process."""
     revision: int
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -3,7 +3,6 @@
 from collections import abc
 import contextlib
 import functools
-import random
 import socket
 import time
 
@@ -26,6 +25,7 @@
 TICK_INTERVAL_SECONDS = 0.02
 """Interval between checks for overdue queries, grace periods and due reports."""
 EVICTION_INTERVAL_SECONDS = 2.0
+NANOSECONDS_PER_MILLISECOND = 1_000_000
 
 
 class Port:
@@ -99,7 +99,7 @@
             ),
             data_port=node_settings.data_address.port,
             message_port=node_settings.message_port,
-            boot=random.getrandbits(32),
+            boot=time.time_ns() // NANOSECONDS_PER_MILLISECOND,
         )
         self.engine = sidecar.Engine(
             port=self.port,
--- a/plantainproxy/flows/tests/test_relay.py
+++ b/plantainproxy/flows/tests/test_relay.py
@@ -237,6 +237,33 @@
     assert harness.engine.view.upstreams[transparent.address(1)].report == restarted
 
 
+def test_a_process_between_two_others_does_not_return() -> None:
+    """A sidecar restarts twice; a relay passes on the second process's report late.
+
+    The balancer had not heard of that process, and refused the third one for good.
+    """
+    harness = transparent.ready_balancer(count=1)
+    harness.handle_message(1, transparent.make_report(boot=3, number=1))
+    late = messages.RelayedReport(
+        host=transparent.address(1).host,
+        age_ms=0,
+        report=transparent.make_report(boot=2, number=1),
+    )
+    harness.handle_message(2, messages.ReportBatch(reports=(late,)))
+    newest = transparent.make_report(boot=3, number=2)
+    harness.handle_message(1, newest)
+    assert harness.engine.view.upstreams[transparent.address(1)].report == newest
+
+
+def test_a_sidecar_whose_clock_was_set_back_is_heard_itself() -> None:
+    """Its new process seems to have started before the earlier one."""
+    harness = transparent.ready_balancer(count=1)
+    harness.handle_message(1, transparent.make_report(boot=9, number=50))
+    restarted = transparent.make_report(boot=2, number=1)
+    harness.handle_message(1, restarted)
+    assert harness.engine.view.upstreams[transparent.address(1)].report == restarted
+
+
 def test_a_relayed_report_is_as_old_as_its_age_says() -> None:
     """Otherwise a sidecar that has fallen silent would count as alive for longer."""
     harness = transparent.ready_balancer(count=1)
--- a/testbed/control_site.py
+++ b/testbed/control_site.py
@@ -332,7 +332,7 @@
     def restart(self, node: SidecarNode) -> SidecarNode:
         """Start a sidecar's process again without its state."""
         replacement = SidecarNode(
-            self, node.address, node.domain, boot=self.random.getrandbits(32)
+            self, node.address, node.domain, boot=round(self.now * 1_000)
         )
         self.nodes[node.address] = replacement
         return replacement
