Room is divided among the balancers of all domains

Cause: relays bring reports to balancers that do not subscribe, but the room of a saturated upstream was divided among the subscribers of its own domain only, so the balancers together sent more openings than it had room for, and each refusal costs a round trip and a wait.

--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -122,6 +122,9 @@
         """When a draining upstream that no longer listens counts as ended."""
         self.pending_queries: dict[bytes, PendingQuery] = {}
         self.subscribers: dict[_types.Address, Subscriber] = {}
+        self.balancers_seen: dict[bytes, float] = {}
+        """Packed addresses of the balancers of all domains that asked for reports or
+        sent openings, and when each last did."""
         self.fleet_size = 1
         """Number of sidecars that the last ``ReportRequest`` of a balancer stated."""
         self.previous_snapshot: tuple[int, dict[bytes, int]] | None = None
@@ -378,6 +381,7 @@
     brought none for a while.
     """
     engine.fleet_size = request.sidecars
+    engine.balancers_seen[socket.inet_aton(sender.host)] = now
     if not request.subscribes:
         engine.port.send_message(sender, _report(engine, now=now))
         return
@@ -433,6 +437,9 @@
         flow_table.evict_expired(
             engine.table, now=now, idle_seconds=current.idle_seconds
         )
+    for balancer, seen_at in list(engine.balancers_seen.items()):
+        if now - seen_at >= SUBSCRIPTION_TIMEOUT_SECONDS:
+            del engine.balancers_seen[balancer]
     for process, subscriber in list(engine.subscribers.items()):
         timeout_seconds = (
             RELAY_TIMEOUT_SECONDS
@@ -524,8 +531,9 @@
     if engine.table.running_requests < _slots(engine):
         return room
     # Each balancer may use its full allowance before the next report, so the
-    # remaining capacity is divided among them.
-    return math.ceil(room / max(balancer_count(engine), 1))
+    # remaining capacity is divided among them, also those of other domains, which
+    # get the report from relays.
+    return math.ceil(room / max(len(engine.balancers_seen), 1))
 
 
 def _report(engine: Engine, *, now: float) -> messages.Report:
@@ -561,6 +569,7 @@
 
 
 def _handle_opening(engine: Engine, packet: packets.Packet, *, now: float) -> None:
+    engine.balancers_seen[packet.balancer] = now
     is_copy = packet.flow in engine.table.flows
     cold_wait = 0.0 if is_copy else _cold_wait(engine, now=now)
     refusal = admission.check_opening(
--- a/plantainproxy/flows/tests/test_load.py
+++ b/plantainproxy/flows/tests/test_load.py
@@ -147,6 +147,34 @@
     assert harness.port.last_report().room == 1
 
 
+def test_reports_divide_the_room_among_the_balancers_of_all_domains() -> None:
+    """Balancers of other domains get the same reports from relays.
+
+    Pattern: everything restarts, and the openings of all domains queue for the few
+    upstreams with room. On dcd-hobart a domain has one or two of the five balancers.
+    """
+    harness = transparent.ready_sidecar()
+    for number in range(4):
+        harness.open(transparent.flow_key(number))
+        harness.request(transparent.flow_key(number))
+    for number in (2, 3):
+        harness.handle_report_request(
+            transparent.address(number),
+            domain=transparent.OTHER_DOMAIN,
+            subscribes=False,
+        )
+    harness.handle_inbound(
+        transparent.make_packet(
+            transparent.flow_key(99), opening=True, balancer="10.0.9.9"
+        )
+    )
+    harness.tick(1.0)
+    assert harness.port.last_report().room == 1
+    harness.tick(sidecar.SUBSCRIPTION_TIMEOUT_SECONDS)
+    sidecar.evict_expired(harness.engine, now=harness.now)
+    assert harness.engine.balancers_seen == {}
+
+
 def test_retransmitted_openings_are_aged_from_the_first_one() -> None:
     """After an outage most openings that arrive are retransmissions of old ones."""
     harness = transparent.ready_balancer(count=1)
