A stopping sidecar remains the home of open idempotency keys

A POST with a key was refused as not run by a stopping sidecar whose siblings were overloaded, and repeated through a sibling after its connection had moved. The sidecar had ended with its last connection, so the claim failed and the outcome was "unknown", although nothing had run.

The sidecar now stays, within its grace, until granted keys are settled and until refused requests have been repeated or have reached their deadlines. Only the home still grants a key, from the same table, so at-most-once holds as before.

--- a/plantainproxy/core/claims.py
+++ b/plantainproxy/core/claims.py
@@ -61,6 +61,11 @@
     )
     """Keys with a stored response and the number of their grant, oldest first."""
     stored_bytes: int = 0
+    open_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    """Keys that only this home can still resolve, and until when.
+
+    A granted key is open until it is settled. A key that was settled as not run is
+    open until the deadline of its request, because its caller may repeat it."""
     last_grant: int = 0
 
 
@@ -98,8 +103,10 @@
     entry = table.entries.get(request.key)
     if entry is None or entry.grant != request.grant or entry.phase is Phase.DONE:
         return
+    table.open_until.pop(request.key, None)
     if request.outcome is _types.Outcome.NOT_RUN:
         _release(table, request.key)
+        table.open_until[request.key] = entry.running_until - SETTLE_GRACE_SECONDS
         return
     if request.outcome is _types.Outcome.UNKNOWN or request.response is None:
         entry.phase = Phase.UNKNOWN
@@ -115,9 +122,15 @@
     ]:
         for key in table.keys_by_issue_time.pop(issued):
             entry = table.entries.pop(key)
+            table.open_until.pop(key, None)
             _drop_response(table, key, entry)
 
 
+def has_open_keys(table: Table, *, now: float) -> bool:
+    """Return whether a holder may still settle a key or a caller may repeat one."""
+    return any(until > now for until in table.open_until.values())
+
+
 def _covers_ticket(table: Table, ticket: tickets.Ticket, *, now: float) -> bool:
     """Return whether a grant made under the ticket would still be in this table."""
     if (ticket.home, ticket.generation, ticket.tag) != (
@@ -155,9 +168,21 @@
     table.keys_by_issue_time.setdefault(ticket.issued_milliseconds, set()).add(
         request.key
     )
+    table.open_until.pop(request.key, None)
+    table.open_until[request.key] = table.entries[request.key].running_until
+    _prune_open_keys(table, now=now)
     return messages.ClaimReply(granted=True, grant=table.last_grant)
 
 
+def _prune_open_keys(table: Table, *, now: float) -> None:
+    """Remove closed keys, oldest first, and bound the number of keys."""
+    while table.open_until:
+        key = next(iter(table.open_until))
+        if table.open_until[key] > now and len(table.open_until) <= table.max_entries:
+            return
+        del table.open_until[key]
+
+
 def _release(table: Table, key: str) -> None:
     del table.entries[key]
     for keys in table.keys_by_issue_time.values():
--- a/plantainproxy/core/tests/test_claims.py
+++ b/plantainproxy/core/tests/test_claims.py
@@ -154,6 +154,52 @@
     assert _claim(table).error is _exceptions.ErrorKind.STILL_RUNNING
 
 
+@pytest.mark.parametrize(
+    ("outcome", "response", "open_seconds"),
+    [
+        (None, None, 1.0 + claims.SETTLE_GRACE_SECONDS),
+        (_types.Outcome.NOT_RUN, None, 1.0),
+        (_types.Outcome.RUN, ANSWER, 0.0),
+        (_types.Outcome.UNKNOWN, None, 0.0),
+    ],
+)
+def test_key_is_open_while_only_its_home_can_resolve_it(
+    outcome: _types.Outcome | None,
+    response: messages.Response | None,
+    open_seconds: float,
+) -> None:
+    """A home that stops while a key is open makes a request unknown that never ran."""
+    table = _table()
+    grant = _claim(table).grant
+    if outcome is not None:
+        _settle(table, grant, outcome, response=response)
+    if open_seconds:
+        assert claims.has_open_keys(table, now=open_seconds - 0.01)
+    assert not claims.has_open_keys(table, now=open_seconds)
+
+
+def test_repeated_key_is_closed_when_its_last_grant_is_settled() -> None:
+    """The refusal of an earlier attempt must not delay the stop of the home."""
+    table = _table()
+    _settle(table, _claim(table).grant, _types.Outcome.NOT_RUN)
+    grant = _claim(table, now=0.5).grant
+    assert claims.has_open_keys(table, now=1.2)
+    _settle(table, grant, _types.Outcome.RUN, response=ANSWER)
+    assert not claims.has_open_keys(table, now=0.6)
+
+
+def test_open_keys_are_bounded() -> None:
+    """Refused requests that callers do not repeat must not fill the memory."""
+    table = _table(max_entries=4)
+    for number in range(20):
+        key = f"t.{number}"
+        grant = _claim(table, key, now=number * 0.01).grant
+        _settle(table, grant, _types.Outcome.NOT_RUN, key)
+        assert len(table.open_until) <= 4
+    _claim(table, "t.late", now=10.0)
+    assert list(table.open_until) == ["t.late"]
+
+
 def test_full_table_refuses_new_keys_and_keeps_old_ones() -> None:
     """At the entry bound new keys are refused and no grant is evicted."""
     table = _table(max_entries=1)
--- a/plantainproxy/sidecar/claims.py
+++ b/plantainproxy/sidecar/claims.py
@@ -19,6 +19,8 @@
 SETTLE_ATTEMPTS = 3
 SETTLE_TIMEOUT_SECONDS = 1.0
 SETTLE_RETRY_SECONDS = 0.2
+OPEN_KEYS_CHECK_SECONDS = 0.1
+"""Interval at which a stopping home checks whether it has open keys."""
 FINGERPRINT_BYTES = 16
 
 _log = logging.getLogger("plantain.claims")
@@ -119,6 +121,16 @@
         await trio.sleep(SETTLE_RETRY_SECONDS)
 
 
+async def wait_for_open_keys(table: claims.Table, *, until: float) -> None:
+    """Wait until this home has no open keys, at most until the given time.
+
+    A caller that repeats a refused request through a sibling needs the key's home: a
+    home that has ended makes the key's outcome unknown, although nothing ran.
+    """
+    while (now := trio.current_time()) < until and claims.has_open_keys(table, now=now):
+        await trio.sleep(min(OPEN_KEYS_CHECK_SECONDS, until - now))
+
+
 def handle_claim(
     table: claims.Table,
     ring: keyring.Keyring | None,
--- a/plantainproxy/sidecar/main.py
+++ b/plantainproxy/sidecar/main.py
@@ -160,6 +160,10 @@
         logger.info("Started for pool %s.", settings.pool)
         print(f"ready {settings.tunnel_address}", flush=True)
         await connections.run(components.connections)
+        await claim_calls.wait_for_open_keys(
+            components.state.table,
+            until=lifecycle.stop_requested_at + settings.grace_seconds,
+        )
         await membership.leave(components.announcer)
         nursery.cancel_scope.cancel()
     logger.info("Stopped.")
--- a/plantainproxy/sidecar/tests/test_requests.py
+++ b/plantainproxy/sidecar/tests/test_requests.py
@@ -490,6 +490,61 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize("repeat_after", [0.0, 0.4, 3.0])
+def test_key_refused_during_a_planned_stop_can_be_repeated_at_a_sibling(
+    repeat_after: float,
+) -> None:
+    """The stopping home stays until the repeated command has run at a sibling.
+
+    A home that ended with its last connection made the outcome of the command unknown,
+    although every earlier answer said that it had not run.
+    """
+
+    async def scenario(fleet: Fleet) -> None:
+        home = fleet.states[_address(0)]
+        request = _request("POST", idempotency_key=_ticket(fleet) + ".k")
+        home.stopping = True
+        fleet.results = [_failed_result(Kind.NO_UPSTREAM)]
+        refused = await fleet.send(_address(0), request)
+        assert _error_fields(refused)[1] == "not-run"
+        stopped = trio.Event()
+
+        async def stop() -> None:
+            await claims.wait_for_open_keys(
+                home.table, until=trio.current_time() + 10.0
+            )
+            home.table.generation += 1  # The process ends and loses its table.
+            stopped.set()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop)
+            await trio.sleep(repeat_after)
+            assert (await fleet.send(_address(1), request)).body == b"a"
+            with trio.fail_after(2 * claims.OPEN_KEYS_CHECK_SECONDS):
+                await stopped.wait()
+        assert fleet.runs == {"a": 1}
+
+    _run(scenario)
+
+
+def test_stopping_home_waits_no_longer_than_its_grace() -> None:
+    """A caller that does not repeat its command must not hold up a planned stop."""
+
+    async def scenario(fleet: Fleet) -> None:
+        request = _request("POST", idempotency_key=_ticket(fleet) + ".k")
+        fleet.states[_address(0)].stopping = True
+        fleet.results = [_failed_result(Kind.NO_UPSTREAM)]
+        await fleet.send(_address(0), request)
+        started_at = trio.current_time()
+        table = fleet.states[_address(0)].table
+        await claims.wait_for_open_keys(table, until=started_at + 1.05)
+        assert trio.current_time() == pytest.approx(started_at + 1.05)
+        await claims.wait_for_open_keys(table, until=started_at + 100.0)
+        assert trio.current_time() - started_at == pytest.approx(5.0, abs=0.2)
+
+    _run(scenario)
+
+
 def test_key_of_another_pool_never_gets_that_pools_answer() -> None:
     """A ticket of another pool is refused.
 
