A stopping home keeps the last second of its grace for leaving

With open keys it waited until the grace was over and left the members and closed its server afterwards: 10.8 and 11.7 s with a grace of 10 s.

--- a/plantainproxy/sidecar/main.py
+++ b/plantainproxy/sidecar/main.py
@@ -34,6 +34,8 @@
 """Threads of the gRPC server; each running call from a sibling occupies one."""
 DRAIN_ANNOUNCEMENT_SECONDS = 1.0
 """Time for other members to receive the record with the draining state."""
+LEAVE_SECONDS = 1.0
+"""End of the grace that is kept for leaving the members and closing the server."""
 
 
 def _handlers(
@@ -162,7 +164,7 @@
         await connections.run(components.connections)
         await claim_calls.wait_for_open_keys(
             components.state.table,
-            until=lifecycle.stop_requested_at + settings.grace_seconds,
+            until=lifecycle.stop_requested_at + settings.grace_seconds - LEAVE_SECONDS,
         )
         await membership.leave(components.announcer)
         nursery.cancel_scope.cancel()
