Stand-in store returns from an older copy; HTTP client returns headers

The stand-in is unavailable for a moment, then has the content of some seconds ago: later changes and leases are lost, their revisions and IDs are assigned again, and a watch from a revision that it does not have gets 410. Its responses state the era of the content in the header Store-Era.

--- a/plantainproxy/_http_server.py
+++ b/plantainproxy/_http_server.py
@@ -31,6 +31,8 @@
     status: int
     body: bytes = b""
     content_type: str = "application/json"
+    headers: tuple[tuple[str, str], ...] = ()
+    """Further headers."""
 
 
 Handler = abc.Callable[[Request], Response | abc.Awaitable[Response]]
@@ -111,6 +113,7 @@
     headers = [
         ("content-type", response.content_type),
         ("content-length", str(len(response.body))),
+        *response.headers,
     ]
     head = h11.Response(status_code=response.status, headers=headers)
     encoded_events = [protocol.send(head)]
--- a/plantainproxy/store/http.py
+++ b/plantainproxy/store/http.py
@@ -52,6 +52,8 @@
 
     status: int
     body: bytes
+    headers: abc.Mapping[str, str] = dataclasses.field(default_factory=dict)
+    """Values by name in lower case; the last one of a repeated name."""
 
 
 class Connection:
@@ -189,7 +191,7 @@
     method: str,
 ) -> Response:
     await _send(connection, address, path, body, method=method)
-    status = await _receive_head(connection)
+    head = await _receive_head(connection)
     received = bytearray()
     while isinstance(event := await _next_event(connection), h11.Data):
         received += event.data
@@ -197,7 +199,8 @@
             raise h11.RemoteProtocolError(
                 "response body is larger than MAX_RESPONSE_BYTES"
             )
-    return Response(status=status, body=bytes(received))
+    headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
+    return Response(status=head.status_code, body=bytes(received), headers=headers)
 
 
 async def _send(
@@ -220,13 +223,13 @@
     await connection.stream.send_all(request_bytes)
 
 
-async def _receive_head(connection: Connection) -> int:
+async def _receive_head(connection: Connection) -> h11.Response:
     event = await _next_event(connection)
     while isinstance(event, h11.InformationalResponse):
         event = await _next_event(connection)
     if not isinstance(event, h11.Response):
         raise h11.RemoteProtocolError("connection closed before a response arrived")
-    return event.status_code
+    return event
 
 
 async def _next_event(connection: Connection) -> typing.Any:
@@ -250,7 +253,7 @@
             connection = await _connect(address)
             with _closing_on_error(connection):
                 await _send(connection, address, path, body)
-                status = await _receive_head(connection)
+                status = (await _receive_head(connection)).status_code
     except _TRANSPORT_ERRORS as error:
         raise UnsentError(f"{address}: {error!r}") from error
     try:
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -1,10 +1,12 @@
 """An in-memory stand-in for the platform's metadata store, with its HTTP protocol.
 
 Tests can inject faults: error responses, calls without a response, lost responses to
-writes, and compaction of the history.
+writes, compaction of the history, and a restoration from an older copy.
 """
 
 import base64
+import collections
+from collections import abc
 import dataclasses
 import math
 import time
@@ -16,6 +18,9 @@
 from plantainproxy import _http_server, _types
 
 MAX_PAGE_ITEMS = 500
+UNDO_SECONDS = 60.0
+"""Age of the oldest copy from which the store can be restored."""
+FIRST_LEASE = 1_001
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -62,12 +67,22 @@
         self.revision = 1
         self.leases: dict[int, float] = {}
         """Lifetime of each lease in milliseconds; leases do not expire on their own."""
+        self.next_lease = FIRST_LEASE
+        self.era = 0
+        """Number of restorations; responses state it unless it is 0."""
+        self.is_restoring = False
+        """Whether the store is unavailable until it is restored."""
+        self.undo: collections.deque[tuple[float, abc.Callable[[], None]]] = (
+            collections.deque()
+        )
+        """Time of each change and the function that reverts it, oldest first."""
         self.faults = Faults()
         self.calls: list[str] = []
         self.changed = trio.Event()
 
     def put(self, key: str, value: bytes, *, lease: int = 0) -> None:
         """Write a key directly, as the operator would."""
+        self._record_undo(key)
         self.revision += 1
         create_revision = (
             self.items[key].create_rev if key in self.items else self.revision
@@ -82,13 +97,15 @@
 
     def remove(self, key: str) -> None:
         """Remove a key and record the removal in the history."""
+        self._record_undo(key)
         self.revision += 1
         del self.items[key]
         self._append_event({"key": key, "rev": self.revision, "removed": True})
 
     def revoke_lease(self, lease: int) -> None:
         """End a lease and remove the keys attached to it."""
-        del self.leases[lease]
+        ttl_ms = self.leases.pop(lease)
+        self._append_undo(lambda: self.leases.update({lease: ttl_ms}))
         for key in [key for key, item in self.items.items() if item.lease == lease]:
             self.remove(key)
 
@@ -98,8 +115,47 @@
         self.compacted_revision = self.revision
         self._notify_watches()
 
+    def fail(self) -> None:
+        """Become unavailable, also to the watches that wait, until ``restore``."""
+        self.is_restoring = True
+        self._notify_watches()
+
+    def restore(self, *, seconds_older: float) -> None:
+        """Become available with the content of some seconds ago, in the next era.
+
+        Later changes and leases are lost; their revisions and IDs are assigned again.
+        """
+        copied_at = time.monotonic() - seconds_older
+        while self.undo and self.undo[-1][0] >= copied_at:
+            _, revert = self.undo.pop()
+            revert()
+        self.history = [
+            event for event in self.history if int(str(event["rev"])) <= self.revision
+        ]
+        self.changed_at = {
+            revision: changed_at
+            for revision, changed_at in self.changed_at.items()
+            if revision <= self.revision
+        }
+        self.compacted_revision = min(self.compacted_revision, self.revision)
+        self.era += 1
+        self.is_restoring = False
+        self._notify_watches()
+
+    async def drill(self, *, outage_seconds: float, seconds_older: float) -> None:
+        """Be unavailable for some time, then return with an older copy."""
+        self.fail()
+        await trio.sleep(outage_seconds)
+        self.restore(seconds_older=seconds_older + outage_seconds)
+
     async def handle(self, request: _http_server.Request) -> _http_server.Response:
         """Handle one call, subject to the active faults."""
+        response = await self._handle(request)
+        if not self.era:
+            return response
+        return response._replace(headers=(("Store-Era", str(self.era)),))
+
+    async def _handle(self, request: _http_server.Request) -> _http_server.Response:
         path, _, query_text = request.path.partition("?")
         query = dict(urllib.parse.parse_qsl(query_text))
         self.calls.append(f"{request.method} {path}")
@@ -107,6 +163,8 @@
             await trio.sleep_forever()
         if self.faults.status:
             return _http_server.Response(self.faults.status, b"{}")
+        if self.is_restoring:
+            return _json(503, {})
         if path == "/v1/kv-watch":
             return await self._watch(query)
         response = self._handle_call(path, query, request.body)
@@ -123,11 +181,16 @@
         if path == "/v1/kv-txn":
             return self._transact(msgspec.json.decode(body))
         if path == "/v1/kv-lease":
-            lease = len(self.calls) + 1_000
+            lease = self.next_lease
+            self.next_lease += 1
             self.leases[lease] = msgspec.json.decode(body)["ttl_ms"]
+            self._append_undo(lambda: self._revert_grant(lease))
             return _json(200, {"lease": lease, "ttl_ms": self.leases[lease]})
         if path.startswith("/v1/kv-lease-end/"):
-            self.revoke_lease(int(path.rpartition("/")[2]))
+            lease = int(path.rpartition("/")[2])
+            if lease not in self.leases:
+                return _json(404, {})
+            self.revoke_lease(lease)
             return _json(200, {})
         if path.startswith("/v1/kv-keep/"):
             lease = int(path.rpartition("/")[2])
@@ -156,7 +219,9 @@
         after = int(query["after"])
         with trio.move_on_after(int(query["wait_ms"]) / 1_000):
             while True:
-                if self._is_compacted(after):
+                if self.is_restoring:
+                    return _json(503, {})
+                if after > self.revision or self._is_compacted(after):
                     return _json(410, {})
                 events = [
                     event
@@ -199,6 +264,29 @@
             self.remove(str(key))
         return _json(200, {"rev": self.revision})
 
+    def _record_undo(self, key: str) -> None:
+        """Record how to revert the next change, which is of this key."""
+        previous, revision = self.items.get(key), self.revision
+
+        def revert() -> None:
+            self.revision = revision
+            if previous is None:
+                self.items.pop(key, None)
+            else:
+                self.items[key] = previous
+
+        self._append_undo(revert)
+
+    def _append_undo(self, revert: abc.Callable[[], None]) -> None:
+        now = time.monotonic()
+        self.undo.append((now, revert))
+        while now - self.undo[0][0] > UNDO_SECONDS:
+            self.undo.popleft()
+
+    def _revert_grant(self, lease: int) -> None:
+        self.leases.pop(lease, None)
+        self.next_lease = lease
+
     def _append_event(self, event: dict[str, object]) -> None:
         self.history.append(event)
         self.changed_at[self.revision] = time.monotonic()
