Soak test restores the store from an older copy

Two further checks: no process decides by an older version of the operators after a newer one, and after a restoration every sidecar is registered.

--- a/testbed/flow_site.py
+++ b/testbed/flow_site.py
@@ -152,6 +152,8 @@
         self.sidecars: list[Node] = []
         self.upstreams: list[flow_ends.Upstream] = []
         self.version = 0
+        self.operator_entries: dict[str, bytes] = {}
+        """What the operators have written to the store and not removed."""
 
     def add_node(
         self,
@@ -212,7 +214,26 @@
             "services": [{"name": name, "health_path": "/healthz"}],
             "limits": {"idle_timeout_ms": 15_000},
         }
-        self.store.put("op/config", msgspec.json.encode(document))
+        self.write_entry("op/config", msgspec.json.encode(document))
+
+    def write_entry(self, key: str, value: bytes) -> None:
+        """Write a key to the store as the operators do."""
+        self.operator_entries[key] = value
+        self.store.put(key, value)
+
+    def remove_entry(self, key: str) -> None:
+        """Remove a key of the operators, which a restored copy may lack."""
+        del self.operator_entries[key]
+        if key in self.store.items:
+            self.store.remove(key)
+
+    def rewrite_entries(self) -> None:
+        """Write again what the operators have written, after a restoration."""
+        for key in [key for key in self.store.items if key.startswith("op/")]:
+            if key not in self.operator_entries:
+                self.store.remove(key)
+        for key, value in self.operator_entries.items():
+            self.store.put(key, value)
 
     def caller(self, index: int = 0) -> flow_ends.Caller:
         """Return a caller that sends round robin through all running balancers."""
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -11,14 +11,17 @@
 from collections import abc
 import contextlib
 import dataclasses
+import functools
 import pathlib
 import random
 import signal
 import tempfile
 
 import fire
+import msgspec
 import trio
 
+from plantainproxy.flows.stored import registry
 from standins import fault_proxy, flow_ends
 from testbed import flow_site
 
@@ -266,6 +269,28 @@
     link.restore()
 
 
+async def restore_store(run: SoakRun) -> None:
+    """Make the store unavailable, then restore it from a copy some seconds old.
+
+    The operators write their entries again within 2 s.
+    """
+    if run.site.store.is_restoring:
+        return
+    seconds_older = run.random.uniform(0.0, 6.0)
+    run.record_action(f"store restored, {seconds_older:.1f} s older")
+    await run.site.store.drill(
+        outage_seconds=run.random.uniform(0.1, 1.5), seconds_older=seconds_older
+    )
+    await trio.sleep(run.random.uniform(0.0, 2.0))
+    run.site.rewrite_entries()
+
+
+async def restore_store_during(run: SoakRun, seconds: float) -> None:
+    """Restore the store at a random time in the first half of a run."""
+    await trio.sleep(run.random.uniform(0.0, seconds / 2))
+    await restore_store(run)
+
+
 async def configure(run: SoakRun) -> None:
     """Write a new version of the configuration."""
     run.record_action("configuration")
@@ -298,10 +323,10 @@
 async def evacuate(run: SoakRun) -> None:
     """Take a failure domain out temporarily and check that it receives no new flow."""
     key = "op/evacuate/d0"
-    if key in run.site.store.items:
+    if key in run.site.operator_entries:
         return
     run.record_action("domain d0 out")
-    run.site.store.put(key, b"{}")
+    run.site.write_entry(key, b"{}")
     await trio.sleep(DOMAIN_OUT_PROPAGATION_SECONDS)
     domain_upstreams = [
         upstream for upstream in run.site.upstreams if upstream.domain == "d0"
@@ -312,7 +337,7 @@
         upstream.opening_packet_count for upstream in domain_upstreams
     ] != opened and not _store_failed_recently(run):
         run.result.violations.append("domain d0 received a flow while it was out")
-    run.site.store.remove(key)
+    run.site.remove_entry(key)
 
 
 def _store_failed_recently(run: SoakRun) -> bool:
@@ -335,6 +360,8 @@
     evacuate,
 )
 RELAY_ACTIONS: tuple[Action, ...] = (*ACTIONS, pause_domain, restart_in_series)
+RESTORATION_ACTIONS: tuple[Action, ...] = (*RELAY_ACTIONS, restore_store, evacuate)
+"""The faults of earlier seeds stay the same without the restoration."""
 
 
 async def inject_faults(
@@ -348,9 +375,38 @@
             await trio.sleep(run.random.uniform(0.1, 1.2))
 
 
+def find_older_versions(run: SoakRun) -> abc.Iterator[str]:
+    """Return the processes that decided by an older version after a newer one."""
+    for node in (*run.site.balancers, *run.site.sidecars):
+        version = 0
+        for text in run.site.log_path(node).read_text().splitlines():
+            try:
+                line = msgspec.json.decode(text)
+            except msgspec.DecodeError:
+                continue
+            if line["message"] == "started":
+                version = 0
+            elif line["message"] == "policy in force":
+                if line["version"] < version:
+                    yield (
+                        f"{node.settings_path.stem} went from version {version} to "
+                        f"{line['version']}"
+                    )
+                version = line["version"]
+
+
+def find_unregistered(run: SoakRun) -> abc.Iterator[str]:
+    """Return the sidecars that are not in the store although it was restored."""
+    for node in run.site.sidecars if run.site.store.era else ():
+        if f"{registry.PREFIX}{node.host}/" not in run.site.store.items:
+            yield f"{node.settings_path.stem} is not registered"
+
+
 def find_violations(run: SoakRun, *, end: float) -> abc.Iterator[str]:
     """Return the violations of the promises in a run that ends at ``end``."""
     yield from run.result.violations
+    yield from find_older_versions(run)
+    yield from find_unregistered(run)
     executed = [
         payload
         for upstream in run.site.upstreams
@@ -379,6 +435,7 @@
     directory: pathlib.Path,
     *,
     plan: SitePlan = WITH_RELAYS,
+    restores_store: bool = False,
 ) -> SoakRun:
     """Run one seed: inject faults for ``seconds``, then check the recovery."""
     async with flow_site.running(
@@ -394,6 +451,9 @@
             for index in range(CALLERS):
                 nursery.start_soon(send_requests_forever, run, index)
             actions = ACTIONS if plan is SMALL else RELAY_ACTIONS
+            if restores_store:
+                actions = RESTORATION_ACTIONS
+                nursery.start_soon(restore_store_during, run, seconds)
             await inject_faults(run, seconds, actions)
             await trio.sleep(RECOVERY_SECONDS)
             run.result.violations = list(find_violations(run, end=trio.current_time()))
@@ -401,12 +461,19 @@
     return run
 
 
-def main(*, seeds: int = 1, first: int = 1, seconds: float = 10.0) -> None:
+def main(
+    *,
+    seeds: int = 1,
+    first: int = 1,
+    seconds: float = 10.0,
+    restores_store: bool = False,
+) -> None:
     """Run seeds one after another; the exit code is the number of failed seeds."""
+    run_one = functools.partial(run_seed, restores_store=restores_store)
     failed = 0
     for seed in range(first, first + seeds):
         with tempfile.TemporaryDirectory() as directory:
-            run = trio.run(run_seed, seed, seconds, pathlib.Path(directory))
+            run = trio.run(run_one, seed, seconds, pathlib.Path(directory))
             if run.result.violations:
                 output_directory = pathlib.Path("out") / f"soak-{seed}"
                 output_directory.mkdir(parents=True, exist_ok=True)
@@ -420,6 +487,7 @@
         print(
             f"seed {seed}: {result.answered} answered, {result.resets} resets, "
             f"{result.unanswered} unanswered, "
+            f"{run.site.store.era} restorations, "
             f"violations: {result.violations or 'none'}",
             flush=True,
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -27,8 +27,24 @@
     _check_seed(seed, tmp_path, soak.WITH_RELAYS)
 
 
-def _check_seed(seed: int, directory: pathlib.Path, plan: soak.SitePlan) -> None:
-    run_seed = functools.partial(soak.run_seed, plan=plan)
+@pytest.mark.parametrize("seed", [203, 204])
+def test_nothing_breaks_when_the_store_returns_from_an_older_copy(
+    tmp_path: pathlib.Path, seed: int
+) -> None:
+    """No process returns to an older version, and every sidecar is listed again."""
+    _check_seed(seed, tmp_path, soak.WITH_RELAYS, restores_store=True)
+
+
+def _check_seed(
+    seed: int,
+    directory: pathlib.Path,
+    plan: soak.SitePlan,
+    *,
+    restores_store: bool = False,
+) -> None:
+    run_seed = functools.partial(
+        soak.run_seed, plan=plan, restores_store=restores_store
+    )
     run = trio.run(run_seed, seed, SECONDS, directory)
     assert run.result.violations == []
     assert run.result.answered > 0
