Messages and documents keep the fields of earlier releases

The order and the era are further fields with defaults, so that processes of two releases understand each other during an update. Nothing is pulled from a process that states no order.

--- a/bench/flows.py
+++ b/bench/flows.py
@@ -15,7 +15,6 @@
 from plantainproxy.flows.engine import balancer, upstreams
 from plantainproxy.flows.programs import datagrams
 from plantainproxy.platform import packet_format
-from plantainproxy.store import revisioned
 from standins import flow_ends
 
 PACKETS = 20_000
@@ -68,9 +67,7 @@
         shares=(policy.Share(pool=POOL, weight=1.0),),
     )
     balancer.apply_policy(
-        engine,
-        policy.Policy(revision=revisioned.Revision(0, 1), routes={service: route}),
-        now=0.0,
+        engine, policy.Policy(revision=1, routes={service: route}), now=0.0
     )
     addresses = [
         _types.Address(f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}", 7_000)
@@ -88,7 +85,7 @@
     report = messages.Report(
         boot=1,
         number=1,
-        revision=policy.NO_ORDER,
+        revision=1,
         pool=POOL,
         domain="d",
         state=messages.UpstreamState.READY,
--- a/plantainproxy/flows/control/documents.py
+++ b/plantainproxy/flows/control/documents.py
@@ -62,7 +62,7 @@
     """
     policies = documents.policies
     lags_behind = notice.era < policies.era or (
-        notice.revision < policies.order and notice.digest != policies.digest
+        notice.order < policies.order and notice.digest != policies.digest
     )
     coverage.record_notice(
         documents.coverage,
@@ -70,10 +70,10 @@
         now=now,
     )
     documents.policy_exchange.handle_order(
-        notice.revision, notice.digest, sender, is_relay=True
+        notice.order, notice.digest, sender, is_relay=True
     )
     documents.list_exchange.handle_order(
-        notice.list_revision, notice.list_digest, sender, is_relay=True
+        notice.list_order, notice.list_digest, sender, is_relay=True
     )
 
 
@@ -84,13 +84,15 @@
     """
     policies = documents.policies
     return messages.Notice(
-        revision=policies.order,
+        revision=policies.revision,
         digest=policies.digest,
-        list_revision=documents.sidecars.order,
+        list_revision=documents.sidecars.order.number,
         list_digest=documents.sidecars.digest,
         is_current=documents.policy_status.is_current
         and documents.list_status.is_current
         and documents.stated_era <= policies.era,
+        order=policies.order,
+        list_order=documents.sidecars.order,
         era=policies.era,
     )
 
--- a/plantainproxy/flows/control/report_requests.py
+++ b/plantainproxy/flows/control/report_requests.py
@@ -79,12 +79,13 @@
     subscribes: bool,
 ) -> messages.ReportRequest:
     return messages.ReportRequest(
-        revision=policies.order,
+        revision=policies.revision,
         domain=view.domain,
         sidecars=len(view.upstreams),
         digest=policies.digest,
         subscribes=subscribes,
         relays=tuple(relay.host for relay in relays),
+        order=policies.order,
         era=policies.era,
     )
 
--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -558,7 +558,7 @@
     return messages.Report(
         boot=identity.boot,
         number=engine.report_number,
-        revision=engine.policies.order,
+        revision=engine.policies.revision,
         pool=identity.location.pool,
         domain=identity.location.domain,
         state=engine.upstream.state,
@@ -572,6 +572,7 @@
         stopping=engine.stopping,
         digest=engine.policies.digest,
         suspect=outlier_detection.is_ejected(engine.outlier_detector, now=now),
+        order=engine.policies.order,
         era=engine.policies.era,
     )
 
--- a/plantainproxy/flows/event_log.py
+++ b/plantainproxy/flows/event_log.py
@@ -59,8 +59,8 @@
         """Log the activation of a policy."""
         self.write(
             "policy in force",
-            revision=current.revision.number,
-            era=current.revision.era,
+            revision=current.revision,
+            era=current.era,
             version=current.version,
             routes=len(current.routes),
             domains_out=sorted(current.domains_out),
--- a/plantainproxy/flows/messages.py
+++ b/plantainproxy/flows/messages.py
@@ -53,8 +53,8 @@
 class ReportRequest(msgspec.Struct, frozen=True, array_like=True, tag="hello"):
     """Request of a balancer for reports from a sidecar."""
 
-    revision: policy.Order
-    """Order of the sender's active policy."""
+    revision: int
+    """Number of the store revision of the sender's active policy."""
     domain: str
     """The sender's failure domain."""
     sidecars: int
@@ -66,6 +66,9 @@
     relays: tuple[str, ...] = ()
     """Hosts of the relays of the sender's domain, which need the reports, too; empty in
     requests to sidecars of other domains."""
+    order: policy.Order = policy.NO_ORDER
+    """Order of the sender's active policy. Processes of earlier releases do not send
+    it, and compare ``revision``."""
     era: int = 0
     """Latest era of the store's content that the sender has seen."""
 
@@ -97,8 +100,8 @@
     """Start of the sidecar process in milliseconds since the epoch, on its clock."""
     number: int
     """Sequence number that rises with each report of one process."""
-    revision: policy.Order
-    """Order of the sidecar's active policy."""
+    revision: int
+    """Number of the store revision of the sidecar's active policy."""
     pool: str
     domain: str
     state: UpstreamState
@@ -121,6 +124,8 @@
     """Digest of the sidecar's active policy."""
     suspect: bool = False
     """Whether the upstream is ready but ejected as an outlier after failures."""
+    order: policy.Order = policy.NO_ORDER
+    """Order of the sidecar's active policy, as in ``ReportRequest``."""
     era: int = 0
     """Latest era of the store's content that the sidecar has seen."""
 
@@ -154,14 +159,18 @@
 class Notice(msgspec.Struct, frozen=True, array_like=True, tag="notice"):
     """Statement of a relay about the store's documents, to processes of its domain."""
 
-    revision: policy.Order
-    """Order of the sender's active policy."""
+    revision: int
+    """Number of the store revision of the sender's active policy."""
     digest: int
-    list_revision: revisioned.Revision
-    """Revision of the sender's list of sidecars."""
+    list_revision: int
+    """Number of the store revision of the sender's list of sidecars."""
     list_digest: int
     is_current: bool
     """Whether the sender watches both documents in the store successfully."""
+    order: policy.Order = policy.NO_ORDER
+    """Order of the sender's active policy, as in ``ReportRequest``."""
+    list_order: revisioned.Revision = revisioned.NO_REVISION
+    """Revision of the sender's list of sidecars, likewise."""
     era: int = 0
     """Latest era of the store's content that the sender has seen."""
 
--- a/plantainproxy/flows/policy.py
+++ b/plantainproxy/flows/policy.py
@@ -86,8 +86,8 @@
 class Policy(msgspec.Struct, frozen=True, kw_only=True):
     """One revision of the complete policy."""
 
-    revision: revisioned.Revision
-    """Revision of the store at which the policy was read; it never decreases."""
+    revision: int
+    """Number of the store's revision at which the policy was read."""
     version: int = 0
     """Version number that operators assigned to the configuration."""
     routes: abc.Mapping[bytes, Route] = msgspec.field(default_factory=dict)
@@ -97,11 +97,13 @@
     """Idle time after which a flow may be evicted."""
     domains_out: frozenset[str] = frozenset()
     """Failure domains whose upstreams receive no new flows."""
+    era: int = 0
+    """Era of the store's revision at which the policy was read."""
 
     @property
     def order(self) -> Order:
         """Position among all policies."""
-        return Order(self.version, self.revision)
+        return Order(self.version, revisioned.Revision(self.era, self.revision))
 
 
 NO_POLICY_DIGEST = 0
@@ -126,10 +128,13 @@
     Evacuations have no version of the operators, so those of the later store revision
     apply even if the configuration there is an older one from a copy of the store.
     """
-    later = max(current, offered, key=lambda candidate: candidate.revision)
+    later = max(current, offered, key=lambda candidate: candidate.order.revision)
     newest = max(current, offered, key=lambda candidate: candidate.order)
     return msgspec.structs.replace(
-        newest, revision=later.revision, domains_out=later.domains_out
+        newest,
+        revision=later.revision,
+        era=later.era,
+        domains_out=later.domains_out,
     )
 
 
@@ -185,7 +190,9 @@
         """Raise the revision if the policy is unchanged at a later one."""
         if self.stored is not None and order > self.order:
             self._set_stored(
-                msgspec.structs.replace(self.stored, revision=order.revision)
+                msgspec.structs.replace(
+                    self.stored, revision=order.revision.number, era=order.revision.era
+                )
             )
 
     def elapse_hold(self, seconds: float) -> bool:
@@ -204,14 +211,14 @@
         """Hold the domains that were out out if the store was restored."""
         if self.current is None:
             return
-        if merged.revision.era > self.current.revision.era:
+        if merged.era > self.current.era:
             self.held_domains = self.current.domains_out
             self.hold_seconds_left = EVACUATION_HOLD_SECONDS
         self.held_domains -= merged.domains_out
 
     def _set_stored(self, stored: Policy) -> None:
         self.stored = stored
-        self.era = max(self.era, stored.revision.era)
+        self.era = max(self.era, stored.era)
         self.current = (
             msgspec.structs.replace(
                 stored, domains_out=stored.domains_out | self.held_domains
--- a/plantainproxy/flows/programs/balancer_main.py
+++ b/plantainproxy/flows/programs/balancer_main.py
@@ -116,8 +116,8 @@
 def _apply_list(process: BalancerProcess, offered: registry.SidecarList) -> bool:
     if not process.documents.sidecars.apply_if_newer(offered):
         return False
-    is_restored = offered.revision.era > process.list_era
-    process.list_era = offered.revision.era
+    is_restored = offered.era > process.list_era
+    process.list_era = offered.era
     _apply_entries(process, is_restored=is_restored)
     _request_reports(process)
     return True
@@ -199,7 +199,7 @@
             documents.handle_notice(process.documents, message, sender, now=now)
             return
         case messages.Report():
-            policy_exchange.handle_order(message.revision, message.digest, sender)
+            policy_exchange.handle_order(message.order, message.digest, sender)
             _handle_era(process, message.era)
         case messages.ReportBatch():
             for relayed in message.reports:
@@ -207,7 +207,7 @@
                 if isinstance(report, messages.Report):
                     _handle_era(process, report.era)
                     policy_exchange.handle_order(
-                        report.revision,
+                        report.order,
                         report.digest,
                         _types.Address(relayed.host, sender.port),
                     )
--- a/plantainproxy/flows/programs/ctl_main.py
+++ b/plantainproxy/flows/programs/ctl_main.py
@@ -20,7 +20,15 @@
 
 SCRAPE_TIMEOUT_SECONDS = 1.0
 """A sidecar whose metrics do not arrive in this time is shown as silent."""
-SHOWN_GAUGES = ("ready", "revision", "flows", "running_requests", "balancers", "relay")
+SHOWN_GAUGES = (
+    "ready",
+    "revision",
+    "store_era",
+    "flows",
+    "running_requests",
+    "balancers",
+    "relay",
+)
 """Sidecar gauges that ``status`` prints."""
 NO_ANSWER = "silent"
 
--- a/plantainproxy/flows/programs/node.py
+++ b/plantainproxy/flows/programs/node.py
@@ -146,7 +146,10 @@
     def apply_list(
         items: abc.Mapping[str, bytes], revision: revisioned.Revision
     ) -> None:
-        context.apply_list(registry.SidecarList(revision=revision, entries=dict(items)))
+        offered = registry.SidecarList(
+            revision=revision.number, entries=dict(items), era=revision.era
+        )
+        context.apply_list(offered)
 
     def must_follow() -> bool:
         return context.is_relay() or not coverage.is_covered(
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -187,7 +187,7 @@
     match message:
         case messages.ReportRequest():
             process.documents.policy_exchange.handle_order(
-                message.revision, message.digest, sender
+                message.order, message.digest, sender
             )
             _handle_era(process, message.era)
             sidecar.handle_report_request(process.engine, message, sender, now=now)
--- a/plantainproxy/flows/stored/registry.py
+++ b/plantainproxy/flows/stored/registry.py
@@ -49,8 +49,14 @@
 class SidecarList(msgspec.Struct, frozen=True, array_like=True):
     """All entries at one revision of the store."""
 
-    revision: revisioned.Revision
+    revision: int
     entries: dict[str, bytes]
+    era: int = 0
+
+    @property
+    def order(self) -> revisioned.Revision:
+        """Position among all lists."""
+        return revisioned.Revision(self.era, self.revision)
 
 
 class ActiveList:
@@ -69,7 +75,7 @@
     @property
     def order(self) -> revisioned.Revision:
         """Revision of the list; ``NO_REVISION`` without one."""
-        return self.current.revision if self.current else revisioned.NO_REVISION
+        return self.current.order if self.current else revisioned.NO_REVISION
 
     @property
     def entries(self) -> dict[str, bytes]:
@@ -79,9 +85,9 @@
 
     def apply_if_newer(self, offered: SidecarList) -> bool:
         """Activate a list of a higher revision; return whether it was activated."""
-        if offered.revision <= self.order:
+        if offered.order <= self.order:
             return False
-        if self.current is not None and offered.revision.era > self.order.era:
+        if self.current is not None and offered.era > self.current.era:
             self.held_entries = self.entries
             self.hold_seconds_left = LIST_HOLD_SECONDS
         self.current = offered
@@ -95,7 +101,9 @@
     def advance_order(self, order: revisioned.Revision) -> None:
         """Raise the revision if the list is unchanged at a later store revision."""
         if self.current is not None and order > self.order:
-            self.current = msgspec.structs.replace(self.current, revision=order)
+            self.current = msgspec.structs.replace(
+                self.current, revision=order.number, era=order.era
+            )
 
     def elapse_hold(self, seconds: float) -> bool:
         """Let time pass in which the store responded.
--- a/plantainproxy/flows/tests/test_document_exchange.py
+++ b/plantainproxy/flows/tests/test_document_exchange.py
@@ -4,7 +4,6 @@
 
 from plantainproxy.flows import event_log, messages, policy
 from plantainproxy.flows.control import coverage, document_exchange, documents
-from plantainproxy.store import revisioned
 from testbed import transparent
 
 PEER = transparent.address(9)
@@ -61,9 +60,10 @@
     """A relay that was paused may still state that its old copies are current."""
     newer, older = (
         messages.Notice(
-            revision=transparent.make_order(revision),
+            revision=revision,
+            order=transparent.make_order(revision),
             digest=policy.digest(transparent.make_policy(revision)),
-            list_revision=revisioned.Revision(0, 1),
+            list_revision=1,
             list_digest=1,
             is_current=True,
         )
--- a/plantainproxy/flows/tests/test_flow_machine.py
+++ b/plantainproxy/flows/tests/test_flow_machine.py
@@ -204,7 +204,7 @@
                         range(len(POOLS)),
                     )
             report_request = messages.ReportRequest(
-                revision=policy.NO_ORDER, domain="hall-a", sidecars=len(POOLS)
+                revision=1, domain="hall-a", sidecars=len(POOLS)
             )
             for number, engine in enumerate(self.sidecars):
                 for requester_number, requester in enumerate(self.balancers):
@@ -625,7 +625,7 @@
     )
     def change_policy(self, out: set[str], pool: str) -> None:
         """Create a new policy without delivering it."""
-        era, number = self.site.policies[-1].revision
+        era, number = self.site.policies[-1].order.revision
         version = max(offered.version for offered in self.site.policies) + 1
         self.site.policies.append(
             make_policy(number + 1, era=era, version=version, out=out, pool=pool)
@@ -638,10 +638,8 @@
         Its revision is assigned again in the next era.
         """
         copy = self.site.policies[index % len(self.site.policies)]
-        era = self.site.policies[-1].revision.era + 1
-        self.site.policies.append(
-            msgspec.structs.replace(copy, revision=copy.revision._replace(era=era))
-        )
+        era = self.site.policies[-1].era + 1
+        self.site.policies.append(msgspec.structs.replace(copy, era=era))
 
     @stateful.rule(seconds=strategies.sampled_from((0.5, 5.0)))
     def elapse_holds(self, seconds: float) -> None:
--- a/plantainproxy/flows/tests/test_relay.py
+++ b/plantainproxy/flows/tests/test_relay.py
@@ -8,18 +8,13 @@
 from plantainproxy.flows import event_log, messages, policy
 from plantainproxy.flows.control import relay, relay_selection, report_requests
 from plantainproxy.flows.engine import upstreams
-from plantainproxy.store import revisioned
 from testbed import transparent
 
 HOME, AWAY = transparent.DOMAIN, transparent.OTHER_DOMAIN
 BALANCER = _types.Address("10.0.0.1", transparent.MESSAGE_PORT)
 REMOTE_RELAY = _types.Address("10.9.0.1", transparent.MESSAGE_PORT)
 NO_NOTICE = messages.Notice(
-    revision=policy.NO_ORDER,
-    digest=1,
-    list_revision=revisioned.NO_REVISION,
-    list_digest=1,
-    is_current=False,
+    revision=1, digest=1, list_revision=1, list_digest=1, is_current=False
 )
 
 
--- a/plantainproxy/flows/tests/test_store_eras.py
+++ b/plantainproxy/flows/tests/test_store_eras.py
@@ -6,6 +6,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 
 from plantainproxy import _types
 from plantainproxy.flows import event_log, messages, policy
@@ -41,8 +42,9 @@
 def listed(era: int, number: int, *hosts: str) -> registry.SidecarList:
     """Return a list with an entry for each host."""
     return registry.SidecarList(
-        revision=revisioned.Revision(era, number),
+        revision=number,
         entries={host: host.encode() for host in hosts},
+        era=era,
     )
 
 
@@ -123,7 +125,7 @@
             assert other.policies.current is not None
             assert other in missed or other.policies.current.version == version
     orders = {node.policies.order for node in site.nodes.values()}
-    assert orders == {policy.Order(version, site.stored_policy.revision)}
+    assert orders == {policy.Order(version, site.stored_policy.order.revision)}
 
 
 def test_all_processes_apply_what_the_operators_write_again() -> None:
@@ -132,11 +134,11 @@
     site.run_for(SETTLE_SECONDS)
     for _ in range(5):
         site.change_policy()
-    lost = site.stored_policy.revision
+    lost = site.stored_policy
     site.run_for(2.0)
     site.restore_store(seconds_older=3.0, rewrite_seconds=2.0)
     site.run_for(2.0 + CHANGE_SECONDS)
-    assert site.stored_policy.revision.number < lost.number
+    assert site.stored_policy.revision < lost.revision
     assert {node.policies.order for node in site.nodes.values()} == {
         site.stored_policy.order
     }
@@ -358,3 +360,26 @@
         if isinstance(message, messages.Report)
     ]
     assert [report.era for report in reports[-2:]] == [0, 3]
+
+
+def test_messages_of_an_earlier_release_are_understood_and_lead_to_no_pull() -> None:
+    """During an update, processes of both releases exchange messages.
+
+    An earlier release states no order, so its documents are not ordered by era.
+    """
+    notice = documents.make_notice(documents_with(transparent.make_policy(90)))
+    fields = msgspec.msgpack.decode(msgspec.msgpack.encode(notice))
+    earlier = messages.decode(msgspec.msgpack.encode(fields[:6]))
+    assert isinstance(earlier, messages.Notice)
+    assert (earlier.revision, earlier.order) == (90, policy.NO_ORDER)
+    held = documents_with(transparent.make_policy(60))
+    assert not _covers(held, earlier)
+    assert not held.policy_exchange.update_available.is_set()
+
+
+def test_an_earlier_release_can_read_the_documents() -> None:
+    """It knows the fields of era 0, which keep their types."""
+    encoded = messages.encode(transparent.make_policy(90, era=1))
+    assert msgspec.msgpack.decode(encoded)["revision"] == 90
+    sidecars = msgspec.msgpack.decode(msgspec.msgpack.encode(listed(1, 60, "a")))
+    assert sidecars[:2] == [60, {"a": b"a"}]
--- a/plantainproxy/platform/configuration.py
+++ b/plantainproxy/platform/configuration.py
@@ -85,7 +85,8 @@
         )
         return None
     return policy.Policy(
-        revision=revision,
+        revision=revision.number,
+        era=revision.era,
         version=decoded.version,
         routes=routes,
         pools={
--- a/plantainproxy/platform/tests/test_configuration.py
+++ b/plantainproxy/platform/tests/test_configuration.py
@@ -66,7 +66,7 @@
         decoded_policy.revision,
         decoded_policy.version,
         decoded_policy.idle_seconds,
-    ) == ((0, 12), 7, 15.0)
+    ) == (12, 7, 15.0)
     split_route = decoded_policy.routes[_pack_service("198.18.0.1", 8443)]
     assert split_route.kind is policy.RouteKind.IDEMPOTENT
     assert split_route.shares == (
--- a/testbed/control_site.py
+++ b/testbed/control_site.py
@@ -17,7 +17,6 @@
 from plantainproxy.flows.control import coverage, documents, relay, report_requests
 from plantainproxy.flows.engine import admission, balancer, sidecar, upstream
 from plantainproxy.flows.stored import registry
-from plantainproxy.store import revisioned
 from testbed import transparent
 
 STEP_SECONDS = 0.05
@@ -116,7 +115,7 @@
         """Apply a list of sidecars unless it is outdated."""
         era = self.documents.sidecars.order.era
         if self.documents.sidecars.apply_if_newer(offered):
-            self.apply_entries(is_restored=offered.revision.era > era)
+            self.apply_entries(is_restored=offered.era > era)
 
     def elapse_holds(self) -> None:
         """End what is held after a restoration of the store when its time is over."""
@@ -182,7 +181,7 @@
             return
         if isinstance(message, messages.Report):
             self.documents.policy_exchange.handle_order(
-                message.revision, message.digest, sender
+                message.order, message.digest, sender
             )
         balancer.handle_message(
             self.engine,
@@ -252,7 +251,7 @@
         match message:
             case messages.ReportRequest():
                 self.documents.policy_exchange.handle_order(
-                    message.revision, message.digest, sender
+                    message.order, message.digest, sender
                 )
                 sidecar.handle_report_request(self.engine, message, sender, now=now)
             case messages.Report():
@@ -372,22 +371,23 @@
             for node in self.sidecars
         }
         return registry.SidecarList(
-            revision=revisioned.Revision(self.era, self.revision), entries=entries
+            revision=self.revision, entries=entries, era=self.era
         )
 
     def _write_policy(self, wanted: policy.Policy) -> None:
         self.revision += 1
         self.wanted_policy = wanted
         self.stored_policy = msgspec.structs.replace(
-            wanted, revision=revisioned.Revision(self.era, self.revision)
+            wanted, revision=self.revision, era=self.era
         )
         self.past.append((self.now, self.revision, self.stored_policy))
 
     def _write_entry(self, key: str, value: bytes) -> None:
         self.revision += 1
         self.stored_list = registry.SidecarList(
-            revision=revisioned.Revision(self.era, self.revision),
+            revision=self.revision,
             entries={**self.stored_list.entries, key: value},
+            era=self.era,
         )
 
     def restore_store(
@@ -405,8 +405,7 @@
         copies = [copy for copy in self.past if copy[0] <= self.now - seconds_older]
         _, self.revision, copied = copies[-1] if copies else self.past[0]
         self.era += 1
-        revision = revisioned.Revision(self.era, self.revision)
-        self.stored_policy = msgspec.structs.replace(copied, revision=revision)
+        self.stored_policy = msgspec.structs.replace(copied, era=self.era)
         self.past = [(self.now, self.revision, self.stored_policy)]
         entries = dict(self._list().entries)
         self.due_writes = [
@@ -418,7 +417,9 @@
         for key in self.random.sample(sorted(entries), lost_entries):
             rewrite = functools.partial(self._write_entry, key, entries.pop(key))
             self.due_writes.append((self.now + self.random.uniform(0.2, 2.0), rewrite))
-        self.stored_list = registry.SidecarList(revision=revision, entries=entries)
+        self.stored_list = registry.SidecarList(
+            revision=self.revision, entries=entries, era=self.era
+        )
 
     def restart(self, node: SidecarNode) -> SidecarNode:
         """Start a sidecar's process again without its state."""
--- a/testbed/transparent.py
+++ b/testbed/transparent.py
@@ -92,7 +92,8 @@
     selected_routes = routes or (make_route(POOL),)
     pools = {pool for selected in selected_routes for pool in selected.pools}
     return policy.Policy(
-        revision=revisioned.Revision(era, revision),
+        revision=revision,
+        era=era,
         version=revision if version is None else version,
         routes={selected.service: selected for selected in selected_routes},
         pools={
@@ -142,7 +143,8 @@
     return messages.Report(
         boot=boot,
         number=number,
-        revision=make_order(revision),
+        revision=revision,
+        order=make_order(revision),
         pool=pool,
         domain=domain,
         state=state,
@@ -359,7 +361,7 @@
     ) -> None:
         """Pass a balancer's request for reports to the engine."""
         report_request = messages.ReportRequest(
-            revision=policy.NO_ORDER,
+            revision=1,
             domain=domain,
             sidecars=3,
             subscribes=subscribes,
