--- a/plantainproxy/flows/control/report_requests.py
+++ b/plantainproxy/flows/control/report_requests.py
@@ -85,6 +85,8 @@
         digest=policies.digest,
         subscribes=subscribes,
         relays=tuple(relay.host for relay in relays),
+        order=policies.order,
+        era=policies.era,
     )
 
 
--- a/plantainproxy/flows/event_log.py
+++ b/plantainproxy/flows/event_log.py
@@ -60,6 +60,7 @@
         self.write(
             "policy in force",
             revision=current.revision,
+            era=current.era,
             version=current.version,
             routes=len(current.routes),
             domains_out=sorted(current.domains_out),
--- a/plantainproxy/flows/messages.py
+++ b/plantainproxy/flows/messages.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from plantainproxy.flows import policy
+from plantainproxy.store import revisioned
 
 
 class UpstreamState(enum.StrEnum):
@@ -53,7 +54,7 @@
     """Request of a balancer for reports from a sidecar."""
 
     revision: int
-    """Revision of the sender's active policy."""
+    """Number of the store revision of the sender's active policy."""
     domain: str
     """The sender's failure domain."""
     sidecars: int
@@ -65,6 +66,11 @@
     relays: tuple[str, ...] = ()
     """Hosts of the relays of the sender's domain, which need the reports, too; empty in
     requests to sidecars of other domains."""
+    order: policy.Order = policy.NO_ORDER
+    """Order of the sender's active policy. Processes of earlier releases do not send
+    it, and compare ``revision``."""
+    era: int = 0
+    """Latest era of the store's content that the sender has seen."""
 
 
 class RelayRequest(msgspec.Struct, frozen=True, array_like=True, tag="relay"):
@@ -95,6 +101,7 @@
     number: int
     """Sequence number that rises with each report of one process."""
     revision: int
+    """Number of the store revision of the sidecar's active policy."""
     pool: str
     domain: str
     state: UpstreamState
@@ -117,6 +124,10 @@
     """Digest of the sidecar's active policy."""
     suspect: bool = False
     """Whether the upstream is ready but ejected as an outlier after failures."""
+    order: policy.Order = policy.NO_ORDER
+    """Order of the sidecar's active policy, as in ``ReportRequest``."""
+    era: int = 0
+    """Latest era of the store's content that the sidecar has seen."""
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="l"):
@@ -149,13 +160,19 @@
     """Statement of a relay about the store's documents, to processes of its domain."""
 
     revision: int
-    """Revision of the sender's active policy."""
+    """Number of the store revision of the sender's active policy."""
     digest: int
     list_revision: int
-    """Revision of the sender's list of sidecars."""
+    """Number of the store revision of the sender's list of sidecars."""
     list_digest: int
     is_current: bool
     """Whether the sender watches both documents in the store successfully."""
+    order: policy.Order = policy.NO_ORDER
+    """Order of the sender's active policy, as in ``ReportRequest``."""
+    list_order: revisioned.Revision = revisioned.NO_REVISION
+    """Revision of the sender's list of sidecars, likewise."""
+    era: int = 0
+    """Latest era of the store's content that the sender has seen."""
 
 
 class FlowHeld(msgspec.Struct, frozen=True, array_like=True, tag="held"):
@@ -175,7 +192,7 @@
 
     reason: Refusal
     revision: int
-    """Revision of the sidecar's active policy."""
+    """Number of the store revision of the sidecar's active policy."""
     data: bytes
     """The complete packet, including its headers."""
     retry_after: float = 0.0
