Hold requests at the sidecar while the upstream is busy

An upstream's own queue is first in, first out, so a command waits behind feeds that are already too late. The sidecar now forwards as many requests as the upstream has slots, plus one while service times are short, and releases the others by objective, priority and caller. Below that limit nothing changes. Held requests count as running and end with their flows; a response of an earlier request no longer ends a held one.

--- a/plantainproxy/flows/engine/flow_table.py
+++ b/plantainproxy/flows/engine/flow_table.py
@@ -11,6 +11,10 @@
 FIRST_REQUEST_TIMEOUT_SECONDS = 0.05
 """A new flow counts as an expected request for this long; a flow that has sent no
 request by then is treated as idle."""
+OPENING_COUNTS_SECONDS = 0.25
+"""The objective of a flow's first request counts from the flow's opening if the request
+arrives within this time, which covers one retransmission after 200 ms. A flow without
+a request for longer was opened ahead, and the objective counts from the arrival."""
 LOST_REQUEST_TIMEOUT_SECONDS = 5.0
 """A request without a response for this long no longer counts as in progress."""
 CLOSED_FLOW_RETENTION_SECONDS = 3.0
@@ -33,6 +37,9 @@
     """The caller's newest acknowledgement number."""
     request_started_at: float | None = None
     """Arrival time of the request in progress; ``None`` without one."""
+    is_request_queued: bool = False
+    """Whether the sidecar's queue holds the request, so that the upstream cannot answer
+    it yet."""
     caller_closed: bool = False
     upstream_closed: bool = False
 
@@ -49,7 +56,8 @@
         """Create an empty table that is not complete."""
         self.flows: dict[bytes, Flow] = {}
         self.running_requests = 0
-        """Requests that wait for the first byte of their response."""
+        """Requests that wait for the first byte of their response, also while the
+        sidecar's queue holds them."""
         self.awaiting_first_request: dict[bytes, float] = {}
         """Opening times of new flows that have sent no request yet, by key."""
         self.complete = False
@@ -89,8 +97,14 @@
     return now - flow.request_started_at
 
 
-def record_inbound(table: FlowTable, packet: packets.Packet, *, now: float) -> None:
-    """Record a caller's packet, other than an opening, delivered to the upstream."""
+def record_inbound(
+    table: FlowTable, packet: packets.Packet, *, now: float
+) -> float | None:
+    """Record a caller's packet, other than an opening, for the upstream.
+
+    Returns the time from which the objective of a request counts, if the packet starts
+    a request.
+    """
     flow = table.flows.get(packet.flow)
     if flow is None:
         flow = table.flows[packet.flow] = Flow(now, now)
@@ -104,18 +118,22 @@
     if packet.aborting:
         flow.upstream_closed = True
     if not packet.size or flow.caller_closed:
-        return
+        return None
     payload_end = (packet.sequence + packet.size) & SEQUENCE_MASK
     is_new = flow.caller_next is None or (
         0 < (payload_end - flow.caller_next) & SEQUENCE_MASK < HALF_RANGE
     )
     if not is_new:
-        return
+        return None
+    is_first = flow.caller_next is None
     flow.caller_next = payload_end
     table.awaiting_first_request.pop(packet.flow, None)
-    if flow.request_started_at is None:
-        flow.request_started_at = now
-        table.running_requests += 1
+    if flow.request_started_at is not None:
+        return None
+    flow.request_started_at = now
+    table.running_requests += 1
+    counts_from_opening = is_first and now - flow.opened_at < OPENING_COUNTS_SECONDS
+    return flow.opened_at if counts_from_opening else now
 
 
 def record_outbound(
@@ -139,6 +157,9 @@
         flow.caller_closed = True
     if not packet.size and not packet.aborting:
         return None
+    if flow.is_request_queued and not packet.aborting:
+        # The packet belongs to an earlier response.
+        return None
     wait_seconds = (
         None if flow.request_started_at is None else now - flow.request_started_at
     )
@@ -189,6 +210,7 @@
     for flow in table.flows.values():
         if (
             flow.request_started_at
+            and not flow.is_request_queued
             and now - flow.request_started_at >= LOST_REQUEST_TIMEOUT_SECONDS
         ):
             _end_request(table, flow)
@@ -210,4 +232,5 @@
 def _end_request(table: FlowTable, flow: Flow) -> None:
     if flow.request_started_at is not None:
         flow.request_started_at = None
+        flow.is_request_queued = False
         table.running_requests -= 1
--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -15,6 +15,7 @@
     admission,
     flow_table,
     outlier_detection,
+    request_queue,
     upstream,
 )
 
@@ -38,6 +39,8 @@
 DEFAULT_SLOTS = 2
 """Assumed slots of an upstream before its first heartbeat; the smallest number that
 any upstream has."""
+DEFAULT_OBJECTIVE_SECONDS = 1.0
+"""Objective of requests on flows whose route has been removed."""
 SUBSCRIPTION_TIMEOUT_SECONDS = 30.0
 """A balancer that sent no ``ReportRequest`` for this long gets no more reports."""
 RELAY_TIMEOUT_SECONDS = 3.0
@@ -115,6 +118,7 @@
         self.log = log
         self.policies = policy.ActivePolicy()
         self.table = flow_table.FlowTable()
+        self.request_queue = request_queue.RequestQueue(slots=DEFAULT_SLOTS)
         self.upstream = upstream.UpstreamStatus()
         self.slow_start_limiter = slow_start_limiter
         self.outlier_detector = outlier_detection.OutlierDetector()
@@ -196,12 +200,19 @@
     of a response.
     """
     if packet.returned:
-        _handle_returned(engine, packet)
+        _handle_returned(engine, packet, now=now)
         return None
     waited = flow_table.record_outbound(engine.table, packet, now=now)
     engine.port.forward_to_caller(packet)
+    if packet.closing or packet.aborting:
+        _end_held_request(engine, packet, now=now)
     if waited is None:
         return None
+    if packet.aborting:
+        request_queue.forget(engine.request_queue, packet.flow, now=now)
+    else:
+        request_queue.record_response(engine.request_queue, packet.flow, now=now)
+    _release_held(engine, now=now)
     if packet.aborting:
         _log_request(engine, packet, "request cut by upstream", waited)
         outlier_detection.record_reset(engine.outlier_detector, now=now)
@@ -245,6 +256,8 @@
         )
     if engine.upstream.newest is not None:
         _use_previous_snapshot(engine, engine.upstream.newest)
+    engine.request_queue.slots = max(_slots(engine), 1)
+    _release_held(engine, now=now)
     send_due_reports(engine, now=now)
     return True
 
@@ -259,6 +272,7 @@
         state=engine.upstream.state,
         reason="upstream leaves",
     )
+    _release_held(engine, now=now)
     send_due_reports(engine, now=now)
 
 
@@ -427,6 +441,9 @@
         and now - not_listening_since >= DRAIN_GRACE_SECONDS
     ):
         _end_not_listening_grace(engine)
+    for key in request_queue.forget_stalled(engine.request_queue, now=now):
+        engine.log.write_limited("request stalled", flow=key)
+    _release_held(engine, now=now)
     send_due_reports(engine, now=now)
 
 
@@ -437,6 +454,7 @@
         flow_table.evict_expired(
             engine.table, now=now, idle_seconds=current.idle_seconds
         )
+        _forget_evicted(engine, now=now)
     for balancer, seen_at in list(engine.balancers_seen.items()):
         if now - seen_at >= SUBSCRIPTION_TIMEOUT_SECONDS:
             del engine.balancers_seen[balancer]
@@ -462,6 +480,7 @@
 def stop(engine: Engine, *, now: float) -> None:
     """Report to the balancers that this process is about to end."""
     engine.stopping = True
+    _release_held(engine, now=now)
     send_due_reports(engine, now=now)
 
 
@@ -616,9 +635,165 @@
         waited = flow_table.request_wait_seconds(engine.table, packet.flow, now=now)
         if waited is not None:
             _log_request(engine, packet, "request given up by caller", waited)
-    flow_table.record_inbound(engine.table, packet, now=now)
+        _end_held_request(engine, packet, now=now)
+    objective_from = flow_table.record_inbound(engine.table, packet, now=now)
+    if packet.size and _hold(engine, packet, objective_from, now=now):
+        return
     engine.port.deliver(packet)
     engine.log.count("delivered")
+    if packet.closing or packet.aborting:
+        request_queue.forget(engine.request_queue, packet.flow, now=now)
+        _release_held(engine, now=now)
+
+
+def _hold(
+    engine: Engine,
+    packet: packets.Packet,
+    objective_from: float | None,
+    *,
+    now: float,
+) -> bool:
+    """Hold a packet with data if its request has to wait; return whether it is held.
+
+    ``objective_from`` is ``None`` if the packet starts no request.
+    """
+    queue = engine.request_queue
+    if packet.flow in queue.held:
+        if not request_queue.add_packet(queue, packet):
+            engine.log.count("dropped.held_copy")
+        _release_held(engine, now=now)
+        return True
+    if objective_from is None:
+        return False
+    current = engine.policies.current
+    route = current.routes.get(packet.service) if current else None
+    objective_seconds = route.objective_seconds if route else DEFAULT_OBJECTIVE_SECONDS
+    if not request_queue.is_busy(queue) or not _may_hold(engine):
+        request_queue.record_forwarded(
+            queue, packet.flow, objective_seconds=objective_seconds, now=now
+        )
+        return False
+    if not queue.held:
+        engine.log.write_limited(
+            "requests held", running=engine.table.running_requests, slots=queue.slots
+        )
+    request = request_queue.Request(
+        flow=packet.flow,
+        priority=route.priority if route else 0,
+        objective_seconds=objective_seconds,
+        objective_from=objective_from,
+        arrived_at=now,
+        packets=[packet],
+        size=len(packet.data),
+    )
+    request_queue.hold(queue, request)
+    engine.table.flows[packet.flow].is_request_queued = True
+    _release_held(engine, now=now)
+    return True
+
+
+def _may_hold(engine: Engine) -> bool:
+    """Return whether requests may be held for a busy upstream.
+
+    Without a heartbeat the number of slots is not known.
+    """
+    return (
+        engine.table.complete
+        and not engine.stopping
+        and engine.upstream.newest is not None
+        and engine.upstream.state is messages.UpstreamState.READY
+    )
+
+
+def _release_held(engine: Engine, *, now: float) -> None:
+    """Forward the held requests whose turn has come, or all if none may be held."""
+    queue = engine.request_queue
+    if not queue.held:
+        return
+    if not _may_hold(engine):
+        engine.log.write(
+            "held requests forwarded",
+            count=len(queue.held),
+            state=engine.upstream.state,
+            stopping=engine.stopping,
+        )
+        for key in list(queue.held):
+            _release_flow(engine, key, request_queue.Reason.UNSCHEDULED, now=now)
+        return
+    while (released := request_queue.next_release(queue, now=now)) is not None:
+        _forward_request(engine, *released, now=now)
+
+
+def _release_flow(
+    engine: Engine, key: bytes, reason: request_queue.Reason, *, now: float
+) -> None:
+    request = request_queue.remove(engine.request_queue, key)
+    if request is not None:
+        _forward_request(engine, request, reason, now=now)
+
+
+def _forward_request(
+    engine: Engine,
+    request: request_queue.Request,
+    reason: request_queue.Reason,
+    *,
+    now: float,
+) -> None:
+    held_seconds = now - request.arrived_at
+    flow = engine.table.flows.get(request.flow)
+    if flow is not None:
+        flow.is_request_queued = False
+    request_queue.record_forwarded(
+        engine.request_queue,
+        request.flow,
+        objective_seconds=request.objective_seconds,
+        now=now,
+    )
+    for packet in request.packets:
+        engine.port.deliver(packet)
+    engine.log.count("delivered", len(request.packets))
+    engine.log.count(f"released.{reason}")
+    engine.log.observe(f"held_seconds_priority_{request.priority}", held_seconds)
+    if now - request.objective_from > request.objective_seconds:
+        engine.log.write_limited(
+            "request released late",
+            flow=request.flow,
+            reason=reason,
+            held_seconds=round(held_seconds, 3),
+            priority=request.priority,
+        )
+
+
+def _end_held_request(engine: Engine, packet: packets.Packet, *, now: float) -> None:
+    """End the hold of a request whose flow is closed or reset by either end.
+
+    The data before a FIN goes ahead of it; the data before a reset is not needed.
+    """
+    if not packet.aborting:
+        reason = request_queue.Reason.FLOW_ENDED
+        _release_flow(engine, packet.flow, reason, now=now)
+        return
+    request = request_queue.remove(engine.request_queue, packet.flow)
+    if request is not None:
+        engine.log.count("dropped.held", len(request.packets))
+        engine.log.write_limited(
+            "held request dropped",
+            flow=packet.flow,
+            held_seconds=round(now - request.arrived_at, 3),
+            priority=request.priority,
+        )
+
+
+def _forget_evicted(engine: Engine, *, now: float) -> None:
+    """Forget the requests of flows that the flow table has evicted."""
+    queue, flows = engine.request_queue, engine.table.flows
+    for key in [key for key in queue.held if key not in flows]:
+        _release_flow(engine, key, request_queue.Reason.FLOW_ENDED, now=now)
+    for key in list(queue.in_progress):
+        flow = flows.get(key)
+        if flow is None or flow.request_started_at is None:
+            request_queue.forget(queue, key, now=now)
+    _release_held(engine, now=now)
 
 
 def _reply_not_held(engine: Engine, packet: packets.Packet) -> None:
@@ -628,15 +803,20 @@
     _return_packet(engine, packet, messages.Refusal.NOT_HELD)
 
 
-def _handle_returned(engine: Engine, packet: packets.Packet) -> None:
+def _handle_returned(engine: Engine, packet: packets.Packet, *, now: float) -> None:
     """Notify the balancer of a packet that the upstream returned."""
+    # The upstream returns what is held for the flow, too.
+    reason = request_queue.Reason.FLOW_ENDED
+    _release_flow(engine, packet.flow, reason, now=now)
     flow_table.remove(engine.table, packet.flow)
+    request_queue.forget(engine.request_queue, packet.flow, now=now)
+    _release_held(engine, now=now)
     query = engine.pending_queries.pop(packet.flow, None)
     if query is not None:
         engine.port.send_message(query.balancer, messages.FlowNotHeld(flow=packet.flow))
         return
-    reason = messages.Refusal.DECLINED if packet.opening else messages.Refusal.NOT_HELD
-    _return_packet(engine, packet, reason)
+    refusal = messages.Refusal.DECLINED if packet.opening else messages.Refusal.NOT_HELD
+    _return_packet(engine, packet, refusal)
 
 
 def _return_packet(
@@ -667,6 +847,9 @@
 
 def _reset_all_flows(engine: Engine, *, reason: str) -> None:
     """Reset every open flow, as the incarnation that held them has ended."""
+    dropped = request_queue.clear(engine.request_queue)
+    if dropped:
+        engine.log.count("dropped.held", dropped)
     open_flows = flow_table.remove_all(engine.table)
     for key, flow in open_flows:
         engine.port.reset(key, flow.caller_acknowledgement)
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -262,6 +262,8 @@
         "revision": float(engine.policies.revision),
         "flows": float(len(engine.table.flows)),
         "running_requests": float(engine.table.running_requests),
+        "held_requests": float(len(engine.request_queue.held)),
+        "held_bytes": float(engine.request_queue.held_bytes),
         "balancers": float(sidecar.balancer_count(engine)),
         "relay": float(_is_relay(process)),
         "relay_members": float(len(process.relay.members)),
