--- a/plantainproxy/flows/tests/test_request_queue.py
+++ b/plantainproxy/flows/tests/test_request_queue.py
@@ -4,42 +4,18 @@
 without the sidecar's queue.
 """
 
-import random
-
 import pytest
 
 from plantainproxy.flows import messages, packets
 from plantainproxy.flows.engine import flow_table, request_queue, sidecar
 from testbed import request_load, transparent
 
-FEED = request_load.Kind(
-    name="feed",
-    service=transparent.SERVICE,
-    priority=2,
-    work_seconds=0.04,
-    objective_seconds=0.308,
-    deadline_seconds=3.281,
-)
-COMMAND = request_load.Kind(
-    name="command",
-    service=b"\x01\x00\x12\xc6\xbb\x02",
-    priority=1,
-    work_seconds=0.052,
-    objective_seconds=0.369,
-    deadline_seconds=3.242,
-)
-FEEDS_PER_COMMAND = 656 / 188
-SLOTS = 2
+FEED, COMMAND = request_load.FEED, request_load.COMMAND
+RATES = request_load.RATES
+SLOTS = RATES.slots
 TARGET_SCORE = 0.87
 """Target of the requirements page for the customer whose load this is."""
 SLOW_FACTOR = 5.0
-MEAN_WORK_FACTOR = 1.0 + request_load.LONG_REQUEST_SHARE * (
-    request_load.LONG_REQUEST_FACTOR - 1.0
-)
-COMMAND_WORK_SHARE = COMMAND.work_seconds / (
-    COMMAND.work_seconds + FEEDS_PER_COMMAND * FEED.work_seconds
-)
-"""Share of commands in the work of a load."""
 SEEDS = range(6)
 
 KEYS = [transparent.flow_key(number) for number in range(20)]
@@ -47,32 +23,6 @@
 LIMIT = HARNESS_SLOTS + request_queue.MARGIN_REQUESTS
 
 
-def _mixed_load(
-    seed: int,
-    demand: float,
-    *,
-    start: float = 0.0,
-    seconds: float,
-    slowness: float = 1.0,
-) -> list[request_load.Arrival]:
-    """Return commands and feeds, ``demand`` times as many as the slots can run."""
-    draw = random.Random(seed)
-    work = COMMAND.work_seconds + FEEDS_PER_COMMAND * FEED.work_seconds
-    commands_per_second = demand * SLOTS / (work * MEAN_WORK_FACTOR * slowness)
-    return [
-        arrival
-        for kind, ratio in ((FEED, FEEDS_PER_COMMAND), (COMMAND, 1.0))
-        for arrival in request_load.poisson(
-            draw,
-            kind,
-            per_second=ratio * commands_per_second,
-            start=start,
-            seconds=seconds,
-            slowness=slowness,
-        )
-    ]
-
-
 def _run_both(
     loads: list[list[request_load.Arrival]],
 ) -> tuple[list[request_load.Outcome], list[request_load.Outcome]]:
@@ -121,18 +71,14 @@
     half of what commands leave them.
     """
     scheduled, unscheduled = _run_both(
-        [
-            _mixed_load(seed, 0.6, seconds=2.0)
-            + _mixed_load(seed, 1.7, start=2.0, seconds=3.0)
-            + _mixed_load(seed, 0.6, start=5.0, seconds=3.0)
-            for seed in SEEDS
-        ]
+        [request_load.overload(RATES, seed) for seed in SEEDS]
     )
     commands = request_load.share_on_time(scheduled, "command")
     assert commands >= TARGET_SCORE
     assert commands > request_load.share_on_time(unscheduled, "command")
     overload = [o for o in scheduled if 2.0 <= o.arrival.at < 5.0]
-    left_for_feeds = (1 - 1.7 * COMMAND_WORK_SHARE) / (1.7 * (1 - COMMAND_WORK_SHARE))
+    commands_work = 1.7 * RATES.command_share
+    left_for_feeds = (1 - commands_work) / (1.7 - commands_work)
     assert request_load.share_on_time(overload, "feed") >= left_for_feeds / 2
     _assert_nobody_starves(scheduled)
     _assert_nothing_is_held_in_vain(scheduled)
@@ -147,7 +93,7 @@
     """
     scheduled, unscheduled = _run_both(
         [
-            _mixed_load(seed, 1.2, seconds=6.5, slowness=SLOW_FACTOR)
+            request_load.mixed(RATES, seed, 1.2, seconds=6.5, slowness=SLOW_FACTOR)
             for seed in range(12)
         ]
     )
@@ -168,24 +114,25 @@
 
 def test_one_caller_with_a_hundred_times_the_requests_crowds_nobody_out() -> None:
     """One caller asks for twice what the upstream can do, ten others for a fifth."""
-    loads = []
-    for seed in SEEDS:
-        draw = random.Random(seed)
-        load = request_load.poisson(draw, FEED, per_second=100.0, seconds=4.0, caller=1)
-        for caller in range(2, 12):
-            load += request_load.poisson(
-                draw, FEED, per_second=1.0, seconds=4.0, caller=caller
-            )
-        loads.append(load)
-    scheduled, unscheduled = _run_both(loads)
+    scheduled, unscheduled = _run_both(
+        [request_load.aggressive_caller(seed) for seed in SEEDS]
+    )
 
     def others(outcomes: list[request_load.Outcome]) -> float:
-        chosen = [outcome for outcome in outcomes if outcome.arrival.caller != 1]
+        chosen = [
+            outcome
+            for outcome in outcomes
+            if outcome.arrival.caller != request_load.AGGRESSIVE
+        ]
         return request_load.share_on_time(chosen, "feed")
 
     assert others(scheduled) >= TARGET_SCORE
     assert others(scheduled) > others(unscheduled)
-    aggressive = [outcome for outcome in scheduled if outcome.arrival.caller == 1]
+    aggressive = [
+        outcome
+        for outcome in scheduled
+        if outcome.arrival.caller == request_load.AGGRESSIVE
+    ]
     assert any(outcome.is_on_time for outcome in aggressive)
     _assert_nobody_starves(scheduled)
     _assert_nothing_is_held_in_vain(scheduled)
--- a/testbed/request_load.py
+++ b/testbed/request_load.py
@@ -37,6 +37,55 @@
     deadline_seconds: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Rates:
+    """Slots of an upstream and the requests that share it."""
+
+    slots: int
+    feed: Kind
+    command: Kind
+    feeds_per_command: float
+
+    @property
+    def command_share(self) -> float:
+        """Share of commands in the work."""
+        feeds = self.feeds_per_command * self.feed.work_seconds
+        return self.command.work_seconds / (self.command.work_seconds + feeds)
+
+
+FEED = Kind(
+    name="feed",
+    service=transparent.SERVICE,
+    priority=2,
+    work_seconds=0.04,
+    objective_seconds=0.308,
+    deadline_seconds=3.281,
+)
+COMMAND = Kind(
+    name="command",
+    service=b"\x01\x00\x12\xc6\xbb\x02",
+    priority=1,
+    work_seconds=0.052,
+    objective_seconds=0.369,
+    deadline_seconds=3.242,
+)
+RATES = Rates(slots=2, feed=FEED, command=COMMAND, feeds_per_command=656 / 188)
+"""Requests of the first customer on the requirements page."""
+OTHER_RATES = Rates(
+    slots=3,
+    feed=dataclasses.replace(
+        FEED, work_seconds=0.047, objective_seconds=0.353, deadline_seconds=4.704
+    ),
+    command=dataclasses.replace(
+        COMMAND, work_seconds=0.061, objective_seconds=0.452, deadline_seconds=5.645
+    ),
+    feeds_per_command=500 / 143,
+)
+"""Requests of the second customer."""
+AGGRESSIVE = 1
+"""The caller that sends a hundred times the requests of each other one."""
+
+
 class Arrival(typing.NamedTuple):
     """One request of a load, on a flow of its own."""
 
@@ -236,6 +285,52 @@
     return arrivals
 
 
+def mixed(
+    rates: Rates,
+    seed: int,
+    demand: float,
+    *,
+    start: float = 0.0,
+    seconds: float,
+    slowness: float = 1.0,
+) -> list[Arrival]:
+    """Return feeds and commands, ``demand`` times as many as the slots can run."""
+    draw = random.Random(seed)
+    work = rates.command.work_seconds / rates.command_share
+    work *= 1.0 + LONG_REQUEST_SHARE * (LONG_REQUEST_FACTOR - 1.0)
+    commands_per_second = demand * rates.slots / (work * slowness)
+    return [
+        arrival
+        for kind, ratio in ((rates.feed, rates.feeds_per_command), (rates.command, 1.0))
+        for arrival in poisson(
+            draw,
+            kind,
+            per_second=ratio * commands_per_second,
+            start=start,
+            seconds=seconds,
+            slowness=slowness,
+        )
+    ]
+
+
+def overload(rates: Rates, seed: int) -> list[Arrival]:
+    """Return 1.7 times the demand that can be served for 3 s, and 0.6 around it."""
+    return [
+        *mixed(rates, seed, 0.6, seconds=2.0),
+        *mixed(rates, seed, 1.7, start=2.0, seconds=3.0),
+        *mixed(rates, seed, 0.6, start=5.0, seconds=3.0),
+    ]
+
+
+def aggressive_caller(seed: int) -> list[Arrival]:
+    """Return feeds of one caller for twice the slots, and of ten others for a fifth."""
+    draw = random.Random(seed)
+    load = poisson(draw, FEED, per_second=100.0, seconds=4.0, caller=AGGRESSIVE)
+    for caller in range(AGGRESSIVE + 1, AGGRESSIVE + 11):
+        load += poisson(draw, FEED, per_second=1.0, seconds=4.0, caller=caller)
+    return load
+
+
 def run(
     arrivals: abc.Iterable[Arrival], *, slots: int, is_scheduled: bool
 ) -> list[Outcome]:
