--- a/plantainproxy/flows/tests/test_request_queue.py
+++ b/plantainproxy/flows/tests/test_request_queue.py
@@ -483,6 +483,25 @@
     assert sorted(_delivered(harness)) == KEYS[6:14]
 
 
+def test_requests_held_too_long_do_not_overflow_the_upstream() -> None:
+    """The process was paused with more requests held than the upstream queues."""
+    queue = request_queue.RequestQueue(slots=1)
+    for number in range(9):
+        flow = transparent.flow_key(number)
+        if request_queue.is_busy(queue):
+            request_queue.hold(queue, _request(number))
+        else:
+            request_queue.record_forwarded(
+                queue, flow, objective_seconds=100.0, now=0.0
+            )
+    while (released := request_queue.next_release(queue, now=60.0)) is not None:
+        assert released[1] is request_queue.Reason.EXPIRED
+        request_queue.record_forwarded(
+            queue, released[0].flow, objective_seconds=100.0, now=60.0
+        )
+    assert len(queue.in_progress) == 1 + request_queue.UPSTREAM_QUEUE_PER_SLOT
+
+
 def test_a_slower_upstream_is_waited_for() -> None:
     """It is eight times slower than before, so each answer takes over the objective.
 
