--- a/plantainproxy/flows/engine/request_queue.py
+++ b/plantainproxy/flows/engine/request_queue.py
@@ -39,9 +39,9 @@
 """Maximum time in a slot until a request counts as stalled. It is below the earliest
 deadline of callers (3.2 s), so that a hanging upstream does not hold back the rest."""
 MAX_HELD_SECONDS = 5.0
-"""A request that was held for this long goes to the upstream's queue as soon as there is
-room. It is longer than the deadlines of most callers, whose resets then drop requests
-that nobody waits for."""
+"""A request held for this long goes to the upstream's queue as soon as there is room.
+It is longer than the deadlines of most callers, whose resets then drop requests that
+nobody waits for."""
 MAX_CALLERS = 1_024
 """Limit on the callers whose releases are counted."""
 RELEASE_HALF_LIFE_SECONDS = 1.0
