Hedged openings within a budget, and a budget of further placements

A copy of an overdue opening goes to a second upstream of the pool, for repeatable routes and within the operators' limit (off by default). The caller's next packet is sent to every upstream with a copy, as only the sidecars know which one the caller chose. Placements after a refusal have a budget of their own, so that refusals under overload do not multiply the openings that sidecars receive.

--- a/plantainproxy/flows/engine/balancer.py
+++ b/plantainproxy/flows/engine/balancer.py
@@ -7,7 +7,13 @@
 
 from plantainproxy import _types
 from plantainproxy.flows import event_log, messages, packets, policy
-from plantainproxy.flows.engine import lookup, placement, upstreams, waiting
+from plantainproxy.flows.engine import (
+    hedging,
+    lookup,
+    placement,
+    upstreams,
+    waiting,
+)
 
 MAX_CACHED_FLOWS = 120_000
 """Capacity of the flow cache. An entry takes about 380 bytes (bench.flows), so a full
@@ -70,9 +76,18 @@
     """State of one balancer, changed by the functions of this module."""
 
     def __init__(
-        self, *, port: Port, domain: str, draw: placement.Draw, log: event_log.EventLog
+        self,
+        *,
+        port: Port,
+        domain: str,
+        draw: placement.Draw,
+        log: event_log.EventLog,
+        hedge_percent: float = 0.0,
     ) -> None:
-        """Create an engine without a policy, upstreams or flows."""
+        """Create an engine without a policy, upstreams or flows.
+
+        ``hedge_percent`` is the limit of hedges per hundred first openings.
+        """
         self.port = port
         self.domain = domain
         self.draw = draw
@@ -82,6 +97,10 @@
         self.flows: dict[bytes, CachedFlow] = {}
         self.lookups: dict[bytes, lookup.Lookup] = {}
         self.waiting = waiting.Queue()
+        self.first_openings = 0
+        """Openings received since the start, without retransmissions."""
+        self.hedging = hedging.Hedging(hedge_percent)
+        self.retry_budget = hedging.retry_budget()
         self.first_policy_at = float("inf")
         """When the first policy was applied; infinite before."""
         self.stopping = False
@@ -213,6 +232,97 @@
             del engine.flows[flow]
 
 
+def send_due_hedges(engine: Engine, *, now: float) -> None:
+    """Check the watched openings, and hedge those that are overdue and may be hedged.
+
+    Called every ``hedging.PASS_INTERVAL_SECONDS`` unless hedging is off. A packet of
+    the caller after the opening, which shows that the flow has opened, is seen by the
+    time of the flow cache entry's last use, so that packets cost no more.
+    """
+    is_on_time = hedging.start_pass(engine.hedging, now=now)
+    for flow, opening in list(engine.hedging.watched.items()):
+        cached = engine.flows.get(flow)
+        if cached is None or now - opening.placed_at >= hedging.ABANDONED_SECONDS:
+            del engine.hedging.watched[flow]
+        elif cached.used_at > cached.opened_at:
+            del engine.hedging.watched[flow]
+            _record_opened(engine, opening, opened_at=cached.used_at, now=now)
+        elif is_on_time and now >= opening.overdue_at and not opening.is_decided:
+            _hedge_or_deny(engine, opening, cached, now=now)
+    for flow, hedged in list(engine.hedging.hedged.items()):
+        if now - hedged.opening.placed_at >= hedging.ABANDONED_SECONDS:
+            del engine.hedging.hedged[flow]
+
+
+def _record_opened(
+    engine: Engine, opening: hedging.WatchedOpening, *, opened_at: float, now: float
+) -> None:
+    seconds = hedging.record_success(
+        engine.hedging, opening, opened_at=opened_at, now=now
+    )
+    engine.log.observe("opening_seconds", seconds)
+
+
+def _hedge_or_deny(
+    engine: Engine,
+    opening: hedging.WatchedOpening,
+    cached: CachedFlow,
+    *,
+    now: float,
+) -> None:
+    """Send a hedge of an overdue opening, or log why none is sent."""
+    active_policy = engine.policies.current
+    assert active_policy is not None
+    opening.is_decided = True
+    packet = opening.packet
+    decision = hedging.decide(
+        engine.hedging,
+        opening,
+        engine.view,
+        first=cached.upstream,
+        refused_by=cached.refused_by,
+        conditions=hedging.Conditions(
+            is_stopping=engine.stopping,
+            is_view_reliable=now >= engine.reports_stale_until,
+            waiting_openings=len(engine.waiting.openings),
+            are_lookups_full=len(engine.lookups) >= MAX_ACTIVE_LOOKUPS,
+            first_openings=engine.first_openings,
+        ),
+        context=placement.Context(
+            policy=active_policy, domain=engine.domain, now=now, draw=engine.draw
+        ),
+    )
+    times = engine.hedging.times[packet.service]
+    hedging.record_outcome(times, is_overdue=True)
+    fields = {
+        "flow": packet.flow,
+        "route": opening.route.name,
+        "first": str(cached.upstream),
+        "waited": round(now - opening.placed_at, 3),
+        "overdue_share": round(times.overdue_share, 2),
+    }
+    if isinstance(decision, hedging.Denial):
+        engine.log.count(f"hedges.denied.{decision}")
+        engine.log.write_limited("hedge denied", reason=decision, **fields)
+        return
+    decision.placed_flows += 1
+    # Without a cache entry, the caller's next packet starts a lookup, which sends it
+    # to both upstreams.
+    del engine.flows[packet.flow]
+    del engine.hedging.watched[packet.flow]
+    engine.hedging.hedged[packet.flow] = hedging.HedgedOpening(
+        opening,
+        cached.upstream,
+        [cached.upstream, decision.address],
+        cached.refused_by,
+    )
+    engine.port.forward(packet, decision.data_address, packets.Purpose.OPEN)
+    engine.log.count("hedges.sent")
+    engine.log.write_limited(
+        "hedge sent", reason="overdue", upstream=str(decision.address), **fields
+    )
+
+
 def _update_majority_silent(engine: Engine, *, now: float) -> None:
     """Update the silent-majority flag, which indicates a partition of this process.
 
@@ -266,7 +376,7 @@
         return
     cached = engine.flows.get(packet.flow)
     if cached is None:
-        _place(engine, packet, route, refused_by=frozenset(), now=now)
+        _handle_uncached_opening(engine, packet, route, now=now)
         return
     # A retransmission: the upstream chosen first has not accepted the flow in time.
     excluded = cached.refused_by | {cached.upstream}
@@ -277,7 +387,42 @@
         engine.port.forward(packet, chosen.data_address, packets.Purpose.OPEN)
 
 
-def _place(
+def _handle_uncached_opening(
+    engine: Engine, packet: packets.Packet, route: policy.Route, *, now: float
+) -> None:
+    hedged = engine.hedging.hedged.get(packet.flow)
+    if hedged is not None:
+        _repeat_hedged_opening(engine, packet, route, hedged, now=now)
+        return
+    is_first = packet.acknowledgement == 0
+    if is_first:
+        engine.first_openings += 1
+    if not _try_to_place(engine, packet, route, refused_by=frozenset(), now=now):
+        _enqueue_or_refuse(engine, packet, route, frozenset(), now=now)
+    elif is_first and engine.hedging.percent:
+        hedging.watch(engine.hedging, packet, route, now=now)
+
+
+def _repeat_hedged_opening(
+    engine: Engine,
+    packet: packets.Packet,
+    route: policy.Route,
+    hedged: hedging.HedgedOpening,
+    *,
+    now: float,
+) -> None:
+    """Send a caller's retransmission of a hedged opening to one more upstream."""
+    excluded = hedged.refused_by.union(hedged.upstreams)
+    if _try_to_place(engine, packet, route, refused_by=excluded, now=now):
+        # Any of the upstreams may hold the flow; the next packet is sent to all.
+        hedged.upstreams.append(engine.flows.pop(packet.flow).upstream)
+        return
+    chosen = engine.view.upstreams.get(hedged.upstreams[-1])
+    if chosen is not None:
+        engine.port.forward(packet, chosen.data_address, packets.Purpose.OPEN)
+
+
+def _place_again(
     engine: Engine,
     packet: packets.Packet,
     route: policy.Route,
@@ -285,8 +430,34 @@
     refused_by: frozenset[_types.Address],
     now: float,
 ) -> None:
-    if not _try_to_place(engine, packet, route, refused_by=refused_by, now=now):
-        _enqueue_or_refuse(engine, packet, route, refused_by, now=now)
+    """Place a refused opening on another upstream within the budget; else queue it."""
+    is_allowed = _may_place_again(engine, now=now)
+    if is_allowed and _try_to_place(
+        engine, packet, route, refused_by=refused_by, now=now
+    ):
+        _count_further_placement(engine)
+        return
+    if not is_allowed:
+        engine.log.count("further_placements.denied")
+        engine.log.write_limited(
+            "further placement denied",
+            flow=packet.flow,
+            route=route.name,
+            reason="budget",
+            refusals=len(refused_by),
+        )
+    _enqueue_or_refuse(engine, packet, route, refused_by, now=now)
+
+
+def _may_place_again(engine: Engine, *, now: float) -> bool:
+    return hedging.has_credit(
+        engine.retry_budget, openings=engine.first_openings, now=now
+    )
+
+
+def _count_further_placement(engine: Engine) -> None:
+    hedging.spend(engine.retry_budget)
+    engine.log.count("further_placements.sent")
 
 
 def _try_to_place(
@@ -352,12 +523,16 @@
     if is_unservable:
         _reset(engine, packet)
         return
-    _enqueue(engine, packet, now=now)
+    _enqueue(engine, packet, was_refused=bool(refused_by), now=now)
 
 
-def _enqueue(engine: Engine, packet: packets.Packet, *, now: float) -> None:
+def _enqueue(
+    engine: Engine, packet: packets.Packet, *, was_refused: bool = False, now: float
+) -> None:
     opening = waiting.Opening(
-        packet=packet, first_sent_at=waiting.first_sent_at(packet, now=now)
+        packet=packet,
+        first_sent_at=waiting.first_sent_at(packet, now=now),
+        was_refused=was_refused,
     )
     if not engine.waiting.add(opening):
         engine.log.count("dropped.queue_full")
@@ -381,8 +556,12 @@
             continue
         if packet.service in full_services:
             continue
+        if opening.was_refused and not _may_place_again(engine, now=now):
+            continue
         if _try_to_place(engine, packet, route, refused_by=frozenset(), now=now):
             del engine.waiting.openings[packet.flow]
+            if opening.was_refused:
+                _count_further_placement(engine)
         else:
             full_services.add(packet.service)
 
@@ -458,10 +637,34 @@
         backoff = max(PLACEMENT_BACKOFF_SECONDS[message.reason], message.retry_after)
         refusing.backoff_until = max(refusing.backoff_until, now + backoff)
         refusing.placed_flows = max(refusing.placed_flows - 1, 0)
+    hedged = engine.hedging.hedged.get(packet.flow)
+    if hedged is not None:
+        _handle_refused_hedge(engine, packet, route, hedged, sender, now=now)
+        return
     if cached is None or cached.upstream != sender:
         return
     refused_by = cached.refused_by | {sender}
-    _place(engine, packet, route, refused_by=refused_by, now=now)
+    _place_again(engine, packet, route, refused_by=refused_by, now=now)
+
+
+def _handle_refused_hedge(
+    engine: Engine,
+    packet: packets.Packet,
+    route: policy.Route,
+    hedged: hedging.HedgedOpening,
+    sender: _types.Address,
+    *,
+    now: float,
+) -> None:
+    """Place the opening again only if no other upstream still has a copy."""
+    if sender not in hedged.upstreams:
+        return
+    hedged.upstreams.remove(sender)
+    hedged.refused_by |= {sender}
+    if hedged.upstreams:
+        return
+    del engine.hedging.hedged[packet.flow]
+    _place_again(engine, packet, route, refused_by=hedged.refused_by, now=now)
 
 
 def _loss_timeout_seconds(route: policy.Route) -> float:
@@ -496,10 +699,39 @@
         flow_lookup.denied.add(not_held_by)
     engine.lookups[packet.flow] = flow_lookup
     engine.log.count("lookups")
+    hedged = engine.hedging.hedged.get(packet.flow)
+    if (
+        hedged is not None
+        and not_held_by is None
+        and _query_hedged(engine, flow_lookup, hedged, now=now)
+    ):
+        return
     if len(engine.lookups) <= MAX_ACTIVE_LOOKUPS:
         _continue_lookup(engine, packet.flow, flow_lookup, now=now)
 
 
+def _query_hedged(
+    engine: Engine,
+    flow_lookup: lookup.Lookup,
+    hedged: hedging.HedgedOpening,
+    *,
+    now: float,
+) -> bool:
+    """Send a hedged flow's first packet to all upstreams that have a copy.
+
+    Only the one that the caller chose delivers it; the others deny the flow. Returns
+    whether the packet was sent.
+    """
+    if not hedged.is_opened:
+        hedged.is_opened = True
+        _record_opened(engine, hedged.opening, opened_at=now, now=now)
+    query = lookup.query_first(flow_lookup, hedged.upstreams, engine.view, now=now)
+    for address in query.upstreams:
+        target = engine.view.upstreams[address].data_address
+        engine.port.forward(query.packet, target, packets.Purpose.LOOKUP)
+    return bool(query.upstreams)
+
+
 def _continue_lookups(engine: Engine, *, now: float) -> None:
     """Repeat queries that are due, and start queued lookups up to the limit."""
     active_count = sum(
@@ -550,6 +782,13 @@
     if flow_lookup is None or upstream is None:
         return
     engine.flows[flow] = CachedFlow(sender, now, now)
+    hedged = engine.hedging.hedged.pop(flow, None)
+    if hedged is not None:
+        outcome = "lost" if sender == hedged.first else "won"
+        engine.log.count(f"hedges.{outcome}")
+        engine.log.write_limited(
+            f"hedge {outcome}", flow=flow, first=str(hedged.first), upstream=str(sender)
+        )
     engine.log.write_limited(
         "flow found",
         flow=flow,
--- a/plantainproxy/flows/engine/lookup.py
+++ b/plantainproxy/flows/engine/lookup.py
@@ -85,6 +85,24 @@
     )
 
 
+def query_first(
+    flow_lookup: Lookup,
+    targets: list[_types.Address],
+    view: upstreams.View,
+    *,
+    now: float,
+) -> Query:
+    """Return a first query, before the first wave, of upstreams that may hold the flow.
+
+    The packet reaches whichever of them holds the flow without another round trip.
+    """
+    live = [address for address in targets if _is_live(flow_lookup, address, view, now)]
+    flow_lookup.queried.update(live)
+    flow_lookup.attempts = 1
+    _schedule_retry(flow_lookup, now)
+    return Query(flow_lookup.packets[0], live)
+
+
 def buffer(flow_lookup: Lookup, packet: packets.Packet) -> None:
     """Buffer a packet until the lookup ends; drop it if the buffer is full."""
     if len(flow_lookup.packets) < MAX_BUFFERED_PACKETS:
--- a/plantainproxy/flows/engine/waiting.py
+++ b/plantainproxy/flows/engine/waiting.py
@@ -23,6 +23,9 @@
     packet: packets.Packet
     first_sent_at: float
     """When the caller sent the first opening packet of the attempt."""
+    was_refused: bool = False
+    """Whether an upstream has refused it. Its placement is then a further one, which
+    the budget of further placements limits."""
 
 
 def first_sent_at(packet: packets.Packet, *, now: float) -> float:
