--- a/plantainproxy/flows/engine/hedging.py
+++ b/plantainproxy/flows/engine/hedging.py
@@ -14,8 +14,6 @@
 from plantainproxy.flows import messages, packets, policy
 from plantainproxy.flows.engine import placement, upstreams
 
-MAX_HEDGE_PERCENT = 20.0
-"""Highest limit that operators can set, in hedges per hundred first openings."""
 HEDGE_BURST = 4
 """Capacity of the hedge budget, in hedges. Unused budget of quiet times must not allow
 a burst of copies when many openings become overdue at once."""
@@ -371,10 +369,7 @@
 def _is_saturated(upstream: upstreams.Upstream) -> bool:
     report = upstream.report
     assert report is not None
-    return (
-        report.running + upstream.placed_flows >= report.slots
-        or upstream.placed_flows >= report.room
-    )
+    return report.running >= report.slots or upstream.placed_flows >= report.room
 
 
 def _may_get_hedge(upstream: upstreams.Upstream, *, now: float) -> bool:
--- a/plantainproxy/flows/programs/balancer_main.py
+++ b/plantainproxy/flows/programs/balancer_main.py
@@ -12,7 +12,7 @@
 from plantainproxy import _lifecycle, _types
 from plantainproxy.flows import event_log, messages, packets, policy, settings
 from plantainproxy.flows.control import coverage, documents, report_requests
-from plantainproxy.flows.engine import balancer, upstreams
+from plantainproxy.flows.engine import balancer, hedging, upstreams
 from plantainproxy.flows.programs import datagrams, node
 from plantainproxy.flows.stored import registry
 from plantainproxy.platform import (
@@ -79,7 +79,7 @@
 
     def __init__(
         self,
-        node_settings: settings.NodeSettings,
+        node_settings: settings.BalancerSettings,
         data_socket: socket.socket,
         message_socket: socket.socket,
     ) -> None:
@@ -94,6 +94,7 @@
             domain=node_settings.domain,
             draw=random.random,
             log=self.log,
+            hedge_percent=node_settings.hedge_percent,
         )
         self.documents = documents.Documents(self.engine.policies, log=self.log)
         self.store = metadata_store.MetadataStore(
@@ -220,6 +221,13 @@
         balancer.tick(process.engine, now=trio.current_time())
 
 
+async def _send_hedges_forever(process: BalancerProcess) -> None:
+    """Check for overdue openings, unless hedging is off."""
+    while process.settings.hedge_percent:
+        await trio.sleep(hedging.PASS_INTERVAL_SECONDS)
+        balancer.send_due_hedges(process.engine, now=trio.current_time())
+
+
 async def _evict_flows_forever(process: BalancerProcess) -> None:
     while True:
         await trio.sleep(FLOW_EVICTION_INTERVAL_SECONDS)
@@ -260,6 +268,10 @@
         "cached_flows": float(len(engine.flows)),
         "open_lookups": float(len(engine.lookups)),
         "waiting_openings": float(len(engine.waiting.openings)),
+        "hedge_percent": engine.hedging.percent,
+        "watched_openings": float(len(engine.hedging.watched)),
+        "hedged_openings": float(len(engine.hedging.hedged)),
+        "first_openings": float(engine.first_openings),
         "upstreams": float(len(engine.view.upstreams)),
         "report_age_seconds": upstreams.oldest_report_seconds(
             engine.view, now=trio.current_time()
@@ -271,7 +283,7 @@
 
 
 async def _run(
-    lifecycle: _lifecycle.Lifecycle, node_settings: settings.NodeSettings
+    lifecycle: _lifecycle.Lifecycle, node_settings: settings.BalancerSettings
 ) -> None:
     with (
         datagrams.bound_socket(node_settings.data_address) as data_socket,
@@ -279,7 +291,10 @@
     ):
         process = BalancerProcess(node_settings, data_socket, message_socket)
         process.log.write(
-            "started", node=node_settings.name, domain=node_settings.domain
+            "started",
+            node=node_settings.name,
+            domain=node_settings.domain,
+            hedge_percent=node_settings.hedge_percent,
         )
         async with trio.open_nursery() as nursery:
             node.start(nursery, lifecycle, _node_context(process))
@@ -287,6 +302,7 @@
                 _request_reports_forever,
                 _request_room_forever,
                 _tick_forever,
+                _send_hedges_forever,
                 _evict_flows_forever,
             ):
                 nursery.start_soon(task, process)
@@ -294,7 +310,9 @@
             nursery.cancel_scope.cancel()
 
 
-def _node_context(process: BalancerProcess) -> node.NodeContext[settings.NodeSettings]:
+def _node_context(
+    process: BalancerProcess,
+) -> node.NodeContext[settings.BalancerSettings]:
     return node.NodeContext(
         settings=process.settings,
         read_settings=platform_settings.load_balancer,
--- a/plantainproxy/flows/programs/ctl_main.py
+++ b/plantainproxy/flows/programs/ctl_main.py
@@ -1,7 +1,7 @@
 """Command-line tool ``plantain-flow-ctl``: status and routing of transparent flows.
 
-It reads the policy and the list of sidecars from the store, and gauges from the metrics
-endpoint of each listed sidecar.
+It reads the policy and the list of sidecars from the store, and metrics of each listed
+sidecar and of each balancer that a sidecar reports to.
 """
 
 from collections import abc
@@ -12,6 +12,7 @@
 
 from plantainproxy import _exceptions, _types
 from plantainproxy.flows import policy
+from plantainproxy.flows.programs import balancer_status
 from plantainproxy.flows.stored import registry
 from plantainproxy.platform import configuration, metadata_store, packet_format
 from plantainproxy.platform import settings as platform_settings
@@ -26,7 +27,7 @@
 
 
 def status(store: str, *, metrics_port: int = platform_settings.METRICS_PORT) -> None:
-    """Show the policy in the store, every listed sidecar, and the domains' relays.
+    """Show the policy in the store, the sidecars, their balancers and relays.
 
     Args:
         store: Address of the platform's store, such as 10.200.1.7:8169.
@@ -45,6 +46,7 @@
             {entry.key: entry.value for entry in snapshot.entries}
         )
         relays: dict[str, list[str]] = {}
+        balancers: set[str] = set()
         for address, listed in sorted(registered.items()):
             gauges = await _scrape(_types.Address(address.host, metrics_port))
             summary = NO_ANSWER if gauges is None else _render_gauges(gauges)
@@ -52,6 +54,15 @@
             in_domain = relays.setdefault(listed.domain, [])
             if gauges is not None and gauges.get("relay"):
                 in_domain.append(address.host)
+            balancers.update(balancer_status.subscriber_hosts(gauges or {}))
+        for host in sorted(balancers):
+            gauges = await _scrape(_types.Address(host, metrics_port))
+            summary = (
+                NO_ANSWER
+                if gauges is None
+                else balancer_status.render_placements(gauges)
+            )
+            print(f"balancer {host}: {summary}")
         for domain, hosts in sorted(relays.items()):
             print(f"domain {domain}: relays {', '.join(hosts) or 'none'}")
 
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -12,7 +12,12 @@
 from plantainproxy.flows import event_log, messages, packets, policy, settings
 from plantainproxy.flows.control import documents, relay
 from plantainproxy.flows.engine import admission, sidecar, upstream
-from plantainproxy.flows.programs import datagrams, node, upstream_monitor
+from plantainproxy.flows.programs import (
+    balancer_status,
+    datagrams,
+    node,
+    upstream_monitor,
+)
 from plantainproxy.flows.stored import flow_snapshot, registry
 from plantainproxy.platform import (
     configuration,
@@ -263,6 +268,11 @@
         "flows": float(len(engine.table.flows)),
         "running_requests": float(engine.table.running_requests),
         "balancers": float(sidecar.balancer_count(engine)),
+        **balancer_status.subscriber_gauges(
+            address.host
+            for address, subscriber in engine.subscribers.items()
+            if not subscriber.is_relay
+        ),
         "relay": float(_is_relay(process)),
         "relay_members": float(len(process.relay.members)),
         "relay_peers": float(len(process.relay.peers)),
--- a/plantainproxy/flows/settings.py
+++ b/plantainproxy/flows/settings.py
@@ -4,6 +4,9 @@
 
 from plantainproxy import _types
 
+MAX_HEDGE_PERCENT = 20.0
+"""Highest limit of hedges per hundred first openings."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class NodeSettings:
@@ -41,6 +44,15 @@
         return _types.Address(self.host, self.metrics_port)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BalancerSettings(NodeSettings):
+    """Settings of a balancer."""
+
+    hedge_percent: float
+    """Limit of hedges per hundred first openings, at most ``MAX_HEDGE_PERCENT``; 0
+    turns hedging off."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SidecarSettings(NodeSettings):
     """Settings of a sidecar."""
--- a/plantainproxy/flows/tests/test_hedging.py
+++ b/plantainproxy/flows/tests/test_hedging.py
@@ -11,6 +11,8 @@
 
 from plantainproxy.flows import messages, packets, policy
 from plantainproxy.flows.engine import balancer, hedging, sidecar, upstreams
+from plantainproxy.flows.programs import balancer_status
+from plantainproxy.telemetry import exposition
 from testbed import transparent
 
 CALLER_ACKNOWLEDGEMENT = 1
@@ -682,3 +684,20 @@
     _pass_time(harness, 0.19)
     assert len(_opened_at(harness)) == 1
     assert _denials(harness) == {"no-upstream"}
+
+
+def test_status_shows_hedges_and_denials_of_the_balancers() -> None:
+    """Operators must see from one command what the limit costs and gains."""
+    gauges = balancer_status.subscriber_gauges(["10.200.1.7"])
+    assert balancer_status.subscriber_hosts({"relay": 1.0, **gauges}) == ["10.200.1.7"]
+    harness = _hedging_balancer()
+    for number in (1, 2):
+        harness.handle_packet(_opening(number))
+    harness.engine.hedging.budget.credit = hedging.PLACEMENT_COST_PERCENT
+    _pass_time(harness, 0.19)
+    log = harness.engine.log
+    text = exposition.render(log.counters, {"ready": 1, "hedge_percent": 20}, {})
+    assert balancer_status.render_placements(exposition.parse(text)) == (
+        "ready 1, first openings nan, hedge limit 20%, sent 1, won 0, lost 0, "
+        "denied 1 (budget 1); further placements 0, denied 0"
+    )
--- a/plantainproxy/flows/tests/test_hedging_machine.py
+++ b/plantainproxy/flows/tests/test_hedging_machine.py
@@ -7,10 +7,11 @@
 
 from hypothesis import stateful
 
+from plantainproxy.flows import settings
 from plantainproxy.flows.engine import balancer, hedging
 from plantainproxy.flows.tests import test_flow_machine
 
-HEDGE_PERCENT = hedging.MAX_HEDGE_PERCENT
+HEDGE_PERCENT = settings.MAX_HEDGE_PERCENT
 PASSES = round(hedging.MAX_DELAY_SECONDS / hedging.PASS_INTERVAL_SECONDS) + 1
 """Checks after which an opening without success is overdue."""
 
--- a/plantainproxy/platform/settings.py
+++ b/plantainproxy/platform/settings.py
@@ -13,6 +13,7 @@
 T = typing.TypeVar("T")
 
 PATH_VARIABLE = "PLANTAINPROXY_BOOT"
+HEDGE_PERCENT_VARIABLE = "HEDGE_PERCENT"
 MESSAGE_PORT_OFFSET = 0
 """Offset of the message port in the port range for traffic between machines."""
 METRICS_PORT = 9180
@@ -58,10 +59,16 @@
     service: str = ""
 
 
-def load_balancer() -> settings.NodeSettings:
-    """Read the settings of a balancer from the file named by ``PLANTAINPROXY_BOOT``."""
+def load_balancer() -> settings.BalancerSettings:
+    """Read the settings of a balancer.
+
+    They come from the file named by ``PLANTAINPROXY_BOOT`` and from ``HEDGE_PERCENT``.
+    """
+    hedge_percent = _hedge_percent()
     return _convert_errors(
-        lambda: settings.NodeSettings(**_common_fields(_read_file()))
+        lambda: settings.BalancerSettings(
+            **_common_fields(_read_file()), hedge_percent=hedge_percent
+        )
     )
 
 
@@ -83,6 +90,21 @@
     return _convert_errors(build)
 
 
+def _hedge_percent() -> float:
+    text = os.environ.get(HEDGE_PERCENT_VARIABLE, "0")
+    try:
+        percent = float(text)
+    except ValueError:
+        percent = float("nan")
+    if not 0 <= percent <= settings.MAX_HEDGE_PERCENT:
+        raise _exceptions.PlantainError(
+            _exceptions.ErrorKind.INVALID_SETTINGS,
+            f"{HEDGE_PERCENT_VARIABLE}: {text!r}: expected a number from 0 to "
+            f"{settings.MAX_HEDGE_PERCENT:g}",
+        )
+    return percent
+
+
 def _convert_errors(build: abc.Callable[[], T]) -> T:
     try:
         return build()
