--- a/plantainproxy/flows/tests/test_hedging.py
+++ b/plantainproxy/flows/tests/test_hedging.py
@@ -216,6 +216,7 @@
     )
     harness.apply_policy(transparent.make_policy(2, route))
     harness.handle_packet(_opening(1))
+    assert harness.engine.hedging.watched == {}
     _pass_time(harness, 1.0)
     assert len(_opened_at(harness)) == 1
 
@@ -422,6 +423,17 @@
         assert _denials(harness) == {reason}
 
 
+def test_no_hedge_while_many_flows_are_looked_up() -> None:
+    """Load: balancers left, and the packets of their flows arrive here."""
+    harness = _hedging_balancer()
+    harness.handle_packet(_opening(1))
+    for number in range(100, 100 + balancer.MAX_ACTIVE_LOOKUPS):
+        harness.handle_packet(_data(number, 1))
+    _pass_time(harness, 0.19)
+    assert len(_opened_at(harness)) == 1
+    assert _denials(harness) == {"lookups"}
+
+
 def test_callers_that_move_to_other_balancers_do_not_cause_hedges_for_long() -> None:
     """Load: after balancers joined, next packets of all openings arrive elsewhere."""
     harness = _hedging_balancer(8)
@@ -522,6 +534,19 @@
     assert site.balancer.engine.log.counters["hedges.won"] == 1
 
 
+def test_the_retransmission_of_a_hedged_opening_avoids_both_upstreams() -> None:
+    """Neither has accepted within 200 ms, so a more loaded third one is better."""
+    harness = _hedging_balancer()
+    harness.handle_packet(_opening(1))
+    _pass_time(harness, 0.2)
+    first, second = _opened_at(harness)
+    (third,) = {1, 2, 3} - {first, second}
+    _report(harness, first, second)
+    _report(harness, third, running=3)
+    harness.handle_packet(_opening(1, retransmission=1))
+    assert _opened_at(harness)[-1] == third
+
+
 @pytest.mark.parametrize("is_ended", [False, True])
 def test_the_losing_upstream_drains_or_ends(is_ended: bool) -> None:
     """Its half-open flow must not be reset: the flow is open at the other upstream."""
