Measure service times at sidecars; place flows by expected response time

A sidecar measures the service time of each request from its delivery to the upstream, or from the response that frees a slot for it, and reports medians by route. Balancers derive a speed factor from the pool's median and multiply the load by it. Before, upstreams at 0.45 of the others' speed were in use longer than the others, and their callers waited.

Batches of reports are split by size instead of number, since complete reports now vary in size and 14 with two routes each no longer fit one packet.

--- a/plantainproxy/flows/control/relay.py
+++ b/plantainproxy/flows/control/relay.py
@@ -35,8 +35,11 @@
 """Interval of complete reports of an upstream whose status does not change."""
 FULL_REPORT_COPIES = 2
 """Number of batches that carry a changed status, since datagrams may be lost."""
-MAX_BATCH_REPORTS = 14
-"""Reports per datagram, so that it fits one packet of the network."""
+MAX_BATCH_BYTES = 1_400
+"""Size of a datagram with reports, so that it fits one packet of the network. The size
+of a complete report depends on its service times."""
+BATCH_HEADER_BYTES = 10
+"""Upper bound of the size of a batch without reports."""
 MEMBER_SILENCE_SECONDS = 3.0
 """A sidecar without a report for this long gets no more notices."""
 PAUSE_SECONDS = 0.6
@@ -239,11 +242,25 @@
         for address, member in relay.members.items()
         if (member.is_new if is_regular else member.full_copies == FULL_REPORT_COPIES)
     ]
-    for start in range(0, len(entries), MAX_BATCH_REPORTS):
-        batch = messages.ReportBatch(
-            reports=tuple(entries[start : start + MAX_BATCH_REPORTS])
-        )
-        relay.port.send_to_all(relay.gatherers, batch)
+    for reports in _batches(entries):
+        relay.port.send_to_all(relay.gatherers, messages.ReportBatch(reports=reports))
+
+
+def _batches(
+    entries: abc.Iterable[messages.RelayedReport],
+) -> abc.Iterator[tuple[messages.RelayedReport, ...]]:
+    """Split the entries so that each batch fits one packet."""
+    batch: list[messages.RelayedReport] = []
+    size = BATCH_HEADER_BYTES
+    for entry in entries:
+        entry_size = messages.encoded_size(entry)
+        if batch and size + entry_size > MAX_BATCH_BYTES:
+            yield tuple(batch)
+            batch, size = [], BATCH_HEADER_BYTES
+        batch.append(entry)
+        size += entry_size
+    if batch:
+        yield tuple(batch)
 
 
 def _take_entry(
--- a/plantainproxy/flows/engine/balancer.py
+++ b/plantainproxy/flows/engine/balancer.py
@@ -7,7 +7,13 @@
 
 from plantainproxy import _types
 from plantainproxy.flows import event_log, messages, packets, policy
-from plantainproxy.flows.engine import lookup, placement, upstreams, waiting
+from plantainproxy.flows.engine import (
+    lookup,
+    placement,
+    upstream_speed,
+    upstreams,
+    waiting,
+)
 
 MAX_CACHED_FLOWS = 120_000
 """Capacity of the flow cache. An entry takes about 380 bytes (bench.flows), so a full
@@ -91,6 +97,7 @@
         partition of its network."""
         self.majority_silent = False
         """Whether the majority of the sidecars was silent at the last tick."""
+        self.next_speed_comparison_at = float("-inf")
 
 
 def is_ready(engine: Engine, *, now: float) -> bool:
@@ -196,6 +203,7 @@
         engine.log.write("paused", seconds=round(now - engine.last_tick_at, 3))
     engine.last_tick_at = now
     _update_majority_silent(engine, now=now)
+    _compare_speeds(engine, now=now)
     _continue_lookups(engine, now=now)
     _place_waiting(engine, now=now)
     for address in upstreams.evict_silent(engine.view, now=now):
@@ -228,6 +236,24 @@
     engine.majority_silent = is_majority_silent
 
 
+def _compare_speeds(engine: Engine, *, now: float) -> None:
+    """Update the upstreams' speed factors and log those that changed noticeably."""
+    if now < engine.next_speed_comparison_at:
+        return
+    engine.next_speed_comparison_at = now + upstream_speed.COMPARISON_INTERVAL_SECONDS
+    for change in upstream_speed.update_factors(engine.view, now=now):
+        report = change.upstream.report
+        engine.log.write_limited(
+            "upstream speed",
+            upstream=str(change.upstream.address),
+            factor=round(change.upstream.speed_factor, 2),
+            before=round(change.before, 2),
+            pool=report.pool if report else "",
+            service_ms=sorted(report.service_times.values()) if report else [],
+            report_age=round(now - change.upstream.last_report_at, 3),
+        )
+
+
 def _is_view_reliable(engine: Engine, *, now: float) -> bool:
     """Return whether a missing report means that its sidecar is gone.
 
--- a/plantainproxy/flows/engine/placement.py
+++ b/plantainproxy/flows/engine/placement.py
@@ -22,6 +22,10 @@
 LOAD_JITTER = 0.02
 """Width of the random part of a load, so that balancers with the same reports do not
 all choose the same upstream."""
+OWN_WORK_SHARE = 0.25
+"""Share of a flow's own work in the comparison of upstreams of unequal speed. With the
+whole of it, slow upstreams are left idle at low load, and the others are busier than
+the mean by more than 1.15 (docs/design/upstream-speed.md)."""
 DEFAULT_REQUESTS_PER_FLOW = 0.05
 """Assumed requests in progress per open flow if the reports give no ratio."""
 
@@ -82,14 +86,20 @@
 def load(upstream: upstreams.Upstream, *, requests_per_flow: float) -> float:
     """Return the mean of running and expected requests, as a share of the slots.
 
-    An upstream without a report has infinite load.
+    If the upstream differs in speed from its pool, the load together with that of the
+    new flow is multiplied by the speed factor, so that the values compare expected
+    response times. An upstream without a report has infinite load.
     """
     report = upstream.report
     if report is None:
         return float("inf")
     expected = (report.flows + upstream.placed_flows) * requests_per_flow
     in_progress = report.running + upstream.placed_flows
-    return (in_progress + expected) / (2 * max(report.slots, 1))
+    value = (in_progress + expected) / (2 * max(report.slots, 1))
+    if upstream.speed_factor == 1.0:
+        return value
+    own_work = OWN_WORK_SHARE * (1 + requests_per_flow) / (2 * max(report.slots, 1))
+    return upstream.speed_factor * (value + own_work) - own_work
 
 
 def _pools_by_weight(route: policy.Route, draw: Draw) -> list[str]:
--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -16,6 +16,7 @@
     flow_table,
     outlier_detection,
     upstream,
+    upstream_speed,
 )
 
 PACKET_RETURN_TIMEOUT_SECONDS = 0.03
@@ -118,6 +119,7 @@
         self.upstream = upstream.UpstreamStatus()
         self.slow_start_limiter = slow_start_limiter
         self.outlier_detector = outlier_detection.OutlierDetector()
+        self.speed = upstream_speed.Measurement()
         self.drain_deadline: float | None = None
         """When a draining upstream that no longer listens counts as ended."""
         self.pending_queries: dict[bytes, PendingQuery] = {}
@@ -196,7 +198,7 @@
     of a response.
     """
     if packet.returned:
-        _handle_returned(engine, packet)
+        _handle_returned(engine, packet, now=now)
         return None
     waited = flow_table.record_outbound(engine.table, packet, now=now)
     engine.port.forward_to_caller(packet)
@@ -204,9 +206,11 @@
         return None
     if packet.aborting:
         _log_request(engine, packet, "request cut by upstream", waited)
+        upstream_speed.discard(engine.speed, packet.flow, now=now)
         outlier_detection.record_reset(engine.outlier_detector, now=now)
         return None
     outlier_detection.record_response(engine.outlier_detector, now=now)
+    upstream_speed.record_response(engine.speed, packet.flow, packet.service, now=now)
     if waited >= SLOW_RESPONSE_SECONDS:
         _log_request(engine, packet, "request answered late", waited)
     return waited
@@ -427,6 +431,8 @@
         and now - not_listening_since >= DRAIN_GRACE_SECONDS
     ):
         _end_not_listening_grace(engine)
+    is_cold = upstream.is_cold(engine.upstream, now=now)
+    upstream_speed.tick(engine.speed, is_cold=is_cold, now=now)
     send_due_reports(engine, now=now)
 
 
@@ -556,6 +562,7 @@
         stopping=engine.stopping,
         digest=engine.policies.digest,
         suspect=outlier_detection.is_ejected(engine.outlier_detector, now=now),
+        service_times=upstream_speed.service_times(engine.speed, now=now),
     )
 
 
@@ -618,9 +625,31 @@
             _log_request(engine, packet, "request given up by caller", waited)
     flow_table.record_inbound(engine.table, packet, now=now)
     engine.port.deliver(packet)
+    _measure_delivered(engine, packet, now=now)
     engine.log.count("delivered")
 
 
+def _measure_delivered(engine: Engine, packet: packets.Packet, *, now: float) -> None:
+    """Start the measurement of a request that has been delivered to the upstream.
+
+    To be called at the delivery, not at the arrival of the packet: the service time
+    does not include a wait in this process.
+    """
+    if packet.closing or packet.aborting:
+        upstream_speed.discard(engine.speed, packet.flow, now=now)
+        return
+    waited = flow_table.request_wait_seconds(engine.table, packet.flow, now=now)
+    if not packet.size or waited is None:
+        return
+    upstream_speed.record_forwarded(
+        engine.speed,
+        packet.flow,
+        slots=_slots(engine),
+        is_cold=upstream.is_cold(engine.upstream, now=now),
+        now=now,
+    )
+
+
 def _reply_not_held(engine: Engine, packet: packets.Packet) -> None:
     if packet.purpose is packets.Purpose.LOOKUP:
         _reply(engine, packet, messages.FlowNotHeld(flow=packet.flow))
@@ -628,9 +657,10 @@
     _return_packet(engine, packet, messages.Refusal.NOT_HELD)
 
 
-def _handle_returned(engine: Engine, packet: packets.Packet) -> None:
+def _handle_returned(engine: Engine, packet: packets.Packet, *, now: float) -> None:
     """Notify the balancer of a packet that the upstream returned."""
     flow_table.remove(engine.table, packet.flow)
+    upstream_speed.discard(engine.speed, packet.flow, now=now)
     query = engine.pending_queries.pop(packet.flow, None)
     if query is not None:
         engine.port.send_message(query.balancer, messages.FlowNotHeld(flow=packet.flow))
@@ -668,6 +698,7 @@
 def _reset_all_flows(engine: Engine, *, reason: str) -> None:
     """Reset every open flow, as the incarnation that held them has ended."""
     open_flows = flow_table.remove_all(engine.table)
+    upstream_speed.clear(engine.speed)
     for key, flow in open_flows:
         engine.port.reset(key, flow.caller_acknowledgement)
     if open_flows:
--- a/plantainproxy/flows/engine/upstreams.py
+++ b/plantainproxy/flows/engine/upstreams.py
@@ -62,6 +62,10 @@
     """The upstream gets no new flows before this time."""
     listed_domain: str = ""
     """Failure domain according to the store's list."""
+    service_times_at: float = float("-inf")
+    """When the newest complete report, which has the service times, was sent."""
+    speed_factor: float = 1.0
+    """Service times of the upstream relative to the median of its pool."""
 
     @property
     def domain(self) -> str:
@@ -206,6 +210,7 @@
     upstream.report = report
     upstream.data_address = data_address
     upstream.last_report_at = max(upstream.last_report_at, now)
+    upstream.service_times_at = now
     upstream.placed_flows = 0
     if previous is None or (previous.pool, previous.domain) != (
         report.pool,
--- a/plantainproxy/flows/messages.py
+++ b/plantainproxy/flows/messages.py
@@ -117,6 +117,9 @@
     """Digest of the sidecar's active policy."""
     suspect: bool = False
     """Whether the upstream is ready but ejected as an outlier after failures."""
+    service_times: dict[bytes, float] = msgspec.field(default_factory=dict)
+    """Median service time in milliseconds by service address; a route without enough
+    samples is absent."""
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="l"):
@@ -218,6 +221,11 @@
 """Encode one message or a policy."""
 
 
+def encoded_size(relayed: RelayedReport) -> int:
+    """Return the bytes that a report takes in a batch."""
+    return len(_encoder.encode(relayed))
+
+
 def decode(data: bytes) -> Message | None:
     """Decode one datagram; return ``None`` if it is not a valid message."""
     try:
--- a/plantainproxy/flows/tests/test_control_traffic.py
+++ b/plantainproxy/flows/tests/test_control_traffic.py
@@ -15,6 +15,8 @@
 MAX_CONTROL_BYTES_PER_SECOND = 10_000
 """Target of the users for the control traffic of one node."""
 BUSY_REQUESTS = 3
+SERVICES = (transparent.SERVICE, b"other1", b"other2", b"other3")
+"""Routes with service times in every complete report, as many as a report has."""
 SETTLE_SECONDS = 4.0
 MEASURED_SECONDS = 4.0
 
@@ -33,6 +35,9 @@
     for _ in range(round(MEASURED_SECONDS / control_site.STEP_SECONDS)):
         for node in site.sidecars:
             node.set_load(site.random.randrange(BUSY_REQUESTS))
+            node.set_service_times(
+                {service: site.random.uniform(0.005, 0.3) for service in SERVICES}
+            )
         site.step()
     return site
 
--- a/testbed/control_site.py
+++ b/testbed/control_site.py
@@ -5,6 +5,7 @@
 documents that a process reads at once while it has to follow the store itself.
 """
 
+import collections
 from collections import abc
 import dataclasses
 import random
@@ -14,7 +15,13 @@
 from plantainproxy import _types
 from plantainproxy.flows import event_log, messages, policy
 from plantainproxy.flows.control import coverage, documents, relay, report_requests
-from plantainproxy.flows.engine import admission, balancer, sidecar, upstream
+from plantainproxy.flows.engine import (
+    admission,
+    balancer,
+    sidecar,
+    upstream,
+    upstream_speed,
+)
 from plantainproxy.flows.stored import registry
 from testbed import transparent
 
@@ -241,6 +248,15 @@
         """Set the number of requests in progress that the sidecar reports."""
         self.engine.table.running_requests = running
 
+    def set_service_times(self, seconds: abc.Mapping[bytes, float]) -> None:
+        """Set the service times that the sidecar has measured, by service address."""
+        self.engine.speed.samples = {
+            service: collections.deque(
+                [(self.site.now, value)] * upstream_speed.MIN_SAMPLES
+            )
+            for service, value in seconds.items()
+        }
+
     def step(self, number: int) -> None:
         """Run the periodic work and the upstream's heartbeat."""
         now = self.site.now
