--- a/plantainproxy/flows/programs/balancer_main.py
+++ b/plantainproxy/flows/programs/balancer_main.py
@@ -12,7 +12,7 @@
 from plantainproxy import _lifecycle, _types
 from plantainproxy.flows import event_log, messages, packets, policy, settings
 from plantainproxy.flows.control import coverage, documents, report_requests
-from plantainproxy.flows.engine import balancer, upstreams
+from plantainproxy.flows.engine import balancer, upstream_speed, upstreams
 from plantainproxy.flows.programs import datagrams, node
 from plantainproxy.flows.stored import registry
 from plantainproxy.platform import (
@@ -267,6 +267,7 @@
         "covered": float(
             coverage.is_covered(process.documents.coverage, now=trio.current_time())
         ),
+        **upstream_speed.balancer_gauges(engine.view),
     }
 
 
--- a/plantainproxy/flows/programs/ctl_main.py
+++ b/plantainproxy/flows/programs/ctl_main.py
@@ -12,6 +12,7 @@
 
 from plantainproxy import _exceptions, _types
 from plantainproxy.flows import policy
+from plantainproxy.flows.engine import upstream_speed
 from plantainproxy.flows.stored import registry
 from plantainproxy.platform import configuration, metadata_store, packet_format
 from plantainproxy.platform import settings as platform_settings
@@ -45,9 +46,20 @@
             {entry.key: entry.value for entry in snapshot.entries}
         )
         relays: dict[str, list[str]] = {}
+        scraped = {
+            address.host: await _scrape(_types.Address(address.host, metrics_port))
+            for address in sorted(registered)
+        }
+        speeds = upstream_speed.describe(
+            {host: gauges for host, gauges in scraped.items() if gauges is not None}
+        )
         for address, listed in sorted(registered.items()):
-            gauges = await _scrape(_types.Address(address.host, metrics_port))
-            summary = NO_ANSWER if gauges is None else _render_gauges(gauges)
+            gauges = scraped[address.host]
+            summary = (
+                NO_ANSWER
+                if gauges is None
+                else f"{_render_gauges(gauges)}, {speeds[address.host]}"
+            )
             print(f"{address.host}: {summary}")
             in_domain = relays.setdefault(listed.domain, [])
             if gauges is not None and gauges.get("relay"):
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -11,7 +11,7 @@
 from plantainproxy import _http_server, _lifecycle, _types
 from plantainproxy.flows import event_log, messages, packets, policy, settings
 from plantainproxy.flows.control import documents, relay
-from plantainproxy.flows.engine import admission, sidecar, upstream
+from plantainproxy.flows.engine import admission, sidecar, upstream, upstream_speed
 from plantainproxy.flows.programs import datagrams, node, upstream_monitor
 from plantainproxy.flows.stored import flow_snapshot, registry
 from plantainproxy.platform import (
@@ -269,6 +269,12 @@
         "relay_oldest_report_seconds": relay.oldest_report_seconds(
             process.relay, now=_boot_time()
         ),
+        **upstream_speed.sidecar_gauges(
+            engine.speed,
+            engine.policies.current,
+            pool=engine.identity.location.pool,
+            now=trio.current_time(),
+        ),
     }
 
 
