Estimate service times from more samples, and changes of speed from the newest

With 9 to 15 samples the median differed by chance by more than 1.25 between equal upstreams, and flows moved (test_equal_upstreams_get_the_same_flows_as_without_speeds[0.03]). The simulated upstreams now close their flows, as real ones do.

--- a/plantainproxy/flows/engine/upstream_speed.py
+++ b/plantainproxy/flows/engine/upstream_speed.py
@@ -18,15 +18,21 @@
 from plantainproxy.flows import messages, policy
 from plantainproxy.flows.engine import upstreams
 
-MAX_SAMPLES = 15
-"""Service times kept for each route: at 10 requests a second on an upstream, a change
-of its speed determines the median after 0.8 s."""
-MIN_SAMPLES = 9
-"""Fewer samples give no estimate. If service times vary by 30 %, the median of 5 is off
-by ``INSIGNIFICANT_FACTOR`` at one of 35 upstreams, that of 9 at one of 200."""
-MAX_SAMPLE_AGE_SECONDS = 8.0
+MAX_SAMPLES = 31
+"""Service times kept for each route. If they vary by 30 %, the median of fewer differs
+by chance by ``INSIGNIFICANT_FACTOR`` on one of some hundred upstreams."""
+RECENT_SAMPLES = 9
+"""Newest samples that show a change of speed: at 10 requests a second on an upstream,
+they do after half a second."""
+CHANGE_FACTOR = 1.5
+"""If the medians of the newest and of all samples differ by more, the speed has
+changed, and the older samples do not count."""
+MIN_SAMPLES = 15
+"""Fewer samples give no estimate: with 9, chance differences moved flows between equal
+upstreams."""
+MAX_SAMPLE_AGE_SECONDS = 15.0
 """Older service times are dropped. An upstream that is five times slower than a pool
-with 6 requests a second on each upstream still gets ``MIN_SAMPLES`` in this time."""
+with 5 requests a second on each upstream still gets ``MIN_SAMPLES`` in this time."""
 MAX_REPORTED_ROUTES = 4
 """Routes in a report; each takes up to 17 bytes. Those with the most samples."""
 LOST_REQUEST_SECONDS = 5.0
@@ -169,14 +175,21 @@
         ]
         if len(recent) >= MIN_SAMPLES:
             found[service] = Estimate(
-                milliseconds=statistics.median(recent)
-                * messages.MILLISECONDS_PER_SECOND,
+                milliseconds=_estimate(recent) * messages.MILLISECONDS_PER_SECOND,
                 count=len(recent),
                 age_seconds=now - samples[-1][0],
             )
     return found
 
 
+def _estimate(seconds: abc.Sequence[float]) -> float:
+    """Return the median of the samples, or of the newest if the speed has changed."""
+    median = statistics.median(seconds)
+    newest = statistics.median(seconds[-RECENT_SAMPLES:])
+    has_changed = not median / CHANGE_FACTOR <= newest <= median * CHANGE_FACTOR
+    return newest if has_changed else median
+
+
 def service_times(measurement: Measurement, *, now: float) -> dict[bytes, float]:
     """Return the medians for a report, in milliseconds by service address."""
     by_count = sorted(
--- a/plantainproxy/flows/tests/test_speed_load.py
+++ b/plantainproxy/flows/tests/test_speed_load.py
@@ -22,6 +22,8 @@
 NOTICED_SECONDS = 2.0
 """Time in which a change of speed by ``SLOWDOWN`` must be in the factors: less than a
 third of the shortest slowdown that is expected."""
+RECOVERY_SECONDS = 8.0
+"""Time after which upstreams that recovered count as of usual speed again."""
 
 
 def _site(
@@ -141,7 +143,7 @@
             return p95, []
         for number in slowed:
             site.upstreams[number].speed = 1.0
-        site.run_for(upstream_speed.MAX_SAMPLE_AGE_SECONDS)
+        site.run_for(RECOVERY_SECONDS)
         site.start_measuring()
         for front in site.balancers:
             assert _slow_numbers(site, front.engine) == set()
--- a/plantainproxy/flows/tests/test_upstream_speed.py
+++ b/plantainproxy/flows/tests/test_upstream_speed.py
@@ -4,6 +4,7 @@
 """
 
 from collections import abc
+import itertools
 
 import msgspec
 import pytest
@@ -19,6 +20,9 @@
 BALANCER = _types.Address("10.0.0.1", transparent.MESSAGE_PORT)
 
 
+_flow_numbers = itertools.count(1_000)
+
+
 def _serve(
     harness: transparent.SidecarHarness, number: int, seconds: float = 0.04
 ) -> None:
@@ -33,8 +37,8 @@
 def _serve_many(
     harness: transparent.SidecarHarness, count: int, seconds: float = 0.04
 ) -> None:
-    for number in range(count):
-        _serve(harness, number + round(harness.now * 100) % 50_000, seconds)
+    for _ in range(count):
+        _serve(harness, next(_flow_numbers), seconds)
 
 
 def _reported(harness: transparent.SidecarHarness) -> dict[bytes, float]:
@@ -169,6 +173,16 @@
     assert max(sizes) <= relay.MAX_BATCH_BYTES
 
 
+def test_a_change_of_speed_is_seen_before_all_samples_are_new() -> None:
+    """Half of a short slowdown would pass before the median of all samples changes."""
+    harness = transparent.ready_sidecar()
+    _serve_many(harness, upstream_speed.MAX_SAMPLES)
+    _serve_many(harness, upstream_speed.RECENT_SAMPLES // 2 + 1, seconds=0.2)
+    assert _reported(harness) == {SERVICE: 200}
+    _serve_many(harness, upstream_speed.RECENT_SAMPLES // 2 + 1)
+    assert _reported(harness) == {SERVICE: 40}
+
+
 # Failures at the sidecar.
 
 
--- a/testbed/speed_site.py
+++ b/testbed/speed_site.py
@@ -133,9 +133,11 @@
         sidecar.handle_inbound(self.engine, packet, now=self.site.now)
 
     def deliver(self, packet: packets.Packet) -> None:
-        """Accept a flow, or run or queue a request."""
+        """Accept or close a flow, or run or queue a request."""
         if packet.opening:
             self._send(packet.flow, accepting=True)
+        elif packet.closing:
+            self._send(packet.flow, closing=True)
         elif packet.size:
             self.queue.append((packet.flow, self.site.work.pop(packet.flow)))
             self._start_next()
@@ -170,10 +172,18 @@
         self._send(flow, size=500)
         self._start_next()
 
-    def _send(self, flow: bytes, *, accepting: bool = False, size: int = 0) -> None:
+    def _send(
+        self,
+        flow: bytes,
+        *,
+        accepting: bool = False,
+        closing: bool = False,
+        size: int = 0,
+    ) -> None:
         packet = transparent.make_packet(
             flow,
             accepting=accepting,
+            closing=closing,
             sequence=transparent.UPSTREAM_SEQUENCE,
             size=size,
         )
--- a/tests/test_flow_ctl.py
+++ b/tests/test_flow_ctl.py
@@ -63,6 +63,7 @@
                 assert "version 1, 1 routes, domains out: none" in status.stdout
                 for node in site.sidecars:
                     assert f"{node.host}: ready 1, revision" in status.stdout
+                assert status.stdout.count("speed not measured") == len(site.sidecars)
                 assert _relays(status.stdout) == {
                     node.host: node.domain for node in site.sidecars
                 }
