--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -17,6 +17,7 @@
     outlier_detection,
     request_queue,
     upstream,
+    upstream_speed,
 )
 
 PACKET_RETURN_TIMEOUT_SECONDS = 0.03
@@ -122,6 +123,7 @@
         self.upstream = upstream.UpstreamStatus()
         self.slow_start_limiter = slow_start_limiter
         self.outlier_detector = outlier_detection.OutlierDetector()
+        self.speed = upstream_speed.Measurement()
         self.drain_deadline: float | None = None
         """When a draining upstream that no longer listens counts as ended."""
         self.pending_queries: dict[bytes, PendingQuery] = {}
@@ -230,9 +232,11 @@
     _release_held(engine, now=now)
     if packet.aborting:
         _log_request(engine, packet, "request cut by upstream", waited)
+        upstream_speed.discard(engine.speed, packet.flow, now=now)
         outlier_detection.record_reset(engine.outlier_detector, now=now)
         return None
     outlier_detection.record_response(engine.outlier_detector, now=now)
+    upstream_speed.record_response(engine.speed, packet.flow, packet.service, now=now)
     if waited >= SLOW_RESPONSE_SECONDS:
         _log_request(engine, packet, "request answered late", waited)
     return waited
@@ -459,6 +463,8 @@
     for key in request_queue.forget_stalled(engine.request_queue, now=now):
         engine.log.write_limited("request stalled", flow=key)
     _release_held(engine, now=now)
+    is_cold = upstream.is_cold(engine.upstream, now=now)
+    upstream_speed.tick(engine.speed, is_cold=is_cold, now=now)
     send_due_reports(engine, now=now)
 
 
@@ -593,6 +599,7 @@
         suspect=outlier_detection.is_ejected(engine.outlier_detector, now=now),
         order=engine.policies.order,
         era=engine.policies.era,
+        service_times=upstream_speed.service_times(engine.speed, now=now),
     )
 
 
@@ -658,6 +665,7 @@
     if packet.size and _hold(engine, packet, objective_from, now=now):
         return
     engine.port.deliver(packet)
+    _measure_delivered(engine, packet, now=now)
     engine.log.count("delivered")
     if packet.closing or packet.aborting:
         request_queue.forget(engine.request_queue, packet.flow, now=now)
@@ -769,6 +777,7 @@
     )
     for packet in request.packets:
         engine.port.deliver(packet)
+        _measure_delivered(engine, packet, now=now)
     engine.log.count("delivered", len(request.packets))
     engine.log.count(f"released.{reason}")
     engine.log.observe(f"held_seconds_priority_{request.priority}", held_seconds)
@@ -814,6 +823,27 @@
     _release_held(engine, now=now)
 
 
+def _measure_delivered(engine: Engine, packet: packets.Packet, *, now: float) -> None:
+    """Start the measurement of a request that has been delivered to the upstream.
+
+    To be called at the delivery, not at the arrival of the packet: the service time
+    does not include a wait in this process.
+    """
+    if packet.closing or packet.aborting:
+        upstream_speed.discard(engine.speed, packet.flow, now=now)
+        return
+    waited = flow_table.request_wait_seconds(engine.table, packet.flow, now=now)
+    if not packet.size or waited is None:
+        return
+    upstream_speed.record_forwarded(
+        engine.speed,
+        packet.flow,
+        slots=_slots(engine),
+        is_cold=upstream.is_cold(engine.upstream, now=now),
+        now=now,
+    )
+
+
 def _reply_not_held(engine: Engine, packet: packets.Packet) -> None:
     if packet.purpose is packets.Purpose.LOOKUP:
         _reply(engine, packet, messages.FlowNotHeld(flow=packet.flow))
@@ -829,6 +859,7 @@
     flow_table.remove(engine.table, packet.flow)
     request_queue.forget(engine.request_queue, packet.flow, now=now)
     _release_held(engine, now=now)
+    upstream_speed.discard(engine.speed, packet.flow, now=now)
     query = engine.pending_queries.pop(packet.flow, None)
     if query is not None:
         engine.port.send_message(query.balancer, messages.FlowNotHeld(flow=packet.flow))
@@ -869,6 +900,7 @@
     if dropped:
         engine.log.count("dropped.held", dropped)
     open_flows = flow_table.remove_all(engine.table)
+    upstream_speed.clear(engine.speed)
     for key, flow in open_flows:
         engine.port.reset(key, flow.caller_acknowledgement)
     if open_flows:
