--- a/plantainproxy/flows/tests/test_relay_machine.py
+++ b/plantainproxy/flows/tests/test_relay_machine.py
@@ -7,6 +7,7 @@
 from hypothesis import stateful, strategies
 
 from plantainproxy import _types
+from plantainproxy.flows import policy
 from plantainproxy.flows.engine import upstreams
 from testbed import control_site
 
@@ -197,6 +198,11 @@
         stored = self.site.stored_policy
         for node in self.site.nodes.values():
             assert node.policies.order == stored.order, node.address
+        if self.site.era:
+            self.site.run_for(policy.EVACUATION_HOLD_SECONDS)
+        for node in self.site.nodes.values():
+            assert node.policies.current is not None
+            assert node.policies.current.domains_out == stored.domains_out
         for balancer_node in self.site.balancers:
             for sidecar_node in self.site.sidecars:
                 upstream = balancer_node.engine.view.upstreams[sidecar_node.address]
