--- a/plantainproxy/flows/engine/hedging.py
+++ b/plantainproxy/flows/engine/hedging.py
@@ -18,9 +18,9 @@
 """Capacity of the hedge budget, in hedges. Unused budget of quiet times must not allow
 a burst of copies when many openings become overdue at once."""
 RETRY_BUDGET_PERCENT = 200.0
-"""Limit of further placements after a refusal, per hundred first openings. It bounds the
-placements of an overload to three for each opening. With 20, openings waited at half of
-the upstreams' capacity, since reports half a second old lead to refusals there, too."""
+"""Limit of further placements after a refusal, per hundred first openings. It bounds
+the placements of an overload to three for each opening. With 20, openings waited at
+half of the upstreams' capacity: reports half a second old lead to refusals there."""
 RETRY_MINIMUM_PER_SECOND = 10.0
 """Further placements per second that are allowed even without new openings, so that
 openings in the queue are placed when callers send no others."""
