--- a/bench/request_scheduling.py
+++ b/bench/request_scheduling.py
@@ -26,7 +26,7 @@
 
 
 def _loads() -> abc.Iterator[tuple[str, int, list[list[request_load.Arrival]], Select]]:
-    """Yield name, slots and arrivals by seed; ``Select`` tells the less urgent ones."""
+    """Yield name, slots and arrivals by seed; ``Select`` picks the less urgent."""
     for name, rates in (("a", request_load.RATES), ("b", request_load.OTHER_RATES)):
         for demand in (0.6, 0.95):
             yield (
--- a/plantainproxy/flows/control/documents.py
+++ b/plantainproxy/flows/control/documents.py
@@ -80,7 +80,7 @@
 def make_notice(documents: Documents) -> messages.Notice:
     """Return the statement that this process makes as a relay.
 
-    Its copies are not current while another process knows of a later era of the store.
+    Its copies are not current while another process has stated a later era.
     """
     policies = documents.policies
     return messages.Notice(
--- a/plantainproxy/flows/engine/request_queue.py
+++ b/plantainproxy/flows/engine/request_queue.py
@@ -147,7 +147,7 @@
     queue: RequestQueue, flow: bytes, *, objective_seconds: float, now: float
 ) -> None:
     """Record a request that is forwarded to the upstream."""
-    forget(queue, flow, now=now)
+    discard(queue, flow, now=now)
     is_started = len(queue.in_progress) - len(queue.not_started) < queue.slots
     queue.in_progress[flow] = ForwardedRequest(
         flow[: packets.SERVICE_BYTES], objective_seconds, now if is_started else None
@@ -161,12 +161,12 @@
 
     A response to a request that was not started is a rejection and no sample.
     """
-    request = forget(queue, flow, now=now)
+    request = discard(queue, flow, now=now)
     if request is not None and request.started_at is not None:
         _add_sample(queue, request.service, now - request.started_at)
 
 
-def forget(queue: RequestQueue, flow: bytes, *, now: float) -> ForwardedRequest | None:
+def discard(queue: RequestQueue, flow: bytes, *, now: float) -> ForwardedRequest | None:
     """Remove a request from those in progress and return it, if it was one."""
     request = queue.in_progress.pop(flow, None)
     if request is None:
@@ -182,7 +182,7 @@
     return request
 
 
-def forget_stalled(queue: RequestQueue, *, now: float) -> list[bytes]:
+def discard_stalled(queue: RequestQueue, *, now: float) -> list[bytes]:
     """Stop counting the requests whose response may never come; return their flows.
 
     Their time so far is a sample, so that an upstream that has become much slower is
@@ -195,7 +195,7 @@
         and now - request.started_at >= _stall_seconds(queue, request)
     ]
     for flow, service, elapsed in stalled:
-        forget(queue, flow, now=now)
+        discard(queue, flow, now=now)
         _add_sample(queue, service, elapsed)
     return [flow for flow, _, _ in stalled]
 
@@ -256,7 +256,7 @@
 
 
 def clear(queue: RequestQueue) -> int:
-    """Forget all requests and service times; return the number of held requests.
+    """Remove all requests and service times; return the number of held requests.
 
     Called when the upstream's process has ended.
     """
--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -226,7 +226,7 @@
     if waited is None:
         return None
     if packet.aborting:
-        request_queue.forget(engine.request_queue, packet.flow, now=now)
+        request_queue.discard(engine.request_queue, packet.flow, now=now)
     else:
         request_queue.record_response(engine.request_queue, packet.flow, now=now)
     _release_held(engine, now=now)
@@ -460,7 +460,7 @@
         and now - not_listening_since >= DRAIN_GRACE_SECONDS
     ):
         _end_not_listening_grace(engine)
-    for key in request_queue.forget_stalled(engine.request_queue, now=now):
+    for key in request_queue.discard_stalled(engine.request_queue, now=now):
         engine.log.write_limited("request stalled", flow=key)
     _release_held(engine, now=now)
     is_cold = upstream.is_cold(engine.upstream, now=now)
@@ -475,7 +475,7 @@
         flow_table.evict_expired(
             engine.table, now=now, idle_seconds=current.idle_seconds
         )
-        _forget_evicted(engine, now=now)
+        _discard_evicted(engine, now=now)
     for balancer, seen_at in list(engine.balancers_seen.items()):
         if now - seen_at >= SUBSCRIPTION_TIMEOUT_SECONDS:
             del engine.balancers_seen[balancer]
@@ -668,7 +668,7 @@
     _measure_delivered(engine, packet, now=now)
     engine.log.count("delivered")
     if packet.closing or packet.aborting:
-        request_queue.forget(engine.request_queue, packet.flow, now=now)
+        request_queue.discard(engine.request_queue, packet.flow, now=now)
         _release_held(engine, now=now)
 
 
@@ -811,15 +811,15 @@
         )
 
 
-def _forget_evicted(engine: Engine, *, now: float) -> None:
-    """Forget the requests of flows that the flow table has evicted."""
+def _discard_evicted(engine: Engine, *, now: float) -> None:
+    """Discard the requests of flows that the flow table has evicted."""
     queue, flows = engine.request_queue, engine.table.flows
     for key in [key for key in queue.held if key not in flows]:
         _release_flow(engine, key, request_queue.Reason.FLOW_ENDED, now=now)
     for key in list(queue.in_progress):
         flow = flows.get(key)
         if flow is None or flow.request_started_at is None:
-            request_queue.forget(queue, key, now=now)
+            request_queue.discard(queue, key, now=now)
     _release_held(engine, now=now)
 
 
@@ -857,7 +857,7 @@
     reason = request_queue.Reason.FLOW_ENDED
     _release_flow(engine, packet.flow, reason, now=now)
     flow_table.remove(engine.table, packet.flow)
-    request_queue.forget(engine.request_queue, packet.flow, now=now)
+    request_queue.discard(engine.request_queue, packet.flow, now=now)
     _release_held(engine, now=now)
     upstream_speed.discard(engine.speed, packet.flow, now=now)
     query = engine.pending_queries.pop(packet.flow, None)
--- a/plantainproxy/flows/engine/upstream_speed.py
+++ b/plantainproxy/flows/engine/upstream_speed.py
@@ -57,7 +57,7 @@
 """Largest share of a pool with a factor above ``SLOW_FACTOR``: the others could not
 carry the load of more."""
 MAX_FACTOR = 10.0
-"""Bounds how few flows a slow upstream gets, so that its recovery is noticed."""
+"""Bounds how few flows a slow upstream gets, so that its recovery is detected."""
 MIN_FACTOR = 0.5
 """Bounds how many flows a fast upstream gets: one that fails requests at once seems
 fast."""
--- a/plantainproxy/flows/stored/registry.py
+++ b/plantainproxy/flows/stored/registry.py
@@ -23,12 +23,12 @@
 """Interval of lease renewals, and so the longest time for which an entry is missing
 after the store has dropped its leases."""
 RENEWAL_RETRY_SECONDS = 1.0
-"""Longest interval of renewals while the store fails; half to all of it is waited. The
-sidecars so notice the store's return within a second, spread over that time."""
+"""Longest interval of renewals while the store fails; half to all of it is waited, so
+that the sidecars detect the store's return within a second, spread over that time."""
 ERA_CHECK_SPREAD_SECONDS = 0.8
-"""Sidecars that hear of a new era of the store check their lease spread over this time,
-so that they do not all register again at once. Below the second in which they have to
-register."""
+"""After another process has stated a new era of the store, sidecars check their leases
+spread over this time, so that they do not all register again at once. Below the second
+in which they have to register."""
 LIST_HOLD_SECONDS = upstreams.LIST_LAG_SECONDS
 """How long entries that a restored copy of the store lacks remain in the list."""
 WITHDRAWAL_TIMEOUT_SECONDS = 1.0
--- a/plantainproxy/platform/metadata_store.py
+++ b/plantainproxy/platform/metadata_store.py
@@ -176,7 +176,9 @@
         if self.era > revision.era:
             raise revisioned.HistoryLostError(prefix, revision)
         if scope.cancelled_caught:
-            raise _unavailable(f"another process knows the era {self.expected_era}")
+            raise _unavailable(
+                f"another process has stated the era {self.expected_era}"
+            )
         if reply.status == 410:
             raise revisioned.HistoryLostError(prefix, revision)
         received = _decode_body(reply, _Events)
