The engines of balancer and sidecar are parted by job

State, reports, held requests and the events of the upstream are modules of their own beside sidecar.py; state, openings, hedged openings and lookups beside balancer.py. No statement is changed; functions that other modules call lose their underscore and have a docstring.

--- a/bench/flows.py
+++ b/bench/flows.py
@@ -12,7 +12,7 @@
 
 from plantainproxy import _types
 from plantainproxy.flows import event_log, messages, packets, policy
-from plantainproxy.flows.engine import balancer, upstreams
+from plantainproxy.flows.engine import balancer, balancer_state, upstreams
 from plantainproxy.flows.programs import datagrams
 from plantainproxy.platform import packet_format
 from standins import flow_ends
@@ -55,8 +55,8 @@
     return flow_ends.encode(flags, source, SERVICE, payload=PAYLOAD)
 
 
-def _make_engine(port: ForwardingPort, size: int) -> balancer.Engine:
-    engine = balancer.Engine(
+def _make_engine(port: ForwardingPort, size: int) -> balancer_state.Engine:
+    engine = balancer_state.Engine(
         port=port, domain="d", draw=random.random, log=event_log.EventLog("bench")
     )
     service = packet_format.pack_service(SERVICE)
--- a/bench/hedging.py
+++ b/bench/hedging.py
@@ -12,7 +12,7 @@
 import time
 
 from plantainproxy.flows import messages, packets
-from plantainproxy.flows.engine import balancer, hedging
+from plantainproxy.flows.engine import balancer, hedged_openings, hedging
 from testbed import transparent
 
 SEED = 7
@@ -121,7 +121,7 @@
             self.harness.handle_message(number, report)
 
     def _check(self) -> None:
-        balancer.send_due_hedges(self.harness.engine, now=self.harness.now)
+        hedged_openings.send_due_hedges(self.harness.engine, now=self.harness.now)
 
     def _schedule_caller(self, number: int, first_after_seconds: float) -> None:
         key = transparent.flow_key(number)
--- /dev/null
+++ b/plantainproxy/flows/engine/flow_lookups.py
@@ -0,0 +1,146 @@
+"""Lookups of the upstreams that hold the flows which a balancer has not cached."""
+
+from plantainproxy import _types
+from plantainproxy.flows import packets, policy
+from plantainproxy.flows.engine import (
+    balancer_state,
+    hedged_openings,
+    lookup,
+    upstreams,
+)
+
+MAX_LOOKUPS = 8_192
+"""Maximum number of lookups that are active or queued."""
+
+
+def loss_timeout_seconds(route: policy.Route) -> float:
+    """Return the time without a report after which a flow's upstream counts as lost."""
+    if route.is_repeatable:
+        return upstreams.SHORT_LOSS_TIMEOUT_SECONDS
+    return upstreams.LOSS_TIMEOUT_SECONDS
+
+
+def look_up(
+    engine: balancer_state.Engine,
+    packet: packets.Packet,
+    route: policy.Route,
+    *,
+    now: float,
+    not_held_by: _types.Address | None = None,
+) -> None:
+    """Start the lookup of a packet's flow, or add the packet to it.
+
+    ``not_held_by`` is the sidecar that has returned the packet, if any.
+    """
+    flow_lookup = engine.lookups.get(packet.flow)
+    if flow_lookup is not None:
+        lookup.buffer(flow_lookup, packet)
+        if not_held_by is not None:
+            handle_not_held(engine, packet.flow, not_held_by, now=now)
+        return
+    if len(engine.lookups) >= MAX_LOOKUPS:
+        engine.log.count("dropped.lookups_full")
+        return
+    pools = engine.policies.pools_seen[packet.service]
+    flow_lookup = lookup.start(
+        pools, packet, loss_timeout_seconds=loss_timeout_seconds(route), now=now
+    )
+    if not_held_by is not None:
+        flow_lookup.denied.add(not_held_by)
+    engine.lookups[packet.flow] = flow_lookup
+    engine.log.count("lookups")
+    hedged = engine.hedging.hedged.get(packet.flow)
+    if (
+        hedged is not None
+        and not_held_by is None
+        and hedged_openings.query_hedged(engine, flow_lookup, hedged, now=now)
+    ):
+        return
+    if len(engine.lookups) <= balancer_state.MAX_ACTIVE_LOOKUPS:
+        _continue_lookup(engine, packet.flow, flow_lookup, now=now)
+
+
+def continue_lookups(engine: balancer_state.Engine, *, now: float) -> None:
+    """Repeat queries that are due, and start queued lookups up to the limit."""
+    active_count = sum(
+        bool(flow_lookup.queried) for flow_lookup in engine.lookups.values()
+    )
+    for flow, flow_lookup in list(engine.lookups.items()):
+        if now < flow_lookup.next_query_at:
+            continue
+        if not flow_lookup.queried:
+            if active_count >= balancer_state.MAX_ACTIVE_LOOKUPS:
+                continue
+            active_count += 1
+        _continue_lookup(engine, flow, flow_lookup, now=now)
+
+
+def _continue_lookup(
+    engine: balancer_state.Engine,
+    flow: bytes,
+    flow_lookup: lookup.Lookup,
+    *,
+    now: float,
+) -> None:
+    """Send the lookup's next queries, or end it and reset or drop the packet."""
+    step = lookup.advance(flow_lookup, engine.view, now=now)
+    if step is None:
+        return
+    if isinstance(step, lookup.Query):
+        for address in step.upstreams:
+            target = engine.view.upstreams[address].data_address
+            engine.port.forward(step.packet, target, packets.Purpose.LOOKUP)
+        return
+    del engine.lookups[flow]
+    is_conclusive = step.all_denied and balancer_state.is_view_reliable(engine, now=now)
+    engine.log.write_limited(
+        "flow not found",
+        flow=flow,
+        asked=len(flow_lookup.queried),
+        denied=len(flow_lookup.denied),
+        lost=step.lost,
+        waited=round(now - flow_lookup.started_at, 3),
+        outcome="reset" if is_conclusive else "dropped",
+    )
+    if is_conclusive:
+        balancer_state.reset(engine, flow_lookup.packets[-1])
+
+
+def handle_held(
+    engine: balancer_state.Engine, flow: bytes, sender: _types.Address, *, now: float
+) -> None:
+    """End a lookup: the sender's upstream holds the flow."""
+    flow_lookup = engine.lookups.pop(flow, None)
+    upstream = engine.view.upstreams.get(sender)
+    if flow_lookup is None or upstream is None:
+        return
+    engine.flows[flow] = balancer_state.CachedFlow(sender, now, now)
+    hedged = engine.hedging.hedged.pop(flow, None)
+    if hedged is not None:
+        outcome = "lost" if sender == hedged.first else "won"
+        engine.log.count(f"hedges.{outcome}")
+        engine.log.write_limited(
+            f"hedge {outcome}", flow=flow, first=str(hedged.first), upstream=str(sender)
+        )
+    engine.log.write_limited(
+        "flow found",
+        flow=flow,
+        upstream=str(sender),
+        asked=len(flow_lookup.queried),
+        waited=round(now - flow_lookup.started_at, 3),
+    )
+    # The first packet reached the upstream with the query.
+    for packet in flow_lookup.packets[1:]:
+        engine.port.forward(packet, upstream.data_address, packets.Purpose.FORWARD)
+
+
+def handle_not_held(
+    engine: balancer_state.Engine, flow: bytes, sender: _types.Address, *, now: float
+) -> None:
+    """Record that the sender's upstream does not hold the flow."""
+    flow_lookup = engine.lookups.get(flow)
+    if flow_lookup is None:
+        return
+    flow_lookup.denied.add(sender)
+    if lookup.is_answered(flow_lookup):
+        _continue_lookup(engine, flow, flow_lookup, now=now)
--- /dev/null
+++ b/plantainproxy/flows/engine/sidecar_state.py
@@ -0,0 +1,121 @@
+"""State of a sidecar's engine, changed by the functions of the other modules."""
+
+import typing
+
+import msgspec
+
+from plantainproxy import _types
+from plantainproxy.flows import event_log, messages, packets, policy
+from plantainproxy.flows.engine import (
+    admission,
+    flow_table,
+    outlier_detection,
+    request_queue,
+    upstream,
+    upstream_speed,
+)
+
+DEFAULT_SLOTS = 2
+"""Assumed slots of an upstream before its first heartbeat; the smallest number that
+any upstream has."""
+
+
+class Port(typing.Protocol):
+    """Output of the engine; no call blocks."""
+
+    def deliver(self, packet: packets.Packet) -> None:
+        """Send a caller's packet to the upstream."""
+
+    def forward_to_caller(self, packet: packets.Packet) -> None:
+        """Send a packet of the upstream to the caller."""
+
+    def reset(self, flow: bytes, acknowledgement: int) -> None:
+        """Send a reset to the caller of a flow.
+
+        ``acknowledgement`` is the caller's newest one; the reset takes it as its
+        sequence number.
+        """
+
+    def send_message(self, balancer: _types.Address, message: messages.Message) -> None:
+        """Send a message to a balancer."""
+
+
+class Identity(msgspec.Struct, frozen=True, kw_only=True):
+    """Identity and ports of the sidecar; constant while the process runs."""
+
+    location: admission.Location
+    data_port: int
+    """UDP port for packets of flows."""
+    message_port: int
+    """UDP port on which balancers receive messages."""
+    boot: int
+    """Start of this process in milliseconds since the epoch, which identifies it."""
+
+
+class PendingQuery(msgspec.Struct):
+    """A balancer's unanswered query whether the upstream holds a flow."""
+
+    balancer: _types.Address
+    deadline: float
+
+
+class Subscriber(msgspec.Struct):
+    """A balancer or relay that receives reports."""
+
+    is_relay: bool
+    is_local_domain: bool
+    """Whether it is in this sidecar's failure domain. Others subscribe only if their
+    domain has no relay."""
+    last_hello_at: float
+    """When it last asked, or a balancer last named it as a relay."""
+    last_report_at: float = float("-inf")
+    last_reported_load: tuple[int, int] = (0, 0)
+    """Requests in progress and open flows in the last report."""
+
+
+class Engine:
+    """The state of one sidecar."""
+
+    def __init__(
+        self,
+        *,
+        port: Port,
+        identity: Identity,
+        slow_start_limiter: admission.SlowStartLimiter,
+        log: event_log.EventLog,
+    ) -> None:
+        """Start without a policy, flows or a heartbeat of the upstream."""
+        self.port = port
+        self.identity = identity
+        self.log = log
+        self.policies = policy.ActivePolicy()
+        self.table = flow_table.FlowTable()
+        self.request_queue = request_queue.RequestQueue(slots=DEFAULT_SLOTS)
+        self.upstream = upstream.UpstreamStatus()
+        self.slow_start_limiter = slow_start_limiter
+        self.outlier_detector = outlier_detection.OutlierDetector()
+        self.speed = upstream_speed.Measurement()
+        self.drain_deadline: float | None = None
+        """When a draining upstream that no longer listens counts as ended."""
+        self.pending_queries: dict[bytes, PendingQuery] = {}
+        self.subscribers: dict[_types.Address, Subscriber] = {}
+        self.balancers_seen: dict[bytes, float] = {}
+        """Packed addresses of the balancers of all domains that asked for reports or
+        sent openings, and when each last did."""
+        self.fleet_size = 1
+        """Number of sidecars that the last ``ReportRequest`` of a balancer stated."""
+        self.previous_snapshot: tuple[int, dict[bytes, int]] | None = None
+        """Flows that an earlier sidecar process saved: the upstream's incarnation, and
+        its flows with their callers' acknowledgements. ``None`` once processed."""
+        self.not_listening_since: float | None = None
+        """When this process found at its start that no upstream listened. ``None`` if
+        one listened, and after the grace period."""
+        self.report_number = 0
+        self.last_reported_status: tuple[object, ...] = ()
+        self.stopping = False
+
+
+def slots(engine: Engine) -> int:
+    """Return the number of requests that the upstream runs concurrently."""
+    newest = engine.upstream.newest
+    return newest.slots if newest else DEFAULT_SLOTS
--- /dev/null
+++ b/plantainproxy/flows/engine/upstream_events.py
@@ -0,0 +1,204 @@
+"""Start, state and end of a sidecar's upstream, and what follows for its flows."""
+
+from plantainproxy.flows import messages
+from plantainproxy.flows.engine import (
+    flow_table,
+    held_requests,
+    outlier_detection,
+    request_queue,
+    sidecar_reports,
+    sidecar_state,
+    upstream,
+    upstream_speed,
+)
+
+DRAIN_GRACE_SECONDS = 1.0
+"""How long a draining upstream may serve its last flows after it stopped listening."""
+
+
+def handle_heartbeat(
+    engine: sidecar_state.Engine, heartbeat: upstream.Heartbeat, *, now: float
+) -> bool:
+    """Apply a heartbeat of the upstream; return whether it is for this sidecar."""
+    if heartbeat.pool != engine.identity.location.pool:
+        engine.log.write_limited(
+            "heartbeat refused", instance=heartbeat.instance, pool=heartbeat.pool
+        )
+        return False
+    before = engine.upstream.newest
+    state_before = engine.upstream.state
+    if before is None or heartbeat.born > before.born:
+        engine.drain_deadline = None
+    if (
+        upstream.record_heartbeat(engine.upstream, heartbeat, now=now)
+        and before is not None
+    ):
+        if state_before is messages.UpstreamState.READY:
+            outlier_detection.record_crash(engine.outlier_detector, now=now)
+        _reset_all_flows(engine, reason="upstream restarted")
+        engine.table.complete = True
+    if engine.upstream.state is not state_before:
+        engine.log.write(
+            "upstream state",
+            instance=heartbeat.instance,
+            state=engine.upstream.state,
+            before=state_before,
+            cold_seconds=heartbeat.cold_seconds,
+            born=heartbeat.born,
+            number=heartbeat.number,
+        )
+    if engine.upstream.newest is not None:
+        _use_previous_snapshot(engine, engine.upstream.newest)
+    engine.request_queue.slots = max(sidecar_state.slots(engine), 1)
+    held_requests.release_held(engine, now=now)
+    sidecar_reports.send_due_reports(engine, now=now)
+    return True
+
+
+def handle_deregistration(
+    engine: sidecar_state.Engine, instance: str, *, now: float
+) -> None:
+    """Mark the upstream as draining: it has announced that it is about to end."""
+    if not upstream.mark_draining(engine.upstream, instance):
+        return
+    engine.log.write(
+        "upstream state",
+        instance=instance,
+        state=engine.upstream.state,
+        reason="upstream leaves",
+    )
+    held_requests.release_held(engine, now=now)
+    sidecar_reports.send_due_reports(engine, now=now)
+
+
+def handle_connection_refused(engine: sidecar_state.Engine, *, now: float) -> None:
+    """Handle a refused connection to the upstream's address.
+
+    A draining upstream stops listening before its last flows are served, so it gets a
+    grace period. An upstream in any other state has crashed.
+    """
+    if engine.upstream.state is not messages.UpstreamState.DRAINING:
+        handle_upstream_exit(engine, reason="connection refused", now=now)
+    elif engine.drain_deadline is None:
+        engine.drain_deadline = now + DRAIN_GRACE_SECONDS
+
+
+def handle_upstream_exit(
+    engine: sidecar_state.Engine, *, reason: str, now: float
+) -> None:
+    """Mark the upstream as gone and reset its flows: its process has ended."""
+    engine.drain_deadline = None
+    was_ready = engine.upstream.state is messages.UpstreamState.READY
+    if not upstream.mark_gone(engine.upstream):
+        return
+    if was_ready:
+        outlier_detection.record_crash(engine.outlier_detector, now=now)
+    engine.log.write("upstream state", state=engine.upstream.state, reason=reason)
+    _reset_all_flows(engine, reason=reason)
+    engine.table.complete = True
+    sidecar_reports.send_due_reports(engine, now=now)
+
+
+def handle_not_listening(engine: sidecar_state.Engine, *, now: float) -> None:
+    """Start the grace period of an upstream that does not listen at process start.
+
+    A draining upstream may still serve its last flows.
+    """
+    engine.not_listening_since = now
+
+
+def end_not_listening_grace(engine: sidecar_state.Engine) -> None:
+    """Treat an earlier upstream as ended after the grace period."""
+    engine.not_listening_since = None
+    engine.table.complete = True
+    if engine.previous_snapshot is not None and engine.upstream.newest is None:
+        _reset_previous_flows(engine)
+
+
+def apply_snapshot(
+    engine: sidecar_state.Engine, born: int, flows: dict[bytes, int]
+) -> None:
+    """Apply the flows that an earlier sidecar process saved.
+
+    They are reset when the incarnation that held them, ``born``, is confirmed to have
+    ended.
+    """
+    engine.previous_snapshot = (born, flows)
+    if engine.upstream.newest is not None:
+        _use_previous_snapshot(engine, engine.upstream.newest)
+    elif engine.table.complete:
+        _reset_previous_flows(engine)
+
+
+def _use_previous_snapshot(
+    engine: sidecar_state.Engine, newest: upstream.Heartbeat
+) -> None:
+    """Reset the saved flows if the newest heartbeat is of a later incarnation."""
+    if engine.previous_snapshot is None:
+        return
+    born, _ = engine.previous_snapshot
+    if newest.born > born:
+        _reset_previous_flows(engine)
+    engine.previous_snapshot = None
+
+
+def _reset_previous_flows(engine: sidecar_state.Engine) -> None:
+    assert engine.previous_snapshot is not None
+    _, flows = engine.previous_snapshot
+    engine.previous_snapshot = None
+    for key, acknowledgement in flows.items():
+        if key not in engine.table.flows:
+            engine.port.reset(key, acknowledgement)
+    engine.log.write(
+        "flows reset", count=len(flows), reason="upstream ended before this process"
+    )
+
+
+def health_check_path(engine: sidecar_state.Engine) -> str | None:
+    """Return the path of the health check while the upstream's state is unknown.
+
+    Returns ``None`` in any other state, and without a policy for the pool.
+    """
+    current = engine.policies.current
+    if current is None or engine.upstream.state is not messages.UpstreamState.UNKNOWN:
+        return None
+    limits = current.pools.get(engine.identity.location.pool)
+    return limits.health_path if limits else None
+
+
+def handle_health_check_passed(engine: sidecar_state.Engine, *, now: float) -> None:
+    """Mark an upstream that has sent no heartbeat yet as ready.
+
+    Called after a successful health check.
+    """
+    if engine.upstream.state is not messages.UpstreamState.UNKNOWN:
+        return
+    engine.upstream.state = messages.UpstreamState.READY
+    current = engine.policies.current
+    limits = current.pools.get(engine.identity.location.pool) if current else None
+    cold_seconds = limits.cold_seconds if limits else 0.0
+    # The health check does not state whether the upstream is cold; assume it is.
+    engine.upstream.cold_until = now + cold_seconds
+    engine.log.write("upstream state", state=engine.upstream.state, reason="healthy")
+    sidecar_reports.send_due_reports(engine, now=now)
+
+
+def is_upstream_leaving(engine: sidecar_state.Engine) -> bool:
+    """Return whether the upstream is draining or gone, so it takes no new flows."""
+    return engine.upstream.state in (
+        messages.UpstreamState.DRAINING,
+        messages.UpstreamState.GONE,
+    )
+
+
+def _reset_all_flows(engine: sidecar_state.Engine, *, reason: str) -> None:
+    """Reset every open flow, as the incarnation that held them has ended."""
+    dropped = request_queue.clear(engine.request_queue)
+    if dropped:
+        engine.log.count("dropped.held", dropped)
+    open_flows = flow_table.remove_all(engine.table)
+    upstream_speed.clear(engine.speed)
+    for key, flow in open_flows:
+        engine.port.reset(key, flow.caller_acknowledgement)
+    if open_flows:
+        engine.log.write("flows reset", count=len(open_flows), reason=reason)
--- a/plantainproxy/flows/programs/balancer_main.py
+++ b/plantainproxy/flows/programs/balancer_main.py
@@ -12,7 +12,14 @@
 from plantainproxy import _lifecycle, _types
 from plantainproxy.flows import event_log, messages, packets, policy, settings
 from plantainproxy.flows.control import coverage, documents, report_requests
-from plantainproxy.flows.engine import balancer, hedging, upstream_speed, upstreams
+from plantainproxy.flows.engine import (
+    balancer,
+    balancer_state,
+    hedged_openings,
+    hedging,
+    upstream_speed,
+    upstreams,
+)
 from plantainproxy.flows.programs import datagrams, node
 from plantainproxy.flows.stored import registry
 from plantainproxy.platform import (
@@ -89,7 +96,7 @@
         self.message_socket = message_socket
         self.port = Port(data_socket, node_settings)
         self.log = self.port.log
-        self.engine = balancer.Engine(
+        self.engine = balancer_state.Engine(
             port=self.port,
             domain=node_settings.domain,
             draw=random.random,
@@ -263,7 +270,7 @@
     """Check for overdue openings, unless hedging is off."""
     while process.settings.hedge_percent:
         await trio.sleep(hedging.PASS_INTERVAL_SECONDS)
-        balancer.send_due_hedges(process.engine, now=trio.current_time())
+        hedged_openings.send_due_hedges(process.engine, now=trio.current_time())
 
 
 async def _evict_flows_forever(process: BalancerProcess) -> None:
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -11,7 +11,15 @@
 from plantainproxy import _http_server, _lifecycle, _types
 from plantainproxy.flows import event_log, messages, packets, policy, settings
 from plantainproxy.flows.control import documents, relay
-from plantainproxy.flows.engine import admission, sidecar, upstream, upstream_speed
+from plantainproxy.flows.engine import (
+    admission,
+    sidecar,
+    sidecar_reports,
+    sidecar_state,
+    upstream,
+    upstream_events,
+    upstream_speed,
+)
 from plantainproxy.flows.programs import (
     balancer_status,
     datagrams,
@@ -98,7 +106,7 @@
         self.message_socket = message_socket
         self.port = Port(node_settings, outbound_socket, message_socket)
         self.log = self.port.log
-        identity = sidecar.Identity(
+        identity = sidecar_state.Identity(
             location=admission.Location(
                 pool=node_settings.pool, domain=node_settings.domain
             ),
@@ -106,7 +114,7 @@
             message_port=node_settings.message_port,
             boot=time.time_ns() // NANOSECONDS_PER_MILLISECOND,
         )
-        self.engine = sidecar.Engine(
+        self.engine = sidecar_state.Engine(
             port=self.port,
             identity=identity,
             slow_start_limiter=admission.SlowStartLimiter(
@@ -195,7 +203,9 @@
                 message.order, message.digest, sender
             )
             _handle_era(process, message.era)
-            sidecar.handle_report_request(process.engine, message, sender, now=now)
+            sidecar_reports.handle_report_request(
+                process.engine, message, sender, now=now
+            )
         case messages.Report():
             relay.handle_report(process.relay, message, sender, now=_boot_time())
             _handle_era(process, message.era)
@@ -251,12 +261,14 @@
 
 async def _serve_heartbeats(process: SidecarProcess) -> None:
     def handle_heartbeat(heartbeat: upstream.Heartbeat) -> bool:
-        return sidecar.handle_heartbeat(
+        return upstream_events.handle_heartbeat(
             process.engine, heartbeat, now=trio.current_time()
         )
 
     def handle_deregistration(instance: str) -> None:
-        sidecar.handle_deregistration(process.engine, instance, now=trio.current_time())
+        upstream_events.handle_deregistration(
+            process.engine, instance, now=trio.current_time()
+        )
 
     node_settings = process.settings
     handler = heartbeats.make_handler(
@@ -269,13 +281,17 @@
 
 async def _monitor_upstream(process: SidecarProcess) -> None:
     def handle_refused() -> None:
-        sidecar.handle_connection_refused(process.engine, now=trio.current_time())
+        upstream_events.handle_connection_refused(
+            process.engine, now=trio.current_time()
+        )
 
     def handle_health_check_passed() -> None:
-        sidecar.handle_health_check_passed(process.engine, now=trio.current_time())
+        upstream_events.handle_health_check_passed(
+            process.engine, now=trio.current_time()
+        )
 
     def handle_not_listening() -> None:
-        sidecar.handle_not_listening(process.engine, now=trio.current_time())
+        upstream_events.handle_not_listening(process.engine, now=trio.current_time())
 
     await upstream_monitor.monitor(
         process.settings.upstream_address,
@@ -284,7 +300,7 @@
             on_healthy=handle_health_check_passed,
             on_not_listening=handle_not_listening,
         ),
-        health_path=lambda: sidecar.health_check_path(process.engine),
+        health_path=lambda: upstream_events.health_check_path(process.engine),
     )
 
 
@@ -298,7 +314,7 @@
         "running_requests": float(engine.table.running_requests),
         "held_requests": float(len(engine.request_queue.held)),
         "held_bytes": float(engine.request_queue.held_bytes),
-        "balancers": float(sidecar.balancer_count(engine)),
+        "balancers": float(sidecar_reports.balancer_count(engine)),
         **balancer_status.subscriber_gauges(
             address.host
             for address, subscriber in engine.subscribers.items()
@@ -345,7 +361,7 @@
             _start_tasks(nursery, lifecycle, process)
             await lifecycle.stopping.wait()
             sidecar.stop(process.engine, now=trio.current_time())
-            if sidecar.is_upstream_leaving(process.engine):
+            if upstream_events.is_upstream_leaving(process.engine):
                 await registry.withdraw(process.registration)
             # Any other upstream keeps running and is unreachable until the next
             # sidecar process has started, so this one exits at once.
--- a/plantainproxy/flows/stored/flow_snapshot.py
+++ b/plantainproxy/flows/stored/flow_snapshot.py
@@ -12,7 +12,7 @@
 
 from plantainproxy import _exceptions
 from plantainproxy.flows import packets, policy
-from plantainproxy.flows.engine import sidecar
+from plantainproxy.flows.engine import sidecar_state, upstream_events
 from plantainproxy.flows.stored import follower, registry
 from plantainproxy.store import port, revisioned
 
@@ -56,12 +56,12 @@
         """Era of the store for which the snapshot has been read or written."""
 
 
-async def run(writer: FlowSnapshotWriter, engine: sidecar.Engine) -> None:
+async def run(writer: FlowSnapshotWriter, engine: sidecar_state.Engine) -> None:
     """Apply the previous process's snapshot, then save snapshots until cancelled."""
     previous = await _read_previous(writer)
     if previous is not None:
         writer.log.write("record read", flows=len(previous.flows), born=previous.born)
-        sidecar.apply_snapshot(engine, previous.born, previous.flows)
+        upstream_events.apply_snapshot(engine, previous.born, previous.flows)
     saved_flows: frozenset[bytes] = frozenset()
     writer.era = writer.registration.era
     must_write = False
@@ -117,7 +117,7 @@
     )
 
 
-def take_snapshot(engine: sidecar.Engine) -> FlowSnapshot | None:
+def take_snapshot(engine: sidecar_state.Engine) -> FlowSnapshot | None:
     """Return a snapshot of the open flows.
 
     Returns ``None`` before the first heartbeat of the upstream or without a policy.
@@ -145,7 +145,9 @@
     return route is not None and route.kind is not policy.RouteKind.DOWNLOAD
 
 
-def _save_interval_seconds(writer: FlowSnapshotWriter, engine: sidecar.Engine) -> float:
+def _save_interval_seconds(
+    writer: FlowSnapshotWriter, engine: sidecar_state.Engine
+) -> float:
     """Return the interval of writes, which grows with the number of sidecars."""
     allowed = MAX_WRITE_SHARE * writer.writes_per_second
     return max(SAVE_INTERVAL_SECONDS, engine.fleet_size / max(allowed, 1.0))
--- a/plantainproxy/flows/tests/test_flow_machine.py
+++ b/plantainproxy/flows/tests/test_flow_machine.py
@@ -17,7 +17,16 @@
 
 from plantainproxy import _types
 from plantainproxy.flows import event_log, messages, packets, policy
-from plantainproxy.flows.engine import admission, balancer, sidecar, upstream
+from plantainproxy.flows.engine import (
+    admission,
+    balancer,
+    balancer_state,
+    sidecar,
+    sidecar_reports,
+    sidecar_state,
+    upstream,
+    upstream_events,
+)
 from plantainproxy.flows.stored import flow_snapshot
 from testbed import transparent
 
@@ -115,11 +124,11 @@
             self.send_heartbeat(number)
         self.advance_time(3.0)
 
-    def start_sidecar(self, number: int) -> sidecar.Engine:
+    def start_sidecar(self, number: int) -> sidecar_state.Engine:
         """Start a sidecar process with its saved snapshot and the newest policy."""
-        engine = sidecar.Engine(
+        engine = sidecar_state.Engine(
             port=SidecarPort(self, number),
-            identity=sidecar.Identity(
+            identity=sidecar_state.Identity(
                 location=admission.Location(pool=POOLS[number], domain=DOMAINS[number]),
                 data_port=transparent.DATA_PORT,
                 message_port=transparent.MESSAGE_PORT,
@@ -135,18 +144,20 @@
         self.received_heartbeats[number] = []
         self.detected_ends[number] = set()
         if not self.servers[number].alive:
-            sidecar.handle_not_listening(engine, now=self.now)
+            upstream_events.handle_not_listening(engine, now=self.now)
         saved_snapshot = self.snapshots[number]
         if saved_snapshot is not None:
-            sidecar.apply_snapshot(engine, saved_snapshot.born, saved_snapshot.flows)
+            upstream_events.apply_snapshot(
+                engine, saved_snapshot.born, saved_snapshot.flows
+            )
         sidecar.apply_policy(engine, self.policies[-1], now=self.now)
         return engine
 
     def start_balancer(
         self, number: int, *, listed: abc.Collection[int] = range(len(POOLS))
-    ) -> balancer.Engine:
+    ) -> balancer_state.Engine:
         """Start a balancer process with a list of sidecars and the newest policy."""
-        engine = balancer.Engine(
+        engine = balancer_state.Engine(
             port=BalancerPort(self, number),
             domain=DOMAINS[number],
             draw=random.Random(number).random,
@@ -157,7 +168,7 @@
         return engine
 
     def deliver_sidecar_list(
-        self, number: int, engine: balancer.Engine, listed: abc.Collection[int]
+        self, number: int, engine: balancer_state.Engine, listed: abc.Collection[int]
     ) -> None:
         """Deliver a list of sidecars to a balancer.
 
@@ -210,7 +221,7 @@
                 for requester_number, requester in enumerate(self.balancers):
                     if transparent.address(number) not in requester.view.upstreams:
                         continue
-                    sidecar.handle_report_request(
+                    sidecar_reports.handle_report_request(
                         engine,
                         report_request,
                         balancer_address(requester_number),
@@ -244,14 +255,16 @@
     def deliver_heartbeat(self, number: int, heartbeat: upstream.Heartbeat) -> None:
         """Deliver a heartbeat to the sidecar."""
         self.received_heartbeats[number].append(heartbeat)
-        sidecar.handle_heartbeat(self.sidecars[number], heartbeat, now=self.now)
+        upstream_events.handle_heartbeat(self.sidecars[number], heartbeat, now=self.now)
 
     def detect_upstream_end(self, number: int) -> None:
         """Let a sidecar detect that its upstream's address refuses connections."""
         engine = self.sidecars[number]
         if engine.upstream.newest is not None:
             self.detected_ends[number].add(engine.upstream.newest.born)
-        sidecar.handle_upstream_exit(engine, reason="connection refused", now=self.now)
+        upstream_events.handle_upstream_exit(
+            engine, reason="connection refused", now=self.now
+        )
 
     def deliver_to_upstream(self, number: int, packet: packets.Packet) -> None:
         """Process a packet as the upstream does."""
@@ -542,7 +555,7 @@
         report for longer than one partition may be counted as lost.
         """
         self.site.delayed_sidecars.clear()
-        self.site.advance_time(sidecar.REPORT_INTERVAL_SECONDS + STEP_SECONDS)
+        self.site.advance_time(sidecar_reports.REPORT_INTERVAL_SECONDS + STEP_SECONDS)
         self.site.in_flight.clear()
         self.site.is_partitioned = True
         self.site.advance_time(seconds)
--- a/plantainproxy/flows/tests/test_hedging.py
+++ b/plantainproxy/flows/tests/test_hedging.py
@@ -10,7 +10,13 @@
 import pytest
 
 from plantainproxy.flows import messages, packets, policy
-from plantainproxy.flows.engine import balancer, hedging, sidecar, upstreams
+from plantainproxy.flows.engine import (
+    balancer_state,
+    hedged_openings,
+    hedging,
+    upstream_events,
+    upstreams,
+)
 from plantainproxy.flows.programs import balancer_status
 from plantainproxy.telemetry import exposition
 from testbed import transparent
@@ -55,7 +61,7 @@
     """Advance the clock in steps of the interval between two checks."""
     for _ in range(round(seconds / hedging.PASS_INTERVAL_SECONDS)):
         harness.now += hedging.PASS_INTERVAL_SECONDS
-        balancer.send_due_hedges(harness.engine, now=harness.now)
+        hedged_openings.send_due_hedges(harness.engine, now=harness.now)
 
 
 def _report(harness: transparent.BalancerHarness, *numbers: int, **fields: int) -> None:
@@ -392,7 +398,7 @@
     harness = _hedging_balancer()
     harness.handle_packet(_opening(1))
     harness.now += hedging.MAX_DELAY_SECONDS
-    balancer.send_due_hedges(harness.engine, now=harness.now)
+    hedged_openings.send_due_hedges(harness.engine, now=harness.now)
     harness.handle_packet(_data(1, 1))
     harness.now += 0.001
     harness.handle_packet(_data(1, 1))
@@ -427,7 +433,7 @@
     """Load: balancers left, and the packets of their flows arrive here."""
     harness = _hedging_balancer()
     harness.handle_packet(_opening(1))
-    for number in range(100, 100 + balancer.MAX_ACTIVE_LOOKUPS):
+    for number in range(100, 100 + balancer_state.MAX_ACTIVE_LOOKUPS):
         harness.handle_packet(_data(number, 1))
     _pass_time(harness, 0.19)
     assert len(_opened_at(harness)) == 1
@@ -556,7 +562,7 @@
     site.accept(second, 1)
     site.sidecars[second].handle_heartbeat(2, draining=True)
     if is_ended:
-        sidecar.handle_upstream_exit(
+        upstream_events.handle_upstream_exit(
             site.sidecars[second].engine, reason="left", now=site.balancer.now
         )
     site.exchange()
--- a/plantainproxy/flows/tests/test_hedging_machine.py
+++ b/plantainproxy/flows/tests/test_hedging_machine.py
@@ -8,7 +8,7 @@
 from hypothesis import stateful
 
 from plantainproxy.flows import settings
-from plantainproxy.flows.engine import balancer, hedging
+from plantainproxy.flows.engine import balancer, hedged_openings, hedging
 from plantainproxy.flows.tests import test_flow_machine
 
 HEDGE_PERCENT = settings.MAX_HEDGE_PERCENT
@@ -40,7 +40,7 @@
             site.in_flight.pop()
         for _ in range(PASSES):
             site.now += hedging.PASS_INTERVAL_SECONDS
-            balancer.send_due_hedges(engine, now=site.now)
+            hedged_openings.send_due_hedges(engine, now=site.now)
         for balancer_engine in site.balancers:
             balancer.tick(balancer_engine, now=site.now)
 
--- a/plantainproxy/flows/tests/test_load.py
+++ b/plantainproxy/flows/tests/test_load.py
@@ -9,10 +9,12 @@
 from plantainproxy.flows import messages, packets
 from plantainproxy.flows.engine import (
     admission,
-    balancer,
+    balancer_state,
     outlier_detection,
     placement,
     sidecar,
+    sidecar_reports,
+    upstream_events,
     waiting,
 )
 from testbed import transparent
@@ -170,7 +172,7 @@
     )
     harness.tick(1.0)
     assert harness.port.last_report().room == 1
-    harness.tick(sidecar.SUBSCRIPTION_TIMEOUT_SECONDS)
+    harness.tick(sidecar_reports.SUBSCRIPTION_TIMEOUT_SECONDS)
     sidecar.evict_expired(harness.engine, now=harness.now)
     assert harness.engine.balancers_seen == {}
 
@@ -235,15 +237,15 @@
     for number in range(4):
         harness.open(transparent.flow_key(number))
         harness.request(transparent.flow_key(number))
-    harness.tick(sidecar.LOAD_REPORT_INTERVAL_SECONDS)
+    harness.tick(sidecar_reports.LOAD_REPORT_INTERVAL_SECONDS)
     harness.port.sent_messages.clear()
     for number in range(10):
         harness.open(transparent.flow_key(10 + number))
-        harness.tick(sidecar.SATURATED_REPORT_INTERVAL_SECONDS)
+        harness.tick(sidecar_reports.SATURATED_REPORT_INTERVAL_SECONDS)
     hosts = [host for host, _ in harness.port.sent_messages]
     assert hosts.count("10.0.0.1") == 10
     assert hosts.count(relay.host) == 10
-    harness.tick(sidecar.RELAY_TIMEOUT_SECONDS)
+    harness.tick(sidecar_reports.RELAY_TIMEOUT_SECONDS)
     sidecar.evict_expired(harness.engine, now=harness.now)
     harness.port.sent_messages.clear()
     harness.tick(1.0)
@@ -305,7 +307,10 @@
                 acknowledgement=5_001,
             )
         )
-    candidates, lookups = placement.CANDIDATES_PER_POOL, balancer.MAX_ACTIVE_LOOKUPS
+    candidates, lookups = (
+        placement.CANDIDATES_PER_POOL,
+        balancer_state.MAX_ACTIVE_LOOKUPS,
+    )
     assert len(harness.port.hosts(packets.Purpose.LOOKUP)) == candidates * lookups
     harness.tick(0.2)
     assert len(harness.port.hosts(packets.Purpose.LOOKUP)) == candidates * lookups
@@ -387,7 +392,7 @@
     harness = transparent.ready_sidecar()
     for start in range(2, 6):
         harness.tick(0.7)
-        sidecar.handle_connection_refused(harness.engine, now=harness.now)
+        upstream_events.handle_connection_refused(harness.engine, now=harness.now)
         harness.tick(0.7)
         harness.handle_heartbeat(1, born=1_000 * start)
         is_repeated = start >= 3
@@ -399,13 +404,13 @@
 def test_a_single_crash_and_planned_stops_do_not_make_an_upstream_suspect() -> None:
     """A release replaces the upstreams of a pool one after the other."""
     harness = transparent.ready_sidecar()
-    sidecar.handle_connection_refused(harness.engine, now=harness.now)
+    upstream_events.handle_connection_refused(harness.engine, now=harness.now)
     for start in range(2, 5):
         harness.handle_heartbeat(1, born=1_000 * start)
         harness.handle_heartbeat(2, born=1_000 * start, draining=True)
         harness.tick(0.5)
-        sidecar.handle_connection_refused(harness.engine, now=harness.now)
-        harness.tick(sidecar.DRAIN_GRACE_SECONDS)
+        upstream_events.handle_connection_refused(harness.engine, now=harness.now)
+        harness.tick(upstream_events.DRAIN_GRACE_SECONDS)
     harness.handle_heartbeat(1, born=9_000)
     assert not harness.port.last_report().suspect
 
--- a/plantainproxy/flows/tests/test_request_queue.py
+++ b/plantainproxy/flows/tests/test_request_queue.py
@@ -7,7 +7,13 @@
 import pytest
 
 from plantainproxy.flows import messages, packets
-from plantainproxy.flows.engine import flow_table, request_queue, sidecar
+from plantainproxy.flows.engine import (
+    flow_table,
+    request_queue,
+    sidecar,
+    sidecar_reports,
+    upstream_events,
+)
 from testbed import request_load, transparent
 
 FEED, COMMAND = request_load.FEED, request_load.COMMAND
@@ -238,7 +244,7 @@
     harness = _busy_sidecar()
     for key in KEYS[10:13]:
         harness.request(key)
-    harness.tick(sidecar.REPORT_INTERVAL_SECONDS - 0.3)
+    harness.tick(sidecar_reports.REPORT_INTERVAL_SECONDS - 0.3)
     report = harness.port.last_report()
     assert (report.running, report.room) == (LIMIT + 3, 0)
     harness.handle_inbound(
@@ -306,7 +312,7 @@
     """The same without a heartbeat."""
     harness = _busy_sidecar()
     harness.request(KEYS[10])
-    sidecar.handle_deregistration(harness.engine, "i-1", now=harness.now)
+    upstream_events.handle_deregistration(harness.engine, "i-1", now=harness.now)
     assert _delivered(harness) == [KEYS[10]]
 
 
@@ -322,7 +328,7 @@
     """The flow is reset as any other, and nothing of it reaches the next process."""
     harness = _busy_sidecar()
     harness.request(KEYS[10])
-    sidecar.handle_connection_refused(harness.engine, now=harness.now)
+    upstream_events.handle_connection_refused(harness.engine, now=harness.now)
     assert set(KEYS) <= set(harness.port.resets)
     harness.handle_heartbeat(1, born=2_000)
     harness.tick(request_queue.MAX_HELD_SECONDS)
@@ -343,7 +349,7 @@
     """A health check does not state the number of slots, which may be any."""
     harness = transparent.SidecarHarness()
     harness.apply_policy(transparent.make_policy(1))
-    sidecar.handle_health_check_passed(harness.engine, now=harness.now)
+    upstream_events.handle_health_check_passed(harness.engine, now=harness.now)
     harness.engine.table.complete = True
     for key in KEYS[:8]:
         harness.now += 3.0
--- a/plantainproxy/flows/tests/test_request_queue_machine.py
+++ b/plantainproxy/flows/tests/test_request_queue_machine.py
@@ -8,7 +8,7 @@
 from hypothesis import stateful, strategies
 
 from plantainproxy.flows import messages
-from plantainproxy.flows.engine import request_queue, sidecar
+from plantainproxy.flows.engine import request_queue, sidecar, upstream_events
 from testbed import transparent
 
 FLOWS = 10
@@ -143,8 +143,10 @@
     @stateful.rule()
     def restart_upstream(self) -> None:
         """Crash the upstream and start it again."""
-        sidecar.handle_connection_refused(self.harness.engine, now=self.harness.now)
-        self.harness.tick(sidecar.DRAIN_GRACE_SECONDS)
+        upstream_events.handle_connection_refused(
+            self.harness.engine, now=self.harness.now
+        )
+        self.harness.tick(upstream_events.DRAIN_GRACE_SECONDS)
         self.born += 1_000
         self.draining = False
         self.send_heartbeat()
--- a/plantainproxy/flows/tests/test_sidecar.py
+++ b/plantainproxy/flows/tests/test_sidecar.py
@@ -4,7 +4,7 @@
 import pytest
 
 from plantainproxy.flows import messages, packets, policy
-from plantainproxy.flows.engine import sidecar
+from plantainproxy.flows.engine import sidecar, upstream_events
 from plantainproxy.flows.stored import flow_snapshot
 from testbed import transparent
 
@@ -102,7 +102,7 @@
     opening = transparent.make_packet(KEY, opening=True, purpose=packets.Purpose.OPEN)
     harness.handle_inbound(opening)
     harness.handle_outbound(transparent.make_packet(KEY, accepting=True, sequence=7))
-    sidecar.handle_connection_refused(harness.engine, now=harness.now)
+    upstream_events.handle_connection_refused(harness.engine, now=harness.now)
     assert not harness.port.resets
 
 
@@ -110,7 +110,7 @@
     """The flows of a crashed upstream are reset at once."""
     harness = transparent.ready_sidecar()
     harness.open(KEY)
-    sidecar.handle_connection_refused(harness.engine, now=harness.now)
+    upstream_events.handle_connection_refused(harness.engine, now=harness.now)
     assert harness.port.resets == [KEY]
     assert harness.port.last_report().state is messages.UpstreamState.GONE
 
@@ -123,10 +123,10 @@
     harness = transparent.ready_sidecar()
     harness.open(KEY)
     harness.handle_heartbeat(2, draining=True)
-    sidecar.handle_connection_refused(harness.engine, now=harness.now)
-    harness.tick(sidecar.DRAIN_GRACE_SECONDS / 2)
+    upstream_events.handle_connection_refused(harness.engine, now=harness.now)
+    harness.tick(upstream_events.DRAIN_GRACE_SECONDS / 2)
     assert harness.port.resets == []
-    harness.tick(sidecar.DRAIN_GRACE_SECONDS)
+    harness.tick(upstream_events.DRAIN_GRACE_SECONDS)
     assert harness.port.resets == [KEY]
 
 
@@ -137,7 +137,7 @@
     """
     harness = transparent.ready_sidecar()
     harness.open(KEY)
-    sidecar.handle_deregistration(harness.engine, "i-1", now=harness.now)
+    upstream_events.handle_deregistration(harness.engine, "i-1", now=harness.now)
     assert harness.port.resets == []
     harness.handle_inbound(DATA)
     assert harness.port.delivered[-1] == DATA
@@ -246,9 +246,9 @@
     """A health check lets a restarted sidecar admit flows before the next heartbeat."""
     harness = transparent.SidecarHarness()
     harness.apply_policy(transparent.make_policy(1))
-    assert sidecar.health_check_path(harness.engine) == "/health"
-    sidecar.handle_health_check_passed(harness.engine, now=harness.now)
-    assert sidecar.health_check_path(harness.engine) is None
+    assert upstream_events.health_check_path(harness.engine) == "/health"
+    upstream_events.handle_health_check_passed(harness.engine, now=harness.now)
+    assert upstream_events.health_check_path(harness.engine) is None
     harness.handle_inbound(OPENING)
     assert harness.port.delivered == [OPENING]
 
@@ -257,7 +257,7 @@
     """After a power failure the flows are reset before their callers use them again."""
     harness = transparent.SidecarHarness()
     harness.apply_policy(transparent.make_policy(1))
-    sidecar.apply_snapshot(harness.engine, 1_000, {KEY: 42})
+    upstream_events.apply_snapshot(harness.engine, 1_000, {KEY: 42})
     assert harness.port.resets == []
     harness.handle_heartbeat(1, born=2_000)
     assert harness.port.resets == [KEY]
@@ -270,16 +270,16 @@
     harness = transparent.SidecarHarness()
     harness.apply_policy(transparent.make_policy(1))
     harness.handle_heartbeat(7, born=1_000)
-    sidecar.apply_snapshot(harness.engine, 1_000, {KEY: 42})
+    upstream_events.apply_snapshot(harness.engine, 1_000, {KEY: 42})
     assert harness.port.resets == []
 
 
 def test_recorded_flows_are_reset_where_no_upstream_listened() -> None:
     """If no upstream listens after the grace period, the old incarnation has ended."""
     harness = transparent.SidecarHarness()
-    sidecar.handle_not_listening(harness.engine, now=harness.now)
-    sidecar.apply_snapshot(harness.engine, 1_000, {KEY: 42})
-    harness.tick(sidecar.DRAIN_GRACE_SECONDS)
+    upstream_events.handle_not_listening(harness.engine, now=harness.now)
+    upstream_events.apply_snapshot(harness.engine, 1_000, {KEY: 42})
+    harness.tick(upstream_events.DRAIN_GRACE_SECONDS)
     assert harness.port.resets == [KEY]
 
 
@@ -287,9 +287,9 @@
     """A draining upstream that no longer listens still serves its last flows."""
     harness = transparent.SidecarHarness()
     harness.apply_policy(transparent.make_policy(1))
-    sidecar.handle_not_listening(harness.engine, now=harness.now)
-    sidecar.apply_snapshot(harness.engine, 1_000, {KEY: 42})
-    harness.tick(sidecar.DRAIN_GRACE_SECONDS / 2)
+    upstream_events.handle_not_listening(harness.engine, now=harness.now)
+    upstream_events.apply_snapshot(harness.engine, 1_000, {KEY: 42})
+    harness.tick(upstream_events.DRAIN_GRACE_SECONDS / 2)
     harness.handle_inbound(DATA)
     assert harness.port.resets == []
     assert harness.port.delivered == [DATA]
--- a/plantainproxy/flows/tests/test_speed_load.py
+++ b/plantainproxy/flows/tests/test_speed_load.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from plantainproxy.flows.engine import balancer, upstream_speed
+from plantainproxy.flows.engine import balancer_state, upstream_speed
 from testbed import speed_site
 
 TARGET_BUSIEST_OVER_MEAN = 1.15
@@ -114,7 +114,7 @@
     assert decisions() == with_speeds
 
 
-def _slow_numbers(site: speed_site.Site, front: balancer.Engine) -> set[int]:
+def _slow_numbers(site: speed_site.Site, front: balancer_state.Engine) -> set[int]:
     return {
         number
         for number, member in enumerate(site.upstreams)
--- a/plantainproxy/flows/tests/test_upstream_speed.py
+++ b/plantainproxy/flows/tests/test_upstream_speed.py
@@ -12,7 +12,11 @@
 from plantainproxy import _types
 from plantainproxy.flows import messages
 from plantainproxy.flows.control import relay
-from plantainproxy.flows.engine import sidecar, upstream_speed, upstreams
+from plantainproxy.flows.engine import (
+    upstream_events,
+    upstream_speed,
+    upstreams,
+)
 from testbed import transparent
 
 SERVICE = transparent.SERVICE
@@ -201,7 +205,7 @@
     """Its address may be that of another process next."""
     harness = transparent.ready_sidecar()
     _serve_many(harness, upstream_speed.MIN_SAMPLES)
-    sidecar.handle_connection_refused(harness.engine, now=harness.now)
+    upstream_events.handle_connection_refused(harness.engine, now=harness.now)
     assert _reported(harness) == {}
 
 
--- a/testbed/control_site.py
+++ b/testbed/control_site.py
@@ -19,8 +19,12 @@
 from plantainproxy.flows.engine import (
     admission,
     balancer,
+    balancer_state,
     sidecar,
+    sidecar_reports,
+    sidecar_state,
     upstream,
+    upstream_events,
     upstream_speed,
 )
 from plantainproxy.flows.stored import registry
@@ -153,7 +157,7 @@
     def __init__(self, site: "Site", address: _types.Address, domain: str) -> None:
         """Create a balancer without a list of sidecars."""
         super().__init__(site, address, domain)
-        self.engine = balancer.Engine(
+        self.engine = balancer_state.Engine(
             port=transparent.BalancerPort(),
             domain=domain,
             draw=site.random.random,
@@ -223,9 +227,9 @@
         super().__init__(site, address, domain)
         self.heartbeat_number = 0
         self.relay = relay.Relay(port=self, domain=domain, log=self.log)
-        self.engine = sidecar.Engine(
+        self.engine = sidecar_state.Engine(
             port=_SidecarPort(self),
-            identity=sidecar.Identity(
+            identity=sidecar_state.Identity(
                 location=admission.Location(pool=POOL, domain=domain),
                 data_port=transparent.DATA_PORT,
                 message_port=transparent.MESSAGE_PORT,
@@ -260,7 +264,9 @@
                 self.documents.policy_exchange.handle_order(
                     message.order, message.digest, sender
                 )
-                sidecar.handle_report_request(self.engine, message, sender, now=now)
+                sidecar_reports.handle_report_request(
+                    self.engine, message, sender, now=now
+                )
             case messages.Report():
                 relay.handle_report(self.relay, message, sender, now=now)
             case messages.ReportBatch():
@@ -296,7 +302,7 @@
         now = self.site.now
         if number % REQUEST_STEPS == 0 or self.is_draining:
             self.heartbeat_number += 1
-            sidecar.handle_heartbeat(
+            upstream_events.handle_heartbeat(
                 self.engine,
                 upstream.Heartbeat(
                     instance="i",
--- a/testbed/speed_site.py
+++ b/testbed/speed_site.py
@@ -17,7 +17,17 @@
 
 from plantainproxy import _types
 from plantainproxy.flows import event_log, messages, packets
-from plantainproxy.flows.engine import admission, balancer, sidecar, upstream, upstreams
+from plantainproxy.flows.engine import (
+    admission,
+    balancer,
+    balancer_state,
+    sidecar,
+    sidecar_reports,
+    sidecar_state,
+    upstream,
+    upstream_events,
+    upstreams,
+)
 from testbed import transparent
 
 TICK_SECONDS = 0.02
@@ -47,7 +57,7 @@
         self.site = site
         self.address = _types.Address(f"10.0.0.{number + 1}", transparent.MESSAGE_PORT)
         self.packed = bytes((10, 0, 0, number + 1))
-        self.engine = balancer.Engine(
+        self.engine = balancer_state.Engine(
             port=self,
             domain=domain,
             draw=site.random.random,
@@ -97,9 +107,9 @@
         self.served = 0
         self.heartbeats = 0
         self.delays_reports_seconds: float | None = None
-        self.engine = sidecar.Engine(
+        self.engine = sidecar_state.Engine(
             port=self,
-            identity=sidecar.Identity(
+            identity=sidecar_state.Identity(
                 location=admission.Location(pool=transparent.POOL, domain=domain),
                 data_port=transparent.DATA_PORT,
                 message_port=transparent.MESSAGE_PORT,
@@ -126,7 +136,7 @@
             born=1,
             number=self.heartbeats,
         )
-        sidecar.handle_heartbeat(self.engine, heartbeat, now=self.site.now)
+        upstream_events.handle_heartbeat(self.engine, heartbeat, now=self.site.now)
 
     def handle_inbound(self, packet: packets.Packet) -> None:
         """Pass a caller's packet to the sidecar."""
@@ -330,7 +340,7 @@
                         domain=front.engine.domain,
                         sidecars=len(self.upstreams),
                     )
-                    sidecar.handle_report_request(
+                    sidecar_reports.handle_report_request(
                         member.engine, request, front.address, now=self.now
                     )
                 sidecar.evict_expired(member.engine, now=self.now)
--- a/testbed/transparent.py
+++ b/testbed/transparent.py
@@ -8,7 +8,17 @@
 
 from plantainproxy import _types
 from plantainproxy.flows import event_log, messages, packets, policy
-from plantainproxy.flows.engine import admission, balancer, sidecar, upstream, upstreams
+from plantainproxy.flows.engine import (
+    admission,
+    balancer,
+    balancer_state,
+    sidecar,
+    sidecar_reports,
+    sidecar_state,
+    upstream,
+    upstream_events,
+    upstreams,
+)
 from plantainproxy.store import revisioned
 
 SERVICE = b"\x01\x00\x12\xc6\xbb\x01"
@@ -192,7 +202,7 @@
         """Create an engine without a policy or sidecars; the clock starts at 100 s."""
         self.port = BalancerPort()
         self.now = 100.0
-        self.engine = balancer.Engine(
+        self.engine = balancer_state.Engine(
             port=self.port,
             domain=DOMAIN,
             draw=lambda: 0.5,
@@ -310,9 +320,9 @@
         """Create an engine without a policy or upstream; the clock starts at 100 s."""
         self.port = SidecarPort()
         self.now = 100.0
-        self.engine = sidecar.Engine(
+        self.engine = sidecar_state.Engine(
             port=self.port,
-            identity=sidecar.Identity(
+            identity=sidecar_state.Identity(
                 location=admission.Location(pool=POOL, domain=DOMAIN),
                 data_port=DATA_PORT,
                 message_port=MESSAGE_PORT,
@@ -349,7 +359,7 @@
             born=born,
             number=number,
         )
-        return sidecar.handle_heartbeat(self.engine, heartbeat, now=self.now)
+        return upstream_events.handle_heartbeat(self.engine, heartbeat, now=self.now)
 
     def handle_report_request(
         self,
@@ -367,7 +377,7 @@
             subscribes=subscribes,
             relays=relays,
         )
-        sidecar.handle_report_request(
+        sidecar_reports.handle_report_request(
             self.engine, report_request, balancer, now=self.now
         )
 
