--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from plantainproxy import _types
+from plantainproxy import _members, _types
 from plantainproxy.config import model
 from plantainproxy.core import packets, routing, slots
 
@@ -37,7 +37,7 @@
     domains=(model.Domain(name="d", number=1),),
 )
 
-Records = tuple[_types.MemberRecord, ...]
+Records = tuple[_members.MemberRecord, ...]
 
 
 @dataclasses.dataclass(slots=True)
@@ -127,9 +127,9 @@
     return (pick.tunnel, *pick.earlier_owners)
 
 
-def _make_record(number: int) -> _types.MemberRecord:
+def _make_record(number: int) -> _members.MemberRecord:
     host = f"127.30.{number // 250}.{number % 250 + 1}"
-    return _types.MemberRecord(
+    return _members.MemberRecord(
         kind=_types.MemberKind.SIDECAR,
         rpc=_types.Address(host, 7001),
         domain="d",
@@ -140,7 +140,7 @@
     )
 
 
-def _draining_record(record: _types.MemberRecord) -> _types.MemberRecord:
+def _draining_record(record: _members.MemberRecord) -> _members.MemberRecord:
     return dataclasses.replace(
         record, sequence=record.sequence + 1, state=_types.MemberState.DRAINING
     )
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -14,7 +14,7 @@
 import sys
 import time
 
-from plantainproxy import _types
+from plantainproxy import _members, _types
 from plantainproxy.balancer import status_report
 from plantainproxy.config import document, model
 from plantainproxy.core import delta, membership, routing
@@ -96,11 +96,11 @@
     )
 
 
-def make_records(number: int, routes: int) -> tuple[_types.MemberRecord, ...]:
+def make_records(number: int, routes: int) -> tuple[_members.MemberRecord, ...]:
     """Return the member records of the pool with this number."""
     members = routes * MEMBERS_PER_THOUSAND_ROUTES // 1_000
     return tuple(
-        _types.MemberRecord(
+        _members.MemberRecord(
             kind=_types.MemberKind.SIDECAR,
             rpc=_address(member, 11, 7001),
             domain=f"domain-{member % DOMAINS}",
--- a/bench/control.py
+++ b/bench/control.py
@@ -23,7 +23,7 @@
 import trio
 import trio.testing
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _exceptions, _members, _types
 from plantainproxy.config import model
 from plantainproxy.core import gossip
 from plantainproxy.membership import balancer, sidecar
@@ -78,9 +78,9 @@
         """Ignore a received key set."""
 
 
-def balancer_record(address: _types.Address) -> _types.MemberRecord:
+def balancer_record(address: _types.Address) -> _members.MemberRecord:
     """Return the member record of a balancer."""
-    return _types.MemberRecord(
+    return _members.MemberRecord(
         kind=_types.MemberKind.BALANCER,
         rpc=address,
         domain="rimouski",
@@ -89,10 +89,10 @@
     )
 
 
-def sidecar_record(number: int, pools: int) -> _types.MemberRecord:
+def sidecar_record(number: int, pools: int) -> _members.MemberRecord:
     """Return the member record of a sidecar in one of the pools."""
     host = f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}"
-    return _types.MemberRecord(
+    return _members.MemberRecord(
         kind=_types.MemberKind.SIDECAR,
         rpc=_types.Address(host, 7001),
         domain="rimouski",
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _exceptions, _members, _types
 from plantainproxy.config import model
 from plantainproxy.core import admission, tickets
 from plantainproxy.core import claims as claim_table
@@ -93,7 +93,7 @@
 def notify_siblings(fleet: Fleet) -> None:
     """Send the current siblings to all sidecars; none if siblings are not used."""
     records = tuple(
-        _types.MemberRecord(
+        _members.MemberRecord(
             kind=_types.MemberKind.SIDECAR,
             rpc=host.address,
             domain="matane",
--- a/bench/forwarding.py
+++ b/bench/forwarding.py
@@ -20,7 +20,7 @@
 import numpy as np
 import trio
 
-from plantainproxy import _types
+from plantainproxy import _members, _types
 from plantainproxy.balancer import datapath
 from plantainproxy.config import model
 from plantainproxy.core import packets, routing, slots
@@ -91,7 +91,7 @@
         domains=(model.Domain(name="rimouski", number=1),),
     )
     records = tuple(
-        _types.MemberRecord(
+        _members.MemberRecord(
             kind=_types.MemberKind.SIDECAR,
             rpc=make_tunnel_address(number, port),
             domain="rimouski",
--- a/plantainproxy/_daemon.py
+++ b/plantainproxy/_daemon.py
@@ -4,6 +4,8 @@
 import pathlib
 import typing
 
+import trio
+
 from plantainproxy import _lifecycle
 from plantainproxy.settings import load, model
 from plantainproxy.telemetry import logs
@@ -29,7 +31,8 @@
     lifecycle: _lifecycle.Lifecycle, active_settings: T, read: abc.Callable[[], T]
 ) -> None:
     """Reload the settings on each SIGHUP."""
-    async for _ in lifecycle.reloads:
+    while True:
+        await _lifecycle.wait_for_reload(lifecycle)
         active_settings = _lifecycle.reload(active_settings, read, configure)
 
 
@@ -53,6 +56,7 @@
         return load.load(path, settings_type, check=check)
 
     _lifecycle.run_daemon(
+        run=trio.run,
         read=read,
         check_only=check_only,
         configure=configure,
--- a/plantainproxy/_exceptions.py
+++ b/plantainproxy/_exceptions.py
@@ -1,7 +1,7 @@
 """Error kinds, how each is reported, and the exception that carries them."""
 
-import dataclasses
 import enum
+import typing
 
 from plantainproxy import _types
 
@@ -53,8 +53,7 @@
     """An unexpected error in the program itself."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Answer:
+class Answer(typing.NamedTuple):
     """How one error kind is reported to callers, operators and peers."""
 
     http_status: int
--- a/plantainproxy/_http_server.py
+++ b/plantainproxy/_http_server.py
@@ -1,16 +1,15 @@
 """A minimal HTTP/1.1 server for health checks, heartbeats and metrics."""
 
+import collections
 from collections import abc
-import logging
 import typing
 
-import h11
-import trio
+import httptools
 
 from plantainproxy import _types
+from plantainproxy.eventloop import runtime, tcp
 
-logger = logging.getLogger("plantain.http")
-
+MAX_HEAD_BYTES = 16_384
 MAX_BODY_BYTES = 65_536
 RECEIVE_BUFFER_BYTES = 16_384
 IDLE_TIMEOUT_SECONDS = 60.0
@@ -23,6 +22,8 @@
     method: str
     path: str
     body: bytes
+    is_last: bool = False
+    """Whether the connection is closed after the response."""
 
 
 class Response(typing.NamedTuple):
@@ -39,85 +40,101 @@
 """Returns the response to a request, directly or as an awaitable."""
 
 
+class _RequestParser:
+    """Parser of the requests on a connection; its methods are callbacks of the library.
+
+    Callers may send further requests before they have the response to an earlier one.
+    """
+
+    def __init__(self) -> None:
+        self.parser = httptools.HttpRequestParser(self)
+        self.requests: collections.deque[Request] = collections.deque()
+        """Complete requests that have not been handled."""
+        self.target = b""
+        self.body = b""
+        self.incomplete_bytes = 0
+        """Bytes that were received since the last complete request."""
+
+    def on_message_begin(self) -> None:
+        self.target = b""
+        self.body = b""
+
+    def on_url(self, part: bytes) -> None:
+        self.target += part
+
+    def on_body(self, part: bytes) -> None:
+        self.body += part
+
+    def on_message_complete(self) -> None:
+        request = Request(
+            method=self.parser.get_method().decode("ascii"),
+            path=self.target.decode("latin-1"),
+            body=self.body,
+            is_last=not self.parser.should_keep_alive(),
+        )
+        self.requests.append(request)
+        self.incomplete_bytes = 0
+
+
 async def serve(address: _types.Address, handle: Handler) -> None:
     """Listen on an address and answer requests until cancelled."""
 
-    async def handle_connection(stream: trio.SocketStream) -> None:
+    async def handle_connection(stream: tcp.Stream) -> None:
         try:
             await _serve_connection(stream, handle)
-        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
-            logger.debug(
-                "HTTP connection failed", extra={"fields": {"error": repr(error)}}
-            )
-
-    listeners = await trio.open_tcp_listeners(address.port, host=address.host)
-    await trio.serve_listeners(handle_connection, listeners)
-
-
-async def _serve_connection(stream: trio.SocketStream, handle: Handler) -> None:
-    protocol = h11.Connection(h11.SERVER)
-    async with stream:
-        while True:
-            with trio.move_on_after(IDLE_TIMEOUT_SECONDS):
-                request = await _receive_request(stream, protocol)
-                if request is None:
-                    return
-                response = handle(request)
-                if not isinstance(response, Response):
-                    response = await response
-                await stream.send_all(_encode_response(protocol, response))
-                if not _start_next_cycle(protocol):
-                    return
-                continue
+        except OSError:
+            # The caller has ended the connection and expects no response.
             return
 
+    await tcp.serve(address, handle_connection)
+
 
-def _start_next_cycle(protocol: h11.Connection) -> bool:
-    """Prepare for the next request; return whether the connection stays open."""
-    if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
-        return False
-    protocol.start_next_cycle()
-    return True
+async def _serve_connection(stream: tcp.Stream, handle: Handler) -> None:
+    parser = _RequestParser()
+    is_open = True
+    while is_open:
+        is_open = False
+        with runtime.move_on_after(IDLE_TIMEOUT_SECONDS):
+            request = await _receive_request(stream, parser)
+            if request is None:
+                return
+            response = handle(request)
+            if not isinstance(response, Response):
+                response = await response
+            await stream.send_all(_encode_response(request, response))
+            is_open = not request.is_last
 
 
 async def _receive_request(
-    stream: trio.SocketStream, protocol: h11.Connection
+    stream: tcp.Stream, parser: _RequestParser
 ) -> Request | None:
     """Return the next request.
 
     Returns ``None`` at the end of the connection and for a request that is invalid
-    or larger than ``MAX_BODY_BYTES``.
+    or too large.
     """
-    head: h11.Request | None = None
-    body = b""
-    while True:
+    while not parser.requests:
+        received = await stream.receive_some(RECEIVE_BUFFER_BYTES)
+        parser.incomplete_bytes += len(received)
         try:
-            event = protocol.next_event()
-        except h11.RemoteProtocolError:
+            parser.parser.feed_data(received)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            return None
+        if not received or len(parser.body) > MAX_BODY_BYTES:
             return None
-        if event is h11.NEED_DATA:
-            protocol.receive_data(await stream.receive_some(RECEIVE_BUFFER_BYTES))
-        elif isinstance(event, h11.Request):
-            head = event
-        elif isinstance(event, h11.Data):
-            body += event.data
-            if len(body) > MAX_BODY_BYTES:
-                return None
-        elif isinstance(event, h11.EndOfMessage) and head is not None:
-            return Request(head.method.decode(), head.target.decode(), body)
-        else:
+        if parser.incomplete_bytes > MAX_HEAD_BYTES + MAX_BODY_BYTES:
             return None
+    return parser.requests.popleft()
 
 
-def _encode_response(protocol: h11.Connection, response: Response) -> bytes:
+def _encode_response(request: Request, response: Response) -> bytes:
     headers = [
         ("content-type", response.content_type),
         ("content-length", str(len(response.body))),
         *response.headers,
     ]
-    head = h11.Response(status_code=response.status, headers=headers)
-    encoded_events = [protocol.send(head)]
-    if response.body:
-        encoded_events.append(protocol.send(h11.Data(data=response.body)))
-    encoded_events.append(protocol.send(h11.EndOfMessage()))
-    return b"".join(encoded_event for encoded_event in encoded_events if encoded_event)
+    if request.is_last:
+        headers.append(("connection", "close"))
+    lines = [f"HTTP/1.1 {response.status} "]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + response.body
--- a/plantainproxy/_lifecycle.py
+++ b/plantainproxy/_lifecycle.py
@@ -1,15 +1,13 @@
 """Start, reload and planned stop of the daemons."""
 
 from collections import abc
-import dataclasses
 import logging
 import signal
 import sys
 import typing
 
-import trio
-
 from plantainproxy import _exceptions
+from plantainproxy.eventloop import runtime
 
 logger = logging.getLogger("plantain.lifecycle")
 
@@ -25,25 +23,30 @@
 
     def __init__(self) -> None:
         """Create a lifecycle without any request."""
-        self.stopping = trio.Event()
+        self.stopping = runtime.Event()
         """Set by the first stop signal; the daemon then drains and exits."""
         self.stop_requested_at = 0.0
-        """Time of the first stop signal on the trio clock."""
+        """Time of the first stop signal on the clock of the loop."""
         self.is_forced = False
         """Whether a second stop signal cancelled the planned stop."""
-        self.reload_sender, self.reloads = trio.open_memory_channel[None](1)
-        """Receives an item for each SIGHUP that arrives without a pending reload."""
+        self.reload_requested = runtime.Event()
+        """Set by a SIGHUP until the reload that it requests has started."""
 
 
 def _request_reload(lifecycle: Lifecycle) -> None:
-    try:
-        lifecycle.reload_sender.send_nowait(None)
-    except trio.WouldBlock:
+    if lifecycle.reload_requested.is_set():
         logger.info("SIGHUP received; merged into the pending reload.")
+    lifecycle.reload_requested.set()
+
 
+async def wait_for_reload(lifecycle: Lifecycle) -> None:
+    """Wait until a reload is requested; the request is then no longer pending."""
+    await lifecycle.reload_requested.wait()
+    lifecycle.reload_requested = runtime.Event()
 
-async def _handle_signals(lifecycle: Lifecycle, scope: trio.CancelScope) -> None:
-    with trio.open_signal_receiver(*STOP_SIGNALS, signal.SIGHUP) as received:
+
+async def _handle_signals(lifecycle: Lifecycle, scope: runtime.CancelScope) -> None:
+    with runtime.receive_signals(*STOP_SIGNALS, signal.SIGHUP) as received:
         async for signal_number in received:
             if signal_number == signal.SIGHUP:
                 _request_reload(lifecycle)
@@ -54,7 +57,7 @@
                 scope.cancel()
                 return
             logger.info("Stop signal received; starting a planned stop.")
-            lifecycle.stop_requested_at = trio.current_time()
+            lifecycle.stop_requested_at = runtime.current_time()
             lifecycle.stopping.set()
 
 
@@ -62,15 +65,16 @@
     body: abc.Callable[[Lifecycle], abc.Awaitable[None]],
 ) -> bool:
     lifecycle = Lifecycle()
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(_handle_signals, lifecycle, nursery.cancel_scope)
+    async with runtime.open_task_group() as group:
+        group.start_soon(_handle_signals, lifecycle, group.cancel_scope)
         await body(lifecycle)
-        nursery.cancel_scope.cancel()
+        group.cancel_scope.cancel()
     return lifecycle.is_forced
 
 
 def run_daemon(
     *,
+    run: abc.Callable[..., bool],
     read: abc.Callable[[], T],
     check_only: bool,
     configure: abc.Callable[[T], None],
@@ -78,6 +82,7 @@
 ) -> None:
     """Validate the settings, then run ``body`` until it returns.
 
+    ``run`` runs an async function with its arguments, like ``trio.run``.
     A second stop signal cancels ``body``; the process then exits with
     ``FORCED_STOP_EXIT_CODE``.
 
@@ -89,7 +94,7 @@
         if check_only:
             print("The settings are valid.")
             return
-        is_forced = trio.run(_run_with_signals, body)
+        is_forced = run(_run_with_signals, body)
     except _exceptions.PlantainError as error:
         exit_with_error(error)
     except BaseExceptionGroup as group:
@@ -143,16 +148,24 @@
 ) -> list[str]:
     """Return the dotted names of the settings that differ."""
     changed = []
-    for field in dataclasses.fields(active_settings):
+    for field_name in field_names(active_settings):
         before, after = (
-            getattr(active_settings, field.name),
-            getattr(new_settings, field.name),
+            getattr(active_settings, field_name),
+            getattr(new_settings, field_name),
         )
         if before == after:
             continue
-        name = f"{prefix}{field.name}"
-        if dataclasses.is_dataclass(before) and dataclasses.is_dataclass(after):
+        name = f"{prefix}{field_name}"
+        if field_names(before) and field_names(after):
             changed += changed_fields(before, after, prefix=f"{name}.")
         else:
             changed.append(name)
     return changed
+
+
+def field_names(value: object) -> tuple[str, ...]:
+    """Return the fields of a data class or struct; empty for any other value."""
+    for attribute in ("__struct_fields__", "__dataclass_fields__"):
+        if hasattr(value, attribute):
+            return tuple(getattr(value, attribute))
+    return ()
--- a/plantainproxy/balancer/context.py
+++ b/plantainproxy/balancer/context.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from plantainproxy import _lifecycle, _types
+from plantainproxy import _lifecycle, _members, _types
 from plantainproxy.balancer import (
     active_documents,
     datapath,
@@ -64,8 +64,8 @@
     )
 
 
-def _local_record(settings: model.BalancerSettings) -> _types.MemberRecord:
-    return _types.MemberRecord(
+def _local_record(settings: model.BalancerSettings) -> _members.MemberRecord:
+    return _members.MemberRecord(
         kind=_types.MemberKind.BALANCER,
         rpc=settings.rpc_address,
         domain=settings.domain,
--- a/plantainproxy/balancer/explanation.py
+++ b/plantainproxy/balancer/explanation.py
@@ -1,6 +1,6 @@
 """Explanations for operators of how the connections of a service are routed."""
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _exceptions, _members, _types
 from plantainproxy.config import model
 from plantainproxy.core import packets, routing, slots
 from plantainproxy.rpc import operator_pb2
@@ -150,7 +150,7 @@
 
 
 def _ineligibility_reason(
-    record: _types.MemberRecord,
+    record: _members.MemberRecord,
     configuration: model.Configuration,
     domains_out: set[str],
 ) -> str:
--- a/plantainproxy/balancer/status_report.py
+++ b/plantainproxy/balancer/status_report.py
@@ -3,7 +3,7 @@
 from collections import abc
 import dataclasses
 
-from plantainproxy import _types
+from plantainproxy import _members, _types
 from plantainproxy.balancer import datapath
 from plantainproxy.rpc import messages, operator_pb2
 
@@ -72,7 +72,7 @@
     )
 
 
-def render_member(record: _types.MemberRecord) -> operator_pb2.Member:
+def render_member(record: _members.MemberRecord) -> operator_pb2.Member:
     """Convert a member record to its message for operators."""
     return operator_pb2.Member(
         kind=record.kind,
--- a/plantainproxy/balancer/tests/test_datapath.py
+++ b/plantainproxy/balancer/tests/test_datapath.py
@@ -10,7 +10,7 @@
 import pytest
 import trio
 
-from plantainproxy import _types
+from plantainproxy import _members, _types
 from plantainproxy.balancer import datapath, health, resets
 from plantainproxy.config import model
 from plantainproxy.core import packets, routing
@@ -33,9 +33,9 @@
 )
 
 
-def record(tunnel_address: _types.Address) -> _types.MemberRecord:
+def record(tunnel_address: _types.Address) -> _members.MemberRecord:
     """Return the member record of a sidecar."""
-    return _types.MemberRecord(
+    return _members.MemberRecord(
         kind=_types.MemberKind.SIDECAR,
         rpc=tunnel_address,
         domain="rimouski",
--- a/plantainproxy/balancer/tests/test_explanation.py
+++ b/plantainproxy/balancer/tests/test_explanation.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _exceptions, _members, _types
 from plantainproxy.balancer import explanation
 from plantainproxy.config import model
 from plantainproxy.core import packets, routing
@@ -31,8 +31,8 @@
     domain: str = "in",
     state: _types.MemberState = _types.MemberState.SERVING,
     lost: bool = False,
-) -> _types.MemberRecord:
-    return _types.MemberRecord(
+) -> _members.MemberRecord:
+    return _members.MemberRecord(
         kind=_types.MemberKind.SIDECAR,
         rpc=_types.Address("127.0.2.1", port),
         domain=domain,
--- a/plantainproxy/config/model.py
+++ b/plantainproxy/config/model.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from plantainproxy import _types
+from plantainproxy import _members, _types
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -93,7 +93,7 @@
 
 
 def build_pool_view(
-    configuration: Configuration, *, record: _types.MemberRecord
+    configuration: Configuration, *, record: _members.MemberRecord
 ) -> PoolView:
     """Build the view for the sidecar that ``record`` describes."""
     domains = {domain.name: domain for domain in configuration.domains}
--- a/plantainproxy/core/gossip.py
+++ b/plantainproxy/core/gossip.py
@@ -10,7 +10,7 @@
 import math
 import random
 
-from plantainproxy import _types
+from plantainproxy import _members, _types
 from plantainproxy.core import membership
 from plantainproxy.rpc import messages
 
@@ -65,7 +65,7 @@
     budget.refilled_at = now
 
 
-def record_bytes(record: _types.MemberRecord) -> int:
+def record_bytes(record: _members.MemberRecord) -> int:
     """Return an upper estimate of the encoded size of a record."""
     return RECORD_BASE_BYTES + len(record.domain) + len(record.pool)
 
@@ -100,14 +100,14 @@
     """One gossip call of a round."""
 
     peer: _types.Address
-    records: tuple[_types.MemberRecord, ...]
+    records: tuple[_members.MemberRecord, ...]
     has_digests: bool
 
 
 class State:
     """Gossip state of one balancer: its table, queued changes and call results."""
 
-    def __init__(self, local_record: _types.MemberRecord, *, now: float) -> None:
+    def __init__(self, local_record: _members.MemberRecord, *, now: float) -> None:
         """Create a state that contains only the local record."""
         self.local_record = local_record
         self.table = membership.Table()
@@ -162,7 +162,7 @@
 
 
 def merge_records(
-    state: State, records: abc.Iterable[_types.MemberRecord], *, now: float
+    state: State, records: abc.Iterable[_members.MemberRecord], *, now: float
 ) -> membership.MergeResult:
     """Merge records, refute those that supersede the local one, and queue changes."""
     merged = membership.merge(state.table, records, now=now)
@@ -181,7 +181,7 @@
 
 
 def replace_local_record(
-    state: State, local_record: _types.MemberRecord, *, now: float
+    state: State, local_record: _members.MemberRecord, *, now: float
 ) -> None:
     """Replace the local record by a newer one and queue it for sending."""
     state.local_record = local_record
@@ -192,8 +192,8 @@
 
 
 def _take_within_budget(
-    records: abc.Iterable[_types.MemberRecord], budget: Budget, now: float
-) -> tuple[_types.MemberRecord, ...]:
+    records: abc.Iterable[_members.MemberRecord], budget: Budget, now: float
+) -> tuple[_members.MemberRecord, ...]:
     """Return the leading records that fit one message and the budget; charge them."""
     _refill(budget, now)
     remaining_bytes = min(budget.message_bytes, budget.level_bytes)
@@ -207,7 +207,7 @@
     return tuple(selected)
 
 
-def _next_changes(state: State, now: float) -> tuple[_types.MemberRecord, ...]:
+def _next_changes(state: State, now: float) -> tuple[_members.MemberRecord, ...]:
     """Return the next changes; requeue those with remaining sends at the end."""
     table = state.table
     queued = (table.records[key] for key in state.pending_sends if key in table.records)
@@ -442,7 +442,7 @@
     return bool(state.peers) and now - state.last_message_at > ISOLATED_AFTER_SECONDS
 
 
-def evict_expired(state: State, *, now: float) -> tuple[_types.MemberRecord, ...]:
+def evict_expired(state: State, *, now: float) -> tuple[_members.MemberRecord, ...]:
     """Evict expired records, call outcomes, and suspicions of former peers."""
     evicted = membership.evict_expired_records(state.table, now=now)
     for record in evicted:
--- a/plantainproxy/core/handoff.py
+++ b/plantainproxy/core/handoff.py
@@ -13,7 +13,7 @@
 
 import xxhash
 
-from plantainproxy import _types
+from plantainproxy import _members, _types
 from plantainproxy.wire import tunnel
 
 FORWARD_CACHE_SECONDS = 5.0
@@ -76,7 +76,7 @@
 
 
 def classify_peers(
-    local_address: _types.Address, records: abc.Iterable[_types.MemberRecord]
+    local_address: _types.Address, records: abc.Iterable[_members.MemberRecord]
 ) -> Peers:
     """Return the live members of a pool, classified by state."""
     packed_local_address = local_address.pack()
--- a/plantainproxy/core/heartbeat.py
+++ b/plantainproxy/core/heartbeat.py
@@ -3,7 +3,7 @@
 from collections import abc
 import dataclasses
 
-from plantainproxy import _types
+from plantainproxy import _members, _types
 from plantainproxy.config import model
 from plantainproxy.core import homes, membership
 from plantainproxy.rpc import messages
@@ -24,13 +24,13 @@
 class Snapshot:
     """Local record of a sidecar and the latest state received from its homes."""
 
-    record: _types.MemberRecord
+    record: _members.MemberRecord
     """Local record, as sent in heartbeats."""
     view: model.PoolView | None = None
     """``None`` until the first reply with a value; its revision never decreases."""
     key_set: model.KeySet | None = None
     """``None`` until the first reply with a value; its revision never decreases."""
-    siblings: tuple[_types.MemberRecord, ...] = ()
+    siblings: tuple[_members.MemberRecord, ...] = ()
     """Live members of the sidecar's pool, including the sidecar itself."""
 
 
@@ -47,7 +47,7 @@
     """Heartbeat state of one sidecar: its snapshot and its homes."""
 
     def __init__(
-        self, record: _types.MemberRecord, seeds: abc.Sequence[_types.Address]
+        self, record: _members.MemberRecord, seeds: abc.Sequence[_types.Address]
     ) -> None:
         """Create a state in which the seeds are the only balancers."""
         self.snapshot = Snapshot(record=record)
--- a/plantainproxy/core/membership.py
+++ b/plantainproxy/core/membership.py
@@ -9,7 +9,7 @@
 import dataclasses
 import struct
 
-from plantainproxy import _types
+from plantainproxy import _members, _types
 from plantainproxy.core import homes
 
 BUCKET_COUNT = 256
@@ -44,12 +44,12 @@
 Precedence = tuple[int, int, bool, str]
 
 
-def has_ended(record: _types.MemberRecord) -> bool:
+def has_ended(record: _members.MemberRecord) -> bool:
     """Whether a record marks its member as left or lost."""
     return record.lost or record.state is _types.MemberState.LEFT
 
 
-def precedence(record: _types.MemberRecord) -> Precedence:
+def precedence(record: _members.MemberRecord) -> Precedence:
     """Return the key of the total order over one member's records.
 
     Records of equal version are ordered by content. A correct owner never creates
@@ -59,14 +59,14 @@
     return (*record.version, repr(content))
 
 
-def _is_higher(record: _types.MemberRecord, other: _types.MemberRecord) -> bool:
+def _is_higher(record: _members.MemberRecord, other: _members.MemberRecord) -> bool:
     """Compare by precedence; format the content only if the versions are equal."""
     if record.version != other.version:
         return record.version > other.version
     return precedence(record) > precedence(other)
 
 
-def is_valid(record: _types.MemberRecord) -> bool:
+def is_valid(record: _members.MemberRecord) -> bool:
     """Whether the numbers and the name lengths of a record are within bounds."""
     return (
         0 <= record.generation < MAX_VERSION
@@ -77,7 +77,7 @@
     )
 
 
-def record_hash(record: _types.MemberRecord) -> int:
+def record_hash(record: _members.MemberRecord) -> int:
     """Return a 32-bit hash over the key, version and content of a record."""
     return homes.hash_text(f"{record.key}{precedence(record)}") & _MASK
 
@@ -89,9 +89,9 @@
 class MergeResult:
     """Result of one merge."""
 
-    changed: tuple[_types.MemberRecord, ...]
+    changed: tuple[_members.MemberRecord, ...]
     """Received records that were stored."""
-    newer: tuple[_types.MemberRecord, ...]
+    newer: tuple[_members.MemberRecord, ...]
     """Local records, or records at a version floor, newer than the received ones."""
 
 
@@ -109,13 +109,13 @@
 
     def __init__(self) -> None:
         """Create an empty table."""
-        self.records: dict[str, _types.MemberRecord] = {}
+        self.records: dict[str, _members.MemberRecord] = {}
         self.keys: dict[int, str] = {}
         """Member key by key hash."""
         self.hashes: dict[str, int] = {}
         """Record hash by member key; ended records have none."""
-        self.balancers: dict[str, _types.MemberRecord] = {}
-        self.pools: dict[str, dict[str, _types.MemberRecord]] = {}
+        self.balancers: dict[str, _members.MemberRecord] = {}
+        self.pools: dict[str, dict[str, _members.MemberRecord]] = {}
         self.pool_versions: dict[str, int] = {}
         """Incremented at each change to a pool's records."""
         self.balancers_version = 0
@@ -132,7 +132,7 @@
     return key_hash % BUCKET_COUNT
 
 
-def _update_digest(table: Table, record: _types.MemberRecord) -> None:
+def _update_digest(table: Table, record: _members.MemberRecord) -> None:
     """Update the digest of a member's bucket to its current record.
 
     Ended records are excluded, since balancers may evict them at different times.
@@ -153,7 +153,7 @@
     table.pool_versions[pool] = table.pool_versions.get(pool, 0) + 1
 
 
-def _remove_from_pool(table: Table, record: _types.MemberRecord) -> None:
+def _remove_from_pool(table: Table, record: _members.MemberRecord) -> None:
     members = table.pools.get(record.pool, {})
     if members.pop(record.key, None) is None:
         return
@@ -162,7 +162,7 @@
     _increment_pool_version(table, record.pool)
 
 
-def _store_record(table: Table, record: _types.MemberRecord, now: float) -> None:
+def _store_record(table: Table, record: _members.MemberRecord, now: float) -> None:
     previous = table.records.get(record.key)
     table.records[record.key] = record
     table.version_floors.pop(record.key, None)
@@ -184,8 +184,8 @@
 
 
 def _version_floor_record(
-    table: Table, record: _types.MemberRecord
-) -> _types.MemberRecord | None:
+    table: Table, record: _members.MemberRecord
+) -> _members.MemberRecord | None:
     """Return an ended record at the version floor if ``record`` is not above it."""
     floor = table.version_floors.get(record.key)
     if floor is None:
@@ -198,7 +198,7 @@
 
 
 def merge(
-    table: Table, records: abc.Iterable[_types.MemberRecord], *, now: float
+    table: Table, records: abc.Iterable[_members.MemberRecord], *, now: float
 ) -> MergeResult:
     """Store the records that are newer than the local ones; ignore invalid records.
 
@@ -224,7 +224,7 @@
 
 def evict_expired_records(
     table: Table, *, now: float
-) -> tuple[_types.MemberRecord, ...]:
+) -> tuple[_members.MemberRecord, ...]:
     """Evict ended records and version floors whose retention periods have passed."""
     due = [
         key
@@ -259,18 +259,18 @@
         del table.version_floors[key]
 
 
-def pool_records(table: Table, pool: str) -> tuple[_types.MemberRecord, ...]:
+def pool_records(table: Table, pool: str) -> tuple[_members.MemberRecord, ...]:
     """Return all records of a pool, including ended ones, sorted by key."""
     members = table.pools.get(pool, {})
     return tuple(members[key] for key in sorted(members))
 
 
-def live_balancers(table: Table) -> tuple[_types.MemberRecord, ...]:
+def live_balancers(table: Table) -> tuple[_members.MemberRecord, ...]:
     """Return the records of the balancers that have not ended."""
     return tuple(record for record in table.balancers.values() if not has_ended(record))
 
 
-def records_digest(records: abc.Iterable[_types.MemberRecord]) -> int:
+def records_digest(records: abc.Iterable[_members.MemberRecord]) -> int:
     """Return an order-independent digest; in practice 0 only for the empty set."""
     digest = 0
     for record in records:
@@ -313,7 +313,7 @@
 
 def bucket_records(
     table: Table, buckets: abc.Iterable[int]
-) -> abc.Iterator[_types.MemberRecord]:
+) -> abc.Iterator[_members.MemberRecord]:
     """Yield the live records in the given buckets."""
     for bucket in buckets:
         for key in sorted(table.buckets[bucket]):
@@ -325,7 +325,7 @@
 class Difference:
     """Result of comparing a peer's summaries with the local records."""
 
-    local_records: tuple[_types.MemberRecord, ...]
+    local_records: tuple[_members.MemberRecord, ...]
     """Local records that are missing or different at the peer."""
     wanted_hashes: bytes
     """Packed key hashes of the members whose records are missing or differ locally."""
@@ -358,7 +358,7 @@
 
 def wanted_records(
     table: Table, wanted_hashes: bytes
-) -> tuple[_types.MemberRecord, ...]:
+) -> tuple[_members.MemberRecord, ...]:
     """Return the local records of the members whose key hashes a peer requests."""
     hashes = (
         int.from_bytes(wanted_hashes[start : start + 8], "big")
@@ -372,8 +372,8 @@
 
 
 def refute(
-    local_record: _types.MemberRecord, received_record: _types.MemberRecord
-) -> _types.MemberRecord | None:
+    local_record: _members.MemberRecord, received_record: _members.MemberRecord
+) -> _members.MemberRecord | None:
     """Return a local record above the received one, or ``None`` if none is needed.
 
     An owner that was marked lost raises its sequence. If its clock was behind at its
@@ -467,7 +467,7 @@
 
 
 def handle_record(
-    detector: FailureDetector, record: _types.MemberRecord, *, now: float
+    detector: FailureDetector, record: _members.MemberRecord, *, now: float
 ) -> None:
     """Update a monitored member from its changed record.
 
@@ -541,7 +541,7 @@
     now: float,
     is_connected: bool,
     is_home: abc.Callable[[str], bool],
-) -> tuple[_types.MemberRecord, ...]:
+) -> tuple[_members.MemberRecord, ...]:
     """Return records with a lost mark for the members whose heartbeats timed out.
 
     While more than half of the members not yet marked lost are silent, this process may
--- a/plantainproxy/core/placement.py
+++ b/plantainproxy/core/placement.py
@@ -8,7 +8,7 @@
 from collections import abc
 import dataclasses
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _exceptions, _members, _types
 
 LOAD_LIFETIME_SECONDS = 2.0
 """Age at which a reported load expires."""
@@ -88,7 +88,7 @@
 
 def update_siblings(
     state: State,
-    records: abc.Iterable[_types.MemberRecord],
+    records: abc.Iterable[_members.MemberRecord],
     *,
     local_address: _types.Address,
     domains_out: frozenset[str],
--- a/plantainproxy/core/routing.py
+++ b/plantainproxy/core/routing.py
@@ -10,7 +10,7 @@
 import math
 import typing
 
-from plantainproxy import _types
+from plantainproxy import _members, _types
 from plantainproxy.config import model
 from plantainproxy.core import packets, slots
 
@@ -76,7 +76,7 @@
     """All records of one pool's sidecars, including those that have left."""
 
     pool: str
-    records: tuple[_types.MemberRecord, ...]
+    records: tuple[_members.MemberRecord, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -118,7 +118,7 @@
 
     configuration: model.Configuration | None = None
     majority_silent: bool = False
-    records: abc.Mapping[str, tuple[_types.MemberRecord, ...]] = dataclasses.field(
+    records: abc.Mapping[str, tuple[_members.MemberRecord, ...]] = dataclasses.field(
         default_factory=dict
     )
     """Member records by pool."""
@@ -294,7 +294,7 @@
 
 
 def eligible_members(
-    configuration: model.Configuration, records: abc.Iterable[_types.MemberRecord]
+    configuration: model.Configuration, records: abc.Iterable[_members.MemberRecord]
 ) -> list[slots.Member]:
     """Return the members that may receive new flows."""
     domains = _domains_in(configuration)
@@ -311,7 +311,7 @@
 
 
 def _unreachable_tunnels(
-    configuration: model.Configuration, records: abc.Sequence[_types.MemberRecord]
+    configuration: model.Configuration, records: abc.Sequence[_members.MemberRecord]
 ) -> frozenset[_types.Address]:
     """Return the tunnel addresses that cannot receive packets of existing flows."""
     domains = _domains_in(configuration)
@@ -328,7 +328,7 @@
 def _update_tables(
     previous: abc.Mapping[str, slots.Table],
     configuration: model.Configuration,
-    records: abc.Mapping[str, tuple[_types.MemberRecord, ...]],
+    records: abc.Mapping[str, tuple[_members.MemberRecord, ...]],
     changed_pools: abc.Set[str],
     *,
     now: float,
@@ -395,8 +395,8 @@
 
 
 def _changed_tunnels(
-    previous: abc.Mapping[str, tuple[_types.MemberRecord, ...]],
-    records: abc.Mapping[str, tuple[_types.MemberRecord, ...]],
+    previous: abc.Mapping[str, tuple[_members.MemberRecord, ...]],
+    records: abc.Mapping[str, tuple[_members.MemberRecord, ...]],
     changed_pools: abc.Set[str],
 ) -> abc.Set[_types.Address]:
     """Return the tunnel addresses whose records may have changed."""
@@ -410,7 +410,7 @@
 
 def _update_upstreams(
     previous: abc.Mapping[bytes, Upstream],
-    records: abc.Mapping[str, tuple[_types.MemberRecord, ...]],
+    records: abc.Mapping[str, tuple[_members.MemberRecord, ...]],
     changed_tunnels: abc.Set[_types.Address] | None,
     *,
     now: float,
@@ -421,7 +421,7 @@
     """
     if changed_tunnels is not None and not changed_tunnels:
         return previous
-    newest: dict[_types.Address, _types.MemberRecord] = {}
+    newest: dict[_types.Address, _members.MemberRecord] = {}
     for pool_records in records.values():
         for record in pool_records:
             if changed_tunnels is not None and record.tunnel not in changed_tunnels:
@@ -439,7 +439,7 @@
 
 
 def _update_upstream(
-    previous: Upstream | None, record: _types.MemberRecord, *, now: float
+    previous: Upstream | None, record: _members.MemberRecord, *, now: float
 ) -> Upstream:
     generation = packets.generation_tag(record.generation)
     lost_since = None
--- a/plantainproxy/core/tests/test_gossip.py
+++ b/plantainproxy/core/tests/test_gossip.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from plantainproxy import _types
+from plantainproxy import _members, _types
 from plantainproxy.core import gossip, membership
 from plantainproxy.rpc import codec
 
@@ -13,9 +13,9 @@
 ROUND_SECONDS = 0.25
 
 
-def balancer(number: int) -> _types.MemberRecord:
+def balancer(number: int) -> _members.MemberRecord:
     """Return the record of a balancer."""
-    return _types.MemberRecord(
+    return _members.MemberRecord(
         kind=_types.MemberKind.BALANCER,
         rpc=_types.Address("127.0.0.1", 7000 + number),
         domain="d",
@@ -24,9 +24,9 @@
     )
 
 
-def sidecar(number: int, *, sequence: int = 1) -> _types.MemberRecord:
+def sidecar(number: int, *, sequence: int = 1) -> _members.MemberRecord:
     """Return the record of a sidecar."""
-    return _types.MemberRecord(
+    return _members.MemberRecord(
         kind=_types.MemberKind.SIDECAR,
         rpc=_types.Address("127.0.0.2", number),
         domain="d",
@@ -115,7 +115,7 @@
         """Return the states of the running balancers."""
         return [state for rpc, state in self.states.items() if rpc not in self.stopped]
 
-    def tables(self) -> list[dict[str, _types.MemberRecord]]:
+    def tables(self) -> list[dict[str, _members.MemberRecord]]:
         """Return the live records in the table of each running balancer."""
         return [
             {
--- a/plantainproxy/core/tests/test_handoff.py
+++ b/plantainproxy/core/tests/test_handoff.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from plantainproxy import _types
+from plantainproxy import _members, _types
 from plantainproxy.core import handoff
 from plantainproxy.wire import tunnel
 
@@ -18,9 +18,9 @@
     state: _types.MemberState = _types.MemberState.SERVING,
     *,
     lost: bool = False,
-) -> _types.MemberRecord:
+) -> _members.MemberRecord:
     """Return the record of a sidecar."""
-    return _types.MemberRecord(
+    return _members.MemberRecord(
         kind=_types.MemberKind.SIDECAR,
         rpc=tunnel_address,
         domain="a",
--- a/plantainproxy/core/tests/test_heartbeat.py
+++ b/plantainproxy/core/tests/test_heartbeat.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from plantainproxy import _types
+from plantainproxy import _members, _types
 from plantainproxy.config import model
 from plantainproxy.core import heartbeat
 from plantainproxy.rpc import messages
 
-RECORD = _types.MemberRecord(
+RECORD = _members.MemberRecord(
     kind=_types.MemberKind.SIDECAR,
     rpc=_types.Address("127.0.0.1", 1),
     domain="d",
--- a/plantainproxy/core/tests/test_load.py
+++ b/plantainproxy/core/tests/test_load.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies
 import pytest
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _exceptions, _members, _types
 from plantainproxy.core import admission, placement, retry
 
 MAX_RUNNING = 64
@@ -209,8 +209,8 @@
     domain: str = "matane",
     state: _types.MemberState = _types.MemberState.SERVING,
     lost: bool = False,
-) -> _types.MemberRecord:
-    return _types.MemberRecord(
+) -> _members.MemberRecord:
+    return _members.MemberRecord(
         kind=_types.MemberKind.SIDECAR,
         rpc=rpc,
         domain=domain,
@@ -221,7 +221,7 @@
     )
 
 
-def _siblings(*records: _types.MemberRecord) -> placement.State:
+def _siblings(*records: _members.MemberRecord) -> placement.State:
     state = placement.State()
     placement.update_siblings(
         state, records, local_address=OWN_ADDRESS, domains_out=frozenset({"rimouski"})
@@ -278,7 +278,7 @@
     ],
 )
 def test_members_that_may_not_serve_get_nothing(
-    record: _types.MemberRecord, local: placement.LocalUpstream, error: str
+    record: _members.MemberRecord, local: placement.LocalUpstream, error: str
 ) -> None:
     """Siblings that are draining, lost or in a domain that is out are excluded."""
     expected = placement.Placement(error=_exceptions.ErrorKind(error))
--- a/plantainproxy/core/tests/test_membership.py
+++ b/plantainproxy/core/tests/test_membership.py
@@ -9,7 +9,7 @@
 from hypothesis import stateful, strategies
 import pytest
 
-from plantainproxy import _types
+from plantainproxy import _members, _types
 from plantainproxy.core import membership
 
 SERVING, DRAINING, LEFT = (
@@ -29,9 +29,9 @@
     state: _types.MemberState = SERVING,
     pool: str = "p",
     lost: bool = False,
-) -> _types.MemberRecord:
+) -> _members.MemberRecord:
     """Return a sidecar record."""
-    return _types.MemberRecord(
+    return _members.MemberRecord(
         kind=_types.MemberKind.SIDECAR,
         rpc=_types.Address("127.0.0.1", number),
         domain="d",
@@ -55,7 +55,7 @@
     ],
 )
 def test_an_older_record_never_replaces_a_newer_one(
-    older: _types.MemberRecord, newer: _types.MemberRecord
+    older: _members.MemberRecord, newer: _members.MemberRecord
 ) -> None:
     """The newer record is kept in both orders and returned for the outdated sender."""
     table = membership.Table()
@@ -99,7 +99,7 @@
     "received", [sidecar(sequence=5, lost=True), sidecar(generation=99, sequence=7)]
 )
 def test_an_owner_refutes_a_record_of_higher_precedence(
-    received: _types.MemberRecord,
+    received: _members.MemberRecord,
 ) -> None:
     """The refutation has a higher precedence than the received record."""
     refutation = membership.refute(sidecar(sequence=5), received)
@@ -111,7 +111,7 @@
 
 @pytest.mark.parametrize("ended", [sidecar(lost=True), sidecar(state=LEFT)])
 def test_evicted_records_are_not_restored_by_older_versions(
-    ended: _types.MemberRecord,
+    ended: _members.MemberRecord,
 ) -> None:
     """After eviction, only a higher sequence or generation is accepted."""
     table = membership.Table()
@@ -153,7 +153,7 @@
     assert not table.version_floors
 
 
-def fresh_digests(records: dict[str, _types.MemberRecord]) -> list[int]:
+def fresh_digests(records: dict[str, _members.MemberRecord]) -> list[int]:
     """Compute the digests of records in a new table."""
     table = membership.Table()
     membership.merge(table, records.values(), now=0)
@@ -215,9 +215,9 @@
     alive: range = range(0),
     is_connected: bool = True,
     start: float = 0,
-) -> list[_types.MemberRecord]:
+) -> list[_members.MemberRecord]:
     """Check once per interval, after heartbeats of the members in ``alive``."""
-    lost: list[_types.MemberRecord] = []
+    lost: list[_members.MemberRecord] = []
     now = start
     while now < until:
         now += INTERVAL_SECONDS
@@ -373,11 +373,11 @@
         """Create empty tables."""
         super().__init__()
         self.tables = [membership.Table() for _ in range(3)]
-        self.received: list[_types.MemberRecord] = []
+        self.received: list[_members.MemberRecord] = []
 
     @stateful.rule(records=strategies.lists(RECORDS, max_size=6), at=strategies.data())
     def receive(
-        self, records: list[_types.MemberRecord], at: strategies.DataObject
+        self, records: list[_members.MemberRecord], at: strategies.DataObject
     ) -> None:
         """Merge some records into one table."""
         number = at.draw(strategies.integers(0, 2))
@@ -401,7 +401,7 @@
 
     def teardown(self) -> None:
         """Check that all tables are equal after exchanges between all pairs."""
-        expected: dict[str, _types.MemberRecord] = {}
+        expected: dict[str, _members.MemberRecord] = {}
         for record in self.received:
             known = expected.get(record.key)
             if known is None or membership.precedence(record) > membership.precedence(
@@ -428,7 +428,7 @@
     records=strategies.lists(RECORDS, max_size=12), order=strategies.randoms()
 )
 def test_any_order_of_merges_gives_the_same_table(
-    records: list[_types.MemberRecord], order: random.Random
+    records: list[_members.MemberRecord], order: random.Random
 ) -> None:
     """The final table depends on the set of records alone."""
     shuffled = list(records)
--- a/plantainproxy/core/tests/test_routing.py
+++ b/plantainproxy/core/tests/test_routing.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from plantainproxy import _types
+from plantainproxy import _members, _types
 from plantainproxy.config import model
 from plantainproxy.core import packets, routing
 
@@ -30,9 +30,9 @@
 
 def record(
     number: int, pool: str = "fleet", **changes: typing.Any
-) -> _types.MemberRecord:
+) -> _members.MemberRecord:
     """Make a sidecar's record."""
-    sidecar_record = _types.MemberRecord(
+    sidecar_record = _members.MemberRecord(
         kind=_types.MemberKind.SIDECAR,
         rpc=_types.Address("127.0.2.1", number),
         domain="rimouski",
@@ -44,7 +44,7 @@
     return dataclasses.replace(sidecar_record, **changes)
 
 
-def state_with(*records: _types.MemberRecord, now: float = 0.0) -> routing.State:
+def state_with(*records: _members.MemberRecord, now: float = 0.0) -> routing.State:
     """Make a state with the configuration and the records of one pool."""
     events = (
         routing.ConfigurationChanged(configuration=CONFIGURATION),
@@ -131,7 +131,7 @@
     ],
 )
 def test_a_packet_follows_the_rules(
-    member: _types.MemberRecord, packet: packets.Packet, expected: routing.Action
+    member: _members.MemberRecord, packet: packets.Packet, expected: routing.Action
 ) -> None:
     """Each routing rule, with a single member record."""
     assert routing.route(state_with(member), packet, NOW) == expected
--- a/plantainproxy/flows/control/document_exchange.py
+++ b/plantainproxy/flows/control/document_exchange.py
@@ -7,12 +7,12 @@
 """
 
 from collections import abc
+import contextlib
 import random
 import typing
 
-import trio
-
 from plantainproxy import _types
+from plantainproxy.eventloop import runtime, tcp
 from plantainproxy.flows import event_log
 
 T = typing.TypeVar("T")
@@ -28,6 +28,7 @@
 MAX_DOCUMENT_BYTES = 16 * 1_048_576
 """Limit on a pulled document, far above the size of a table of 6,500 routes."""
 RECEIVE_BYTES = 64
+RECEIVE_BUFFER_BYTES = 65_536
 
 POLICY = b"policy"
 """Request for the policy, the first bytes on a connection."""
@@ -65,8 +66,8 @@
         self.kind = kind
         self.log = log
         self.newest: tuple[OrderT, _types.Address] | None = None
-        self.update_available = trio.Event()
-        self.relay_has_update = trio.Event()
+        self.update_available = runtime.Event()
+        self.relay_has_update = runtime.Event()
 
     def handle_order(
         self,
@@ -115,12 +116,12 @@
     exchange = puller.exchange
     while True:
         await exchange.update_available.wait()
-        exchange.update_available = trio.Event()
+        exchange.update_available = runtime.Event()
         if exchange.document.digest:
-            with trio.move_on_after(RELAY_DELAY_SECONDS):
+            with runtime.move_on_after(RELAY_DELAY_SECONDS):
                 await exchange.relay_has_update.wait()
-            await trio.sleep(random.random() * PULL_SPREAD_SECONDS)
-        exchange.relay_has_update = trio.Event()
+            await runtime.sleep(random.random() * PULL_SPREAD_SECONDS)
+        exchange.relay_has_update = runtime.Event()
         if exchange.newest is None or exchange.newest[0] <= exchange.document.order:
             continue
         _, sender = exchange.newest
@@ -149,33 +150,33 @@
     nothing if this process has none.
     """
 
-    async def send_document(stream: trio.SocketStream) -> None:
-        async with stream:
-            try:
-                with trio.move_on_after(PULL_TIMEOUT_SECONDS):
-                    kind = bytes(await stream.receive_some(RECEIVE_BYTES))
-                    if kind not in documents:
-                        log.count("documents.invalid_request")
-                        return
-                    await stream.send_all(documents[kind]())
-            except trio.BrokenResourceError:
-                log.count("documents.give_failed")
+    async def send_document(stream: tcp.Stream) -> None:
+        try:
+            with runtime.move_on_after(PULL_TIMEOUT_SECONDS):
+                kind = await stream.receive_some(RECEIVE_BYTES)
+                if kind not in documents:
+                    log.count("documents.invalid_request")
+                    return
+                await stream.send_all(documents[kind]())
+        except OSError:
+            log.count("documents.give_failed")
 
-    await trio.serve_tcp(send_document, address.port, host=address.host)
+    await tcp.serve(address, send_document)
 
 
 async def _pull(sender: _types.Address, kind: bytes) -> bytes:
     """Return the encoded document of a process; empty if it does not send one."""
     received = bytearray()
     try:
-        with trio.fail_after(PULL_TIMEOUT_SECONDS):
-            stream = await trio.open_tcp_stream(sender.host, sender.port)
-            async with stream:
-                await stream.send_all(kind)
-                async for chunk in stream:
-                    received += chunk
-                    if len(received) > MAX_DOCUMENT_BYTES:
-                        return b""
-    except (OSError, trio.BrokenResourceError, trio.TooSlowError):
+        with (
+            runtime.fail_after(PULL_TIMEOUT_SECONDS),
+            contextlib.closing(await tcp.connect(sender)) as stream,
+        ):
+            await stream.send_all(kind)
+            while chunk := await stream.receive_some(RECEIVE_BUFFER_BYTES):
+                received += chunk
+                if len(received) > MAX_DOCUMENT_BYTES:
+                    return b""
+    except (OSError, runtime.TooSlowError):
         return b""
     return bytes(received)
--- a/plantainproxy/flows/engine/upstream_speed.py
+++ b/plantainproxy/flows/engine/upstream_speed.py
@@ -8,8 +8,6 @@
 import collections
 from collections import abc
 import itertools
-import re
-import statistics
 import typing
 
 import msgspec
@@ -47,6 +45,7 @@
 SERVICE_TIME_GAUGE = "service_milliseconds"
 """Prefix of the gauges with a sidecar's medians; pool and route follow."""
 
+GAUGE_NAME_CHARACTERS = frozenset("abcdefghijklmnopqrstuvwxyz0123456789")
 MIN_COMPARED_UPSTREAMS = 3
 """Upstreams that must report a route before its times are compared."""
 INSIGNIFICANT_FACTOR = 1.25
@@ -182,10 +181,22 @@
     return found
 
 
+def _median(values: abc.Iterable[float]) -> float:
+    """Return the median of some values.
+
+    The import of ``statistics`` would delay the start of a process.
+    """
+    ordered = sorted(values)
+    middle = len(ordered) // 2
+    if len(ordered) % 2:
+        return ordered[middle]
+    return (ordered[middle - 1] + ordered[middle]) / 2
+
+
 def _estimate(seconds: abc.Sequence[float]) -> float:
     """Return the median of the samples, or of the newest if the speed has changed."""
-    median = statistics.median(seconds)
-    newest = statistics.median(seconds[-RECENT_SAMPLES:])
+    median = _median(seconds)
+    newest = _median(seconds[-RECENT_SAMPLES:])
     has_changed = not median / CHANGE_FACTOR <= newest <= median * CHANGE_FACTOR
     return newest if has_changed else median
 
@@ -295,7 +306,10 @@
 
 def _gauge_name(text: str) -> str:
     """Return a text as part of a metric's name, whatever names operators chose."""
-    return re.sub("[^a-z0-9]", "_", text.lower())
+    return "".join(
+        character if character in GAUGE_NAME_CHARACTERS else "_"
+        for character in text.lower()
+    )
 
 
 def balancer_gauges(view: upstreams.View) -> dict[str, float]:
@@ -372,7 +386,7 @@
         for route, milliseconds in routes.items():
             by_route.setdefault(route, []).append(milliseconds)
     medians = {
-        route: statistics.median(values)
+        route: _median(values)
         for route, values in by_route.items()
         if len(values) >= MIN_COMPARED_UPSTREAMS
     }
@@ -383,7 +397,7 @@
             for route, milliseconds in routes.items()
             if medians.get(route)
         ]
-        factor = statistics.median(ratios) if ratios else 1.0
+        factor = _median(ratios) if ratios else 1.0
         if factor > INSIGNIFICANT_FACTOR or factor < 1 / INSIGNIFICANT_FACTOR:
             factors[key] = min(max(factor, MIN_FACTOR), MAX_FACTOR)
     return factors
--- a/plantainproxy/flows/programs/balancer_main.py
+++ b/plantainproxy/flows/programs/balancer_main.py
@@ -7,9 +7,8 @@
 import random
 import socket
 
-import trio
-
 from plantainproxy import _lifecycle, _types
+from plantainproxy.eventloop import runtime
 from plantainproxy.flows import event_log, messages, packets, policy, settings
 from plantainproxy.flows.control import coverage, documents, report_requests
 from plantainproxy.flows.engine import (
@@ -118,7 +117,7 @@
 
 
 def _apply_policy(process: BalancerProcess, new_policy: policy.Policy) -> bool:
-    return balancer.apply_policy(process.engine, new_policy, now=trio.current_time())
+    return balancer.apply_policy(process.engine, new_policy, now=runtime.current_time())
 
 
 def _apply_list(process: BalancerProcess, offered: registry.SidecarList) -> bool:
@@ -135,7 +134,7 @@
     sidecars = process.documents.sidecars
     listed = registry.decode(sidecars.entries)
     balancer.apply_registrations(
-        process.engine, listed, now=trio.current_time(), is_restored=is_restored
+        process.engine, listed, now=runtime.current_time(), is_restored=is_restored
     )
     process.log.write(
         "sidecars listed",
@@ -163,13 +162,13 @@
 
 def _request_reports(process: BalancerProcess) -> None:
     view, policies = process.engine.view, process.engine.policies
-    now = trio.current_time()
+    now = runtime.current_time()
     _send(process, report_requests.periodic_requests(view, policies, now=now))
 
 
 def _request_overdue_reports(process: BalancerProcess) -> None:
     view, policies = process.engine.view, process.engine.policies
-    now = trio.current_time()
+    now = runtime.current_time()
     _send(process, report_requests.overdue_requests(view, policies, now=now))
 
 
@@ -187,7 +186,7 @@
     if packet is None:
         process.log.count("dropped.malformed")
         return
-    now = trio.current_time()
+    now = runtime.current_time()
     process.last_packet_at = now
     balancer.handle_packet(process.engine, packet, now=now)
 
@@ -199,7 +198,7 @@
     if message is None:
         process.log.count("dropped.malformed_message")
         return
-    now = trio.current_time()
+    now = runtime.current_time()
     policy_exchange = process.documents.policy_exchange
     match message:
         case messages.Notice():
@@ -232,7 +231,7 @@
     """Return the readiness; count the failed checks of a stopping balancer."""
     if process.engine.stopping:
         process.failed_checks += 1
-    return balancer.is_ready(process.engine, now=trio.current_time())
+    return balancer.is_ready(process.engine, now=runtime.current_time())
 
 
 async def _request_reports_forever(process: BalancerProcess) -> None:
@@ -244,24 +243,24 @@
             _request_reports(process)
         else:
             _request_overdue_reports(process)
-        await trio.sleep(OVERDUE_REQUEST_INTERVAL_SECONDS)
+        await runtime.sleep(OVERDUE_REQUEST_INTERVAL_SECONDS)
 
 
 async def _request_room_forever(process: BalancerProcess) -> None:
     """Ask the relays for reports in short intervals while callers wait for room."""
     while True:
-        await trio.sleep(TICK_INTERVAL_SECONDS)
+        await runtime.sleep(TICK_INTERVAL_SECONDS)
         if process.engine.waiting.openings:
             view = process.engine.view
-            now = trio.current_time()
+            now = runtime.current_time()
             _send(process, report_requests.urgent_requests(view, now=now))
-            await trio.sleep(URGENT_REQUEST_INTERVAL_SECONDS)
+            await runtime.sleep(URGENT_REQUEST_INTERVAL_SECONDS)
 
 
 async def _tick_forever(process: BalancerProcess) -> None:
     while True:
-        await trio.sleep(TICK_INTERVAL_SECONDS)
-        now = trio.current_time()
+        await runtime.sleep(TICK_INTERVAL_SECONDS)
+        now = runtime.current_time()
         balancer.tick(process.engine, now=now)
         _elapse_holds(process, now=now)
 
@@ -269,14 +268,14 @@
 async def _send_hedges_forever(process: BalancerProcess) -> None:
     """Check for overdue openings, unless hedging is off."""
     while process.settings.hedge_percent:
-        await trio.sleep(hedging.PASS_INTERVAL_SECONDS)
-        hedged_openings.send_due_hedges(process.engine, now=trio.current_time())
+        await runtime.sleep(hedging.PASS_INTERVAL_SECONDS)
+        hedged_openings.send_due_hedges(process.engine, now=runtime.current_time())
 
 
 async def _evict_flows_forever(process: BalancerProcess) -> None:
     while True:
-        await trio.sleep(FLOW_EVICTION_INTERVAL_SECONDS)
-        balancer.evict_expired_flows(process.engine, now=trio.current_time())
+        await runtime.sleep(FLOW_EVICTION_INTERVAL_SECONDS)
+        balancer.evict_expired_flows(process.engine, now=runtime.current_time())
 
 
 async def _wait_until_drained(
@@ -286,11 +285,13 @@
     await lifecycle.stopping.wait()
     process.engine.stopping = True
     process.log.write("stopping", flows=len(process.engine.flows))
-    stop_began_at = trio.current_time()
+    stop_began_at = runtime.current_time()
     deadline = stop_began_at + process.settings.grace_seconds - DRAIN_RESERVE_SECONDS
-    while trio.current_time() < deadline:
-        await trio.sleep(DRAIN_QUIET_SECONDS / 2)
-        quiet_seconds = trio.current_time() - max(process.last_packet_at, stop_began_at)
+    while runtime.current_time() < deadline:
+        await runtime.sleep(DRAIN_QUIET_SECONDS / 2)
+        quiet_seconds = runtime.current_time() - max(
+            process.last_packet_at, stop_began_at
+        )
         is_out_of_rotation = process.failed_checks >= REMOVAL_FAILED_CHECKS
         if quiet_seconds >= (
             DRAIN_QUIET_SECONDS if is_out_of_rotation else UNCHECKED_DRAIN_QUIET_SECONDS
@@ -308,7 +309,7 @@
 def _gauges(process: BalancerProcess) -> dict[str, float]:
     engine = process.engine
     return {
-        "ready": float(balancer.is_ready(engine, now=trio.current_time())),
+        "ready": float(balancer.is_ready(engine, now=runtime.current_time())),
         "revision": float(engine.policies.revision),
         "store_era": float(engine.policies.era),
         "cached_flows": float(len(engine.flows)),
@@ -320,15 +321,29 @@
         "first_openings": float(engine.first_openings),
         "upstreams": float(len(engine.view.upstreams)),
         "report_age_seconds": upstreams.oldest_report_seconds(
-            engine.view, now=trio.current_time()
+            engine.view, now=runtime.current_time()
         ),
         "covered": float(
-            coverage.is_covered(process.documents.coverage, now=trio.current_time())
+            coverage.is_covered(process.documents.coverage, now=runtime.current_time())
         ),
         **upstream_speed.balancer_gauges(engine.view),
     }
 
 
+@contextlib.contextmanager
+def _receiving(process: BalancerProcess) -> abc.Iterator[None]:
+    """Handle the datagrams of both sockets until the exit."""
+    with (
+        datagrams.receiving(
+            process.data_socket, functools.partial(_handle_data, process)
+        ),
+        datagrams.receiving(
+            process.message_socket, functools.partial(_handle_message, process)
+        ),
+    ):
+        yield
+
+
 async def _run(
     lifecycle: _lifecycle.Lifecycle, node_settings: settings.BalancerSettings
 ) -> None:
@@ -343,18 +358,19 @@
             domain=node_settings.domain,
             hedge_percent=node_settings.hedge_percent,
         )
-        async with trio.open_nursery() as nursery:
-            node.start(nursery, lifecycle, _node_context(process))
-            for task in (
-                _request_reports_forever,
-                _request_room_forever,
-                _tick_forever,
-                _send_hedges_forever,
-                _evict_flows_forever,
-            ):
-                nursery.start_soon(task, process)
-            await _wait_until_drained(process, lifecycle)
-            nursery.cancel_scope.cancel()
+        with _receiving(process):
+            async with runtime.open_task_group() as group:
+                node.start(group, lifecycle, _node_context(process))
+                for task in (
+                    _request_reports_forever,
+                    _request_room_forever,
+                    _tick_forever,
+                    _send_hedges_forever,
+                    _evict_flows_forever,
+                ):
+                    group.start_soon(task, process)
+                await _wait_until_drained(process, lifecycle)
+                group.cancel_scope.cancel()
 
 
 def _node_context(
@@ -375,10 +391,6 @@
         log=process.log,
         is_ready=functools.partial(_handle_health_check, process),
         gauges=functools.partial(_gauges, process),
-        receivers=(
-            (process.data_socket, functools.partial(_handle_data, process)),
-            (process.message_socket, functools.partial(_handle_message, process)),
-        ),
     )
 
 
--- a/plantainproxy/flows/programs/datagrams.py
+++ b/plantainproxy/flows/programs/datagrams.py
@@ -1,12 +1,16 @@
-"""Non-blocking UDP sockets that are read in batches."""
+"""Non-blocking UDP sockets that are read in batches.
+
+The loop calls the handlers directly. A task that waits for each batch would cost more
+than the handling of a packet.
+"""
 
 from collections import abc
 import contextlib
+import functools
 import socket
 
-import trio
-
 from plantainproxy import _types
+from plantainproxy.eventloop import loop
 from plantainproxy.flows import event_log
 
 MAX_BATCH_DATAGRAMS = 64
@@ -29,19 +33,29 @@
         yield udp_socket
 
 
-async def receive_forever(udp_socket: socket.socket, handle: Handler) -> None:
-    """Pass each received datagram and its sender to the handler."""
-    while True:
-        await trio.lowlevel.wait_readable(udp_socket)
-        for _ in range(MAX_BATCH_DATAGRAMS):
-            try:
-                data, (host, port) = udp_socket.recvfrom(MAX_DATAGRAM_BYTES)
-            except BlockingIOError:
-                break
-            except OSError:
-                # ICMP error for an earlier datagram, such as port unreachable.
-                continue
-            handle(data, _types.Address(host, port))
+@contextlib.contextmanager
+def receiving(udp_socket: socket.socket, handle: Handler) -> abc.Iterator[None]:
+    """Pass each received datagram and its sender to the handler until the exit."""
+    running = loop.require_running()
+    descriptor = udp_socket.fileno()
+    receive = functools.partial(_receive_batch, udp_socket, handle)
+    running.watch(descriptor, loop.READABLE, receive)
+    try:
+        yield
+    finally:
+        running.unwatch(descriptor, loop.READABLE)
+
+
+def _receive_batch(udp_socket: socket.socket, handle: Handler) -> None:
+    for _ in range(MAX_BATCH_DATAGRAMS):
+        try:
+            data, (host, port) = udp_socket.recvfrom(MAX_DATAGRAM_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            # ICMP error for an earlier datagram, such as port unreachable.
+            continue
+        handle(data, _types.Address(host, port))
 
 
 def send(
--- a/plantainproxy/flows/programs/node.py
+++ b/plantainproxy/flows/programs/node.py
@@ -2,16 +2,14 @@
 
 from collections import abc
 import functools
-import socket
 import typing
 
 import msgspec
-import trio
 
 from plantainproxy import _http_server, _lifecycle, _types
+from plantainproxy.eventloop import loop, runtime
 from plantainproxy.flows import event_log, messages, policy, settings
 from plantainproxy.flows.control import coverage, document_exchange, documents
-from plantainproxy.flows.programs import datagrams
 from plantainproxy.flows.stored import follower, registry
 from plantainproxy.store import revisioned
 from plantainproxy.telemetry import exposition, logs
@@ -45,6 +43,7 @@
         return loaded[0]
 
     _lifecycle.run_daemon(
+        run=loop.run,
         read=read_and_store,
         check_only=False,
         configure=lambda _: logs.configure_json_lines(),
@@ -73,28 +72,24 @@
     log: event_log.EventLog
     is_ready: abc.Callable[[], bool]
     gauges: exposition.Gauges
-    receivers: tuple[tuple[socket.socket, datagrams.Handler], ...]
-    """UDP sockets, each with the handler of its datagrams."""
 
 
 def start(
-    nursery: trio.Nursery, lifecycle: _lifecycle.Lifecycle, context: NodeContext[T]
+    group: runtime.TaskGroup, lifecycle: _lifecycle.Lifecycle, context: NodeContext[T]
 ) -> None:
     """Start the shared tasks.
 
-    They keep the store's documents current, receive datagrams, serve readiness and
-    metrics, and reload the settings.
+    They keep the store's documents current, serve readiness and metrics, and reload
+    the settings.
     """
     node_settings = context.settings
-    _start_following(nursery, context)
-    for udp_socket, handle in context.receivers:
-        nursery.start_soon(datagrams.receive_forever, udp_socket, handle)
-    nursery.start_soon(serve_readiness, node_settings.ready_address, context.is_ready)
-    nursery.start_soon(
+    _start_following(group, context)
+    group.start_soon(serve_readiness, node_settings.ready_address, context.is_ready)
+    group.start_soon(
         serve_metrics, node_settings.metrics_address, context.log, context.gauges
     )
-    _start_exchange(nursery, context)
-    nursery.start_soon(_reload_forever, lifecycle, node_settings, context.read_settings)
+    _start_exchange(group, context)
+    group.start_soon(_reload_forever, lifecycle, node_settings, context.read_settings)
 
 
 def handle_restored(held: documents.Documents, previous: int, era: int) -> None:
@@ -108,7 +103,8 @@
     lifecycle: _lifecycle.Lifecycle, active_settings: T, read: abc.Callable[[], T]
 ) -> None:
     """Check the settings at each reload request and log changes that need a restart."""
-    async for _ in lifecycle.reloads:
+    while True:
+        await _lifecycle.wait_for_reload(lifecycle)
         _lifecycle.reload(active_settings, read, lambda _: None)
 
 
@@ -133,7 +129,7 @@
     await _http_server.serve(address, handle)
 
 
-def _start_following(nursery: trio.Nursery, context: NodeContext[T]) -> None:
+def _start_following(group: runtime.TaskGroup, context: NodeContext[T]) -> None:
     """Follow the documents in the store while no relay does so for this process."""
 
     def apply_policy(
@@ -153,7 +149,7 @@
 
     def must_follow() -> bool:
         return context.is_relay() or not coverage.is_covered(
-            context.documents.coverage, now=trio.current_time()
+            context.documents.coverage, now=runtime.current_time()
         )
 
     def may_leave_watching() -> bool:
@@ -175,7 +171,7 @@
             context.documents.list_status,
         ),
     ):
-        nursery.start_soon(
+        group.start_soon(
             functools.partial(
                 follower.follow,
                 context.store,
@@ -191,7 +187,7 @@
         )
 
 
-def _start_exchange(nursery: trio.Nursery, context: NodeContext[T]) -> None:
+def _start_exchange(group: runtime.TaskGroup, context: NodeContext[T]) -> None:
     """Serve the documents to other processes, and pull newer ones from them."""
     held = context.documents
     policy_puller = document_exchange.Puller(
@@ -199,12 +195,12 @@
         decode=messages.decode_policy,
         apply=context.apply_policy,
     )
-    nursery.start_soon(document_exchange.pull_forever, policy_puller)
+    group.start_soon(document_exchange.pull_forever, policy_puller)
     list_puller = document_exchange.Puller(
         held.list_exchange, decode=registry.decode_list, apply=context.apply_list
     )
-    nursery.start_soon(document_exchange.pull_forever, list_puller)
-    nursery.start_soon(
+    group.start_soon(document_exchange.pull_forever, list_puller)
+    group.start_soon(
         functools.partial(
             document_exchange.serve,
             context.settings.message_address,
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -6,9 +6,8 @@
 import socket
 import time
 
-import trio
-
 from plantainproxy import _http_server, _lifecycle, _types
+from plantainproxy.eventloop import runtime
 from plantainproxy.flows import event_log, messages, packets, policy, settings
 from plantainproxy.flows.control import documents, relay
 from plantainproxy.flows.engine import (
@@ -118,7 +117,7 @@
             port=self.port,
             identity=identity,
             slow_start_limiter=admission.SlowStartLimiter(
-                started_at=trio.current_time(),
+                started_at=runtime.current_time(),
                 rate_factor=node_settings.cold_rate_factor,
                 burst=node_settings.cold_spare_flows,
             ),
@@ -167,7 +166,7 @@
 
 
 def _apply_policy(process: SidecarProcess, offered: policy.Policy) -> bool:
-    return sidecar.apply_policy(process.engine, offered, now=trio.current_time())
+    return sidecar.apply_policy(process.engine, offered, now=runtime.current_time())
 
 
 def _handle_data(process: SidecarProcess, data: bytes, sender: _types.Address) -> None:
@@ -175,7 +174,7 @@
     if packet is None:
         process.log.count("dropped.malformed")
         return
-    sidecar.handle_inbound(process.engine, packet, now=trio.current_time())
+    sidecar.handle_inbound(process.engine, packet, now=runtime.current_time())
 
 
 def _handle_outbound(
@@ -186,7 +185,7 @@
         process.log.count("dropped.malformed")
         return
     wait_seconds = sidecar.handle_outbound(
-        process.engine, packet, now=trio.current_time()
+        process.engine, packet, now=runtime.current_time()
     )
     if wait_seconds is not None:
         process.log.observe("answer_seconds", wait_seconds)
@@ -196,7 +195,7 @@
     process: SidecarProcess, data: bytes, sender: _types.Address
 ) -> None:
     message = messages.decode(data)
-    now = trio.current_time()
+    now = runtime.current_time()
     match message:
         case messages.ReportRequest():
             process.documents.policy_exchange.handle_order(
@@ -243,8 +242,8 @@
 
 async def _tick_forever(process: SidecarProcess) -> None:
     while True:
-        await trio.sleep(TICK_INTERVAL_SECONDS)
-        now = trio.current_time()
+        await runtime.sleep(TICK_INTERVAL_SECONDS)
+        now = runtime.current_time()
         sidecar.tick(process.engine, now=now)
         seconds = documents.elapsed_seconds(process.documents, now=now)
         sidecar.elapse_hold(process.engine, seconds, now=now)
@@ -255,19 +254,19 @@
 
 async def _evict_forever(process: SidecarProcess) -> None:
     while True:
-        await trio.sleep(EVICTION_INTERVAL_SECONDS)
-        sidecar.evict_expired(process.engine, now=trio.current_time())
+        await runtime.sleep(EVICTION_INTERVAL_SECONDS)
+        sidecar.evict_expired(process.engine, now=runtime.current_time())
 
 
 async def _serve_heartbeats(process: SidecarProcess) -> None:
     def handle_heartbeat(heartbeat: upstream.Heartbeat) -> bool:
         return upstream_events.handle_heartbeat(
-            process.engine, heartbeat, now=trio.current_time()
+            process.engine, heartbeat, now=runtime.current_time()
         )
 
     def handle_deregistration(instance: str) -> None:
         upstream_events.handle_deregistration(
-            process.engine, instance, now=trio.current_time()
+            process.engine, instance, now=runtime.current_time()
         )
 
     node_settings = process.settings
@@ -282,16 +281,16 @@
 async def _monitor_upstream(process: SidecarProcess) -> None:
     def handle_refused() -> None:
         upstream_events.handle_connection_refused(
-            process.engine, now=trio.current_time()
+            process.engine, now=runtime.current_time()
         )
 
     def handle_health_check_passed() -> None:
         upstream_events.handle_health_check_passed(
-            process.engine, now=trio.current_time()
+            process.engine, now=runtime.current_time()
         )
 
     def handle_not_listening() -> None:
-        upstream_events.handle_not_listening(process.engine, now=trio.current_time())
+        upstream_events.handle_not_listening(process.engine, now=runtime.current_time())
 
     await upstream_monitor.monitor(
         process.settings.upstream_address,
@@ -330,7 +329,7 @@
             engine.speed,
             engine.policies.current,
             pool=engine.identity.location.pool,
-            now=trio.current_time(),
+            now=runtime.current_time(),
         ),
     }
 
@@ -340,6 +339,23 @@
     return engine.policies.current is not None and not engine.stopping
 
 
+@contextlib.contextmanager
+def _receiving(process: SidecarProcess) -> abc.Iterator[None]:
+    """Handle the datagrams of all sockets until the exit."""
+    with (
+        datagrams.receiving(
+            process.data_socket, functools.partial(_handle_data, process)
+        ),
+        datagrams.receiving(
+            process.outbound_socket, functools.partial(_handle_outbound, process)
+        ),
+        datagrams.receiving(
+            process.message_socket, functools.partial(_handle_message, process)
+        ),
+    ):
+        yield
+
+
 async def _run(
     lifecycle: _lifecycle.Lifecycle, node_settings: settings.SidecarSettings
 ) -> None:
@@ -357,30 +373,31 @@
             domain=node_settings.domain,
             pool=node_settings.pool,
         )
-        async with trio.open_nursery() as nursery:
-            _start_tasks(nursery, lifecycle, process)
-            await lifecycle.stopping.wait()
-            sidecar.stop(process.engine, now=trio.current_time())
-            if upstream_events.is_upstream_leaving(process.engine):
-                await registry.withdraw(process.registration)
-            # Any other upstream keeps running and is unreachable until the next
-            # sidecar process has started, so this one exits at once.
-            process.log.write("stopped", flows=len(process.engine.table.flows))
-            nursery.cancel_scope.cancel()
+        with _receiving(process):
+            async with runtime.open_task_group() as group:
+                _start_tasks(group, lifecycle, process)
+                await lifecycle.stopping.wait()
+                sidecar.stop(process.engine, now=runtime.current_time())
+                if upstream_events.is_upstream_leaving(process.engine):
+                    await registry.withdraw(process.registration)
+                # Any other upstream keeps running and is unreachable until the next
+                # sidecar process has started, so this one exits at once.
+                process.log.write("stopped", flows=len(process.engine.table.flows))
+                group.cancel_scope.cancel()
 
 
 def _start_tasks(
-    nursery: trio.Nursery, lifecycle: _lifecycle.Lifecycle, process: SidecarProcess
+    group: runtime.TaskGroup, lifecycle: _lifecycle.Lifecycle, process: SidecarProcess
 ) -> None:
-    node.start(nursery, lifecycle, _node_context(process))
+    node.start(group, lifecycle, _node_context(process))
     snapshot_writer = flow_snapshot.FlowSnapshotWriter(
         process.registration,
         writes_per_second=process.settings.store_writes_per_second,
     )
-    nursery.start_soon(registry.maintain_registration, process.registration)
-    nursery.start_soon(flow_snapshot.run, snapshot_writer, process.engine)
+    group.start_soon(registry.maintain_registration, process.registration)
+    group.start_soon(flow_snapshot.run, snapshot_writer, process.engine)
     for task in (_tick_forever, _evict_forever, _serve_heartbeats, _monitor_upstream):
-        nursery.start_soon(task, process)
+        group.start_soon(task, process)
 
 
 def _node_context(
@@ -401,11 +418,6 @@
         log=process.log,
         is_ready=functools.partial(_is_ready, process),
         gauges=functools.partial(_gauges, process),
-        receivers=(
-            (process.data_socket, functools.partial(_handle_data, process)),
-            (process.outbound_socket, functools.partial(_handle_outbound, process)),
-            (process.message_socket, functools.partial(_handle_message, process)),
-        ),
     )
 
 
--- a/plantainproxy/flows/programs/upstream_monitor.py
+++ b/plantainproxy/flows/programs/upstream_monitor.py
@@ -5,11 +5,12 @@
 """
 
 from collections import abc
+import contextlib
 
 import msgspec
-import trio
 
 from plantainproxy import _types
+from plantainproxy.eventloop import runtime, tcp
 from plantainproxy.store import http
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -19,6 +20,7 @@
 """How long to wait for a heartbeat on a new connection before a health check. Only a
 sidecar that has just started needs the check, as its upstream's state is unknown."""
 HEALTH_TIMEOUT_SECONDS = 2.0
+RECEIVE_BUFFER_BYTES = 4_096
 HTTP_OK = 200
 
 
@@ -47,9 +49,9 @@
     is_first = True
     while True:
         try:
-            with trio.fail_after(CONNECT_TIMEOUT_SECONDS):
-                stream = await trio.open_tcp_stream(address.host, address.port)
-        except trio.TooSlowError:
+            with runtime.fail_after(CONNECT_TIMEOUT_SECONDS):
+                stream = await tcp.connect(address)
+        except runtime.TooSlowError:
             is_first = False
             continue
         except OSError:
@@ -58,22 +60,21 @@
             else:
                 callbacks.on_refused()
             is_first = False
-            await trio.sleep(RETRY_INTERVAL_SECONDS)
+            await runtime.sleep(RETRY_INTERVAL_SECONDS)
             continue
         is_first = False
-        async with stream, trio.open_nursery() as nursery:
-            nursery.start_soon(_check_health, address, callbacks, health_path)
-            await _wait_until_closed(stream)
-            nursery.cancel_scope.cancel()
+        with contextlib.closing(stream):
+            async with runtime.open_task_group() as group:
+                group.start_soon(_check_health, address, callbacks, health_path)
+                await _wait_until_closed(stream)
+                group.cancel_scope.cancel()
 
 
-async def _wait_until_closed(stream: trio.SocketStream) -> None:
+async def _wait_until_closed(stream: tcp.Stream) -> None:
     http.enable_keepalive(stream.socket)
-    try:
-        while await stream.receive_some():
+    with contextlib.suppress(OSError):
+        while await stream.receive_some(RECEIVE_BUFFER_BYTES):
             pass
-    except trio.BrokenResourceError:
-        return
 
 
 async def _check_health(
@@ -81,7 +82,7 @@
     callbacks: Callbacks,
     health_path: abc.Callable[[], str | None],
 ) -> None:
-    await trio.sleep(HEARTBEAT_WAIT_SECONDS)
+    await runtime.sleep(HEARTBEAT_WAIT_SECONDS)
     path = health_path()
     if not path:
         return
--- a/plantainproxy/flows/settings.py
+++ b/plantainproxy/flows/settings.py
@@ -1,6 +1,6 @@
 """Settings of a process that forwards flows."""
 
-import dataclasses
+import msgspec
 
 from plantainproxy import _types
 
@@ -8,8 +8,7 @@
 """Highest limit of hedges per hundred first openings."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class NodeSettings:
+class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings that balancers and sidecars have in common."""
 
     name: str
@@ -44,8 +43,7 @@
         return _types.Address(self.host, self.metrics_port)
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class BalancerSettings(NodeSettings):
+class BalancerSettings(NodeSettings, frozen=True, kw_only=True):
     """Settings of a balancer."""
 
     hedge_percent: float
@@ -53,8 +51,7 @@
     turns hedging off."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class SidecarSettings(NodeSettings):
+class SidecarSettings(NodeSettings, frozen=True, kw_only=True):
     """Settings of a sidecar."""
 
     pool: str
--- a/plantainproxy/flows/stored/flow_snapshot.py
+++ b/plantainproxy/flows/stored/flow_snapshot.py
@@ -8,9 +8,9 @@
 """
 
 import msgspec
-import trio
 
 from plantainproxy import _exceptions
+from plantainproxy.eventloop import runtime
 from plantainproxy.flows import packets, policy
 from plantainproxy.flows.engine import sidecar_state, upstream_events
 from plantainproxy.flows.stored import follower, registry
@@ -66,7 +66,7 @@
     writer.era = writer.registration.era
     must_write = False
     while True:
-        await trio.sleep(_save_interval_seconds(writer, engine))
+        await runtime.sleep(_save_interval_seconds(writer, engine))
         new_snapshot = take_snapshot(engine)
         if new_snapshot is None:
             continue
--- a/plantainproxy/flows/stored/follower.py
+++ b/plantainproxy/flows/stored/follower.py
@@ -3,9 +3,8 @@
 from collections import abc
 import random
 
-import trio
-
 from plantainproxy import _exceptions
+from plantainproxy.eventloop import runtime
 from plantainproxy.flows import event_log
 from plantainproxy.store import revisioned
 
@@ -52,7 +51,7 @@
         """Increase the delay after a failed call and sleep for 50 to 100 % of it."""
         doubled = max(MIN_BACKOFF_SECONDS, 2 * self.seconds)
         self.seconds = min(doubled, MAX_BACKOFF_SECONDS)
-        await trio.sleep(self.seconds * (0.5 + random.random() / 2))
+        await runtime.sleep(self.seconds * (0.5 + random.random() / 2))
 
 
 async def follow(
@@ -82,12 +81,12 @@
             health.status.is_current = False
             await _wait_until(is_needed)
             if not is_first:
-                await trio.sleep(random.random() * NEED_SPREAD_SECONDS)
+                await runtime.sleep(random.random() * NEED_SPREAD_SECONDS)
         is_first = False
         snapshot = await _read(store, prefix, health)
         entries = {entry.key: entry.value for entry in snapshot.entries}
         apply_entries(entries, snapshot.revision)
-        with trio.move_on_after(grace_seconds):
+        with runtime.move_on_after(grace_seconds):
             await _wait_until(lambda: not (is_needed() and may_be_relayed()))
         try:
             await _watch(
@@ -105,7 +104,7 @@
 
 async def _wait_until(predicate: abc.Callable[[], bool]) -> None:
     while not predicate():
-        await trio.sleep(NEED_CHECK_SECONDS)
+        await runtime.sleep(NEED_CHECK_SECONDS)
 
 
 class _StoreHealth:
@@ -165,7 +164,7 @@
 ) -> None:
     coalesce_seconds = health.coalesce_seconds
     while is_needed():
-        started_at = trio.current_time()
+        started_at = runtime.current_time()
         try:
             received = await store.watch_after(prefix, revision, brief=health.failing)
         except _exceptions.PlantainError as error:
@@ -181,8 +180,8 @@
             else:
                 entries[change.key] = change.entry.value
         apply_entries(entries, revision)
-        if trio.current_time() - started_at < BURST_INTERVAL_SECONDS:
+        if runtime.current_time() - started_at < BURST_INTERVAL_SECONDS:
             coalesce_seconds = min(2 * coalesce_seconds, MAX_COALESCE_SECONDS)
         else:
             coalesce_seconds = health.coalesce_seconds
-        await trio.sleep(coalesce_seconds)
+        await runtime.sleep(coalesce_seconds)
--- a/plantainproxy/flows/stored/registry.py
+++ b/plantainproxy/flows/stored/registry.py
@@ -4,10 +4,10 @@
 import random
 
 import msgspec
-import trio
 import xxhash
 
 from plantainproxy import _exceptions, _types
+from plantainproxy.eventloop import runtime
 from plantainproxy.flows import event_log
 from plantainproxy.flows.engine import upstreams
 from plantainproxy.flows.stored import follower
@@ -161,9 +161,9 @@
         belong to another process."""
         self.stated_era = 0
         """Latest era that another process has stated."""
-        self.check_requested = trio.Event()
+        self.check_requested = runtime.Event()
         self.check_spread_seconds = ERA_CHECK_SPREAD_SECONDS
-        self.written = trio.Event()
+        self.written = runtime.Event()
         """Set once the entry has been written to the store."""
         self.replaced_entry = False
         """Whether the first write replaced the entry of an earlier process."""
@@ -195,7 +195,7 @@
             if registration.lease is None or registration.era != store.era:
                 registration.lease = await store.grant_lease(ttl_seconds=LEASE_SECONDS)
                 registration.era = store.era
-                registration.check_requested = trio.Event()
+                registration.check_requested = runtime.Event()
             replaced = await _write(
                 store,
                 registration.key,
@@ -240,7 +240,7 @@
     """
     if registration.lease is None:
         return
-    with trio.move_on_after(WITHDRAWAL_TIMEOUT_SECONDS):
+    with runtime.move_on_after(WITHDRAWAL_TIMEOUT_SECONDS):
         try:
             is_held = await registration.store.renew_lease(registration.lease)
             if not is_held or registration.era != registration.store.era:
@@ -298,10 +298,10 @@
     assert lease is not None
     interval_seconds = RENEWAL_SECONDS
     while True:
-        with trio.move_on_after(interval_seconds):
+        with runtime.move_on_after(interval_seconds):
             await registration.check_requested.wait()
-            registration.check_requested = trio.Event()
-            await trio.sleep(random.random() * registration.check_spread_seconds)
+            registration.check_requested = runtime.Event()
+            await runtime.sleep(random.random() * registration.check_spread_seconds)
         try:
             if not await store.renew_lease(lease) or store.era != registration.era:
                 return
--- /dev/null
+++ b/plantainproxy/flows/tests/test_start.py
@@ -0,0 +1,151 @@
+"""A program of transparent flows serves soon after its start, whatever happens then.
+
+A restarted process serves nobody until it has imported its modules, on as little as a
+sixth of a core.
+"""
+
+from collections import abc
+import contextlib
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from plantainproxy.platform import settings as platform_settings
+
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+PROGRAMS = pytest.mark.parametrize("program", ["balancer", "sidecar"])
+HEAVY_MODULES = frozenset(
+    (
+        "asyncio",
+        "dataclasses",
+        "email",
+        "h11",
+        "http.client",
+        "inspect",
+        "pathlib",
+        "prometheus_client",
+        "ssl",
+        "statistics",
+        "subprocess",
+        "tomllib",
+        "trio",
+        "urllib.parse",
+    )
+)
+"""Each takes some milliseconds to import, or imports others that do."""
+LIST_MODULES = """
+import sys
+# Only the tools of developers install this library, which imports heavy modules.
+sys.modules["typing_extensions"] = None
+import plantainproxy.flows.programs.{program}_main
+print(*sys.modules)
+"""
+TIMEOUT_SECONDS = 20.0
+POLL_SECONDS = 0.002
+STEPS = 12
+"""Points in time of a start at which a signal arrives, about 10 ms apart."""
+STEP_SECONDS = 0.01
+HANGUP_BIT = 1 << (signal.SIGHUP - 1)
+
+
+def _free_ports(count: int) -> list[int]:
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind(("127.0.0.1", 0))
+        return [probe.getsockname()[1] for probe in probes]
+
+
+@contextlib.contextmanager
+def _started(
+    program: str, folder: pathlib.Path
+) -> abc.Iterator[subprocess.Popen[bytes]]:
+    """Start a program whose store does not answer; kill it at the end."""
+    ports = _free_ports(7)
+    settings = folder / "settings.json"
+    settings.write_text(
+        '{"node": "n", "ip": "127.0.0.1", "zone": "a", "service": "s", '
+        f'"internal_port_range": [{ports[0]}, {ports[0]}], '
+        f'"listen": {{"data_addr": "127.0.0.1:{ports[1]}", '
+        f'"ready": "127.0.0.1:{ports[2]}", "control": "127.0.0.1:{ports[3]}", '
+        f'"outbound": "127.0.0.1:{ports[4]}"}}, '
+        f'"platform": {{"addr": "127.0.0.1:{ports[5]}"}}, '
+        f'"app": "127.0.0.1:{ports[6]}"}}'
+    )
+    with subprocess.Popen(
+        [sys.executable, "-m", "plantainproxy.flows.programs.start", program],
+        cwd=ROOT,
+        env={**os.environ, platform_settings.PATH_VARIABLE: str(settings)},
+        stdout=subprocess.PIPE,
+    ) as process:
+        try:
+            yield process
+        finally:
+            process.kill()
+
+
+def _wait_until_hangup_is_ignored(process: subprocess.Popen[bytes]) -> None:
+    """Wait until the program's first statements have run."""
+    status = pathlib.Path(f"/proc/{process.pid}/status")
+    deadline = time.monotonic() + TIMEOUT_SECONDS
+    while time.monotonic() < deadline:
+        for line in status.read_text().splitlines():
+            if line.startswith("SigIgn:") and int(line.split()[1], 16) & HANGUP_BIT:
+                return
+        time.sleep(POLL_SECONDS)
+    pytest.fail(f"no start within {TIMEOUT_SECONDS} s")
+
+
+@PROGRAMS
+def test_no_heavy_module_is_imported_before_the_first_packet(program: str) -> None:
+    """An import on the way to the first packet would delay every return of service."""
+    libraries = [path for path in sys.path if path.endswith("site-packages")]
+    completed = subprocess.run(
+        # The deploy file starts the programs without the module ``site``, too.
+        [sys.executable, "-S", "-c", LIST_MODULES.format(program=program)],
+        cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": ":".join(libraries)},
+        check=True,
+        capture_output=True,
+        text=True,
+    )
+    imported = set(completed.stdout.split())
+    assert "plantainproxy.eventloop.loop" in imported
+    assert sorted(imported & HEAVY_MODULES) == []
+
+
+@PROGRAMS
+def test_a_reload_at_any_step_of_the_start_is_survived(
+    program: str, tmp_path: pathlib.Path
+) -> None:
+    """The platform may change the settings while a process starts."""
+    with _started(program, tmp_path) as process:
+        _wait_until_hangup_is_ignored(process)
+        for _ in range(STEPS):
+            process.send_signal(signal.SIGHUP)
+            time.sleep(STEP_SECONDS)
+        assert process.stdout is not None
+        lines = iter(process.stdout)
+        assert any(b'"started"' in line for line in lines)
+        process.send_signal(signal.SIGHUP)
+        assert any(b"The settings are reloaded." in line for line in lines)
+        assert process.poll() is None
+
+
+@PROGRAMS
+@pytest.mark.parametrize("step", range(0, STEPS, 3))
+def test_a_stop_at_any_step_of_the_start_ends_the_process(
+    program: str, step: int, tmp_path: pathlib.Path
+) -> None:
+    """A process that swallowed the stop would be killed at the end of its grace."""
+    with _started(program, tmp_path) as process:
+        _wait_until_hangup_is_ignored(process)
+        time.sleep(step * STEP_SECONDS)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(TIMEOUT_SECONDS) in (0, -signal.SIGTERM)
--- a/plantainproxy/membership/balancer.py
+++ b/plantainproxy/membership/balancer.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _exceptions, _members, _types
 from plantainproxy.config import model
 from plantainproxy.core import delta, gossip, heartbeat, homes, membership
 from plantainproxy.rpc import bridge, messages, methods
@@ -53,7 +53,7 @@
     """The records of one pool after a change."""
 
     pool: str
-    records: tuple[_types.MemberRecord, ...]
+    records: tuple[_members.MemberRecord, ...]
     """All records of the pool, including those of members that ended recently."""
 
 
@@ -62,7 +62,7 @@
     """The live members of one pool, with their rendezvous hash candidates."""
 
     version: int
-    records: dict[_types.Address, _types.MemberRecord]
+    records: dict[_types.Address, _members.MemberRecord]
     candidates: homes.Candidates
 
 
@@ -71,7 +71,7 @@
     """Cached siblings and balancers for one sidecar, valid for these versions."""
 
     versions: tuple[int, int]
-    records: tuple[_types.MemberRecord, ...]
+    records: tuple[_members.MemberRecord, ...]
     balancers: tuple[_types.Address, ...]
     digest: int
 
@@ -81,7 +81,7 @@
 
     def __init__(
         self,
-        local_record: _types.MemberRecord,
+        local_record: _members.MemberRecord,
         *,
         client: bridge.Client,
         documents: Documents,
@@ -145,7 +145,7 @@
     )
 
 
-def pool_records(members: MemberTable, pool: str) -> tuple[_types.MemberRecord, ...]:
+def pool_records(members: MemberTable, pool: str) -> tuple[_members.MemberRecord, ...]:
     """Return all records of a pool, including ended ones."""
     return membership.pool_records(members.state.table, pool)
 
@@ -154,7 +154,7 @@
 
 
 def _handle_changed_records(
-    members: MemberTable, changed: abc.Iterable[_types.MemberRecord], now: float
+    members: MemberTable, changed: abc.Iterable[_members.MemberRecord], now: float
 ) -> None:
     """Pass changed sidecar records to the failure detector; report their pools."""
     for record in changed:
@@ -277,15 +277,15 @@
 
 
 def _choose_siblings(
-    members: MemberTable, record: _types.MemberRecord
-) -> tuple[_types.MemberRecord, ...]:
+    members: MemberTable, record: _members.MemberRecord
+) -> tuple[_members.MemberRecord, ...]:
     """Return the live members of a pool, or a stable selection if there are many."""
     pool = _live_pool(members, record.pool)
     chosen = homes.pick(pool.candidates, record.key, heartbeat.SIBLING_LIMIT)
     return tuple(pool.records[rpc] for rpc in sorted(chosen))
 
 
-def _siblings(members: MemberTable, record: _types.MemberRecord) -> _Siblings:
+def _siblings(members: MemberTable, record: _members.MemberRecord) -> _Siblings:
     table = members.state.table
     versions = (table.pool_versions.get(record.pool, 0), table.balancers_version)
     cached = members.siblings.get(record.key)
@@ -341,7 +341,7 @@
 def _heartbeat_reply(
     members: MemberTable,
     request: messages.HeartbeatRequest,
-    newest_record: _types.MemberRecord,
+    newest_record: _members.MemberRecord,
 ) -> messages.HeartbeatReply:
     """Build a reply with the values that are newer than the sidecar's."""
     configuration = members.documents.configuration()
--- a/plantainproxy/membership/sidecar.py
+++ b/plantainproxy/membership/sidecar.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _exceptions, _members, _types
 from plantainproxy.core import heartbeat
 from plantainproxy.rpc import bridge, methods
 
@@ -22,7 +22,7 @@
 
     def __init__(
         self,
-        record: _types.MemberRecord,
+        record: _members.MemberRecord,
         *,
         client: bridge.Client,
         seeds: abc.Iterable[_types.Address],
--- a/plantainproxy/membership/tests/test_membership_tasks.py
+++ b/plantainproxy/membership/tests/test_membership_tasks.py
@@ -8,7 +8,7 @@
 import pytest
 import trio
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _exceptions, _members, _types
 from plantainproxy.config import model
 from plantainproxy.core import heartbeat, membership
 from plantainproxy.membership import balancer, sidecar
@@ -114,7 +114,7 @@
             ) as bound_address,
         ):
             members = balancer.MemberTable(
-                _types.MemberRecord(
+                _members.MemberRecord(
                     kind=_types.MemberKind.BALANCER,
                     rpc=bound_address,
                     domain="d",
@@ -155,7 +155,7 @@
         number = 20_000 + len(self.announcers)
         async with bridge.open_client(TLS) as client:
             announcer = sidecar.Announcer(
-                _types.MemberRecord(
+                _members.MemberRecord(
                     kind=_types.MemberKind.SIDECAR,
                     rpc=_types.Address("127.0.0.9", number),
                     domain="d",
--- a/plantainproxy/platform/metadata_store.py
+++ b/plantainproxy/platform/metadata_store.py
@@ -1,15 +1,14 @@
 """Client of the platform's metadata store, a revisioned key-value store with leases."""
 
-import base64
+import binascii
 from collections import abc
 import math
 import typing
-import urllib.parse
 
 import msgspec
-import trio
 
 from plantainproxy import _exceptions, _types
+from plantainproxy.eventloop import runtime
 from plantainproxy.store import http, port, revisioned
 
 T = typing.TypeVar("T")
@@ -92,7 +91,7 @@
         """Whether any response has been received, so that ``era`` is known."""
         self.expected_era = 0
         """Latest era that another process has stated."""
-        self.watch_scopes: set[trio.CancelScope] = set()
+        self.watch_scopes: set[runtime.CancelScope] = set()
         """Scopes of the watches that wait for a response."""
         self.watch_seconds = min(
             MAX_WATCH_SECONDS, MAX_WATCH_HISTORY_SHARE * history_seconds
@@ -160,7 +159,7 @@
             "after": str(revision.number),
             "wait_ms": str(int(wait_seconds * MILLISECONDS_PER_SECOND)),
         }
-        with trio.CancelScope() as scope:
+        with runtime.open_cancel_scope() as scope:
             self.watch_scopes.add(scope)
             try:
                 reply = await self._call(
@@ -223,7 +222,7 @@
             "writes": [
                 {
                     "key": put.key,
-                    "value": base64.b64encode(put.value).decode(),
+                    "value": binascii.b2a_base64(put.value, newline=False).decode(),
                     "lease": put.lease,
                 }
                 for put in transaction.puts
@@ -257,7 +256,7 @@
         ``STORE_UNAVAILABLE`` otherwise. ``kind`` names the call in the counters.
         """
         self.count(f"store.calls.{kind}")
-        target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
+        target = f"{path}?{http.encode_query(query)}" if query else path
         encoded = b"" if body is None else msgspec.json.encode(body)
         try:
             reply = await http.call(
@@ -315,7 +314,7 @@
 
 def _decode_item(item: _Item) -> port.Entry:
     try:
-        value = base64.b64decode(item.value)
+        value = binascii.a2b_base64(item.value)
     except ValueError:
         value = b""
     return port.Entry(key=item.key, value=value, mod_revision=item.rev)
--- a/plantainproxy/platform/settings.py
+++ b/plantainproxy/platform/settings.py
@@ -2,7 +2,6 @@
 
 from collections import abc
 import os
-import pathlib
 import typing
 
 import msgspec
@@ -116,8 +115,15 @@
 
 
 def _read_file() -> _Node:
-    path = pathlib.Path(os.environ[PATH_VARIABLE])
-    return msgspec.toml.decode(path.read_bytes(), type=_Node)
+    """Read the file, which is JSON if the deploy file's template made it, or TOML.
+
+    The import of the parser of TOML would delay the start of each process.
+    """
+    with open(os.environ[PATH_VARIABLE], "rb") as file:
+        content = file.read()
+    if content.startswith(b"{"):
+        return msgspec.json.decode(content, type=_Node)
+    return msgspec.toml.decode(content, type=_Node)
 
 
 def _common_fields(node: _Node) -> dict[str, typing.Any]:
--- a/plantainproxy/platform/tests/test_settings.py
+++ b/plantainproxy/platform/tests/test_settings.py
@@ -1,7 +1,9 @@
 """Tests of the settings that a process reads at its start."""
 
 import pathlib
+import tomllib
 
+import msgspec
 import pytest
 
 from plantainproxy import _exceptions
@@ -56,3 +58,26 @@
     assert caught.value.answer.exit_code == 22
     expected = f"HEDGE_PERCENT: {text!r}: expected a number from 0 to 20"
     assert expected in str(caught.value)
+
+
+def test_settings_that_the_template_makes_are_those_of_the_file(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The platform writes JSON with the deploy file's template, and TOML without."""
+    from_toml = _load(tmp_path, monkeypatch, None)
+    path = tmp_path / "settings.json"
+    path.write_bytes(msgspec.json.encode(tomllib.loads(FILE)))
+    monkeypatch.setenv(platform_settings.PATH_VARIABLE, str(path))
+    assert platform_settings.load_balancer() == from_toml
+
+
+def test_damaged_json_is_an_error_that_names_the_file(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A file that is cut must not look like one without the missing settings."""
+    path = tmp_path / "settings.json"
+    path.write_text('{"node": "n", "ip"')
+    monkeypatch.setenv(platform_settings.PATH_VARIABLE, str(path))
+    with pytest.raises(_exceptions.PlantainError, match="settings.json") as caught:
+        platform_settings.load_balancer()
+    assert caught.value.answer.exit_code == 22
--- a/plantainproxy/rpc/messages.py
+++ b/plantainproxy/rpc/messages.py
@@ -6,7 +6,7 @@
 
 import dataclasses
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _exceptions, _members, _types
 from plantainproxy.config import model
 from plantainproxy.core import delta
 
@@ -15,7 +15,7 @@
 class HeartbeatRequest:
     """A heartbeat from a sidecar to one of its home balancers."""
 
-    record: _types.MemberRecord
+    record: _members.MemberRecord
     configuration_revision: int
     """The revision that the sidecar holds; 0 for none."""
     key_revision: int
@@ -32,7 +32,7 @@
 class HeartbeatReply:
     """A home balancer's reply, with the data that the sidecar lacks."""
 
-    stored_record: _types.MemberRecord
+    stored_record: _members.MemberRecord
     """The balancer's record of the sidecar.
 
     If it takes precedence over the sidecar's own record, for instance because it is
@@ -42,7 +42,7 @@
     """Present when the balancer's revision is higher than the sidecar's."""
     key_set: model.KeySet | None = None
     """Present when the balancer's key revision is higher."""
-    siblings: tuple[_types.MemberRecord, ...] | None = None
+    siblings: tuple[_members.MemberRecord, ...] | None = None
     """Live members of the pool; present when the digests differ."""
     siblings_digest: int = 0
     """Digest of the siblings and balancers that the balancer holds."""
@@ -56,10 +56,10 @@
 class GossipRequest:
     """Membership updates from one balancer to another."""
 
-    sender: _types.MemberRecord
+    sender: _members.MemberRecord
     configuration_revision: int
     key_revision: int
-    records: tuple[_types.MemberRecord, ...] = ()
+    records: tuple[_members.MemberRecord, ...] = ()
     """Records that changed recently or that the receiver lacks."""
     digests: bytes = b""
     """Packed digest of each bucket of records; empty if this round sends none."""
@@ -71,10 +71,10 @@
 class GossipReply:
     """Membership updates that the receiver returns."""
 
-    sender: _types.MemberRecord
+    sender: _members.MemberRecord
     configuration_revision: int
     key_revision: int
-    records: tuple[_types.MemberRecord, ...] = ()
+    records: tuple[_members.MemberRecord, ...] = ()
     """Records that are newer than the received ones or were requested."""
     buckets: bytes = b""
     """Numbers of the differing buckets that ``summaries`` covers."""
--- a/plantainproxy/rpc/tests/test_codec.py
+++ b/plantainproxy/rpc/tests/test_codec.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _exceptions, _members, _types
 from plantainproxy.config import model
 from plantainproxy.rpc import codec, messages
 
-RECORD = _types.MemberRecord(
+RECORD = _members.MemberRecord(
     kind=_types.MemberKind.SIDECAR,
     rpc=_types.Address("127.0.0.1", 9000),
     domain="a",
--- a/plantainproxy/sidecar/components.py
+++ b/plantainproxy/sidecar/components.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _exceptions, _members, _types
 from plantainproxy.core import admission, claims, problem, tickets
 from plantainproxy.membership import sidecar as membership
 from plantainproxy.quic import connection, endpoint, events, http3
@@ -40,9 +40,9 @@
     refusals: RefusalCounts
 
 
-def local_record(settings: model.SidecarSettings) -> _types.MemberRecord:
+def local_record(settings: model.SidecarSettings) -> _members.MemberRecord:
     """Return the member record that the sidecar announces at its start."""
-    return _types.MemberRecord(
+    return _members.MemberRecord(
         kind=_types.MemberKind.SIDECAR,
         rpc=settings.rpc_address,
         domain=settings.domain,
@@ -55,7 +55,7 @@
 
 
 def make_state(
-    settings: model.SidecarSettings, record: _types.MemberRecord
+    settings: model.SidecarSettings, record: _members.MemberRecord
 ) -> context.State:
     """Create the state of the request pipeline, without keys, view and siblings."""
     return context.State(
--- a/plantainproxy/sidecar/context.py
+++ b/plantainproxy/sidecar/context.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from plantainproxy import _types
+from plantainproxy import _members, _types
 from plantainproxy.config import model
 from plantainproxy.core import admission, claims, pauses, placement, retry
 from plantainproxy.rpc import messages
@@ -49,7 +49,7 @@
     default_timeout_seconds: float
     view: model.PoolView | None = None
     ring: keyring.Keyring | None = None
-    records: tuple[_types.MemberRecord, ...] = ()
+    records: tuple[_members.MemberRecord, ...] = ()
     stopping: bool = False
     """Whether a planned stop of the sidecar is in progress."""
     drained_since: float | None = None
@@ -87,7 +87,7 @@
     _update_placement(state)
 
 
-def apply_siblings(state: State, records: tuple[_types.MemberRecord, ...]) -> None:
+def apply_siblings(state: State, records: tuple[_members.MemberRecord, ...]) -> None:
     """Replace the member records of the pool with those of a home balancer."""
     state.records = records
     _update_placement(state)
--- a/plantainproxy/sidecar/inbox.py
+++ b/plantainproxy/sidecar/inbox.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from plantainproxy import _types
+from plantainproxy import _members
 from plantainproxy.config import model
 from plantainproxy.rpc import messages
 from plantainproxy.wire import keyring
@@ -50,7 +50,7 @@
 class SiblingsChanged:
     """The current member records of the pool's sidecars, which may be unchanged."""
 
-    records: tuple[_types.MemberRecord, ...]
+    records: tuple[_members.MemberRecord, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/plantainproxy/sidecar/tests/test_fault_matrix.py
+++ b/plantainproxy/sidecar/tests/test_fault_matrix.py
@@ -18,7 +18,7 @@
 import trio
 import trio.testing
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _exceptions, _members, _types
 from plantainproxy.config import model
 from plantainproxy.core import admission, tickets
 from plantainproxy.core import claims as claim_table
@@ -96,9 +96,9 @@
             fault(self)
 
 
-def record(address: _types.Address) -> _types.MemberRecord:
+def record(address: _types.Address) -> _members.MemberRecord:
     """Return the record of one sidecar."""
-    return _types.MemberRecord(
+    return _members.MemberRecord(
         kind=_types.MemberKind.SIDECAR,
         rpc=address,
         domain="a",
--- a/plantainproxy/sidecar/tests/test_lines.py
+++ b/plantainproxy/sidecar/tests/test_lines.py
@@ -13,7 +13,7 @@
 import trio
 import trio.testing
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _exceptions, _members, _types
 from plantainproxy.config import model
 from plantainproxy.quic import connection, endpoint, events, http3
 from plantainproxy.rpc import messages
@@ -163,9 +163,9 @@
     )
 
 
-def record(address: _types.Address) -> _types.MemberRecord:
+def record(address: _types.Address) -> _members.MemberRecord:
     """Return the member record of a serving sidecar."""
-    return _types.MemberRecord(
+    return _members.MemberRecord(
         kind=_types.MemberKind.SIDECAR,
         rpc=address,
         domain="a",
--- a/plantainproxy/sidecar/tests/test_requests.py
+++ b/plantainproxy/sidecar/tests/test_requests.py
@@ -10,7 +10,7 @@
 import trio
 import trio.testing
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _exceptions, _members, _types
 from plantainproxy.config import model
 from plantainproxy.core import admission, pauses, tickets
 from plantainproxy.core import claims as claim_table
@@ -182,7 +182,7 @@
                 address = _address(number)
                 fleet.states[address] = _state(address)
                 records.append(
-                    _types.MemberRecord(
+                    _members.MemberRecord(
                         kind=_types.MemberKind.SIDECAR,
                         rpc=address,
                         domain="matane",
--- a/plantainproxy/sidecar/tests/test_updates.py
+++ b/plantainproxy/sidecar/tests/test_updates.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from plantainproxy import _types
+from plantainproxy import _members, _types
 from plantainproxy.config import model
 from plantainproxy.core import claims, heartbeat
 from plantainproxy.membership import sidecar as membership
@@ -14,7 +14,7 @@
 from plantainproxy.sidecar import context, inbox, updates
 
 RPC = _types.Address("127.0.0.1", 9001)
-RECORD = _types.MemberRecord(
+RECORD = _members.MemberRecord(
     kind=_types.MemberKind.SIDECAR,
     rpc=RPC,
     domain="a",
--- a/plantainproxy/store/http.py
+++ b/plantainproxy/store/http.py
@@ -2,20 +2,21 @@
 
 from collections import abc
 import contextlib
-import dataclasses
 import socket
 import typing
 
-import h11
-import trio
+import httptools
 
 from plantainproxy import _types
+from plantainproxy.eventloop import runtime, tcp
 
 MAX_IDLE_SECONDS = 15.0
 """Idle time after which a pooled connection is closed instead of reused."""
 MAX_IDLE_CONNECTIONS = 4
 MAX_RESPONSE_BYTES = 64 * 1_048_576
 RECEIVE_BUFFER_BYTES = 65_536
+FIRST_FINAL_STATUS = 200
+"""Lower status codes are those of informational responses (RFC 9110)."""
 KEEPALIVE_INTERVAL_SECONDS = 1
 """Idle time before the first TCP keepalive probe and interval between probes.
 
@@ -30,6 +31,12 @@
 """
 
 
+_UNRESERVED = frozenset(
+    b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~"
+)
+"""Bytes that stand for themselves in a query (RFC 3986)."""
+
+
 class UnsentError(Exception):
     """The server has certainly not applied the request."""
 
@@ -38,34 +45,70 @@
     """The server may have applied the request, but no complete response arrived."""
 
 
-_TRANSPORT_ERRORS = (
-    OSError,
-    trio.BrokenResourceError,
-    trio.TooSlowError,
-    h11.RemoteProtocolError,
-)
+class ProtocolError(Exception):
+    """The server's bytes are not a complete HTTP response."""
+
 
+_TRANSPORT_ERRORS = (OSError, runtime.TooSlowError, ProtocolError)
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Response:
+
+class Response(typing.NamedTuple):
     """A complete HTTP response."""
 
     status: int
     body: bytes
-    headers: abc.Mapping[str, str] = dataclasses.field(default_factory=dict)
+    headers: abc.Mapping[str, str] = {}
     """Values by name in lower case; the last one of a repeated name."""
 
 
+class _ResponseParser:
+    """The parsed part of one response; the methods are the library's callbacks."""
+
+    def __init__(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.status = 0
+        """Status code; 0 before the head is complete."""
+        self.headers: dict[str, str] = {}
+        self.body = bytearray()
+        self.is_complete = False
+        self.is_reusable = False
+        """Whether the connection can be used for another request."""
+
+    def on_message_begin(self) -> None:
+        # Bytes after the response are not the answer to any request.
+        self.is_reusable = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self.is_complete:
+            return
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        status = self.parser.get_status_code()
+        if not self.is_complete and status >= FIRST_FINAL_STATUS:
+            self.status = status
+
+    def on_body(self, body: bytes) -> None:
+        if not self.is_complete:
+            self.body += body
+
+    def on_message_complete(self) -> None:
+        if not self.status:
+            # An informational response precedes the final one.
+            self.headers.clear()
+            return
+        self.is_reusable = not self.is_complete and self.parser.should_keep_alive()
+        self.is_complete = True
+
+
 class Connection:
-    """An open connection with its HTTP state and receive buffer."""
+    """An open connection with the response that it receives."""
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(self, stream: tcp.Stream) -> None:
         """Wrap a connected stream."""
         self.stream = stream
-        self.protocol = h11.Connection(h11.CLIENT)
+        self.response = _ResponseParser()
         self.idle_since = 0.0
-        self.line_buffer = bytearray()
-        """Bytes of a streamed response that have not been returned as lines yet."""
 
 
 class Pool:
@@ -80,7 +123,7 @@
 def close_idle(pool: Pool) -> None:
     """Close all idle connections of a pool."""
     while pool.idle:
-        pool.idle.pop().stream.socket.close()
+        pool.idle.pop().stream.close()
 
 
 async def post(
@@ -107,7 +150,7 @@
     """
     may_be_sent = False
     try:
-        with trio.fail_after(timeout_seconds):
+        with runtime.fail_after(timeout_seconds):
             connection = await _acquire(pool)
             with _closing_on_error(connection):
                 may_be_sent = True
@@ -123,24 +166,24 @@
 
 
 async def _acquire(pool: Pool) -> Connection:
-    oldest_idle_since = trio.current_time() - MAX_IDLE_SECONDS
+    oldest_idle_since = runtime.current_time() - MAX_IDLE_SECONDS
     while pool.idle:
         connection = pool.idle.pop()
         # If an idle connection is readable, the server has closed it.
-        is_open = not connection.stream.socket.is_readable()
+        is_open = not connection.stream.has_input()
         if is_open and connection.idle_since >= oldest_idle_since:
             return connection
-        connection.stream.socket.close()
+        connection.stream.close()
     return await _connect(pool.address)
 
 
 async def _connect(address: _types.Address) -> Connection:
-    stream = await trio.open_tcp_stream(address.host, address.port)
+    stream = await tcp.connect(address)
     enable_keepalive(stream.socket)
     return Connection(stream)
 
 
-def enable_keepalive(connected_socket: trio.socket.SocketType) -> None:
+def enable_keepalive(connected_socket: socket.socket) -> None:
     """Enable TCP keepalive, so that the kernel closes a connection to a dead peer.
 
     A watch that waits for events sends nothing, so without probes the loss of the
@@ -158,18 +201,10 @@
 
 
 def _release(pool: Pool, connection: Connection) -> None:
-    protocol = connection.protocol
-    # Bytes after the response are not the answer to any request.
-    is_reusable = (
-        protocol.our_state is h11.DONE
-        and protocol.their_state is h11.DONE
-        and not protocol.trailing_data[0]
-    )
-    if not is_reusable or len(pool.idle) >= MAX_IDLE_CONNECTIONS:
-        connection.stream.socket.close()
+    if not connection.response.is_reusable or len(pool.idle) >= MAX_IDLE_CONNECTIONS:
+        connection.stream.close()
         return
-    protocol.start_next_cycle()
-    connection.idle_since = trio.current_time()
+    connection.idle_since = runtime.current_time()
     pool.idle.append(connection)
 
 
@@ -178,7 +213,7 @@
     try:
         yield
     except BaseException:
-        connection.stream.socket.close()
+        connection.stream.close()
         raise
 
 
@@ -191,16 +226,18 @@
     method: str,
 ) -> Response:
     await _send(connection, address, path, body, method=method)
-    head = await _receive_head(connection)
-    received = bytearray()
-    while isinstance(event := await _next_event(connection), h11.Data):
-        received += event.data
-        if len(received) > MAX_RESPONSE_BYTES:
-            raise h11.RemoteProtocolError(
-                "response body is larger than MAX_RESPONSE_BYTES"
+    response = connection.response
+    while not response.is_complete:
+        await _receive(connection)
+        if len(response.body) > MAX_RESPONSE_BYTES:
+            raise ProtocolError(
+                f"the response has more than {MAX_RESPONSE_BYTES} bytes"
             )
-    headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
-    return Response(status=head.status_code, body=bytes(received), headers=headers)
+    return Response(
+        status=response.status,
+        body=bytes(response.body),
+        headers=response.headers,
+    )
 
 
 async def _send(
@@ -211,32 +248,35 @@
     *,
     method: str = "POST",
 ) -> None:
-    headers = [
-        ("host", str(address)),
-        ("content-type", "application/json"),
-        ("content-length", str(len(body))),
-    ]
-    request = h11.Request(method=method, target=path, headers=headers)
-    request_bytes = connection.protocol.send(request)
-    request_bytes += connection.protocol.send(h11.Data(data=body))
-    request_bytes += connection.protocol.send(h11.EndOfMessage())
-    await connection.stream.send_all(request_bytes)
-
-
-async def _receive_head(connection: Connection) -> h11.Response:
-    event = await _next_event(connection)
-    while isinstance(event, h11.InformationalResponse):
-        event = await _next_event(connection)
-    if not isinstance(event, h11.Response):
-        raise h11.RemoteProtocolError("connection closed before a response arrived")
-    return event
-
-
-async def _next_event(connection: Connection) -> typing.Any:
-    while (event := connection.protocol.next_event()) is h11.NEED_DATA:
-        received = await connection.stream.receive_some(RECEIVE_BUFFER_BYTES)
-        connection.protocol.receive_data(received)
-    return event
+    connection.response = _ResponseParser()
+    head = (
+        f"{method} {path} HTTP/1.1\r\n"
+        f"host: {address}\r\n"
+        "content-type: application/json\r\n"
+        f"content-length: {len(body)}\r\n\r\n"
+    )
+    await connection.stream.send_all(head.encode("ascii") + body)
+
+
+async def _receive(connection: Connection) -> None:
+    """Receive and parse further bytes of the response."""
+    response = connection.response
+    received = await connection.stream.receive_some(RECEIVE_BUFFER_BYTES)
+    if not received:
+        _handle_end(response)
+        return
+    try:
+        response.parser.feed_data(received)
+    except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+        raise ProtocolError(f"invalid response: {error!r}") from error
+
+
+def _handle_end(response: _ResponseParser) -> None:
+    """Handle the end of the connection, which ends a response of unstated length."""
+    has_length = {"content-length", "transfer-encoding"} & response.headers.keys()
+    if not response.status or has_length:
+        raise ProtocolError("the connection was closed before the end of the response")
+    response.is_complete = True
 
 
 @contextlib.asynccontextmanager
@@ -249,11 +289,13 @@
     ``UnsentError`` if the stream cannot be opened or its status is not 200.
     """
     try:
-        with trio.fail_after(timeout_seconds):
+        with runtime.fail_after(timeout_seconds):
             connection = await _connect(address)
             with _closing_on_error(connection):
                 await _send(connection, address, path, body)
-                status = (await _receive_head(connection)).status_code
+                while not connection.response.status:
+                    await _receive(connection)
+                status = connection.response.status
     except _TRANSPORT_ERRORS as error:
         raise UnsentError(f"{address}: {error!r}") from error
     try:
@@ -261,7 +303,7 @@
             raise UnsentError(f"{address}: stream request failed with status {status}")
         yield connection
     finally:
-        connection.stream.socket.close()
+        connection.stream.close()
 
 
 async def next_line(connection: Connection) -> bytes | None:
@@ -270,16 +312,31 @@
     Returns ``None`` at the end of the response, if the connection fails, or if a
     line exceeds the maximum response size.
     """
-    while (line_end := connection.line_buffer.find(b"\n")) < 0:
+    response = connection.response
+    while (line_end := response.body.find(b"\n")) < 0:
+        if response.is_complete or len(response.body) > MAX_RESPONSE_BYTES:
+            return None
         try:
-            event = await _next_event(connection)
+            await _receive(connection)
         except _TRANSPORT_ERRORS:
             return None
-        if not isinstance(event, h11.Data):
-            return None
-        connection.line_buffer += event.data
-        if len(connection.line_buffer) > MAX_RESPONSE_BYTES:
-            return None
-    line = bytes(connection.line_buffer[:line_end])
-    del connection.line_buffer[: line_end + 1]
+    line = bytes(response.body[:line_end])
+    del response.body[: line_end + 1]
     return line
+
+
+def encode_query(parameters: abc.Mapping[str, str]) -> str:
+    """Return the query part of a path, percent-encoded.
+
+    ``urllib.parse`` does the same, but its import delays the start of a process.
+    """
+    return "&".join(
+        f"{_percent_encode(name)}={_percent_encode(value)}"
+        for name, value in parameters.items()
+    )
+
+
+def _percent_encode(text: str) -> str:
+    return "".join(
+        chr(byte) if byte in _UNRESERVED else f"%{byte:02X}" for byte in text.encode()
+    )
