--- a/testbed/speed_site.py
+++ b/testbed/speed_site.py
@@ -57,13 +57,19 @@
         self.site = site
         self.address = _types.Address(f"10.0.0.{number + 1}", transparent.MESSAGE_PORT)
         self.packed = bytes((10, 0, 0, number + 1))
+        self.domain = domain
+        self.resets = 0
+        self.start_engine()
+
+    def start_engine(self) -> None:
+        """Start a process that has the policy and no report."""
+        site = self.site
         self.engine = balancer_state.Engine(
             port=self,
-            domain=domain,
+            domain=self.domain,
             draw=site.random.random,
             log=event_log.EventLog("speed", clock=lambda: site.now),
         )
-        self.resets = 0
         balancer.apply_policy(self.engine, transparent.make_policy(1), now=site.now)
 
     def forward(
@@ -77,6 +83,7 @@
     def reset(self, packet: packets.Packet) -> None:
         """Count a flow that is refused."""
         self.resets += 1
+        self.site.handle_reset(packet.flow)
 
     def handle(self, sender: _types.Address, message: messages.Message) -> None:
         """Handle a sidecar's message."""
@@ -107,13 +114,21 @@
         self.served = 0
         self.heartbeats = 0
         self.delays_reports_seconds: float | None = None
+        self.domain = domain
+        self.boots = 0
+        self.start_engine()
+
+    def start_engine(self) -> None:
+        """Start the upstream together with its sidecar."""
+        site = self.site
+        self.boots += 1
         self.engine = sidecar_state.Engine(
             port=self,
             identity=sidecar_state.Identity(
-                location=admission.Location(pool=transparent.POOL, domain=domain),
+                location=admission.Location(pool=transparent.POOL, domain=self.domain),
                 data_port=transparent.DATA_PORT,
                 message_port=transparent.MESSAGE_PORT,
-                boot=1,
+                boot=self.boots,
             ),
             slow_start_limiter=admission.SlowStartLimiter(
                 started_at=site.now, rate_factor=1.5, burst=4
@@ -133,7 +148,7 @@
             draining=False,
             cold_seconds=0.0,
             slots=self.slots,
-            born=1,
+            born=self.boots,
             number=self.heartbeats,
         )
         upstream_events.handle_heartbeat(self.engine, heartbeat, now=self.site.now)
@@ -252,14 +267,14 @@
         self.balancers_by_host = {
             member.address.host: member for member in self.balancers
         }
-        registered = {
+        self.registered = {
             member.address: upstreams.ListedSidecar(
                 data_address=_types.Address(member.address.host, transparent.DATA_PORT)
             )
             for member in self.upstreams
         }
         for member in self.balancers:
-            balancer.apply_registrations(member.engine, registered, now=self.now)
+            balancer.apply_registrations(member.engine, self.registered, now=self.now)
         self.after(0.0, self._tick)
         self.after(1.0, self._send_request)
 
@@ -289,6 +304,18 @@
         times = [member.busy_seconds / member.slots for member in self.upstreams]
         return max(times) / (sum(times) / len(times))
 
+    def handle_reset(self, flow: bytes) -> None:
+        """Handle a reset at the caller of a flow; no caller retries in this site."""
+
+    def request_report(self, front: Balancer, member: Upstream) -> None:
+        """Subscribe a balancer to the reports of a sidecar."""
+        request = messages.ReportRequest(
+            revision=1, domain=front.domain, sidecars=len(self.upstreams)
+        )
+        sidecar_reports.handle_report_request(
+            member.engine, request, front.address, now=self.now
+        )
+
     def handle_at_caller(self, sender: Upstream, packet: packets.Packet) -> None:
         """Answer an acceptance with the request, and a response with the close."""
         flow = packet.flow
@@ -335,14 +362,7 @@
             if (self.ticks + number) % HEARTBEAT_TICKS == 0:
                 member.beat()
                 for front in self.balancers:
-                    request = messages.ReportRequest(
-                        revision=1,
-                        domain=front.engine.domain,
-                        sidecars=len(self.upstreams),
-                    )
-                    sidecar_reports.handle_report_request(
-                        member.engine, request, front.address, now=self.now
-                    )
+                    self.request_report(front, member)
                 sidecar.evict_expired(member.engine, now=self.now)
             sidecar.tick(member.engine, now=self.now)
         for front in self.balancers:
