Late openings get only free slots, and openings carry their age to the sidecar

Cause: after a mass restart the openings of the outage fill the room beyond the slots of every upstream. Each new request then waits for room at the balancer and behind late ones at the sidecar, which counted the objective from the arrival of the opening there, and is late itself, for as long as the backlog lasts.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -214,7 +214,10 @@
         str(pathlib.Path(site).resolve()),
     )
     chosen_seeds = (seeds,) if isinstance(seeds, int) else seeds
-    with tempfile.TemporaryDirectory() as folder:
+    # The bench hides /tmp from the programs.
+    scratch = ROOT / "out"
+    scratch.mkdir(exist_ok=True)
+    with tempfile.TemporaryDirectory(dir=scratch) as folder:
         copies = {}
         for number, switch in enumerate(SWITCHES):
             if not names or switch.name in names:
--- a/plantainproxy/flows/engine/flow_table.py
+++ b/plantainproxy/flows/engine/flow_table.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from plantainproxy.flows import packets
+from plantainproxy.flows.engine import waiting
 
 SEQUENCE_MASK = 0xFFFF_FFFF
 HALF_RANGE = 0x8000_0000
@@ -27,6 +28,8 @@
 
     opened_at: float
     last_packet_at: float
+    first_sent_at: float | None = None
+    """When the caller sent the first opening packet; ``None`` if it is not known."""
     upstream_sequence: int | None = None
     """The upstream's initial sequence number; ``None`` until it accepts the flow."""
     confirmed: bool = False
@@ -67,7 +70,8 @@
 def record_opening(table: FlowTable, packet: packets.Packet, *, now: float) -> None:
     """Record an opening packet that is delivered to the upstream."""
     if packet.flow not in table.flows:
-        table.flows[packet.flow] = Flow(now, now)
+        sent_at = waiting.first_sent_at(packet, now=now)
+        table.flows[packet.flow] = Flow(now, now, sent_at)
         table.awaiting_first_request[packet.flow] = now
 
 
@@ -133,7 +137,9 @@
     flow.request_started_at = now
     table.running_requests += 1
     counts_from_opening = is_first and now - flow.opened_at < OPENING_COUNTS_SECONDS
-    return flow.opened_at if counts_from_opening else now
+    if not counts_from_opening:
+        return now
+    return flow.opened_at if flow.first_sent_at is None else flow.first_sent_at
 
 
 def record_outbound(
--- a/plantainproxy/flows/engine/openings.py
+++ b/plantainproxy/flows/engine/openings.py
@@ -128,8 +128,15 @@
     """Send an opening packet to an upstream; return False if none is eligible."""
     active_policy = engine.policies.current
     assert active_policy is not None
+    first_sent_at = waiting.first_sent_at(packet, now=now)
     context = placement.Context(
-        policy=active_policy, domain=engine.domain, now=now, draw=engine.draw
+        policy=active_policy,
+        domain=engine.domain,
+        now=now,
+        draw=engine.draw,
+        is_deferrable=waiting.is_deferrable(
+            first_sent_at, route.objective_seconds, now=now
+        ),
     )
     chosen = placement.choose(
         engine.view, route, packet.flow, context=context, excluded=refused_by
@@ -142,7 +149,8 @@
     engine.flows[packet.flow] = balancer_state.CachedFlow(
         chosen.address, now, now, refused_by
     )
-    engine.port.forward(packet, chosen.data_address, packets.Purpose.OPEN)
+    placed = packet._replace(waited_seconds=now - first_sent_at)
+    engine.port.forward(placed, chosen.data_address, packets.Purpose.OPEN)
     assert chosen.report is not None
     engine.log.write_limited(
         "placed",
@@ -220,6 +228,7 @@
             continue
         if packet.service in full_services:
             continue
+        packet = packet._replace(waited_seconds=now - opening.first_sent_at)
         if opening.was_refused and not _may_place_again(engine, now=now):
             continue
         if _try_to_place(engine, packet, route, refused_by=frozenset(), now=now):
--- a/plantainproxy/flows/engine/placement.py
+++ b/plantainproxy/flows/engine/placement.py
@@ -41,6 +41,8 @@
     """The balancer's failure domain."""
     now: float
     draw: Draw
+    is_deferrable: bool = False
+    """Whether the opening gets only free slots, because it will be answered late."""
 
 
 def choose(
@@ -180,13 +182,20 @@
         report is not None
         and report.state is messages.UpstreamState.READY
         and not report.stopping
-        and upstream.placed_flows < report.room
+        and upstream.placed_flows < _room(report, context)
         and report.domain not in context.policy.domains_out
         and context.now >= upstream.backoff_until
         and not upstreams.is_lost(upstream, now=context.now)
     )
 
 
+def _room(report: messages.Report, context: Context) -> int:
+    """Return how many flows the balancer may place until the next report."""
+    if context.is_deferrable:
+        return min(report.room, report.slots - report.running)
+    return report.room
+
+
 def _requests_per_flow(candidates: abc.Sequence[upstreams.Upstream]) -> float:
     """Return the mean number of requests in progress per open flow."""
     reports = [upstream.report for upstream in candidates if upstream.report]
--- a/plantainproxy/flows/packets.py
+++ b/plantainproxy/flows/packets.py
@@ -46,6 +46,9 @@
     """Packed IPv4 address of the balancer that forwarded it, if any."""
     purpose: Purpose = Purpose.FORWARD
     """Purpose for which the balancer forwarded it."""
+    waited_seconds: float = 0.0
+    """Age of an opening at a balancer: the time since the caller sent the first of its
+    packets, as far as the balancer that placed it knew."""
 
     @property
     def service(self) -> bytes:
--- a/plantainproxy/flows/programs/balancer_main.py
+++ b/plantainproxy/flows/programs/balancer_main.py
@@ -68,7 +68,10 @@
     ) -> None:
         """Send a packet to a sidecar."""
         data = packet_format.set_forwarding_fields(
-            packet.data, balancer=self.local_host, purpose=purpose
+            packet.data,
+            balancer=self.local_host,
+            purpose=purpose,
+            waited_seconds=packet.waited_seconds,
         )
         datagrams.send(self.socket, data, to, self.log)
 
--- a/testbed/speed_site.py
+++ b/testbed/speed_site.py
@@ -78,6 +78,8 @@
         """Send a packet to a sidecar."""
         target = self.site.by_host[to.host]
         sent = packet._replace(balancer=self.packed, purpose=purpose)
+        if packet.opening:
+            self.site.returned[packet.data] = packet
         self.site.after(HOP_SECONDS, lambda: target.handle_inbound(sent))
 
     def reset(self, packet: packets.Packet) -> None:
--- a/testbed/transparent.py
+++ b/testbed/transparent.py
@@ -241,6 +241,12 @@
         """Pass a caller's packet to the engine."""
         balancer.handle_packet(self.engine, packet, now=self.now)
 
+    def placed(self) -> list[packets.Packet]:
+        """Return the forwarded packets as the callers sent them, without an age."""
+        return [
+            packet._replace(waited_seconds=0.0) for packet, _, _ in self.port.forwarded
+        ]
+
     def tick(self, seconds: float = 0.0) -> None:
         """Advance the clock, then run the engine's timers."""
         self.now += seconds
