--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -204,7 +204,7 @@
         no_cpu: Whether processor time is not charged.
 
     """
-    names = (only,) if isinstance(only, str) else only
+    names = only.split(",") if isinstance(only, str) and only else only
     known = {switch.name for switch in SWITCHES}
     if unknown := set(names) - known:
         print(f"unknown: {sorted(unknown)}, known: {sorted(known)}", file=sys.stderr)
