A reload that is requested during the start stays pending and is not lost

Cause: start.py ignored SIGHUP until the program had installed its handler, which it does after the log line 'started', and the settings are read before both. A request in between was lost: the process kept the older settings and said nothing.

Change: the signal is blocked instead, and unblocked once the handler is installed. The test's waits are bounded; a further one sends a single request right after the program's first statements.

--- a/plantainproxy/eventloop/runtime.py
+++ b/plantainproxy/eventloop/runtime.py
@@ -207,6 +207,8 @@
     previous_handlers = {
         number: signal.signal(number, lambda *_: None) for number in numbers
     }
+    # A signal that arrived before there was a handler may be blocked and pending.
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, numbers)
     try:
         yield _Signals(source)
     finally:
--- a/plantainproxy/flows/programs/start.py
+++ b/plantainproxy/flows/programs/start.py
@@ -1,8 +1,8 @@
 """Starts a program of transparent flows: ``-m plantainproxy.flows.programs.start``.
 
-The programs import their libraries for up to two seconds on a small instance. A request
-to reload the settings ends a process that has no handler for it yet, so it is ignored
-until the program has installed one; the settings are read after that.
+The programs import their libraries for some tenths of a second on a small instance. A
+request to reload the settings ends a process that has no handler for it yet, so it is
+blocked and stays pending until the program has installed one.
 """
 
 import importlib
@@ -27,7 +27,7 @@
 
 
 def _run(name: str) -> None:
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     importlib.import_module(PROGRAMS[name]).main()
 
 
--- a/plantainproxy/flows/tests/test_start.py
+++ b/plantainproxy/flows/tests/test_start.py
@@ -12,6 +12,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 
 import pytest
@@ -90,13 +91,26 @@
             process.kill()
 
 
-def _wait_until_hangup_is_ignored(process: subprocess.Popen[bytes]) -> None:
+@contextlib.contextmanager
+def _killed_after(
+    process: subprocess.Popen[bytes], seconds: float
+) -> abc.Iterator[None]:
+    """Kill a process that takes too long, so that its output ends."""
+    timer = threading.Timer(seconds, process.kill)
+    timer.start()
+    try:
+        yield
+    finally:
+        timer.cancel()
+
+
+def _wait_until_hangup_is_blocked(process: subprocess.Popen[bytes]) -> None:
     """Wait until the program's first statements have run."""
     status = pathlib.Path(f"/proc/{process.pid}/status")
     deadline = time.monotonic() + TIMEOUT_SECONDS
     while time.monotonic() < deadline:
         for line in status.read_text().splitlines():
-            if line.startswith("SigIgn:") and int(line.split()[1], 16) & HANGUP_BIT:
+            if line.startswith("SigBlk:") and int(line.split()[1], 16) & HANGUP_BIT:
                 return
         time.sleep(POLL_SECONDS)
     pytest.fail(f"no start within {TIMEOUT_SECONDS} s")
@@ -121,23 +135,44 @@
 
 
 @PROGRAMS
-def test_a_reload_at_any_step_of_the_start_is_survived(
+def test_a_reload_at_any_step_of_the_start_is_not_lost(
     program: str, tmp_path: pathlib.Path
 ) -> None:
-    """The platform may change the settings while a process starts."""
-    with _started(program, tmp_path) as process:
-        _wait_until_hangup_is_ignored(process)
+    """The platform may change the settings after the process has read them.
+
+    A request between that and the installation of the handler was ignored, which a run
+    beside other load showed.
+    """
+    with (
+        _started(program, tmp_path) as process,
+        _killed_after(process, TIMEOUT_SECONDS),
+    ):
+        _wait_until_hangup_is_blocked(process)
         for _ in range(STEPS):
             process.send_signal(signal.SIGHUP)
             time.sleep(STEP_SECONDS)
         assert process.stdout is not None
         lines = iter(process.stdout)
         assert any(b'"started"' in line for line in lines)
-        process.send_signal(signal.SIGHUP)
         assert any(b"The settings are reloaded." in line for line in lines)
         assert process.poll() is None
 
 
+@PROGRAMS
+def test_a_reload_before_the_start_is_complete_is_pending(
+    program: str, tmp_path: pathlib.Path
+) -> None:
+    """One request, right after the program's first statements, leads to a reload."""
+    with (
+        _started(program, tmp_path) as process,
+        _killed_after(process, TIMEOUT_SECONDS),
+    ):
+        _wait_until_hangup_is_blocked(process)
+        process.send_signal(signal.SIGHUP)
+        assert process.stdout is not None
+        assert any(b"The settings are reloaded." in line for line in process.stdout)
+
+
 @PROGRAMS
 @pytest.mark.parametrize("step", range(0, STEPS, 3))
 def test_a_stop_at_any_step_of_the_start_ends_the_process(
@@ -145,7 +180,7 @@
 ) -> None:
     """A process that swallowed the stop would be killed at the end of its grace."""
     with _started(program, tmp_path) as process:
-        _wait_until_hangup_is_ignored(process)
+        _wait_until_hangup_is_blocked(process)
         time.sleep(step * STEP_SECONDS)
         process.send_signal(signal.SIGTERM)
         assert process.wait(TIMEOUT_SECONDS) in (0, -signal.SIGTERM)
