Tests of reloads during the start follow the signal's mask

The programs block SIGHUP until they have a handler, where they ignored it before. The test and the soak wait for the mask of blocked signals; what they check is unchanged.

--- a/testbed/flow_site.py
+++ b/testbed/flow_site.py
@@ -121,9 +121,9 @@
 
 
 def is_reload_safe(
-    node: Node, *, masks: abc.Container[str] = ("SigIgn", "SigCgt")
+    node: Node, *, masks: abc.Container[str] = ("SigBlk", "SigCgt")
 ) -> bool:
-    """Return whether a node's process ignores or handles SIGHUP.
+    """Return whether a node's process blocks or handles SIGHUP.
 
     By default the signal ends a process; the interpreter's start cannot change that.
     ``masks`` are the lines of the process's status that count.
