A queued opening gets its age only once it may be placed

Each tick copied the packet of every queued opening, also of those that the budget of further placements holds back. The order of the two steps is all that changes.

--- a/plantainproxy/flows/engine/openings.py
+++ b/plantainproxy/flows/engine/openings.py
@@ -228,9 +228,9 @@
             continue
         if packet.service in full_services:
             continue
-        packet = packet._replace(waited_seconds=now - opening.first_sent_at)
         if opening.was_refused and not _may_place_again(engine, now=now):
             continue
+        packet = packet._replace(waited_seconds=now - opening.first_sent_at)
         if _try_to_place(engine, packet, route, refused_by=frozenset(), now=now):
             del engine.waiting.openings[packet.flow]
             if opening.was_refused:
