--- a/standins/tests/test_upstream.py
+++ b/standins/tests/test_upstream.py
@@ -7,6 +7,7 @@
 from plantainproxy import _types
 from plantainproxy.rpc import messages
 from plantainproxy.sidecar import upstream
+from standins import echo
 from standins import upstream as standin
 
 
@@ -80,3 +81,25 @@
         assert state.limiter.total_tokens == 7
 
     trio.run(run)
+
+
+def test_a_timeout_names_its_request() -> None:
+    """An upstream's own timeout must not look like the response to another request."""
+
+    async def run() -> standin.Response:
+        state = standin.create(standin.Settings(service_seconds=5.0))
+        request = standin.Request(
+            method="GET",
+            path="/work/t1",
+            headers={b"token": b"t1", b"request-timeout-ms": b"20"},
+            body=b"",
+        )
+        return await standin.run_request(state, request)
+
+    response = trio.run(run)
+    body = json.dumps(response.document).encode()
+    own = echo.expected("GET", "/work/t1", "t1", b"")
+    other = echo.expected("GET", "/work/t2", "t2", b"")
+    assert response.status == 504
+    assert echo.check(body, own, status=504) == echo.UPSTREAM_TIMEOUT
+    assert echo.check(body, other, status=504) == echo.MISMATCHED
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -18,6 +18,8 @@
 import msgspec
 import trio
 
+from standins import echo
+
 RECEIVE_BYTES = 65_536
 MAX_BODY_BYTES = 16_777_216
 TIMEOUT_HEADER = b"request-timeout-ms"
@@ -273,7 +275,7 @@
             async with state.limiter:
                 has_started = True
                 return await _execute(state, request)
-        return _expired_response(state, has_started=has_started)
+        return _expired_response(state, request, has_started=has_started)
     finally:
         state.running -= 1
         state.loads.append((trio.current_time(), state.running))
@@ -315,17 +317,21 @@
 def _echo_response(
     state: UpstreamState, request: Request, execution: Execution
 ) -> Response:
-    document = {
+    headers = ((TOKEN_HEADER, execution.token.encode()),) if execution.token else ()
+    document = {**_echo_members(state, request), "key": execution.key}
+    return Response(status=200, document=document, headers=headers)
+
+
+def _echo_members(state: UpstreamState, request: Request) -> dict[str, object]:
+    """Return the members by which a caller recognises the response to its request."""
+    return {
         "name": state.settings.name,
         "method": request.method,
         "path": request.path,
-        "token": execution.token,
-        "key": execution.key,
+        "token": request.headers.get(TOKEN_HEADER, b"").decode("latin-1"),
         "body_sha256": hashlib.sha256(request.body).hexdigest(),
         "body_bytes": len(request.body),
     }
-    headers = ((TOKEN_HEADER, execution.token.encode()),) if execution.token else ()
-    return Response(status=200, document=document, headers=headers)
 
 
 def _refusal_response(reason: str) -> Response:
@@ -336,15 +342,19 @@
     )
 
 
-def _expired_response(state: UpstreamState, *, has_started: bool) -> Response:
+def _expired_response(
+    state: UpstreamState, request: Request, *, has_started: bool
+) -> Response:
     """Return the response to a request whose deadline passed.
 
-    Only a request that expired in the queue is reported as not run.
+    Only a request that expired in the queue is reported as not run. The response to any
+    other names its request, so that a caller can tell it from one to another request.
     """
     state.expired += 1
     if not has_started:
         return _refusal_response("expired")
-    return Response(status=504, document={"refused": "expired"})
+    document = {**_echo_members(state, request), "refused": "expired"}
+    return Response(status=echo.TIMEOUT_STATUS, document=document)
 
 
 def _timeout_seconds(request: Request) -> float:
--- a/testbed/invariants.py
+++ b/testbed/invariants.py
@@ -128,7 +128,11 @@
     for pool, report in reports.items():
         for name in WRONG_RESPONSES:
             if report.counts[name]:
-                yield f"{report.counts[name]} responses of pool {pool} were {name}."
+                details = "; ".join(report.mismatches)
+                yield (
+                    f"{report.counts[name]} responses of pool {pool} were {name}. "
+                    f"{details}"
+                )
 
 
 def _responses_without_execution(
--- a/testbed/single_requests.py
+++ b/testbed/single_requests.py
@@ -339,7 +339,9 @@
     expected_body = echo.expected(
         request.method, f"/work/{request.token}", request.token, request.body
     )
-    return AttemptResult(verdict=echo.check(event.response.body, expected_body))
+    response = event.response
+    verdict = echo.check(response.body, expected_body, status=response.status)
+    return AttemptResult(verdict=verdict)
 
 
 async def send_until(
