--- a/plantainproxy/platform/tests/test_store_eras.py
+++ b/plantainproxy/platform/tests/test_store_eras.py
@@ -72,11 +72,6 @@
         await trio.sleep(0.01)
 
 
-def _restore(server: standin.MetadataStore, *, copied_at: float) -> None:
-    """Restore the store as it was at a time on the monotonic clock."""
-    server.restore(seconds_older=time.monotonic() - copied_at)
-
-
 def _register(
     nursery: trio.Nursery, client: metadata_store.MetadataStore, number: int = 1
 ) -> registry.Registration:
@@ -101,7 +96,7 @@
         assert snapshot.revision == revisioned.Revision(0, server.revision)
         copied_at = time.monotonic()
         server.put("a/2", b"two")
-        _restore(server, copied_at=copied_at)
+        server.restore_copy(copied_at=copied_at)
         snapshot = await client.read_all("a/")
         assert snapshot.revision == revisioned.Revision(1, server.revision)
         assert [entry.key for entry in snapshot.entries] == ["a/1"]
@@ -213,7 +208,7 @@
         copied_at = time.monotonic()
         server.put("a/1", b"one")
         snapshot = await client.read_all("a/")
-        _restore(server, copied_at=copied_at)
+        server.restore_copy(copied_at=copied_at)
         with pytest.raises(revisioned.HistoryLostError):
             await client.watch_after("a/", snapshot.revision)
 
@@ -231,7 +226,7 @@
         copied_at = time.monotonic()
         server.put("a/1", b"one")
         snapshot = await client.read_all("a/")
-        _restore(server, copied_at=copied_at)
+        server.restore_copy(copied_at=copied_at)
         for number in range(2, 5):
             server.put(f"a/{number}", b"other")
         with pytest.raises(revisioned.HistoryLostError):
@@ -332,7 +327,7 @@
         lost_revision = applied[-1][0]
         server.fail()
         await trio.sleep(0.3)
-        _restore(server, copied_at=copied_at)
+        server.restore_copy(copied_at=copied_at)
         await _wait_until(lambda: applied[-1][1] == {"a/1"})
         server.put("a/2", b"again")
         await _wait_until(lambda: applied[-1][1] == {"a/1", "a/2"})
@@ -359,7 +354,7 @@
         await _wait_until(lambda: len(server.items) == SIDECARS)
         server.fail()
         await trio.sleep(2.0)
-        _restore(server, copied_at=copied_at)
+        server.restore_copy(copied_at=copied_at)
         assert server.items == {}
         restored_at = time.monotonic()
         calls = len(server.calls)
@@ -391,7 +386,7 @@
         copied_at = time.monotonic()
         registration = _register(nursery, client)
         await _wait_until(lambda: len(server.items) == 1)
-        _restore(server, copied_at=copied_at)
+        server.restore_copy(copied_at=copied_at)
         assert server.items == {}
         registry.request_check(
             registration, 1, spread_seconds=registry.ERA_CHECK_SPREAD_SECONDS
@@ -433,7 +428,7 @@
         registration = _register(nursery, client)
         await _wait_until(lambda: len(server.items) == 1)
         lost_lease = registration.lease
-        _restore(server, copied_at=copied_at)
+        server.restore_copy(copied_at=copied_at)
         other = metadata_store.MetadataStore(client.address)
         assert await other.grant_lease(ttl_seconds=3.0) == lost_lease
         await _wait_until(lambda: len(server.items) == 1)
@@ -488,7 +483,7 @@
         copied_at = time.monotonic()
         registration = _register(nursery, client)
         await _wait_until(lambda: len(server.items) == 1)
-        _restore(server, copied_at=copied_at)
+        server.restore_copy(copied_at=copied_at)
         other = metadata_store.MetadataStore(client.address)
         lease = await other.grant_lease(ttl_seconds=3.0)
         assert lease == registration.lease
@@ -517,7 +512,7 @@
         writer = flow_snapshot.FlowSnapshotWriter(registration, writes_per_second=400.0)
         nursery.start_soon(flow_snapshot.run, writer, harness.engine)
         await _wait_until(lambda: writer.key in server.items)
-        _restore(server, copied_at=copied_at)
+        server.restore_copy(copied_at=copied_at)
         assert server.items == {}
         await _wait_until(lambda: writer.key in server.items)
         assert server.items[writer.key].lease == registration.lease
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -121,11 +121,15 @@
         self._notify_watches()
 
     def restore(self, *, seconds_older: float) -> None:
-        """Become available with the content of some seconds ago, in the next era.
+        """Become available with the content of some seconds ago, in the next era."""
+        self.restore_copy(copied_at=time.monotonic() - seconds_older)
 
-        Later changes and leases are lost; their revisions and IDs are assigned again.
+    def restore_copy(self, *, copied_at: float) -> None:
+        """Become available with the content of a time on the monotonic clock.
+
+        Changes and leases from then on are lost; their revisions and IDs are assigned
+        again.
         """
-        copied_at = time.monotonic() - seconds_older
         while self.undo and self.undo[-1][0] >= copied_at:
             _, revert = self.undo.pop()
             revert()
@@ -223,19 +227,22 @@
                     return _json(503, {})
                 if after > self.revision or self._is_compacted(after):
                     return _json(410, {})
-                events = [
-                    event
-                    for event in self.history
-                    if int(str(event["rev"])) > after
-                    and str(event["key"]).startswith(query["prefix"])
-                ]
-                if events:
+                if self._events(query["prefix"], after):
                     break
                 await self.changed.wait()
+        # A change may arrive together with the end of the wait.
+        events = self._events(query["prefix"], after)
         if not events and self._is_compacted(after):
             return _json(410, {})
         return _json(200, {"events": events, "store_revision": self.revision})
 
+    def _events(self, prefix: str, after: int) -> list[dict[str, object]]:
+        return [
+            event
+            for event in self.history
+            if int(str(event["rev"])) > after and str(event["key"]).startswith(prefix)
+        ]
+
     def _is_compacted(self, after: int) -> bool:
         """Return whether any change after a revision is unavailable to watches.
 
@@ -253,7 +260,7 @@
         for row in transaction["expected"]:
             item = self.items.get(str(row["key"]))
             if (item.rev if item else 0) != row["rev"]:
-                return _json(412, {"items": []})
+                return _json(412, {"items": self._expected_items(transaction)})
         for row in transaction["writes"]:
             if row["lease"] and row["lease"] not in self.leases:
                 return _json(404, {})
@@ -264,6 +271,16 @@
             self.remove(str(key))
         return _json(200, {"rev": self.revision})
 
+    def _expected_items(
+        self, transaction: dict[str, list[dict[str, object]]]
+    ) -> list[dict[str, object]]:
+        keys = [str(row["key"]) for row in transaction["expected"]]
+        return [
+            {"key": key, **dataclasses.asdict(self.items[key])}
+            for key in keys
+            if key in self.items
+        ]
+
     def _record_undo(self, key: str) -> None:
         """Record how to revert the next change, which is of this key."""
         previous, revision = self.items.get(key), self.revision
