--- a/plantainproxy/flows/stored/flow_snapshot.py
+++ b/plantainproxy/flows/stored/flow_snapshot.py
@@ -13,7 +13,7 @@
 from plantainproxy.eventloop import runtime
 from plantainproxy.flows import packets, policy
 from plantainproxy.flows.engine import sidecar_state, upstream_events
-from plantainproxy.flows.stored import follower, registry
+from plantainproxy.flows.stored import registry
 from plantainproxy.store import port, revisioned
 
 PREFIX = "plantainproxy/flows/"
@@ -49,6 +49,7 @@
         self.store = registration.store
         self.log = registration.log
         self.key = f"{PREFIX}{registration.entry.host}/"
+        registration.inherited_keys = (self.key,)
         self.writes_per_second = writes_per_second
         self.revision = 0
         """Number of the revision of the stored snapshot in its era."""
@@ -58,7 +59,7 @@
 
 async def run(writer: FlowSnapshotWriter, engine: sidecar_state.Engine) -> None:
     """Apply the previous process's snapshot, then save snapshots until cancelled."""
-    previous = await _read_previous(writer)
+    previous = await _previous_snapshot(writer)
     if previous is not None:
         writer.log.write("record read", flows=len(previous.flows), born=previous.born)
         upstream_events.apply_snapshot(engine, previous.born, previous.flows)
@@ -84,22 +85,10 @@
             writer.log.write_limited("record not written", detail=str(error))
 
 
-async def _read_previous(writer: FlowSnapshotWriter) -> FlowSnapshot | None:
-    """Return the previous process's snapshot; ``None`` if there is none.
-
-    The snapshot and the registration entry of that process have the same lease, so if
-    there was no entry, there is no snapshot either.
-    """
-    await writer.registration.written.wait()
-    if not writer.registration.replaced_entry:
-        return None
-    backoff = follower.Backoff()
-    while True:
-        try:
-            return await _read(writer)
-        except _exceptions.PlantainError as error:
-            writer.log.write_limited("record not read", detail=str(error))
-            await backoff.wait()
+async def _previous_snapshot(writer: FlowSnapshotWriter) -> FlowSnapshot | None:
+    """Return the previous process's snapshot; ``None`` if there is none."""
+    await writer.registration.inheritance_known.wait()
+    return _decode(writer, writer.registration.inherited.get(writer.key))
 
 
 async def _handle_restored_store(writer: FlowSnapshotWriter) -> None:
@@ -155,11 +144,16 @@
 
 async def _read(writer: FlowSnapshotWriter) -> FlowSnapshot | None:
     stored = await writer.store.read_all(writer.key)
-    if not stored.entries:
-        writer.revision = 0
+    return _decode(writer, stored.entries[0] if stored.entries else None)
+
+
+def _decode(
+    writer: FlowSnapshotWriter, entry: port.Entry | None
+) -> FlowSnapshot | None:
+    """Decode the stored snapshot and record its revision for the next write."""
+    writer.revision = entry.mod_revision if entry else 0
+    if entry is None:
         return None
-    entry = stored.entries[0]
-    writer.revision = entry.mod_revision
     try:
         return msgspec.msgpack.decode(entry.value, type=FlowSnapshot)
     except msgspec.DecodeError as error:
@@ -183,10 +177,10 @@
         puts=(put,),
     )
     written = await writer.store.write(transaction)
-    if written is None:
+    if isinstance(written, revisioned.Conflict):
         # The revision differs because the response to an earlier write was lost or the
-        # lease has ended. Read the stored revision for the next write.
-        await _read(writer)
+        # lease has ended. The response has the stored revision for the next write.
+        _decode(writer, written.entries[0] if written.entries else None)
         return False
     writer.revision = written
     return True
--- a/plantainproxy/flows/stored/registry.py
+++ b/plantainproxy/flows/stored/registry.py
@@ -163,10 +163,12 @@
         """Latest era that another process has stated."""
         self.check_requested = runtime.Event()
         self.check_spread_seconds = ERA_CHECK_SPREAD_SECONDS
-        self.written = runtime.Event()
-        """Set once the entry has been written to the store."""
-        self.replaced_entry = False
-        """Whether the first write replaced the entry of an earlier process."""
+        self.inherited_keys: tuple[str, ...] = ()
+        """Further keys that an earlier process of this sidecar may have written."""
+        self.inherited: dict[str, port.Entry] = {}
+        """Entries of an earlier process, from the response to the first write."""
+        self.inheritance_known = runtime.Event()
+        """Set once the store has answered the first write."""
 
 
 def request_check(
@@ -196,16 +198,7 @@
                 registration.lease = await store.grant_lease(ttl_seconds=LEASE_SECONDS)
                 registration.era = store.era
                 registration.check_requested = runtime.Event()
-            replaced = await _write(
-                store,
-                registration.key,
-                registration.value,
-                registration.lease,
-                is_first=not registration.written.is_set(),
-            )
-            if not registration.written.is_set():
-                registration.replaced_entry = replaced
-                registration.written.set()
+            await _write(registration, registration.lease)
             if registration.era != store.era:
                 continue
             registration.log.write(
@@ -257,36 +250,42 @@
         )
 
 
-async def _write(
-    store: revisioned.LeasingStore,
-    key: str,
-    value: bytes,
-    lease: int,
-    *,
-    is_first: bool,
-) -> bool:
-    """Create or replace the entry; return whether there was one before.
+async def _write(registration: Registration, lease: int) -> None:
+    """Create or replace the entry.
 
-    The condition on the revision prevents a delayed write from overwriting a newer
-    one. Most entries are new at the first write of a process, so the existing one is
-    read before it only if that write fails.
+    Most entries are new. Where one exists, the store's response has its revision, and
+    the condition on it prevents a delayed write from overwriting a newer one.
     """
-
-    def build_transaction(revision: int) -> port.Transaction:
-        return port.Transaction(
-            compares=(port.Compare(key=key, mod_revision=revision),),
-            puts=(port.Put(key=key, value=value, lease=lease),),
+    store, key = registration.store, registration.key
+    put = port.Put(key=key, value=registration.value, lease=lease)
+    is_first = not registration.inheritance_known.is_set()
+    absent_keys = (key, *registration.inherited_keys) if is_first else (key,)
+    result = await store.write(
+        port.Transaction(
+            compares=tuple(
+                port.Compare(key=absent, mod_revision=0) for absent in absent_keys
+            ),
+            puts=(put,),
         )
-
-    if is_first and await store.write(build_transaction(0)) is not None:
-        return False
-    snapshot = await store.read_all(key)
-    revision = snapshot.entries[0].mod_revision if snapshot.entries else 0
-    if await store.write(build_transaction(revision)) is None:
+    )
+    found = (
+        {entry.key: entry for entry in result.entries}
+        if isinstance(result, revisioned.Conflict)
+        else {}
+    )
+    if is_first:
+        registration.inherited = found
+        registration.inheritance_known.set()
+    if not isinstance(result, revisioned.Conflict):
+        return
+    revision = found[key].mod_revision if key in found else 0
+    transaction = port.Transaction(
+        compares=(port.Compare(key=key, mod_revision=revision),), puts=(put,)
+    )
+    if isinstance(await store.write(transaction), revisioned.Conflict):
         raise _exceptions.PlantainError(
             _exceptions.ErrorKind.CONFLICT, f"another process changed the entry {key}"
         )
-    return True
 
 
 async def _renew_until_ended(registration: Registration) -> None:
--- a/plantainproxy/platform/metadata_store.py
+++ b/plantainproxy/platform/metadata_store.py
@@ -58,6 +58,10 @@
     rev: int
 
 
+class _Expected(msgspec.Struct):
+    items: list[_Item] = []
+
+
 class _Lease(msgspec.Struct):
     lease: int
 
@@ -207,11 +211,9 @@
         """Revoke a lease; the store deletes the keys attached to it."""
         await self._call("end", "DELETE", f"/v1/kv-lease-end/{lease}")
 
-    async def write(self, transaction: port.Transaction) -> int | None:
+    async def write(self, transaction: port.Transaction) -> int | revisioned.Conflict:
         """Apply a transaction; return the number of its revision.
 
-        Returns ``None`` if a condition failed.
-
         Raises ``LeaseEndedError`` if the lease of a write no longer exists.
         """
         body = {
@@ -232,8 +234,14 @@
         reply = await self._call("write", "POST", "/v1/kv-txn", body=body)
         if reply.status == 404:
             raise revisioned.LeaseEndedError(transaction.puts[0].lease)
-        if reply.status != 200:
-            return None
+        if reply.status == 412:
+            return revisioned.Conflict(
+                entries=tuple(
+                    _decode_item(item)
+                    for item in _decode_body(reply, _Expected).items
+                    if item.rev and not item.removed
+                )
+            )
         return _decode_body(reply, _WriteResult).rev
 
     async def _call(
--- a/plantainproxy/platform/tests/test_metadata_store.py
+++ b/plantainproxy/platform/tests/test_metadata_store.py
@@ -6,6 +6,7 @@
 import functools
 import socket
 
+import msgspec
 import pytest
 import trio
 import trio.testing
@@ -178,7 +179,11 @@
             compares=(port.Compare(key="a", mod_revision=0),),
             puts=(port.Put(key="a", value=b"mine"),),
         )
-        assert await client.write(transaction) is None
+        conflict = await client.write(transaction)
+        assert isinstance(conflict, revisioned.Conflict)
+        assert conflict.entries == (
+            port.Entry(key="a", value=b"theirs", mod_revision=server.revision),
+        )
 
     _run(check)
 
@@ -484,13 +489,52 @@
         nursery.start_soon(
             flow_snapshot.run, writer, transparent.SidecarHarness().engine
         )
-        await registration.written.wait()
+        await registration.inheritance_known.wait()
         await trio.testing.wait_all_tasks_blocked(0.1)
         assert server.calls == ["POST /v1/kv-lease", "POST /v1/kv-txn"]
 
     _run(check)
 
 
+def test_a_restarted_sidecar_reads_nothing_and_has_the_snapshot_before_it_registers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """After a loss of power every sidecar of a site replaces the entry of another one.
+
+    The response to the first write has that entry and the flow snapshot. Separate reads
+    would cost two calls for each sidecar, and callers of ended flows would be reset two
+    response times later.
+    """
+
+    async def check(
+        server: standin.MetadataStore,
+        client: metadata_store.MetadataStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        snapshot = flow_snapshot.FlowSnapshot(
+            born=1_000, flows={transparent.flow_key(1): 5_001}
+        )
+        server.put(f"{registry.PREFIX}10.0.0.1/", b"entry of an earlier process")
+        server.put(f"{flow_snapshot.PREFIX}10.0.0.1/", msgspec.msgpack.encode(snapshot))
+        next_sidecar = transparent.SidecarHarness()
+        registration = _register(nursery, client)
+        writer = flow_snapshot.FlowSnapshotWriter(registration, writes_per_second=400.0)
+        nursery.start_soon(flow_snapshot.run, writer, next_sidecar.engine)
+        await registration.inheritance_known.wait()
+        assert registration.inherited.keys() == {registration.key, writer.key}
+        await _wait_until(lambda: next_sidecar.engine.previous_snapshot is not None)
+        await _wait_until(lambda: server.items[registration.key].lease != 0)
+        assert next_sidecar.engine.previous_snapshot == (1_000, snapshot.flows)
+        assert writer.revision == server.items[writer.key].rev
+        assert server.calls == [
+            "POST /v1/kv-lease",
+            "POST /v1/kv-txn",
+            "POST /v1/kv-txn",
+        ]
+
+    _run(check)
+
+
 def test_entries_of_another_writer_are_left_out() -> None:
     """Values that cannot be decoded are ignored."""
     assert registry.decode({"x": b"\xff", "y": b"{}"}) == {}
--- a/plantainproxy/store/revisioned.py
+++ b/plantainproxy/store/revisioned.py
@@ -71,6 +71,13 @@
     """The revision after which the next watch continues."""
 
 
+class Conflict(msgspec.Struct, frozen=True, kw_only=True):
+    """A precondition of a transaction did not hold, so nothing was written."""
+
+    entries: tuple[port.Entry, ...]
+    """The compared keys that exist, in their current state."""
+
+
 class RevisionedStore(typing.Protocol):
     """A store with reads and watches.
 
@@ -110,9 +117,9 @@
     async def revoke_lease(self, lease: int) -> None:
         """Revoke a lease, which deletes the keys attached to it."""
 
-    async def write(self, transaction: port.Transaction) -> int | None:
+    async def write(self, transaction: port.Transaction) -> int | Conflict:
         """Apply a transaction and return the number of its revision.
 
-        Returns ``None`` if a precondition did not hold. Raises ``LeaseEndedError``
-        if a put refers to a lease that has expired or was revoked.
+        Raises ``LeaseEndedError`` if a put refers to a lease that has expired or was
+        revoked.
         """
