Subscriptions of balancers of other domains expire after 3 s instead of 30 s

Cause: at a start, balancers read the list before the sidecars of their domain have registered. Without a relay there they subscribe to all sidecars of other domains, and the subscriptions stayed for 30 s.

Change: such a subscription expires like that of a relay, after three requests that did not come. A domain that has no relay for longer renews it each second.

Test: a start with a partial list leaves no such subscription 5 s after the whole list; with the old time-out there are some.

--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -167,11 +167,7 @@
         if now - seen_at >= sidecar_reports.SUBSCRIPTION_TIMEOUT_SECONDS:
             del engine.balancers_seen[balancer]
     for process, subscriber in list(engine.subscribers.items()):
-        timeout_seconds = (
-            sidecar_reports.RELAY_TIMEOUT_SECONDS
-            if subscriber.is_relay
-            else sidecar_reports.SUBSCRIPTION_TIMEOUT_SECONDS
-        )
+        timeout_seconds = sidecar_reports.subscription_timeout_seconds(subscriber)
         if now - subscriber.last_hello_at >= timeout_seconds:
             del engine.subscribers[process]
             engine.log.write("subscriber expired", process=str(process))
--- a/plantainproxy/flows/engine/sidecar_reports.py
+++ b/plantainproxy/flows/engine/sidecar_reports.py
@@ -28,11 +28,13 @@
 balancers queue further flows and place them in order of priority."""
 
 SUBSCRIPTION_TIMEOUT_SECONDS = 30.0
-"""A balancer that sent no ``ReportRequest`` for this long gets no more reports."""
+"""A balancer of the domain that sent no ``ReportRequest`` for this long gets no more
+reports."""
 
-RELAY_TIMEOUT_SECONDS = 3.0
-"""The same for a relay that no ``ReportRequest`` has named; three times the interval of
-the requests."""
+SHORT_SUBSCRIPTION_TIMEOUT_SECONDS = 3.0
+"""The same for a balancer of another domain, which subscribes only while its domain has
+no relay, and for a relay that no ``ReportRequest`` has named; three times the interval
+of the requests."""
 
 
 def handle_report_request(
@@ -80,6 +82,13 @@
     )
 
 
+def subscription_timeout_seconds(subscriber: sidecar_state.Subscriber) -> float:
+    """Return the time without a request after which a subscription expires."""
+    if subscriber.is_relay or not subscriber.is_local_domain:
+        return SHORT_SUBSCRIPTION_TIMEOUT_SECONDS
+    return SUBSCRIPTION_TIMEOUT_SECONDS
+
+
 def send_due_reports(engine: sidecar_state.Engine, *, now: float) -> None:
     """Send a report to each balancer for which one is due.
 
--- a/plantainproxy/flows/tests/test_control_traffic.py
+++ b/plantainproxy/flows/tests/test_control_traffic.py
@@ -5,7 +5,7 @@
 import pytest
 
 from plantainproxy.flows import messages
-from plantainproxy.flows.engine import upstreams
+from plantainproxy.flows.engine import sidecar_reports, upstreams
 from plantainproxy.flows.engine import waiting as queue
 from testbed import control_site, transparent
 
@@ -102,6 +102,33 @@
         assert report.state is messages.UpstreamState.DRAINING
 
 
+def test_a_start_with_a_partial_list_subscribes_to_other_domains_for_a_moment() -> None:
+    """Balancers that start before the sidecars of their domain see no relay there.
+
+    Pattern: all processes start within a second, and the first lists are partial. The
+    subscriptions to all sidecars of other domains sent a report for each pair of a
+    balancer and a sidecar, twice a second for half a minute.
+    """
+    site = control_site.Site(30, domains=3)
+    site.list_only(site.sidecars[:1])
+    site.run_for(1.0)
+    assert _foreign_subscriptions(site) > 0
+    site.list_only(site.sidecars)
+    site.run_for(
+        sidecar_reports.SHORT_SUBSCRIPTION_TIMEOUT_SECONDS
+        + control_site.EVICTION_SECONDS
+    )
+    assert _foreign_subscriptions(site) == 0
+
+
+def _foreign_subscriptions(site: control_site.Site) -> int:
+    return sum(
+        not subscriber.is_local_domain
+        for node in site.sidecars
+        for subscriber in node.engine.subscribers.values()
+    )
+
+
 HOPS = 4
 """Sidecar, relay, relay, balancer: each message arrives with the next step."""
 
--- a/plantainproxy/flows/tests/test_load.py
+++ b/plantainproxy/flows/tests/test_load.py
@@ -245,7 +245,7 @@
     hosts = [host for host, _ in harness.port.sent_messages]
     assert hosts.count("10.0.0.1") == 10
     assert hosts.count(relay.host) == 10
-    harness.tick(sidecar_reports.RELAY_TIMEOUT_SECONDS)
+    harness.tick(sidecar_reports.SHORT_SUBSCRIPTION_TIMEOUT_SECONDS)
     sidecar.evict_expired(harness.engine, now=harness.now)
     harness.port.sent_messages.clear()
     harness.tick(1.0)
--- a/testbed/control_site.py
+++ b/testbed/control_site.py
@@ -36,6 +36,8 @@
 REQUEST_STEPS = round(1.0 / STEP_SECONDS)
 URGENT_REQUEST_STEPS = round(0.5 / STEP_SECONDS)
 OVERDUE_REQUEST_STEPS = round(0.1 / STEP_SECONDS)
+EVICTION_SECONDS = 2.0
+EVICTION_STEPS = round(EVICTION_SECONDS / STEP_SECONDS)
 POOL = transparent.POOL
 
 
@@ -315,6 +317,8 @@
                 ),
                 now=now,
             )
+        if number % EVICTION_STEPS == 0:
+            sidecar.evict_expired(self.engine, now=now)
         sidecar.tick(self.engine, now=now)
         relay.tick(self.relay, documents.make_notice(self.documents), now=now)
 
@@ -358,7 +362,7 @@
         self.revision = 2
         """Number of the store's newest revision."""
         self.stored_policy = transparent.make_policy(1)
-        self.stored_list = self._list()
+        self.stored_list = self._list(self.sidecars)
         self.wanted_policy = self.stored_policy
         """What the operators have written last, which a restored copy may lack."""
         self.past = [(self.now, self.revision, self.stored_policy)]
@@ -380,7 +384,12 @@
         host = f"10.{kind}.{number // 250}.{number % 250 + 1}"
         return _types.Address(host, transparent.MESSAGE_PORT)
 
-    def _list(self) -> registry.SidecarList:
+    def list_only(self, listed: abc.Iterable[SidecarNode]) -> None:
+        """Store a list that has only some of the sidecars."""
+        self.revision += 1
+        self.stored_list = self._list(listed)
+
+    def _list(self, listed: abc.Iterable[SidecarNode]) -> registry.SidecarList:
         entries = {
             f"{registry.PREFIX}{node.address.host}/": msgspec.msgpack.encode(
                 registry.Entry(
@@ -390,7 +399,7 @@
                     domain=node.domain,
                 )
             )
-            for node in self.sidecars
+            for node in listed
         }
         return registry.SidecarList(
             revision=self.revision, entries=entries, era=self.era
@@ -429,7 +438,7 @@
         self.era += 1
         self.stored_policy = msgspec.structs.replace(copied, era=self.era)
         self.past = [(self.now, self.revision, self.stored_policy)]
-        entries = dict(self._list().entries)
+        entries = dict(self._list(self.sidecars).entries)
         self.due_writes = [
             (
                 self.now + rewrite_seconds,
