Lookups send the payload only to the upstreams of their first step

Cause: a lookup sent the caller's whole packet to every sidecar that it asked, up to all 64 of the fleet. Most such lookups are in vain: they concern flows whose upstream has ended. One such lookup is 60 kB on a balancer's link of 5 to 10 Mbit/s.

Change: from the second step on, a query is the packet's header alone. A sidecar whose table is complete answers from it; the packet follows once the flow is found. A sidecar with an incomplete table, by its report, gets the whole packet, and so does each at its second query: it may have restarted since, or run an earlier release, which drops the header.

Tests name the pattern (callers of ended flows after a loss of power), the order of the packets, restarted sidecars, and that no truncated packet of a caller passes as a query.

--- a/plantainproxy/flows/engine/balancer_state.py
+++ b/plantainproxy/flows/engine/balancer_state.py
@@ -94,6 +94,13 @@
     )
 
 
+def send_query(engine: Engine, query: lookup.Query) -> None:
+    """Send the queries of one step of a lookup."""
+    for address, purpose in query.purposes.items():
+        target = engine.view.upstreams[address].data_address
+        engine.port.forward(query.packet, target, purpose)
+
+
 def refuse_unrouted(engine: Engine, packet: packets.Packet) -> None:
     """Reset a flow whose service address has no route."""
     engine.log.write_limited(
--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -76,17 +76,15 @@
     if packet.opening:
         _handle_opening(engine, packet, now=now)
         return
+    if packet.purpose is packets.Purpose.QUERY:
+        _answer_query(engine, packet)
+        return
     if flow_table.is_held(engine.table, packet):
         _deliver(engine, packet, now=now)
         if packet.purpose is packets.Purpose.LOOKUP:
             _reply(engine, packet, messages.FlowHeld(flow=packet.flow))
         return
-    is_certainly_not_held = (
-        engine.table.complete
-        or packet.flow in engine.table.flows
-        or engine.upstream.state is messages.UpstreamState.GONE
-    )
-    if is_certainly_not_held:
+    if _is_certainly_not_held(engine, packet):
         _reply_not_held(engine, packet)
         return
     engine.port.deliver(packet)
@@ -99,6 +97,29 @@
         engine.pending_queries[packet.flow] = query
 
 
+def _answer_query(engine: sidecar_state.Engine, packet: packets.Packet) -> None:
+    """Reply whether the upstream holds a flow, if the flow table shows it.
+
+    Otherwise only the upstream can tell, by what it does with the packet itself, which
+    the balancer sends with its next query.
+    """
+    if flow_table.is_held(engine.table, packet):
+        _reply(engine, packet, messages.FlowHeld(flow=packet.flow))
+    elif _is_certainly_not_held(engine, packet):
+        _reply(engine, packet, messages.FlowNotHeld(flow=packet.flow))
+
+
+def _is_certainly_not_held(
+    engine: sidecar_state.Engine, packet: packets.Packet
+) -> bool:
+    """Return whether the upstream cannot hold a flow that the table does not show."""
+    return (
+        engine.table.complete
+        or packet.flow in engine.table.flows
+        or engine.upstream.state is messages.UpstreamState.GONE
+    )
+
+
 def handle_outbound(
     engine: sidecar_state.Engine, packet: packets.Packet, *, now: float
 ) -> float | None:
--- a/plantainproxy/flows/packets.py
+++ b/plantainproxy/flows/packets.py
@@ -16,6 +16,8 @@
     """The balancer has selected the upstream for a new flow."""
     LOOKUP = 2
     """The flow is not in the balancer's cache; several sidecars are queried at once."""
+    QUERY = 3
+    """Like ``LOOKUP``, but without the payload: the packet itself is not delivered."""
 
 
 class Packet(typing.NamedTuple):
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -170,7 +170,7 @@
 
 
 def _handle_data(process: SidecarProcess, data: bytes, sender: _types.Address) -> None:
-    packet = packet_format.decode(data)
+    packet = packet_format.decode(data, from_balancer=True)
     if packet is None:
         process.log.count("dropped.malformed")
         return
--- a/plantainproxy/flows/tests/test_load.py
+++ b/plantainproxy/flows/tests/test_load.py
@@ -324,6 +324,35 @@
     assert len(queried_flows) == 2 * lookups
 
 
+def test_callers_of_ended_flows_cost_few_bytes_after_a_loss_of_power() -> None:
+    """Each request on a flow whose upstream has ended is looked up at all sidecars.
+
+    Pattern: power is back, and callers send on flows of before. A lookup that sent the
+    request to all 64 sidecars took 60 kB of a link of 5 to 10 Mbit/s, and two fifths of
+    the bytes between domains on trouble-1 of trbsl-lb-now-grown.
+    """
+    harness = transparent.ready_balancer(count=60)
+    for number in range(1, 61):
+        if number % 3:
+            report = transparent.make_report(number=2, domain=transparent.OTHER_DOMAIN)
+            harness.handle_message(number, report)
+    request = transparent.make_packet(
+        transparent.flow_key(1), sequence=1, size=900, acknowledgement=5_001
+    )
+    harness.handle_packet(request)
+    handled_count = 0
+    while handled_count < len(harness.port.forwarded):
+        _, host, _ = harness.port.forwarded[handled_count]
+        handled_count += 1
+        sender = int(host.rpartition(".")[2])
+        harness.handle_message(sender, messages.FlowNotHeld(flow=request.flow))
+    assert handled_count == 60
+    assert harness.port.resets == [request]
+    with_payload = harness.port.hosts(packets.Purpose.LOOKUP)
+    assert len(with_payload) <= 2 * placement.CANDIDATES_PER_POOL
+    assert all(int(host.rpartition(".")[2]) % 3 == 0 for host in with_payload)
+
+
 def test_new_flows_go_to_the_least_loaded_upstream() -> None:
     """The load includes requests in progress and open flows."""
     harness = transparent.ready_balancer(count=3)
--- a/plantainproxy/flows/tests/test_sidecar.py
+++ b/plantainproxy/flows/tests/test_sidecar.py
@@ -193,6 +193,25 @@
     assert harness.port.delivered[-1] == held_query
 
 
+def test_a_query_without_payload_is_answered_and_not_delivered() -> None:
+    """The upstream must not get a packet that its caller did not send in this form."""
+    harness = transparent.ready_sidecar()
+    harness.open(KEY)
+    held_query = DATA._replace(purpose=packets.Purpose.QUERY, size=0)
+    other_query = held_query._replace(flow=transparent.flow_key(2))
+    delivered = list(harness.port.delivered)
+    harness.port.sent_messages.clear()
+    harness.handle_inbound(held_query)
+    harness.handle_inbound(other_query)
+    harness.engine.table.complete = False
+    harness.handle_inbound(other_query._replace(flow=transparent.flow_key(3)))
+    assert [message for _, message in harness.port.sent_messages] == [
+        messages.FlowHeld(flow=KEY),
+        messages.FlowNotHeld(flow=transparent.flow_key(2)),
+    ]
+    assert harness.port.delivered == delivered
+
+
 def test_a_restarted_sidecar_answers_lookup_queries_by_returned_packets() -> None:
     """With an incomplete table, a flow counts as held if its packet is not returned."""
     harness = transparent.ready_sidecar()
--- a/plantainproxy/platform/tests/test_packet_format.py
+++ b/plantainproxy/platform/tests/test_packet_format.py
@@ -65,6 +65,21 @@
     assert forwarded[:1] + bytes(3) + forwarded[4:30] + bytes(4) + forwarded[34:] == SYN
 
 
+def test_a_query_has_no_payload_and_is_valid_from_a_balancer_only() -> None:
+    """A truncated packet of a caller must not pass as a query."""
+    data = SYN[:8] + (900).to_bytes(2, "little") + SYN[10:] + bytes(900)
+    query = packet_format.set_forwarding_fields(
+        data, balancer=bytes((10, 0, 0, 9)), purpose=packets.Purpose.QUERY
+    )
+    assert len(query) == packet_format.HEADER.size
+    packet = packet_format.decode(query, from_balancer=True)
+    assert packet is not None
+    assert packet.purpose is packets.Purpose.QUERY
+    assert packet.size == 0
+    assert packet_format.decode(query) is None
+    assert packet_format.decode(query + b"x", from_balancer=True) is None
+
+
 def test_a_returned_packet_decodes_as_its_caller_sent_it() -> None:
     """The ``BOUNCED`` flag is cleared before the packet is sent to another upstream."""
     returned = bytes((SYN[0] | packet_format.BOUNCED,)) + SYN[1:]
--- a/testbed/transparent.py
+++ b/testbed/transparent.py
@@ -147,6 +147,7 @@
     cold: bool = False,
     stopping: bool = False,
     suspect: bool = False,
+    complete: bool = True,
     revision: int = 1,
 ) -> messages.Report:
     """Return a sidecar's report; by default of a ready upstream without load."""
@@ -164,7 +165,7 @@
         slots=slots,
         room=room,
         cold=cold,
-        complete=True,
+        complete=complete,
         stopping=stopping,
         suspect=suspect,
     )
@@ -188,11 +189,9 @@
         """Record the packet whose flow is reset."""
         self.resets.append(packet)
 
-    def hosts(self, purpose: packets.Purpose) -> list[str]:
-        """Return the hosts that packets of one purpose were sent to, in order."""
-        return [
-            host for _, host, sent_purpose in self.forwarded if sent_purpose is purpose
-        ]
+    def hosts(self, *purposes: packets.Purpose) -> list[str]:
+        """Return the hosts that packets of some purposes were sent to, in order."""
+        return [host for _, host, purpose in self.forwarded if purpose in purposes]
 
 
 class BalancerHarness:
