--- a/plantainproxy/balancer/main.py
+++ b/plantainproxy/balancer/main.py
@@ -28,7 +28,7 @@
 )
 from plantainproxy.settings import check, model
 from plantainproxy.store import etcd, seats
-from plantainproxy.telemetry import metrics, names
+from plantainproxy.telemetry import loop_lag, metrics, names
 
 logger = logging.getLogger("plantain.balancer")
 
@@ -152,6 +152,7 @@
                 _daemon.reload_forever, context.lifecycle, settings, read
             )
             nursery.start_soon(_report_metrics, context)
+            nursery.start_soon(loop_lag.monitor)
             logger.info("Started in failure domain %s.", settings.domain)
             _tune_garbage_collector()
             print(f"ready {settings.rpc_address}", flush=True)
--- a/plantainproxy/sidecar/main.py
+++ b/plantainproxy/sidecar/main.py
@@ -26,7 +26,7 @@
     updates,
     upstream,
 )
-from plantainproxy.telemetry import metrics, names
+from plantainproxy.telemetry import loop_lag, metrics, names
 
 logger = logging.getLogger("plantain.sidecar")
 
@@ -158,6 +158,7 @@
         )
         nursery.start_soon(_report_metrics, components)
         nursery.start_soon(_detect_pauses, components)
+        nursery.start_soon(loop_lag.monitor)
         nursery.start_soon(_stop_on_signal, components, lifecycle)
         logger.info("Started for pool %s.", settings.pool)
         print(f"ready {settings.tunnel_address}", flush=True)
