--- a/plantainproxy/flows/control/documents.py
+++ b/plantainproxy/flows/control/documents.py
@@ -66,6 +66,7 @@
     )
     coverage.record_notice(
         documents.coverage,
+        sender,
         is_current=notice.is_current and not lags_behind,
         now=now,
     )
--- a/plantainproxy/flows/messages.py
+++ b/plantainproxy/flows/messages.py
@@ -178,6 +178,31 @@
     """Latest era of the store's content that the sender has seen."""
 
 
+class FlowRecord(msgspec.Struct, frozen=True, array_like=True, tag="record"):
+    """Snapshot of a sidecar's flows, for a relay to write to the store."""
+
+    number: int
+    """Sequence number that rises with each record of one process."""
+    era: int
+    """Era of the store in which the lease and the revision are valid."""
+    lease: int
+    revision: int
+    """Number of the revision of the stored snapshot; 0 for none."""
+    snapshot: bytes
+
+
+class FlowRecordResult(msgspec.Struct, frozen=True, array_like=True, tag="recorded"):
+    """Answer of a relay to a ``FlowRecord``."""
+
+    number: int
+    """Number of the record."""
+    revision: int
+    """Number of the revision of the stored snapshot."""
+    is_saved: bool
+    """Whether that snapshot is the record's; otherwise the record's revision was
+    wrong."""
+
+
 class FlowHeld(msgspec.Struct, frozen=True, array_like=True, tag="held"):
     """Lookup answer: the upstream of the sending sidecar holds the flow."""
 
@@ -209,6 +234,8 @@
     | Report
     | ReportBatch
     | Notice
+    | FlowRecord
+    | FlowRecordResult
     | FlowHeld
     | FlowNotHeld
     | ReturnedPacket
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -9,7 +9,7 @@
 from plantainproxy import _http_server, _lifecycle, _types
 from plantainproxy.eventloop import runtime
 from plantainproxy.flows import event_log, messages, packets, policy, settings
-from plantainproxy.flows.control import documents, relay
+from plantainproxy.flows.control import coverage, documents, relay
 from plantainproxy.flows.engine import (
     admission,
     sidecar,
@@ -25,7 +25,7 @@
     node,
     upstream_monitor,
 )
-from plantainproxy.flows.stored import flow_snapshot, registry
+from plantainproxy.flows.stored import flow_snapshot, registry, snapshot_batch
 from plantainproxy.platform import (
     configuration,
     heartbeats,
@@ -143,6 +143,21 @@
             ),
             self.log,
         )
+        self.snapshot_batch = snapshot_batch.SnapshotBatch(
+            self.store, send=self.port.send_message, log=self.log
+        )
+        self.snapshot_writer = flow_snapshot.FlowSnapshotWriter(
+            self.registration,
+            writes_per_second=node_settings.store_writes_per_second,
+            find_relay=self.find_relay,
+            send=self.port.send_message,
+        )
+
+    def find_relay(self) -> _types.Address | None:
+        """Return the relay that reads and writes the store for this process."""
+        return coverage.covering_relay(
+            self.documents.coverage, now=runtime.current_time()
+        )
 
     def handle_restored(self, previous: int, era: int) -> None:
         """Handle the first response of the store after it was restored from a copy."""
@@ -219,6 +234,12 @@
         case messages.Notice():
             documents.handle_notice(process.documents, message, sender, now=now)
             _handle_era(process, message.era)
+        case messages.FlowRecord():
+            snapshot_batch.handle_record(
+                process.snapshot_batch, message, sender, now=_boot_time()
+            )
+        case messages.FlowRecordResult():
+            flow_snapshot.handle_result(process.snapshot_writer, message)
         case _:
             process.log.count("dropped.malformed_message")
 
@@ -390,12 +411,9 @@
     group: runtime.TaskGroup, lifecycle: _lifecycle.Lifecycle, process: SidecarProcess
 ) -> None:
     node.start(group, lifecycle, _node_context(process))
-    snapshot_writer = flow_snapshot.FlowSnapshotWriter(
-        process.registration,
-        writes_per_second=process.settings.store_writes_per_second,
-    )
     group.start_soon(registry.maintain_registration, process.registration)
-    group.start_soon(flow_snapshot.run, snapshot_writer, process.engine)
+    group.start_soon(flow_snapshot.run, process.snapshot_writer, process.engine)
+    group.start_soon(snapshot_batch.run, process.snapshot_batch)
     for task in (_tick_forever, _evict_forever, _serve_heartbeats, _monitor_upstream):
         group.start_soon(task, process)
 
--- a/plantainproxy/flows/stored/flow_snapshot.py
+++ b/plantainproxy/flows/stored/flow_snapshot.py
@@ -5,27 +5,43 @@
 request is then lost because it is never repeated, and other requests wait for a
 retransmission. So the next sidecar process reads the snapshot, and resets the flows at
 once if the upstream that held them has ended.
+
+The relay that covers the sidecar writes the snapshot with those of other sidecars
+(``snapshot_batch``). Without a relay, or without its answer, the sidecar writes less
+often itself.
 """
 
+from collections import abc
+
 import msgspec
 
-from plantainproxy import _exceptions
+from plantainproxy import _exceptions, _types
 from plantainproxy.eventloop import runtime
-from plantainproxy.flows import packets, policy
+from plantainproxy.flows import messages, packets, policy
 from plantainproxy.flows.engine import sidecar_state, upstream_events
-from plantainproxy.flows.stored import registry
+from plantainproxy.flows.stored import registry, snapshot_batch
 from plantainproxy.store import port, revisioned
 
-PREFIX = "plantainproxy/flows/"
 SAVE_INTERVAL_SECONDS = 5.0
-"""Minimum interval between writes of a changed snapshot. Flows live for about a minute,
-and the store limits the rate of writes."""
+"""Minimum interval between the writes of a sidecar without a relay."""
 MIN_CHANGED_SHARE = 0.25
-"""Share of the flows that must have been opened or ended for a new write. A snapshot
-that names most flows is worth nearly as much as one that names all, and each write is
-one of the calls that all processes share."""
+"""Share of the flows that must have been opened or ended for a write without a relay. A
+snapshot that names most flows is worth nearly as much as one that names all, and each
+write is one of the calls that all processes share."""
 MAX_WRITE_SHARE = 0.05
-"""Maximum share of the store's write rate that all snapshots together may use."""
+"""Maximum share of the store's write rate that the snapshots written without a relay
+may use together."""
+CHECK_INTERVAL_SECONDS = 1.0
+"""Interval of checks whether the snapshot has changed."""
+MIN_RELAYED_CHANGED_SHARE = 0.05
+"""Like ``MIN_CHANGED_SHARE``, for a snapshot that a relay writes with those of other
+sidecars."""
+MAX_RELAYED_BYTES = 1_300
+"""Size of a snapshot that fits one packet of the network. A larger one is written
+without a relay."""
+CONFIRMATION_TIMEOUT_SECONDS = 4.0
+"""Time without an answer of the relay after which the sidecar writes the snapshot
+itself: two of the relay's intervals."""
 
 
 class FlowSnapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -38,23 +54,52 @@
     """The caller's newest acknowledgement, by flow key."""
 
 
+class Offer(msgspec.Struct, frozen=True, kw_only=True):
+    """A snapshot that has been sent to a relay and is not confirmed yet."""
+
+    number: int
+    relay: _types.Address
+    flows: frozenset[bytes]
+    lease: int
+    sent_at: float
+
+
 class FlowSnapshotWriter:
-    """Writes the snapshot of one sidecar under the lease of its registration."""
+    """Saves the snapshot of one sidecar under the lease of its registration."""
 
     def __init__(
-        self, registration: registry.Registration, *, writes_per_second: float
+        self,
+        registration: registry.Registration,
+        *,
+        writes_per_second: float,
+        find_relay: abc.Callable[[], _types.Address | None] = lambda: None,
+        send: snapshot_batch.Send = lambda relay, message: None,
     ) -> None:
-        """Start at revision 0, which stands for no stored snapshot."""
+        """Start at revision 0, which stands for no stored snapshot.
+
+        ``find_relay`` returns the relay that writes for this process, if there is one.
+        """
         self.registration = registration
         self.store = registration.store
         self.log = registration.log
-        self.key = f"{PREFIX}{registration.entry.host}/"
+        self.key = snapshot_batch.key_of(registration.entry.host)
         registration.inherited_keys = (self.key,)
         self.writes_per_second = writes_per_second
+        self.find_relay = find_relay
+        self.send = send
         self.revision = 0
         """Number of the revision of the stored snapshot in its era."""
         self.era = 0
         """Era of the store for which the snapshot has been read or written."""
+        self.saved_flows: frozenset[bytes] = frozenset()
+        self.saved_lease: int | None = None
+        """Lease of the stored snapshot; it is removed when the lease ends."""
+        self.must_write = False
+        """Whether to write a snapshot even if hardly any flows have changed."""
+        self.next_write_at = float("-inf")
+        """Earliest time of the next write without a relay."""
+        self.offer: Offer | None = None
+        self.offer_count = 0
 
 
 async def run(writer: FlowSnapshotWriter, engine: sidecar_state.Engine) -> None:
@@ -63,28 +108,102 @@
     if previous is not None:
         writer.log.write("record read", flows=len(previous.flows), born=previous.born)
         upstream_events.apply_snapshot(engine, previous.born, previous.flows)
-    saved_flows: frozenset[bytes] = frozenset()
     writer.era = writer.registration.era
-    must_write = False
+    writer.next_write_at = runtime.current_time() + SAVE_INTERVAL_SECONDS
     while True:
-        await runtime.sleep(_save_interval_seconds(writer, engine))
+        await runtime.sleep(min(CHECK_INTERVAL_SECONDS, SAVE_INTERVAL_SECONDS))
         new_snapshot = take_snapshot(engine)
         if new_snapshot is None:
             continue
-        flows = frozenset(new_snapshot.flows)
         try:
-            if writer.era != writer.registration.era:
-                await _handle_restored_store(writer)
-                # The copy may have an older snapshot, under a lease that ends.
-                must_write = bool(flows or writer.revision)
-            if not must_write and not is_worth_writing(flows, saved_flows):
-                continue
-            if await _write(writer, new_snapshot):
-                saved_flows, must_write = flows, False
+            await _save(writer, new_snapshot, _save_interval_seconds(writer, engine))
         except (_exceptions.PlantainError, revisioned.LeaseEndedError) as error:
             writer.log.write_limited("record not written", detail=str(error))
 
 
+async def _save(
+    writer: FlowSnapshotWriter, new_snapshot: FlowSnapshot, interval_seconds: float
+) -> None:
+    """Leave a changed snapshot to the relay, or write it if the interval has passed."""
+    flows = frozenset(new_snapshot.flows)
+    if writer.era != writer.registration.era:
+        await _handle_restored_store(writer)
+        # The copy may have an older snapshot, under a lease that ends.
+        writer.must_write = bool(flows or writer.revision)
+    if writer.saved_lease not in (None, writer.registration.lease):
+        writer.must_write, writer.saved_lease = True, None
+    now = runtime.current_time()
+    if _offer_to_relay(writer, new_snapshot, flows, now=now):
+        return
+    is_changed = writer.must_write or is_worth_writing(flows, writer.saved_flows)
+    if now < writer.next_write_at or not is_changed:
+        return
+    writer.next_write_at = now + interval_seconds
+    lease = writer.registration.lease
+    if await _write(writer, new_snapshot):
+        _record_saved(writer, flows, lease)
+
+
+def _offer_to_relay(
+    writer: FlowSnapshotWriter,
+    new_snapshot: FlowSnapshot,
+    flows: frozenset[bytes],
+    *,
+    now: float,
+) -> bool:
+    """Send a changed snapshot to the relay; return whether the relay sees to it."""
+    offer = writer.offer
+    if offer is not None:
+        if now - offer.sent_at < CONFIRMATION_TIMEOUT_SECONDS:
+            return True
+        writer.log.write_limited("record not confirmed", relay=str(offer.relay))
+        writer.offer = None
+        return False
+    relay, lease = writer.find_relay(), writer.registration.lease
+    if relay is None or lease is None or writer.registration.era != writer.store.era:
+        return False
+    if not writer.must_write and not is_worth_writing(
+        flows, writer.saved_flows, min_changed_share=MIN_RELAYED_CHANGED_SHARE
+    ):
+        return True
+    encoded = msgspec.msgpack.encode(new_snapshot)
+    if len(encoded) > MAX_RELAYED_BYTES:
+        return False
+    writer.offer_count += 1
+    writer.offer = Offer(
+        number=writer.offer_count, relay=relay, flows=flows, lease=lease, sent_at=now
+    )
+    record = messages.FlowRecord(
+        number=writer.offer_count,
+        era=writer.registration.era,
+        lease=lease,
+        revision=writer.revision,
+        snapshot=encoded,
+    )
+    writer.send(relay, record)
+    return True
+
+
+def handle_result(
+    writer: FlowSnapshotWriter, result: messages.FlowRecordResult
+) -> None:
+    """Handle the relay's answer to the latest offer; ignore any other one."""
+    offer = writer.offer
+    if offer is None or offer.number != result.number:
+        return
+    writer.offer = None
+    writer.revision = result.revision
+    if result.is_saved:
+        _record_saved(writer, offer.flows, offer.lease)
+
+
+def _record_saved(
+    writer: FlowSnapshotWriter, flows: frozenset[bytes], lease: int | None
+) -> None:
+    writer.saved_flows, writer.saved_lease = flows, lease
+    writer.must_write = False
+
+
 async def _previous_snapshot(writer: FlowSnapshotWriter) -> FlowSnapshot | None:
     """Return the previous process's snapshot; ``None`` if there is none."""
     await writer.registration.inheritance_known.wait()
@@ -98,10 +217,15 @@
     writer.era = era
 
 
-def is_worth_writing(flows: frozenset[bytes], saved_flows: frozenset[bytes]) -> bool:
+def is_worth_writing(
+    flows: frozenset[bytes],
+    saved_flows: frozenset[bytes],
+    *,
+    min_changed_share: float = MIN_CHANGED_SHARE,
+) -> bool:
     """Return whether enough flows differ from those in the stored snapshot."""
     changed_count = len(flows ^ saved_flows)
-    return changed_count > 0 and changed_count >= MIN_CHANGED_SHARE * max(
+    return changed_count > 0 and changed_count >= min_changed_share * max(
         len(flows), len(saved_flows)
     )
 
--- a/plantainproxy/flows/tests/test_store_eras.py
+++ b/plantainproxy/flows/tests/test_store_eras.py
@@ -210,7 +210,9 @@
     assert documents.elapsed_seconds(held, now=100.25) == 0.25
     held.policy_status.is_current = False
     assert documents.elapsed_seconds(held, now=100.5) == 0.0
-    coverage.record_notice(held.coverage, is_current=True, now=100.6)
+    coverage.record_notice(
+        held.coverage, transparent.address(1), is_current=True, now=100.6
+    )
     assert documents.elapsed_seconds(held, now=100.75) == 0.25
     held.policy_status.is_current = True
     paused_seconds = documents.elapsed_seconds(held, now=160.0)
--- a/plantainproxy/platform/tests/test_metadata_store.py
+++ b/plantainproxy/platform/tests/test_metadata_store.py
@@ -13,7 +13,12 @@
 
 from plantainproxy import _exceptions, _types
 from plantainproxy.flows import event_log, policy
-from plantainproxy.flows.stored import flow_snapshot, follower, registry
+from plantainproxy.flows.stored import (
+    flow_snapshot,
+    follower,
+    registry,
+    snapshot_batch,
+)
 from plantainproxy.platform import metadata_store
 from plantainproxy.store import port, revisioned
 from standins import metadata_store as standin
@@ -515,7 +520,7 @@
             born=1_000, flows={transparent.flow_key(1): 5_001}
         )
         server.put(f"{registry.PREFIX}10.0.0.1/", b"entry of an earlier process")
-        server.put(f"{flow_snapshot.PREFIX}10.0.0.1/", msgspec.msgpack.encode(snapshot))
+        server.put(f"{snapshot_batch.PREFIX}10.0.0.1/", msgspec.msgpack.encode(snapshot))
         next_sidecar = transparent.SidecarHarness()
         registration = _register(nursery, client)
         writer = flow_snapshot.FlowSnapshotWriter(registration, writes_per_second=400.0)
