Sidecars that left with their upstream are not asked for reports

Change: one that reported that it stops, that its upstream is gone, and that the list no longer has, is not asked.

--- a/plantainproxy/flows/engine/upstreams.py
+++ b/plantainproxy/flows/engine/upstreams.py
@@ -129,15 +129,29 @@
 
 
 def overdue_sidecars(view: View, *, now: float) -> list[_types.Address]:
-    """Return the sidecars whose report is overdue but that do not count as lost."""
+    """Return the sidecars whose report is overdue but that do not count as lost.
+
+    One that has stopped together with its upstream will send none.
+    """
     return [
         upstream.address
         for upstream in view.upstreams.values()
         if now - upstream.last_report_at >= _overdue_seconds(view, upstream)
         and not is_lost(upstream, now=now)
+        and not _has_left(upstream)
     ]
 
 
+def _has_left(upstream: Upstream) -> bool:
+    report = upstream.report
+    return (
+        not upstream.registered
+        and report is not None
+        and report.stopping
+        and report.state is messages.UpstreamState.GONE
+    )
+
+
 def _overdue_seconds(view: View, upstream: Upstream) -> float:
     is_relayed = upstream.domain != view.domain
     return RELAYED_REPORT_OVERDUE_SECONDS if is_relayed else REPORT_OVERDUE_SECONDS
--- a/plantainproxy/flows/tests/test_balancer.py
+++ b/plantainproxy/flows/tests/test_balancer.py
@@ -181,6 +181,27 @@
     assert harness.port.resets == []
 
 
+def test_a_sidecar_that_left_with_its_upstream_is_not_asked_for_reports() -> None:
+    """Every balancer asked each replaced sidecar ten times a second for two seconds.
+
+    Pattern: the upstreams of a service are replaced in series of 3 to 8. One that is
+    still listed may only have been restarted, and is asked.
+    """
+    harness = transparent.ready_balancer()
+    for number in (1, 2):
+        report = transparent.make_report(
+            number=2, stopping=True, state=messages.UpstreamState.GONE
+        )
+        harness.handle_message(number, report)
+    harness.apply_registrations(2, 3)
+    view = harness.engine.view
+    harness.now += upstreams.RELAYED_REPORT_OVERDUE_SECONDS
+    assert upstreams.overdue_sidecars(view, now=harness.now) == [
+        transparent.address(2),
+        transparent.address(3),
+    ]
+
+
 def test_an_overdue_sidecar_is_asked_for_reports_until_it_is_lost() -> None:
     """A restarted sidecar has no list of balancers, and the store may be unavailable.
 
