--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -9,19 +9,15 @@
 a time; the journal entries of the copies are added to the repository's.
 """
 
-from collections import abc
 import dataclasses
-import json
 import pathlib
-import shutil
-import subprocess
 import sys
 import tempfile
 
 import fire
 
-ROOT = pathlib.Path(__file__).resolve().parents[1]
-JOURNAL = pathlib.Path("journal")
+from bench import compare
+
 ENGINE = "plantainproxy/flows/engine"
 
 
@@ -141,10 +137,7 @@
 
 def prepare(switch: Switch, copy: pathlib.Path) -> None:
     """Make a scratch copy of the last commit with one mechanism switched off."""
-    subprocess.run(
-        ["git", "clone", "--quiet", "--shared", str(ROOT), str(copy)], check=True
-    )
-    shutil.rmtree(copy / JOURNAL)
+    compare.clone("HEAD", copy)
     for replacement in switch.replacements:
         path = copy / replacement.file
         text = path.read_text()
@@ -156,35 +149,6 @@
         path.write_text(text.replace(replacement.old, replacement.new))
 
 
-def play(
-    bench: str, site: str, day: str, copy: pathlib.Path, options: abc.Sequence[str]
-) -> dict[str, object]:
-    """Play a day in a copy and return its row of the journal entry."""
-    before = set((copy / JOURNAL).glob("*.json"))
-    subprocess.run(
-        [bench, "run", site, day, *options],
-        cwd=copy,
-        check=False,
-        stdout=subprocess.DEVNULL,
-    )
-    (entry,) = set((copy / JOURNAL).glob("*.json")) - before
-    shutil.copytree(copy / JOURNAL, ROOT / JOURNAL, dirs_exist_ok=True)
-    row: dict[str, object] = json.loads(entry.read_text())["days"][0]
-    return row
-
-
-def render(name: str, row: abc.Mapping[str, object]) -> str:
-    """Return one line of the table."""
-    parts = row["parts"]
-    assert isinstance(parts, list)
-    windows = next(part[2] for part in parts if part[0] == "worst windows")
-    rules = row["rules"] or "no rule broken"
-    return (
-        f"{name:30} {row['name']:12} worth {row['G']:.3f} "
-        f"worst windows {windows:.3f} served {row['served']:.3f} {rules}"
-    )
-
-
 def run(
     bench: str,
     site: str,
@@ -204,7 +168,7 @@
         no_cpu: Whether processor time is not charged.
 
     """
-    names = only.split(",") if isinstance(only, str) and only else only
+    names = compare.split(only)
     known = {switch.name for switch in SWITCHES}
     if unknown := set(names) - known:
         print(f"unknown: {sorted(unknown)}, known: {sorted(known)}", file=sys.stderr)
@@ -213,22 +177,19 @@
         str(pathlib.Path(bench).resolve()),
         str(pathlib.Path(site).resolve()),
     )
-    chosen_seeds = (seeds,) if isinstance(seeds, int) else seeds
-    # The bench hides /tmp from the programs.
-    scratch = ROOT / "out"
-    scratch.mkdir(exist_ok=True)
-    with tempfile.TemporaryDirectory(dir=scratch) as folder:
+    compare.SCRATCH.mkdir(exist_ok=True)
+    with tempfile.TemporaryDirectory(dir=compare.SCRATCH) as folder:
         copies = {}
         for number, switch in enumerate(SWITCHES):
             if not names or switch.name in names:
                 copies[switch.name] = pathlib.Path(folder, str(number))
                 prepare(switch, copies[switch.name])
-        for seed_options in [["--seed", str(seed)] for seed in chosen_seeds] or [[]]:
+        for seed_options in [["--seed", seed] for seed in compare.split(seeds)] or [[]]:
             options = seed_options + ["--no-cpu"] * no_cpu
             for day in days:
                 for name, copy in copies.items():
-                    row = play(program, site_file, day, copy, options)
-                    print(render(name, row), flush=True)
+                    row = compare.play(program, site_file, day, copy, options)
+                    print(compare.render(name, row), flush=True)
 
 
 if __name__ == "__main__":
