One piece of code starts the queries of a lookup, and one repeats a placement

Both starts of a lookup queried the hinted sidecar, else the first wave; both kinds of a retransmitted opening ended in the same lookup of the upstream's address. The two writes of a registration build their transactions alike.

--- a/plantainproxy/flows/engine/flow_lookups.py
+++ b/plantainproxy/flows/engine/flow_lookups.py
@@ -56,30 +56,29 @@
         and hedged_openings.query_hedged(engine, flow_lookup, hedged, now=now)
     ):
         return
-    if len(engine.lookups) > balancer_state.MAX_ACTIVE_LOOKUPS:
-        return
-    if not _query_hinted(engine, packet.flow, flow_lookup, now=now):
-        _continue_lookup(engine, packet.flow, flow_lookup, now=now)
+    if len(engine.lookups) <= balancer_state.MAX_ACTIVE_LOOKUPS:
+        _send_first_queries(engine, packet.flow, flow_lookup, now=now)
 
 
-def _query_hinted(
+def _send_first_queries(
     engine: balancer_state.Engine,
     flow: bytes,
     flow_lookup: lookup.Lookup,
     *,
     now: float,
-) -> bool:
-    """Query the sidecar that held the flow according to the snapshots, if there is one.
+) -> None:
+    """Query the sidecar that the snapshots name for the flow, or else the first wave.
 
-    Returns whether a query was sent. After a restart of all processes, queries of all
-    candidates for every flow would saturate a small instance's link.
+    After a restart of all processes, queries of all candidates for every flow would
+    saturate a small instance's link.
     """
     hint = engine.hints.pop(flow, None)
-    if hint is None or hint in flow_lookup.denied:
-        return False
-    query = lookup.query_first(flow_lookup, [hint], engine.view, now=now)
-    balancer_state.send_query(engine, query)
-    return bool(query.purposes)
+    if hint is not None and hint not in flow_lookup.denied:
+        query = lookup.query_first(flow_lookup, [hint], engine.view, now=now)
+        balancer_state.send_query(engine, query)
+        if query.purposes:
+            return
+    _continue_lookup(engine, flow, flow_lookup, now=now)
 
 
 def continue_lookups(engine: balancer_state.Engine, *, now: float) -> None:
@@ -90,13 +89,11 @@
     for flow, flow_lookup in list(engine.lookups.items()):
         if now < flow_lookup.next_query_at:
             continue
-        if not flow_lookup.queries:
-            if active_count >= balancer_state.MAX_ACTIVE_LOOKUPS:
-                continue
+        if flow_lookup.queries:
+            _continue_lookup(engine, flow, flow_lookup, now=now)
+        elif active_count < balancer_state.MAX_ACTIVE_LOOKUPS:
             active_count += 1
-            if _query_hinted(engine, flow, flow_lookup, now=now):
-                continue
-        _continue_lookup(engine, flow, flow_lookup, now=now)
+            _send_first_queries(engine, flow, flow_lookup, now=now)
 
 
 def _continue_lookup(
--- a/plantainproxy/flows/engine/openings.py
+++ b/plantainproxy/flows/engine/openings.py
@@ -35,9 +35,16 @@
     excluded = cached.refused_by | {cached.upstream}
     if _try_to_place(engine, packet, route, refused_by=excluded, now=now):
         return
-    chosen = engine.view.upstreams.get(cached.upstream)
-    if chosen is not None:
-        engine.port.forward(packet, chosen.data_address, packets.Purpose.OPEN)
+    _repeat_placement(engine, packet, cached.upstream)
+
+
+def _repeat_placement(
+    engine: balancer_state.Engine, packet: packets.Packet, address: _types.Address
+) -> None:
+    """Send a retransmission to the upstream that the flow was last placed on."""
+    upstream = engine.view.upstreams.get(address)
+    if upstream is not None:
+        engine.port.forward(packet, upstream.data_address, packets.Purpose.OPEN)
 
 
 def _handle_uncached_opening(
@@ -74,9 +81,7 @@
         # Any of the upstreams may hold the flow; the next packet is sent to all.
         hedged.upstreams.append(engine.flows.pop(packet.flow).upstream)
         return
-    chosen = engine.view.upstreams.get(hedged.upstreams[-1])
-    if chosen is not None:
-        engine.port.forward(packet, chosen.data_address, packets.Purpose.OPEN)
+    _repeat_placement(engine, packet, hedged.upstreams[-1])
 
 
 def place_again(
--- a/plantainproxy/flows/stored/flow_snapshot.py
+++ b/plantainproxy/flows/stored/flow_snapshot.py
@@ -101,7 +101,7 @@
     writer.era = writer.registration.era
     writer.next_write_at = runtime.current_time() + SAVE_INTERVAL_SECONDS
     while True:
-        await runtime.sleep(min(CHECK_INTERVAL_SECONDS, SAVE_INTERVAL_SECONDS))
+        await runtime.sleep(CHECK_INTERVAL_SECONDS)
         new_snapshot = take_snapshot(engine)
         if new_snapshot is None:
             continue
--- a/plantainproxy/flows/stored/registry.py
+++ b/plantainproxy/flows/stored/registry.py
@@ -260,29 +260,19 @@
     put = port.Put(key=key, value=registration.value, lease=lease)
     is_first = not registration.inheritance_known.is_set()
     absent_keys = (key, *registration.inherited_keys) if is_first else (key,)
-    result = await store.write(
-        port.Transaction(
-            compares=tuple(
-                port.Compare(key=absent, mod_revision=0) for absent in absent_keys
-            ),
-            puts=(put,),
-        )
-    )
-    found = (
-        {entry.key: entry for entry in result.entries}
-        if isinstance(result, revisioned.Conflict)
-        else {}
-    )
+    compares = tuple(port.Compare(key=absent, mod_revision=0) for absent in absent_keys)
+    result = await store.write(port.Transaction(compares=compares, puts=(put,)))
+    entries = result.entries if isinstance(result, revisioned.Conflict) else ()
+    found = {entry.key: entry for entry in entries}
     if is_first:
         registration.inherited = found
         registration.inheritance_known.set()
     if not isinstance(result, revisioned.Conflict):
         return
     revision = found[key].mod_revision if key in found else 0
-    transaction = port.Transaction(
-        compares=(port.Compare(key=key, mod_revision=revision),), puts=(put,)
-    )
-    if isinstance(await store.write(transaction), revisioned.Conflict):
+    compares = (port.Compare(key=key, mod_revision=revision),)
+    result = await store.write(port.Transaction(compares=compares, puts=(put,)))
+    if isinstance(result, revisioned.Conflict):
         raise _exceptions.PlantainError(
             _exceptions.ErrorKind.CONFLICT, f"another process changed the entry {key}"
         )
