--- a/review/common/site.py
+++ b/review/common/site.py
@@ -48,6 +48,23 @@
 """As on the sheets of the small deployments."""
 
 
+RESERVATION_PORT = 9_179
+"""Next to the port of the programs' metrics, which is the same on all machines."""
+
+
+def _reserve_net() -> tuple[socket.socket, str]:
+    """Return a loopback network that no other case uses, and what reserves it."""
+    for number in random.sample(range(20, 250), 230):
+        reservation = socket.socket()
+        try:
+            reservation.bind((f"127.{number}.255.1", RESERVATION_PORT))
+        except OSError:
+            reservation.close()
+            continue
+        return reservation, f"127.{number}"
+    raise NotRunError("no loopback network is free")
+
+
 class Node:
     """A machine with one program."""
 
@@ -71,7 +88,7 @@
         self.directory = directory
         self.record = record
         self.started_at = time.monotonic()
-        self.net = f"127.{random.randrange(20, 250)}"
+        self.reservation, self.net = _reserve_net()
         probes = [socket.socket() for _ in range(7)]
         for probe in probes:
             probe.bind((f"{self.net}.0.1", 0))
@@ -335,6 +352,7 @@
             return 2
         finally:
             site.stop_all()
+            site.reservation.close()
             if os.environ.get("KEEP_LOGS"):
                 for node in site.nodes:
                     with contextlib.suppress(OSError):
