Deeply nested data of another writer does not end a process

A process that reads such a value ends, after each restart again.

Cause: the decoder raises a RecursionError, not a DecodeError, for a field that is not known and is nested some thousand times.

Evidence: test_deeply_nested_values_of_another_writer_are_left_out (four decoders) and test_a_deeply_nested_snapshot_of_another_writer_is_left_out fail without RecursionError in _decoding.ERRORS, and pass with it.

Conclusion: one list of errors for everything that another program may have written.

--- a/plantainproxy/flows/messages.py
+++ b/plantainproxy/flows/messages.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from plantainproxy import _decoding
 from plantainproxy.flows import policy
 from plantainproxy.store import revisioned
 
@@ -274,7 +275,7 @@
     """Decode one datagram; return ``None`` if it is not a valid message."""
     try:
         return _decoder.decode(data)
-    except msgspec.DecodeError:
+    except _decoding.ERRORS:
         return None
 
 
@@ -282,5 +283,5 @@
     """Decode a policy; return ``None`` if the bytes are not a valid one."""
     try:
         return _policy_decoder.decode(data)
-    except msgspec.DecodeError:
+    except _decoding.ERRORS:
         return None
--- a/plantainproxy/flows/stored/flow_hints.py
+++ b/plantainproxy/flows/stored/flow_hints.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _decoding, _exceptions, _types
 from plantainproxy.flows import event_log
 from plantainproxy.flows.stored import flow_record
 from plantainproxy.store import revisioned
@@ -31,7 +31,7 @@
         host = entry.key.removeprefix(flow_record.PREFIX).rstrip("/")
         try:
             saved = msgspec.msgpack.decode(entry.value, type=flow_record.FlowSnapshot)
-        except msgspec.DecodeError as error:
+        except _decoding.ERRORS as error:
             log.write_limited("record not readable", key=entry.key, detail=str(error))
             continue
         hints.update(dict.fromkeys(saved.flows, _types.Address(host, message_port)))
--- a/plantainproxy/flows/stored/flow_snapshot.py
+++ b/plantainproxy/flows/stored/flow_snapshot.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _decoding, _exceptions, _types
 from plantainproxy.eventloop import runtime
 from plantainproxy.flows import messages, packets, policy
 from plantainproxy.flows.engine import sidecar_state, upstream_events
@@ -274,7 +274,7 @@
         return None
     try:
         return msgspec.msgpack.decode(entry.value, type=flow_record.FlowSnapshot)
-    except msgspec.DecodeError as error:
+    except _decoding.ERRORS as error:
         writer.log.write("record not readable", key=writer.key, detail=str(error))
         return None
 
--- a/plantainproxy/flows/stored/registry.py
+++ b/plantainproxy/flows/stored/registry.py
@@ -6,7 +6,7 @@
 import msgspec
 import xxhash
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _decoding, _exceptions, _types
 from plantainproxy.eventloop import runtime
 from plantainproxy.flows import event_log
 from plantainproxy.flows.engine import upstreams
@@ -121,7 +121,7 @@
     """Decode a list that another process sent; ``None`` if it is not valid."""
     try:
         return msgspec.msgpack.decode(data, type=SidecarList)
-    except msgspec.DecodeError:
+    except _decoding.ERRORS:
         return None
 
 
@@ -133,7 +133,7 @@
     for value in entries.values():
         try:
             entry = msgspec.msgpack.decode(value, type=Entry)
-        except msgspec.DecodeError:
+        except _decoding.ERRORS:
             continue
         address = _types.Address(entry.host, entry.message_port)
         listed[address] = upstreams.ListedSidecar(
--- a/plantainproxy/platform/tests/test_metadata_store.py
+++ b/plantainproxy/platform/tests/test_metadata_store.py
@@ -12,7 +12,7 @@
 import trio.testing
 
 from plantainproxy import _exceptions, _http_server, _types
-from plantainproxy.flows import event_log, policy
+from plantainproxy.flows import event_log, messages, policy
 from plantainproxy.flows.stored import (
     flow_hints,
     flow_record,
@@ -596,3 +596,45 @@
 def test_entries_of_another_writer_are_left_out() -> None:
     """Values that cannot be decoded are ignored."""
     assert registry.decode({"x": b"\xff", "y": b"{}"}) == {}
+
+
+def _with_nested_field(encoded: bytes) -> bytes:
+    """Append a deeply nested field to an encoded array or map."""
+    is_map = encoded[0] >> 4 == 0x8
+    field = (b"\xa1?" if is_map else b"") + b"\x91" * 10_000 + b"\xc0"
+    return bytes([encoded[0] + 1]) + encoded[1:] + field
+
+
+@pytest.mark.parametrize(
+    ("value", "decode"),
+    [
+        (registry.Entry("10.0.0.1", 1, 2), lambda data: registry.decode({"x": data})),
+        (registry.SidecarList(1, {}), registry.decode_list),
+        (messages.FlowHeld(b"flow"), messages.decode),
+        (policy.Policy(revision=1), messages.decode_policy),
+    ],
+)
+def test_deeply_nested_values_of_another_writer_are_left_out(
+    value: msgspec.Struct, decode: abc.Callable[[bytes], object]
+) -> None:
+    """Guards against an end of the process by a ``RecursionError``."""
+    encoded = msgspec.msgpack.encode(value)
+    assert decode(encoded)
+    assert not decode(_with_nested_field(encoded))
+
+
+def test_a_deeply_nested_snapshot_of_another_writer_is_left_out() -> None:
+    """Guards against an end of a balancer that reads the flow hints at its start."""
+
+    async def check(
+        server: standin.MetadataStore,
+        client: metadata_store.MetadataStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        snapshot = flow_record.FlowSnapshot(born=1, flows={b"flow": 1})
+        value = _with_nested_field(msgspec.msgpack.encode(snapshot))
+        server.put(flow_record.key_of("10.0.0.1"), value)
+        log = event_log.EventLog("test")
+        assert await flow_hints.read(client, message_port=7700, log=log) == {}
+
+    _run(check)
