Heartbeats with numbers out of range are refused

The encoder's OverflowError ended the process. A heartbeat with a field nested some thousand times ended it by a RecursionError in the decoder itself.

Change: the platform's adapter refuses negative numbers, more than a million slots and numbers above 63 bits, and treats a RecursionError as unreadable. "heartbeat refused" is logged with the reason "malformed"; such heartbeats left no line before.

--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -290,11 +290,17 @@
             process.engine, instance, now=runtime.current_time()
         )
 
+    def handle_malformed(instance: str) -> None:
+        process.log.write_limited(
+            "heartbeat refused", instance=instance, reason="malformed"
+        )
+
     node_settings = process.settings
     handler = heartbeats.make_handler(
         address=node_settings.upstream_address,
         on_heartbeat=handle_heartbeat,
         on_deregister=handle_deregistration,
+        on_malformed=handle_malformed,
     )
     await _http_server.serve(node_settings.heartbeat_address, handler)
 
--- a/plantainproxy/platform/heartbeats.py
+++ b/plantainproxy/platform/heartbeats.py
@@ -1,10 +1,11 @@
 """HTTP API through which an upstream sends heartbeats to its sidecar."""
 
 from collections import abc
+import typing
 
 import msgspec
 
-from plantainproxy import _http_server, _types
+from plantainproxy import _decoding, _http_server, _types
 from plantainproxy.flows.engine import upstream
 
 PREFIX = "/v1/instances/"
@@ -13,23 +14,31 @@
 DRAINING = "draining"
 READY = "ready"
 MILLISECONDS_PER_SECOND = 1_000.0
+MAX_SLOTS = 1_000_000
+"""Slots above this are no upstream's. Reports of twice the slots and sums over a fleet
+stay far below the 64 bits of an encoded integer."""
+MAX_INTEGER = 2**63 - 1
+"""Largest integer that reports and snapshots can encode with either sign."""
 
 OK = _http_server.Response(200, b"{}")
 BAD_REQUEST = _http_server.Response(400, b"{}")
 NOT_FOUND = _http_server.Response(404, b"{}")
 
 
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+
+
 class _HeartbeatMessage(msgspec.Struct):
     service: str
     addr: str
     state: str
     # Remaining time for which the upstream is cold after its start.
     cold_left_ms: float
-    slots: int
+    slots: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
     # Sequence number of the heartbeat within one incarnation.
-    seq: int
+    seq: _Count
     # Start time of the incarnation, Unix time in milliseconds.
-    born: int = 0
+    born: _Count = 0
 
 
 _decoder = msgspec.json.Decoder(_HeartbeatMessage)
@@ -40,12 +49,12 @@
 ) -> upstream.Heartbeat | None:
     """Decode a heartbeat of the upstream at ``address``.
 
-    Returns ``None`` if the body is malformed, contains an unknown state or names
-    another address.
+    Returns ``None`` if the body is malformed or contains a number out of range, an
+    unknown state or another address: it is then of another writer.
     """
     try:
         heartbeat = _decoder.decode(body)
-    except msgspec.DecodeError:
+    except _decoding.ERRORS:
         return None
     if heartbeat.state not in (READY, DRAINING) or heartbeat.addr != str(address):
         return None
@@ -65,11 +74,13 @@
     address: _types.Address,
     on_heartbeat: abc.Callable[[upstream.Heartbeat], bool],
     on_deregister: abc.Callable[[str], None],
+    on_malformed: abc.Callable[[str], None],
 ) -> abc.Callable[[_http_server.Request], _http_server.Response]:
     """Return the HTTP handler for heartbeats of the upstream at ``address``.
 
     ``on_heartbeat`` returns whether the heartbeat is meant for this sidecar; if not,
-    the upstream gets status 400. ``on_deregister`` gets the name of the instance.
+    the upstream gets status 400. ``on_deregister`` gets the name of the instance, and
+    ``on_malformed`` the one that a heartbeat of another writer states.
     """
 
     def handle(request: _http_server.Request) -> _http_server.Response:
@@ -82,8 +93,9 @@
         if action != HEARTBEAT:
             return NOT_FOUND
         heartbeat = decode(request.body, instance=instance, address=address)
-        if heartbeat is None or not on_heartbeat(heartbeat):
+        if heartbeat is None:
+            on_malformed(instance)
             return BAD_REQUEST
-        return OK
+        return OK if on_heartbeat(heartbeat) else BAD_REQUEST
 
     return handle
--- a/plantainproxy/platform/tests/test_heartbeats.py
+++ b/plantainproxy/platform/tests/test_heartbeats.py
@@ -27,11 +27,13 @@
     def __init__(self, *, accept: bool = True) -> None:
         self.received: list[upstream.Heartbeat] = []
         self.deregistered: list[str] = []
+        self.malformed: list[str] = []
         self.accept = accept
         self.handle = heartbeats.make_handler(
             address=ADDRESS,
             on_heartbeat=self.handle_heartbeat,
             on_deregister=self.deregistered.append,
+            on_malformed=self.malformed.append,
         )
 
     def handle_heartbeat(self, heartbeat: upstream.Heartbeat) -> bool:
@@ -82,10 +84,35 @@
 def test_a_heartbeat_with_an_invalid_field_is_refused(
     change: dict[str, object],
 ) -> None:
-    """It gets status 400 and is not reported."""
+    """It gets status 400 and is reported as malformed only."""
     harness = _Harness()
     assert harness.post("/v1/instances/i-1/heartbeat", HEARTBEAT | change) == 400
     assert harness.received == []
+    assert harness.malformed == ["i-1"]
+
+
+@pytest.mark.parametrize("field", ["slots", "seq", "born"])
+@pytest.mark.parametrize("number", [-1, 2**63, 2**64 - 1, 2**64, 10**30])
+def test_a_number_out_of_range_is_refused(field: str, number: int) -> None:
+    """Guards against an end of the sidecar when it encodes the number."""
+    harness = _Harness()
+    body = HEARTBEAT | {field: number}
+    assert harness.post("/v1/instances/i-1/heartbeat", body) == 400
+    assert harness.received == []
+
+
+def test_slots_whose_double_cannot_be_encoded_are_refused() -> None:
+    """Guards against a report with room for two requests a slot beyond 64 bits."""
+    harness = _Harness()
+    body = HEARTBEAT | {"slots": heartbeats.MAX_SLOTS + 1}
+    assert harness.post("/v1/instances/i-1/heartbeat", body) == 400
+
+
+def test_a_deeply_nested_field_is_refused() -> None:
+    """Guards against an end of the sidecar by a ``RecursionError``."""
+    nested = b"[" * 10_000 + b"]" * 10_000
+    body = msgspec.json.encode(HEARTBEAT)[:-1] + b',"more":' + nested + b"}"
+    assert _Harness().post("/v1/instances/i-1/heartbeat", body) == 400
 
 
 @pytest.mark.parametrize("field", ["service", "addr", "state", "slots", "seq"])
