Flows are not reset while their sidecar restarts as planned

Cause: a sidecar without a report for 1.6 s counts as lost, and a flow that all others deny is then reset. The time without a report proves nothing once the sidecar has announced a planned stop: its upstream runs on.

The log line states the number of restarting sidecars now.

Change: such a sidecar counts as lost only after the lease time of its entry. Its flows stay in the flow cache, and lookups wait for it. One that stops with its upstream is treated as before.

--- a/plantainproxy/flows/engine/flow_lookups.py
+++ b/plantainproxy/flows/engine/flow_lookups.py
@@ -118,6 +118,7 @@
         asked=len(flow_lookup.queries),
         denied=len(flow_lookup.denied),
         lost=step.lost,
+        restarting=step.restarting,
         waited=round(now - flow_lookup.started_at, 3),
         outcome="reset" if is_conclusive else "dropped",
     )
--- a/plantainproxy/flows/engine/lookup.py
+++ b/plantainproxy/flows/engine/lookup.py
@@ -70,6 +70,8 @@
     flow."""
     lost: int
     """Number of upstreams that count as lost and were not waited for."""
+    restarting: int
+    """Number of upstreams whose sidecars have announced a planned stop."""
 
 
 def start(
@@ -150,7 +152,10 @@
     lost = sum(
         not _is_live(flow_lookup, address, view, now) for address in view.upstreams
     )
-    return Conclusion(all_denied=all_denied, lost=lost)
+    restarting = sum(
+        upstreams.is_restarting(upstream) for upstream in view.upstreams.values()
+    )
+    return Conclusion(all_denied=all_denied, lost=lost, restarting=restarting)
 
 
 def _query(
--- a/plantainproxy/flows/engine/upstreams.py
+++ b/plantainproxy/flows/engine/upstreams.py
@@ -27,6 +27,10 @@
 SHORT_LOSS_TIMEOUT_SECONDS = 1.6
 """The same for flows whose requests may be repeated: their callers can retry on another
 upstream sooner. Above the time in which a killed sidecar is running again."""
+RESTART_TIMEOUT_SECONDS = 10.0
+"""The same for a sidecar that has announced a planned stop while its upstream runs on:
+the upstream holds its flows until the next sidecar process has started. Equal to the
+lease time of the sidecar's entry."""
 FIRST_REPORT_TIMEOUT_SECONDS = 1.0
 """Time after which a listed sidecar that has never reported counts as lost."""
 EVICTION_SECONDS = 60.0
@@ -109,13 +113,30 @@
 ) -> bool:
     """Return whether the time without a report has reached the timeout.
 
-    ``FIRST_REPORT_TIMEOUT_SECONDS`` applies to a sidecar that has never reported.
+    ``FIRST_REPORT_TIMEOUT_SECONDS`` applies to a sidecar that has never reported, and
+    ``RESTART_TIMEOUT_SECONDS`` to one that is restarting.
     """
     if upstream.report is None:
         return now - upstream.added_at >= FIRST_REPORT_TIMEOUT_SECONDS
+    if is_restarting(upstream):
+        timeout_seconds = RESTART_TIMEOUT_SECONDS
     return now - upstream.last_report_at >= timeout_seconds
 
 
+def is_restarting(upstream: Upstream) -> bool:
+    """Return whether the sidecar has announced a planned stop and should return.
+
+    A sidecar whose upstream ends removes its entry as well. Until then, a draining
+    upstream may hold flows.
+    """
+    report = upstream.report
+    if report is None or not report.stopping:
+        return False
+    if report.state is messages.UpstreamState.DRAINING:
+        return upstream.registered
+    return report.state is not messages.UpstreamState.GONE
+
+
 def oldest_report_seconds(view: View, *, now: float) -> float:
     """Return the age of the oldest of the newest reports of upstreams not lost."""
     return max(
--- a/plantainproxy/flows/tests/test_balancer.py
+++ b/plantainproxy/flows/tests/test_balancer.py
@@ -3,9 +3,10 @@
 from collections import abc
 
 import msgspec
+import pytest
 
 from plantainproxy.flows import messages, packets, policy
-from plantainproxy.flows.engine import balancer, lookup, upstreams
+from plantainproxy.flows.engine import balancer, balancer_state, lookup, upstreams
 from testbed import transparent
 
 KEY = transparent.flow_key(1)
@@ -241,6 +242,83 @@
     assert harness.port.resets == [DATA]
 
 
+def _stop_sidecar(
+    harness: transparent.BalancerHarness,
+    state: messages.UpstreamState = messages.UpstreamState.READY,
+) -> None:
+    """Let the third sidecar announce a planned stop."""
+    report = transparent.make_report(number=2, stopping=True, state=state)
+    harness.handle_message(3, report)
+
+
+def _resets_while_silent(harness: transparent.BalancerHarness, seconds: float) -> int:
+    """Return the resets after a silence of the third sidecar; the others deny."""
+    _report_only(harness, (1, 2), seconds)
+    harness.handle_packet(DATA)
+    for number in (1, 2):
+        harness.handle_message(number, messages.FlowNotHeld(flow=KEY))
+    return len(harness.port.resets)
+
+
+@pytest.mark.parametrize(
+    "state", [messages.UpstreamState.READY, messages.UpstreamState.DRAINING]
+)
+def test_no_reset_while_a_sidecar_restarts_as_planned(
+    state: messages.UpstreamState,
+) -> None:
+    """Guards against resets of flows that the upstream beside it still holds.
+
+    Pattern: sidecars are stopped and started in turn, each in more than 1.6 s.
+    """
+    harness = transparent.ready_balancer()
+    _stop_sidecar(harness, state)
+    silence = upstreams.LOSS_TIMEOUT_SECONDS + 1.0
+    assert _resets_while_silent(harness, silence) == 0
+    harness.handle_message(3, transparent.make_report(boot=2))
+    harness.run_for(lookup.MAX_QUERY_RETRY_SECONDS)
+    harness.handle_message(3, messages.FlowHeld(flow=KEY))
+    assert harness.port.hosts(packets.Purpose.LOOKUP)[-1] == transparent.address(3).host
+    assert harness.port.resets == []
+
+
+def test_a_flow_stays_with_a_sidecar_that_restarts_as_planned() -> None:
+    """Guards against a search at all sidecars, which cannot find the flow."""
+    harness = transparent.ready_balancer()
+    harness.engine.flows[KEY] = balancer_state.CachedFlow(
+        transparent.address(3), harness.now, harness.now
+    )
+    _stop_sidecar(harness)
+    _report_only(harness, (1, 2), upstreams.LOSS_TIMEOUT_SECONDS + 1.0)
+    harness.handle_packet(DATA)
+    assert harness.engine.lookups == {}
+    assert harness.port.hosts(packets.Purpose.FORWARD) == [transparent.address(3).host]
+
+
+def test_a_sidecar_that_does_not_return_from_a_planned_stop_is_lost() -> None:
+    """Guards against callers who wait for a machine that was removed."""
+    harness = transparent.ready_balancer()
+    _stop_sidecar(harness)
+    silence = upstreams.RESTART_TIMEOUT_SECONDS + 0.5
+    assert _resets_while_silent(harness, silence) == 1
+
+
+@pytest.mark.parametrize(
+    "state", [messages.UpstreamState.DRAINING, messages.UpstreamState.GONE]
+)
+def test_a_sidecar_that_left_with_its_upstream_is_lost_as_any_other(
+    state: messages.UpstreamState,
+) -> None:
+    """Guards against callers who wait for an upstream that has ended.
+
+    Pattern: the upstreams of a service are replaced in series.
+    """
+    harness = transparent.ready_balancer()
+    _stop_sidecar(harness, state)
+    harness.apply_registrations(1, 2)
+    silence = upstreams.SHORT_LOSS_TIMEOUT_SECONDS + 0.5
+    assert _resets_while_silent(harness, silence) == 1
+
+
 def test_a_listed_sidecar_that_never_answered_does_not_stop_the_search() -> None:
     """The entry of a removed machine stays listed until its lease expires.
 
