A stopping sidecar passes its own announcement on to other domains

Cause: balancers of other domains get the announcement of a stop through the relays of the sidecar's domain. A sidecar that is a relay itself ended before its relay had handled the report that it sent to itself. Balancers of its own domain got a single datagram.

Change: a stopping sidecar reports twice, 40 ms apart, and serves for 80 ms in all, in which its relay sends the changed status.

--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -195,10 +195,14 @@
 
 
 def stop(engine: sidecar_state.Engine, *, now: float) -> None:
-    """Report to the balancers that this process is about to end."""
+    """Report to the balancers and relays that this process is about to end.
+
+    Each call repeats the report, since datagrams may be lost. Without it, balancers
+    reset the upstream's flows when the sidecar has been silent for a while.
+    """
     engine.stopping = True
     held_requests.release_held(engine, now=now)
-    sidecar_reports.send_due_reports(engine, now=now)
+    sidecar_reports.send_reports(engine, now=now)
 
 
 def _cold_wait(engine: sidecar_state.Engine, *, now: float) -> float:
--- a/plantainproxy/flows/engine/sidecar_reports.py
+++ b/plantainproxy/flows/engine/sidecar_reports.py
@@ -124,6 +124,13 @@
         engine.port.send_message(balancer, report)
 
 
+def send_reports(engine: sidecar_state.Engine, *, now: float) -> None:
+    """Send a report to each subscriber, whether or not one is due."""
+    report = _report(engine, now=now)
+    for process in engine.subscribers:
+        engine.port.send_message(process, report)
+
+
 def _load_report_interval_seconds(
     engine: sidecar_state.Engine, subscriber: sidecar_state.Subscriber
 ) -> float:
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -37,6 +37,10 @@
 TICK_INTERVAL_SECONDS = 0.02
 """Interval between checks for overdue queries, grace periods and due reports."""
 EVICTION_INTERVAL_SECONDS = 2.0
+STOP_REPORTS = 2
+"""Number of reports of a planned stop to each subscriber; datagrams may be lost."""
+STOP_REPORT_INTERVAL_SECONDS = 2 * TICK_INTERVAL_SECONDS
+"""Interval of these reports, in which a relay in this process sends its batches."""
 NANOSECONDS_PER_MILLISECOND = 1_000_000
 
 
@@ -404,7 +408,7 @@
             async with runtime.open_task_group() as group:
                 _start_tasks(group, lifecycle, process)
                 await lifecycle.stopping.wait()
-                sidecar.stop(process.engine, now=runtime.current_time())
+                await _announce_stop(process)
                 if upstream_events.is_upstream_leaving(process.engine):
                     await registry.withdraw(process.registration)
                 # Any other upstream keeps running and is unreachable until the next
@@ -413,6 +417,13 @@
                 group.cancel_scope.cancel()
 
 
+async def _announce_stop(process: SidecarProcess) -> None:
+    """Report the stop, and serve until a relay in this process has passed it on."""
+    for _ in range(STOP_REPORTS):
+        sidecar.stop(process.engine, now=runtime.current_time())
+        await runtime.sleep(STOP_REPORT_INTERVAL_SECONDS)
+
+
 def _start_tasks(
     group: runtime.TaskGroup, lifecycle: _lifecycle.Lifecycle, process: SidecarProcess
 ) -> None:
--- a/plantainproxy/flows/tests/test_sidecar.py
+++ b/plantainproxy/flows/tests/test_sidecar.py
@@ -261,6 +261,17 @@
     assert harness.port.last_report().state is messages.UpstreamState.DRAINING
 
 
+def test_a_planned_stop_is_reported_again_after_a_lost_datagram() -> None:
+    """Guards against a balancer that resets flows as it missed the only report."""
+    harness = transparent.ready_sidecar()
+    reports = []
+    for _ in range(2):
+        sidecar.stop(harness.engine, now=harness.now)
+        reports.append(harness.port.last_report())
+    assert all(report.stopping for report in reports)
+    assert reports[0].number < reports[1].number
+
+
 def test_checks_health_only_while_the_state_is_unknown() -> None:
     """A health check lets a restarted sidecar admit flows before the next heartbeat."""
     harness = transparent.SidecarHarness()
--- a/tests/test_flow_site.py
+++ b/tests/test_flow_site.py
@@ -1,6 +1,7 @@
 """End-to-end tests of transparent flows with real processes."""
 
 from collections import abc
+import itertools
 import json
 import pathlib
 import signal
@@ -8,22 +9,30 @@
 import pytest
 import trio
 
+from plantainproxy.flows.engine import upstreams
 from standins import flow_ends
 from testbed import flow_site
 
 DEADLINE_SECONDS = 40.0
 IMPORT_SECONDS = 2.0
 """Time from the start of a process in which it ends its imports, on a busy machine."""
+AWAY_SECONDS = upstreams.SHORT_LOSS_TIMEOUT_SECONDS + 0.6
+"""Time from the end of a stopped sidecar to its next start."""
 
 
 def _run_on_site(
     directory: pathlib.Path,
     number: int,
     check: abc.Callable[[flow_site.Site], abc.Awaitable[None]],
+    *,
+    balancers: int = 2,
+    domains: int = 2,
 ) -> None:
     async def main() -> None:
         with trio.fail_after(DEADLINE_SECONDS):
-            async with flow_site.running(directory, number=number) as site:
+            async with flow_site.running(
+                directory, number=number, balancers=balancers, domains=domains
+            ) as site:
                 await check(site)
 
     trio.run(main)
@@ -66,6 +75,43 @@
     _run_on_site(tmp_path, 42, check)
 
 
+def test_no_flow_is_reset_while_sidecars_restart_slowly(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against balancers that reset the flows of a sidecar stopped as planned.
+
+    Each sidecar is away for longer than one that is killed may be. It is the only one
+    of its domain, so it relays its own announcement to the balancers of the others.
+    """
+
+    async def keep_flow(site: flow_site.Site, index: int) -> None:
+        number = 0
+        async with flow_ends.open_flow(site.caller(index), flow_site.SERVICE) as flow:
+            while True:
+                number += 1
+                payload = b"request %d" % number
+                assert await flow.request(payload, timeout_seconds=8.0) == payload
+                await trio.sleep(0.2)
+
+    async def check(site: flow_site.Site) -> None:
+        async with trio.open_nursery() as nursery:
+            for index in itertools.count():
+                nursery.start_soon(keep_flow, site, index)
+                await trio.sleep(0.1)
+                if index >= 9 and all(upstream.flows for upstream in site.upstreams):
+                    break
+            for node in site.sidecars:
+                node.signal(signal.SIGTERM)
+                assert await node.wait() == 0
+                await trio.sleep(AWAY_SECONDS)
+                site.start(node)
+                await site.wait_until_ready([node])
+                await trio.sleep(1.0)
+            nursery.cancel_scope.cancel()
+
+    _run_on_site(tmp_path, 48, check, balancers=3, domains=3)
+
+
 def test_a_settings_reload_does_not_end_a_starting_process(
     tmp_path: pathlib.Path,
 ) -> None:
