A sidecar stopped beside a draining upstream keeps its entry

Cause: a stopping sidecar took "draining" for the end of its upstream and removed its entry, so balancers expected no process to follow. A draining upstream keeps its flows for seconds, and its sidecar may be restarted meanwhile.

Change: the entry is removed only if the upstream is gone, or is draining and refuses a connection.

--- a/plantainproxy/flows/engine/upstream_events.py
+++ b/plantainproxy/flows/engine/upstream_events.py
@@ -183,14 +183,6 @@
     sidecar_reports.send_due_reports(engine, now=now)
 
 
-def is_upstream_leaving(engine: sidecar_state.Engine) -> bool:
-    """Return whether the upstream is draining or gone, so it takes no new flows."""
-    return engine.upstream.state in (
-        messages.UpstreamState.DRAINING,
-        messages.UpstreamState.GONE,
-    )
-
-
 def _reset_all_flows(engine: sidecar_state.Engine, *, reason: str) -> None:
     """Reset every open flow, as the incarnation that held them has ended."""
     dropped = request_queue.clear(engine.request_queue)
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -409,7 +409,7 @@
                 _start_tasks(group, lifecycle, process)
                 await lifecycle.stopping.wait()
                 await _announce_stop(process)
-                if upstream_events.is_upstream_leaving(process.engine):
+                if await _ends_with_upstream(process):
                     await registry.withdraw(process.registration)
                 # Any other upstream keeps running and is unreachable until the next
                 # sidecar process has started, so this one exits at once.
@@ -424,6 +424,19 @@
         await runtime.sleep(STOP_REPORT_INTERVAL_SECONDS)
 
 
+async def _ends_with_upstream(process: SidecarProcess) -> bool:
+    """Return whether the upstream has ended, so that no sidecar follows this one.
+
+    A draining upstream that still listens keeps its flows, and another process of the
+    sidecar may follow.
+    """
+    state = process.engine.upstream.state
+    if state is not messages.UpstreamState.DRAINING:
+        return state is messages.UpstreamState.GONE
+    address = process.settings.upstream_address
+    return await upstream_monitor.refuses_connections(address)
+
+
 def _start_tasks(
     group: runtime.TaskGroup, lifecycle: _lifecycle.Lifecycle, process: SidecarProcess
 ) -> None:
--- a/plantainproxy/flows/programs/upstream_monitor.py
+++ b/plantainproxy/flows/programs/upstream_monitor.py
@@ -70,6 +70,19 @@
                 group.cancel_scope.cancel()
 
 
+async def refuses_connections(address: _types.Address) -> bool:
+    """Return whether the upstream refuses a connection, as one that has ended does."""
+    try:
+        with runtime.fail_after(CONNECT_TIMEOUT_SECONDS):
+            stream = await tcp.connect(address)
+    except runtime.TooSlowError:
+        return False
+    except OSError:
+        return True
+    stream.close()
+    return False
+
+
 async def _wait_until_closed(stream: tcp.Stream) -> None:
     http.enable_keepalive(stream.socket)
     with contextlib.suppress(OSError):
--- a/tests/test_flow_site.py
+++ b/tests/test_flow_site.py
@@ -75,13 +75,15 @@
     _run_on_site(tmp_path, 42, check)
 
 
+@pytest.mark.parametrize("draining", [False, True])
 def test_no_flow_is_reset_while_sidecars_restart_slowly(
-    tmp_path: pathlib.Path,
+    tmp_path: pathlib.Path, draining: bool
 ) -> None:
     """Guards against balancers that reset the flows of a sidecar stopped as planned.
 
     Each sidecar is away for longer than one that is killed may be. It is the only one
-    of its domain, so it relays its own announcement to the balancers of the others.
+    of its domain, so it relays its own announcement to the balancers of the others. A
+    draining upstream keeps its flows, also while its sidecar restarts.
     """
 
     async def keep_flow(site: flow_site.Site, index: int) -> None:
@@ -100,6 +102,9 @@
                 await trio.sleep(0.1)
                 if index >= 9 and all(upstream.flows for upstream in site.upstreams):
                     break
+            for upstream in site.upstreams:
+                upstream.draining = draining
+            await trio.sleep(3 * site.upstreams[0].heartbeat_seconds)
             for node in site.sidecars:
                 node.signal(signal.SIGTERM)
                 assert await node.wait() == 0
@@ -109,7 +114,7 @@
                 await trio.sleep(1.0)
             nursery.cancel_scope.cancel()
 
-    _run_on_site(tmp_path, 48, check, balancers=3, domains=3)
+    _run_on_site(tmp_path, 49 if draining else 48, check, balancers=3, domains=3)
 
 
 def test_a_settings_reload_does_not_end_a_starting_process(
