Heartbeats without a start time are refused

Cause: the decoder took a missing start time as 0. A sidecar that has just started applied such a heartbeat, and took the upstream's own next one, with its true start, for a restart of the upstream.

--- a/plantainproxy/platform/heartbeats.py
+++ b/plantainproxy/platform/heartbeats.py
@@ -29,8 +29,12 @@
 
 
 class _HeartbeatMessage(msgspec.Struct):
+    """Every field of an upstream's heartbeat; another writer may leave some out."""
+
     service: str
     addr: str
+    zone: str
+    version: str
     state: str
     # Remaining time for which the upstream is cold after its start.
     cold_left_ms: float
@@ -38,7 +42,7 @@
     # Sequence number of the heartbeat within one incarnation.
     seq: _Count
     # Start time of the incarnation, Unix time in milliseconds.
-    born: _Count = 0
+    born: _Count
 
 
 _decoder = msgspec.json.Decoder(_HeartbeatMessage)
@@ -49,8 +53,8 @@
 ) -> upstream.Heartbeat | None:
     """Decode a heartbeat of the upstream at ``address``.
 
-    Returns ``None`` if the body is malformed or contains a number out of range, an
-    unknown state or another address: it is then of another writer.
+    Returns ``None`` if the body is malformed, lacks a field, or contains a number out
+    of range, an unknown state or another address: it is then of another writer.
     """
     try:
         heartbeat = _decoder.decode(body)
--- a/plantainproxy/platform/tests/test_heartbeats.py
+++ b/plantainproxy/platform/tests/test_heartbeats.py
@@ -78,6 +78,11 @@
         {"seq": 1.5},
         {"addr": "10.128.0.10:8080"},
         {"born": "yesterday"},
+        {"born": None},
+        {"born": True},
+        {"born": 1_700_000_000_000.5},
+        {"zone": 3},
+        {"version": None},
         {"service": 5},
     ],
 )
@@ -115,9 +120,12 @@
     assert _Harness().post("/v1/instances/i-1/heartbeat", body) == 400
 
 
-@pytest.mark.parametrize("field", ["service", "addr", "state", "slots", "seq"])
+@pytest.mark.parametrize("field", HEARTBEAT)
 def test_a_heartbeat_without_a_required_field_is_refused(field: str) -> None:
-    """Required fields have no default values."""
+    """Guards against resets of all flows after a heartbeat without a start time.
+
+    The upstream's own next heartbeat would state a later start than another writer's.
+    """
     harness = _Harness()
     heartbeat = {key: value for key, value in HEARTBEAT.items() if key != field}
     assert harness.post("/v1/instances/i-1/heartbeat", heartbeat) == 400
