A late heartbeat after a sidecar's start resets no flow

A heartbeat of an ended incarnation, delivered just after a planned restart of the sidecar, made it reset all flows that it had seen of the living upstream.

Cause: a process that has just started has no newer heartbeat to compare with, and took any later start of the upstream for a restart that ends the flows it has seen.

Change: flows are reset only if the upstream started after the sidecar process. All flows in the table were seen since the process started, so an older upstream holds them.

Evidence: test_a_late_heartbeat_just_after_a_start_resets_no_flow fails without the change with a reset of the open flow.

--- a/plantainproxy/flows/engine/upstream_events.py
+++ b/plantainproxy/flows/engine/upstream_events.py
@@ -33,10 +33,7 @@
         upstream.record_heartbeat(engine.upstream, heartbeat, now=now)
         and before is not None
     ):
-        if state_before is messages.UpstreamState.READY:
-            outlier_detection.record_crash(engine.outlier_detector, now=now)
-        _reset_all_flows(engine, reason="upstream restarted")
-        engine.table.complete = True
+        _handle_new_incarnation(engine, heartbeat, before, state_before, now=now)
     if engine.upstream.state is not state_before:
         engine.log.write(
             "upstream state",
@@ -55,6 +52,34 @@
     return True
 
 
+def _handle_new_incarnation(
+    engine: sidecar_state.Engine,
+    heartbeat: upstream.Heartbeat,
+    before: upstream.Heartbeat,
+    state_before: messages.UpstreamState,
+    *,
+    now: float,
+) -> None:
+    """Reset the flows of the incarnation before, if this process has seen any.
+
+    Every flow in the table was seen since the start of this process. An upstream that
+    started earlier holds them all: the heartbeat before was late, and of an incarnation
+    that had ended.
+    """
+    if heartbeat.born < engine.identity.boot:
+        engine.log.write(
+            "late heartbeat replaced",
+            instance=heartbeat.instance,
+            born=heartbeat.born,
+            before=before.born,
+        )
+        return
+    if state_before is messages.UpstreamState.READY:
+        outlier_detection.record_crash(engine.outlier_detector, now=now)
+    _reset_all_flows(engine, reason="upstream restarted")
+    engine.table.complete = True
+
+
 def handle_deregistration(
     engine: sidecar_state.Engine, instance: str, *, now: float
 ) -> None:
--- a/plantainproxy/flows/tests/test_flow_machine.py
+++ b/plantainproxy/flows/tests/test_flow_machine.py
@@ -97,6 +97,7 @@
     def __init__(self) -> None:
         """Start all processes, send heartbeats and let three seconds pass."""
         self.now = 100.0
+        self.starts = 0
         self.in_flight: list[InFlight] = []
         self.hops = 0
         self.sent: dict[bytes, packets.Packet] = {}
@@ -132,7 +133,7 @@
                 location=admission.Location(pool=POOLS[number], domain=DOMAINS[number]),
                 data_port=transparent.DATA_PORT,
                 message_port=transparent.MESSAGE_PORT,
-                boot=random.Random(self.now + number).getrandbits(32),
+                boot=self.start_time(),
             ),
             slow_start_limiter=admission.SlowStartLimiter(
                 started_at=self.now,
@@ -153,6 +154,14 @@
         sidecar.apply_policy(engine, self.policies[-1], now=self.now)
         return engine
 
+    def start_time(self) -> int:
+        """Return the time in milliseconds, as the start of an upstream or a process.
+
+        No two starts are equal.
+        """
+        self.starts += 1
+        return round(self.now * 1_000) + self.starts
+
     def start_balancer(
         self, number: int, *, listed: abc.Collection[int] = range(len(POOLS))
     ) -> balancer_state.Engine:
@@ -277,7 +286,7 @@
                 self.return_packet(number, packet)
                 return
             first = server.flows.get(key) or server.half_open.setdefault(
-                key, 100_000 * (number + 1) + server.born
+                key, 100_000_000 * (number + 1) + server.born
             )
             accepting = transparent.make_packet(key, accepting=True, sequence=first)
             sidecar.handle_outbound(self.sidecars[number], accepting, now=self.now)
@@ -601,7 +610,7 @@
         if server.alive:
             return
         server.alive, server.draining = True, False
-        server.born += 1_000
+        server.born = self.site.start_time()
         server.opened_at.clear()
         server.cold_until = self.site.now + (COLD_SECONDS if is_cold else 0.0)
         self.site.send_heartbeat(number)
--- a/plantainproxy/flows/tests/test_sidecar.py
+++ b/plantainproxy/flows/tests/test_sidecar.py
@@ -96,6 +96,25 @@
     assert harness.port.resets == [KEY]
 
 
+def test_a_late_heartbeat_just_after_a_start_resets_no_flow() -> None:
+    """Guards against resets of flows of an upstream older than the sidecar process.
+
+    The heartbeat is of the incarnation before and was delayed; a process that has just
+    started has no newer one to compare it with.
+    """
+    harness = transparent.SidecarHarness()
+    harness.apply_policy(transparent.make_policy(1))
+    boot = harness.engine.identity.boot
+    harness.handle_heartbeat(9, born=boot - 2)
+    harness.open(KEY)
+    harness.handle_heartbeat(4, born=boot - 1)
+    assert harness.port.resets == []
+    assert not harness.engine.table.complete
+    harness.handle_heartbeat(1, born=boot + 1)
+    assert harness.port.resets == [KEY]
+    assert harness.engine.table.complete
+
+
 def test_a_crash_does_not_reset_openings_that_nobody_confirmed() -> None:
     """Another upstream may have accepted a copy of the opening packet."""
     harness = transparent.ready_sidecar()
