Entries of another writer with unusable values are left out

All balancers ended, after each restart again.

The choice of relays packs the address of each listed sidecar.

Change: an entry is used only if its host is an IPv4 address and its ports are in range; "sidecars listed" states how many were left out.

--- a/plantainproxy/flows/programs/balancer_main.py
+++ b/plantainproxy/flows/programs/balancer_main.py
@@ -145,6 +145,7 @@
     process.log.write(
         "sidecars listed",
         count=len(listed),
+        left_out=len(sidecars.entries) - len(listed),
         held=len(sidecars.held_entries),
         revision=sidecars.order.number,
         era=sidecars.order.era,
--- a/plantainproxy/flows/stored/registry.py
+++ b/plantainproxy/flows/stored/registry.py
@@ -128,17 +128,21 @@
 def decode(
     entries: abc.Mapping[str, bytes],
 ) -> dict[_types.Address, upstreams.ListedSidecar]:
-    """Return the sidecars by message address; skip entries that do not decode."""
+    """Return the sidecars by message address.
+
+    Skips entries of another writer: those that do not decode or whose addresses cannot
+    be used.
+    """
     listed = {}
     for value in entries.values():
         try:
             entry = msgspec.msgpack.decode(value, type=Entry)
-        except _decoding.ERRORS:
+            address = _types.Address.parse(f"{entry.host}:{entry.message_port}")
+            data_address = _types.Address.parse(f"{entry.host}:{entry.data_port}")
+        except (*_decoding.ERRORS, ValueError):
             continue
-        address = _types.Address(entry.host, entry.message_port)
         listed[address] = upstreams.ListedSidecar(
-            data_address=_types.Address(entry.host, entry.data_port),
-            domain=entry.domain,
+            data_address=data_address, domain=entry.domain
         )
     return listed
 
