Soak: planned work and heartbeats of another writer reset no open flow

The soak counted resets and did not check them, as kills and pauses may cause them. Any reset of an open flow is a violation. Half of the callers keep their flows until the end.

--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -1,11 +1,15 @@
 """Randomized soak test of transparent flows: real processes under injected faults.
 
     python -m testbed.soak --seeds 50 --first 1 --seconds 15
+    python -m testbed.soak --seeds 50 --first 1 --seconds 15 --planned
 
 Callers keep flows open while signals, restarts, pauses, configuration changes, drains
 and store faults are injected in a random order that the seed determines; they may
 overlap. The observations of callers and upstreams are checked against the promises.
 A failed seed prints the violations and saves its logs under ``out/``.
+
+With ``--planned`` all faults are planned work or heartbeats of another writer, so that
+no open flow may be reset.
 """
 
 from collections import abc
@@ -21,7 +25,9 @@
 import msgspec
 import trio
 
+from plantainproxy import _types
 from plantainproxy.flows.stored import registry
+from plantainproxy.store import http
 from standins import fault_proxy, flow_ends
 from testbed import flow_site
 
@@ -41,6 +47,14 @@
 
 The users allow 5 s.
 """
+FOREIGN_FIELDS: abc.Mapping[str, dict[str, object]] = {
+    "no start": {"slots": 4},
+    "no slots": {"born": 0},
+    "many slots": {"slots": 2**64 - 1, "born": 2**63 - 1},
+    "late start": {"slots": 4, "born": 2**64 - 1},
+    "wrong type": {"slots": "4", "born": None},
+}
+"""Fields that differ from those of an upstream's heartbeat, by kind of fault."""
 NETWORK_BASE = 60
 """First loopback network of the soak test; each seed uses a network of its own."""
 NETWORKS = 100
@@ -87,9 +101,13 @@
 class SoakRun:
     """The run of one seed on one site."""
 
-    def __init__(self, site: flow_site.Site, seed: int) -> None:
+    def __init__(
+        self, site: flow_site.Site, seed: int, *, is_planned: bool = False
+    ) -> None:
         """Create a run without results."""
         self.site = site
+        self.is_planned = is_planned
+        """Whether there is planned work only, so that no open flow may be reset."""
         self.random = random.Random(seed)
         self.result = RunResult()
         self.actions: list[str] = []
@@ -102,14 +120,22 @@
 
 
 async def send_requests_forever(run: SoakRun, index: int) -> None:
-    """Open flows one after another and send requests at random intervals on each."""
+    """Open flows one after another and send requests at random intervals on each.
+
+    Every second caller of a run with planned work only keeps its flow until the end.
+    """
     caller = run.site.caller(index)
+    keeps_flow = run.is_planned and index % 2 == 0
     number = 0
     while True:
         caller.balancers = run.site.caller(index).balancers or caller.balancers
+        opened_at: float | None = None
         try:
             async with flow_ends.open_flow(caller, flow_site.SERVICE) as flow:
-                for _ in range(run.random.randint(1, 12)):
+                opened_at = trio.current_time()
+                requests_left = run.random.randint(1, 12)
+                while requests_left or keeps_flow:
+                    requests_left = max(requests_left - 1, 0)
                     number += 1
                     payload = b"%d/%d" % (index, number)
                     await flow.request(payload, timeout_seconds=3.0)
@@ -118,6 +144,11 @@
                     await trio.sleep(run.random.uniform(0.01, 0.3))
         except flow_ends.FlowResetError:
             run.result.resets += 1
+            if run.is_planned and opened_at is not None:
+                run.result.violations.append(
+                    f"{trio.current_time():.2f} flow {caller.address.host}:"
+                    f"{caller.port} of {opened_at:.2f} was reset"
+                )
         except flow_ends.NoAnswerError:
             run.result.unanswered += 1
         await trio.sleep(0.02)
@@ -156,6 +187,37 @@
         run.site.start(node)
 
 
+async def restart_slowly(run: SoakRun) -> None:
+    """Stop a process with SIGTERM and start it again after up to 2.5 s."""
+    with _reserve_node(run) as node:
+        if node is None:
+            return
+        seconds = run.random.uniform(0.0, 2.5)
+        run.record_action(f"SIGTERM {node.settings_path.stem} for {seconds:.1f} s")
+        node.signal(signal.SIGTERM)
+        await node.wait()
+        await trio.sleep(seconds)
+        run.site.start(node)
+
+
+async def send_foreign_heartbeat(run: SoakRun) -> None:
+    """Send a heartbeat of another writer to a sidecar."""
+    upstream = run.random.choice(run.site.upstreams)
+    kind = run.random.choice(sorted(FOREIGN_FIELDS))
+    run.record_action(f"heartbeat of another writer, {kind}, {upstream.address}")
+    body = {"service": upstream.service, "addr": str(upstream.address)}
+    body |= {"zone": upstream.domain, "version": "v1", "state": "ready"}
+    heartbeat = body | {"cold_left_ms": 0, "seq": 10**9} | FOREIGN_FIELDS[kind]
+    control = _types.Address(upstream.address.host, run.site.ports.control)
+    with contextlib.suppress(http.UnsentError, http.UnansweredError):
+        await http.post(
+            http.Pool(control),
+            "/v1/instances/i-another-writer/heartbeat",
+            msgspec.json.encode(heartbeat),
+            timeout_seconds=flow_ends.HEARTBEAT_TIMEOUT_SECONDS,
+        )
+
+
 async def kill_and_restart(run: SoakRun) -> None:
     """Kill a process and start it again after up to 1.5 s."""
     with _reserve_node(run) as node:
@@ -359,6 +421,15 @@
     drain,
     evacuate,
 )
+PLANNED_ACTIONS: tuple[Action, ...] = (
+    restart_gracefully,
+    restart_slowly,
+    reload_settings,
+    configure,
+    drain,
+    send_foreign_heartbeat,
+    send_foreign_heartbeat,
+)
 RELAY_ACTIONS: tuple[Action, ...] = (*ACTIONS, pause_domain, restart_in_series)
 RESTORATION_ACTIONS: tuple[Action, ...] = (*RELAY_ACTIONS, restore_store, evacuate)
 """The faults of earlier seeds stay the same without the restoration."""
@@ -436,6 +507,7 @@
     *,
     plan: SitePlan = WITH_RELAYS,
     restores_store: bool = False,
+    is_planned: bool = False,
 ) -> SoakRun:
     """Run one seed: inject faults for ``seconds``, then check the recovery."""
     async with flow_site.running(
@@ -446,11 +518,13 @@
         domains=plan.domains,
         store_links=True,
     ) as site:
-        run = SoakRun(site, seed)
+        run = SoakRun(site, seed, is_planned=is_planned)
         async with trio.open_nursery() as nursery:
             for index in range(CALLERS):
                 nursery.start_soon(send_requests_forever, run, index)
             actions = ACTIONS if plan is SMALL else RELAY_ACTIONS
+            if is_planned:
+                actions = PLANNED_ACTIONS
             if restores_store:
                 actions = RESTORATION_ACTIONS
                 nursery.start_soon(restore_store_during, run, seconds)
@@ -467,9 +541,12 @@
     first: int = 1,
     seconds: float = 10.0,
     restores_store: bool = False,
+    planned: bool = False,
 ) -> None:
     """Run seeds one after another; the exit code is the number of failed seeds."""
-    run_one = functools.partial(run_seed, restores_store=restores_store)
+    run_one = functools.partial(
+        run_seed, restores_store=restores_store, is_planned=planned
+    )
     failed = 0
     for seed in range(first, first + seeds):
         with tempfile.TemporaryDirectory() as directory:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,4 +1,4 @@
-"""Regression tests: short runs of the soak test under seeds that have failed."""
+"""Short runs of the soak test: seeds that have failed, and seeds of each kind."""
 
 import functools
 import pathlib
@@ -35,16 +35,30 @@
     _check_seed(seed, tmp_path, soak.WITH_RELAYS, restores_store=True)
 
 
+@pytest.mark.parametrize("seed", [301, 302, 303, 304])
+def test_no_open_flow_is_reset_by_planned_work(
+    tmp_path: pathlib.Path, seed: int
+) -> None:
+    """Guards against resets of flows whose upstreams run on all the while.
+
+    Balancers and sidecars are stopped and started, for up to 2.5 s and several at a
+    time, beside reloads, new configurations, drains and heartbeats of another writer.
+    """
+    _check_seed(seed, tmp_path, soak.WITH_RELAYS, is_planned=True, seconds=15.0)
+
+
 def _check_seed(
     seed: int,
     directory: pathlib.Path,
     plan: soak.SitePlan,
     *,
     restores_store: bool = False,
+    is_planned: bool = False,
+    seconds: float = SECONDS,
 ) -> None:
     run_seed = functools.partial(
-        soak.run_seed, plan=plan, restores_store=restores_store
+        soak.run_seed, plan=plan, restores_store=restores_store, is_planned=is_planned
     )
-    run = trio.run(run_seed, seed, SECONDS, directory)
+    run = trio.run(run_seed, seed, seconds, directory)
     assert run.result.violations == []
     assert run.result.answered > 0
