A stopping sidecar reports to all balancers that it has seen

Cause: the announcement of a stop went to subscribers only. A process that was stopped 0.3 s after its start had answered a balancer's single request and had no subscription of it yet. For that balancer the process before had returned and was now silent.

Evidence: the log of balancer-0 has a report of the short-lived process, no report with "stopping", and "flow not found" with restarting=0.

Change: the announcement goes to every balancer that has asked or sent openings, too.

--- a/plantainproxy/flows/engine/sidecar_reports.py
+++ b/plantainproxy/flows/engine/sidecar_reports.py
@@ -125,9 +125,13 @@
 
 
 def send_reports(engine: sidecar_state.Engine, *, now: float) -> None:
-    """Send a report to each subscriber, whether or not one is due."""
+    """Send a report to each subscriber and to each balancer that has asked once."""
     report = _report(engine, now=now)
-    for process in engine.subscribers:
+    balancers = (
+        _types.Address(socket.inet_ntoa(host), engine.identity.message_port)
+        for host in engine.balancers_seen
+    )
+    for process in {*engine.subscribers, *balancers}:
         engine.port.send_message(process, report)
 
 
--- a/plantainproxy/flows/tests/test_sidecar.py
+++ b/plantainproxy/flows/tests/test_sidecar.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from plantainproxy import _types
 from plantainproxy.flows import messages, packets, policy
 from plantainproxy.flows.engine import sidecar, upstream_events
 from plantainproxy.flows.stored import flow_record, flow_snapshot
@@ -291,6 +292,23 @@
     assert reports[0].number < reports[1].number
 
 
+def test_a_planned_stop_is_reported_to_a_balancer_that_asked_once() -> None:
+    """Guards against resets by a balancer that has a report of a short-lived process.
+
+    Found by the soak: the process was stopped 0.3 s after its start, before the
+    balancer's next subscription.
+    """
+    harness = transparent.SidecarHarness()
+    harness.handle_report_request(
+        _types.Address("10.0.0.9", transparent.MESSAGE_PORT), subscribes=False
+    )
+    sidecar.stop(harness.engine, now=harness.now)
+    host, message = harness.port.sent_messages[-1]
+    assert host == "10.0.0.9"
+    assert isinstance(message, messages.Report)
+    assert message.stopping
+
+
 def test_checks_health_only_while_the_state_is_unknown() -> None:
     """A health check lets a restarted sidecar admit flows before the next heartbeat."""
     harness = transparent.SidecarHarness()
