--- a/plantainproxy/flows/engine/upstreams.py
+++ b/plantainproxy/flows/engine/upstreams.py
@@ -32,7 +32,8 @@
 the upstream holds its flows until the next sidecar process has started. Equal to the
 lease time of the sidecar's entry."""
 FIRST_REPORT_TIMEOUT_SECONDS = 1.0
-"""Time after which a listed sidecar that has never reported counts as lost."""
+"""Time after which a balancer that starts is ready although a listed sidecar has not
+reported."""
 EVICTION_SECONDS = 60.0
 """An unregistered sidecar without reports is removed after this time; until then it
 may return."""
@@ -113,11 +114,12 @@
 ) -> bool:
     """Return whether the time without a report has reached the timeout.
 
-    ``FIRST_REPORT_TIMEOUT_SECONDS`` applies to a sidecar that has never reported, and
-    ``RESTART_TIMEOUT_SECONDS`` to one that is restarting.
+    ``RESTART_TIMEOUT_SECONDS`` applies to a sidecar that is restarting, and
+    ``LOSS_TIMEOUT_SECONDS`` to one that has never reported: it may have announced a
+    planned stop before this balancer started.
     """
     if upstream.report is None:
-        return now - upstream.added_at >= FIRST_REPORT_TIMEOUT_SECONDS
+        return now - upstream.added_at >= LOSS_TIMEOUT_SECONDS
     if is_restarting(upstream):
         timeout_seconds = RESTART_TIMEOUT_SECONDS
     return now - upstream.last_report_at >= timeout_seconds
@@ -181,7 +183,8 @@
 def is_converged(view: View, *, now: float) -> bool:
     """Return whether the list was received and no first report is outstanding."""
     return view.list_received and all(
-        upstream.report is not None or is_lost(upstream, now=now)
+        upstream.report is not None
+        or now - upstream.added_at >= FIRST_REPORT_TIMEOUT_SECONDS
         for upstream in view.upstreams.values()
     )
 
--- a/plantainproxy/flows/tests/test_balancer.py
+++ b/plantainproxy/flows/tests/test_balancer.py
@@ -319,6 +319,21 @@
     assert _resets_while_silent(harness, silence) == 1
 
 
+def test_no_reset_just_after_a_start_while_a_sidecar_restarts() -> None:
+    """Guards against resets by a balancer that missed the announcement of a stop.
+
+    Found by the soak: the balancer had started after the announcement.
+    """
+    harness = transparent.BalancerHarness()
+    harness.apply_registrations(1, 2, 3)
+    harness.apply_policy(transparent.make_policy(1))
+    assert _resets_while_silent(harness, upstreams.LIST_LAG_SECONDS + 0.5) == 0
+    assert transparent.address(3) in upstreams.overdue_sidecars(
+        harness.engine.view, now=harness.now
+    )
+    assert _resets_while_silent(harness, upstreams.LOSS_TIMEOUT_SECONDS) > 0
+
+
 def test_a_listed_sidecar_that_never_answered_does_not_stop_the_search() -> None:
     """The entry of a removed machine stays listed until its lease expires.
 
