--- a/plantainproxy/flows/engine/sidecar_reports.py
+++ b/plantainproxy/flows/engine/sidecar_reports.py
@@ -125,7 +125,10 @@
 
 
 def send_reports(engine: sidecar_state.Engine, *, now: float) -> None:
-    """Send a report to each subscriber and to each balancer that has asked once."""
+    """Send a report to every subscriber, and to every other balancer seen lately.
+
+    A balancer that has one report of this process may not have subscribed yet.
+    """
     report = _report(engine, now=now)
     balancers = (
         _types.Address(socket.inet_ntoa(host), engine.identity.message_port)
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -38,7 +38,7 @@
 """Interval between checks for overdue queries, grace periods and due reports."""
 EVICTION_INTERVAL_SECONDS = 2.0
 STOP_REPORTS = 2
-"""Number of reports of a planned stop to each subscriber; datagrams may be lost."""
+"""Number of reports of a planned stop to each recipient; datagrams may be lost."""
 STOP_REPORT_INTERVAL_SECONDS = 2 * TICK_INTERVAL_SECONDS
 """Interval of these reports, in which a relay in this process sends its batches."""
 NANOSECONDS_PER_MILLISECOND = 1_000_000
