--- a/plantainproxy/flows/engine/upstream_events.py
+++ b/plantainproxy/flows/engine/upstream_events.py
@@ -60,11 +60,10 @@
     *,
     now: float,
 ) -> None:
-    """Reset the flows of the incarnation before, if this process has seen any.
+    """Reset the flows of the incarnation before, unless it ended before this process.
 
-    Every flow in the table was seen since the start of this process. An upstream that
-    started earlier holds them all: the heartbeat before was late, and of an incarnation
-    that had ended.
+    The table has only flows seen since this process started. An upstream that started
+    earlier holds them all; the heartbeat before was late, of an ended incarnation.
     """
     if heartbeat.born < engine.identity.boot:
         engine.log.write(
--- a/plantainproxy/platform/heartbeats.py
+++ b/plantainproxy/platform/heartbeats.py
@@ -15,8 +15,8 @@
 READY = "ready"
 MILLISECONDS_PER_SECOND = 1_000.0
 MAX_SLOTS = 1_000_000
-"""Slots above this are no upstream's. Reports of twice the slots and sums over a fleet
-stay far below the 64 bits of an encoded integer."""
+"""Upper bound of the slots of one upstream. Twice as many, which a report may state,
+and sums over a fleet fit the 64 bits of an encoded integer."""
 MAX_INTEGER = 2**63 - 1
 """Largest integer that reports and snapshots can encode with either sign."""
 
@@ -29,7 +29,7 @@
 
 
 class _HeartbeatMessage(msgspec.Struct):
-    """Every field of an upstream's heartbeat; another writer may leave some out."""
+    """The fields that every upstream sends; without one, the writer is another."""
 
     service: str
     addr: str
