One address of a balancer, and one parse of an entry's host

Last reading: the address of a balancer was built in sidecar.py and again in sidecar_reports.py, and the decoder of the list parsed the host of each entry twice. The port ranges are part of the entry's type now. Behaviour is the same.

--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -3,9 +3,6 @@
 The engine does no I/O. It sends through a port and takes the time as an argument.
 """
 
-import socket
-
-from plantainproxy import _types
 from plantainproxy.flows import messages, packets, policy
 from plantainproxy.flows.engine import (
     admission,
@@ -90,7 +87,7 @@
     engine.port.deliver(packet)
     engine.log.count("delivered.unknown")
     if packet.purpose is packets.Purpose.LOOKUP:
-        balancer = _balancer_address(engine, packet)
+        balancer = sidecar_state.balancer_address(engine, packet.balancer)
         query = sidecar_state.PendingQuery(
             balancer, now + PACKET_RETURN_TIMEOUT_SECONDS
         )
@@ -339,14 +336,8 @@
     _reply(engine, packet, message)
 
 
-def _balancer_address(
-    engine: sidecar_state.Engine, packet: packets.Packet
-) -> _types.Address:
-    host = socket.inet_ntoa(packet.balancer)
-    return _types.Address(host, engine.identity.message_port)
-
-
 def _reply(
     engine: sidecar_state.Engine, packet: packets.Packet, message: messages.Message
 ) -> None:
-    engine.port.send_message(_balancer_address(engine, packet), message)
+    balancer = sidecar_state.balancer_address(engine, packet.balancer)
+    engine.port.send_message(balancer, message)
--- a/plantainproxy/flows/engine/sidecar_reports.py
+++ b/plantainproxy/flows/engine/sidecar_reports.py
@@ -131,8 +131,7 @@
     """
     report = _report(engine, now=now)
     balancers = (
-        _types.Address(socket.inet_ntoa(host), engine.identity.message_port)
-        for host in engine.balancers_seen
+        sidecar_state.balancer_address(engine, host) for host in engine.balancers_seen
     )
     for process in {*engine.subscribers, *balancers}:
         engine.port.send_message(process, report)
--- a/plantainproxy/flows/engine/sidecar_state.py
+++ b/plantainproxy/flows/engine/sidecar_state.py
@@ -1,5 +1,6 @@
 """State of a sidecar's engine, changed by the functions of the other modules."""
 
+import socket
 import typing
 
 import msgspec
@@ -115,6 +116,11 @@
         self.stopping = False
 
 
+def balancer_address(engine: Engine, packed_host: bytes) -> _types.Address:
+    """Return the address for messages of the balancer on a host."""
+    return _types.Address(socket.inet_ntoa(packed_host), engine.identity.message_port)
+
+
 def slots(engine: Engine) -> int:
     """Return the number of requests that the upstream runs concurrently."""
     newest = engine.upstream.newest
--- a/plantainproxy/flows/stored/registry.py
+++ b/plantainproxy/flows/stored/registry.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import random
+import typing
 
 import msgspec
 import xxhash
@@ -36,12 +37,15 @@
 the lease expires."""
 
 
+Port = typing.Annotated[int, msgspec.Meta(ge=0, le=0xFFFF)]
+
+
 class Entry(msgspec.Struct, frozen=True, array_like=True):
     """Addresses on which one sidecar listens."""
 
     host: str
-    message_port: int
-    data_port: int
+    message_port: Port
+    data_port: Port
     domain: str = ""
     """Failure domain of the sidecar."""
 
@@ -138,11 +142,11 @@
         try:
             entry = msgspec.msgpack.decode(value, type=Entry)
             address = _types.Address.parse(f"{entry.host}:{entry.message_port}")
-            data_address = _types.Address.parse(f"{entry.host}:{entry.data_port}")
         except (*_decoding.ERRORS, ValueError):
             continue
         listed[address] = upstreams.ListedSidecar(
-            data_address=data_address, domain=entry.domain
+            data_address=_types.Address(entry.host, entry.data_port),
+            domain=entry.domain,
         )
     return listed
 
