Logs of packets that sidecars deliver without a table entry

Callers saw packets of open flows at other upstreams, but neither logs nor metrics related the deliveries of several sidecars to one flow or showed what the upstreams did with them.

A sidecar now logs each delivery of a packet whose flow its table does not show, with flow, balancer and purpose, and its outcome: answered, returned (and whether a balancer had been sent the opposite before), reported as held because of silence, or neither. A balancer logs and counts the queries of each step of a lookup and those of them that have the payload. No decision changes. The record is bounded and costs nothing while the table is complete.

Shown by three new tests of the sidecar's engine and two assertions in the balancer's; plantainproxy/flows/tests (all), tests/test_flow_site.py and tests/test_flow_runbook.py pass.

--- a/plantainproxy/flows/engine/balancer_state.py
+++ b/plantainproxy/flows/engine/balancer_state.py
@@ -101,6 +101,21 @@
     for address, purpose in query.purposes.items():
         target = engine.view.upstreams[address].data_address
         engine.port.forward(query.packet, target, purpose)
+    flow_lookup = engine.lookups.get(query.packet.flow)
+    if not query.purposes or flow_lookup is None:
+        return
+    payload_count = list(query.purposes.values()).count(packets.Purpose.LOOKUP)
+    engine.log.count("lookup.queries", len(query.purposes))
+    engine.log.count("lookup.payloads", payload_count)
+    engine.log.write_limited(
+        "flow queried",
+        flow=query.packet.flow,
+        queries=len(query.purposes),
+        payloads=payload_count,
+        wave=flow_lookup.wave,
+        attempt=flow_lookup.attempts,
+        denied=len(flow_lookup.denied),
+    )
 
 
 def refuse_unrouted(engine: Engine, packet: packets.Packet) -> None:
--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -12,6 +12,7 @@
     request_queue,
     sidecar_reports,
     sidecar_state,
+    unlisted_flows,
     upstream,
     upstream_events,
     upstream_speed,
@@ -86,8 +87,11 @@
         return
     engine.port.deliver(packet)
     engine.log.count("delivered.unknown")
+    balancer = sidecar_state.balancer_address(engine, packet.balancer)
+    unlisted_flows.record_delivery(
+        engine.unlisted_flows, packet, engine.log, balancer=balancer.host, now=now
+    )
     if packet.purpose is packets.Purpose.LOOKUP:
-        balancer = sidecar_state.balancer_address(engine, packet.balancer)
         query = sidecar_state.PendingQuery(
             balancer, now + PACKET_RETURN_TIMEOUT_SECONDS
         )
@@ -128,6 +132,10 @@
     if packet.returned:
         _handle_returned(engine, packet, now=now)
         return None
+    if engine.unlisted_flows and not packet.accepting:
+        unlisted_flows.record_answer(
+            engine.unlisted_flows, packet.flow, engine.log, now=now
+        )
     waited = flow_table.record_outbound(engine.table, packet, now=now)
     engine.port.forward_to_caller(packet)
     if packet.closing or packet.aborting:
@@ -157,6 +165,13 @@
         if now >= query.deadline:
             del engine.pending_queries[flow]
             engine.port.send_message(query.balancer, messages.FlowHeld(flow=flow))
+            unlisted_flows.record_reported_held(
+                engine.unlisted_flows,
+                flow,
+                engine.log,
+                balancer=query.balancer.host,
+                now=now,
+            )
     if engine.drain_deadline is not None and now >= engine.drain_deadline:
         upstream_events.handle_upstream_exit(engine, reason="left", now=now)
     not_listening_since = engine.not_listening_since
@@ -181,6 +196,7 @@
             engine.table, now=now, idle_seconds=current.idle_seconds
         )
         held_requests.discard_evicted(engine, now=now)
+    unlisted_flows.evict_expired(engine.unlisted_flows, engine.log, now=now)
     for balancer, seen_at in list(engine.balancers_seen.items()):
         if now - seen_at >= sidecar_reports.SUBSCRIPTION_TIMEOUT_SECONDS:
             del engine.balancers_seen[balancer]
@@ -304,6 +320,9 @@
     engine: sidecar_state.Engine, packet: packets.Packet, *, now: float
 ) -> None:
     """Notify the balancer of a packet that the upstream returned."""
+    unlisted_flows.record_return(
+        engine.unlisted_flows, packet.flow, engine.log, now=now
+    )
     # The upstream returns what is held for the flow, too.
     reason = request_queue.Reason.FLOW_ENDED
     held_requests.release_flow(engine, packet.flow, reason, now=now)
--- a/plantainproxy/flows/engine/sidecar_state.py
+++ b/plantainproxy/flows/engine/sidecar_state.py
@@ -12,6 +12,7 @@
     flow_table,
     outlier_detection,
     request_queue,
+    unlisted_flows,
     upstream,
     upstream_speed,
 )
@@ -99,6 +100,8 @@
         self.drain_deadline: float | None = None
         """When a draining upstream that no longer listens counts as ended."""
         self.pending_queries: dict[bytes, PendingQuery] = {}
+        self.unlisted_flows: dict[bytes, unlisted_flows.Delivery] = {}
+        """Deliveries of flows that the table does not show, by flow."""
         self.subscribers: dict[_types.Address, Subscriber] = {}
         self.balancers_seen: dict[bytes, float] = {}
         """Packed addresses of the balancers of all domains that asked for reports or
--- a/plantainproxy/flows/tests/test_balancer.py
+++ b/plantainproxy/flows/tests/test_balancer.py
@@ -86,6 +86,8 @@
     harness = transparent.ready_balancer()
     harness.handle_packet(DATA)
     assert len(harness.port.hosts(packets.Purpose.LOOKUP)) == 3
+    assert harness.engine.log.counters["lookup.queries"] == 3
+    assert harness.engine.log.counters["lookup.payloads"] == 3
     second = DATA._replace(sequence=101)
     harness.handle_packet(second)
     harness.handle_message(2, messages.FlowHeld(flow=KEY))
--- a/plantainproxy/flows/tests/test_sidecar.py
+++ b/plantainproxy/flows/tests/test_sidecar.py
@@ -1,11 +1,14 @@
 """Tests of the sidecar's engine: admission, flow tracking, resets and reports."""
 
+import logging
+import typing
+
 import msgspec
 import pytest
 
 from plantainproxy import _types
 from plantainproxy.flows import messages, packets, policy
-from plantainproxy.flows.engine import sidecar, upstream_events
+from plantainproxy.flows.engine import sidecar, unlisted_flows, upstream_events
 from plantainproxy.flows.stored import flow_record, flow_snapshot
 from testbed import transparent
 
@@ -411,3 +414,63 @@
         "request given up by caller",
         "request cut by upstream",
     ]
+
+
+def test_a_late_return_of_an_unlisted_packet_is_logged_with_the_earlier_answer(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Silence that was taken for an answer is seen in the log when it was wrong."""
+    caplog.set_level(logging.INFO)
+    harness = transparent.ready_sidecar()
+    harness.engine.table.complete = False
+    harness.handle_inbound(DATA._replace(purpose=packets.Purpose.LOOKUP))
+    harness.tick(sidecar.PACKET_RETURN_TIMEOUT_SECONDS)
+    harness.now += 0.1
+    harness.handle_outbound(DATA._replace(returned=True))
+    lines = _unlisted_lines(caplog)
+    assert [event for event, _ in lines] == ["delivered", "reported held", "returned"]
+    assert lines[0][1]["balancer"] == "10.0.0.1"
+    assert lines[0][1]["purpose"] == "lookup"
+    assert lines[2][1]["waited"] == 0.13
+    assert lines[2][1]["reported_held"] is True
+    assert not harness.engine.unlisted_flows
+
+
+def test_an_answer_to_an_unlisted_packet_is_logged(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """The upstream's own packet shows that it holds the flow, silence does not."""
+    caplog.set_level(logging.INFO)
+    harness = transparent.ready_sidecar()
+    harness.engine.table.complete = False
+    harness.handle_inbound(DATA._replace(purpose=packets.Purpose.LOOKUP))
+    harness.handle_outbound(transparent.make_packet(KEY, size=100))
+    harness.tick(sidecar.PACKET_RETURN_TIMEOUT_SECONDS)
+    assert [event for event, _ in _unlisted_lines(caplog)] == ["delivered", "answered"]
+
+
+def test_an_unlisted_packet_without_an_answer_is_evicted(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """The record stays bounded when the upstream neither answers nor returns."""
+    caplog.set_level(logging.INFO)
+    harness = transparent.ready_sidecar()
+    harness.engine.table.complete = False
+    harness.handle_inbound(DATA)
+    harness.now += unlisted_flows.RETENTION_SECONDS
+    sidecar.evict_expired(harness.engine, now=harness.now)
+    assert [event for event, _ in _unlisted_lines(caplog)] == [
+        "delivered",
+        "unanswered",
+    ]
+    assert not harness.engine.unlisted_flows
+
+
+def _unlisted_lines(
+    caplog: pytest.LogCaptureFixture,
+) -> list[tuple[str, dict[str, typing.Any]]]:
+    return [
+        (record.message.removeprefix("unlisted flow "), record.__dict__["fields"])
+        for record in caplog.records
+        if record.message.startswith("unlisted flow ")
+    ]
