Messages: hosts are addresses and numbers have bounds once a message is decoded

Callers saw: a balancer or a sidecar ended at one well-formed datagram at its port between processes, and with it the flows it served, until it was started again.

Cause: a host in a message was any text and a number any integer. A relayed report of a host that is no IPv4 address ended a balancer when a ring was built or a relay was ranked (Address.pack: OSError); a relay request with a host that contains NUL ended a sidecar at sendto (TypeError). Names that are no address were also looked up by the resolver, which blocks the loop.

The wire form is unchanged. What does not fit is refused as one input, counted as refused.KIND.REASON and logged as 'input refused'. The digest of a policy is computed before the policy is set, so that an error leaves the previous one. registry.decode and the exchange use the decoded address without a second parse.

The sidecar counts a message that is not for sidecars as dropped.invalid_message, as the balancer does; it counted it as malformed. The value FlowHeld(b'flow') of a test of nested fields is a flow key of 12 bytes now, since a shorter one is refused by its length.

--- a/plantainproxy/flows/event_log.py
+++ b/plantainproxy/flows/event_log.py
@@ -6,6 +6,7 @@
 import time
 import typing
 
+from plantainproxy import _decoding
 from plantainproxy.flows import policy
 from plantainproxy.telemetry import exposition
 
@@ -66,6 +67,14 @@
             domains_out=sorted(current.domains_out),
         )
 
+    def write_refused(self, kind: str, error: Exception, **fields: typing.Any) -> None:
+        """Count an input that was refused by its kind and reason, and log it."""
+        reason = _decoding.reason(error)
+        self.count(f"refused.{kind.replace(' ', '_')}.{reason}")
+        self.write_limited(
+            "input refused", kind=kind, reason=reason, detail=str(error), **fields
+        )
+
     def write_limited(self, event: str, **fields: typing.Any) -> None:
         """Write one line unless the event exceeds ``MAX_LINES_PER_SECOND``."""
         now = self.clock()
--- a/plantainproxy/flows/messages.py
+++ b/plantainproxy/flows/messages.py
@@ -5,6 +5,7 @@
 is sent over TCP as one message that ends when the connection is closed.
 """
 
+from collections import abc
 import enum
 import typing
 
@@ -49,37 +50,50 @@
 
 
 MILLISECONDS_PER_SECOND = 1_000
+MAX_AGE_MILLISECONDS = 86_400_000
+"""Highest age of a relayed report: a day. Relays drop reports after seconds."""
+
+Hosts = typing.Annotated[
+    tuple[_decoding.Host, ...],
+    msgspec.Meta(max_length=_decoding.MAX_DATAGRAM_ELEMENTS),
+]
+Data = typing.Annotated[bytes, msgspec.Meta(max_length=_decoding.MAX_DATAGRAM_BYTES)]
+AgeMilliseconds = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_AGE_MILLISECONDS)]
+ServiceTimes = typing.Annotated[
+    dict[_decoding.Service, _decoding.Amount],
+    msgspec.Meta(max_length=_decoding.MAX_DATAGRAM_ELEMENTS),
+]
 
 
 class ReportRequest(msgspec.Struct, frozen=True, array_like=True, tag="hello"):
     """Request of a balancer for reports from a sidecar."""
 
-    revision: int
+    revision: _decoding.Count
     """Number of the store revision of the sender's active policy."""
-    domain: str
+    domain: _decoding.Name
     """The sender's failure domain."""
-    sidecars: int
+    sidecars: _decoding.Load
     """Number of sidecars in the sender's list."""
-    digest: int = policy.NO_POLICY_DIGEST
+    digest: _decoding.Count = policy.NO_POLICY_DIGEST
     """Digest of the sender's active policy."""
     subscribes: bool = True
     """Whether the sender wants reports until the request expires, and not just one."""
-    relays: tuple[str, ...] = ()
+    relays: Hosts = ()
     """Hosts of the relays of the sender's domain, which need the reports, too; empty in
     requests to sidecars of other domains."""
     order: policy.Order = policy.NO_ORDER
     """Order of the sender's active policy. Processes of earlier releases do not send
     it, and compare ``revision``."""
-    era: int = 0
+    era: _decoding.Count = 0
     """Latest era of the store's content that the sender has seen."""
 
 
 class RelayRequest(msgspec.Struct, frozen=True, array_like=True, tag="relay"):
     """Request of a balancer to a relay of its domain for reports of other domains."""
 
-    domain: str
+    domain: _decoding.Name
     """The sender's failure domain."""
-    peers: tuple[str, ...]
+    peers: Hosts
     """Hosts of the relays in other domains from which reports are needed."""
     is_urgent: bool = False
     """Whether callers wait for room at the sender."""
@@ -88,7 +102,7 @@
 class GatherRequest(msgspec.Struct, frozen=True, array_like=True, tag="gather"):
     """Request of a relay to a relay of another domain for that domain's reports."""
 
-    domain: str
+    domain: _decoding.Name
     """The sender's failure domain."""
     is_urgent: bool = False
     """Whether callers wait for room in the sender's domain."""
@@ -97,39 +111,39 @@
 class Report(msgspec.Struct, frozen=True, array_like=True, tag="report"):
     """State and load of an upstream, sent by its sidecar."""
 
-    boot: int
+    boot: _decoding.Count
     """Start of the sidecar process in milliseconds since the epoch, on its clock."""
-    number: int
+    number: _decoding.Count
     """Sequence number that rises with each report of one process."""
-    revision: int
+    revision: _decoding.Count
     """Number of the store revision of the sidecar's active policy."""
-    pool: str
-    domain: str
+    pool: _decoding.Name
+    domain: _decoding.Name
     state: UpstreamState
-    data_port: int
+    data_port: _decoding.Port
     """UDP port of the sidecar for packets of flows."""
-    running: int
+    running: _decoding.Load
     """Requests whose response is outstanding."""
-    flows: int
+    flows: _decoding.Load
     """Flows that the upstream holds."""
-    slots: int
+    slots: _decoding.Load
     """Requests that the upstream can run concurrently."""
-    room: int
+    room: _decoding.Load
     """New flows that each balancer may open before the next report."""
     cold: bool
     complete: bool
     """Whether the sidecar's flow table lists every flow of its upstream."""
     stopping: bool = False
     """Whether the sidecar process is shutting down."""
-    digest: int = policy.NO_POLICY_DIGEST
+    digest: _decoding.Count = policy.NO_POLICY_DIGEST
     """Digest of the sidecar's active policy."""
     suspect: bool = False
     """Whether the upstream is ready but ejected as an outlier after failures."""
     order: policy.Order = policy.NO_ORDER
     """Order of the sidecar's active policy, as in ``ReportRequest``."""
-    era: int = 0
+    era: _decoding.Count = 0
     """Latest era of the store's content that the sidecar has seen."""
-    service_times: dict[bytes, float] = msgspec.field(default_factory=dict)
+    service_times: ServiceTimes = msgspec.field(default_factory=dict)
     """Median service time in milliseconds by service address; a route without enough
     samples is absent."""
 
@@ -137,11 +151,11 @@
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="l"):
     """Load of an upstream whose status is that of its last complete report."""
 
-    boot: int
-    number: int
-    running: int
-    flows: int
-    room: int
+    boot: _decoding.Count
+    number: _decoding.Count
+    running: _decoding.Load
+    flows: _decoding.Load
+    room: _decoding.Load
 
 
 class RelayedReport(msgspec.Struct, frozen=True, array_like=True):
@@ -149,55 +163,62 @@
 
     host: str
     """Host of the sidecar; its message port is that of the sender."""
-    age_ms: int
+    age_ms: AgeMilliseconds
     """Time since a relay received the report from the sidecar."""
     report: Report | LoadReport
 
+    def __post_init__(self) -> None:
+        """Check the host; the pattern of ``Host`` would take five times as long."""
+        _decoding.check_host(self.host)
+
 
 class ReportBatch(msgspec.Struct, frozen=True, array_like=True, tag="batch"):
     """Reports of several sidecars of one failure domain."""
 
-    reports: tuple[RelayedReport, ...]
+    reports: typing.Annotated[
+        tuple[RelayedReport, ...],
+        msgspec.Meta(max_length=_decoding.MAX_DATAGRAM_ELEMENTS),
+    ]
 
 
 class Notice(msgspec.Struct, frozen=True, array_like=True, tag="notice"):
     """Statement of a relay about the store's documents, to processes of its domain."""
 
-    revision: int
+    revision: _decoding.Count
     """Number of the store revision of the sender's active policy."""
-    digest: int
-    list_revision: int
+    digest: _decoding.Count
+    list_revision: _decoding.Count
     """Number of the store revision of the sender's list of sidecars."""
-    list_digest: int
+    list_digest: _decoding.Count
     is_current: bool
     """Whether the sender watches both documents in the store successfully."""
     order: policy.Order = policy.NO_ORDER
     """Order of the sender's active policy, as in ``ReportRequest``."""
     list_order: revisioned.Revision = revisioned.NO_REVISION
     """Revision of the sender's list of sidecars, likewise."""
-    era: int = 0
+    era: _decoding.Count = 0
     """Latest era of the store's content that the sender has seen."""
 
 
 class FlowRecord(msgspec.Struct, frozen=True, array_like=True, tag="record"):
     """Snapshot of a sidecar's flows, for a relay to write to the store."""
 
-    number: int
+    number: _decoding.Count
     """Sequence number that rises with each record of one process."""
-    era: int
+    era: _decoding.Count
     """Era of the store in which the lease and the revision are valid."""
-    lease: int
-    revision: int
+    lease: _decoding.Count
+    revision: _decoding.Count
     """Number of the revision of the stored snapshot; 0 for none."""
-    snapshot: bytes
+    snapshot: Data
 
 
 class FlowRecordResult(msgspec.Struct, frozen=True, array_like=True, tag="recorded"):
     """Answer of a relay to a ``FlowRecord``."""
 
-    number: int
+    number: _decoding.Count
     """Number of the record."""
-    revision: int
+    revision: _decoding.Count
     """Number of the revision of the stored snapshot."""
     is_saved: bool
     """Whether that snapshot is the record's; otherwise the record's revision was
@@ -207,24 +228,24 @@
 class FlowHeld(msgspec.Struct, frozen=True, array_like=True, tag="held"):
     """Lookup answer: the upstream of the sending sidecar holds the flow."""
 
-    flow: bytes
+    flow: _decoding.FlowKey
 
 
 class FlowNotHeld(msgspec.Struct, frozen=True, array_like=True, tag="not-held"):
     """Lookup answer: the upstream of the sending sidecar does not hold the flow."""
 
-    flow: bytes
+    flow: _decoding.FlowKey
 
 
 class ReturnedPacket(msgspec.Struct, frozen=True, array_like=True, tag="returned"):
     """A packet that the sidecar could not deliver, sent back to the balancer."""
 
     reason: Refusal
-    revision: int
+    revision: _decoding.Count
     """Number of the store revision of the sidecar's active policy."""
-    data: bytes
+    data: Data
     """The complete packet, including its headers."""
-    retry_after: float = 0.0
+    retry_after: _decoding.Amount = 0.0
     """Seconds until the upstream may accept a new flow; 0 if unknown."""
 
 
@@ -271,17 +292,27 @@
     return len(_encoder.encode(relayed))
 
 
-def decode(data: bytes) -> Message | None:
-    """Decode one datagram; return ``None`` if it is not a valid message."""
+def decode(
+    data: bytes, on_refused: abc.Callable[[Exception], None] = _decoding.ignore
+) -> Message | None:
+    """Decode one datagram; return ``None`` if it is not a valid message.
+
+    ``on_refused`` gets the reason. Each value of a message is within the bounds of its
+    type, so that it can be used without a further check.
+    """
     try:
         return _decoder.decode(data)
-    except _decoding.ERRORS:
+    except _decoding.ERRORS as error:
+        on_refused(error)
         return None
 
 
-def decode_policy(data: bytes) -> policy.Policy | None:
-    """Decode a policy; return ``None`` if the bytes are not a valid one."""
+def decode_policy(
+    data: bytes, on_refused: abc.Callable[[Exception], None] = _decoding.ignore
+) -> policy.Policy | None:
+    """Decode a policy, like ``decode``."""
     try:
         return _policy_decoder.decode(data)
-    except _decoding.ERRORS:
+    except _decoding.ERRORS as error:
+        on_refused(error)
         return None
--- a/plantainproxy/flows/policy.py
+++ b/plantainproxy/flows/policy.py
@@ -7,6 +7,7 @@
 import msgspec
 import xxhash
 
+from plantainproxy import _decoding
 from plantainproxy.store import revisioned
 
 EVACUATION_HOLD_SECONDS = 5.0
@@ -28,22 +29,24 @@
 class Share(msgspec.Struct, frozen=True, kw_only=True):
     """Share of a route's new flows that is sent to one pool."""
 
-    pool: str
-    weight: float
-    """Relative to the other shares of the route; at least 0."""
+    pool: _decoding.Name
+    weight: _decoding.Number
+    """Relative to the other shares of the route; without flows if not positive."""
 
 
 class Route(msgspec.Struct, frozen=True, kw_only=True):
     """Destination pools and request properties of one service address."""
 
-    name: str
-    service: bytes
+    name: _decoding.Name
+    service: _decoding.Service
     """The packed service address that callers use."""
     kind: RouteKind
-    shares: tuple[Share, ...]
-    priority: int = 0
+    shares: typing.Annotated[
+        tuple[Share, ...], msgspec.Meta(max_length=_decoding.MAX_ELEMENTS)
+    ]
+    priority: _decoding.Integer = 0
     """Order in which flows are served under overload; 0 is the highest priority."""
-    objective_seconds: float = 1.0
+    objective_seconds: _decoding.Number = 1.0
     """Target response time for callers."""
 
     @property
@@ -60,11 +63,11 @@
 class PoolLimits(msgspec.Struct, frozen=True, kw_only=True):
     """Slow-start limits and health check of the upstreams of one pool."""
 
-    cold_seconds: float = 0.0
+    cold_seconds: _decoding.Number = 0.0
     """How long an upstream stays cold after it starts under traffic."""
-    cold_flows_per_second: float | None = None
+    cold_flows_per_second: _decoding.Number | None = None
     """New flows per second that a cold upstream can handle; ``None`` if not set."""
-    health_path: str = ""
+    health_path: _decoding.HttpPath = ""
     """HTTP path of the health check."""
 
 
@@ -75,7 +78,7 @@
     copy of the store that is older than the higher version.
     """
 
-    version: int = 0
+    version: _decoding.Integer = 0
     revision: revisioned.Revision = revisioned.NO_REVISION
 
 
@@ -86,18 +89,26 @@
 class Policy(msgspec.Struct, frozen=True, kw_only=True):
     """One revision of the complete policy."""
 
-    revision: int
+    revision: _decoding.Count
     """Number of the store's revision at which the policy was read."""
-    version: int = 0
+    version: _decoding.Integer = 0
     """Version number that operators assigned to the configuration."""
-    routes: abc.Mapping[bytes, Route] = msgspec.field(default_factory=dict)
+    routes: typing.Annotated[
+        abc.Mapping[_decoding.Service, Route],
+        msgspec.Meta(max_length=_decoding.MAX_ELEMENTS),
+    ] = msgspec.field(default_factory=dict)
     """Routes by packed service address."""
-    pools: abc.Mapping[str, PoolLimits] = msgspec.field(default_factory=dict)
-    idle_seconds: float = 60.0
+    pools: typing.Annotated[
+        abc.Mapping[_decoding.Name, PoolLimits],
+        msgspec.Meta(max_length=_decoding.MAX_ELEMENTS),
+    ] = msgspec.field(default_factory=dict)
+    idle_seconds: _decoding.Number = 60.0
     """Idle time after which a flow may be evicted."""
-    domains_out: frozenset[str] = frozenset()
+    domains_out: typing.Annotated[
+        frozenset[_decoding.Name], msgspec.Meta(max_length=_decoding.MAX_ELEMENTS)
+    ] = frozenset()
     """Failure domains whose upstreams receive no new flows."""
-    era: int = 0
+    era: _decoding.Count = 0
     """Era of the store's revision at which the policy was read."""
 
     @property
@@ -178,9 +189,10 @@
         merged = merge(previous, offered) if previous else offered
         if previous and merged.order <= previous.order:
             return False
+        merged_digest = digest(merged)
         self._update_held_domains(merged)
         self._set_stored(merged)
-        self.digest = digest(merged)
+        self.digest = merged_digest
         for service, route in merged.routes.items():
             earlier_pools = self.pools_seen.get(service, frozenset())
             self.pools_seen[service] = earlier_pools | route.pools
--- a/plantainproxy/flows/programs/balancer_main.py
+++ b/plantainproxy/flows/programs/balancer_main.py
@@ -138,7 +138,10 @@
 
 def _apply_entries(process: BalancerProcess, *, is_restored: bool = False) -> None:
     sidecars = process.documents.sidecars
-    listed = registry.decode(sidecars.entries)
+    listed = registry.decode(
+        sidecars.entries,
+        functools.partial(process.log.write_refused, "sidecar entry"),
+    )
     balancer.apply_registrations(
         process.engine, listed, now=runtime.current_time(), is_restored=is_restored
     )
@@ -201,9 +204,11 @@
 def _handle_message(
     process: BalancerProcess, data: bytes, sender: _types.Address
 ) -> None:
-    message = messages.decode(data)
+    message = messages.decode(
+        data,
+        lambda error: process.log.write_refused("message", error, sender=str(sender)),
+    )
     if message is None:
-        process.log.count("dropped.malformed_message")
         return
     now = runtime.current_time()
     policy_exchange = process.documents.policy_exchange
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -213,7 +213,12 @@
 def _handle_message(
     process: SidecarProcess, data: bytes, sender: _types.Address
 ) -> None:
-    message = messages.decode(data)
+    message = messages.decode(
+        data,
+        lambda error: process.log.write_refused("message", error, sender=str(sender)),
+    )
+    if message is None:
+        return
     now = runtime.current_time()
     match message:
         case messages.ReportRequest():
@@ -245,7 +250,7 @@
         case messages.FlowRecordResult():
             flow_snapshot.handle_result(process.snapshot_writer, message)
         case _:
-            process.log.count("dropped.malformed_message")
+            process.log.count("dropped.invalid_message")
 
 
 def _apply_list(process: SidecarProcess, offered: registry.SidecarList) -> bool:
--- a/plantainproxy/flows/stored/flow_record.py
+++ b/plantainproxy/flows/stored/flow_record.py
@@ -8,23 +8,23 @@
 
 import msgspec
 
+from plantainproxy import _decoding
+
 PREFIX = "plantainproxy/flows/"
-FLOW_KEY_BYTES = 12
-"""Packed service address and caller address."""
 
-FlowKey = typing.Annotated[
-    bytes, msgspec.Meta(min_length=FLOW_KEY_BYTES, max_length=FLOW_KEY_BYTES)
-]
 SequenceNumber = typing.Annotated[int, msgspec.Meta(ge=0, le=2**32 - 1)]
 
 
 class FlowSnapshot(msgspec.Struct, frozen=True, array_like=True):
     """The open flows of one incarnation of an upstream."""
 
-    born: int
+    born: _decoding.Count
     """Start of the incarnation in milliseconds since the epoch, on the upstream's
     clock."""
-    flows: dict[FlowKey, SequenceNumber]
+    flows: typing.Annotated[
+        dict[_decoding.FlowKey, SequenceNumber],
+        msgspec.Meta(max_length=_decoding.MAX_ELEMENTS),
+    ]
     """The caller's newest acknowledgement, by flow key."""
 
 
--- a/plantainproxy/flows/stored/registry.py
+++ b/plantainproxy/flows/stored/registry.py
@@ -37,25 +37,24 @@
 the lease expires."""
 
 
-Port = typing.Annotated[int, msgspec.Meta(ge=0, le=0xFFFF)]
-
-
 class Entry(msgspec.Struct, frozen=True, array_like=True):
     """Addresses on which one sidecar listens."""
 
-    host: str
-    message_port: Port
-    data_port: Port
-    domain: str = ""
+    host: _decoding.Host
+    message_port: _decoding.Port
+    data_port: _decoding.Port
+    domain: _decoding.Name = ""
     """Failure domain of the sidecar."""
 
 
 class SidecarList(msgspec.Struct, frozen=True, array_like=True):
     """All entries at one revision of the store."""
 
-    revision: int
-    entries: dict[str, bytes]
-    era: int = 0
+    revision: _decoding.Count
+    entries: typing.Annotated[
+        dict[_decoding.Text, bytes], msgspec.Meta(max_length=_decoding.MAX_ELEMENTS)
+    ]
+    era: _decoding.Count = 0
 
     @property
     def order(self) -> revisioned.Revision:
@@ -121,29 +120,33 @@
         return True
 
 
-def decode_list(data: bytes) -> SidecarList | None:
+def decode_list(
+    data: bytes, on_refused: abc.Callable[[Exception], None] = _decoding.ignore
+) -> SidecarList | None:
     """Decode a list that another process sent; ``None`` if it is not valid."""
     try:
         return msgspec.msgpack.decode(data, type=SidecarList)
-    except _decoding.ERRORS:
+    except _decoding.ERRORS as error:
+        on_refused(error)
         return None
 
 
 def decode(
     entries: abc.Mapping[str, bytes],
+    on_refused: abc.Callable[[Exception], None] = _decoding.ignore,
 ) -> dict[_types.Address, upstreams.ListedSidecar]:
     """Return the sidecars by message address.
 
-    Skips entries of another writer: those that do not decode or whose addresses cannot
-    be used.
+    Skips entries of another writer, which do not decode.
     """
     listed = {}
     for value in entries.values():
         try:
             entry = msgspec.msgpack.decode(value, type=Entry)
-            address = _types.Address.parse(f"{entry.host}:{entry.message_port}")
-        except (*_decoding.ERRORS, ValueError):
+        except _decoding.ERRORS as error:
+            on_refused(error)
             continue
+        address = _types.Address(entry.host, entry.message_port)
         listed[address] = upstreams.ListedSidecar(
             data_address=_types.Address(entry.host, entry.data_port),
             domain=entry.domain,
--- a/plantainproxy/platform/tests/test_metadata_store.py
+++ b/plantainproxy/platform/tests/test_metadata_store.py
@@ -652,7 +652,7 @@
     [
         (registry.Entry("10.0.0.1", 1, 2), lambda data: registry.decode({"x": data})),
         (registry.SidecarList(1, {}), registry.decode_list),
-        (messages.FlowHeld(b"flow"), messages.decode),
+        (messages.FlowHeld(bytes(12)), messages.decode),
         (policy.Policy(revision=1), messages.decode_policy),
     ],
 )
--- a/plantainproxy/store/revisioned.py
+++ b/plantainproxy/store/revisioned.py
@@ -9,15 +9,16 @@
 
 import msgspec
 
+from plantainproxy import _decoding
 from plantainproxy.store import port
 
 
 class Revision(typing.NamedTuple):
     """A state of the store's content, ordered by era first."""
 
-    era: int = 0
+    era: _decoding.Count = 0
     """Number of the store's restorations from an older copy before this state."""
-    number: int = 0
+    number: _decoding.Count = 0
     """Number of the state, which the store may assign once in each era."""
 
 
