Store, heartbeats and settings: bounds of all values, and nesting is one refused input

Callers saw: none yet; each of these would have ended processes or filled their memory.

Cause: a nested unknown field of a response of the store raised RecursionError, an era of 5,000 digits ValueError; revisions below 0 and above 63 bits passed and would have been encoded into messages; a store that repeats a page was read without end; at a reload, a nested settings file raised RecursionError and hosts, ports and times were used as they are.

Change: responses, heartbeats and settings have the types of plantainproxy/_decoding.py. A response that does not fit is one failed call, counted by its reason, and so is a value that is not base64. A client counts all received bytes of a response, not only its body.

The callback of refused heartbeats has the error as a second argument, also in its tests.

--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -6,7 +6,7 @@
 import socket
 import time
 
-from plantainproxy import _http_server, _lifecycle, _types
+from plantainproxy import _decoding, _http_server, _lifecycle, _types
 from plantainproxy.eventloop import runtime
 from plantainproxy.flows import event_log, messages, packets, policy, settings
 from plantainproxy.flows.control import coverage, documents, relay
@@ -299,9 +299,13 @@
             process.engine, instance, now=runtime.current_time()
         )
 
-    def handle_malformed(instance: str) -> None:
+    def handle_malformed(instance: str, error: Exception) -> None:
+        process.log.count(f"refused.heartbeat.{_decoding.reason(error)}")
         process.log.write_limited(
-            "heartbeat refused", instance=instance, reason="malformed"
+            "heartbeat refused",
+            instance=instance,
+            reason="malformed",
+            detail=str(error),
         )
 
     node_settings = process.settings
--- a/plantainproxy/platform/metadata_store.py
+++ b/plantainproxy/platform/metadata_store.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _decoding, _exceptions, _types
 from plantainproxy.eventloop import runtime
 from plantainproxy.store import http, port, revisioned
 
@@ -32,38 +32,44 @@
 ERA_HEADER = "store-era"
 """Header of the store's responses with the era of its content; 0 without it."""
 
+MAX_ERA_DIGITS = 18
+"""Digits of an era that fits a signed integer of 64 bits."""
+
 _FINAL_STATUSES = frozenset((200, 404, 410, 412))
 
 
 class _Item(msgspec.Struct):
-    key: str
+    key: _decoding.Text
     value: str = ""
-    rev: int = 0
+    rev: _decoding.Count = 0
     removed: bool = False
 
 
+_Items = typing.Annotated[list[_Item], msgspec.Meta(max_length=_decoding.MAX_ELEMENTS)]
+
+
 class _Range(msgspec.Struct):
-    items: list[_Item]
+    items: _Items
     has_more: bool
     # Revision of the store; each item also has a separate revision.
-    store_revision: int
+    store_revision: _decoding.Count
 
 
 class _Events(msgspec.Struct):
-    events: list[_Item]
-    store_revision: int
+    events: _Items
+    store_revision: _decoding.Count
 
 
 class _WriteResult(msgspec.Struct):
-    rev: int
+    rev: _decoding.Count
 
 
 class _Expected(msgspec.Struct):
-    items: list[_Item] = []
+    items: _Items = []
 
 
 class _Lease(msgspec.Struct):
-    lease: int
+    lease: _decoding.Count
 
 
 class MetadataStore:
@@ -139,17 +145,22 @@
             position = {"after": last_key} if last_key else {}
             query = {"prefix": prefix} | options | position
             reply = await self._call("read", "GET", "/v1/kv-range", query)
-            page = _decode_body(reply, _Range)
-            era = _decode_era(reply)
+            page = self._decode_body(reply, _Range)
+            era = self._decode_era(reply)
             if revision is None:
                 # The store may change between two pages. The first page has the oldest
                 # revision, so a watch that starts there misses no change.
                 revision = revisioned.Revision(era, page.store_revision)
             if era != revision.era:
                 return None
-            entries += [_decode_item(item) for item in page.items]
+            entries += [self._decode_item(item) for item in page.items]
             if not page.has_more or not page.items:
                 return revisioned.Snapshot(entries=tuple(entries), revision=revision)
+            if page.items[-1].key == last_key or len(entries) > _decoding.MAX_ELEMENTS:
+                # A store that repeats its pages would never end the read.
+                raise _unavailable(
+                    f"{len(entries)} entries and a page that ends at {last_key!r}"
+                )
             last_key = page.items[-1].key
 
     async def watch_after(
@@ -191,10 +202,10 @@
             )
         if reply.status == 410:
             raise revisioned.HistoryLostError(prefix, revision)
-        received = _decode_body(reply, _Events)
+        received = self._decode_body(reply, _Events)
         changes = tuple(
             port.Change(
-                key=item.key, entry=None if item.removed else _decode_item(item)
+                key=item.key, entry=None if item.removed else self._decode_item(item)
             )
             for item in received.events
         )
@@ -207,7 +218,7 @@
         """Create a lease and return its ID."""
         body = {"ttl_ms": int(ttl_seconds * MILLISECONDS_PER_SECOND)}
         reply = await self._call("grant", "POST", "/v1/kv-lease", body=body)
-        return _decode_body(reply, _Lease).lease
+        return self._decode_body(reply, _Lease).lease
 
     async def renew_lease(self, lease: int) -> bool:
         """Renew a lease; return ``False`` if it no longer exists."""
@@ -244,12 +255,12 @@
         if reply.status == 412:
             return revisioned.Conflict(
                 entries=tuple(
-                    _decode_item(item)
-                    for item in _decode_body(reply, _Expected).items
+                    self._decode_item(item)
+                    for item in self._decode_body(reply, _Expected).items
                     if item.rev and not item.removed
                 )
             )
-        return _decode_body(reply, _WriteResult).rev
+        return self._decode_body(reply, _WriteResult).rev
 
     async def _call(
         self,
@@ -291,7 +302,7 @@
             ) from error
         if reply.status not in _FINAL_STATUSES:
             raise _unavailable(f"{path}: unexpected HTTP status {reply.status}")
-        era = _decode_era(reply)
+        era = self._decode_era(reply)
         if era < self.era:
             # A write of an earlier era may be part of the copy.
             raise _exceptions.PlantainError(
@@ -303,6 +314,31 @@
         self._record_era(era)
         return reply
 
+    def _decode_era(self, reply: http.Response) -> int:
+        text = reply.headers.get(ERA_HEADER, "0")
+        if text.isdecimal() and len(text) <= MAX_ERA_DIGITS:
+            return int(text)
+        self.count("refused.store_response.era")
+        raise _unavailable(f"header {ERA_HEADER} is not an era: {text[:64]!r}")
+
+    def _decode_item(self, item: _Item) -> port.Entry:
+        """Decode an entry; its value is empty if the store's encoding is invalid."""
+        try:
+            value = binascii.a2b_base64(item.value)
+        except ValueError:
+            self.count("refused.store_entry.base64")
+            value = b""
+        return port.Entry(key=item.key, value=value, mod_revision=item.rev)
+
+    def _decode_body(self, reply: http.Response, body_type: type[T]) -> T:
+        try:
+            return msgspec.json.decode(reply.body, type=body_type)
+        except _decoding.ERRORS as error:
+            self.count(f"refused.store_response.{_decoding.reason(error)}")
+            raise _unavailable(
+                f"cannot decode the store's response: {error}"
+            ) from error
+
     def _record_era(self, era: int) -> None:
         previous, self.era = self.era, era
         is_restored = self.has_response and era > previous
@@ -318,25 +354,3 @@
 
 def _unavailable(detail: str) -> _exceptions.PlantainError:
     return _exceptions.PlantainError(_exceptions.ErrorKind.STORE_UNAVAILABLE, detail)
-
-
-def _decode_era(reply: http.Response) -> int:
-    text = reply.headers.get(ERA_HEADER, "0")
-    if not text.isdecimal():
-        raise _unavailable(f"header {ERA_HEADER} is not a number: {text!r}")
-    return int(text)
-
-
-def _decode_item(item: _Item) -> port.Entry:
-    try:
-        value = binascii.a2b_base64(item.value)
-    except ValueError:
-        value = b""
-    return port.Entry(key=item.key, value=value, mod_revision=item.rev)
-
-
-def _decode_body(reply: http.Response, body_type: type[T]) -> T:
-    try:
-        return msgspec.json.decode(reply.body, type=body_type)
-    except msgspec.DecodeError as error:
-        raise _unavailable(f"cannot decode the store's response: {error}") from error
--- a/plantainproxy/platform/settings.py
+++ b/plantainproxy/platform/settings.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _decoding, _exceptions, _types
 from plantainproxy.flows import settings
 
 T = typing.TypeVar("T")
@@ -22,40 +22,40 @@
 
 
 class _Listen(msgspec.Struct):
-    data_addr: str
-    ready: str
+    data_addr: _decoding.Name
+    ready: _decoding.Name
     # HTTP address for heartbeats of the upstream. On other machine classes, upstreams
     # on other machines may call it.
-    control: str = ""
+    control: _decoding.Name = ""
     # UDP address to which the upstream sends its packets.
-    outbound: str = ""
+    outbound: _decoding.Name = ""
 
 
 class _Bounds(msgspec.Struct):
-    grace_s: float = 5.0
+    grace_s: _decoding.Amount = 5.0
     # A cold upstream can handle its cold rate times ``cold_over`` plus ``cold_slack``
     # requests in one second.
-    cold_over: float = 1.0
-    cold_slack: float = 1.0
+    cold_over: _decoding.Amount = 1.0
+    cold_slack: _decoding.Amount = 1.0
 
 
 class _Platform(msgspec.Struct):
-    addr: str
-    writes_per_s: float = 100.0
-    history_s: float = 20.0
+    addr: _decoding.Name
+    writes_per_s: _decoding.Amount = 100.0
+    history_s: _decoding.Amount = 20.0
 
 
 class _Node(msgspec.Struct):
-    node: str
-    ip: str
-    zone: str
-    internal_port_range: list[int]
+    node: _decoding.Name
+    ip: _decoding.Host
+    zone: _decoding.Name
+    internal_port_range: tuple[_decoding.Port, _decoding.Port]
     listen: _Listen
     platform: _Platform
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     # Address of the upstream; set only on machines that run a sidecar.
-    app: str = ""
-    service: str = ""
+    app: _decoding.Name = ""
+    service: _decoding.Name = ""
 
 
 def load_balancer() -> settings.BalancerSettings:
@@ -107,7 +107,7 @@
 def _convert_errors(build: abc.Callable[[], T]) -> T:
     try:
         return build()
-    except (OSError, msgspec.DecodeError, ValueError, KeyError) as error:
+    except (OSError, ValueError, KeyError, *_decoding.ERRORS) as error:
         raise _exceptions.PlantainError(
             _exceptions.ErrorKind.INVALID_SETTINGS,
             f"{os.environ.get(PATH_VARIABLE, PATH_VARIABLE)}: {error}",
--- a/plantainproxy/platform/tests/test_heartbeats.py
+++ b/plantainproxy/platform/tests/test_heartbeats.py
@@ -33,7 +33,7 @@
             address=ADDRESS,
             on_heartbeat=self.handle_heartbeat,
             on_deregister=self.deregistered.append,
-            on_malformed=self.malformed.append,
+            on_malformed=lambda instance, error: self.malformed.append(instance),
         )
 
     def handle_heartbeat(self, heartbeat: upstream.Heartbeat) -> bool:
--- a/plantainproxy/store/http.py
+++ b/plantainproxy/store/http.py
@@ -70,6 +70,7 @@
         """Status code; 0 before the head is complete."""
         self.headers: dict[str, str] = {}
         self.body = bytearray()
+        self.received_bytes = 0
         self.is_complete = False
         self.is_reusable = False
         """Whether the connection can be used for another request."""
@@ -229,7 +230,7 @@
     response = connection.response
     while not response.is_complete:
         await _receive(connection)
-        if len(response.body) > MAX_RESPONSE_BYTES:
+        if response.received_bytes > MAX_RESPONSE_BYTES:
             raise ProtocolError(
                 f"the response has more than {MAX_RESPONSE_BYTES} bytes"
             )
@@ -265,6 +266,7 @@
     if not received:
         _handle_end(response)
         return
+    response.received_bytes += len(received)
     try:
         response.parser.feed_data(received)
     except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
