An unforeseen error loses one input instead of the process

Callers saw: any exception in the handler of one datagram, one HTTP request or one document of the store ended the process and all its flows. At the same stored document, a process ended again at each start.

Change: the points that dispatch inputs (the datagram loop, the HTTP server, the application of a document that was read or pulled) catch the error, count it as failed.KIND and log 'input failed' with its trace within the rate limit. A request gets status 500. Consumers catch nothing, and an error of a timer still ends the process: it would repeat at each tick, and no input could be named. A document that another process sent and that is refused is counted by its reason.

Evidence: test_an_unforeseen_error_loses_one_datagram, _document and _request failed before, as the functions under test raised LookupError or did not exist.

--- a/plantainproxy/_decoding.py
+++ b/plantainproxy/_decoding.py
@@ -73,9 +73,11 @@
     """Return why an input was refused, as part of a counter's name."""
     if isinstance(error, RecursionError):
         return "nesting"
-    if isinstance(error, msgspec.ValidationError):
-        return "value"
-    return "syntax"
+    if isinstance(error, msgspec.DecodeError) and not isinstance(
+        error, msgspec.ValidationError
+    ):
+        return "syntax"
+    return "value"
 
 
 def ignore(error: Exception) -> None:
--- a/plantainproxy/_http_server.py
+++ b/plantainproxy/_http_server.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections import abc
+import logging
 import typing
 
 import httptools
@@ -9,6 +10,8 @@
 from plantainproxy import _types
 from plantainproxy.eventloop import runtime, tcp
 
+logger = logging.getLogger("plantain.http")
+
 MAX_HEAD_BYTES = 16_384
 MAX_BODY_BYTES = 65_536
 RECEIVE_BUFFER_BYTES = 16_384
@@ -38,6 +41,9 @@
 
 Handler = abc.Callable[[Request], Response | abc.Awaitable[Response]]
 """Returns the response to a request, directly or as an awaitable."""
+ErrorHandler = abc.Callable[[Exception], None]
+
+INTERNAL_ERROR = Response(500)
 
 
 class _RequestParser:
@@ -76,12 +82,21 @@
         self.incomplete_bytes = 0
 
 
-async def serve(address: _types.Address, handle: Handler) -> None:
-    """Listen on an address and answer requests until cancelled."""
+def _log_error(error: Exception) -> None:
+    logger.error("the handler of a request failed", exc_info=error)
+
+
+async def serve(
+    address: _types.Address, handle: Handler, on_error: ErrorHandler = _log_error
+) -> None:
+    """Listen on an address and answer requests until cancelled.
+
+    ``on_error`` gets what a handler raises; the response then has the status 500.
+    """
 
     async def handle_connection(stream: tcp.Stream) -> None:
         try:
-            await _serve_connection(stream, handle)
+            await _serve_connection(stream, handle, on_error)
         except OSError:
             # The caller has ended the connection and expects no response.
             return
@@ -89,7 +104,9 @@
     await tcp.serve(address, handle_connection)
 
 
-async def _serve_connection(stream: tcp.Stream, handle: Handler) -> None:
+async def _serve_connection(
+    stream: tcp.Stream, handle: Handler, on_error: ErrorHandler
+) -> None:
     parser = _RequestParser()
     is_open = True
     while is_open:
@@ -98,13 +115,22 @@
             request = await _receive_request(stream, parser)
             if request is None:
                 return
-            response = handle(request)
-            if not isinstance(response, Response):
-                response = await response
+            response = await _respond(request, handle, on_error)
             await stream.send_all(_encode_response(request, response))
             is_open = not request.is_last
 
 
+async def _respond(
+    request: Request, handle: Handler, on_error: ErrorHandler
+) -> Response:
+    try:
+        response = handle(request)
+        return response if isinstance(response, Response) else await response
+    except Exception as error:
+        on_error(error)
+        return INTERNAL_ERROR
+
+
 async def _receive_request(
     stream: tcp.Stream, parser: _RequestParser
 ) -> Request | None:
--- a/plantainproxy/flows/event_log.py
+++ b/plantainproxy/flows/event_log.py
@@ -4,12 +4,17 @@
 from collections import abc
 import logging
 import time
+import traceback
 import typing
 
 from plantainproxy import _decoding
 from plantainproxy.flows import policy
 from plantainproxy.telemetry import exposition
 
+MAX_DETAIL_CHARACTERS = 300
+"""Start of a decoder's error in a log line; it may quote the refused value."""
+MAX_TRACE_CHARACTERS = 2_000
+"""End of a trace in a log line, which a pipe writes atomically."""
 MAX_LINES_PER_SECOND = 8
 """Limit per event. The field ``left_out`` of the event's next line gives the number of
 lines that were not written."""
@@ -72,7 +77,25 @@
         reason = _decoding.reason(error)
         self.count(f"refused.{kind.replace(' ', '_')}.{reason}")
         self.write_limited(
-            "input refused", kind=kind, reason=reason, detail=str(error), **fields
+            "input refused",
+            kind=kind,
+            reason=reason,
+            detail=str(error)[:MAX_DETAIL_CHARACTERS],
+            **fields,
+        )
+
+    def write_failed(self, kind: str, error: Exception) -> None:
+        """Count an input whose handler raised an unforeseen error, and log its trace.
+
+        The input is lost, and the process continues (docs/design/inputs.md).
+        """
+        trace = "".join(traceback.format_exception(error))
+        self.count(f"failed.{kind.replace(' ', '_')}")
+        self.write_limited(
+            "input failed",
+            kind=kind,
+            error=repr(error)[:MAX_DETAIL_CHARACTERS],
+            trace=trace[-MAX_TRACE_CHARACTERS:],
         )
 
     def write_limited(self, event: str, **fields: typing.Any) -> None:
--- a/plantainproxy/flows/programs/balancer_main.py
+++ b/plantainproxy/flows/programs/balancer_main.py
@@ -360,10 +360,14 @@
     """Handle the datagrams of both sockets until the exit."""
     with (
         datagrams.receiving(
-            process.data_socket, functools.partial(_handle_data, process)
+            process.data_socket,
+            functools.partial(_handle_data, process),
+            functools.partial(process.log.write_failed, "packet"),
         ),
         datagrams.receiving(
-            process.message_socket, functools.partial(_handle_message, process)
+            process.message_socket,
+            functools.partial(_handle_message, process),
+            functools.partial(process.log.write_failed, "message"),
         ),
     ):
         yield
--- a/plantainproxy/flows/programs/datagrams.py
+++ b/plantainproxy/flows/programs/datagrams.py
@@ -20,6 +20,7 @@
 """Holds a burst of several thousand packets of full size."""
 
 Handler = abc.Callable[[bytes, _types.Address], None]
+ErrorHandler = abc.Callable[[Exception], None]
 
 
 @contextlib.contextmanager
@@ -34,11 +35,16 @@
 
 
 @contextlib.contextmanager
-def receiving(udp_socket: socket.socket, handle: Handler) -> abc.Iterator[None]:
-    """Pass each received datagram and its sender to the handler until the exit."""
+def receiving(
+    udp_socket: socket.socket, handle: Handler, on_error: ErrorHandler
+) -> abc.Iterator[None]:
+    """Pass each received datagram and its sender to the handler until the exit.
+
+    ``on_error`` gets what the handler raises; the datagram is lost.
+    """
     running = loop.require_running()
     descriptor = udp_socket.fileno()
-    receive = functools.partial(_receive_batch, udp_socket, handle)
+    receive = functools.partial(_receive_batch, udp_socket, handle, on_error)
     running.watch(descriptor, loop.READABLE, receive)
     try:
         yield
@@ -46,7 +52,9 @@
         running.unwatch(descriptor, loop.READABLE)
 
 
-def _receive_batch(udp_socket: socket.socket, handle: Handler) -> None:
+def _receive_batch(
+    udp_socket: socket.socket, handle: Handler, on_error: ErrorHandler
+) -> None:
     for _ in range(MAX_BATCH_DATAGRAMS):
         try:
             data, (host, port) = udp_socket.recvfrom(MAX_DATAGRAM_BYTES)
@@ -55,7 +63,10 @@
         except OSError:
             # ICMP error for an earlier datagram, such as port unreachable.
             continue
-        handle(data, _types.Address(host, port))
+        try:
+            handle(data, _types.Address(host, port))
+        except Exception as error:
+            on_error(error)
 
 
 def send(
--- a/plantainproxy/flows/programs/node.py
+++ b/plantainproxy/flows/programs/node.py
@@ -19,6 +19,8 @@
 READY = _http_server.Response(200, b"{}")
 NOT_READY = _http_server.Response(503, b"{}")
 
+P = typing.ParamSpec("P")
+R = typing.TypeVar("R")
 T = typing.TypeVar("T", bound=settings.NodeSettings)
 
 ApplyPolicy = abc.Callable[[policy.Policy], bool]
@@ -84,7 +86,9 @@
     """
     node_settings = context.settings
     _start_following(group, context)
-    group.start_soon(serve_readiness, node_settings.ready_address, context.is_ready)
+    group.start_soon(
+        serve_readiness, node_settings.ready_address, context.is_ready, context.log
+    )
     group.start_soon(
         serve_metrics, node_settings.metrics_address, context.log, context.gauges
     )
@@ -109,10 +113,14 @@
 
 
 async def serve_readiness(
-    address: _types.Address, is_ready: abc.Callable[[], bool]
+    address: _types.Address, is_ready: abc.Callable[[], bool], log: event_log.EventLog
 ) -> None:
     """Serve the readiness of this process over HTTP."""
-    await _http_server.serve(address, lambda _: READY if is_ready() else NOT_READY)
+    await _http_server.serve(
+        address,
+        lambda _: READY if is_ready() else NOT_READY,
+        functools.partial(log.write_failed, "readiness"),
+    )
 
 
 async def serve_metrics(
@@ -126,7 +134,36 @@
         body = exposition.render(log.counters, gauges(), log.histograms)
         return _http_server.Response(200, body, exposition.CONTENT_TYPE)
 
-    await _http_server.serve(address, handle)
+    await _http_server.serve(
+        address, handle, functools.partial(log.write_failed, "metrics")
+    )
+
+
+def losing_failures(
+    apply: abc.Callable[P, R], log: event_log.EventLog, kind: str, result: R
+) -> abc.Callable[P, R]:
+    """Return a function that logs what ``apply`` raises and then returns ``result``.
+
+    A document that cannot be applied would otherwise end the process at each start.
+    """
+
+    def apply_or_log(*arguments: P.args, **options: P.kwargs) -> R:
+        try:
+            return apply(*arguments, **options)
+        except Exception as error:
+            log.write_failed(kind, error)
+            return result
+
+    return apply_or_log
+
+
+def _reporting_refusals(
+    decode: abc.Callable[[bytes, abc.Callable[[Exception], None]], R],
+    log: event_log.EventLog,
+    kind: str,
+) -> abc.Callable[[bytes], R]:
+    """Return a decoder that counts and logs what it refuses."""
+    return lambda data: decode(data, functools.partial(log.write_refused, kind))
 
 
 def _start_following(group: runtime.TaskGroup, context: NodeContext[T]) -> None:
@@ -139,6 +176,8 @@
         if decoded is not None:
             context.apply_policy(decoded)
 
+    apply_stored_policy = losing_failures(apply_policy, context.log, "policy", None)
+
     def apply_list(
         items: abc.Mapping[str, bytes], revision: revisioned.Revision
     ) -> None:
@@ -147,6 +186,8 @@
         )
         context.apply_list(offered)
 
+    apply_stored_list = losing_failures(apply_list, context.log, "sidecars", None)
+
     def must_follow() -> bool:
         return context.is_relay() or not coverage.is_covered(
             context.documents.coverage, now=runtime.current_time()
@@ -158,14 +199,14 @@
     for prefix, apply_entries, is_needed, coalesce_seconds, status in (
         (
             context.policy_prefix,
-            apply_policy,
+            apply_stored_policy,
             must_follow,
             follower.COALESCE_SECONDS,
             context.documents.policy_status,
         ),
         (
             registry.PREFIX,
-            apply_list,
+            apply_stored_list,
             lambda: context.needs_list() and must_follow(),
             registry.COALESCE_SECONDS,
             context.documents.list_status,
@@ -192,12 +233,14 @@
     held = context.documents
     policy_puller = document_exchange.Puller(
         held.policy_exchange,
-        decode=messages.decode_policy,
-        apply=context.apply_policy,
+        decode=_reporting_refusals(messages.decode_policy, held.log, "policy"),
+        apply=losing_failures(context.apply_policy, held.log, "policy", False),
     )
     group.start_soon(document_exchange.pull_forever, policy_puller)
     list_puller = document_exchange.Puller(
-        held.list_exchange, decode=registry.decode_list, apply=context.apply_list
+        held.list_exchange,
+        decode=_reporting_refusals(registry.decode_list, held.log, "sidecars"),
+        apply=losing_failures(context.apply_list, held.log, "sidecars", False),
     )
     group.start_soon(document_exchange.pull_forever, list_puller)
     group.start_soon(
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -305,7 +305,7 @@
             "heartbeat refused",
             instance=instance,
             reason="malformed",
-            detail=str(error),
+            detail=str(error)[: event_log.MAX_DETAIL_CHARACTERS],
         )
 
     node_settings = process.settings
@@ -315,7 +315,11 @@
         on_deregister=handle_deregistration,
         on_malformed=handle_malformed,
     )
-    await _http_server.serve(node_settings.heartbeat_address, handler)
+    await _http_server.serve(
+        node_settings.heartbeat_address,
+        handler,
+        functools.partial(process.log.write_failed, "heartbeat"),
+    )
 
 
 async def _monitor_upstream(process: SidecarProcess) -> None:
@@ -384,13 +388,19 @@
     """Handle the datagrams of all sockets until the exit."""
     with (
         datagrams.receiving(
-            process.data_socket, functools.partial(_handle_data, process)
+            process.data_socket,
+            functools.partial(_handle_data, process),
+            functools.partial(process.log.write_failed, "packet"),
         ),
         datagrams.receiving(
-            process.outbound_socket, functools.partial(_handle_outbound, process)
+            process.outbound_socket,
+            functools.partial(_handle_outbound, process),
+            functools.partial(process.log.write_failed, "packet"),
         ),
         datagrams.receiving(
-            process.message_socket, functools.partial(_handle_message, process)
+            process.message_socket,
+            functools.partial(_handle_message, process),
+            functools.partial(process.log.write_failed, "message"),
         ),
     ):
         yield
--- a/plantainproxy/flows/stored/flow_hints.py
+++ b/plantainproxy/flows/stored/flow_hints.py
@@ -30,8 +30,10 @@
     for entry in snapshot.entries:
         host = entry.key.removeprefix(flow_record.PREFIX).rstrip("/")
         try:
+            _decoding.check_host(host)
             saved = msgspec.msgpack.decode(entry.value, type=flow_record.FlowSnapshot)
-        except _decoding.ERRORS as error:
+        except (*_decoding.ERRORS, ValueError) as error:
+            log.count(f"refused.snapshot.{_decoding.reason(error)}")
             log.write_limited("record not readable", key=entry.key, detail=str(error))
             continue
         hints.update(dict.fromkeys(saved.flows, _types.Address(host, message_port)))
--- a/plantainproxy/flows/tests/test_inputs.py
+++ b/plantainproxy/flows/tests/test_inputs.py
@@ -1,8 +1,10 @@
 """What arrives from outside never ends a process."""
 
+import functools
 import pathlib
 import socket
 import threading
+import typing
 import urllib.error
 import urllib.request
 
@@ -10,7 +12,9 @@
 import pytest
 
 from plantainproxy import _types
-from plantainproxy.flows import messages
+from plantainproxy.eventloop import loop, runtime
+from plantainproxy.flows import event_log, messages
+from plantainproxy.flows.programs import datagrams, node
 from testbed import lone_process, transparent
 
 HOSTS = pytest.mark.parametrize(
@@ -79,3 +83,44 @@
             return int(response.status)
     except urllib.error.HTTPError as error:
         return error.code
+
+
+def _raise(*arguments: object) -> typing.NoReturn:
+    raise LookupError("unforeseen")
+
+
+def test_an_unforeseen_error_loses_one_datagram() -> None:
+    """Guards against an end of the process, and all its flows, by one datagram."""
+    log = event_log.EventLog("test")
+    handled: list[bytes] = []
+
+    def handle(data: bytes, sender: _types.Address) -> None:
+        handled.append(data)
+        if data == b"bad":
+            _raise()
+
+    async def check() -> None:
+        address = _types.Address("127.0.0.1", lone_process.free_ports(1)[0])
+        on_error = functools.partial(log.write_failed, "message")
+        with (
+            datagrams.bound_socket(address) as receiver,
+            datagrams.receiving(receiver, handle, on_error),
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender,
+        ):
+            for data in (b"bad", b"good"):
+                sender.sendto(data, address)
+            with runtime.fail_after(TIMEOUT_SECONDS):
+                while len(handled) < 2:
+                    await runtime.sleep(0.01)
+
+    loop.run(check)
+    assert handled == [b"bad", b"good"]
+    assert log.counters["failed.message"] == 1
+
+
+def test_an_unforeseen_error_loses_one_document() -> None:
+    """Guards against an end of each process that reads the document at its start."""
+    log = event_log.EventLog("test")
+    apply = node.losing_failures(_raise, log, "policy", False)
+    assert apply() is False
+    assert log.counters["failed.policy"] == 1
--- a/plantainproxy/tests/test_http_server.py
+++ b/plantainproxy/tests/test_http_server.py
@@ -20,6 +20,8 @@
 
 
 def _echo(request: _http_server.Request) -> _http_server.Response:
+    if request.path == "/fail":
+        raise LookupError("unforeseen")
     text = f"{request.method} {request.path} ".encode() + request.body
     return _http_server.Response(200, text, headers=(("x-seen", "yes"),))
 
@@ -78,6 +80,14 @@
     assert received.index(b"POST /beat abc") < received.index(b"POST /next abc")
 
 
+@RUNS
+def test_an_unforeseen_error_loses_one_request(run: Run) -> None:
+    """Guards against an end of the process by one request that its handler fails at."""
+    received = run(_exchange, BEAT.replace(b"/beat", b"/fail") + LAST_BEAT)
+    assert received.startswith(b"HTTP/1.1 500 ")
+    assert received.endswith(b"POST /beat abc")
+
+
 @RUNS
 @pytest.mark.parametrize(
     "request_bytes",
