--- a/plantainproxy/_http_server.py
+++ b/plantainproxy/_http_server.py
@@ -96,7 +96,7 @@
 
     async def handle_connection(stream: tcp.Stream) -> None:
         try:
-            await _serve_connection(stream, handle, on_error)
+            await serve_connection(stream, handle, on_error)
         except OSError:
             # The caller has ended the connection and expects no response.
             return
@@ -104,9 +104,10 @@
     await tcp.serve(address, handle_connection)
 
 
-async def _serve_connection(
+async def serve_connection(
     stream: tcp.Stream, handle: Handler, on_error: ErrorHandler
 ) -> None:
+    """Answer the requests on one connection until it ends."""
     parser = _RequestParser()
     is_open = True
     while is_open:
--- a/plantainproxy/flows/control/document_exchange.py
+++ b/plantainproxy/flows/control/document_exchange.py
@@ -150,18 +150,27 @@
     nothing if this process has none.
     """
 
-    async def send_document(stream: tcp.Stream) -> None:
-        try:
-            with runtime.move_on_after(PULL_TIMEOUT_SECONDS):
-                kind = await stream.receive_some(RECEIVE_BYTES)
-                if kind not in documents:
-                    log.count("documents.invalid_request")
-                    return
-                await stream.send_all(documents[kind]())
-        except OSError:
-            log.count("documents.give_failed")
-
-    await tcp.serve(address, send_document)
+    async def handle_connection(stream: tcp.Stream) -> None:
+        await send_document(stream, documents, log.count)
+
+    await tcp.serve(address, handle_connection)
+
+
+async def send_document(
+    stream: tcp.Stream,
+    documents: abc.Mapping[bytes, abc.Callable[[], bytes]],
+    count: abc.Callable[[str], None],
+) -> None:
+    """Send the requested document on one connection; ``count`` counts failures."""
+    try:
+        with runtime.move_on_after(PULL_TIMEOUT_SECONDS):
+            kind = await stream.receive_some(RECEIVE_BYTES)
+            if kind not in documents:
+                count("documents.invalid_request")
+                return
+            await stream.send_all(documents[kind]())
+    except OSError:
+        count("documents.give_failed")
 
 
 async def _pull(sender: _types.Address, kind: bytes) -> bytes:
--- a/plantainproxy/flows/programs/balancer_main.py
+++ b/plantainproxy/flows/programs/balancer_main.py
@@ -131,7 +131,7 @@
     is_restored = offered.era > process.list_era
     process.list_era = offered.era
     _apply_entries(process, is_restored=is_restored)
-    _request_reports(process)
+    request_reports(process)
     process.list_known.set()
     return True
 
@@ -170,13 +170,15 @@
     process.store.expect_era(era)
 
 
-def _request_reports(process: BalancerProcess) -> None:
+def request_reports(process: BalancerProcess) -> None:
+    """Send the periodic requests for reports."""
     view, policies = process.engine.view, process.engine.policies
     now = runtime.current_time()
     _send(process, report_requests.periodic_requests(view, policies, now=now))
 
 
-def _request_overdue_reports(process: BalancerProcess) -> None:
+def request_overdue_reports(process: BalancerProcess) -> None:
+    """Send requests for the reports that are overdue."""
     view, policies = process.engine.view, process.engine.policies
     now = runtime.current_time()
     _send(process, report_requests.overdue_requests(view, policies, now=now))
@@ -191,7 +193,8 @@
             datagrams.send(process.message_socket, encoded, address, process.log)
 
 
-def _handle_data(process: BalancerProcess, data: bytes, sender: _types.Address) -> None:
+def handle_data(process: BalancerProcess, data: bytes, sender: _types.Address) -> None:
+    """Handle a datagram of a caller."""
     packet = packet_format.decode(data)
     if packet is None:
         process.log.count("dropped.malformed")
@@ -201,9 +204,10 @@
     balancer.handle_packet(process.engine, packet, now=now)
 
 
-def _handle_message(
+def handle_message(
     process: BalancerProcess, data: bytes, sender: _types.Address
 ) -> None:
+    """Handle a datagram of another process."""
     message = messages.decode(
         data,
         lambda error: process.log.write_refused("message", error, sender=str(sender)),
@@ -252,9 +256,9 @@
     )
     for round_number in itertools.count():
         if round_number % rounds_per_full_request == 0:
-            _request_reports(process)
+            request_reports(process)
         else:
-            _request_overdue_reports(process)
+            request_overdue_reports(process)
         await runtime.sleep(OVERDUE_REQUEST_INTERVAL_SECONDS)
 
 
@@ -281,12 +285,16 @@
     process.engine.hints.clear()
 
 
+def tick(process: BalancerProcess, *, now: float) -> None:
+    """Do the periodic work of the engine and of the documents."""
+    balancer.tick(process.engine, now=now)
+    _elapse_holds(process, now=now)
+
+
 async def _tick_forever(process: BalancerProcess) -> None:
     while True:
         await runtime.sleep(TICK_INTERVAL_SECONDS)
-        now = runtime.current_time()
-        balancer.tick(process.engine, now=now)
-        _elapse_holds(process, now=now)
+        tick(process, now=runtime.current_time())
 
 
 async def _send_hedges_forever(process: BalancerProcess) -> None:
@@ -361,12 +369,12 @@
     with (
         datagrams.receiving(
             process.data_socket,
-            functools.partial(_handle_data, process),
+            functools.partial(handle_data, process),
             functools.partial(process.log.write_failed, "packet"),
         ),
         datagrams.receiving(
             process.message_socket,
-            functools.partial(_handle_message, process),
+            functools.partial(handle_message, process),
             functools.partial(process.log.write_failed, "message"),
         ),
     ):
@@ -389,7 +397,7 @@
         )
         with _receiving(process):
             async with runtime.open_task_group() as group:
-                node.start(group, lifecycle, _node_context(process))
+                node.start(group, lifecycle, node_context(process))
                 for task in (
                     _request_reports_forever,
                     _request_room_forever,
@@ -403,9 +411,10 @@
                 group.cancel_scope.cancel()
 
 
-def _node_context(
+def node_context(
     process: BalancerProcess,
 ) -> node.NodeContext[settings.BalancerSettings]:
+    """Return what the shared tasks need of this process."""
     return node.NodeContext(
         settings=process.settings,
         read_settings=platform_settings.load_balancer,
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -188,7 +188,8 @@
     return sidecar.apply_policy(process.engine, offered, now=runtime.current_time())
 
 
-def _handle_data(process: SidecarProcess, data: bytes, sender: _types.Address) -> None:
+def handle_data(process: SidecarProcess, data: bytes, sender: _types.Address) -> None:
+    """Handle a datagram of a balancer with a caller's packet."""
     packet = packet_format.decode(data, from_balancer=True)
     if packet is None:
         process.log.count("dropped.malformed")
@@ -196,9 +197,10 @@
     sidecar.handle_inbound(process.engine, packet, now=runtime.current_time())
 
 
-def _handle_outbound(
+def handle_outbound(
     process: SidecarProcess, data: bytes, sender: _types.Address
 ) -> None:
+    """Handle a packet of the upstream."""
     packet = packet_format.decode(data, from_upstream=True)
     if packet is None:
         process.log.count("dropped.malformed")
@@ -210,9 +212,10 @@
         process.log.observe("answer_seconds", wait_seconds)
 
 
-def _handle_message(
+def handle_message(
     process: SidecarProcess, data: bytes, sender: _types.Address
 ) -> None:
+    """Handle a datagram of another process."""
     message = messages.decode(
         data,
         lambda error: process.log.write_refused("message", error, sender=str(sender)),
@@ -230,22 +233,20 @@
                 process.engine, message, sender, now=now
             )
         case messages.Report():
-            relay.handle_report(process.relay, message, sender, now=_boot_time())
+            relay.handle_report(process.relay, message, sender, now=boot_time())
             _handle_era(process, message.era)
         case messages.ReportBatch():
-            relay.handle_batch(process.relay, message, now=_boot_time())
+            relay.handle_batch(process.relay, message, now=boot_time())
         case messages.RelayRequest():
-            relay.handle_relay_request(process.relay, message, sender, now=_boot_time())
+            relay.handle_relay_request(process.relay, message, sender, now=boot_time())
         case messages.GatherRequest():
-            relay.handle_gather_request(
-                process.relay, message, sender, now=_boot_time()
-            )
+            relay.handle_gather_request(process.relay, message, sender, now=boot_time())
         case messages.Notice():
             documents.handle_notice(process.documents, message, sender, now=now)
             _handle_era(process, message.era)
         case messages.FlowRecord():
             snapshot_batch.handle_record(
-                process.snapshot_batch, message, sender, now=_boot_time()
+                process.snapshot_batch, message, sender, now=boot_time()
             )
         case messages.FlowRecordResult():
             flow_snapshot.handle_result(process.snapshot_writer, message)
@@ -257,7 +258,7 @@
     return process.documents.sidecars.apply_if_newer(offered)
 
 
-def _boot_time() -> float:
+def boot_time() -> float:
     """Return the relay's clock, which also counts while the machine is suspended.
 
     A relay that wakes up must not act on an appointment from before its sleep, nor
@@ -267,19 +268,23 @@
 
 
 def _is_relay(process: SidecarProcess) -> bool:
-    return relay.is_appointed(process.relay, now=_boot_time())
+    return relay.is_appointed(process.relay, now=boot_time())
+
+
+def tick(process: SidecarProcess, *, now: float) -> None:
+    """Do the periodic work of the engine, the documents and the relay."""
+    sidecar.tick(process.engine, now=now)
+    seconds = documents.elapsed_seconds(process.documents, now=now)
+    sidecar.elapse_hold(process.engine, seconds, now=now)
+    process.documents.sidecars.elapse_hold(seconds)
+    notice = documents.make_notice(process.documents)
+    relay.tick(process.relay, notice, now=boot_time())
 
 
 async def _tick_forever(process: SidecarProcess) -> None:
     while True:
         await runtime.sleep(TICK_INTERVAL_SECONDS)
-        now = runtime.current_time()
-        sidecar.tick(process.engine, now=now)
-        seconds = documents.elapsed_seconds(process.documents, now=now)
-        sidecar.elapse_hold(process.engine, seconds, now=now)
-        process.documents.sidecars.elapse_hold(seconds)
-        notice = documents.make_notice(process.documents)
-        relay.tick(process.relay, notice, now=_boot_time())
+        tick(process, now=runtime.current_time())
 
 
 async def _evict_forever(process: SidecarProcess) -> None:
@@ -288,7 +293,9 @@
         sidecar.evict_expired(process.engine, now=runtime.current_time())
 
 
-async def _serve_heartbeats(process: SidecarProcess) -> None:
+def heartbeat_handler(process: SidecarProcess) -> _http_server.Handler:
+    """Return the HTTP handler for the heartbeats of the upstream."""
+
     def handle_heartbeat(heartbeat: upstream.Heartbeat) -> bool:
         return upstream_events.handle_heartbeat(
             process.engine, heartbeat, now=runtime.current_time()
@@ -308,16 +315,18 @@
             detail=str(error)[: event_log.MAX_DETAIL_CHARACTERS],
         )
 
-    node_settings = process.settings
-    handler = heartbeats.make_handler(
-        address=node_settings.upstream_address,
+    return heartbeats.make_handler(
+        address=process.settings.upstream_address,
         on_heartbeat=handle_heartbeat,
         on_deregister=handle_deregistration,
         on_malformed=handle_malformed,
     )
+
+
+async def _serve_heartbeats(process: SidecarProcess) -> None:
     await _http_server.serve(
-        node_settings.heartbeat_address,
-        handler,
+        process.settings.heartbeat_address,
+        heartbeat_handler(process),
         functools.partial(process.log.write_failed, "heartbeat"),
     )
 
@@ -367,7 +376,7 @@
         "relay_members": float(len(process.relay.members)),
         "relay_peers": float(len(process.relay.peers)),
         "relay_oldest_report_seconds": relay.oldest_report_seconds(
-            process.relay, now=_boot_time()
+            process.relay, now=boot_time()
         ),
         **upstream_speed.sidecar_gauges(
             engine.speed,
@@ -389,17 +398,17 @@
     with (
         datagrams.receiving(
             process.data_socket,
-            functools.partial(_handle_data, process),
+            functools.partial(handle_data, process),
             functools.partial(process.log.write_failed, "packet"),
         ),
         datagrams.receiving(
             process.outbound_socket,
-            functools.partial(_handle_outbound, process),
+            functools.partial(handle_outbound, process),
             functools.partial(process.log.write_failed, "packet"),
         ),
         datagrams.receiving(
             process.message_socket,
-            functools.partial(_handle_message, process),
+            functools.partial(handle_message, process),
             functools.partial(process.log.write_failed, "message"),
         ),
     ):
@@ -459,17 +468,18 @@
 def _start_tasks(
     group: runtime.TaskGroup, lifecycle: _lifecycle.Lifecycle, process: SidecarProcess
 ) -> None:
-    node.start(group, lifecycle, _node_context(process))
+    node.start(group, lifecycle, node_context(process))
     group.start_soon(registry.maintain_registration, process.registration)
     group.start_soon(flow_snapshot.run, process.snapshot_writer, process.engine)
-    group.start_soon(snapshot_batch.run, process.snapshot_batch, _boot_time)
+    group.start_soon(snapshot_batch.run, process.snapshot_batch, boot_time)
     for task in (_tick_forever, _evict_forever, _serve_heartbeats, _monitor_upstream):
         group.start_soon(task, process)
 
 
-def _node_context(
+def node_context(
     process: SidecarProcess,
 ) -> node.NodeContext[settings.SidecarSettings]:
+    """Return what the shared tasks need of this process."""
     return node.NodeContext(
         settings=process.settings,
         read_settings=platform_settings.load_sidecar,
--- a/plantainproxy/platform/heartbeats.py
+++ b/plantainproxy/platform/heartbeats.py
@@ -23,7 +23,7 @@
 NOT_FOUND = _http_server.Response(404, b"{}")
 
 
-class _HeartbeatMessage(msgspec.Struct):
+class HeartbeatMessage(msgspec.Struct):
     """The fields that every upstream sends; without one, the writer is another."""
 
     service: _decoding.Name
@@ -40,7 +40,7 @@
     born: _decoding.Count
 
 
-_decoder = msgspec.json.Decoder(_HeartbeatMessage)
+_decoder = msgspec.json.Decoder(HeartbeatMessage)
 
 
 def decode(
--- a/plantainproxy/platform/metadata_store.py
+++ b/plantainproxy/platform/metadata_store.py
@@ -72,6 +72,10 @@
     lease: _decoding.Count
 
 
+RESPONSE_TYPES = (_Range, _Events, _WriteResult, _Expected, _Lease)
+"""Types of the bodies of the store's responses."""
+
+
 class MetadataStore:
     """Client with pooled connections to the store.
 
--- a/plantainproxy/platform/settings.py
+++ b/plantainproxy/platform/settings.py
@@ -45,7 +45,9 @@
     history_s: _decoding.Amount = 20.0
 
 
-class _Node(msgspec.Struct):
+class Node(msgspec.Struct):
+    """The settings file."""
+
     node: _decoding.Name
     ip: _decoding.Host
     zone: _decoding.Name
@@ -114,7 +116,7 @@
         ) from error
 
 
-def _read_file() -> _Node:
+def _read_file() -> Node:
     """Read the file, which is JSON if the deploy file's template made it, or TOML.
 
     The import of the parser of TOML would delay the start of each process.
@@ -122,11 +124,11 @@
     with open(os.environ[PATH_VARIABLE], "rb") as file:
         content = file.read()
     if content.startswith(b"{"):
-        return msgspec.json.decode(content, type=_Node)
-    return msgspec.toml.decode(content, type=_Node)
+        return msgspec.json.decode(content, type=Node)
+    return msgspec.toml.decode(content, type=Node)
 
 
-def _common_fields(node: _Node) -> dict[str, typing.Any]:
+def _common_fields(node: Node) -> dict[str, typing.Any]:
     first, last = node.internal_port_range
     if first + MESSAGE_PORT_OFFSET > last:
         raise ValueError(f"internal_port_range: no port in the range {first} to {last}")
