--- a/plantainproxy/config/document.py
+++ b/plantainproxy/config/document.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from plantainproxy import _exceptions
+from plantainproxy import _decoding, _exceptions
 from plantainproxy.config import model
 
 MAX_VALUE_BYTES = 1_000_000
@@ -78,7 +78,7 @@
         if header.format == FORMAT:
             return msgspec.json.decode(encoded, type=value_type)
         problem = f"expected format {FORMAT}, got {header.format}"
-    except msgspec.DecodeError as error:
+    except _decoding.ERRORS as error:
         problem = str(error)
     raise _exceptions.PlantainError(
         _exceptions.ErrorKind.INVALID_CONFIGURATION, f"{name}: {problem}"
--- a/plantainproxy/config/parse.py
+++ b/plantainproxy/config/parse.py
@@ -92,7 +92,7 @@
     collector = _ProblemCollector()
     try:
         document = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
         problem = check.Problem(location="TOML", message=str(error))
         raise check.invalid_configuration_error([problem], source=source) from None
     _report_unknown_keys(collector, "", document, _TABLES)
--- a/plantainproxy/rpc/codec.py
+++ b/plantainproxy/rpc/codec.py
@@ -57,5 +57,8 @@
 def decode(encoded: bytes, message_type: type[T]) -> T:
     """Decode a message; raise ``msgspec.DecodeError`` if it does not match the type."""
     target_type: typing.Any = message_type
-    struct = msgspec.msgpack.decode(encoded, type=_array_struct(target_type))
+    try:
+        struct = msgspec.msgpack.decode(encoded, type=_array_struct(target_type))
+    except RecursionError as error:
+        raise msgspec.DecodeError(str(error)) from None
     return msgspec.convert(struct, message_type, from_attributes=True)
--- a/plantainproxy/settings/load.py
+++ b/plantainproxy/settings/load.py
@@ -125,7 +125,7 @@
     settings: typing.Any = None
     try:
         settings = _convert_table(tomllib.loads(text), settings_type, "", problems)
-    except tomllib.TOMLDecodeError as error:
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
         problems.append(Problem(location="", message=str(error)))
     if settings is not None:
         problems.extend(check(settings))
--- a/plantainproxy/sidecar/upstream.py
+++ b/plantainproxy/sidecar/upstream.py
@@ -20,7 +20,7 @@
 import msgspec
 import trio
 
-from plantainproxy import _exceptions, _types
+from plantainproxy import _decoding, _exceptions, _types
 from plantainproxy.core import admission
 from plantainproxy.rpc import messages
 from plantainproxy.telemetry import logs
@@ -158,9 +158,14 @@
         return admission.HealthReport()
     if result.response is None:
         return None
+    return decode_health(result.response.body)
+
+
+def decode_health(body: bytes) -> admission.HealthReport:
+    """Decode a health report; an invalid one counts as empty."""
     try:
-        report = msgspec.json.decode(result.response.body, type=_HealthDocument)
-    except msgspec.MsgspecError:
+        report = msgspec.json.decode(body, type=_HealthDocument)
+    except _decoding.ERRORS:
         return admission.HealthReport()
     return admission.HealthReport(
         started=report.started, limit=report.limit, draining=report.draining
--- a/plantainproxy/store/gateway.py
+++ b/plantainproxy/store/gateway.py
@@ -86,7 +86,10 @@
 
 def decode(body: bytes, response_type: type[T]) -> T:
     """Decode a response body; raise ``ValueError`` if it does not match the type."""
-    return msgspec.json.decode(body, type=response_type, strict=False)
+    try:
+        return msgspec.json.decode(body, type=response_type, strict=False)
+    except RecursionError as error:
+        raise ValueError(str(error)) from None
 
 
 def _encode_base64(key: str | bytes) -> str:
