--- a/plantainproxy/_decoding.py
+++ b/plantainproxy/_decoding.py
@@ -14,7 +14,7 @@
 """Deeply nested data of an unknown field ends in a ``RecursionError``."""
 
 MAX_INTEGER = 2**63 - 1
-"""Largest integer that msgpack and JSON decoders of other languages read, too."""
+"""Largest integer that fits 64 bits with a sign."""
 MAX_LOAD = 2**32 - 1
 """Largest number of requests or flows; sums over a fleet fit an encoded integer."""
 MAX_NUMBER = 1e15
@@ -24,7 +24,8 @@
 MAX_ELEMENTS = 1_000_000
 """Elements of a collection in a document. The bytes of a document are limited, too."""
 MAX_DATAGRAM_ELEMENTS = 4_096
-"""Elements of a collection in a datagram; those of 64 KiB have at least 16 bytes."""
+"""Elements of a collection in a datagram. Batches fit 1,400 bytes, and a request names
+one relay of each failure domain."""
 MAX_DATAGRAM_BYTES = 65_535
 FLOW_KEY_BYTES = 12
 SERVICE_BYTES = 6
