A deeply nested unknown field does not end every process

What callers saw: nothing was served from the moment at which a valid configuration with such a field was stored, for as long as it stayed.

Cause: the decoder skips unknown fields recursively and raises a RecursionError, which is no DecodeError, for a value of some thousand levels. Every process reads the document, also at each start.

Evidence: test_a_deeply_nested_unknown_field_is_ignored failed with "RecursionError: maximum recursion depth exceeded while deserializing an object".

Change: a document that is nested too deeply for the decoder is decoded again without the values below 64 levels. The fields in use are nested five times, so only unknown fields are left out; a document whose known fields are nested, or whose nesting does not end, cannot be decoded as before. The limit of the decoder depends on the depth of the stack, this one does not.

--- a/plantainproxy/platform/configuration.py
+++ b/plantainproxy/platform/configuration.py
@@ -2,10 +2,11 @@
 
 from collections import abc
 import logging
+import re
 
 import msgspec
 
-from plantainproxy import _types
+from plantainproxy import _decoding, _types
 from plantainproxy.flows import policy
 from plantainproxy.platform import packet_format
 from plantainproxy.store import revisioned
@@ -18,6 +19,9 @@
 """Followed by the name of a failure domain that must not receive new flows."""
 
 MILLISECONDS_PER_SECOND = 1_000.0
+MAX_DEPTH = 64
+"""Nesting below which values are left out if a document is nested too deeply for the
+decoder. The fields that are used are nested five times."""
 
 
 class _Split(msgspec.Struct):
@@ -58,6 +62,7 @@
 
 
 _decoder = msgspec.json.Decoder(_Configuration)
+_TEXT_OR_BRACKET = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[][{}]', re.DOTALL)
 
 _ROUTE_KINDS = {
     "idempotent": policy.RouteKind.IDEMPOTENT,
@@ -76,9 +81,9 @@
     if document is None:
         return None
     try:
-        decoded = _decoder.decode(document)
+        decoded = _decode(document)
         routes = {route.service: route for route in map(_decode_route, decoded.routes)}
-    except (msgspec.DecodeError, ValueError) as error:
+    except (*_decoding.ERRORS, ValueError) as error:
         logger.error(
             "cannot decode the configuration document",
             extra={"fields": {"revision": revision.number, "error": str(error)}},
@@ -107,6 +112,32 @@
     )
 
 
+def _decode(document: bytes) -> _Configuration:
+    try:
+        return _decoder.decode(document)
+    except RecursionError:
+        # An unknown field may hold any value.
+        return _decoder.decode(_leave_out_nested(document))
+
+
+def _leave_out_nested(document: bytes) -> bytes:
+    """Return a JSON document with ``null`` for values nested below ``MAX_DEPTH``."""
+    parts: list[bytes] = []
+    depth = 0
+    left_out_until = 0
+    for match in _TEXT_OR_BRACKET.finditer(document):
+        token = match.group()
+        if token in b"[{":
+            depth += 1
+            if depth == MAX_DEPTH + 1:
+                parts += (document[left_out_until : match.start()], b"null")
+        elif token in b"]}":
+            if depth == MAX_DEPTH + 1:
+                left_out_until = match.end()
+            depth -= 1
+    return b"".join((*parts, document[left_out_until:]))
+
+
 def _decode_route(route: _Route) -> policy.Route:
     address = _types.Address.parse(f"{route.host}:{route.prefix.strip('/')}")
     if route.service is not None:
--- a/plantainproxy/platform/tests/test_configuration.py
+++ b/plantainproxy/platform/tests/test_configuration.py
@@ -1,5 +1,7 @@
 """Tests the decoding of the operators' documents."""
 
+import json
+
 import msgspec
 import pytest
 
@@ -112,6 +114,39 @@
     assert configuration.decode_policy(items, revision=REVISION) is None
 
 
+NESTED = b"[" * 100_000 + b"]" * 100_000
+"""A value that is nested more deeply than the decoder can follow."""
+
+
+@pytest.mark.parametrize("at", [b'{"version"', b'{"name": "r-2"', b'{"name": "a"'])
+def test_a_deeply_nested_unknown_field_is_ignored(at: bytes) -> None:
+    """Guards against the end of every process by a field that no process uses.
+
+    The decoder raised a ``RecursionError``, again after each start.
+    """
+    document = json.dumps(DOCUMENT).encode()
+    field = b'{"something_new": {"b\\"[": %s}, ' % NESTED
+    assert at in document
+    items = {configuration.CONFIGURATION_KEY: document.replace(at, field + at[1:])}
+    expected = configuration.decode_policy(_items(DOCUMENT), revision=REVISION)
+    assert configuration.decode_policy(items, revision=REVISION) == expected
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        b'{"version":1,"routes":' + NESTED + b"}",
+        b'{"version":1,"routes":[],"new":' + NESTED[:-1] + b"}",
+        b'{"version":1,"routes":[],"new":' + NESTED[:100_000],
+        b"[" * 1_000_000,
+    ],
+)
+def test_a_deeply_nested_document_that_is_not_valid_is_none(document: bytes) -> None:
+    """The nested value belongs to a known field, or does not end."""
+    items = {configuration.CONFIGURATION_KEY: document}
+    assert configuration.decode_policy(items, revision=REVISION) is None
+
+
 def test_evacuations_alone_make_no_policy() -> None:
     """Evacuations have no effect before the first configuration document."""
     assert (
