A number out of range in the configuration does not end every process

What callers saw: nothing was served while a configuration with a version or a priority above 64 bits was stored.

Cause: the decoder accepted integers of any size. The encoder of the policy's digest, and of messages that state the version, accepts 64 bits.

Change: the numbers of the document have ranges in their declared types, so a document with such a number cannot be decoded and the policy in force stays. Weights and times below 0 have no meaning and are out of range, too.

--- a/plantainproxy/platform/configuration.py
+++ b/plantainproxy/platform/configuration.py
@@ -3,6 +3,7 @@
 from collections import abc
 import logging
 import re
+import typing
 
 import msgspec
 
@@ -24,9 +25,15 @@
 decoder. The fields that are used are nested five times."""
 
 
+# Processes send these numbers to each other, and their encoding has 64 bits.
+_Version = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_Priority = typing.Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+_NotNegative = typing.Annotated[float, msgspec.Meta(ge=0)]
+
+
 class _Split(msgspec.Struct):
     service: str
-    weight: float = 0.0
+    weight: _NotNegative = 0.0
 
 
 class _Route(msgspec.Struct):
@@ -37,8 +44,8 @@
     # Whether requests may be repeated: a key of ``_ROUTE_KINDS``, or any other value
     # for routes that are not idempotent.
     type: str = "non_idempotent"
-    priority: int = 0
-    slo_ms: float = 1_000.0
+    priority: _Priority = 0
+    slo_ms: _NotNegative = 1_000.0
     service: str | None = None
     traffic_split: list[_Split] = []
 
@@ -46,16 +53,16 @@
 class _Service(msgspec.Struct):
     name: str
     health_path: str = ""
-    cold_start_s: float = 0.0
-    cold_per_s: float = 0.0
+    cold_start_s: _NotNegative = 0.0
+    cold_per_s: _NotNegative = 0.0
 
 
 class _Limits(msgspec.Struct):
-    idle_timeout_ms: float = 60_000.0
+    idle_timeout_ms: _NotNegative = 60_000.0
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: _Version
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/plantainproxy/platform/tests/test_configuration.py
+++ b/plantainproxy/platform/tests/test_configuration.py
@@ -1,12 +1,13 @@
 """Tests the decoding of the operators' documents."""
 
 import json
+import re
 
 import msgspec
 import pytest
 
 from plantainproxy import _types
-from plantainproxy.flows import policy
+from plantainproxy.flows import messages, policy
 from plantainproxy.platform import configuration, packet_format
 from plantainproxy.store import revisioned
 
@@ -147,6 +148,69 @@
     assert configuration.decode_policy(items, revision=REVISION) is None
 
 
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("version", "9" * 40),
+        ("version", "9" * 5_000),
+        ("version", 2**64),
+        ("version", -(2**70)),
+        ("version", -1),
+        ("priority", 2**64),
+        ("priority", -(2**64)),
+        ("slo_ms", "1e400"),
+        ("slo_ms", "NaN"),
+        ("slo_ms", -1),
+        ("weight", -1),
+        ("cold_start_s", -1),
+        ("cold_per_s", -1),
+        ("idle_timeout_ms", "-1e308"),
+    ],
+)
+def test_a_number_out_of_range_is_none(field: str, value: object) -> None:
+    """Guards against the end of every process by a number that cannot be encoded.
+
+    The decoder accepted integers of any size, and the encoder of the policy's digest
+    raised an ``OverflowError``.
+    """
+    document = json.dumps(DOCUMENT)
+    changed = re.sub(f'("{field}": )[0-9.]+', rf"\g<1>{value}", document, count=1)
+    assert changed != document
+    items = {configuration.CONFIGURATION_KEY: changed.encode()}
+    assert configuration.decode_policy(items, revision=REVISION) is None
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("version", 0),
+        ("version", 2**63 - 1),
+        ("priority", -3),
+        ("priority", 2**63 - 1),
+        ("slo_ms", 1e308),
+        ("weight", 0),
+        ("weight", 5e-324),
+        ("weight", 1e308),
+        ("cold_start_s", 1e308),
+        ("cold_per_s", 5e-324),
+        ("idle_timeout_ms", 0),
+        ("idle_timeout_ms", 1e308),
+    ],
+)
+def test_the_policy_of_an_extreme_number_can_be_encoded(
+    field: str, value: object
+) -> None:
+    """A process sends its policy to others, and its digest in each message."""
+    document = json.dumps(DOCUMENT)
+    changed = re.sub(f'("{field}": )[0-9.]+', rf"\g<1>{value}", document, count=1)
+    items = {configuration.CONFIGURATION_KEY: changed.encode()}
+    decoded = configuration.decode_policy(items, revision=REVISION)
+    assert decoded is not None
+    assert policy.digest(decoded)
+    assert messages.decode_policy(messages.encode(decoded)) == decoded
+    assert messages.encode(messages.ReportRequest(1, "d", 0, order=decoded.order))
+
+
 def test_evacuations_alone_make_no_policy() -> None:
     """Evacuations have no effect before the first configuration document."""
     assert (
