A health path that is not ASCII does not end the sidecars

What callers saw: the upstreams of a pool were unreachable from the next start of their sidecars, for as long as the path stayed in the configuration, unless a heartbeat arrived within 0.3 s of the start.

Cause: the head of a request was encoded as ASCII, and the UnicodeEncodeError of another character is none of the errors that a caller of the client expects. A line break in the path would have been sent as is.

Evidence: test_a_path_is_sent_as_one_request_line failed for both.

Change: the client percent-encodes what a request line cannot contain, as any client does with such a path.

--- a/plantainproxy/store/http.py
+++ b/plantainproxy/store/http.py
@@ -35,6 +35,9 @@
     b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~"
 )
 """Bytes that stand for themselves in a query (RFC 3986)."""
+_SPACE = 0x20
+_DELETE = 0x7F
+"""Between them are the printable characters of ASCII."""
 
 
 class UnsentError(Exception):
@@ -251,7 +254,7 @@
 ) -> None:
     connection.response = _ResponseParser()
     head = (
-        f"{method} {path} HTTP/1.1\r\n"
+        f"{method} {_encode_target(path)} HTTP/1.1\r\n"
         f"host: {address}\r\n"
         "content-type: application/json\r\n"
         f"content-length: {len(body)}\r\n\r\n"
@@ -259,6 +262,16 @@
     await connection.stream.send_all(head.encode("ascii") + body)
 
 
+def _encode_target(path: str) -> str:
+    """Return a path with percent-encoding of what a request line cannot contain."""
+    if path.isascii() and path.isprintable() and " " not in path:
+        return path
+    return "".join(
+        chr(byte) if _SPACE < byte < _DELETE else f"%{byte:02X}"
+        for byte in path.encode()
+    )
+
+
 async def _receive(connection: Connection) -> None:
     """Receive and parse further bytes of the response."""
     response = connection.response
--- a/plantainproxy/store/tests/test_http.py
+++ b/plantainproxy/store/tests/test_http.py
@@ -44,6 +44,44 @@
     trio.run(main)
 
 
+@RUNS
+@pytest.mark.parametrize(
+    ("path", "target"),
+    [
+        ("/healthz?deep=1", b"/healthz?deep=1"),
+        ("/santé", b"/sant%C3%A9"),
+        ("/a b\r\nx: y\x7f", b"/a%20b%0D%0Ax:%20y%7F"),
+    ],
+)
+def test_a_path_is_sent_as_one_request_line(run: Run, path: str, target: bytes) -> None:
+    """Guards against the end of every sidecar by a health path that is not ASCII.
+
+    The encoding of the request raised a ``UnicodeEncodeError``.
+    """
+    received = b""
+
+    async def serve(stream: tcp.Stream) -> None:
+        nonlocal received
+        received = await stream.receive_some(65_536)
+        await stream.send_all(ANSWER + b"ready")
+
+    async def main() -> http.Response:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            address = _types.Address(*probe.getsockname())
+        async with runtime.open_task_group() as group:
+            group.start_soon(tcp.serve, address, serve)
+            await runtime.sleep(0.05)
+            reply = await http.call(
+                http.Pool(address), "GET", path, timeout_seconds=5.0
+            )
+            group.cancel_scope.cancel()
+        return reply
+
+    assert run(main).status == 200
+    assert received.startswith(b"GET %s HTTP/1.1\r\nhost: " % target)
+
+
 def _call_raw_server(run: Run, *parts: bytes) -> http.Response:
     """Call a server that sends the parts one by one and closes the connection."""
 
