A refused configuration is stated by logs, metrics and plantain-flow-ctl

What callers and operators saw: a configuration that cannot be decoded was logged by each process that read it, without its version, again at each change of another entry. No metric stated it, and plantain-flow-ctl status ended with "the store holds no configuration". An evacuation that was written while such a document was stored had no effect.

Change: the decoder returns why a document cannot be applied, with its version if that can be read. A document is applied or refused as a whole. Each process that reads it logs "configuration refused" once a document, exports it as configuration_refused and its version and revision, and applies the evacuations at the same revision to the policy in force. The gauge configuration_version is the version in force. plantain-flow-ctl status prints the refusal, its reason and the processes that refuse it, and ends with exit code 23.

Messages and documents between processes are unchanged.

--- a/plantainproxy/flows/control/documents.py
+++ b/plantainproxy/flows/control/documents.py
@@ -32,6 +32,8 @@
     ) -> None:
         """Start without documents."""
         self.policies = policies
+        self.refused: policy.Refused | None = None
+        """The configuration in the store if it cannot be applied, when it was read."""
         self.log = log
         self.sidecars = registry.ActiveList()
         self.coverage = coverage.Coverage()
@@ -98,6 +100,59 @@
     )
 
 
+def resolve(
+    documents: Documents, read: policy.Policy | policy.Refused | None
+) -> policy.Policy | None:
+    """Return the policy that follows from what was read from the store.
+
+    It is the stored one if the configuration is refused, with new evacuations; there is
+    none if this process has none.
+    """
+    previous = documents.refused
+    documents.refused = read if isinstance(read, policy.Refused) else None
+    if not isinstance(read, policy.Refused):
+        return read
+    if previous is None or previous.digest != read.digest:
+        documents.log.write(
+            "configuration refused",
+            version=read.version,
+            revision=read.revision.number,
+            era=read.revision.era,
+            reason=read.reason,
+        )
+    stored = documents.policies.stored
+    return policy.renew(stored, read) if stored is not None else None
+
+
+def gauges(documents: Documents) -> dict[str, float]:
+    """Return the version in force, and whether the stored configuration is refused.
+
+    A process that leaves the watching to a relay does not know what is stored.
+    """
+    refused = documents.refused if documents.policy_status.is_current else None
+    shown = {
+        "configuration_version": float(documents.policies.order.version),
+        "configuration_refused": float(refused is not None),
+    }
+    if refused is not None:
+        shown["configuration_refused_revision"] = float(refused.revision.number)
+        if refused.version is not None:
+            shown["configuration_refused_version"] = float(refused.version)
+    return shown
+
+
+def render_refusal(gauges: abc.Mapping[str, float]) -> list[str]:
+    """Return what the metrics of a process tell of a refused configuration."""
+    if not gauges.get("configuration_refused"):
+        return []
+    version = gauges.get("configuration_refused_version")
+    return [
+        "refuses the configuration at revision "
+        f"{gauges['configuration_refused_revision']:.0f}"
+        + (f", version {version:.0f}" if version is not None else "")
+    ]
+
+
 def handle_era(documents: Documents, era: int) -> None:
     """Record that another process has seen an era of the store."""
     documents.stated_era = max(documents.stated_era, era)
--- a/plantainproxy/flows/policy.py
+++ b/plantainproxy/flows/policy.py
@@ -117,6 +117,25 @@
         return Order(self.version, revisioned.Revision(self.era, self.revision))
 
 
+class Refused(msgspec.Struct, frozen=True, kw_only=True):
+    """A configuration in the store that cannot be applied."""
+
+    version: int | None
+    """Version number that operators assigned to it; ``None`` if it cannot be read."""
+    revision: revisioned.Revision
+    """Revision at which it was read."""
+    reason: str
+    digest: int
+    """Hash of the document."""
+    domains_out: frozenset[str]
+    """Evacuations at the same revision, which apply nevertheless."""
+
+    def __str__(self) -> str:
+        """Return a message with the version, the revision and the reason."""
+        version = "unreadable" if self.version is None else self.version
+        return f"version {version} at revision {self.revision.number}: {self.reason}"
+
+
 NO_POLICY_DIGEST = 0
 """Digest of a process that has no policy."""
 
@@ -149,6 +168,16 @@
     )
 
 
+def renew(current: Policy, refused: Refused) -> Policy:
+    """Return a policy with the evacuations from beside a refused configuration."""
+    return msgspec.structs.replace(
+        current,
+        revision=refused.revision.number,
+        era=refused.revision.era,
+        domains_out=refused.domains_out,
+    )
+
+
 class ActivePolicy:
     """The active policy of a process; its order never decreases."""
 
--- a/plantainproxy/flows/programs/balancer_main.py
+++ b/plantainproxy/flows/programs/balancer_main.py
@@ -344,6 +344,7 @@
         "ready": float(balancer.is_ready(engine, now=runtime.current_time())),
         "revision": float(engine.policies.revision),
         "store_era": float(engine.policies.era),
+        **documents.gauges(process.documents),
         "cached_flows": float(len(engine.flows)),
         "open_lookups": float(len(engine.lookups)),
         "flow_hints": float(len(engine.hints)),
--- a/plantainproxy/flows/programs/ctl_main.py
+++ b/plantainproxy/flows/programs/ctl_main.py
@@ -12,6 +12,7 @@
 
 from plantainproxy import _exceptions, _types
 from plantainproxy.flows import policy
+from plantainproxy.flows.control import documents
 from plantainproxy.flows.engine import upstream_speed
 from plantainproxy.flows.programs import balancer_status
 from plantainproxy.flows.stored import registry
@@ -25,6 +26,7 @@
 SHOWN_GAUGES = (
     "ready",
     "revision",
+    "configuration_version",
     "store_era",
     "flows",
     "running_requests",
@@ -46,10 +48,13 @@
 
     async def show(client: metadata_store.MetadataStore) -> None:
         current = await _read_policy(client)
-        print(
-            f"version {current.version}, {len(current.routes)} routes, "
-            f"domains out: {', '.join(sorted(current.domains_out)) or 'none'}"
+        summary = (
+            f"configuration refused, {current}"
+            if isinstance(current, policy.Refused)
+            else f"version {current.version}, {len(current.routes)} routes"
         )
+        domains_out = ", ".join(sorted(current.domains_out)) or "none"
+        print(f"{summary}, domains out: {domains_out}")
         snapshot = await client.read_all(registry.PREFIX)
         registered = registry.decode(
             {entry.key: entry.value for entry in snapshot.entries}
@@ -80,11 +85,17 @@
             summary = (
                 NO_ANSWER
                 if gauges is None
-                else balancer_status.render_placements(gauges)
+                else ", ".join(
+                    (
+                        balancer_status.render_placements(gauges),
+                        *documents.render_refusal(gauges),
+                    )
+                )
             )
             print(f"balancer {host}: {summary}")
         for domain, hosts in sorted(relays.items()):
             print(f"domain {domain}: relays {', '.join(hosts) or 'none'}")
+        _raise_if_refused(current)
 
     _run(store, show)
 
@@ -99,7 +110,7 @@
     """
 
     async def show(client: metadata_store.MetadataStore) -> None:
-        current = await _read_policy(client)
+        current = _raise_if_refused(await _read_policy(client))
         route = current.routes.get(packet_format.pack_service(_parse(service)))
         if route is None:
             raise _exceptions.PlantainError(
@@ -138,7 +149,17 @@
         ) from error
 
 
-async def _read_policy(client: metadata_store.MetadataStore) -> policy.Policy:
+def _raise_if_refused(current: policy.Policy | policy.Refused) -> policy.Policy:
+    if isinstance(current, policy.Refused):
+        raise _exceptions.PlantainError(
+            _exceptions.ErrorKind.INVALID_CONFIGURATION, str(current)
+        )
+    return current
+
+
+async def _read_policy(
+    client: metadata_store.MetadataStore,
+) -> policy.Policy | policy.Refused:
     snapshot = await client.read_all(configuration.PREFIX)
     items = {entry.key: entry.value for entry in snapshot.entries}
     decoded = configuration.decode_policy(items, revision=snapshot.revision)
@@ -164,10 +185,11 @@
 
 
 def _render_gauges(gauges: dict[str, float]) -> str:
-    return ", ".join(
-        f"{name.replace('_', ' ')} {gauges.get(name, float('nan')):g}"
+    shown = [
+        f"{name.replace('_', ' ')} {gauges.get(name, float('nan')):.15g}"
         for name in SHOWN_GAUGES
-    )
+    ]
+    return ", ".join((*shown, *documents.render_refusal(gauges)))
 
 
 def main() -> None:
--- a/plantainproxy/flows/programs/node.py
+++ b/plantainproxy/flows/programs/node.py
@@ -28,9 +28,11 @@
 ApplyList = abc.Callable[[registry.SidecarList], bool]
 """Activates a list of sidecars unless it is outdated; returns whether it did."""
 DecodePolicy = abc.Callable[
-    [abc.Mapping[str, bytes], revisioned.Revision], policy.Policy | None
+    [abc.Mapping[str, bytes], revisioned.Revision],
+    policy.Policy | policy.Refused | None,
 ]
-"""Builds a policy from the documents in the store and their revision."""
+"""Builds a policy from the documents in the store and their revision, unless there is
+none or it cannot be applied."""
 
 
 def run(
@@ -172,7 +174,9 @@
     def apply_policy(
         items: abc.Mapping[str, bytes], revision: revisioned.Revision
     ) -> None:
-        decoded = context.decode_policy(items, revision)
+        decoded = documents.resolve(
+            context.documents, context.decode_policy(items, revision)
+        )
         if decoded is not None:
             context.apply_policy(decoded)
 
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -362,6 +362,7 @@
         "ready": float(_is_ready(process)),
         "revision": float(engine.policies.revision),
         "store_era": float(engine.policies.era),
+        **documents.gauges(process.documents),
         "flows": float(len(engine.table.flows)),
         "running_requests": float(engine.table.running_requests),
         "held_requests": float(len(engine.request_queue.held)),
--- a/plantainproxy/platform/configuration.py
+++ b/plantainproxy/platform/configuration.py
@@ -1,18 +1,18 @@
 """Decodes the operators' documents in the platform's metadata store."""
 
 from collections import abc
-import logging
 import re
 import typing
 
 import msgspec
+import xxhash
 
 from plantainproxy import _decoding, _types
 from plantainproxy.flows import policy
 from plantainproxy.platform import packet_format
 from plantainproxy.store import revisioned
 
-logger = logging.getLogger("plantain.policy")
+T = typing.TypeVar("T")
 
 PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
@@ -20,6 +20,8 @@
 """Followed by the name of a failure domain that must not receive new flows."""
 
 MILLISECONDS_PER_SECOND = 1_000.0
+MAX_REASON_CHARACTERS = 200
+"""Limit on the reason of a refusal, which may quote a value of the document."""
 MAX_DEPTH = 64
 """Nesting below which values are left out if a document is nested too deeply for the
 decoder. The fields that are used are nested five times."""
@@ -68,7 +70,12 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
+class _Versioned(msgspec.Struct):
+    version: _Version
+
+
 _decoder = msgspec.json.Decoder(_Configuration)
+_version_decoder = msgspec.json.Decoder(_Versioned)
 _TEXT_OR_BRACKET = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[][{}]', re.DOTALL)
 
 _ROUTE_KINDS = {
@@ -79,23 +86,31 @@
 
 def decode_policy(
     items: abc.Mapping[str, bytes], revision: revisioned.Revision
-) -> policy.Policy | None:
+) -> policy.Policy | policy.Refused | None:
     """Build the policy from all entries under ``PREFIX``.
 
-    Returns ``None`` if the configuration document is missing or cannot be decoded.
+    The configuration document is applied as a whole or refused as a whole. Returns
+    ``None`` if it is missing.
     """
     document = items.get(CONFIGURATION_KEY)
     if document is None:
         return None
+    domains_out = frozenset(
+        key.removeprefix(EVACUATION_PREFIX)
+        for key in items
+        if key.startswith(EVACUATION_PREFIX)
+    )
     try:
-        decoded = _decode(document)
+        decoded = _decode(document, _decoder)
         routes = {route.service: route for route in map(_decode_route, decoded.routes)}
     except (*_decoding.ERRORS, ValueError) as error:
-        logger.error(
-            "cannot decode the configuration document",
-            extra={"fields": {"revision": revision.number, "error": str(error)}},
+        return policy.Refused(
+            version=_read_version(document),
+            revision=revision,
+            reason=str(error)[:MAX_REASON_CHARACTERS],
+            digest=xxhash.xxh32_intdigest(document),
+            domains_out=domains_out,
         )
-        return None
     return policy.Policy(
         revision=revision.number,
         era=revision.era,
@@ -111,20 +126,23 @@
             for service in decoded.services
         },
         idle_seconds=decoded.limits.idle_timeout_ms / MILLISECONDS_PER_SECOND,
-        domains_out=frozenset(
-            key.removeprefix(EVACUATION_PREFIX)
-            for key in items
-            if key.startswith(EVACUATION_PREFIX)
-        ),
+        domains_out=domains_out,
     )
 
 
-def _decode(document: bytes) -> _Configuration:
+def _read_version(document: bytes) -> int | None:
     try:
-        return _decoder.decode(document)
+        return _decode(document, _version_decoder).version
+    except _decoding.ERRORS:
+        return None
+
+
+def _decode(document: bytes, decoder: msgspec.json.Decoder[T]) -> T:
+    try:
+        return decoder.decode(document)
     except RecursionError:
         # An unknown field may hold any value.
-        return _decoder.decode(_leave_out_nested(document))
+        return decoder.decode(_leave_out_nested(document))
 
 
 def _leave_out_nested(document: bytes) -> bytes:
@@ -146,7 +164,10 @@
 
 
 def _decode_route(route: _Route) -> policy.Route:
-    address = _types.Address.parse(f"{route.host}:{route.prefix.strip('/')}")
+    try:
+        address = _types.Address.parse(f"{route.host}:{route.prefix.strip('/')}")
+    except ValueError as error:
+        raise ValueError(f"route {route.name!r}: {error}") from error
     if route.service is not None:
         shares: tuple[policy.Share, ...] = (
             policy.Share(pool=route.service, weight=1.0),
--- a/plantainproxy/platform/tests/test_configuration.py
+++ b/plantainproxy/platform/tests/test_configuration.py
@@ -64,7 +64,7 @@
     decoded_policy = configuration.decode_policy(
         _items(DOCUMENT), revision=revisioned.Revision(0, 12)
     )
-    assert decoded_policy is not None
+    assert isinstance(decoded_policy, policy.Policy)
     assert (
         decoded_policy.revision,
         decoded_policy.version,
@@ -86,7 +86,7 @@
 def test_a_rate_of_zero_states_no_cold_limit() -> None:
     """The platform uses 0 for a missing limit; see docs/QUESTIONS.md."""
     decoded_policy = configuration.decode_policy(_items(DOCUMENT), revision=REVISION)
-    assert decoded_policy is not None
+    assert isinstance(decoded_policy, policy.Policy)
     assert decoded_policy.pools["a"].cold_flows_per_second is None
 
 
@@ -94,7 +94,7 @@
     """The key contains the domain; the value is not used."""
     items = {**_items(DOCUMENT), "op/evacuate/hall-a": b"{}"}
     decoded_policy = configuration.decode_policy(items, revision=REVISION)
-    assert decoded_policy is not None
+    assert isinstance(decoded_policy, policy.Policy)
     assert decoded_policy.domains_out == {"hall-a"}
 
 
@@ -109,10 +109,11 @@
         b'{"version":1,"routes":[{"name":"r","host":"1.2.3.4","prefix":"/x/"}]}',
     ],
 )
-def test_an_unreadable_configuration_is_none(document: bytes) -> None:
+def test_an_unreadable_configuration_is_refused(document: bytes) -> None:
     """Decoding returns no policy, so the active policy is not replaced."""
     items = {configuration.CONFIGURATION_KEY: document}
-    assert configuration.decode_policy(items, revision=REVISION) is None
+    refused = configuration.decode_policy(items, revision=REVISION)
+    assert isinstance(refused, policy.Refused)
 
 
 NESTED = b"[" * 100_000 + b"]" * 100_000
@@ -142,10 +143,11 @@
         b"[" * 1_000_000,
     ],
 )
-def test_a_deeply_nested_document_that_is_not_valid_is_none(document: bytes) -> None:
+def test_a_deeply_nested_document_that_is_not_valid_is_refused(document: bytes) -> None:
     """The nested value belongs to a known field, or does not end."""
     items = {configuration.CONFIGURATION_KEY: document}
-    assert configuration.decode_policy(items, revision=REVISION) is None
+    refused = configuration.decode_policy(items, revision=REVISION)
+    assert isinstance(refused, policy.Refused)
 
 
 @pytest.mark.parametrize(
@@ -167,7 +169,7 @@
         ("idle_timeout_ms", "-1e308"),
     ],
 )
-def test_a_number_out_of_range_is_none(field: str, value: object) -> None:
+def test_a_number_out_of_range_is_refused(field: str, value: object) -> None:
     """Guards against the end of every process by a number that cannot be encoded.
 
     The decoder accepted integers of any size, and the encoder of the policy's digest
@@ -177,7 +179,8 @@
     changed = re.sub(f'("{field}": )[0-9.]+', rf"\g<1>{value}", document, count=1)
     assert changed != document
     items = {configuration.CONFIGURATION_KEY: changed.encode()}
-    assert configuration.decode_policy(items, revision=REVISION) is None
+    refused = configuration.decode_policy(items, revision=REVISION)
+    assert isinstance(refused, policy.Refused)
 
 
 @pytest.mark.parametrize(
@@ -205,12 +208,40 @@
     changed = re.sub(f'("{field}": )[0-9.]+', rf"\g<1>{value}", document, count=1)
     items = {configuration.CONFIGURATION_KEY: changed.encode()}
     decoded = configuration.decode_policy(items, revision=REVISION)
-    assert decoded is not None
+    assert isinstance(decoded, policy.Policy)
     assert policy.digest(decoded)
     assert messages.decode_policy(messages.encode(decoded)) == decoded
     assert messages.encode(messages.ReportRequest(1, "d", 0, order=decoded.order))
 
 
+@pytest.mark.parametrize(
+    ("old", "new", "version", "reason"),
+    [
+        ('"198.18.0.2"', '"x"', 7, "route 'r-2': expected an IPv4 address, got 'x'"),
+        ('"/8080/"', '"/a/"', 7, "route 'r-2': expected an IPv4 address and port"),
+        ('"cold_start_s": 2.0', '"cold_start_s": -2', 7, "$.services[0].cold_start_s"),
+        ('"version": 7', '"version": "7"', None, "$.version"),
+        ('"198.18.0.2"', f'"{"x" * 2**20}"', 7, "expected an IPv4 address, got 'xxx"),
+        ("}", "", None, "JSON is malformed"),
+    ],
+)
+def test_a_refusal_states_the_version_and_the_reason(
+    old: str, new: str, version: int | None, reason: str
+) -> None:
+    """The operators find the field to correct in the logs and in the status."""
+    items = {
+        configuration.CONFIGURATION_KEY: json.dumps(DOCUMENT).replace(old, new).encode()
+    }
+    items["op/evacuate/hall-a"] = b"{}"
+    refused = configuration.decode_policy(items, revision=revisioned.Revision(2, 5))
+    assert isinstance(refused, policy.Refused)
+    assert refused.version == version
+    assert refused.revision == revisioned.Revision(2, 5)
+    assert reason in refused.reason
+    assert len(refused.reason) <= configuration.MAX_REASON_CHARACTERS
+    assert refused.domains_out == {"hall-a"}
+
+
 def test_evacuations_alone_make_no_policy() -> None:
     """Evacuations have no effect before the first configuration document."""
     assert (
--- a/testbed/flow_site.py
+++ b/testbed/flow_site.py
@@ -24,6 +24,7 @@
 STOP_SECONDS = 8.0
 READY_SECONDS = 15.0
 POLL_SECONDS = 0.02
+COMMAND_SECONDS = 20.0
 
 # ``something_new`` is not a known settings key; processes must ignore unknown keys.
 SETTINGS = """\
@@ -256,6 +257,20 @@
                 http.close_idle(pool)
 
 
+async def run_ctl(*words: str) -> subprocess.CompletedProcess[str]:
+    """Run ``plantain-flow-ctl`` and return its exit code and output."""
+    return await trio.to_thread.run_sync(
+        lambda: subprocess.run(
+            [sys.executable, "-m", "plantainproxy.flows.programs.ctl_main", *words],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=COMMAND_SECONDS,
+            check=False,
+        )
+    )
+
+
 async def _is_ready(pool: http.Pool) -> bool:
     try:
         reply = await http.call(pool, "GET", "/v1/readyz", timeout_seconds=1.0)
--- a/tests/test_flow_ctl.py
+++ b/tests/test_flow_ctl.py
@@ -1,8 +1,6 @@
 """Tests of plantain-flow-ctl and of the metrics endpoint against a running site."""
 
 import pathlib
-import subprocess
-import sys
 
 import pytest
 import trio
@@ -10,27 +8,13 @@
 from plantainproxy import _types
 from plantainproxy.store import http
 from plantainproxy.telemetry import exposition
-from testbed import flow_site, processes
+from testbed import flow_site
 
 DEADLINE_SECONDS = 40.0
-COMMAND_TIMEOUT_SECONDS = 20
 RELAY_SECONDS = 5.0
 """Time after which docs/OPERATIONS.md asks what is wrong if a domain has no relay."""
 
 
-async def _run_command(*words: str) -> subprocess.CompletedProcess[str]:
-    return await trio.to_thread.run_sync(
-        lambda: subprocess.run(
-            [sys.executable, "-m", "plantainproxy.flows.programs.ctl_main", *words],
-            cwd=processes.ROOT,
-            capture_output=True,
-            text=True,
-            timeout=COMMAND_TIMEOUT_SECONDS,
-            check=False,
-        )
-    )
-
-
 def _relays(status: str) -> dict[str, str]:
     """Return the domain of each relay in the command's output."""
     return {
@@ -56,7 +40,7 @@
                 store = f"--store={site.store_address}"
                 with trio.fail_after(RELAY_SECONDS):
                     while True:
-                        status = await _run_command("status", store)
+                        status = await flow_site.run_ctl("status", store)
                         assert status.returncode == 0, status.stderr
                         if len(_relays(status.stdout)) == len(site.sidecars):
                             break
@@ -67,15 +51,19 @@
                 assert _relays(status.stdout) == {
                     node.host: node.domain for node in site.sidecars
                 }
-                explained = await _run_command("explain", str(flow_site.SERVICE), store)
+                explained = await flow_site.run_ctl(
+                    "explain", str(flow_site.SERVICE), store
+                )
                 assert "route r-feed: idempotent, priority 1" in explained.stdout
                 assert "pool feed: 100% of new flows" in explained.stdout
-                without_route = await _run_command("explain", "198.18.0.9:1", store)
+                without_route = await flow_site.run_ctl(
+                    "explain", "198.18.0.9:1", store
+                )
                 assert without_route.returncode == 24
-                invalid_address = await _run_command("explain", "nowhere", store)
+                invalid_address = await flow_site.run_ctl("explain", "nowhere", store)
                 assert invalid_address.returncode == 2
                 site.store.faults.status = 503
-                store_down = await _run_command("status", store)
+                store_down = await flow_site.run_ctl("status", store)
                 assert store_down.returncode == 26
 
     trio.run(main)
