A process waits for an address that another one still holds

What operators saw: a process that was started while the one before it was in its planned stop ended with exit code 1 and a traceback. Of two processes that were started at once one ended, and in one of two trials that was the one that had been started first. Until then the datagrams of one went to the other: the UDP sockets had SO_REUSEADDR. A process also ended if another program held only the port of its metrics.

UDP sockets are opened first and without SO_REUSEADDR, which they do not need, as a UDP port is free once its process has ended; so a second start takes no datagrams. A stop signal ends the wait. The metrics are waited for without a limit, because flows can be served without them.

--- a/plantainproxy/_http_server.py
+++ b/plantainproxy/_http_server.py
@@ -8,7 +8,7 @@
 import httptools
 
 from plantainproxy import _types
-from plantainproxy.eventloop import runtime, tcp
+from plantainproxy.eventloop import binding, runtime, tcp
 
 logger = logging.getLogger("plantain.http")
 
@@ -87,10 +87,15 @@
 
 
 async def serve(
-    address: _types.Address, handle: Handler, on_error: ErrorHandler = _log_error
+    address: _types.Address,
+    handle: Handler,
+    on_error: ErrorHandler = _log_error,
+    *,
+    wait_seconds: float = binding.WAIT_SECONDS,
 ) -> None:
     """Listen on an address and answer requests until cancelled.
 
+    Waits for up to ``wait_seconds`` while another socket holds the address.
     ``on_error`` gets what a handler raises; the response then has the status 500.
     """
 
@@ -101,7 +106,7 @@
             # The caller has ended the connection and expects no response.
             return
 
-    await tcp.serve(address, handle_connection)
+    await tcp.serve(address, handle_connection, wait_seconds=wait_seconds)
 
 
 async def serve_connection(
--- a/plantainproxy/eventloop/tcp.py
+++ b/plantainproxy/eventloop/tcp.py
@@ -1,13 +1,12 @@
 """TCP connections on the active loop."""
 
 from collections import abc
-import contextlib
 import errno
 import os
 import socket
 
 from plantainproxy import _types
-from plantainproxy.eventloop import runtime
+from plantainproxy.eventloop import binding, runtime
 
 LISTEN_BACKLOG = 4_096
 ACCEPT_RETRY_SECONDS = 0.1
@@ -73,31 +72,38 @@
         raise
 
 
-@contextlib.contextmanager
-def listening_socket(address: _types.Address) -> abc.Iterator[socket.socket]:
+def open_listener(address: _types.Address) -> socket.socket:
     """Open a non-blocking socket that accepts connections to an address."""
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as listener:
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.setblocking(False)
         listener.bind(address)
         listener.listen(LISTEN_BACKLOG)
-        yield listener
+    except BaseException:
+        listener.close()
+        raise
+    return listener
 
 
 async def serve(
     address: _types.Address,
     handle: abc.Callable[[Stream], abc.Coroutine[object, object, None]],
+    *,
+    wait_seconds: float = binding.WAIT_SECONDS,
 ) -> None:
     """Listen on an address and handle each connection in a task until cancelled.
 
-    A connection is closed when its handler returns.
+    Waits for up to ``wait_seconds`` while another socket holds the address. A
+    connection is closed when its handler returns.
     """
 
     async def handle_and_close(accepted: socket.socket) -> None:
         with accepted:
             await handle(Stream(accepted))
 
-    with listening_socket(address) as listener:
+    opening = binding.open_when_free(open_listener, address, wait_seconds=wait_seconds)
+    with await opening as listener:
         async with runtime.open_task_group() as group:
             while True:
                 await runtime.wait_readable(listener)
--- a/plantainproxy/flows/programs/balancer_main.py
+++ b/plantainproxy/flows/programs/balancer_main.py
@@ -385,11 +385,12 @@
 async def _run(
     lifecycle: _lifecycle.Lifecycle, node_settings: settings.BalancerSettings
 ) -> None:
-    with (
-        datagrams.bound_socket(node_settings.data_address) as data_socket,
-        datagrams.bound_socket(node_settings.message_address) as message_socket,
-    ):
-        process = BalancerProcess(node_settings, data_socket, message_socket)
+    async with datagrams.bound_sockets(
+        lifecycle, node_settings.data_address, node_settings.message_address
+    ) as sockets:
+        if not sockets:
+            return
+        process = BalancerProcess(node_settings, *sockets)
         process.log.write(
             "started",
             node=node_settings.name,
--- a/plantainproxy/flows/programs/datagrams.py
+++ b/plantainproxy/flows/programs/datagrams.py
@@ -9,8 +9,8 @@
 import functools
 import socket
 
-from plantainproxy import _types
-from plantainproxy.eventloop import loop
+from plantainproxy import _lifecycle, _types
+from plantainproxy.eventloop import binding, loop, runtime
 from plantainproxy.flows import event_log
 
 MAX_BATCH_DATAGRAMS = 64
@@ -23,15 +23,43 @@
 ErrorHandler = abc.Callable[[Exception], None]
 
 
-@contextlib.contextmanager
-def bound_socket(address: _types.Address) -> abc.Iterator[socket.socket]:
-    """Open a non-blocking UDP socket bound to an address."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp_socket:
-        udp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+@contextlib.asynccontextmanager
+async def bound_sockets(
+    lifecycle: _lifecycle.Lifecycle, *addresses: _types.Address
+) -> abc.AsyncIterator[list[socket.socket]]:
+    """Open a UDP socket at each address; none if the process is stopped meanwhile."""
+    with contextlib.ExitStack() as stack:
+        sockets: list[socket.socket] = []
+        async with runtime.open_task_group() as group:
+            group.start_soon(_cancel_when_stopping, lifecycle, group.cancel_scope)
+            for address in addresses:
+                opened = await binding.open_when_free(open_socket, address)
+                sockets.append(stack.enter_context(opened))
+            group.cancel_scope.cancel()
+        yield sockets if len(sockets) == len(addresses) else []
+
+
+async def _cancel_when_stopping(
+    lifecycle: _lifecycle.Lifecycle, scope: runtime.CancelScope
+) -> None:
+    await lifecycle.stopping.wait()
+    scope.cancel()
+
+
+def open_socket(address: _types.Address) -> socket.socket:
+    """Open a non-blocking UDP socket bound to an address that no other one has.
+
+    With ``SO_REUSEADDR`` a second process would get the datagrams of the first.
+    """
+    udp_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
         udp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         udp_socket.setblocking(False)
         udp_socket.bind(address)
-        yield udp_socket
+    except BaseException:
+        udp_socket.close()
+        raise
+    return udp_socket
 
 
 @contextlib.contextmanager
--- a/plantainproxy/flows/programs/node.py
+++ b/plantainproxy/flows/programs/node.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import functools
+import math
 import typing
 
 import msgspec
@@ -128,7 +129,10 @@
 async def serve_metrics(
     address: _types.Address, log: event_log.EventLog, gauges: exposition.Gauges
 ) -> None:
-    """Serve counters, gauges and histograms over HTTP in text format."""
+    """Serve counters, gauges and histograms over HTTP in text format.
+
+    The process serves flows without metrics while another socket holds the address.
+    """
 
     def handle(request: _http_server.Request) -> _http_server.Response:
         if request.path != METRICS_PATH:
@@ -137,7 +141,10 @@
         return _http_server.Response(200, body, exposition.CONTENT_TYPE)
 
     await _http_server.serve(
-        address, handle, functools.partial(log.write_failed, "metrics")
+        address,
+        handle,
+        functools.partial(log.write_failed, "metrics"),
+        wait_seconds=math.inf,
     )
 
 
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -419,14 +419,15 @@
 async def _run(
     lifecycle: _lifecycle.Lifecycle, node_settings: settings.SidecarSettings
 ) -> None:
-    with (
-        datagrams.bound_socket(node_settings.data_address) as data_socket,
-        datagrams.bound_socket(node_settings.outbound_address) as outbound_socket,
-        datagrams.bound_socket(node_settings.message_address) as message_socket,
-    ):
-        process = SidecarProcess(
-            node_settings, data_socket, outbound_socket, message_socket
-        )
+    async with datagrams.bound_sockets(
+        lifecycle,
+        node_settings.data_address,
+        node_settings.outbound_address,
+        node_settings.message_address,
+    ) as sockets:
+        if not sockets:
+            return
+        process = SidecarProcess(node_settings, *sockets)
         process.log.write(
             "started",
             node=node_settings.name,
--- a/plantainproxy/flows/tests/test_start.py
+++ b/plantainproxy/flows/tests/test_start.py
@@ -20,6 +20,7 @@
 from plantainproxy.platform import settings as platform_settings
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
+START = "plantainproxy.flows.programs.start"
 PROGRAMS = pytest.mark.parametrize("program", ["balancer", "sidecar"])
 HEAVY_MODULES = frozenset(
     (
@@ -63,32 +64,40 @@
 HANGUP_BIT = 1 << (signal.SIGHUP - 1)
 
 
-def _free_ports(count: int) -> list[int]:
+def _free_ports(host: str, count: int) -> list[int]:
     with contextlib.ExitStack() as stack:
         probes = [stack.enter_context(socket.socket()) for _ in range(count)]
         for probe in probes:
-            probe.bind(("127.0.0.1", 0))
+            probe.bind((host, 0))
         return [probe.getsockname()[1] for probe in probes]
 
 
-@contextlib.contextmanager
-def _started(
-    program: str, folder: pathlib.Path
-) -> abc.Iterator[subprocess.Popen[bytes]]:
-    """Start a program whose store does not answer; kill it at the end."""
-    ports = _free_ports(7)
+def _write_settings(
+    folder: pathlib.Path, *, host: str = "127.0.0.1"
+) -> tuple[pathlib.Path, list[int]]:
+    """Write settings with a store that does not answer; return the ports, too."""
+    ports = _free_ports(host, 7)
     settings = folder / "settings.json"
     settings.write_text(
-        '{"node": "n", "ip": "127.0.0.1", "zone": "a", "service": "s", '
+        f'{{"node": "n", "ip": "{host}", "zone": "a", "service": "s", '
         f'"internal_port_range": [{ports[0]}, {ports[0]}], '
-        f'"listen": {{"data_addr": "127.0.0.1:{ports[1]}", '
-        f'"ready": "127.0.0.1:{ports[2]}", "control": "127.0.0.1:{ports[3]}", '
-        f'"outbound": "127.0.0.1:{ports[4]}"}}, '
-        f'"platform": {{"addr": "127.0.0.1:{ports[5]}"}}, '
-        f'"app": "127.0.0.1:{ports[6]}"}}'
+        f'"listen": {{"data_addr": "{host}:{ports[1]}", '
+        f'"ready": "{host}:{ports[2]}", "control": "{host}:{ports[3]}", '
+        f'"outbound": "{host}:{ports[4]}"}}, '
+        f'"platform": {{"addr": "{host}:{ports[5]}"}}, '
+        f'"app": "{host}:{ports[6]}"}}'
     )
+    return settings, ports
+
+
+@contextlib.contextmanager
+def _started(
+    program: str, folder: pathlib.Path, *, settings: pathlib.Path | None = None
+) -> abc.Iterator[subprocess.Popen[bytes]]:
+    """Start a program; kill it at the end."""
+    settings = settings or _write_settings(folder)[0]
     with subprocess.Popen(
-        [sys.executable, "-m", "plantainproxy.flows.programs.start", program],
+        [sys.executable, "-m", START, program],
         cwd=ROOT,
         env={**os.environ, platform_settings.PATH_VARIABLE: str(settings)},
         stdout=subprocess.PIPE,
@@ -208,3 +217,70 @@
         time.sleep(step * STEP_SECONDS)
         process.send_signal(signal.SIGTERM)
         assert process.wait(TIMEOUT_SECONDS) in (0, -signal.SIGTERM)
+
+
+HOST = "127.36.0.1"
+"""Host of the tests that hold the fixed port of the metrics."""
+
+
+def _wait_for_line(process: subprocess.Popen[bytes], text: bytes) -> None:
+    with _killed_after(process, TIMEOUT_SECONDS):
+        assert process.stdout is not None
+        assert any(text in line for line in process.stdout)
+
+
+def _get(port: int, path: str) -> bytes:
+    with socket.create_connection((HOST, port), TIMEOUT_SECONDS) as connection:
+        connection.sendall(
+            f"GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n".encode()
+        )
+        with connection.makefile("rb") as received:
+            return received.read()
+
+
+@PROGRAMS
+def test_a_process_serves_while_its_metrics_port_is_taken(
+    program: str, tmp_path: pathlib.Path
+) -> None:
+    """Guards against the end of a process by another one that serves its metrics.
+
+    It ended with ``OSError: [Errno 98] Address already in use``.
+    """
+    settings, ports = _write_settings(tmp_path, host=HOST)
+    with (
+        socket.create_server((HOST, platform_settings.METRICS_PORT)) as holder,
+        _started(program, tmp_path, settings=settings) as process,
+    ):
+        _wait_for_line(process, b'"waiting for an address"')
+        time.sleep(1.0)
+        assert _get(ports[2], "/v1/readyz").startswith(b"HTTP/1.1 503")
+        holder.close()
+        time.sleep(1.0)
+        metrics = _get(platform_settings.METRICS_PORT, "/metrics")
+        assert b"plantainproxy_ready 0.0" in metrics
+        assert process.poll() is None
+
+
+@PROGRAMS
+def test_a_second_start_waits_for_the_end_of_the_first_process(
+    program: str, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a start that ends while the process before it still stops.
+
+    One of the two ended with an ``OSError``, and the second one got the datagrams of
+    the first. A stop while it waits ends it as planned.
+    """
+    settings, _ = _write_settings(tmp_path, host=HOST)
+    with _started(program, tmp_path, settings=settings) as first:
+        _wait_for_line(first, b'"started"')
+        with _started(program, tmp_path, settings=settings) as second:
+            _wait_for_line(second, b'"waiting for an address"')
+            second.send_signal(signal.SIGTERM)
+            assert second.wait(TIMEOUT_SECONDS) == 0
+        with _started(program, tmp_path, settings=settings) as third:
+            _wait_for_line(third, b'"waiting for an address"')
+            assert first.poll() is None
+            first.send_signal(signal.SIGTERM)
+            _wait_for_line(third, b'"started"')
+            assert first.wait(TIMEOUT_SECONDS) == 0
+            assert third.poll() is None
