A process starts without standard streams

What operators saw: a program started with standard output closed, as some supervisors do, ended with "OSError: [Errno 9] Bad file descriptor" before it could log anything.

Cause: the set-up of the log makes the descriptor non-blocking. Had that worked, the first socket would have got the descriptor, and the log lines.

Evidence: test_a_process_starts_without_standard_streams failed for both programs and both sets of closed streams.

Change: the start opens the null device for each closed standard stream.

--- a/plantainproxy/flows/programs/start.py
+++ b/plantainproxy/flows/programs/start.py
@@ -6,6 +6,7 @@
 """
 
 import importlib
+import os
 import signal
 import sys
 
@@ -14,6 +15,7 @@
     "sidecar": "plantainproxy.flows.programs.sidecar_main",
 }
 EXIT_USAGE = 2
+LAST_STANDARD_DESCRIPTOR = 2
 
 
 def balancer() -> None:
@@ -28,9 +30,20 @@
 
 def _run(name: str) -> None:
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    _open_missing_streams()
     importlib.import_module(PROGRAMS[name]).main()
 
 
+def _open_missing_streams() -> None:
+    """Open the null device for closed standard streams.
+
+    A socket would get the descriptor, and the log lines with it.
+    """
+    while (descriptor := os.open(os.devnull, os.O_RDWR)) <= LAST_STANDARD_DESCRIPTOR:
+        pass
+    os.close(descriptor)
+
+
 def main() -> None:
     """Run the program that the command line names."""
     if sys.argv[1:] not in [[name] for name in PROGRAMS]:
--- a/plantainproxy/flows/tests/test_start.py
+++ b/plantainproxy/flows/tests/test_start.py
@@ -284,3 +284,36 @@
             _wait_for_line(third, b'"started"')
             assert first.wait(TIMEOUT_SECONDS) == 0
             assert third.poll() is None
+
+
+@PROGRAMS
+@pytest.mark.parametrize("closed", ["<&- >&-", "<&- >&- 2>&-"])
+def test_a_process_starts_without_standard_streams(
+    program: str, closed: str, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a start that fails because nobody reads the log.
+
+    It ended with ``OSError: [Errno 9] Bad file descriptor``.
+    """
+    settings, ports = _write_settings(tmp_path, host=HOST)
+    command = f"exec {sys.executable} -m {START} {program} {closed}"
+    with subprocess.Popen(
+        ["/bin/sh", "-c", command],
+        cwd=ROOT,
+        env={**os.environ, platform_settings.PATH_VARIABLE: str(settings)},
+    ) as process:
+        try:
+            deadline = time.monotonic() + TIMEOUT_SECONDS
+            while not _answers(ports[2]):
+                assert process.poll() is None
+                assert time.monotonic() < deadline
+                time.sleep(STEP_SECONDS)
+        finally:
+            process.kill()
+
+
+def _answers(port: int) -> bool:
+    try:
+        return bool(_get(port, "/v1/readyz"))
+    except OSError:
+        return False
