The error that ends a process is in its log

What operators saw: a process that ended by an error left nothing in its JSON log. The interpreter writes the traceback as text to standard error, and a record that keeps only the log has neither the error nor its place.

Change: the line "the process ends" has the error and the module and line of its origin, one line for each error of a group. Exit codes and the traceback are as before.

--- a/plantainproxy/_lifecycle.py
+++ b/plantainproxy/_lifecycle.py
@@ -13,6 +13,8 @@
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 FORCED_STOP_EXIT_CODE = 1
+MAX_ERROR_CHARACTERS = 500
+"""Limit on the description of an error in the log, which may quote an input."""
 RELOADABLE_FIELDS = frozenset({"telemetry.log_level", "telemetry.log_format"})
 
 T = typing.TypeVar("T")
@@ -98,11 +100,33 @@
     except _exceptions.PlantainError as error:
         exit_with_error(error)
     except BaseExceptionGroup as group:
+        for leaf in _leaves(group):
+            _log_failure(leaf)
         exit_with_error(first_error(group))
     if is_forced:
         sys.exit(FORCED_STOP_EXIT_CODE)
 
 
+def _leaves(group: BaseExceptionGroup) -> abc.Iterator[BaseException]:
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from _leaves(error)
+        else:
+            yield error
+
+
+def _log_failure(error: BaseException) -> None:
+    """Log an error that ends the process, in one line with the place of its origin."""
+    traceback = error.__traceback__
+    while traceback is not None and traceback.tb_next is not None:
+        traceback = traceback.tb_next
+    fields = {"error": repr(error)[:MAX_ERROR_CHARACTERS]}
+    if traceback is not None:
+        name = traceback.tb_frame.f_globals.get("__name__", "")
+        fields["at"] = f"{name}:{traceback.tb_lineno}"
+    logger.critical("the process ends", extra={"fields": fields})
+
+
 def exit_with_error(error: _exceptions.PlantainError) -> typing.NoReturn:
     """Print the error and end the process with the exit code of its kind."""
     print(error, file=sys.stderr)
--- a/plantainproxy/tests/test_lifecycle.py
+++ b/plantainproxy/tests/test_lifecycle.py
@@ -1,10 +1,12 @@
 """A reload applies the reloadable settings and logs all other changes."""
 
 import dataclasses
+import typing
 
 import pytest
 
 from plantainproxy import _exceptions, _lifecycle, _types
+from plantainproxy.eventloop import loop, runtime
 from plantainproxy.settings import model
 
 ACTIVE_SETTINGS = model.BalancerSettings(
@@ -53,3 +55,53 @@
     assert _lifecycle.reload(ACTIVE_SETTINGS, read, applied.append) == ACTIVE_SETTINGS
     assert applied == []
     assert "b.toml: domain: must not be empty" in caplog.text
+
+
+@pytest.mark.parametrize(
+    ("error", "raised", "code"),
+    [
+        (ValueError("one input"), BaseExceptionGroup, None),
+        (
+            _exceptions.PlantainError(
+                _exceptions.ErrorKind.INVALID_SETTINGS, "127.0.0.1:1 is in use"
+            ),
+            SystemExit,
+            22,
+        ),
+    ],
+)
+def test_the_error_that_ends_a_process_is_in_its_log(
+    caplog: pytest.LogCaptureFixture,
+    error: Exception,
+    raised: type[BaseException],
+    code: int | None,
+) -> None:
+    """Guards against ends that leave no trace where only the log is kept.
+
+    The interpreter writes the traceback to standard error, as lines of text.
+    """
+
+    async def fail() -> None:
+        raise error
+
+    async def body(_: _lifecycle.Lifecycle) -> None:
+        async with runtime.open_task_group() as group:
+            group.start_soon(fail)
+            await runtime.sleep(60.0)
+
+    def configure(_: object) -> None:
+        return None
+
+    with pytest.raises(raised) as ended:
+        _lifecycle.run_daemon(
+            run=loop.run,
+            read=lambda: None,
+            check_only=False,
+            configure=configure,
+            body=body,
+        )
+    assert getattr(ended.value, "code", None) == code
+    (record,) = [entry for entry in caplog.records if entry.levelname == "CRITICAL"]
+    fields: dict[str, typing.Any] = record.__dict__["fields"]
+    assert fields["error"] == repr(error)
+    assert fields["at"].startswith(f"{__name__}:")
