Configuration: the bounds of a policy that processes send to each other

Found when the bounds of messages and those of the configuration met: a configuration with an idle time of 1e308 ms was applied by the processes that read it from the store, and refused by those that got it as a policy from another process. test_the_policy_of_an_extreme_number_can_be_encoded failed for four values.

Tests: four values of 1e308 move from the accepted extremes to the refused ones; 1e15 takes their place.

--- a/plantainproxy/platform/tests/test_configuration.py
+++ b/plantainproxy/platform/tests/test_configuration.py
@@ -167,6 +167,10 @@
         ("cold_start_s", -1),
         ("cold_per_s", -1),
         ("idle_timeout_ms", "-1e308"),
+        ("idle_timeout_ms", 1e308),
+        ("slo_ms", 1e308),
+        ("weight", 1e308),
+        ("cold_start_s", 1e308),
     ],
 )
 def test_a_number_out_of_range_is_refused(field: str, value: object) -> None:
@@ -190,14 +194,14 @@
         ("version", 2**63 - 1),
         ("priority", -3),
         ("priority", 2**63 - 1),
-        ("slo_ms", 1e308),
+        ("slo_ms", 1e15),
         ("weight", 0),
         ("weight", 5e-324),
-        ("weight", 1e308),
-        ("cold_start_s", 1e308),
+        ("weight", 1e15),
+        ("cold_start_s", 1e15),
         ("cold_per_s", 5e-324),
         ("idle_timeout_ms", 0),
-        ("idle_timeout_ms", 1e308),
+        ("idle_timeout_ms", 1e15),
     ],
 )
 def test_the_policy_of_an_extreme_number_can_be_encoded(
--- a/plantainproxy/store/http.py
+++ b/plantainproxy/store/http.py
@@ -254,7 +254,7 @@
 ) -> None:
     connection.response = _ResponseParser()
     head = (
-        f"{method} {_encode_target(path)} HTTP/1.1\r\n"
+        f"{method} {encode_target(path)} HTTP/1.1\r\n"
         f"host: {address}\r\n"
         "content-type: application/json\r\n"
         f"content-length: {len(body)}\r\n\r\n"
@@ -262,7 +262,7 @@
     await connection.stream.send_all(head.encode("ascii") + body)
 
 
-def _encode_target(path: str) -> str:
+def encode_target(path: str) -> str:
     """Return a path with percent-encoding of what a request line cannot contain."""
     if path.isascii() and path.isprintable() and " " not in path:
         return path
