Count packets of open flows at other upstreams, and stop several processes at once

Nothing counted packets of open flows that reach upstreams which do not hold them: the soak, the stand-ins and the tests counted resets only.

The stand-in upstream now records the arrivals at its socket, bounded, and when each flow's handshake was completed. testbed.stray_packets finds the windows of 2 s in which three or more packets of a flow reach other upstreams and none its own while that upstream runs.

The actions of earlier seeds stay the same (--nojoint_stops, and the seeds of the tests), as do all existing checks.

--- a/standins/flow_ends.py
+++ b/standins/flow_ends.py
@@ -4,6 +4,7 @@
 is one packet, and the upstream responds with one packet that has the same payload.
 """
 
+import collections
 from collections import abc
 import contextlib
 import dataclasses
@@ -26,6 +27,11 @@
 SEQUENCE_MASK = 0xFFFF_FFFF
 INITIAL_SEQUENCE_BITS = 30
 """Initial sequence numbers are below 2**30, so that none wraps around in a test."""
+MAX_RECORDED_ARRIVALS = 200_000
+"""Capacity of an upstream's record of packets, of about 100 bytes each."""
+
+FlowKey = tuple[_types.Address, _types.Address]
+"""The caller's address and the service address of a flow."""
 
 
 def encode(
@@ -87,6 +93,24 @@
     )
 
 
+class ArrivalRecord:
+    """When packets of which flows reached an upstream's socket, newest last."""
+
+    def __init__(self, *, capacity: int = MAX_RECORDED_ARRIVALS) -> None:
+        """Create an empty record, which discards its oldest entries when it is full."""
+        self.arrivals: collections.deque[tuple[float, FlowKey]] = collections.deque(
+            maxlen=capacity
+        )
+        self.complete_since = float("-inf")
+        """Time after which no entry has been discarded."""
+
+    def add(self, key: FlowKey, *, now: float) -> None:
+        """Record a packet."""
+        if len(self.arrivals) == self.arrivals.maxlen:
+            self.complete_since = self.arrivals[0][0]
+        self.arrivals.append((now, key))
+
+
 class Upstream:
     """An upstream and the state of its flows."""
 
@@ -109,16 +133,20 @@
         self.heartbeat_seconds = heartbeat_seconds
         self.draining = False
         self.cancel_scope = trio.CancelScope()
-        self.half_open: dict[tuple[_types.Address, _types.Address], int] = {}
+        self.half_open: dict[FlowKey, int] = {}
         """Initial sequence number of each opening, by caller and service address."""
-        self.flows: dict[tuple[_types.Address, _types.Address], int] = {}
+        self.flows: dict[FlowKey, int] = {}
         """Last sequence number sent by the upstream, by caller and service address."""
         self.executed_payloads: list[bytes] = []
         self.opening_packet_count = 0
         self.unexpected_packets: list[Packet] = []
         """SYN-ACK packets received; only a caller may receive these."""
         self.started_milliseconds = time.time_ns() // 1_000_000
-        self.next_caller_sequence: dict[tuple[_types.Address, _types.Address], int] = {}
+        self.next_caller_sequence: dict[FlowKey, int] = {}
+        self.record = ArrivalRecord()
+        self.opened_at: dict[FlowKey, float] = {}
+        """When each flow's handshake was completed here."""
+        self.ended_at = float("inf")
 
     def crash(self) -> None:
         """Stop immediately, without draining or a final heartbeat."""
@@ -134,10 +162,14 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_http_server.serve, self.address, self._health)
                 nursery.start_soon(self._send_heartbeats)
-                while True:
-                    data, _ = await udp_socket.recvfrom(65_536)
-                    for response in self.handle(data):
-                        await udp_socket.sendto(response, self.outbound)
+                try:
+                    while True:
+                        data, _ = await udp_socket.recvfrom(65_536)
+                        responses = self.receive(data, now=trio.current_time())
+                        for response in responses:
+                            await udp_socket.sendto(response, self.outbound)
+                finally:
+                    self.ended_at = trio.current_time()
 
     def _health(self, request: _http_server.Request) -> _http_server.Response:
         return _http_server.Response(503 if self.draining else 200, b"{}")
@@ -164,6 +196,16 @@
                 )
             await trio.sleep(self.heartbeat_seconds)
 
+    def receive(self, data: bytes, *, now: float) -> list[bytes]:
+        """Record and handle one packet; return the packets to send in response."""
+        packet = decode(data)
+        key = (packet.source, packet.destination)
+        self.record.add(key, now=now)
+        responses = self.handle(data)
+        if key in self.flows:
+            self.opened_at.setdefault(key, now)
+        return responses
+
     def handle(self, data: bytes) -> list[bytes]:
         """Handle one packet and return the packets to send in response.
 
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -9,7 +9,10 @@
 A failed seed prints the violations and saves its logs under ``out/``.
 
 With ``--planned`` all faults are planned work or heartbeats of another writer, so that
-no open flow may be reset.
+no open flow may be reset, nor may its packets reach other upstreams than its own
+(``testbed.stray_packets``). Several processes are then stopped at once or in turn, and
+more callers keep their flows; ``--planned --nojoint_stops`` leaves this out, as in the
+seeds that the tests run.
 """
 
 from collections import abc
@@ -29,9 +32,14 @@
 from plantainproxy.flows.stored import registry
 from plantainproxy.store import http
 from standins import fault_proxy, flow_ends
-from testbed import flow_site
+from testbed import flow_site, stray_packets
 
 CALLERS = 8
+KEEPING_CALLERS = 24
+"""Further callers of a run with joint stops, which keep their flows until the end."""
+JOINT_STOP_SIDECARS = 2
+SERIAL_STOP_SECONDS = 0.3
+"""Time for which each process is away when all are stopped in turn."""
 RECOVERY_SECONDS = 4.0
 """Time without faults at the end of a run, in which service must recover.
 
@@ -107,14 +115,24 @@
     """The run of one seed on one site."""
 
     def __init__(
-        self, site: flow_site.Site, seed: int, *, is_planned: bool = False
+        self,
+        site: flow_site.Site,
+        seed: int,
+        *,
+        is_planned: bool = False,
+        has_joint_stops: bool = False,
     ) -> None:
         """Create a run without results."""
         self.site = site
         self.is_planned = is_planned
         """Whether there is planned work only, so that no open flow may be reset."""
+        self.has_joint_stops = has_joint_stops
+        """Whether several processes are stopped at once or in turn."""
         self.random = random.Random(seed)
         self.result = RunResult()
+        self.strays: stray_packets.Figures | None = None
+        self.stray_violations: list[str] = []
+        """Violations only of a run with planned work only."""
         self.actions: list[str] = []
         self.reserved_nodes: set[pathlib.Path] = set()
         """Settings files of the nodes that an action uses; other actions skip them."""
@@ -127,10 +145,12 @@
 async def send_requests_forever(run: SoakRun, index: int) -> None:
     """Open flows one after another and send requests at random intervals on each.
 
-    Every second caller of a run with planned work only keeps its flow until the end.
+    Every second caller of a run with planned work only keeps its flow until the end, as
+    do all further callers. In a run with joint stops, the fabric sends no packets to
+    balancers without a process.
     """
     caller = run.site.caller(index)
-    keeps_flow = run.is_planned and index % 2 == 0
+    keeps_flow = run.is_planned and (index % 2 == 0 or index >= CALLERS)
     number = 0
     while True:
         caller.balancers = run.site.caller(index).balancers or caller.balancers
@@ -143,6 +163,9 @@
                     requests_left = max(requests_left - 1, 0)
                     number += 1
                     payload = b"%d/%d" % (index, number)
+                    if run.has_joint_stops:
+                        running = run.site.caller(index).balancers
+                        caller.balancers = running or caller.balancers
                     await flow.request(payload, timeout_seconds=3.0)
                     run.result.answered += 1
                     run.result.last_response_at = trio.current_time()
@@ -205,6 +228,61 @@
         run.site.start(node)
 
 
+@contextlib.contextmanager
+def _reserve_nodes(
+    run: SoakRun, nodes: abc.Iterable[flow_site.Node], count: int
+) -> abc.Iterator[list[flow_site.Node]]:
+    """Reserve random nodes of some that no other action uses, at most ``count``."""
+    free = [node for node in nodes if node.settings_path not in run.reserved_nodes]
+    reserved = run.random.sample(free, min(count, len(free)))
+    paths = {node.settings_path for node in reserved}
+    run.reserved_nodes |= paths
+    try:
+        yield reserved
+    finally:
+        run.reserved_nodes -= paths
+
+
+async def _stop_and_start(
+    run: SoakRun, node: flow_site.Node, away_seconds: float
+) -> None:
+    """Stop a process with SIGTERM and start it after it has been away for a time."""
+    node.signal(signal.SIGTERM)
+    await node.wait()
+    await trio.sleep(away_seconds)
+    run.site.start(node)
+
+
+async def stop_balancer_and_sidecars(run: SoakRun) -> None:
+    """Stop a balancer and two sidecars at once, each for 0.1 s to 2 s."""
+    with (
+        _reserve_nodes(run, run.site.balancers, 1) as balancers,
+        _reserve_nodes(run, run.site.sidecars, JOINT_STOP_SIDECARS) as sidecars,
+    ):
+        stopped = {
+            node: run.random.uniform(0.1, 2.0) for node in (*balancers, *sidecars)
+        }
+        run.record_action(
+            "SIGTERM at once: "
+            + ", ".join(
+                f"{node.settings_path.stem} for {seconds:.1f} s"
+                for node, seconds in stopped.items()
+            )
+        )
+        async with trio.open_nursery() as nursery:
+            for node, seconds in stopped.items():
+                nursery.start_soon(_stop_and_start, run, node, seconds)
+
+
+async def restart_all_in_turn(run: SoakRun) -> None:
+    """Stop all processes one after the other, each for 0.3 s."""
+    run.record_action("SIGTERM all in turn")
+    for node in (*run.site.balancers, *run.site.sidecars):
+        with _reserve_nodes(run, [node], 1) as reserved:
+            for free_node in reserved:
+                await _stop_and_start(run, free_node, SERIAL_STOP_SECONDS)
+
+
 async def send_foreign_heartbeat(run: SoakRun) -> None:
     """Send a heartbeat of another writer to a sidecar."""
     upstream = run.random.choice(run.site.upstreams)
@@ -438,6 +516,13 @@
     send_foreign_heartbeat,
     send_foreign_heartbeat,
 )
+JOINT_STOP_ACTIONS: tuple[Action, ...] = (
+    *PLANNED_ACTIONS,
+    stop_balancer_and_sidecars,
+    stop_balancer_and_sidecars,
+    restart_all_in_turn,
+)
+"""The faults of earlier planned seeds stay the same without the joint stops."""
 RELAY_ACTIONS: tuple[Action, ...] = (*ACTIONS, pause_domain, restart_in_series)
 RESTORATION_ACTIONS: tuple[Action, ...] = (*RELAY_ACTIONS, restore_store, evacuate)
 """The faults of earlier seeds stay the same without the restoration."""
@@ -516,6 +601,7 @@
     plan: SitePlan = WITH_RELAYS,
     restores_store: bool = False,
     is_planned: bool = False,
+    has_joint_stops: bool = False,
 ) -> SoakRun:
     """Run one seed: inject faults for ``seconds``, then check the recovery."""
     async with flow_site.running(
@@ -526,19 +612,25 @@
         domains=plan.domains,
         store_links=True,
     ) as site:
-        run = SoakRun(site, seed, is_planned=is_planned)
+        run = SoakRun(
+            site, seed, is_planned=is_planned, has_joint_stops=has_joint_stops
+        )
         async with trio.open_nursery() as nursery:
-            for index in range(CALLERS):
+            for index in range(CALLERS + (KEEPING_CALLERS if has_joint_stops else 0)):
                 nursery.start_soon(send_requests_forever, run, index)
             actions = ACTIONS if plan is SMALL else RELAY_ACTIONS
             if is_planned:
-                actions = PLANNED_ACTIONS
+                actions = JOINT_STOP_ACTIONS if has_joint_stops else PLANNED_ACTIONS
             if restores_store:
                 actions = RESTORATION_ACTIONS
                 nursery.start_soon(restore_store_during, run, seconds)
             await inject_faults(run, seconds, actions)
             await trio.sleep(RECOVERY_SECONDS)
-            run.result.violations = list(find_violations(run, end=trio.current_time()))
+            end = trio.current_time()
+            flows = stray_packets.open_flows(site.upstreams, end=end)
+            run.strays = stray_packets.measure(flows)
+            run.stray_violations = list(stray_packets.find_violations(flows))
+            run.result.violations = list(find_violations(run, end=end))
             nursery.cancel_scope.cancel()
     return run
 
@@ -550,16 +642,23 @@
     seconds: float = 10.0,
     restores_store: bool = False,
     planned: bool = False,
+    joint_stops: bool = True,
 ) -> None:
     """Run seeds one after another; the exit code is the number of failed seeds."""
     run_one = functools.partial(
-        run_seed, restores_store=restores_store, is_planned=planned
+        run_seed,
+        restores_store=restores_store,
+        is_planned=planned,
+        has_joint_stops=planned and joint_stops,
     )
     failed = 0
     for seed in range(first, first + seeds):
         with tempfile.TemporaryDirectory() as directory:
             run = trio.run(run_one, seed, seconds, pathlib.Path(directory))
-            if run.result.violations:
+            violations = run.result.violations
+            if planned:
+                violations = [*violations, *run.stray_violations]
+            if violations:
                 output_directory = pathlib.Path("out") / f"soak-{seed}"
                 output_directory.mkdir(parents=True, exist_ok=True)
                 for log in pathlib.Path(directory).glob("*.log"):
@@ -568,12 +667,12 @@
                     "\n".join(run.actions) + "\n"
                 )
         result = run.result
-        failed += bool(result.violations)
+        failed += bool(violations)
         print(
             f"seed {seed}: {result.answered} answered, {result.resets} resets, "
             f"{result.unanswered} unanswered, "
-            f"{run.site.store.era} restorations, "
-            f"violations: {result.violations or 'none'}",
+            f"{run.site.store.era} restorations, {run.strays}, "
+            f"violations: {violations or 'none'}",
             flush=True,
         )
     raise SystemExit(failed)
