Lookups: no delivery on suspicion while the holder may be away

Cause: a lookup sent the packet itself to every sidecar whose report stated an incomplete flow table, and to every sidecar that had not answered a query. Such a sidecar delivers the packet to find out whether its upstream returns it. Nothing checked whether the flow's own sidecar could be among those that got it.

Change: a sidecar that does not know a flow answers a query by FlowUnknown instead of silence.

Why it works: an open flow does not move. If every upstream has either denied the flow or gets the packet, the holder gets one.

A query about an unknown flow must now be answered by FlowUnknown where the test only checked that there was no other answer.

--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -99,15 +99,17 @@
 
 
 def _answer_query(engine: sidecar_state.Engine, packet: packets.Packet) -> None:
-    """Reply whether the upstream holds a flow, if the flow table shows it.
+    """Reply whether the upstream holds a flow, as far as the flow table shows it.
 
     Otherwise only the upstream can tell, by what it does with the packet itself, which
-    the balancer sends with its next query.
+    the balancer sends if the flow's upstream must be among those that get it.
     """
     if flow_table.is_held(engine.table, packet):
         _reply(engine, packet, messages.FlowHeld(flow=packet.flow))
     elif _is_certainly_not_held(engine, packet):
         _reply(engine, packet, messages.FlowNotHeld(flow=packet.flow))
+    else:
+        _reply(engine, packet, messages.FlowUnknown(flow=packet.flow))
 
 
 def _is_certainly_not_held(
--- a/plantainproxy/flows/engine/upstreams.py
+++ b/plantainproxy/flows/engine/upstreams.py
@@ -139,6 +139,21 @@
     return report.state is not messages.UpstreamState.GONE
 
 
+def is_away(
+    upstream: Upstream, *, now: float, timeout_seconds: float = LOSS_TIMEOUT_SECONDS
+) -> bool:
+    """Return whether the sidecar should return but cannot be asked for its flows now.
+
+    It has not reported yet, is silent, or has announced a stop, and is not lost.
+    """
+    if is_lost(upstream, now=now, timeout_seconds=timeout_seconds):
+        return False
+    if has_left(upstream):
+        return False
+    is_stopping = upstream.report is not None and upstream.report.stopping
+    return is_stopping or not is_fresh(upstream, now=now)
+
+
 def oldest_report_seconds(view: View, *, now: float) -> float:
     """Return the age of the oldest of the newest reports of upstreams not lost."""
     return max(
@@ -161,11 +176,12 @@
         for upstream in view.upstreams.values()
         if now - upstream.last_report_at >= _overdue_seconds(view, upstream)
         and not is_lost(upstream, now=now)
-        and not _has_left(upstream)
+        and not has_left(upstream)
     ]
 
 
-def _has_left(upstream: Upstream) -> bool:
+def has_left(upstream: Upstream) -> bool:
+    """Return whether the sidecar has stopped for good, together with its upstream."""
     report = upstream.report
     return (
         not upstream.registered
--- a/plantainproxy/flows/messages.py
+++ b/plantainproxy/flows/messages.py
@@ -237,6 +237,16 @@
     flow: _decoding.FlowKey
 
 
+class FlowUnknown(msgspec.Struct, frozen=True, array_like=True, tag="unknown"):
+    """Lookup answer: the sending sidecar does not know whether the flow is held.
+
+    Its flow table is not complete and does not have the flow. Earlier releases send
+    nothing instead, and count this message as malformed.
+    """
+
+    flow: _decoding.FlowKey
+
+
 class ReturnedPacket(msgspec.Struct, frozen=True, array_like=True, tag="returned"):
     """A packet that the sidecar could not deliver, sent back to the balancer."""
 
@@ -260,6 +270,7 @@
     | FlowRecordResult
     | FlowHeld
     | FlowNotHeld
+    | FlowUnknown
     | ReturnedPacket
 )
 
--- a/plantainproxy/flows/packets.py
+++ b/plantainproxy/flows/packets.py
@@ -15,7 +15,8 @@
     OPEN = 1
     """The balancer has selected the upstream for a new flow."""
     LOOKUP = 2
-    """The flow is not in the balancer's cache; several sidecars are queried at once."""
+    """The flow is not in the balancer's cache. The sidecar answers whether its upstream
+    holds the flow, and delivers the packet unless it does not."""
     QUERY = 3
     """Like ``LOOKUP``, but without the payload: the packet itself is not delivered."""
 
--- /dev/null
+++ b/plantainproxy/flows/tests/test_flow_lookups.py
@@ -0,0 +1,440 @@
+"""Tests of lookups against several balancers, sidecars and upstreams.
+
+The rule that they check: while the upstream of a flow runs, no three packets of the
+flow reach other upstreams within 2 s unless the flow's own upstream gets one.
+"""
+
+import dataclasses
+import itertools
+
+import msgspec
+import pytest
+
+from plantainproxy import _types
+from plantainproxy.flows import messages, packets, policy
+from plantainproxy.flows.engine import (
+    balancer_state,
+    hedging,
+    lookup,
+    sidecar,
+    upstreams,
+)
+from testbed import transparent
+
+KEY = transparent.flow_key(1)
+DATA = transparent.make_packet(
+    KEY, sequence=1, size=100, acknowledgement=transparent.UPSTREAM_SEQUENCE + 1
+)
+STEP_SECONDS = 0.01
+OWN = 1
+"""Number of the upstream that holds the flow."""
+BALANCERS = 3
+RULE_SECONDS = 2.0
+RULE_PACKETS = 3
+RETRANSMISSION_SECONDS = 0.3
+
+
+@dataclasses.dataclass
+class Delivery:
+    """A data packet of the flow that reached an upstream."""
+
+    at: float
+    number: int
+
+
+class Site:
+    """Balancers and sidecars joined in order, on one clock.
+
+    Upstreams answer packets of the flow that they hold and return all others.
+    """
+
+    def __init__(self, count: int = 4, *, old: frozenset[int] = frozenset()) -> None:
+        """Start the processes; the flow's own upstream has accepted it."""
+        self.own = OWN
+        self.count = count
+        self.now = 100.0
+        self.boots = itertools.count(1)
+        self.old = old
+        """Sidecars of an earlier release."""
+        self.deliveries: list[Delivery] = []
+        self.sidecars: dict[int, transparent.SidecarHarness] = {}
+        self.balancers: list[transparent.BalancerHarness] = []
+        self.sent: dict[int, int] = {}
+        for number in range(1, count + 1):
+            self.start_sidecar(number, is_complete=True)
+        self.sidecars[self.own].open(KEY)
+        self.sidecars[self.own].port.delivered.clear()
+        for number in range(BALANCERS):
+            self.balancers.append(transparent.BalancerHarness())
+            self.start_balancer(number)
+        self.pass_time(3.0)
+
+    def start_balancer(self, number: int) -> None:
+        """Start a balancer without any state but the list and the policy."""
+        harness = self.balancers[number] = transparent.BalancerHarness()
+        harness.now = self.now
+        harness.apply_registrations(*range(1, self.count + 1))
+        harness.apply_policy(transparent.make_policy(1))
+        self.sent[number] = 0
+        self.subscribe(number)
+
+    def subscribe(self, number: int) -> None:
+        """Let a balancer ask all running sidecars for reports."""
+        address = _types.Address(f"10.0.2.{number}", transparent.MESSAGE_PORT)
+        for harness in self.sidecars.values():
+            harness.handle_report_request(address)
+
+    def start_sidecar(self, number: int, *, is_complete: bool) -> None:
+        """Start a sidecar process with an empty flow table."""
+        harness = self.sidecars[number] = transparent.SidecarHarness()
+        harness.now = self.now
+        harness.engine.identity = msgspec.structs.replace(
+            harness.engine.identity, boot=next(self.boots)
+        )
+        harness.apply_policy(transparent.make_policy(1))
+        harness.handle_heartbeat(round(self.now * 100), born=1)
+        harness.engine.table.complete = is_complete
+
+    def stop_sidecar(self, number: int) -> None:
+        """Stop a sidecar as planned."""
+        sidecar.stop(self.sidecars[number].engine, now=self.now)
+        self.exchange()
+        del self.sidecars[number]
+
+    def send(self, via: int, packet: packets.Packet = DATA) -> None:
+        """Send a caller's packet through a balancer."""
+        self.balancers[via].handle_packet(packet)
+        self.exchange()
+
+    def pass_time(self, seconds: float) -> None:
+        """Advance the clock of all processes in steps."""
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.now += STEP_SECONDS
+            for number in range(len(self.balancers)):
+                self.balancers[number].tick(STEP_SECONDS)
+                self.subscribe(number)
+            for harness in self.sidecars.values():
+                harness.tick(STEP_SECONDS)
+            self.exchange()
+
+    def send_for(self, seconds: float) -> None:
+        """Retransmit a packet through one balancer after another for some time."""
+        for via in range(round(seconds / RETRANSMISSION_SECONDS)):
+            self.send(via % BALANCERS)
+            self.pass_time(RETRANSMISSION_SECONDS)
+
+    def exchange(self) -> None:
+        """Deliver packets and messages until there are none."""
+        is_busy = True
+        while is_busy:
+            is_busy = any([self.pass_packets_on(via) for via in range(BALANCERS)])
+            is_busy |= any(
+                [self.pass_messages_on(number) for number in list(self.sidecars)]
+            )
+
+    def pass_packets_on(self, via: int) -> bool:
+        """Deliver what a balancer has sent to the sidecars and their upstreams."""
+        if via >= len(self.balancers):
+            return False
+        forwarded = self.balancers[via].port.forwarded
+        new = forwarded[self.sent[via] :]
+        self.sent[via] = len(forwarded)
+        for packet, host, purpose in new:
+            number = int(host.rpartition(".")[2])
+            if number not in self.sidecars:
+                continue
+            self.sidecars[number].handle_inbound(
+                packet._replace(
+                    purpose=purpose,
+                    balancer=bytes((10, 0, 2, via)),
+                    size=0 if purpose is packets.Purpose.QUERY else packet.size,
+                )
+            )
+            self.pass_to_upstream(number)
+        return bool(new)
+
+    def pass_to_upstream(self, number: int) -> None:
+        """Let an upstream handle the packets that its sidecar delivered."""
+        harness = self.sidecars[number]
+        delivered, harness.port.delivered = harness.port.delivered, []
+        for packet in delivered:
+            if packet.opening:
+                continue
+            self.deliveries.append(Delivery(self.now, number))
+            if number != self.own:
+                harness.handle_outbound(packet._replace(returned=True))
+            else:
+                harness.handle_outbound(transparent.make_packet(KEY))
+
+    def pass_messages_on(self, number: int) -> bool:
+        """Deliver what a sidecar has sent to the balancers."""
+        port = self.sidecars[number].port
+        sent, port.sent_messages = port.sent_messages, []
+        for host, message in sent:
+            balancer = self.balancers[int(host.rpartition(".")[2])]
+            received = _as_old_release(message) if number in self.old else message
+            if isinstance(received, messages.ReturnedPacket):
+                balancer.handle_returned_packet(number, DATA, received.reason)
+            elif received is not None:
+                balancer.handle_message(number, received)
+        return bool(sent)
+
+    def own_deliveries(self) -> int:
+        """Return how many packets the flow's own upstream has received."""
+        return sum(delivery.number == self.own for delivery in self.deliveries)
+
+    def stray_deliveries(self) -> int:
+        """Return how many packets other upstreams have received."""
+        return len(self.deliveries) - self.own_deliveries()
+
+    def resets(self) -> int:
+        """Return the number of resets that callers received."""
+        return sum(len(harness.port.resets) for harness in self.balancers) + sum(
+            len(harness.port.resets) for harness in self.sidecars.values()
+        )
+
+    def is_rule_kept(self) -> bool:
+        """Return whether no three stray packets came in 2 s without an own one."""
+        return all(
+            any(
+                delivery.number == self.own
+                and first.at <= delivery.at <= first.at + RULE_SECONDS
+                for delivery in self.deliveries
+            )
+            for first in self.deliveries
+            if sum(
+                delivery.number != self.own
+                and first.at <= delivery.at < first.at + RULE_SECONDS
+                for delivery in self.deliveries
+            )
+            >= RULE_PACKETS
+        )
+
+
+def _as_old_release(message: messages.Message) -> messages.Message | None:
+    """Return what a sidecar of 9a0a358 sends instead."""
+    if isinstance(message, messages.FlowUnknown):
+        return None
+    return message
+
+
+def _make_hint(site: Site, via: int, number: int) -> None:
+    site.balancers[via].engine.hints = {KEY: transparent.address(number)}
+
+
+@pytest.mark.parametrize(
+    "is_complete", list(itertools.product((True, False), repeat=3))
+)
+@pytest.mark.parametrize("hint", [None, OWN, 2])
+def test_no_packet_goes_elsewhere_while_the_own_sidecar_is_away(
+    is_complete: tuple[bool, ...], hint: int | None
+) -> None:
+    """Guards against copies of a caller's packets at upstreams without the flow.
+
+    Balancers that had restarted sent each retransmission to all sidecars with an
+    incomplete flow table while the flow's own sidecar restarted as planned.
+    """
+    site = Site()
+    for number, complete in enumerate(is_complete, start=2):
+        site.stop_sidecar(number)
+        site.start_sidecar(number, is_complete=complete)
+    site.pass_time(0.5)
+    for via in range(BALANCERS):
+        site.start_balancer(via)
+        if hint is not None:
+            _make_hint(site, via, hint)
+    site.pass_time(0.1)
+    site.stop_sidecar(OWN)
+    site.send_for(4.5)
+    assert site.deliveries == []
+    site.start_sidecar(OWN, is_complete=False)
+    site.send(0)
+    site.pass_time(lookup.MAX_QUERY_RETRY_SECONDS)
+    assert site.own_deliveries()
+    assert site.is_rule_kept()
+    assert site.resets() == 0
+
+
+@pytest.mark.parametrize("is_own_complete", [True, False])
+def test_the_flow_is_found_once_its_sidecar_reports_again(
+    is_own_complete: bool,
+) -> None:
+    """Guards against a wait for the caller's next packet: it may have sent its last."""
+    site = Site()
+    for number in (2, 3, 4):
+        site.start_sidecar(number, is_complete=False)
+    site.pass_time(0.5)
+    site.stop_sidecar(OWN)
+    site.send(0)
+    site.pass_time(1.0)
+    assert site.deliveries == []
+    site.start_sidecar(OWN, is_complete=is_own_complete)
+    if is_own_complete:
+        site.sidecars[OWN].open(KEY)
+        site.sidecars[OWN].port.delivered.clear()
+    site.pass_time(lookup.MAX_QUERY_RETRY_SECONDS)
+    assert site.own_deliveries()
+    assert site.balancers[0].engine.flows[KEY].upstream == transparent.address(OWN)
+    if is_own_complete:
+        assert site.stray_deliveries() == 0
+
+
+def test_a_sidecar_that_starts_just_as_the_own_one_stops_gets_no_packet() -> None:
+    """Guards against copies while several sidecars restart at once."""
+    site = Site()
+    site.stop_sidecar(2)
+    site.pass_time(0.3)
+    site.stop_sidecar(OWN)
+    site.start_sidecar(2, is_complete=False)
+    site.send_for(3.0)
+    assert site.deliveries == []
+
+
+def test_a_hedged_flow_goes_nowhere_else_while_its_sidecar_is_away() -> None:
+    """Guards against a packet on suspicion at a hedge's other upstream."""
+    site = Site()
+    harness = site.balancers[0]
+    route = transparent.make_route(transparent.POOL)
+    opening = hedging.WatchedOpening(
+        transparent.make_packet(KEY, opening=True), route, site.now, site.now
+    )
+    site.start_sidecar(2, is_complete=False)
+    site.pass_time(0.6)
+    site.stop_sidecar(OWN)
+    addresses = [transparent.address(number) for number in (OWN, 2)]
+    harness.engine.hedging.times[DATA.service] = hedging.OpeningTimes()
+    harness.engine.hedging.hedged[KEY] = hedging.HedgedOpening(
+        opening, addresses[0], addresses, frozenset()
+    )
+    site.send(0)
+    site.pass_time(1.0)
+    assert site.deliveries == []
+
+
+def test_a_returned_packet_is_not_sent_on_while_the_holder_is_away() -> None:
+    """Guards against copies after a packet that an upstream returned."""
+    site = Site()
+    for number in (2, 3, 4):
+        site.start_sidecar(number, is_complete=False)
+    site.pass_time(0.6)
+    site.stop_sidecar(OWN)
+    now = site.now
+    site.balancers[0].engine.flows[KEY] = balancer_state.CachedFlow(
+        transparent.address(2), now, now
+    )
+    site.send(0)
+    assert [delivery.number for delivery in site.deliveries] == [2]
+    site.send_for(2.4)
+    assert site.stray_deliveries() == 1
+
+
+def test_a_new_balancer_waits_until_it_knows_all_sidecars() -> None:
+    """Guards against deliveries by a balancer whose list may lack the holder."""
+    site = Site()
+    for number in (2, 3, 4):
+        site.start_sidecar(number, is_complete=False)
+    site.stop_sidecar(OWN)
+    harness = site.balancers[0] = transparent.BalancerHarness()
+    harness.now = site.now
+    site.sent[0] = 0
+    harness.apply_registrations(2, 3, 4)
+    harness.apply_policy(transparent.make_policy(1))
+    site.send(0)
+    site.pass_time(upstreams.LIST_LAG_SECONDS - 0.1)
+    assert site.deliveries == []
+
+
+def test_flows_are_found_by_delivery_after_a_kill_of_all_processes() -> None:
+    """Guards against a search that waits forever for a complete flow table."""
+    site = Site()
+    for number in range(1, site.count + 1):
+        site.start_sidecar(number, is_complete=False)
+    for via in range(BALANCERS):
+        site.start_balancer(via)
+    site.send_for(upstreams.LIST_LAG_SECONDS + 2 * lookup.MAX_QUERY_RETRY_SECONDS)
+    assert site.own_deliveries()
+    assert site.is_rule_kept()
+    assert site.resets() == 0
+
+
+@pytest.mark.parametrize("old", [{1}, {1, 2}, {2, 3}, {1, 2, 3, 4}])
+def test_flows_of_earlier_sidecars_are_found(old: set[int]) -> None:
+    """Guards against a wait for answers that an earlier release does not send."""
+    site = Site(old=frozenset(old))
+    for number in range(1, site.count + 1):
+        site.start_sidecar(number, is_complete=False)
+    site.pass_time(0.6)
+    site.send(0)
+    site.pass_time(lookup.TIMEOUT_SECONDS)
+    assert site.own_deliveries()
+    assert site.is_rule_kept()
+    assert site.balancers[0].engine.flows[KEY].upstream == transparent.address(OWN)
+    assert site.resets() == 0
+
+
+def test_an_earlier_sidecar_that_dies_counts_as_away() -> None:
+    """Guards against silence of a killed process that passes for an answer."""
+    site = Site(old=frozenset((OWN, 2)))
+    for number in (2, 3, 4):
+        site.start_sidecar(number, is_complete=False)
+    site.pass_time(0.6)
+    del site.sidecars[OWN]
+    site.send(0)
+    site.pass_time(upstreams.SHORT_LOSS_TIMEOUT_SECONDS - 0.1)
+    assert site.deliveries == []
+
+
+class _FlowHeldBefore(msgspec.Struct, frozen=True, array_like=True, tag="held"):
+    """``FlowHeld`` as 9a0a358 declares it."""
+
+    flow: bytes
+
+
+class _FlowNotHeldBefore(msgspec.Struct, frozen=True, array_like=True, tag="not-held"):
+    """``FlowNotHeld`` as 9a0a358 declares it."""
+
+    flow: bytes
+
+
+def test_an_earlier_balancer_reads_the_answers_that_it_knows() -> None:
+    """Guards against answers that balancers of 9a0a358 cannot read.
+
+    They count a tag that they do not know as a malformed message.
+    """
+    decoder = msgspec.msgpack.Decoder(_FlowHeldBefore | _FlowNotHeldBefore)
+    held = messages.encode(messages.FlowHeld(flow=KEY))
+    assert decoder.decode(held) == _FlowHeldBefore(flow=KEY)
+    with pytest.raises(msgspec.ValidationError):
+        decoder.decode(messages.encode(messages.FlowUnknown(flow=KEY)))
+    before = msgspec.msgpack.encode(_FlowHeldBefore(flow=KEY))
+    assert messages.decode(before) == messages.FlowHeld(flow=KEY)
+
+
+def test_an_earlier_balancer_finds_a_flow_at_a_new_sidecar() -> None:
+    """Guards against a sidecar that leaves the packets of earlier balancers alone.
+
+    They send the packet itself to sidecars with an incomplete flow table.
+    """
+    harness = transparent.ready_sidecar()
+    harness.engine.table.complete = False
+    harness.port.sent_messages.clear()
+    harness.handle_inbound(DATA._replace(purpose=packets.Purpose.LOOKUP))
+    assert len(harness.port.delivered) == 1
+    harness.tick(sidecar.PACKET_RETURN_TIMEOUT_SECONDS)
+    assert isinstance(harness.port.sent_messages[0][1], messages.FlowHeld)
+
+
+def test_idempotent_flows_wait_for_a_planned_stop_like_others() -> None:
+    """Guards against the shorter loss timeout while a stop is announced."""
+    site = Site()
+    for harness in site.balancers:
+        route = msgspec.structs.replace(
+            transparent.make_route(transparent.POOL), kind=policy.RouteKind.IDEMPOTENT
+        )
+        harness.apply_policy(transparent.make_policy(2, route))
+    for number in (2, 3, 4):
+        site.start_sidecar(number, is_complete=False)
+    site.pass_time(0.5)
+    site.stop_sidecar(OWN)
+    site.send_for(upstreams.LOSS_TIMEOUT_SECONDS + 2.0)
+    assert site.deliveries == []
--- a/plantainproxy/flows/tests/test_sidecar.py
+++ b/plantainproxy/flows/tests/test_sidecar.py
@@ -231,6 +231,7 @@
     assert [message for _, message in harness.port.sent_messages] == [
         messages.FlowHeld(flow=KEY),
         messages.FlowNotHeld(flow=transparent.flow_key(2)),
+        messages.FlowUnknown(flow=transparent.flow_key(3)),
     ]
     assert harness.port.delivered == delivered
 
