Lookups: an upstream that is slow to return a packet is not the holder

Cause: a sidecar with an incomplete flow table reports a flow as held if its upstream has not returned the packet within 30 ms. The balancer took this as proof, cached the upstream and sent it all buffered packets. Each packet that the upstream then returned late was buffered again by the next lookup, also as a copy of one already buffered.

Change: FlowHeld states whether the flow is only presumed to be held. The upstream's own packet, other than an acceptance, confirms a pending query at once. After a presumption the balancer delivers the packet nowhere else and holds the flow's further packets back until the next query is due. It then takes the upstream as the holder if it is the only one that has not returned the packet, and earlier if all others have denied the flow; with several presumed ones it repeats the query, which a sidecar answers with proof once the upstream has sent a packet of the flow. An answer of an earlier release, which does not state this, counts as presumed if it follows a delivery on suspicion. A returned copy of a buffered packet is not buffered again.

Why it works: an upstream that returns the packet within a query interval (0.25 s) gets no other one, and the search goes on. A holder that works on the request for longer has the packet already, and no other upstream gets a copy after it. What remains is an upstream that takes longer than 0.25 s to return a packet. An earlier balancer ignores the additional field.

--- a/plantainproxy/flows/engine/flow_lookups.py
+++ b/plantainproxy/flows/engine/flow_lookups.py
@@ -34,9 +34,12 @@
     """
     flow_lookup = engine.lookups.get(packet.flow)
     if flow_lookup is not None:
-        lookup.buffer(flow_lookup, packet)
-        if not_held_by is not None:
-            handle_not_held(engine, packet.flow, not_held_by, now=now)
+        if not_held_by is None:
+            lookup.buffer(flow_lookup, packet)
+            return
+        if not lookup.is_buffered(flow_lookup, packet):
+            lookup.buffer(flow_lookup, packet)
+        handle_not_held(engine, packet.flow, not_held_by, now=now)
         return
     if len(engine.lookups) >= MAX_LOOKUPS:
         engine.log.count("dropped.lookups_full")
@@ -115,6 +118,9 @@
     if isinstance(step, lookup.Query):
         balancer_state.send_query(engine, step)
         return
+    if step.presumed is not None:
+        _end_found(engine, flow, flow_lookup, step.presumed, now=now)
+        return
     del engine.lookups[flow]
     is_conclusive = step.all_denied and balancer_state.is_view_reliable(engine, now=now)
     engine.log.write_limited(
@@ -141,11 +147,14 @@
     *,
     now: float,
 ) -> None:
-    """End a lookup: the sender's upstream holds the flow."""
+    """End a lookup if the answer proves that the sender's upstream holds the flow."""
     flow_lookup = engine.lookups.get(message.flow)
     if flow_lookup is None or sender not in engine.view.upstreams:
         return
-    _end_found(engine, message.flow, flow_lookup, sender, now=now)
+    if lookup.record_held(flow_lookup, sender, is_presumed=message.is_presumed):
+        _end_found(engine, message.flow, flow_lookup, sender, now=now)
+        return
+    _continue_if_answered(engine, message.flow, flow_lookup, now=now)
 
 
 def _end_found(
@@ -174,6 +183,7 @@
         unknown=len(flow_lookup.unknown),
         delivered=len(flow_lookup.deliveries),
         away=flow_lookup.away,
+        presumed=holder in flow_lookup.presumed,
         waited=round(now - flow_lookup.started_at, 3),
     )
     has_first_packet = holder in flow_lookup.reached
--- a/plantainproxy/flows/engine/lookup.py
+++ b/plantainproxy/flows/engine/lookup.py
@@ -73,6 +73,9 @@
     or their silence."""
     deliveries: dict[_types.Address, int] = msgspec.field(default_factory=dict)
     """Number of packets that each upstream has been sent on suspicion."""
+    presumed: set[_types.Address] = msgspec.field(default_factory=set)
+    """Upstreams that have not returned the packet in time but have not shown either
+    that they hold the flow."""
     away: int = 0
     """Number of upstreams that were away when a delivery on suspicion was last
     considered."""
@@ -92,6 +95,8 @@
     all_denied: bool
     """Whether every live upstream that was queried answered that it does not hold the
     flow."""
+    presumed: _types.Address | None
+    """The upstream that is taken as the holder, if any."""
     lost: int
     """Number of upstreams that count as lost and were not waited for."""
     restarting: int
@@ -141,10 +146,40 @@
         flow_lookup.packets.append(packet)
 
 
+def is_buffered(flow_lookup: Lookup, packet: packets.Packet) -> bool:
+    """Return whether a packet is in the buffer, apart from its forwarding fields."""
+    return any(
+        (buffered.sequence, buffered.acknowledgement, buffered.size, buffered.closing)
+        == (packet.sequence, packet.acknowledgement, packet.size, packet.closing)
+        for buffered in flow_lookup.packets
+    )
+
+
+def record_held(
+    flow_lookup: Lookup, sender: _types.Address, *, is_presumed: bool | None
+) -> bool:
+    """Record the answer that a sidecar's upstream holds the flow.
+
+    Returns whether the answer is proof. ``is_presumed`` states that the upstream has
+    merely not returned the packet in time. It is ``None`` from earlier releases, whose
+    sidecars answer a delivery on suspicion in no other way, and a repeated query only
+    if the flow table shows the flow.
+    """
+    if is_presumed is None:
+        is_presumed = (
+            sender in flow_lookup.deliveries and sender not in flow_lookup.presumed
+        )
+    if is_presumed:
+        flow_lookup.unknown.discard(sender)
+        flow_lookup.presumed.add(sender)
+    return not is_presumed
+
+
 def record_not_held(flow_lookup: Lookup, sender: _types.Address) -> None:
     """Record the answer that a sidecar's upstream does not hold the flow."""
     flow_lookup.denied.add(sender)
     flow_lookup.unknown.discard(sender)
+    flow_lookup.presumed.discard(sender)
 
 
 def record_unknown(flow_lookup: Lookup, sender: _types.Address) -> bool:
@@ -158,6 +193,7 @@
         and sender not in flow_lookup.unknown
         and sender not in flow_lookup.denied
         and sender not in flow_lookup.deliveries
+        and sender not in flow_lookup.presumed
     )
     if is_news:
         flow_lookup.unknown.add(sender)
@@ -166,11 +202,11 @@
 
 def is_answered(flow_lookup: Lookup) -> bool:
     """Return whether every queried upstream has answered."""
-    denied, unknown = flow_lookup.denied, flow_lookup.unknown
+    answers = (flow_lookup.denied, flow_lookup.unknown, flow_lookup.presumed)
     # Spares the union of the sets for each answer but the last one of a step.
-    if len(denied) + len(unknown) < len(flow_lookup.queries):
+    if sum(map(len, answers)) < len(flow_lookup.queries):
         return False
-    return flow_lookup.queries.keys() <= denied | unknown
+    return flow_lookup.queries.keys() <= set().union(*answers)
 
 
 def advance(
@@ -198,11 +234,13 @@
             _start_wave(flow_lookup, unanswered, view, now)
             return _query(flow_lookup, [*unanswered, *new_targets], view, now=now)
         may_deliver = _may_deliver(flow_lookup, view, is_view_reliable, now)
-        suspects = _next_suspects(flow_lookup, view, now) if may_deliver else []
+        suspects: list[_types.Address] = []
+        if may_deliver and not flow_lookup.presumed:
+            suspects = _next_suspects(flow_lookup, view, now)
         if suspects:
             _start_wave(flow_lookup, [], view, now)
             return _deliver(flow_lookup, [*unanswered, *suspects], view, now=now)
-    conclusion = _conclude(flow_lookup, view, now=now)
+    conclusion = _conclude(flow_lookup, view, may_deliver=may_deliver, now=now)
     if conclusion is not None:
         return conclusion
     if not is_due:
@@ -213,7 +251,7 @@
     # predecessor or by a packet of the upstream.
     asked_again = [
         address
-        for address in flow_lookup.unknown
+        for address in flow_lookup.unknown | flow_lookup.presumed
         if _is_live(flow_lookup, address, view, now)
     ]
     if may_deliver:
@@ -230,6 +268,7 @@
         for address in flow_lookup.queries
         if address not in flow_lookup.denied
         and address not in flow_lookup.unknown
+        and address not in flow_lookup.presumed
         and _is_live(flow_lookup, address, view, now)
     ]
 
@@ -336,7 +375,7 @@
 
 
 def _conclude(
-    flow_lookup: Lookup, view: upstreams.View, *, now: float
+    flow_lookup: Lookup, view: upstreams.View, *, may_deliver: bool, now: float
 ) -> Conclusion | None:
     """Return the end of the lookup if it has timed out or nothing is left to ask."""
     possible = [
@@ -349,10 +388,17 @@
     all_denied = not possible
     if all_denied:
         is_over |= now >= view.complete_at and upstreams.is_converged(view, now=now)
-    if not is_over:
+    possible = [
+        address
+        for address in possible
+        if not upstreams.has_left(view.upstreams[address])
+    ]
+    holder = _presumed_holder(flow_lookup, possible, now) if may_deliver else None
+    if not is_over and holder is None:
         return None
     return Conclusion(
         all_denied=all_denied,
+        presumed=holder,
         lost=sum(
             not _is_live(flow_lookup, address, view, now) for address in view.upstreams
         ),
@@ -363,6 +409,25 @@
     )
 
 
+def _presumed_holder(
+    flow_lookup: Lookup, possible: list[_types.Address], now: float
+) -> _types.Address | None:
+    """Return the only upstream that presumably holds the flow, once it is accepted.
+
+    It is if no other one can hold the flow, or if it has not returned the packet until
+    the next query is due. Until then no other upstream gets the packet, nor the
+    presumed one the packets that follow, as either may be the wrong one.
+    """
+    suspected = [
+        address
+        for address in possible
+        if address in flow_lookup.deliveries and address not in flow_lookup.unknown
+    ]
+    is_only_one = len(suspected) == 1 and suspected[0] in flow_lookup.presumed
+    is_accepted = len(possible) == 1 or now >= flow_lookup.next_query_at
+    return suspected[0] if is_only_one and is_accepted else None
+
+
 def _query(
     flow_lookup: Lookup,
     targets: list[_types.Address],
@@ -397,7 +462,11 @@
     for address in targets:
         count = flow_lookup.deliveries.get(address, 0)
         purposes[address] = packets.Purpose.QUERY
-        if count < MAX_DELIVERIES and not upstreams.has_left(view.upstreams[address]):
+        if (
+            count < MAX_DELIVERIES
+            and address not in flow_lookup.presumed
+            and not upstreams.has_left(view.upstreams[address])
+        ):
             purposes[address] = packets.Purpose.LOOKUP
             flow_lookup.deliveries[address] = count + 1
             flow_lookup.unknown.discard(address)
@@ -416,7 +485,7 @@
         flow_lookup.queries[address] = flow_lookup.queries.get(address, 0) + 1
         if purpose is packets.Purpose.LOOKUP:
             flow_lookup.reached.add(address)
-        else:
+        elif address not in flow_lookup.presumed:
             # No answer to an earlier query with the payload: it may have been lost.
             flow_lookup.reached.discard(address)
     return Query(flow_lookup.packets[0], purposes)
--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -20,7 +20,8 @@
 )
 
 PACKET_RETURN_TIMEOUT_SECONDS = 0.03
-"""If the upstream does not return a packet within this time, it holds the flow."""
+"""If the upstream does not return a packet within this time, it presumably holds the
+flow."""
 
 SLOW_RESPONSE_SECONDS = 1.0
 """A response that takes at least this long is logged; far above the latency objectives
@@ -80,7 +81,7 @@
     if flow_table.is_held(engine.table, packet):
         _deliver(engine, packet, now=now)
         if packet.purpose is packets.Purpose.LOOKUP:
-            _reply(engine, packet, messages.FlowHeld(flow=packet.flow))
+            _reply_held(engine, packet)
         return
     if _is_certainly_not_held(engine, packet):
         _reply_not_held(engine, packet)
@@ -105,13 +106,18 @@
     the balancer sends if the flow's upstream must be among those that get it.
     """
     if flow_table.is_held(engine.table, packet):
-        _reply(engine, packet, messages.FlowHeld(flow=packet.flow))
+        _reply_held(engine, packet)
     elif _is_certainly_not_held(engine, packet):
         _reply(engine, packet, messages.FlowNotHeld(flow=packet.flow))
     else:
         _reply(engine, packet, messages.FlowUnknown(flow=packet.flow))
 
 
+def _reply_held(engine: sidecar_state.Engine, packet: packets.Packet) -> None:
+    message = messages.FlowHeld(flow=packet.flow, is_presumed=False)
+    _reply(engine, packet, message)
+
+
 def _is_certainly_not_held(
     engine: sidecar_state.Engine, packet: packets.Packet
 ) -> bool:
@@ -140,6 +146,8 @@
         )
     waited = flow_table.record_outbound(engine.table, packet, now=now)
     engine.port.forward_to_caller(packet)
+    if not packet.accepting:
+        _confirm_pending_query(engine, packet.flow)
     if packet.closing or packet.aborting:
         held_requests.end_held_request(engine, packet, now=now)
     if waited is None:
@@ -161,12 +169,24 @@
     return waited
 
 
+def _confirm_pending_query(engine: sidecar_state.Engine, flow: bytes) -> None:
+    """Answer a pending query: the upstream's own packet proves that it holds the flow.
+
+    An acceptance proves nothing, as the caller may have chosen another upstream's.
+    """
+    query = engine.pending_queries.pop(flow, None)
+    if query is not None:
+        message = messages.FlowHeld(flow=flow, is_presumed=False)
+        engine.port.send_message(query.balancer, message)
+
+
 def tick(engine: sidecar_state.Engine, *, now: float) -> None:
     """Answer overdue queries, end grace periods and send the reports that are due."""
     for flow, query in list(engine.pending_queries.items()):
         if now >= query.deadline:
             del engine.pending_queries[flow]
-            engine.port.send_message(query.balancer, messages.FlowHeld(flow=flow))
+            message = messages.FlowHeld(flow=flow, is_presumed=True)
+            engine.port.send_message(query.balancer, message)
             unlisted_flows.record_reported_held(
                 engine.unlisted_flows,
                 flow,
--- a/plantainproxy/flows/messages.py
+++ b/plantainproxy/flows/messages.py
@@ -229,6 +229,9 @@
     """Lookup answer: the upstream of the sending sidecar holds the flow."""
 
     flow: _decoding.FlowKey
+    is_presumed: bool | None = None
+    """Whether the upstream has merely not returned the packet in time; ``None`` from
+    earlier releases, which do not state it."""
 
 
 class FlowNotHeld(msgspec.Struct, frozen=True, array_like=True, tag="not-held"):
--- a/plantainproxy/flows/tests/test_flow_lookups.py
+++ b/plantainproxy/flows/tests/test_flow_lookups.py
@@ -16,6 +16,7 @@
     balancer_state,
     hedging,
     lookup,
+    placement,
     sidecar,
     upstreams,
 )
@@ -48,14 +49,21 @@
     Upstreams answer packets of the flow that they hold and return all others.
     """
 
-    def __init__(self, count: int = 4, *, old: frozenset[int] = frozenset()) -> None:
+    def __init__(
+        self, count: int = 4, *, own: int = OWN, old: frozenset[int] = frozenset()
+    ) -> None:
         """Start the processes; the flow's own upstream has accepted it."""
-        self.own = OWN
+        self.own = own
         self.count = count
         self.now = 100.0
         self.boots = itertools.count(1)
         self.old = old
         """Sidecars of an earlier release."""
+        self.return_seconds: dict[int, float] = {}
+        """Time that an upstream takes to return a packet, if it is not at once."""
+        self.is_own_silent = False
+        """Whether the flow's own upstream sends nothing on packets that it accepts."""
+        self.returns: list[tuple[float, int, packets.Packet]] = []
         self.deliveries: list[Delivery] = []
         self.sidecars: dict[int, transparent.SidecarHarness] = {}
         self.balancers: list[transparent.BalancerHarness] = []
@@ -115,6 +123,11 @@
                 self.subscribe(number)
             for harness in self.sidecars.values():
                 harness.tick(STEP_SECONDS)
+            for due in [due for due in self.returns if due[0] <= self.now]:
+                self.returns.remove(due)
+                _, number, packet = due
+                if number in self.sidecars:
+                    self.sidecars[number].handle_outbound(packet)
             self.exchange()
 
     def send_for(self, seconds: float) -> None:
@@ -162,8 +175,13 @@
                 continue
             self.deliveries.append(Delivery(self.now, number))
             if number != self.own:
-                harness.handle_outbound(packet._replace(returned=True))
-            else:
+                due_at = self.now + self.return_seconds.get(number, 0.0)
+                returned = packet._replace(returned=True)
+                if due_at > self.now:
+                    self.returns.append((due_at, number, returned))
+                else:
+                    harness.handle_outbound(returned)
+            elif not self.is_own_silent:
                 harness.handle_outbound(transparent.make_packet(KEY))
 
     def pass_messages_on(self, number: int) -> bool:
@@ -215,6 +233,8 @@
     """Return what a sidecar of 9a0a358 sends instead."""
     if isinstance(message, messages.FlowUnknown):
         return None
+    if isinstance(message, messages.FlowHeld):
+        return messages.FlowHeld(flow=message.flow)
     return message
 
 
@@ -384,6 +404,81 @@
     assert site.deliveries == []
 
 
+def _slow_site(*, is_own_silent: bool) -> Site:
+    """Return a site whose balancers ask the own upstream last; others return late."""
+    harness = transparent.ready_balancer(24)
+    candidates = upstreams.candidates(
+        harness.engine.view, transparent.POOL, KEY, placement.CANDIDATES_PER_POOL
+    )
+    own = next(
+        address
+        for address in harness.engine.view.upstreams
+        if address not in candidates
+    )
+    site = Site(24, own=int(own.host.rpartition(".")[2]))
+    for number in range(1, site.count + 1):
+        site.start_sidecar(number, is_complete=False)
+        site.return_seconds[number] = 0.1
+    site.is_own_silent = is_own_silent
+    site.pass_time(0.6)
+    return site
+
+
+@pytest.mark.parametrize("is_own_silent", [True, False])
+def test_a_late_return_does_not_make_an_upstream_the_holder(
+    is_own_silent: bool,
+) -> None:
+    """Guards against packets that go to an upstream which is slow to return them.
+
+    Silence for 30 ms was taken as proof, and the balancer sent the flow's further
+    packets there while its own upstream got none.
+    """
+    site = _slow_site(is_own_silent=is_own_silent)
+    site.send(0)
+    for _ in range(4):
+        site.send(0, DATA._replace(sequence=DATA.sequence + 100))
+    site.pass_time(lookup.TIMEOUT_SECONDS)
+    assert site.own_deliveries()
+    assert site.stray_deliveries() < site.count
+    assert site.is_rule_kept()
+    assert site.balancers[0].engine.flows[KEY].upstream == transparent.address(site.own)
+
+
+def test_a_silent_holder_gets_the_flow_and_no_other_upstream_a_copy() -> None:
+    """Guards against copies at other upstreams after the holder got the packet.
+
+    The upstream works on a request for longer than a packet's return takes.
+    """
+    site = _slow_site(is_own_silent=True)
+    harness = site.balancers[0]
+    candidates = upstreams.candidates(
+        harness.engine.view, transparent.POOL, KEY, placement.CANDIDATES_PER_POOL
+    )
+    site.own = int(candidates[0].host.rpartition(".")[2])
+    site.return_seconds.clear()
+    site.send(0)
+    site.send(0, DATA._replace(sequence=DATA.sequence + 100))
+    site.pass_time(lookup.QUERY_RETRY_SECONDS + 2 * STEP_SECONDS)
+    assert site.own_deliveries() == 2
+    assert site.stray_deliveries() == placement.CANDIDATES_PER_POOL - 1
+    site.pass_time(lookup.TIMEOUT_SECONDS)
+    assert site.stray_deliveries() == placement.CANDIDATES_PER_POOL - 1
+    assert harness.engine.flows[KEY].upstream == candidates[0]
+
+
+def test_a_holder_that_sends_nothing_is_found_by_elimination() -> None:
+    """Guards against a search without end for an upstream that answers late."""
+    site = Site()
+    site.is_own_silent = True
+    for number in range(1, site.count + 1):
+        site.start_sidecar(number, is_complete=False)
+    site.pass_time(0.6)
+    site.send(0)
+    site.pass_time(2 * sidecar.PACKET_RETURN_TIMEOUT_SECONDS)
+    assert site.balancers[0].engine.flows[KEY].upstream == transparent.address(OWN)
+    assert site.own_deliveries() == 1
+
+
 class _FlowHeldBefore(msgspec.Struct, frozen=True, array_like=True, tag="held"):
     """``FlowHeld`` as 9a0a358 declares it."""
 
@@ -402,8 +497,9 @@
     They count a tag that they do not know as a malformed message.
     """
     decoder = msgspec.msgpack.Decoder(_FlowHeldBefore | _FlowNotHeldBefore)
-    held = messages.encode(messages.FlowHeld(flow=KEY))
-    assert decoder.decode(held) == _FlowHeldBefore(flow=KEY)
+    for is_presumed in (None, True, False):
+        held = messages.encode(messages.FlowHeld(flow=KEY, is_presumed=is_presumed))
+        assert decoder.decode(held) == _FlowHeldBefore(flow=KEY)
     with pytest.raises(msgspec.ValidationError):
         decoder.decode(messages.encode(messages.FlowUnknown(flow=KEY)))
     before = msgspec.msgpack.encode(_FlowHeldBefore(flow=KEY))
@@ -424,6 +520,20 @@
     assert isinstance(harness.port.sent_messages[0][1], messages.FlowHeld)
 
 
+def test_the_upstreams_own_packet_confirms_a_pending_query() -> None:
+    """Guards against a wait for silence where the upstream has shown the flow."""
+    harness = transparent.ready_sidecar()
+    harness.engine.table.complete = False
+    harness.handle_inbound(DATA._replace(purpose=packets.Purpose.LOOKUP))
+    harness.port.sent_messages.clear()
+    harness.handle_outbound(transparent.make_packet(KEY, accepting=True))
+    assert harness.port.sent_messages == []
+    harness.handle_outbound(transparent.make_packet(KEY))
+    assert [message for _, message in harness.port.sent_messages] == [
+        messages.FlowHeld(flow=KEY, is_presumed=False)
+    ]
+
+
 def test_idempotent_flows_wait_for_a_planned_stop_like_others() -> None:
     """Guards against the shorter loss timeout while a stop is announced."""
     site = Site()
--- a/plantainproxy/flows/tests/test_request_queue.py
+++ b/plantainproxy/flows/tests/test_request_queue.py
@@ -423,7 +423,7 @@
     lookup = _data(KEYS[10], 1)._replace(purpose=packets.Purpose.LOOKUP)
     harness.handle_inbound(lookup)
     assert harness.port.sent_messages == [
-        ("10.0.0.1", messages.FlowHeld(flow=KEYS[10]))
+        ("10.0.0.1", messages.FlowHeld(flow=KEYS[10], is_presumed=False))
     ]
 
 
--- a/plantainproxy/flows/tests/test_sidecar.py
+++ b/plantainproxy/flows/tests/test_sidecar.py
@@ -210,7 +210,7 @@
     harness.handle_inbound(held_query)
     harness.handle_inbound(other_query)
     assert [message for _, message in harness.port.sent_messages] == [
-        messages.FlowHeld(flow=KEY),
+        messages.FlowHeld(flow=KEY, is_presumed=False),
         messages.FlowNotHeld(flow=transparent.flow_key(2)),
     ]
     assert harness.port.delivered[-1] == held_query
@@ -229,7 +229,7 @@
     harness.engine.table.complete = False
     harness.handle_inbound(other_query._replace(flow=transparent.flow_key(3)))
     assert [message for _, message in harness.port.sent_messages] == [
-        messages.FlowHeld(flow=KEY),
+        messages.FlowHeld(flow=KEY, is_presumed=False),
         messages.FlowNotHeld(flow=transparent.flow_key(2)),
         messages.FlowUnknown(flow=transparent.flow_key(3)),
     ]
@@ -237,7 +237,7 @@
 
 
 def test_a_restarted_sidecar_answers_lookup_queries_by_returned_packets() -> None:
-    """With an incomplete table, a flow counts as held if its packet is not returned."""
+    """With an incomplete table, a flow whose packet stays is presumed to be held."""
     harness = transparent.ready_sidecar()
     harness.engine.table.complete = False
     held_query = DATA._replace(purpose=packets.Purpose.LOOKUP)
@@ -254,7 +254,7 @@
     ]
     assert replies == [
         messages.FlowNotHeld(flow=transparent.flow_key(2)),
-        messages.FlowHeld(flow=KEY),
+        messages.FlowHeld(flow=KEY, is_presumed=True),
     ]
 
 
