Lookups: a wait repeats no queries that would have the same answer

While an upstream is away, a lookup asked all sidecars that did not know the flow again with each retry. They answer the same until they have taken over their predecessor's flows, which their report shows, or until another process runs. Now only those whose report states a complete table or another process are asked again, and those that presumably hold the flow.

--- a/plantainproxy/flows/engine/flow_lookups.py
+++ b/plantainproxy/flows/engine/flow_lookups.py
@@ -210,7 +210,7 @@
     flow_lookup = engine.lookups.get(flow)
     if flow_lookup is None:
         return
-    if lookup.record_unknown(flow_lookup, sender):
+    if lookup.record_unknown(flow_lookup, sender, engine.view):
         _continue_if_answered(engine, flow, flow_lookup, now=now)
 
 
--- a/plantainproxy/flows/engine/lookup.py
+++ b/plantainproxy/flows/engine/lookup.py
@@ -68,9 +68,9 @@
     """Upstreams whose newest query had the payload of the first packet."""
     denied: set[_types.Address] = msgspec.field(default_factory=set)
     """Upstreams that have answered that they do not hold the flow."""
-    unknown: set[_types.Address] = msgspec.field(default_factory=set)
+    unknown: dict[_types.Address, int] = msgspec.field(default_factory=dict)
     """Upstreams whose sidecars do not know whether they hold the flow, by their answer
-    or their silence."""
+    or their silence, and the start of that sidecar process."""
     deliveries: dict[_types.Address, int] = msgspec.field(default_factory=dict)
     """Number of packets that each upstream has been sent on suspicion."""
     presumed: set[_types.Address] = msgspec.field(default_factory=set)
@@ -170,7 +170,7 @@
             sender in flow_lookup.deliveries and sender not in flow_lookup.presumed
         )
     if is_presumed:
-        flow_lookup.unknown.discard(sender)
+        flow_lookup.unknown.pop(sender, None)
         flow_lookup.presumed.add(sender)
     return not is_presumed
 
@@ -178,11 +178,13 @@
 def record_not_held(flow_lookup: Lookup, sender: _types.Address) -> None:
     """Record the answer that a sidecar's upstream does not hold the flow."""
     flow_lookup.denied.add(sender)
-    flow_lookup.unknown.discard(sender)
+    flow_lookup.unknown.pop(sender, None)
     flow_lookup.presumed.discard(sender)
 
 
-def record_unknown(flow_lookup: Lookup, sender: _types.Address) -> bool:
+def record_unknown(
+    flow_lookup: Lookup, sender: _types.Address, view: upstreams.View
+) -> bool:
     """Record the answer that a sidecar does not know whether the flow is held.
 
     Returns whether the answer is news. One to an early query may arrive after another
@@ -196,7 +198,9 @@
         and sender not in flow_lookup.presumed
     )
     if is_news:
-        flow_lookup.unknown.add(sender)
+        upstream = view.upstreams.get(sender)
+        report = upstream.report if upstream else None
+        flow_lookup.unknown[sender] = report.boot if report else 0
     return is_news
 
 
@@ -247,16 +251,32 @@
         return None
     flow_lookup.attempts += 1
     _schedule_retry(flow_lookup, now)
-    # A sidecar that did not know the flow may have learned it since, from its
-    # predecessor or by a packet of the upstream.
-    asked_again = [
+    targets = [*unanswered, *_asked_again(flow_lookup, view, now)]
+    if may_deliver:
+        return _deliver(flow_lookup, targets, view, now=now)
+    return _query(flow_lookup, targets, view, now=now)
+
+
+def _asked_again(
+    flow_lookup: Lookup, view: upstreams.View, now: float
+) -> list[_types.Address]:
+    """Return the upstreams whose sidecars may know more than when they answered.
+
+    One that did not know the flow may have taken over the table of its predecessor;
+    its report then states a complete table. All others would cost most of the bytes
+    while an upstream is away.
+    """
+    changed = []
+    for address, boot in flow_lookup.unknown.items():
+        upstream = view.upstreams.get(address)
+        report = upstream.report if upstream else None
+        if report is not None and (report.complete or report.boot != boot):
+            changed.append(address)
+    return [
         address
-        for address in flow_lookup.unknown | flow_lookup.presumed
+        for address in (*changed, *flow_lookup.presumed)
         if _is_live(flow_lookup, address, view, now)
     ]
-    if may_deliver:
-        return _deliver(flow_lookup, [*unanswered, *asked_again], view, now=now)
-    return _query(flow_lookup, [*unanswered, *asked_again], view, now=now)
 
 
 def _unanswered(
@@ -290,7 +310,7 @@
             and upstream.last_report_at > silence.first_query_at
             and not _is_away(flow_lookup, upstream, now)
         ):
-            flow_lookup.unknown.add(address)
+            flow_lookup.unknown[address] = silence.boot
 
 
 def _may_go_on(
@@ -469,7 +489,7 @@
         ):
             purposes[address] = packets.Purpose.LOOKUP
             flow_lookup.deliveries[address] = count + 1
-            flow_lookup.unknown.discard(address)
+            flow_lookup.unknown.pop(address, None)
     return _send(flow_lookup, purposes, view, now=now)
 
 
--- a/plantainproxy/flows/tests/test_flow_lookups.py
+++ b/plantainproxy/flows/tests/test_flow_lookups.py
@@ -299,6 +299,56 @@
         assert site.stray_deliveries() == 0
 
 
+def test_a_sidecar_that_has_become_complete_is_asked_again() -> None:
+    """Guards against a wait for the timeout after the own sidecar took its flows over.
+
+    It answers first that it does not know the flow, and another one is still away.
+    """
+    site = Site()
+    site.start_sidecar(OWN, is_complete=False)
+    site.pass_time(0.6)
+    site.stop_sidecar(2)
+    site.send(0)
+    assert site.deliveries == []
+    site.sidecars[OWN].open(KEY)
+    site.sidecars[OWN].port.delivered.clear()
+    site.sidecars[OWN].engine.table.complete = True
+    site.pass_time(0.5 + lookup.MAX_QUERY_RETRY_SECONDS)
+    assert site.own_deliveries()
+    assert site.stray_deliveries() == 0
+
+
+def test_a_wait_costs_few_queries_to_sidecars_that_do_not_know_the_flow() -> None:
+    """Guards against a link that is saturated by queries while an upstream is away.
+
+    Load: all active lookups wait, and 100 sidecars have incomplete flow tables.
+    """
+    harness = transparent.ready_balancer(100)
+    for number in range(1, 101):
+        report = transparent.make_report(
+            number=2, complete=False, stopping=number == 100
+        )
+        harness.handle_message(number, report)
+    harness.handle_packet(DATA)
+    handled_count = 0
+    for step in range(20):
+        while handled_count < len(harness.port.forwarded):
+            _, host, _ = harness.port.forwarded[handled_count]
+            handled_count += 1
+            if host != transparent.address(100).host:
+                number = int(host.rpartition(".")[2])
+                harness.handle_message(number, messages.FlowUnknown(flow=KEY))
+        harness.run_for(0.1)
+        for number in range(1, 100):
+            report = transparent.make_report(number=3 + step, complete=False)
+            harness.handle_message(number, report)
+    assert KEY in harness.engine.lookups
+    hosts = harness.port.hosts(packets.Purpose.QUERY)
+    assert hosts.count(transparent.address(100).host) > 2
+    assert len(hosts) < 110
+    assert harness.port.hosts(packets.Purpose.LOOKUP) == []
+
+
 def test_a_sidecar_that_starts_just_as_the_own_one_stops_gets_no_packet() -> None:
     """Guards against copies while several sidecars restart at once."""
     site = Site()
