--- /dev/null
+++ b/plantainproxy/flows/engine/completeness.py
@@ -0,0 +1,42 @@
+"""When the flow table of a sidecar names every flow that its upstream holds.
+
+A sidecar process that starts beside a running upstream has not seen the openings of the
+upstream's flows. It takes them from the snapshot of the process before.
+"""
+
+from collections import abc
+
+from plantainproxy.flows.engine import flow_table
+
+
+def presume(
+    table: flow_table.FlowTable,
+    flows: abc.Mapping[bytes, int],
+    *,
+    unconfirmed: abc.Mapping[bytes, int],
+    closed: abc.Iterable[bytes],
+    now: float,
+) -> None:
+    """Add the flows of a snapshot that no packet has shown yet.
+
+    ``flows`` has the callers' acknowledgements of confirmed flows, and ``unconfirmed``
+    the upstream's initial sequence numbers. ``closed`` flows are kept for their last
+    retransmissions.
+    """
+    for key, acknowledgement in flows.items():
+        flow = _presumed_flow(now)
+        flow.confirmed, flow.caller_acknowledgement = True, acknowledgement
+        table.flows.setdefault(key, flow)
+    for key, sequence in unconfirmed.items():
+        flow = _presumed_flow(now)
+        flow.upstream_sequence = sequence
+        table.flows.setdefault(key, flow)
+    for key in closed:
+        flow = _presumed_flow(now)
+        flow.confirmed = flow.caller_closed = flow.upstream_closed = True
+        table.flows.setdefault(key, flow)
+
+
+def _presumed_flow(now: float) -> flow_table.Flow:
+    """Return a flow whose first request counts from its arrival."""
+    return flow_table.Flow(float("-inf"), now, is_presumed=True)
--- a/plantainproxy/flows/engine/flow_table.py
+++ b/plantainproxy/flows/engine/flow_table.py
@@ -45,6 +45,9 @@
     it yet."""
     caller_closed: bool = False
     upstream_closed: bool = False
+    is_presumed: bool = False
+    """Whether only the snapshot of an earlier process shows the flow: no packet of it
+    has passed this process."""
 
     @property
     def is_closed(self) -> bool:
@@ -113,6 +116,7 @@
     if flow is None:
         flow = table.flows[packet.flow] = Flow(now, now)
     flow.confirmed = True
+    flow.is_presumed = False
     flow.last_packet_at = now
     flow.caller_acknowledgement = packet.acknowledgement
     if packet.closing or packet.aborting:
@@ -154,6 +158,7 @@
     if flow is None:
         flow = table.flows[packet.flow] = Flow(now, now)
         flow.confirmed = not packet.accepting
+    flow.is_presumed = False
     flow.last_packet_at = now
     if packet.accepting:
         flow.upstream_sequence = packet.sequence
@@ -211,6 +216,16 @@
     return open_flows
 
 
+def remove_presumed(table: FlowTable) -> list[tuple[bytes, Flow]]:
+    """Remove the presumed flows; return those that are open and confirmed."""
+    presumed = [(key, flow) for key, flow in table.flows.items() if flow.is_presumed]
+    for key, _ in presumed:
+        remove(table, key)
+    return [
+        (key, flow) for key, flow in presumed if flow.confirmed and not flow.is_closed
+    ]
+
+
 def evict_expired(table: FlowTable, *, now: float, idle_seconds: float) -> None:
     """Evict closed and idle flows, and end requests that got no response in time."""
     for flow in table.flows.values():
--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -271,7 +271,9 @@
     engine: sidecar_state.Engine, packet: packets.Packet, *, now: float
 ) -> None:
     engine.balancers_seen[packet.balancer] = now
-    is_copy = packet.flow in engine.table.flows
+    flow = engine.table.flows.get(packet.flow)
+    # The opening of a presumed flow may be of a new one with the same addresses.
+    is_copy = flow is not None and not flow.is_presumed
     cold_wait = 0.0 if is_copy else _cold_wait(engine, now=now)
     refusal = admission.check_opening(
         packet,
--- a/plantainproxy/flows/engine/sidecar_state.py
+++ b/plantainproxy/flows/engine/sidecar_state.py
@@ -108,12 +108,16 @@
         sent openings, and when each last did."""
         self.fleet_size = 1
         """Number of sidecars that the last ``ReportRequest`` of a balancer stated."""
-        self.previous_snapshot: tuple[int, dict[bytes, int]] | None = None
-        """Flows that an earlier sidecar process saved: the upstream's incarnation, and
-        its flows with their callers' acknowledgements. ``None`` once processed."""
+        self.presumed_born: int | None = None
+        """Start of the upstream's incarnation that held the flows of the snapshot of an
+        earlier process. ``None`` without a snapshot, and once a later incarnation has
+        started or the upstream has ended."""
         self.not_listening_since: float | None = None
         """When this process found at its start that no upstream listened. ``None`` if
         one listened, and after the grace period."""
+        self.has_earlier_upstream_ended = False
+        """Whether this process found at its start that no upstream listened, and the
+        grace period has passed."""
         self.report_number = 0
         self.last_reported_status: tuple[object, ...] = ()
         self.stopping = False
--- a/plantainproxy/flows/engine/upstream_events.py
+++ b/plantainproxy/flows/engine/upstream_events.py
@@ -1,7 +1,11 @@
 """Start, state and end of a sidecar's upstream, and what follows for its flows."""
 
+from collections import abc
+import types
+
 from plantainproxy.flows import messages
 from plantainproxy.flows.engine import (
+    completeness,
     flow_table,
     held_requests,
     outlier_detection,
@@ -44,8 +48,9 @@
             born=heartbeat.born,
             number=heartbeat.number,
         )
-    if engine.upstream.newest is not None:
-        _use_previous_snapshot(engine, engine.upstream.newest)
+    newest, presumed_born = engine.upstream.newest, engine.presumed_born
+    if newest and presumed_born is not None and newest.born > presumed_born:
+        _reset_presumed_flows(engine)
     engine.request_queue.slots = max(sidecar_state.slots(engine), 1)
     held_requests.release_held(engine, now=now)
     sidecar_reports.send_due_reports(engine, now=now)
@@ -134,48 +139,59 @@
 def end_not_listening_grace(engine: sidecar_state.Engine) -> None:
     """Treat an earlier upstream as ended after the grace period."""
     engine.not_listening_since = None
+    engine.has_earlier_upstream_ended = True
     engine.table.complete = True
-    if engine.previous_snapshot is not None and engine.upstream.newest is None:
-        _reset_previous_flows(engine)
+    if engine.presumed_born is not None and engine.upstream.newest is None:
+        _reset_presumed_flows(engine)
 
 
 def apply_snapshot(
-    engine: sidecar_state.Engine, born: int, flows: dict[bytes, int]
+    engine: sidecar_state.Engine,
+    born: int,
+    flows: abc.Mapping[bytes, int],
+    *,
+    unconfirmed: abc.Mapping[bytes, int] = types.MappingProxyType({}),
+    closed: abc.Iterable[bytes] = (),
+    now: float,
 ) -> None:
-    """Apply the flows that an earlier sidecar process saved.
+    """Presume that the upstream holds the flows that an earlier sidecar process saved.
 
-    They are reset when the incarnation that held them, ``born``, is confirmed to have
-    ended.
+    ``flows`` has the callers' acknowledgements, and ``unconfirmed`` the upstream's
+    initial sequence numbers. The flows that no packet has shown until then are reset
+    when the incarnation that held them, ``born``, is confirmed to have ended.
     """
-    engine.previous_snapshot = (born, flows)
-    if engine.upstream.newest is not None:
-        _use_previous_snapshot(engine, engine.upstream.newest)
-    elif engine.table.complete:
-        _reset_previous_flows(engine)
-
-
-def _use_previous_snapshot(
-    engine: sidecar_state.Engine, newest: upstream.Heartbeat
-) -> None:
-    """Reset the saved flows if the newest heartbeat is of a later incarnation."""
-    if engine.previous_snapshot is None:
-        return
-    born, _ = engine.previous_snapshot
-    if newest.born > born:
-        _reset_previous_flows(engine)
-    engine.previous_snapshot = None
-
-
-def _reset_previous_flows(engine: sidecar_state.Engine) -> None:
-    assert engine.previous_snapshot is not None
-    _, flows = engine.previous_snapshot
-    engine.previous_snapshot = None
-    for key, acknowledgement in flows.items():
-        if key not in engine.table.flows:
-            engine.port.reset(key, acknowledgement)
-    engine.log.write(
-        "flows reset", count=len(flows), reason="upstream ended before this process"
+    was_complete = engine.table.complete
+    completeness.presume(
+        engine.table, flows, unconfirmed=unconfirmed, closed=closed, now=now
     )
+    engine.presumed_born = born
+    if _has_ended(engine, born):
+        _reset_presumed_flows(engine)
+    elif was_complete:
+        flow_table.remove_presumed(engine.table)
+
+
+def _has_ended(engine: sidecar_state.Engine, born: int) -> bool:
+    """Return whether an incarnation of the upstream is known to have ended."""
+    newest = engine.upstream.newest
+    if newest is not None and newest.born > born:
+        return True
+    if engine.upstream.state is messages.UpstreamState.GONE:
+        return True
+    return newest is None and engine.has_earlier_upstream_ended
+
+
+def _reset_presumed_flows(engine: sidecar_state.Engine) -> None:
+    engine.presumed_born = None
+    open_flows = flow_table.remove_presumed(engine.table)
+    for key, flow in open_flows:
+        engine.port.reset(key, flow.caller_acknowledgement)
+    if open_flows:
+        engine.log.write(
+            "flows reset",
+            count=len(open_flows),
+            reason="upstream ended before this process",
+        )
 
 
 def health_check_path(engine: sidecar_state.Engine) -> str | None:
@@ -212,6 +228,7 @@
     dropped = request_queue.clear(engine.request_queue)
     if dropped:
         engine.log.count("dropped.held", dropped)
+    engine.presumed_born = None
     open_flows = flow_table.remove_all(engine.table)
     upstream_speed.clear(engine.speed)
     for key, flow in open_flows:
--- a/plantainproxy/flows/stored/flow_snapshot.py
+++ b/plantainproxy/flows/stored/flow_snapshot.py
@@ -4,7 +4,8 @@
 finds out that its flow is gone only when it sends the next packet: a non-idempotent
 request is then lost because it is never repeated, and other requests wait for a
 retransmission. So the next sidecar process reads the snapshot, and resets the flows at
-once if the upstream that held them has ended.
+once if the upstream that held them has ended. Otherwise it presumes that the upstream
+holds them.
 
 The relay that covers the sidecar writes the snapshot with those of other sidecars
 (``snapshot_batch``). Without a relay, or without its answer, the sidecar writes less
@@ -18,7 +19,7 @@
 from plantainproxy import _decoding, _exceptions, _types
 from plantainproxy.eventloop import runtime
 from plantainproxy.flows import messages, packets, policy
-from plantainproxy.flows.engine import sidecar_state, upstream_events
+from plantainproxy.flows.engine import sidecar_state, upstream, upstream_events
 from plantainproxy.flows.stored import flow_record, registry, snapshot_batch
 from plantainproxy.store import port, revisioned
 
@@ -96,8 +97,17 @@
     """Apply the previous process's snapshot, then save snapshots until cancelled."""
     previous = await _previous_snapshot(writer)
     if previous is not None:
-        writer.log.write("record read", flows=len(previous.flows), born=previous.born)
-        upstream_events.apply_snapshot(engine, previous.born, previous.flows)
+        writer.log.write(
+            "record read",
+            flows=len(previous.flows),
+            born=previous.born,
+        )
+        upstream_events.apply_snapshot(
+            engine,
+            previous.born,
+            previous.flows,
+            now=runtime.current_time(),
+        )
     writer.era = writer.registration.era
     writer.next_write_at = runtime.current_time() + SAVE_INTERVAL_SECONDS
     while True:
@@ -233,7 +243,7 @@
     if newest is None or current is None:
         return None
     return flow_record.FlowSnapshot(
-        born=newest.born,
+        born=_born(engine, newest),
         flows={
             key: flow.caller_acknowledgement
             for key, flow in engine.table.flows.items()
@@ -242,6 +252,15 @@
     )
 
 
+def _born(engine: sidecar_state.Engine, newest: upstream.Heartbeat) -> int:
+    """Return the start of the incarnation that holds the flows.
+
+    Just after the start of this process, the newest heartbeat may be a late one of the
+    incarnation before.
+    """
+    return max(newest.born, engine.presumed_born or 0)
+
+
 def _is_saved(current: policy.Policy, key: bytes) -> bool:
     """Return whether a flow is part of the snapshot.
 
--- /dev/null
+++ b/plantainproxy/flows/tests/test_completeness.py
@@ -0,0 +1,241 @@
+"""Tests of when a sidecar's flow table is complete, and of flows that it presumes."""
+
+import pytest
+
+from plantainproxy import _types
+from plantainproxy.flows import messages, packets
+from plantainproxy.flows.engine import flow_table, sidecar, upstream_events
+from plantainproxy.flows.stored import flow_snapshot
+from testbed import transparent
+
+KEY = transparent.flow_key(1)
+OTHER = transparent.flow_key(2)
+CONFIRMATION = transparent.UPSTREAM_SEQUENCE + 1
+IDLE_SECONDS = transparent.make_policy(1).idle_seconds
+
+
+def _data(key: bytes, acknowledgement: int = CONFIRMATION) -> packets.Packet:
+    return transparent.make_packet(
+        key, sequence=1, size=100, acknowledgement=acknowledgement
+    )
+
+
+def _restarted() -> transparent.SidecarHarness:
+    """Return a process that has just started beside a running upstream."""
+    harness = transparent.SidecarHarness()
+    harness.apply_policy(transparent.make_policy(1))
+    harness.handle_heartbeat(7)
+    harness.handle_report_request(_types.Address("10.0.0.1", transparent.MESSAGE_PORT))
+    return harness
+
+
+def test_a_presumed_flow_gets_its_packets_before_the_upstream_has_sent_any() -> None:
+    """Guards against lookups of flows that the last snapshot names.
+
+    A sidecar that was killed started with an empty table.
+    """
+    harness = _restarted()
+    harness.apply_snapshot({KEY: 42})
+    harness.handle_inbound(_data(KEY)._replace(purpose=packets.Purpose.LOOKUP))
+    assert harness.port.delivered == [
+        _data(KEY)._replace(purpose=packets.Purpose.LOOKUP)
+    ]
+    assert harness.port.sent_messages[-1][1] == messages.FlowHeld(flow=KEY)
+    assert not harness.engine.table.complete
+
+
+def test_a_presumed_flow_that_the_upstream_returns_is_removed() -> None:
+    """Guards against a flow of an outdated snapshot that a sidecar claims for ever."""
+    harness = _restarted()
+    harness.apply_snapshot({KEY: 42})
+    harness.handle_inbound(_data(KEY))
+    harness.handle_outbound(_data(KEY)._replace(returned=True))
+    assert KEY not in harness.engine.table.flows
+    assert harness.port.refusals() == [messages.Refusal.NOT_HELD]
+
+
+def test_a_snapshot_does_not_replace_what_packets_have_shown() -> None:
+    """Guards against a reset with an outdated acknowledgement of the caller."""
+    harness = _restarted()
+    harness.handle_outbound(transparent.make_packet(KEY, size=10))
+    harness.handle_inbound(_data(KEY, CONFIRMATION + 10))
+    harness.apply_snapshot({KEY: 42, OTHER: 43})
+    harness.handle_heartbeat(1, born=2_000)
+    assert harness.port.reset_acknowledgements == {
+        KEY: CONFIRMATION + 10,
+        OTHER: 43,
+    }
+
+
+def test_an_unconfirmed_flow_is_held_for_the_acknowledgement_of_its_upstream() -> None:
+    """Guards against a reset of a flow accepted just before a planned stop.
+
+    A copy of its opening may have been accepted elsewhere, too.
+    """
+    harness = _restarted()
+    harness.apply_snapshot({}, unconfirmed={KEY: 5_000, OTHER: 6_000})
+    harness.engine.table.complete = True
+    harness.handle_inbound(_data(OTHER, 7_001))
+    assert harness.port.refusals() == [messages.Refusal.NOT_HELD]
+    harness.handle_inbound(_data(KEY, 5_001))
+    assert harness.port.delivered == [_data(KEY, 5_001)]
+
+
+def test_a_closed_flow_is_kept_for_its_last_retransmissions() -> None:
+    """Guards against a reset of a caller that still waits for the last data.
+
+    A complete table without the flow denies it.
+    """
+    harness = _restarted()
+    harness.apply_snapshot({}, closed=[KEY])
+    harness.engine.table.complete = True
+    harness.handle_inbound(_data(KEY))
+    assert harness.port.delivered == [_data(KEY)]
+    harness.now += flow_table.CLOSED_FLOW_RETENTION_SECONDS
+    sidecar.evict_expired(harness.engine, now=harness.now)
+    assert KEY not in harness.engine.table.flows
+
+
+def test_a_presumed_flow_is_evicted_after_the_idle_time() -> None:
+    """Guards against a table that grows by the flows of outdated snapshots."""
+    harness = _restarted()
+    harness.apply_snapshot({KEY: 42})
+    sidecar.evict_expired(harness.engine, now=harness.now)
+    assert KEY in harness.engine.table.flows
+    harness.now += IDLE_SECONDS
+    sidecar.evict_expired(harness.engine, now=harness.now)
+    assert harness.engine.table.flows == {}
+
+
+def test_the_first_request_of_a_presumed_flow_counts_from_its_arrival() -> None:
+    """Guards against requests that count as late just after a start."""
+    harness = _restarted()
+    harness.apply_snapshot({KEY: 42})
+    harness.now += flow_table.OPENING_COUNTS_SECONDS / 2
+    assert (
+        flow_table.record_inbound(harness.engine.table, _data(KEY), now=harness.now)
+        == harness.now
+    )
+
+
+def test_presumed_flows_count_as_flows_and_not_as_requests() -> None:
+    """Guards against a full upstream in the reports just after a start."""
+    harness = _restarted()
+    harness.apply_snapshot({KEY: 42}, unconfirmed={OTHER: 6_000})
+    harness.tick(1.0)
+    report = harness.port.last_report()
+    assert (report.flows, report.running) == (2, 0)
+    assert report.room == harness.port.last_report().slots * 2
+
+
+def test_the_opening_of_a_presumed_flow_takes_room_like_a_new_one() -> None:
+    """Guards against openings beyond a cold upstream's limit.
+
+    A caller may use the port of a flow that an outdated snapshot names.
+    """
+    harness = _restarted()
+    harness.apply_policy(transparent.make_policy(2, cold_rate=1.0))
+    harness.handle_heartbeat(8, cold_seconds=10.0)
+    harness.apply_snapshot({KEY: 42})
+    harness.handle_inbound(
+        transparent.make_packet(KEY, opening=True, purpose=packets.Purpose.OPEN)
+    )
+    assert harness.port.refusals() == [messages.Refusal.COLD]
+
+
+def test_flows_are_reset_once_if_the_upstream_was_replaced_meanwhile() -> None:
+    """Guards against callers that wait for an upstream that has ended.
+
+    Its upstream was replaced while no sidecar ran. An unconfirmed flow may be held by
+    another upstream, and a closed one needs no reset.
+    """
+    harness = transparent.SidecarHarness()
+    harness.apply_policy(transparent.make_policy(1))
+    harness.apply_snapshot(
+        {KEY: 42}, unconfirmed={OTHER: 6_000}, closed=[transparent.flow_key(3)]
+    )
+    harness.engine.table.complete = True
+    harness.handle_heartbeat(1, born=2_000)
+    harness.handle_heartbeat(2, born=2_000)
+    assert harness.port.resets == [KEY]
+    assert harness.engine.table.flows == {}
+    assert harness.engine.table.complete
+
+
+def test_flows_are_reset_once_if_the_upstream_ends_after_the_start() -> None:
+    """Guards against a second reset, and against none, of a presumed flow."""
+    harness = _restarted()
+    harness.apply_snapshot({KEY: 42})
+    harness.handle_heartbeat(1, born=2_000)
+    harness.handle_heartbeat(2, born=2_000)
+    assert harness.port.resets == [KEY]
+
+
+def test_a_late_heartbeat_before_that_of_a_later_upstream_resets_the_flows() -> None:
+    """Guards against presumed flows of an upstream that ended before the start.
+
+    The first heartbeat was late, of the upstream that held them.
+    """
+    harness = transparent.SidecarHarness()
+    harness.apply_policy(transparent.make_policy(1))
+    boot = harness.engine.identity.boot
+    harness.apply_snapshot({KEY: 42}, born=boot - 2)
+    harness.handle_heartbeat(9, born=boot - 2)
+    assert harness.port.resets == []
+    harness.handle_heartbeat(1, born=boot - 1)
+    assert harness.port.resets == [KEY]
+
+
+def test_a_late_heartbeat_does_not_date_the_next_snapshot_back() -> None:
+    """Guards against a reset of running flows by the process after the next one."""
+    harness = transparent.SidecarHarness()
+    harness.apply_policy(transparent.make_policy(1))
+    harness.apply_snapshot({KEY: 42}, born=1_000)
+    harness.handle_heartbeat(9, born=900)
+    snapshot = flow_snapshot.take_snapshot(harness.engine)
+    assert snapshot is not None
+    assert snapshot.born == 1_000
+
+
+def test_a_snapshot_that_arrives_after_the_end_of_its_upstream_is_reset() -> None:
+    """Guards against callers that wait because the store responded late."""
+    refused = transparent.SidecarHarness()
+    upstream_events.handle_connection_refused(refused.engine, now=refused.now)
+    absent = transparent.SidecarHarness()
+    upstream_events.handle_not_listening(absent.engine, now=absent.now)
+    absent.tick(upstream_events.DRAIN_GRACE_SECONDS)
+    for harness in (refused, absent):
+        harness.apply_snapshot({KEY: 42})
+        assert harness.port.resets == [KEY]
+        assert harness.engine.table.flows == {}
+
+
+@pytest.mark.parametrize("is_inbound", [True, False])
+def test_a_presumed_flow_with_a_packet_is_not_reset_with_the_others(
+    is_inbound: bool,
+) -> None:
+    """Guards against a reset of a flow of the upstream that runs now.
+
+    Its first heartbeat arrives after the packet.
+    """
+    harness = transparent.SidecarHarness()
+    harness.apply_policy(transparent.make_policy(1))
+    harness.apply_snapshot({KEY: 42, OTHER: 43})
+    if is_inbound:
+        harness.handle_inbound(_data(KEY))
+    else:
+        harness.handle_outbound(transparent.make_packet(KEY, size=10))
+    harness.handle_heartbeat(1, born=2_000)
+    assert harness.port.resets == [OTHER]
+
+
+def test_a_snapshot_that_arrives_after_the_table_is_complete_adds_no_flow() -> None:
+    """Guards against flows of an outdated snapshot once the table shows all flows.
+
+    The store responded only after the observation had ended.
+    """
+    harness = _restarted()
+    harness.engine.table.complete = True
+    harness.apply_snapshot({KEY: 42})
+    assert harness.engine.table.flows == {}
+    assert harness.port.resets == []
--- a/plantainproxy/flows/tests/test_flow_machine.py
+++ b/plantainproxy/flows/tests/test_flow_machine.py
@@ -167,7 +167,7 @@
         saved_snapshot = self.snapshots[number]
         if saved_snapshot is not None:
             upstream_events.apply_snapshot(
-                engine, saved_snapshot.born, saved_snapshot.flows
+                engine, saved_snapshot.born, saved_snapshot.flows, now=self.now
             )
         sidecar.apply_policy(engine, self.policies[-1], now=self.now)
         return engine
--- a/plantainproxy/flows/tests/test_sidecar.py
+++ b/plantainproxy/flows/tests/test_sidecar.py
@@ -328,7 +328,7 @@
     """After a power failure the flows are reset before their callers use them again."""
     harness = transparent.SidecarHarness()
     harness.apply_policy(transparent.make_policy(1))
-    upstream_events.apply_snapshot(harness.engine, 1_000, {KEY: 42})
+    harness.apply_snapshot({KEY: 42})
     assert harness.port.resets == []
     harness.handle_heartbeat(1, born=2_000)
     assert harness.port.resets == [KEY]
@@ -341,7 +341,7 @@
     harness = transparent.SidecarHarness()
     harness.apply_policy(transparent.make_policy(1))
     harness.handle_heartbeat(7, born=1_000)
-    upstream_events.apply_snapshot(harness.engine, 1_000, {KEY: 42})
+    harness.apply_snapshot({KEY: 42})
     assert harness.port.resets == []
 
 
@@ -349,7 +349,7 @@
     """If no upstream listens after the grace period, the old incarnation has ended."""
     harness = transparent.SidecarHarness()
     upstream_events.handle_not_listening(harness.engine, now=harness.now)
-    upstream_events.apply_snapshot(harness.engine, 1_000, {KEY: 42})
+    harness.apply_snapshot({KEY: 42})
     harness.tick(upstream_events.DRAIN_GRACE_SECONDS)
     assert harness.port.resets == [KEY]
 
@@ -359,7 +359,7 @@
     harness = transparent.SidecarHarness()
     harness.apply_policy(transparent.make_policy(1))
     upstream_events.handle_not_listening(harness.engine, now=harness.now)
-    upstream_events.apply_snapshot(harness.engine, 1_000, {KEY: 42})
+    harness.apply_snapshot({KEY: 42})
     harness.tick(upstream_events.DRAIN_GRACE_SECONDS / 2)
     harness.handle_inbound(DATA)
     assert harness.port.resets == []
--- a/testbed/transparent.py
+++ b/testbed/transparent.py
@@ -5,6 +5,7 @@
 """
 
 from collections import abc
+import types
 
 from plantainproxy import _types
 from plantainproxy.flows import event_log, messages, packets, policy
@@ -283,6 +284,8 @@
         self.delivered: list[packets.Packet] = []
         self.sent_to_callers: list[packets.Packet] = []
         self.resets: list[bytes] = []
+        self.reset_acknowledgements: dict[bytes, int] = {}
+        """Acknowledgement of the last reset of each flow."""
         self.sent_messages: list[tuple[str, messages.Message]] = []
 
     def deliver(self, packet: packets.Packet) -> None:
@@ -296,6 +299,7 @@
     def reset(self, flow: bytes, acknowledgement: int) -> None:
         """Record the flow that is reset."""
         self.resets.append(flow)
+        self.reset_acknowledgements[flow] = acknowledgement
 
     def send_message(self, balancer: _types.Address, message: messages.Message) -> None:
         """Record a message and the balancer it is sent to."""
@@ -366,6 +370,24 @@
         )
         return upstream_events.handle_heartbeat(self.engine, heartbeat, now=self.now)
 
+    def apply_snapshot(
+        self,
+        flows: abc.Mapping[bytes, int],
+        *,
+        born: int = 1_000,
+        unconfirmed: abc.Mapping[bytes, int] = types.MappingProxyType({}),
+        closed: abc.Iterable[bytes] = (),
+    ) -> None:
+        """Pass the flows that an earlier process saved to the engine."""
+        upstream_events.apply_snapshot(
+            self.engine,
+            born,
+            flows,
+            unconfirmed=unconfirmed,
+            closed=closed,
+            now=self.now,
+        )
+
     def handle_report_request(
         self,
         balancer: _types.Address,
@@ -422,6 +444,15 @@
         sidecar.tick(self.engine, now=self.now)
 
 
+def presumed_flows(engine: sidecar_state.Engine) -> dict[bytes, int]:
+    """Return the acknowledgements of the flows that only a snapshot shows."""
+    return {
+        key: flow.caller_acknowledgement
+        for key, flow in engine.table.flows.items()
+        if flow.is_presumed
+    }
+
+
 def ready_sidecar() -> SidecarHarness:
     """Return a sidecar with a ready upstream, a complete flow table and a balancer."""
     harness = SidecarHarness()
