A planned stop hands a sidecar's flows to the next process

What callers saw: while sidecars restarted as planned, packets reached upstreams that had never held their flows (docs/incidents/2026-12-05-packets-at-other-upstreams.md).

Cause: the next process could not tell whether its upstream held a flow that it had not seen, so it delivered the packets of any flow to find out.

Change: from the moment of a planned stop a sidecar refuses openings. Packets that would add or confirm a flow do not pass after that. Balancers are told at once. The write has 0.5 s, and is conditional on the entry, so that a late one does not count as one of the process that has registered since.

The process serves its open flows meanwhile.

Why it works: flows open only through the sidecar.

--- a/plantainproxy/flows/engine/admission.py
+++ b/plantainproxy/flows/engine/admission.py
@@ -71,12 +71,14 @@
     state: messages.UpstreamState,
     cold_wait: float,
     is_full: bool,
+    is_stopping: bool,
 ) -> messages.Refusal | None:
     """Return the reason to refuse an opening packet; ``None`` if it is admitted.
 
     ``cold_wait`` is the time in seconds until a cold upstream may get one more flow.
+    ``is_stopping`` is whether the sidecar process is about to end.
     """
-    if current is None:
+    if current is None or is_stopping:
         return messages.Refusal.NOT_READY
     route = current.routes.get(packet.service)
     if route is None or not _routes_to_pool(route, location.pool):
--- a/plantainproxy/flows/engine/completeness.py
+++ b/plantainproxy/flows/engine/completeness.py
@@ -6,6 +6,7 @@
 
 from collections import abc
 
+from plantainproxy.flows import packets
 from plantainproxy.flows.engine import flow_table
 
 
@@ -40,3 +41,16 @@
 def _presumed_flow(now: float) -> flow_table.Flow:
     """Return a flow whose first request counts from its arrival."""
     return flow_table.Flow(float("-inf"), now, is_presumed=True)
+
+
+def is_outbound_new(table: flow_table.FlowTable, packet: packets.Packet) -> bool:
+    """Return whether a packet of the upstream belongs to a flow not handed over.
+
+    Without the packet, the caller does not use the flow. The next process sees the
+    upstream's retransmission.
+    """
+    flow = table.flows.get(packet.flow)
+    if flow is None:
+        return True
+    is_known = flow.confirmed or flow.upstream_sequence == packet.sequence
+    return packet.accepting and not is_known
--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -6,6 +6,7 @@
 from plantainproxy.flows import messages, packets, policy
 from plantainproxy.flows.engine import (
     admission,
+    completeness,
     flow_table,
     held_requests,
     outlier_detection,
@@ -140,6 +141,9 @@
     if packet.returned:
         _handle_returned(engine, packet, now=now)
         return None
+    if engine.has_handed_over and completeness.is_outbound_new(engine.table, packet):
+        engine.log.count("dropped.handed_over")
+        return None
     if engine.unlisted_flows and not packet.accepting:
         unlisted_flows.record_answer(
             engine.unlisted_flows, packet.flow, engine.log, now=now
@@ -233,7 +237,8 @@
     """Report to the balancers and relays that this process is about to end.
 
     Each call repeats the report, since datagrams may be lost. Without it, balancers
-    reset the upstream's flows when the sidecar has been silent for a while.
+    reset the upstream's flows when the sidecar has been silent for a while. Openings
+    are refused from the first call on, so that the final snapshot has all flows.
     """
     engine.stopping = True
     held_requests.release_held(engine, now=now)
@@ -282,6 +287,7 @@
         state=engine.upstream.state,
         cold_wait=cold_wait,
         is_full=not is_copy and _is_full(engine, packet, now=now),
+        is_stopping=engine.stopping,
     )
     if refusal is not None:
         engine.log.write_limited(
@@ -317,6 +323,9 @@
 def _deliver(
     engine: sidecar_state.Engine, packet: packets.Packet, *, now: float
 ) -> None:
+    if engine.has_handed_over and not engine.table.flows[packet.flow].confirmed:
+        engine.log.count("dropped.handed_over")
+        return
     if packet.closing or packet.aborting:
         waited = flow_table.request_wait_seconds(engine.table, packet.flow, now=now)
         if waited is not None:
--- a/plantainproxy/flows/engine/sidecar_reports.py
+++ b/plantainproxy/flows/engine/sidecar_reports.py
@@ -103,6 +103,7 @@
         engine.stopping,
         outlier_detection.is_ejected(engine.outlier_detector, now=now),
         engine.policies.era,
+        engine.table.complete,
     )
     is_status_changed = status != engine.last_reported_status
     engine.last_reported_status = status
--- a/plantainproxy/flows/engine/sidecar_state.py
+++ b/plantainproxy/flows/engine/sidecar_state.py
@@ -121,6 +121,9 @@
         self.report_number = 0
         self.last_reported_status: tuple[object, ...] = ()
         self.stopping = False
+        self.has_handed_over = False
+        """Whether the final snapshot names every flow of the upstream. No packet that
+        would add or confirm a flow passes from then on."""
 
 
 def balancer_address(engine: Engine, packed_host: bytes) -> _types.Address:
--- a/plantainproxy/flows/messages.py
+++ b/plantainproxy/flows/messages.py
@@ -32,7 +32,8 @@
     """Reason for which a sidecar returns a packet to the balancer."""
 
     NOT_READY = "not-ready"
-    """The sidecar has no policy yet, or its upstream's state is unknown."""
+    """The sidecar has no policy yet or is about to end, or its upstream's state is
+    unknown."""
     WRONG_POOL = "wrong-pool"
     """No active route maps the service address to this pool."""
     DOMAIN_OUT = "domain-out"
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -364,6 +364,7 @@
         "store_era": float(engine.policies.era),
         **documents.gauges(process.documents),
         "flows": float(len(engine.table.flows)),
+        "flow_table_complete": float(engine.table.complete),
         "running_requests": float(engine.table.running_requests),
         "held_requests": float(len(engine.request_queue.held)),
         "held_bytes": float(engine.request_queue.held_bytes),
@@ -441,6 +442,10 @@
                 await _announce_stop(process)
                 if await _ends_with_upstream(process):
                     await registry.withdraw(process.registration)
+                else:
+                    await flow_snapshot.hand_over(
+                        process.snapshot_writer, process.engine
+                    )
                 # Any other upstream keeps running and is unreachable until the next
                 # sidecar process has started, so this one exits at once.
                 process.log.write("stopped", flows=len(process.engine.table.flows))
--- a/plantainproxy/flows/stored/flow_record.py
+++ b/plantainproxy/flows/stored/flow_record.py
@@ -13,6 +13,10 @@
 PREFIX = "plantainproxy/flows/"
 
 SequenceNumber = typing.Annotated[int, msgspec.Meta(ge=0, le=2**32 - 1)]
+SequenceNumbers = typing.Annotated[
+    dict[_decoding.FlowKey, SequenceNumber],
+    msgspec.Meta(max_length=_decoding.MAX_ELEMENTS),
+]
 
 
 class FlowSnapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -21,11 +25,21 @@
     born: _decoding.Count
     """Start of the incarnation in milliseconds since the epoch, on the upstream's
     clock."""
-    flows: typing.Annotated[
-        dict[_decoding.FlowKey, SequenceNumber],
-        msgspec.Meta(max_length=_decoding.MAX_ELEMENTS),
-    ]
-    """The caller's newest acknowledgement, by flow key."""
+    flows: SequenceNumbers
+    """The caller's newest acknowledgement, by flow key. Processes of earlier releases
+    read no further fields."""
+    unconfirmed: SequenceNumbers = {}
+    """The upstream's initial sequence number, by key of a flow whose caller has not
+    acknowledged its acceptance; only in a snapshot at a planned stop."""
+    closed: typing.Annotated[
+        tuple[_decoding.FlowKey, ...], msgspec.Meta(max_length=_decoding.MAX_ELEMENTS)
+    ] = ()
+    """Closed flows that may still have retransmissions; likewise."""
+    is_final: bool = False
+    """Whether the snapshot names every flow of the upstream until another process
+    serves it."""
+    era: _decoding.Count = 0
+    """Era of the store for which it was taken."""
 
 
 def key_of(host: str) -> str:
--- a/plantainproxy/flows/stored/flow_snapshot.py
+++ b/plantainproxy/flows/stored/flow_snapshot.py
@@ -5,7 +5,8 @@
 request is then lost because it is never repeated, and other requests wait for a
 retransmission. So the next sidecar process reads the snapshot, and resets the flows at
 once if the upstream that held them has ended. Otherwise it presumes that the upstream
-holds them.
+holds them. After a planned stop, whose snapshot has all flows, it can tell balancers
+which flows the upstream does not hold.
 
 The relay that covers the sidecar writes the snapshot with those of other sidecars
 (``snapshot_batch``). Without a relay, or without its answer, the sidecar writes less
@@ -43,6 +44,12 @@
 CONFIRMATION_TIMEOUT_SECONDS = 4.0
 """Time without an answer of the relay after which the sidecar writes the snapshot
 itself: two of the relay's intervals."""
+HANDOVER_TIMEOUT_SECONDS = 0.5
+"""How long the write of the final snapshot may delay a planned stop. The upstream gets
+no new flows in that time."""
+HANDOVER_WRITES = 2
+"""Maximum number of these writes: a relay or an unanswered write may have changed the
+stored snapshot's revision before the first one."""
 
 
 class Offer(msgspec.Struct, frozen=True, kw_only=True):
@@ -94,25 +101,30 @@
 
 
 async def run(writer: FlowSnapshotWriter, engine: sidecar_state.Engine) -> None:
-    """Apply the previous process's snapshot, then save snapshots until cancelled."""
+    """Apply the previous process's snapshot, then save snapshots until the stop."""
     previous = await _previous_snapshot(writer)
     if previous is not None:
         writer.log.write(
             "record read",
             flows=len(previous.flows),
             born=previous.born,
+            is_final=previous.is_final,
         )
         upstream_events.apply_snapshot(
             engine,
             previous.born,
             previous.flows,
+            unconfirmed=previous.unconfirmed,
+            closed=previous.closed,
             now=runtime.current_time(),
         )
+        if _is_handover(writer, previous):
+            await _complete_table(writer, engine)
     writer.era = writer.registration.era
     writer.next_write_at = runtime.current_time() + SAVE_INTERVAL_SECONDS
-    while True:
+    while not engine.stopping:
         await runtime.sleep(CHECK_INTERVAL_SECONDS)
-        new_snapshot = take_snapshot(engine)
+        new_snapshot = None if engine.stopping else take_snapshot(engine)
         if new_snapshot is None:
             continue
         try:
@@ -214,6 +226,81 @@
     return _decode(writer, writer.registration.inherited.get(writer.key))
 
 
+def _is_handover(
+    writer: FlowSnapshotWriter, previous: flow_record.FlowSnapshot
+) -> bool:
+    """Return whether the previous snapshot has all flows and is newer than the entry.
+
+    A process that has registered since may have opened flows. Revisions of another era
+    are not comparable.
+    """
+    registration = writer.registration
+    entry = registration.inherited.get(registration.key)
+    return (
+        previous.is_final
+        and previous.era == registration.inherited_era
+        and entry is not None
+        and entry.mod_revision < writer.revision
+    )
+
+
+async def _complete_table(
+    writer: FlowSnapshotWriter, engine: sidecar_state.Engine
+) -> None:
+    """Complete the flow table once this process has registered.
+
+    Should this one end unplanned, the next process learns from its entry that the final
+    snapshot is outdated.
+    """
+    await writer.registration.registered.wait()
+    if writer.registration.is_successor:
+        engine.table.complete = True
+        writer.log.write("flow table complete", reason="handed over")
+
+
+async def hand_over(writer: FlowSnapshotWriter, engine: sidecar_state.Engine) -> None:
+    """Write the final snapshot for the next process, within a time limit."""
+    snapshot = take_final_snapshot(engine, era=writer.registration.era)
+    if snapshot is None:
+        writer.log.write("flows not handed over", reason="no heartbeat received")
+        return
+    is_written, reason = False, "no entry, or another process changed it"
+    try:
+        with runtime.fail_after(HANDOVER_TIMEOUT_SECONDS):
+            for _ in range(HANDOVER_WRITES):
+                is_written = is_written or await write_final(writer, snapshot)
+    except (
+        _exceptions.PlantainError,
+        revisioned.LeaseEndedError,
+        runtime.TooSlowError,
+    ) as error:
+        reason = str(error)
+    if not is_written:
+        writer.log.write("flows not handed over", reason=reason)
+        return
+    writer.log.write(
+        "flows handed over",
+        flows=len(snapshot.flows),
+        unconfirmed=len(snapshot.unconfirmed),
+        is_final=snapshot.is_final,
+    )
+
+
+async def write_final(
+    writer: FlowSnapshotWriter, snapshot: flow_record.FlowSnapshot
+) -> bool:
+    """Write a snapshot as long as the entry is this process's.
+
+    The store may apply the write late. After the next process has registered, the
+    snapshot would count as one of that process.
+    """
+    registration = writer.registration
+    if not registration.revision:
+        return False
+    entry = port.Compare(key=registration.key, mod_revision=registration.revision)
+    return await _write(writer, snapshot, compares=(entry,))
+
+
 async def _handle_restored_store(writer: FlowSnapshotWriter) -> None:
     """Find out which snapshot the copy has from which the store was restored."""
     era = writer.registration.era
@@ -252,6 +339,39 @@
     )
 
 
+def take_final_snapshot(
+    engine: sidecar_state.Engine, *, era: int
+) -> flow_record.FlowSnapshot | None:
+    """Return a snapshot of all flows at a planned stop.
+
+    Returns ``None`` before the first heartbeat of the upstream, whose incarnation is
+    then not known. If the flow table is complete, packets that would add or confirm a
+    flow do not pass from now on: the next process would deny that the upstream holds
+    it.
+    """
+    newest, flows = engine.upstream.newest, engine.table.flows
+    if newest is None:
+        return None
+    engine.has_handed_over = engine.table.complete
+    open_flows = {key: flow for key, flow in flows.items() if not flow.is_closed}
+    return flow_record.FlowSnapshot(
+        born=_born(engine, newest),
+        flows={
+            key: flow.caller_acknowledgement
+            for key, flow in open_flows.items()
+            if flow.confirmed
+        },
+        unconfirmed={
+            key: flow.upstream_sequence
+            for key, flow in open_flows.items()
+            if not flow.confirmed and flow.upstream_sequence is not None
+        },
+        closed=tuple(flows.keys() - open_flows.keys()),
+        is_final=engine.table.complete,
+        era=era,
+    )
+
+
 def _born(engine: sidecar_state.Engine, newest: upstream.Heartbeat) -> int:
     """Return the start of the incarnation that holds the flows.
 
@@ -299,11 +419,14 @@
 
 
 async def _write(
-    writer: FlowSnapshotWriter, new_snapshot: flow_record.FlowSnapshot
+    writer: FlowSnapshotWriter,
+    new_snapshot: flow_record.FlowSnapshot,
+    *,
+    compares: tuple[port.Compare, ...] = (),
 ) -> bool:
     """Write a snapshot if the stored one still has the expected revision.
 
-    Returns whether it was written.
+    ``compares`` are further conditions. Returns whether it was written.
     """
     lease = writer.registration.lease
     if lease is None or writer.registration.era != writer.store.era:
@@ -312,14 +435,18 @@
         key=writer.key, value=msgspec.msgpack.encode(new_snapshot), lease=lease
     )
     transaction = port.Transaction(
-        compares=(port.Compare(key=writer.key, mod_revision=writer.revision),),
+        compares=(
+            port.Compare(key=writer.key, mod_revision=writer.revision),
+            *compares,
+        ),
         puts=(put,),
     )
     written = await writer.store.write(transaction)
     if isinstance(written, revisioned.Conflict):
         # The revision differs because the response to an earlier write was lost or the
         # lease has ended. The response has the stored revision for the next write.
-        _decode(writer, written.entries[0] if written.entries else None)
+        stored = {entry.key: entry for entry in written.entries}
+        _decode(writer, stored.get(writer.key))
         return False
     writer.revision = written
     return True
--- a/plantainproxy/flows/stored/registry.py
+++ b/plantainproxy/flows/stored/registry.py
@@ -174,12 +174,22 @@
         """Latest era that another process has stated."""
         self.check_requested = runtime.Event()
         self.check_spread_seconds = ERA_CHECK_SPREAD_SECONDS
+        self.revision = 0
+        """Number of the revision of the entry in the era of the lease; 0 before the
+        store has confirmed the entry."""
         self.inherited_keys: tuple[str, ...] = ()
         """Further keys that an earlier process of this sidecar may have written."""
         self.inherited: dict[str, port.Entry] = {}
         """Entries of an earlier process, from the response to the first write."""
+        self.inherited_era = 0
+        """Era of that response."""
         self.inheritance_known = runtime.Event()
         """Set once the store has answered the first write."""
+        self.is_successor = False
+        """Whether the entry has replaced the inherited one, so that no other process
+        has registered in between."""
+        self.registered = runtime.Event()
+        """Set once the store has confirmed the entry for the first time."""
 
 
 def request_check(
@@ -209,9 +219,10 @@
                 registration.lease = await store.grant_lease(ttl_seconds=LEASE_SECONDS)
                 registration.era = store.era
                 registration.check_requested = runtime.Event()
-            await _write(registration, registration.lease)
+            replaced_revision = await _write(registration, registration.lease)
             if registration.era != store.era:
                 continue
+            _record_registered(registration, replaced_revision)
             registration.log.write(
                 "registered",
                 key=registration.key,
@@ -261,8 +272,21 @@
         )
 
 
-async def _write(registration: Registration, lease: int) -> None:
-    """Create or replace the entry.
+def _record_registered(registration: Registration, replaced_revision: int) -> None:
+    """Record at the first confirmation whether the entry replaced the inherited one."""
+    if registration.registered.is_set():
+        return
+    inherited = registration.inherited.get(registration.key)
+    registration.is_successor = (
+        inherited is not None
+        and inherited.mod_revision == replaced_revision
+        and registration.inherited_era == registration.era
+    )
+    registration.registered.set()
+
+
+async def _write(registration: Registration, lease: int) -> int:
+    """Create or replace the entry; return the revision that it replaced, 0 for none.
 
     Most entries are new. Where one exists, the store's response has its revision, and
     the condition on it prevents a delayed write from overwriting a newer one.
@@ -277,9 +301,11 @@
     found = {entry.key: entry for entry in entries}
     if is_first:
         registration.inherited = found
+        registration.inherited_era = store.era
         registration.inheritance_known.set()
     if not isinstance(result, revisioned.Conflict):
-        return
+        registration.revision = result
+        return 0
     revision = found[key].mod_revision if key in found else 0
     compares = (port.Compare(key=key, mod_revision=revision),)
     result = await store.write(port.Transaction(compares=compares, puts=(put,)))
@@ -287,6 +313,8 @@
         raise _exceptions.PlantainError(
             _exceptions.ErrorKind.CONFLICT, f"another process changed the entry {key}"
         )
+    registration.revision = result
+    return revision
 
 
 async def _renew_until_ended(registration: Registration) -> None:
--- a/plantainproxy/flows/tests/test_completeness.py
+++ b/plantainproxy/flows/tests/test_completeness.py
@@ -1,9 +1,10 @@
 """Tests of when a sidecar's flow table is complete, and of flows that it presumes."""
 
+import msgspec
 import pytest
 
 from plantainproxy import _types
-from plantainproxy.flows import messages, packets
+from plantainproxy.flows import messages, packets, policy
 from plantainproxy.flows.engine import flow_table, sidecar, upstream_events
 from plantainproxy.flows.stored import flow_snapshot
 from testbed import transparent
@@ -195,6 +196,9 @@
     snapshot = flow_snapshot.take_snapshot(harness.engine)
     assert snapshot is not None
     assert snapshot.born == 1_000
+    final = flow_snapshot.take_final_snapshot(harness.engine, era=0)
+    assert final is not None
+    assert final.born == 1_000
 
 
 def test_a_snapshot_that_arrives_after_the_end_of_its_upstream_is_reset() -> None:
@@ -239,3 +243,113 @@
     harness.apply_snapshot({KEY: 42})
     assert harness.engine.table.flows == {}
     assert harness.port.resets == []
+
+
+def test_a_process_that_stops_refuses_openings() -> None:
+    """Guards against a flow that the final snapshot does not name."""
+    harness = transparent.ready_sidecar()
+    sidecar.stop(harness.engine, now=harness.now)
+    opening = transparent.make_packet(KEY, opening=True, purpose=packets.Purpose.OPEN)
+    harness.handle_inbound(opening)
+    assert harness.port.delivered == []
+    assert harness.port.refusals() == [messages.Refusal.NOT_READY]
+
+
+def test_the_final_snapshot_has_the_flows_that_other_snapshots_leave_out() -> None:
+    """Guards against a complete table without them: downloads and unconfirmed flows."""
+    other_service = b"\x01\x00\x12\xc6\xbb\x02"
+    download = transparent.make_route(transparent.POOL, service=other_service)
+    harness = transparent.ready_sidecar()
+    harness.apply_policy(
+        transparent.make_policy(
+            2,
+            transparent.make_route(transparent.POOL),
+            msgspec.structs.replace(download, kind=policy.RouteKind.DOWNLOAD),
+        )
+    )
+    downloading = transparent.flow_key(3, other_service)
+    closed = transparent.flow_key(4)
+    for key in (KEY, downloading, closed):
+        harness.open(key)
+    harness.handle_inbound(
+        transparent.make_packet(closed, aborting=True, acknowledgement=CONFIRMATION)
+    )
+    for key in (OTHER, transparent.flow_key(5)):
+        harness.handle_inbound(
+            transparent.make_packet(key, opening=True, purpose=packets.Purpose.OPEN)
+        )
+    harness.handle_outbound(
+        transparent.make_packet(OTHER, accepting=True, sequence=6_000)
+    )
+    final = flow_snapshot.take_final_snapshot(harness.engine, era=3)
+    assert final is not None
+    assert final.flows == {KEY: CONFIRMATION, downloading: CONFIRMATION}
+    assert final.unconfirmed == {OTHER: 6_000}
+    assert final.closed == (closed,)
+    assert final.is_final
+    assert final.era == 3
+
+
+def test_no_acceptance_passes_after_the_final_snapshot() -> None:
+    """Guards against a caller that uses a flow which the snapshot does not name.
+
+    The upstream accepts while the snapshot is being written, and repeats that later.
+    """
+    harness = transparent.ready_sidecar()
+    for key in (KEY, OTHER):
+        harness.handle_inbound(
+            transparent.make_packet(key, opening=True, purpose=packets.Purpose.OPEN)
+        )
+    named = transparent.make_packet(OTHER, accepting=True, sequence=6_000)
+    harness.handle_outbound(named)
+    flow_snapshot.take_final_snapshot(harness.engine, era=0)
+    harness.handle_outbound(transparent.make_packet(KEY, accepting=True, sequence=1))
+    harness.handle_outbound(named)
+    assert harness.port.sent_to_callers == [named, named]
+    assert harness.engine.log.counters["dropped.handed_over"] == 1
+
+
+def test_no_confirmation_passes_after_the_final_snapshot() -> None:
+    """Guards against a flow whose next acknowledgement the next process denies.
+
+    The snapshot has it as unconfirmed; after the first response the caller's number is
+    another one than that of the acceptance.
+    """
+    harness = transparent.ready_sidecar()
+    harness.open(OTHER)
+    harness.handle_inbound(
+        transparent.make_packet(KEY, opening=True, purpose=packets.Purpose.OPEN)
+    )
+    harness.handle_outbound(
+        transparent.make_packet(
+            KEY, accepting=True, sequence=transparent.UPSTREAM_SEQUENCE
+        )
+    )
+    flow_snapshot.take_final_snapshot(harness.engine, era=0)
+    harness.port.delivered.clear()
+    harness.handle_inbound(_data(KEY))
+    harness.handle_inbound(_data(OTHER))
+    assert harness.port.delivered == [_data(OTHER)]
+
+
+def test_a_process_with_an_incomplete_table_hands_over_no_complete_one() -> None:
+    """Guards against a denial of flows that neither process has seen."""
+    harness = _restarted()
+    harness.apply_snapshot({KEY: 42})
+    final = flow_snapshot.take_final_snapshot(harness.engine, era=0)
+    assert final is not None
+    assert final.flows == {KEY: 42}
+    assert not final.is_final
+    acceptance = transparent.make_packet(OTHER, accepting=True, sequence=1)
+    harness.handle_outbound(acceptance)
+    assert harness.port.sent_to_callers == [acceptance]
+
+
+def test_balancers_learn_at_once_that_the_table_is_complete() -> None:
+    """Guards against lookups that deliver packets on suspicion for half a second."""
+    harness = _restarted()
+    harness.tick(0.01)
+    assert not harness.port.last_report().complete
+    harness.engine.table.complete = True
+    harness.tick(0.01)
+    assert harness.port.last_report().complete
--- a/plantainproxy/flows/tests/test_flow_machine.py
+++ b/plantainproxy/flows/tests/test_flow_machine.py
@@ -128,6 +128,8 @@
         self.detected_ends: list[set[int]] = [set() for _ in POOLS]
         """Incarnations whose end each running sidecar process has detected."""
         self.snapshots: list[flow_record.FlowSnapshot | None] = [None] * len(POOLS)
+        self.has_registered: list[bool] = [False] * len(POOLS)
+        """Whether a process of each sidecar has registered since the last snapshot."""
         self.complete_list_at: dict[int, float] = {}
         """When each balancer with an incomplete sidecar list gets the complete one."""
         self.deliveries: list[Delivery] = []
@@ -167,8 +169,16 @@
         saved_snapshot = self.snapshots[number]
         if saved_snapshot is not None:
             upstream_events.apply_snapshot(
-                engine, saved_snapshot.born, saved_snapshot.flows, now=self.now
+                engine,
+                saved_snapshot.born,
+                saved_snapshot.flows,
+                unconfirmed=saved_snapshot.unconfirmed,
+                closed=saved_snapshot.closed,
+                now=self.now,
             )
+            if saved_snapshot.is_final and not self.has_registered[number]:
+                engine.table.complete = True
+        self.has_registered[number] = True
         sidecar.apply_policy(engine, self.policies[-1], now=self.now)
         return engine
 
@@ -334,9 +344,19 @@
         """Stop a sidecar as planned; the next process starts after some time."""
         if number in self.next_start_at:
             return
-        sidecar.stop(self.sidecars[number], now=self.now)
+        engine = self.sidecars[number]
+        sidecar.stop(engine, now=self.now)
+        self.save_final(number, flow_snapshot.take_final_snapshot(engine, era=0))
         self.next_start_at[number] = self.now + seconds
 
+    def save_final(
+        self, number: int, final_snapshot: flow_record.FlowSnapshot | None
+    ) -> None:
+        """Save the final snapshot of a sidecar that is stopped as planned."""
+        if final_snapshot is not None:
+            self.snapshots[number] = final_snapshot
+            self.has_registered[number] = False
+
     def check_stray_packets(self) -> None:
         """Check the intervals that have ended for packets at other upstreams."""
         owners = {
@@ -646,6 +666,18 @@
         sidecar_engine = self.site.sidecars[process - BALANCERS]
         sidecar.apply_policy(sidecar_engine, offered, now=self.site.now)
 
+    @stateful.invariant()
+    def complete_tables_have_all_flows(self) -> None:
+        """Check that no sidecar would deny a flow that its upstream holds."""
+        for number, engine in enumerate(self.site.sidecars):
+            server = self.site.servers[number]
+            if not engine.table.complete or not server.alive:
+                continue
+            for key, first in server.flows.items():
+                flow = engine.table.flows.get(key)
+                assert flow is not None, f"sidecar {number} denies {key.hex()}"
+                assert flow.confirmed or flow.upstream_sequence == first
+
     @stateful.invariant()
     def policies_never_go_back(self) -> None:
         """Check that no process has activated an older policy."""
@@ -780,6 +812,22 @@
         server.cold_until = self.site.now + (COLD_SECONDS if is_cold else 0.0)
         self.site.send_heartbeat(number)
 
+    @stateful.rule(number=SIDECARS, index=INDEX, count=strategies.integers(0, 4))
+    def hand_over(self, number: int, index: int, count: int) -> None:
+        """Restart a sidecar as planned, without a time in which there is none.
+
+        Some messages arrive while its final snapshot is being written.
+        """
+        site = self.site
+        site.next_start_at.pop(number, None)
+        engine = site.sidecars[number]
+        sidecar.stop(engine, now=site.now)
+        final_snapshot = flow_snapshot.take_final_snapshot(engine, era=0)
+        for _ in range(min(count, len(site.in_flight))):
+            site.deliver(site.in_flight.pop(index % len(site.in_flight)))
+        site.save_final(number, final_snapshot)
+        self.restart_sidecar(number)
+
     @stateful.rule(number=SIDECARS)
     def restart_sidecar(self, number: int) -> None:
         """Kill a sidecar and start it again; only its saved snapshot survives."""
--- a/testbed/flow_site.py
+++ b/testbed/flow_site.py
@@ -14,6 +14,7 @@
 import trio
 
 from plantainproxy import _types
+from plantainproxy.flows import messages
 from plantainproxy.store import http
 from standins import fault_proxy, flow_ends, metadata_store
 
@@ -25,6 +26,8 @@
 READY_SECONDS = 15.0
 POLL_SECONDS = 0.02
 COMMAND_SECONDS = 20.0
+REPORT_WAIT_SECONDS = 0.1
+MAX_DATAGRAM_BYTES = 65_536
 
 # ``something_new`` is not a known settings key; processes must ignore unknown keys.
 SETTINGS = """\
@@ -236,6 +239,39 @@
         for key, value in self.operator_entries.items():
             self.store.put(key, value)
 
+    def add_upstream(self, node: Node) -> flow_ends.Upstream:
+        """Add an upstream to a sidecar, in place of an earlier one that has ended."""
+        upstream = flow_ends.Upstream(
+            address=_types.Address(node.host, self.ports.app),
+            outbound=_types.Address(node.host, self.ports.outbound),
+            heartbeat_address=_types.Address(node.host, self.ports.control),
+            service=SERVICE_NAME,
+            domain=node.domain,
+        )
+        self.upstreams = [
+            other for other in self.upstreams if other.address != upstream.address
+        ]
+        self.upstreams.append(upstream)
+        return upstream
+
+    async def report(self, node: Node) -> messages.Report:
+        """Return a report that the sidecar sends now, on request."""
+        request = messages.ReportRequest(
+            revision=0, domain="", sidecars=1, subscribes=False
+        )
+        host = _types.Address(f"127.{self.number}.4.1", self.ports.first)
+        with trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp_socket:
+            await udp_socket.bind(host)
+            while True:
+                await udp_socket.sendto(
+                    messages.encode(request), (node.host, self.ports.first)
+                )
+                with trio.move_on_after(REPORT_WAIT_SECONDS):
+                    data, _ = await udp_socket.recvfrom(MAX_DATAGRAM_BYTES)
+                    message = messages.decode(data)
+                    if isinstance(message, messages.Report):
+                        return message
+
     def caller(self, index: int = 0) -> flow_ends.Caller:
         """Return a caller that sends round robin through all running balancers."""
         return flow_ends.Caller(
@@ -314,15 +350,7 @@
                     domain=f"d{index % domains}",
                     store_link=await open_store_link(),
                 )
-                ports = site.ports
-                upstream = flow_ends.Upstream(
-                    address=_types.Address(node.host, ports.app),
-                    outbound=_types.Address(node.host, ports.outbound),
-                    heartbeat_address=_types.Address(node.host, ports.control),
-                    service=SERVICE_NAME,
-                    domain=node.domain,
-                )
-                site.upstreams.append(upstream)
+                upstream = site.add_upstream(node)
                 site.start(node)
                 nursery.start_soon(upstream.run)
             for index in range(balancers):
--- a/testbed/foreign_inputs.py
+++ b/testbed/foreign_inputs.py
@@ -262,10 +262,14 @@
             data = self.make_packet(service=service)
             sidecar_main.handle_data(self.process, data, GOOD)
         msgspec.json.encode(self.context.gauges())
-        snapshot = flow_snapshot.take_snapshot(self.process.engine)
-        if snapshot is not None:
-            encoded = msgspec.msgpack.encode(snapshot)
-            msgspec.msgpack.decode(encoded, type=flow_record.FlowSnapshot)
+        engine = self.process.engine
+        snapshot = flow_snapshot.take_snapshot(engine)
+        final = flow_snapshot.take_final_snapshot(engine, era=engine.policies.era)
+        engine.has_handed_over = False
+        for saved in (snapshot, final):
+            if saved is not None:
+                encoded = msgspec.msgpack.encode(saved)
+                msgspec.msgpack.decode(encoded, type=flow_record.FlowSnapshot)
         for encode in documents.encoders(self.process.documents).values():
             encode()
         response = http.Response(200, b'{"rev": 9}', {})
@@ -469,9 +473,13 @@
     data = foreign_values.make_input(draw, _SNAPSHOT, is_binary=True)
     registration = target.process.registration
     writer = target.process.snapshot_writer
-    entry = port.Entry(key=writer.key, value=data, mod_revision=draw.randint(0, 9))
-    registration.inherited = {writer.key: entry}
+    registration.inherited = {
+        key: port.Entry(key=key, value=data, mod_revision=draw.randint(0, 9))
+        for key in (writer.key, registration.key)
+    }
+    registration.is_successor = True
     registration.inheritance_known.set()
+    registration.registered.set()
     running = flow_snapshot.run(writer, target.process.engine)
     with contextlib.suppress(_SleptError), mock.patch.object(runtime, "sleep", _sleep):
         running.send(None)
--- a/tests/test_flow_site.py
+++ b/tests/test_flow_site.py
@@ -18,6 +18,8 @@
 """Time from the start of a process in which it ends its imports, on a busy machine."""
 AWAY_SECONDS = upstreams.SHORT_LOSS_TIMEOUT_SECONDS + 0.6
 """Time from the end of a stopped sidecar to its next start."""
+COMPLETE_SECONDS = 1.0
+"""Time in which a sidecar that is ready has registered and has a complete table."""
 
 
 def _run_on_site(
@@ -26,12 +28,17 @@
     check: abc.Callable[[flow_site.Site], abc.Awaitable[None]],
     *,
     balancers: int = 2,
+    upstreams: int = 3,
     domains: int = 2,
 ) -> None:
     async def main() -> None:
         with trio.fail_after(DEADLINE_SECONDS):
             async with flow_site.running(
-                directory, number=number, balancers=balancers, domains=domains
+                directory,
+                number=number,
+                balancers=balancers,
+                upstreams=upstreams,
+                domains=domains,
             ) as site:
                 await check(site)
 
@@ -75,6 +82,45 @@
     _run_on_site(tmp_path, 42, check)
 
 
+def test_a_planned_restart_beside_open_flows_reports_a_complete_table(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against packets at other upstreams while sidecars restart as planned.
+
+    The next process knew none of its upstream's flows, so that lookups delivered the
+    packets of any flow to its upstream. The table is complete at first because the
+    sidecar has seen the upstream start.
+    """
+
+    async def check(site: flow_site.Site) -> None:
+        (node,) = site.sidecars
+        site.upstreams[0].crash()
+        await trio.sleep(1.0)
+        async with trio.open_nursery() as nursery:
+            upstream = site.add_upstream(node)
+            nursery.start_soon(upstream.run)
+            while not (await site.report(node)).complete:
+                await trio.sleep(flow_site.POLL_SECONDS)
+            async with (
+                flow_ends.open_flow(site.caller(0), flow_site.SERVICE) as used,
+                flow_ends.open_flow(site.caller(1), flow_site.SERVICE) as idle,
+            ):
+                assert await used.request(b"before") == b"before"
+                node.signal(signal.SIGTERM)
+                assert await node.wait() == 0
+                site.start(node)
+                await site.wait_until_ready([node])
+                with trio.fail_after(COMPLETE_SECONDS):
+                    while not (report := await site.report(node)).complete:
+                        await trio.sleep(flow_site.POLL_SECONDS)
+                assert report.flows == 2
+                assert await used.request(b"after") == b"after"
+                assert await idle.request(b"first") == b"first"
+            nursery.cancel_scope.cancel()
+
+    _run_on_site(tmp_path, 60, check, upstreams=1)
+
+
 @pytest.mark.parametrize("draining", [False, True])
 def test_no_flow_is_reset_while_sidecars_restart_slowly(
     tmp_path: pathlib.Path, draining: bool
