A flow table is complete after an observation of the longest idle time

What callers saw: after a kill of a sidecar its flow table stayed incomplete until the upstream restarted. Until then no flow could be denied without a delivery of its packets, and no request was scheduled.

Cause: only the start or the end of an upstream completed a table.

Evidence: test_a_table_is_complete_once_every_flow_in_use_has_had_a_packet; there was no such observation before. The tests of a pause and of the longest idle time fail without the condition that they name.

Change: a table is complete once the process has run for the longest idle time of its policies and 10 s more. The time starts again after a second without a tick, on a clock that counts while the machine is suspended: packets in a pause may be lost. The 10 s cover a lost packet, and one that waits while another sidecar restarts.

Why it works: a flow without a packet for the idle time may be evicted from a complete table, too.

--- a/plantainproxy/flows/engine/completeness.py
+++ b/plantainproxy/flows/engine/completeness.py
@@ -1,7 +1,8 @@
 """When the flow table of a sidecar names every flow that its upstream holds.
 
 A sidecar process that starts beside a running upstream has not seen the openings of the
-upstream's flows. It takes them from the snapshot of the process before.
+upstream's flows. It takes them from the snapshot of the process before, or observes
+packets until it has seen one of each flow.
 """
 
 from collections import abc
@@ -9,6 +10,31 @@
 from plantainproxy.flows import packets
 from plantainproxy.flows.engine import flow_table
 
+MAX_TICK_INTERVAL_SECONDS = 1.0
+"""Time between two ticks from which packets may have been lost: the process or the
+machine was paused."""
+OBSERVATION_MARGIN_SECONDS = 10.0
+"""Time of observation beyond the idle time. A flow's packet may be lost, or wait in
+balancers while another sidecar restarts (``upstreams.RESTART_TIMEOUT_SECONDS``); the
+next retransmission is then later than the end of the idle time."""
+
+
+def observe(table: flow_table.FlowTable, *, idle_seconds: float, now: float) -> bool:
+    """Extend the observation of packets to now; return whether it completes the table.
+
+    A flow without a packet for ``idle_seconds`` may be evicted, so a table that has
+    been observed for longer has every flow that is in use. The observation starts again
+    after a pause. ``now`` must also count while the machine is suspended.
+    """
+    if now - table.observed_until >= MAX_TICK_INTERVAL_SECONDS:
+        table.observed_since = now
+    table.observed_until = now
+    if table.complete or not idle_seconds:
+        return False
+    observed_seconds = now - table.observed_since
+    table.complete = observed_seconds >= idle_seconds + OBSERVATION_MARGIN_SECONDS
+    return table.complete
+
 
 def presume(
     table: flow_table.FlowTable,
--- a/plantainproxy/flows/engine/flow_table.py
+++ b/plantainproxy/flows/engine/flow_table.py
@@ -68,6 +68,10 @@
         """Opening times of new flows that have sent no request yet, by key."""
         self.complete = False
         """Whether the table contains every flow of the upstream."""
+        self.observed_since = float("-inf")
+        """Start of the time in which the process has received packets without a
+        pause."""
+        self.observed_until = float("-inf")
 
 
 def record_opening(table: FlowTable, packet: packets.Packet, *, now: float) -> None:
--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -60,6 +60,7 @@
         engine.upstream.cold_until = max(
             engine.upstream.cold_until, now + limits.cold_seconds
         )
+    engine.longest_idle_seconds = max(engine.longest_idle_seconds, current.idle_seconds)
     engine.log.write_policy(current)
 
 
@@ -214,6 +215,16 @@
     sidecar_reports.send_due_reports(engine, now=now)
 
 
+def observe(engine: sidecar_state.Engine, *, now: float) -> None:
+    """Complete the flow table once every flow in use must have had a packet.
+
+    To be called at every tick. ``now`` must also count while the machine is suspended.
+    """
+    idle_seconds = engine.longest_idle_seconds
+    if completeness.observe(engine.table, idle_seconds=idle_seconds, now=now):
+        engine.log.write("flow table complete", reason="observed")
+
+
 def evict_expired(engine: sidecar_state.Engine, *, now: float) -> None:
     """Evict closed and idle flows and expired subscriptions of balancers."""
     current = engine.policies.current
--- a/plantainproxy/flows/engine/sidecar_state.py
+++ b/plantainproxy/flows/engine/sidecar_state.py
@@ -118,6 +118,9 @@
         self.has_earlier_upstream_ended = False
         """Whether this process found at its start that no upstream listened, and the
         grace period has passed."""
+        self.longest_idle_seconds = 0.0
+        """Longest idle time of the policies that this process has applied; 0 before the
+        first one."""
         self.report_number = 0
         self.last_reported_status: tuple[object, ...] = ()
         self.stopping = False
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -274,6 +274,7 @@
 def tick(process: SidecarProcess, *, now: float) -> None:
     """Do the periodic work of the engine, the documents and the relay."""
     sidecar.tick(process.engine, now=now)
+    sidecar.observe(process.engine, now=boot_time())
     seconds = documents.elapsed_seconds(process.documents, now=now)
     sidecar.elapse_hold(process.engine, seconds, now=now)
     process.documents.sidecars.elapse_hold(seconds)
--- a/plantainproxy/flows/tests/test_completeness.py
+++ b/plantainproxy/flows/tests/test_completeness.py
@@ -5,7 +5,12 @@
 
 from plantainproxy import _types
 from plantainproxy.flows import messages, packets, policy
-from plantainproxy.flows.engine import flow_table, sidecar, upstream_events
+from plantainproxy.flows.engine import (
+    completeness,
+    flow_table,
+    sidecar,
+    upstream_events,
+)
 from plantainproxy.flows.stored import flow_snapshot
 from testbed import transparent
 
@@ -13,6 +18,8 @@
 OTHER = transparent.flow_key(2)
 CONFIRMATION = transparent.UPSTREAM_SEQUENCE + 1
 IDLE_SECONDS = transparent.make_policy(1).idle_seconds
+TICK_SECONDS = 0.5
+OBSERVED_SECONDS = IDLE_SECONDS + completeness.OBSERVATION_MARGIN_SECONDS
 
 
 def _data(key: bytes, acknowledgement: int = CONFIRMATION) -> packets.Packet:
@@ -30,6 +37,15 @@
     return harness
 
 
+def _observe(
+    harness: transparent.SidecarHarness, seconds: float, *, start: float = 0.0
+) -> float:
+    """Run the ticks of a time; return its end."""
+    for number in range(round(seconds / TICK_SECONDS) + 1):
+        sidecar.observe(harness.engine, now=start + number * TICK_SECONDS)
+    return start + seconds
+
+
 def test_a_presumed_flow_gets_its_packets_before_the_upstream_has_sent_any() -> None:
     """Guards against lookups of flows that the last snapshot names.
 
@@ -353,3 +369,48 @@
     harness.engine.table.complete = True
     harness.tick(0.01)
     assert harness.port.last_report().complete
+
+
+def test_a_table_is_complete_once_every_flow_in_use_has_had_a_packet() -> None:
+    """Guards against a table that stays incomplete until the upstream restarts."""
+    harness = _restarted()
+    now = _observe(harness, OBSERVED_SECONDS - TICK_SECONDS)
+    assert not harness.engine.table.complete
+    sidecar.observe(harness.engine, now=now + TICK_SECONDS)
+    assert harness.engine.table.complete
+
+
+@pytest.mark.parametrize("paused_seconds", [1.0, 30.0, 3_600.0])
+def test_a_pause_starts_the_observation_again(paused_seconds: float) -> None:
+    """Guards against a denial of a flow whose only packets were lost in the pause.
+
+    The process is stopped by a signal, or the machine is suspended.
+    """
+    harness = _restarted()
+    now = _observe(harness, OBSERVED_SECONDS - TICK_SECONDS) + paused_seconds
+    now = _observe(harness, OBSERVED_SECONDS - TICK_SECONDS, start=now)
+    assert not harness.engine.table.complete
+    sidecar.observe(harness.engine, now=now + TICK_SECONDS)
+    assert harness.engine.table.complete
+
+
+def test_the_observation_takes_the_longest_idle_time_of_all_policies() -> None:
+    """Guards against a denial of flows kept under an earlier policy."""
+    harness = _restarted()
+    for revision, idle_seconds in ((2, 2 * IDLE_SECONDS), (3, IDLE_SECONDS)):
+        harness.apply_policy(
+            msgspec.structs.replace(
+                transparent.make_policy(revision), idle_seconds=idle_seconds
+            )
+        )
+    now = _observe(harness, OBSERVED_SECONDS + IDLE_SECONDS - TICK_SECONDS)
+    assert not harness.engine.table.complete
+    sidecar.observe(harness.engine, now=now + TICK_SECONDS)
+    assert harness.engine.table.complete
+
+
+def test_without_a_policy_no_observation_ends() -> None:
+    """Guards against a complete table while the idle time is not known."""
+    harness = transparent.SidecarHarness()
+    _observe(harness, 10 * OBSERVED_SECONDS)
+    assert not harness.engine.table.complete
