--- a/plantainproxy/flows/tests/test_completeness.py
+++ b/plantainproxy/flows/tests/test_completeness.py
@@ -57,7 +57,9 @@
     assert harness.port.delivered == [
         _data(KEY)._replace(purpose=packets.Purpose.LOOKUP)
     ]
-    assert harness.port.sent_messages[-1][1] == messages.FlowHeld(flow=KEY)
+    assert harness.port.sent_messages[-1][1] == messages.FlowHeld(
+        flow=KEY, is_presumed=False
+    )
     assert not harness.engine.table.complete
 
 
