Test: copies of one packet of an idle flow at other upstreams

Trials with added routes and no planned stop had packets of the flows opened there at other upstreams: the end of the handshake reaches another balancer than the opening, its lookup delivered copies to all sidecars without complete tables, and no further packet followed within 2 s.

The test does the same on the engines, with all processes live.

--- a/plantainproxy/flows/tests/test_stray_packets.py
+++ b/plantainproxy/flows/tests/test_stray_packets.py
@@ -237,3 +237,23 @@
         if stray_packets.find_stray_window(network.flow(), network.strays) is not None:
             broken[holder] = len(network.strays)
     assert broken == {}, f"packets at other upstreams by the flow's holder: {broken}"
+
+
+def test_one_packet_of_an_idle_flow_reaches_fewer_than_three_others() -> None:
+    """Guards against copies of one packet that reach three other upstreams at once.
+
+    All sidecars are live, without complete tables, and upstreams return packets at
+    once. The caller sends no other packet for longer than the window of the check, as
+    after the end of a handshake that another balancer gets than the opening.
+    """
+    broken: dict[int, int] = {}
+    for holder in range(1, SIDECARS + 1):
+        network = Network(holder)
+        network.start_balancers()
+        network.advance(BALANCER_STARTED_SECONDS)
+        network.send(0)
+        network.advance(FOUND_SECONDS)
+        assert network.own, f"upstream {holder} got no packet"
+        if stray_packets.find_stray_window(network.flow(), network.strays) is not None:
+            broken[holder] = len(network.strays)
+    assert broken == {}, f"packets at other upstreams by the flow's holder: {broken}"
