A configuration with a long health path or evacuation can be pulled

Cause: a health path of more than 1,024 characters, and an evacuation whose name is longer than that, were applied from the store and refused by the processes that pull the policy.

Evidence: test_the_policy_of_odd_texts_can_be_pulled and test_a_text_that_is_too_long_is_refused failed.

Change: the length of a health path is checked once it is encoded. An evacuation with such a name is left out, as no domain has it.

--- a/plantainproxy/platform/configuration.py
+++ b/plantainproxy/platform/configuration.py
@@ -18,6 +18,7 @@
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 """Followed by the name of a failure domain that must not receive new flows."""
+_MAX_EVACUATION_LENGTH = len(EVACUATION_PREFIX) + _decoding.MAX_NAME_LENGTH
 
 MILLISECONDS_PER_SECOND = 1_000.0
 MAX_REASON_CHARACTERS = 200
@@ -95,11 +96,12 @@
     domains_out = frozenset(
         key.removeprefix(EVACUATION_PREFIX)
         for key in items
-        if key.startswith(EVACUATION_PREFIX)
+        if key.startswith(EVACUATION_PREFIX) and len(key) <= _MAX_EVACUATION_LENGTH
     )
     try:
         decoded = _decode(document, _decoder)
         routes = {route.service: route for route in map(_decode_route, decoded.routes)}
+        pools = {service.name: _decode_service(service) for service in decoded.services}
     except (*_decoding.ERRORS, ValueError) as error:
         return policy.Refused(
             version=_read_version(document),
@@ -113,20 +115,27 @@
         era=revision.era,
         version=decoded.version,
         routes=routes,
-        pools={
-            service.name: policy.PoolLimits(
-                cold_seconds=service.cold_start_s,
-                # A rate of 0 means that no limit is set; see docs/QUESTIONS.md.
-                cold_flows_per_second=service.cold_per_s or None,
-                health_path=http.encode_target(service.health_path),
-            )
-            for service in decoded.services
-        },
+        pools=pools,
         idle_seconds=decoded.limits.idle_timeout_ms / MILLISECONDS_PER_SECOND,
         domains_out=domains_out,
     )
 
 
+def _decode_service(service: _Service) -> policy.PoolLimits:
+    path = http.encode_target(service.health_path)
+    if len(path) > _decoding.MAX_NAME_LENGTH:
+        raise ValueError(
+            f"service {service.name!r}: expected a health path of up to "
+            f"{_decoding.MAX_NAME_LENGTH} characters, got {len(path)}"
+        )
+    return policy.PoolLimits(
+        cold_seconds=service.cold_start_s,
+        # A rate of 0 means that no limit is set; see docs/QUESTIONS.md.
+        cold_flows_per_second=service.cold_per_s or None,
+        health_path=path,
+    )
+
+
 def _read_version(document: bytes) -> int | None:
     try:
         return _decode(document, _version_decoder).version
--- a/plantainproxy/platform/tests/test_configuration.py
+++ b/plantainproxy/platform/tests/test_configuration.py
@@ -246,6 +246,40 @@
     assert refused.domains_out == {"hall-a"}
 
 
+@pytest.mark.parametrize(
+    ("old", "new", "path"),
+    [
+        ("/healthz", "/santé", "/sant%C3%A9"),
+        ("/healthz", "/a b\\r\\n", "/a%20b%0D%0A"),
+        ('"a"', '"b"', "/healthz"),
+        ('"idempotent"', '"\\u0000\\ud83d\\ude00"', "/healthz"),
+    ],
+)
+def test_the_policy_of_odd_texts_can_be_pulled(old: str, new: str, path: str) -> None:
+    """A process that has no policy takes it from another one, with the same bounds."""
+    document = json.dumps(DOCUMENT).replace(old, new).encode()
+    items = {
+        configuration.CONFIGURATION_KEY: document,
+        f"op/evacuate/{'x' * 2_000}": b"",
+        "op/evacuate/hall-a": b"",
+    }
+    decoded = configuration.decode_policy(items, revision=REVISION)
+    assert isinstance(decoded, policy.Policy)
+    assert messages.decode_policy(messages.encode(decoded)) == decoded
+    assert [limits.health_path for limits in decoded.pools.values()] == [path]
+    assert decoded.domains_out == {"hall-a"}
+
+
+@pytest.mark.parametrize("old", ["/healthz", '"r-1"', '"a"', '"b"'])
+def test_a_text_that_is_too_long_is_refused(old: str) -> None:
+    """Processes without a policy could not pull it."""
+    document = json.dumps(DOCUMENT).replace(old.strip('"'), "é" * 1_025).encode()
+    items = {configuration.CONFIGURATION_KEY: document}
+    refused = configuration.decode_policy(items, revision=REVISION)
+    assert isinstance(refused, policy.Refused)
+    assert refused.version == 7
+
+
 def test_evacuations_alone_make_no_policy() -> None:
     """Evacuations have no effect before the first configuration document."""
     assert (
