Soak: odd inputs of another writer beside traffic and planned work

No process may end by itself, no open flow may be reset, and the configuration that follows must be in force everywhere.

--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -13,6 +13,9 @@
 (``testbed.stray_packets``). Several processes are then stopped at once or in turn, and
 more callers keep their flows; ``--planned --nojoint_stops`` leaves this out, as in the
 seeds that the tests run.
+
+With ``--foreign`` another writer also sends odd datagrams, HTTP requests, entries and
+configurations, beside planned work. The configuration that follows must take effect.
 """
 
 from collections import abc
@@ -30,9 +33,10 @@
 
 from plantainproxy import _types
 from plantainproxy.flows.stored import registry
+from plantainproxy.platform import settings as platform_settings
 from plantainproxy.store import http
 from standins import fault_proxy, flow_ends
-from testbed import flow_site, stray_packets
+from testbed import flow_site, foreign, stray_packets
 
 CALLERS = 8
 KEEPING_CALLERS = 24
@@ -301,6 +305,51 @@
         )
 
 
+async def write_foreign_document(run: SoakRun) -> None:
+    """Write a configuration that is odd, and possibly cannot be applied."""
+    run.site.version += 1
+    run.record_action(f"odd configuration, version {run.site.version}")
+    document = foreign.document(run.site.version, run.random)
+    run.site.write_entry("op/config", document)
+
+
+async def write_foreign_entry(run: SoakRun) -> None:
+    """Write an odd entry of the list of sidecars, and remove it again later."""
+    key = foreign.write_entry(run.site, run.random)
+    run.record_action(f"odd entry {key}")
+    await trio.sleep(run.random.uniform(0.0, 3.0))
+    if key in run.site.store.items:
+        run.site.store.remove(key)
+
+
+async def send_foreign_bytes(run: SoakRun) -> None:
+    """Send odd HTTP requests to a process, and bytes to its port for documents."""
+    node = run.random.choice([*run.site.balancers, *run.site.sidecars])
+    run.record_action(f"odd bytes to {node.settings_path.stem}")
+    ports = run.site.ports
+    numbers = [ports.ready, ports.first, platform_settings.METRICS_PORT]
+    if node.kind == "sidecar":
+        numbers.append(ports.control)
+        await foreign.send_heartbeat(_types.Address(node.host, numbers[-1]), run.random)
+    async with trio.open_nursery() as nursery:
+        for number in numbers:
+            data = foreign.http_request(run.random)
+            address = _types.Address(node.host, number)
+            nursery.start_soon(foreign.send_bytes, address, data)
+
+
+async def send_foreign_datagrams(run: SoakRun) -> None:
+    """Send odd datagrams to all UDP ports of a process."""
+    node = run.random.choice([*run.site.balancers, *run.site.sidecars])
+    run.record_action(f"odd datagrams to {node.settings_path.stem}")
+    ports = run.site.ports
+    numbers = [ports.data, ports.first]
+    if node.kind == "sidecar":
+        numbers.append(ports.outbound)
+    addresses = [_types.Address(node.host, number) for number in numbers]
+    foreign.send_datagrams(f"127.{run.site.number}.9.1", addresses, run.random)
+
+
 async def kill_and_restart(run: SoakRun) -> None:
     """Kill a process and start it again after up to 1.5 s."""
     with _reserve_node(run) as node:
@@ -523,6 +572,12 @@
     restart_all_in_turn,
 )
 """The faults of earlier planned seeds stay the same without the joint stops."""
+FOREIGN_ACTIONS: tuple[Action, ...] = (
+    write_foreign_document,
+    write_foreign_entry,
+    send_foreign_bytes,
+    send_foreign_datagrams,
+)
 RELAY_ACTIONS: tuple[Action, ...] = (*ACTIONS, pause_domain, restart_in_series)
 RESTORATION_ACTIONS: tuple[Action, ...] = (*RELAY_ACTIONS, restore_store, evacuate)
 """The faults of earlier seeds stay the same without the restoration."""
@@ -539,6 +594,15 @@
             await trio.sleep(run.random.uniform(0.1, 1.2))
 
 
+async def inject_foreign(run: SoakRun, seconds: float) -> None:
+    """Start random actions of another writer at short random intervals."""
+    async with trio.open_nursery() as nursery:
+        end = trio.current_time() + seconds
+        while trio.current_time() < end:
+            nursery.start_soon(run.random.choice(FOREIGN_ACTIONS), run)
+            await trio.sleep(run.random.uniform(0.05, 0.4))
+
+
 def find_older_versions(run: SoakRun) -> abc.Iterator[str]:
     """Return the processes that decided by an older version after a newer one."""
     for node in (*run.site.balancers, *run.site.sidecars):
@@ -559,6 +623,21 @@
                 version = line["version"]
 
 
+def find_outdated(run: SoakRun) -> abc.Iterator[str]:
+    """Return the processes that do not have the newest configuration in force."""
+    for node in (*run.site.balancers, *run.site.sidecars):
+        versions = [
+            line.partition('"version":')[2].partition(",")[0]
+            for line in run.site.log_path(node).read_text().splitlines()
+            if '"policy in force"' in line
+        ]
+        if versions[-1:] != [str(run.site.version)]:
+            yield (
+                f"{node.settings_path.stem} has version {versions[-1:]} in force, "
+                f"not {run.site.version}"
+            )
+
+
 def find_unregistered(run: SoakRun) -> abc.Iterator[str]:
     """Return the sidecars that are not in the store although it was restored."""
     for node in run.site.sidecars if run.site.store.era else ():
@@ -602,6 +681,7 @@
     restores_store: bool = False,
     is_planned: bool = False,
     has_joint_stops: bool = False,
+    is_foreign: bool = False,
 ) -> SoakRun:
     """Run one seed: inject faults for ``seconds``, then check the recovery."""
     async with flow_site.running(
@@ -613,7 +693,10 @@
         store_links=True,
     ) as site:
         run = SoakRun(
-            site, seed, is_planned=is_planned, has_joint_stops=has_joint_stops
+            site,
+            seed,
+            is_planned=is_planned or is_foreign,
+            has_joint_stops=has_joint_stops,
         )
         async with trio.open_nursery() as nursery:
             for index in range(CALLERS + (KEEPING_CALLERS if has_joint_stops else 0)):
@@ -621,16 +704,23 @@
             actions = ACTIONS if plan is SMALL else RELAY_ACTIONS
             if is_planned:
                 actions = JOINT_STOP_ACTIONS if has_joint_stops else PLANNED_ACTIONS
+            if is_foreign:
+                actions = PLANNED_ACTIONS
+                nursery.start_soon(inject_foreign, run, seconds)
             if restores_store:
                 actions = RESTORATION_ACTIONS
                 nursery.start_soon(restore_store_during, run, seconds)
             await inject_faults(run, seconds, actions)
+            if is_foreign:
+                site.configure()
             await trio.sleep(RECOVERY_SECONDS)
             end = trio.current_time()
             flows = stray_packets.open_flows(site.upstreams, end=end)
             run.strays = stray_packets.measure(flows)
             run.stray_violations = list(stray_packets.find_violations(flows))
             run.result.violations = list(find_violations(run, end=end))
+            if is_foreign:
+                run.result.violations += find_outdated(run)
             nursery.cancel_scope.cancel()
     return run
 
@@ -643,6 +733,7 @@
     restores_store: bool = False,
     planned: bool = False,
     joint_stops: bool = True,
+    foreign: bool = False,
 ) -> None:
     """Run seeds one after another; the exit code is the number of failed seeds."""
     run_one = functools.partial(
@@ -650,13 +741,14 @@
         restores_store=restores_store,
         is_planned=planned,
         has_joint_stops=planned and joint_stops,
+        is_foreign=foreign,
     )
     failed = 0
     for seed in range(first, first + seeds):
         with tempfile.TemporaryDirectory() as directory:
             run = trio.run(run_one, seed, seconds, pathlib.Path(directory))
             violations = run.result.violations
-            if planned:
+            if planned or foreign:
                 violations = [*violations, *run.stray_violations]
             if violations:
                 output_directory = pathlib.Path("out") / f"soak-{seed}"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -47,6 +47,17 @@
     _check_seed(seed, tmp_path, soak.WITH_RELAYS, is_planned=True, seconds=15.0)
 
 
+@pytest.mark.parametrize("seed", [401])
+def test_no_input_of_another_writer_ends_a_process(
+    tmp_path: pathlib.Path, seed: int
+) -> None:
+    """Guards against processes that end by themselves, and against lost flows.
+
+    Another writer sends configurations, entries, heartbeats, datagrams and requests.
+    """
+    _check_seed(seed, tmp_path, soak.WITH_RELAYS, is_foreign=True)
+
+
 def _check_seed(
     seed: int,
     directory: pathlib.Path,
@@ -54,10 +65,15 @@
     *,
     restores_store: bool = False,
     is_planned: bool = False,
+    is_foreign: bool = False,
     seconds: float = SECONDS,
 ) -> None:
     run_seed = functools.partial(
-        soak.run_seed, plan=plan, restores_store=restores_store, is_planned=is_planned
+        soak.run_seed,
+        plan=plan,
+        restores_store=restores_store,
+        is_planned=is_planned,
+        is_foreign=is_foreign,
     )
     run = trio.run(run_seed, seed, seconds, directory)
     assert run.result.violations == []
