The opening of a presumed flow is not reset with the flows of an ended upstream

Cause: an opening left the flow presumed.

Evidence: test_a_presumed_flow_with_a_callers_packet_is_not_reset_with_the_others[opening] failed before. Found by reading; not seen in a run of processes.

Change: an opening ends the presumption, as other packets do.

--- a/plantainproxy/flows/engine/flow_table.py
+++ b/plantainproxy/flows/engine/flow_table.py
@@ -76,10 +76,13 @@
 
 def record_opening(table: FlowTable, packet: packets.Packet, *, now: float) -> None:
     """Record an opening packet that is delivered to the upstream."""
-    if packet.flow not in table.flows:
-        sent_at = waiting.first_sent_at(packet, now=now)
-        table.flows[packet.flow] = Flow(now, now, sent_at)
-        table.awaiting_first_request[packet.flow] = now
+    flow = table.flows.get(packet.flow)
+    if flow is not None:
+        flow.is_presumed = False
+        return
+    sent_at = waiting.first_sent_at(packet, now=now)
+    table.flows[packet.flow] = Flow(now, now, sent_at)
+    table.awaiting_first_request[packet.flow] = now
 
 
 def is_held(table: FlowTable, packet: packets.Packet) -> bool:
--- a/plantainproxy/flows/tests/test_completeness.py
+++ b/plantainproxy/flows/tests/test_completeness.py
@@ -232,9 +232,16 @@
         assert harness.engine.table.flows == {}
 
 
-@pytest.mark.parametrize("is_inbound", [True, False])
-def test_a_presumed_flow_with_a_packet_is_not_reset_with_the_others(
-    is_inbound: bool,
+@pytest.mark.parametrize(
+    "packet",
+    [
+        _data(KEY),
+        transparent.make_packet(KEY, opening=True, purpose=packets.Purpose.OPEN),
+    ],
+    ids=["data", "opening"],
+)
+def test_a_presumed_flow_with_a_callers_packet_is_not_reset_with_the_others(
+    packet: packets.Packet,
 ) -> None:
     """Guards against a reset of a flow of the upstream that runs now.
 
@@ -243,10 +250,21 @@
     harness = transparent.SidecarHarness()
     harness.apply_policy(transparent.make_policy(1))
     harness.apply_snapshot({KEY: 42, OTHER: 43})
-    if is_inbound:
-        harness.handle_inbound(_data(KEY))
-    else:
-        harness.handle_outbound(transparent.make_packet(KEY, size=10))
+    upstream_events.handle_health_check_passed(harness.engine, now=harness.now)
+    harness.handle_inbound(packet)
+    assert harness.port.delivered == [packet]
+    harness.handle_heartbeat(1, born=2_000)
+    assert harness.port.resets == [OTHER]
+
+
+def test_a_presumed_flow_with_an_upstreams_packet_is_not_reset_with_the_others() -> (
+    None
+):
+    """Guards against a reset of a flow of the upstream that runs now."""
+    harness = transparent.SidecarHarness()
+    harness.apply_policy(transparent.make_policy(1))
+    harness.apply_snapshot({KEY: 42, OTHER: 43})
+    harness.handle_outbound(transparent.make_packet(KEY, size=10))
     harness.handle_heartbeat(1, born=2_000)
     assert harness.port.resets == [OTHER]
 
