Tests: generated operators' documents, and their row in the inventory

The documents are read, resolved and applied as a process does, and the policy in force must be one that other processes can pull. The type of the configuration document is public, as its generator uses it.

--- a/plantainproxy/platform/configuration.py
+++ b/plantainproxy/platform/configuration.py
@@ -64,7 +64,9 @@
     idle_timeout_ms: _decoding.Amount = 60_000.0
 
 
-class _Configuration(msgspec.Struct):
+class Configuration(msgspec.Struct):
+    """The operators' configuration document."""
+
     version: _decoding.Count
     routes: list[_Route]
     services: list[_Service] = []
@@ -75,7 +77,7 @@
     version: _decoding.Count
 
 
-_decoder = msgspec.json.Decoder(_Configuration)
+_decoder = msgspec.json.Decoder(Configuration)
 _version_decoder = msgspec.json.Decoder(_Versioned)
 _NEXT_BRACKETS = re.compile(
     rb'(?:[^\[\]{}"]++|"[^"\\]*+(?:\\.[^"\\]*+)*+")*+([\[{]+|[\]}]+)', re.DOTALL
--- a/testbed/foreign_inputs.py
+++ b/testbed/foreign_inputs.py
@@ -42,7 +42,12 @@
     registry,
     snapshot_batch,
 )
-from plantainproxy.platform import heartbeats, metadata_store, packet_format
+from plantainproxy.platform import (
+    configuration,
+    heartbeats,
+    metadata_store,
+    packet_format,
+)
 from plantainproxy.platform import settings as platform_settings
 from plantainproxy.store import http, port, revisioned
 from testbed import foreign_values, transparent
@@ -407,6 +412,44 @@
         target.context.apply_policy(decoded)
 
 
+_CONFIGURATION = inspect.type_info(configuration.Configuration)
+_GOOD_CONFIGURATION = {
+    "version": 1,
+    "routes": [
+        {"name": "r", "host": "10.0.0.1", "prefix": "/80/", "service": "pool-x"},
+        {"name": "s", "host": "10.0.0.2", "prefix": "443", "traffic_split": []},
+    ],
+    "services": [{"name": "pool-x", "health_path": "/h", "cold_per_s": 2}],
+}
+
+
+def _feed_configuration(target: typing.Any, draw: random.Random) -> None:
+    """Read a document of the store; what is in force can be pulled by others."""
+    data = foreign_values.make_input(draw, _CONFIGURATION, is_binary=False)
+    if draw.random() < 0.5:
+        # Most generated hosts and prefixes are no addresses.
+        good = msgspec.json.encode(_GOOD_CONFIGURATION)
+        data = foreign_values.change_bytes(draw, good) if draw.random() < 0.5 else good
+    with contextlib.suppress(msgspec.DecodeError, RecursionError, TypeError):
+        fields = msgspec.json.decode(data)
+        if draw.random() < 0.5:
+            fields["routes"] = _GOOD_CONFIGURATION["routes"]
+            data = msgspec.json.encode(fields)
+    policies: policy.ActivePolicy = target.process.engine.policies
+    items = {configuration.CONFIGURATION_KEY: data}
+    for name in draw.sample(foreign_values.TEXTS, draw.randint(0, 3)):
+        items[f"{configuration.EVACUATION_PREFIX}{name}"] = b""
+    order = policies.order.revision
+    if order.number == 2**63 - 1:
+        return
+    read = target.context.decode_policy(items, order._replace(number=order.number + 1))
+    resolved = documents.resolve(target.process.documents, read)
+    if resolved is not None:
+        target.context.apply_policy(resolved)
+    stored = policies.stored
+    assert messages.decode_policy(messages.encode(stored)) == stored
+
+
 def _path(limits: policy.PoolLimits) -> bytes:
     return limits.health_path.encode("ascii")
 
@@ -883,6 +926,8 @@
     **dict(_message_rows()),
     "policy to a balancer": Row(BalancerTarget, _feed_policy),
     "policy to a sidecar": Row(SidecarTarget, _feed_policy),
+    "operators' documents to a balancer": Row(BalancerTarget, _feed_configuration),
+    "operators' documents to a sidecar": Row(SidecarTarget, _feed_configuration),
     "list to a balancer": Row(BalancerTarget, _feed_list),
     "list to a sidecar": Row(SidecarTarget, _feed_list),
     "entries of the list": Row(BalancerTarget, _feed_entries),
