A planned stop before a balancer's start is not a loss

A balancer started 0.6 s after a sidecar had stopped as planned, and the sidecar returned 4.1 s after its stop. The balancer had never had a report of it and took it as lost after 3 s; one that had received the announcement waits for 10 s.

A sidecar that died is still lost after 3 s. No further call to the store is made; balancers of the previous release ignore the additional field.

--- a/plantainproxy/flows/engine/upstreams.py
+++ b/plantainproxy/flows/engine/upstreams.py
@@ -61,6 +61,9 @@
     added_at: float = 0.0
     registered: bool = False
     """Whether the store lists the sidecar."""
+    is_stop_recorded: bool = False
+    """Whether the store has a snapshot of a planned stop of the sidecar. Counts only
+    before its first report."""
     placed_flows: int = 0
     """Number of flows placed on the upstream since the newest report."""
     backoff_until: float = float("-inf")
@@ -115,14 +118,15 @@
     """Return whether the time without a report has reached the timeout.
 
     ``RESTART_TIMEOUT_SECONDS`` applies to a sidecar that is restarting, and
-    ``LOSS_TIMEOUT_SECONDS`` to one that has never reported: it may have announced a
-    planned stop before this balancer started.
+    ``LOSS_TIMEOUT_SECONDS`` to any other one that has never reported: it may have
+    announced a planned stop before this balancer started.
     """
-    if upstream.report is None:
-        return now - upstream.added_at >= LOSS_TIMEOUT_SECONDS
     if is_restarting(upstream):
         timeout_seconds = RESTART_TIMEOUT_SECONDS
-    return now - upstream.last_report_at >= timeout_seconds
+    elif upstream.report is None:
+        timeout_seconds = LOSS_TIMEOUT_SECONDS
+    silent_since = upstream.last_report_at if upstream.report else upstream.added_at
+    return now - silent_since >= timeout_seconds
 
 
 def is_restarting(upstream: Upstream) -> bool:
@@ -132,7 +136,9 @@
     upstream may hold flows.
     """
     report = upstream.report
-    if report is None or not report.stopping:
+    if report is None:
+        return upstream.is_stop_recorded and upstream.registered
+    if not report.stopping:
         return False
     if report.state is messages.UpstreamState.DRAINING:
         return upstream.registered
@@ -242,6 +248,14 @@
         view.complete_at = now + LIST_LAG_SECONDS
 
 
+def record_stops(view: View, stopped: abc.Iterable[_types.Address]) -> None:
+    """Record sidecars that had stopped as planned before this balancer started."""
+    for address in stopped:
+        upstream = view.upstreams.get(address)
+        if upstream is not None:
+            upstream.is_stop_recorded = True
+
+
 def apply_report(
     view: View,
     address: _types.Address,
--- a/plantainproxy/flows/programs/balancer_main.py
+++ b/plantainproxy/flows/programs/balancer_main.py
@@ -278,9 +278,11 @@
     await process.list_known.wait()
     if len(process.engine.view.upstreams) > flow_hints.MAX_SIDECARS:
         return
-    process.engine.hints = await flow_hints.read(
+    hints = await flow_hints.read(
         process.store, message_port=process.settings.message_port, log=process.log
     )
+    process.engine.hints = hints.flows
+    upstreams.record_stops(process.engine.view, hints.stopped)
     await runtime.sleep(balancer.FLOW_LIFETIME_SECONDS)
     process.engine.hints.clear()
 
--- a/plantainproxy/flows/stored/flow_record.py
+++ b/plantainproxy/flows/stored/flow_record.py
@@ -40,6 +40,8 @@
     serves it."""
     era: _decoding.Count = 0
     """Era of the store for which it was taken."""
+    is_stop: bool = False
+    """Whether it was taken at a planned stop of a sidecar whose upstream runs on."""
 
 
 def key_of(host: str) -> str:
--- a/plantainproxy/flows/stored/flow_snapshot.py
+++ b/plantainproxy/flows/stored/flow_snapshot.py
@@ -369,6 +369,7 @@
         closed=tuple(flows.keys() - open_flows.keys()),
         is_final=engine.table.complete,
         era=era,
+        is_stop=True,
     )
 
 
--- a/plantainproxy/flows/tests/test_handover.py
+++ b/plantainproxy/flows/tests/test_handover.py
@@ -617,6 +617,7 @@
             assert second.counted("record_not_readable") == 1
             assert not second.engine.table.complete
         log = event_log.EventLog("test")
-        assert await flow_hints.read(store, message_port=7700, log=log) == {}
+        hints = await flow_hints.read(store, message_port=7700, log=log)
+        assert hints == flow_hints.NO_HINTS
 
     _run(check)
--- a/plantainproxy/flows/tests/test_stray_packets.py
+++ b/plantainproxy/flows/tests/test_stray_packets.py
@@ -10,7 +10,8 @@
 
 from plantainproxy import _types
 from plantainproxy.flows import packets
-from plantainproxy.flows.engine import balancer, sidecar
+from plantainproxy.flows.engine import balancer, sidecar, upstreams
+from plantainproxy.flows.stored import flow_snapshot
 from standins import flow_ends
 from testbed import stray_packets, transparent
 
@@ -44,6 +45,8 @@
         self.now = 100.0
         self.sent: dict[bytes, packets.Packet] = {}
         self.due_returns: list[tuple[float, int, packets.Packet]] = []
+        self.recorded_stops: set[_types.Address] = set()
+        """Sidecars whose final snapshots the store has."""
         self.own: list[float] = []
         self.strays: list[float] = []
         self.balancers: list[transparent.BalancerHarness] = []
@@ -66,13 +69,17 @@
             harness = transparent.BalancerHarness()
             harness.now = self.now
             harness.apply_registrations(*range(1, SIDECARS + 1))
+            upstreams.record_stops(harness.engine.view, self.recorded_stops)
             harness.apply_policy(transparent.make_policy(1))
             self.balancers.append(harness)
 
     def stop_holder(self) -> None:
-        """Stop the flow's sidecar as planned; it announces the stop."""
+        """Stop the flow's sidecar as planned; it announces and records the stop."""
         harness = self.sidecars[self.holder]
         sidecar.stop(harness.engine, now=self.now)
+        record = flow_snapshot.take_final_snapshot(harness.engine, era=0)
+        if record is not None and record.is_stop:
+            self.recorded_stops.add(transparent.address(self.holder))
         self.exchange()
         del self.sidecars[self.holder]
 
--- a/plantainproxy/platform/tests/test_metadata_store.py
+++ b/plantainproxy/platform/tests/test_metadata_store.py
@@ -110,18 +110,22 @@
     ) -> None:
         flows = [transparent.flow_key(number) for number in (1, 2)]
         for host, flow in zip(("10.0.0.1", "10.0.0.2"), flows, strict=True):
-            snapshot = flow_record.FlowSnapshot(born=1, flows={flow: 5_001})
+            snapshot = flow_record.FlowSnapshot(
+                born=1, flows={flow: 5_001}, is_stop=host == "10.0.0.2"
+            )
             value = msgspec.msgpack.encode(snapshot)
             server.put(flow_record.key_of(host), value)
         server.put(flow_record.key_of("10.0.0.3"), b"{}")
         log = event_log.EventLog("test")
         hints = await flow_hints.read(client, message_port=7700, log=log)
-        assert hints == {
+        assert hints.flows == {
             flows[0]: _types.Address("10.0.0.1", 7700),
             flows[1]: _types.Address("10.0.0.2", 7700),
         }
+        assert hints.stopped == {_types.Address("10.0.0.2", 7700)}
         server.faults.status = 503
-        assert await flow_hints.read(client, message_port=7700, log=log) == {}
+        hints = await flow_hints.read(client, message_port=7700, log=log)
+        assert hints == flow_hints.NO_HINTS
 
     _run(check)
 
@@ -636,7 +640,8 @@
         value = msgspec.msgpack.encode((1, flows))
         server.put(flow_record.key_of("10.0.0.1"), value)
         log = event_log.EventLog("test")
-        assert await flow_hints.read(client, message_port=7700, log=log) == {}
+        hints = await flow_hints.read(client, message_port=7700, log=log)
+        assert hints == flow_hints.NO_HINTS
 
     _run(check)
 
@@ -678,6 +683,7 @@
         value = _with_nested_field(msgspec.msgpack.encode(snapshot))
         server.put(flow_record.key_of("10.0.0.1"), value)
         log = event_log.EventLog("test")
-        assert await flow_hints.read(client, message_port=7700, log=log) == {}
+        hints = await flow_hints.read(client, message_port=7700, log=log)
+        assert hints == flow_hints.NO_HINTS
 
     _run(check)
--- a/testbed/foreign_inputs.py
+++ b/testbed/foreign_inputs.py
@@ -500,9 +500,10 @@
     hints = _finish(
         flow_hints.read(store, message_port=GOOD.port, log=target.process.log)  # type: ignore[arg-type]
     )
-    assert hints[transparent.flow_key(9)] == GOOD
-    target.process.engine.hints = hints
-    for flow in list(hints)[:5]:
+    assert hints.flows[transparent.flow_key(9)] == GOOD
+    target.process.engine.hints = hints.flows
+    upstreams.record_stops(target.process.engine.view, hints.stopped)
+    for flow in list(hints.flows)[:5]:
         fields = (flow[:4], int.from_bytes(flow[4:6], "little"), flow[6:10])
         caller_port = int.from_bytes(flow[10:], "little")
         data = packet_format.HEADER.pack(
