Lookups: two deliveries on suspicion within 2.2 s

Callers saw nothing; upstreams that do not hold a flow got more copies of its packets than the rule for stray packets allows. It holds in any window of 2 s, also in one that ends just before the flow's own upstream gets its packet.

Cause: a lookup that may deliver on suspicion sent the packet to all suspects of a wave at once, then to those of the next wave, and each balancer did so for itself. With upstreams that return a packet after 0.2 s, all waves but the last were over before the holder got one.

Change: * A lookup delivers at most two packets on suspicion within 2.2 s. While there are upstreams left, the timeout counts from the caller's newest packet, so that the limit and the denials are not lost. Lookups that wait for the limit leave room for others. * A sidecar delivers no second packet on suspicion until its upstream has decided on the first one, and answers all balancers that ask. A flow whose packet the upstream has returned is denied without a delivery until an opening of it is delivered. * FlowNotHeld and FlowUnknown state in an optional last field how long ago the upstream got a packet on suspicion.

Tests that stated that all suspects of a wave get the packet at once now state the limit: other upstreams get at most one copy (before: seven) while the holder is silent, and searches over several waves take 2.2 s for each two upstreams, in which the rule is checked. The checks of the rule in test_flow_lookups.py and in the state machine now use testbed.stray_packets, which looks at any window; before, a packet at the own upstream within 2 s after the first copy was enough.

--- a/plantainproxy/flows/engine/balancer.py
+++ b/plantainproxy/flows/engine/balancer.py
@@ -123,9 +123,9 @@
         case messages.FlowHeld():
             flow_lookups.handle_held(engine, message, sender, now=now)
         case messages.FlowNotHeld():
-            flow_lookups.handle_not_held(engine, message.flow, sender, now=now)
+            flow_lookups.handle_not_held(engine, message, sender, now=now)
         case messages.FlowUnknown():
-            flow_lookups.handle_unknown(engine, message.flow, sender, now=now)
+            flow_lookups.handle_unknown(engine, message, sender, now=now)
         case messages.ReturnedPacket():
             packet = parse(message.data)
             if packet is not None:
--- a/plantainproxy/flows/engine/flow_lookups.py
+++ b/plantainproxy/flows/engine/flow_lookups.py
@@ -35,11 +35,12 @@
     flow_lookup = engine.lookups.get(packet.flow)
     if flow_lookup is not None:
         if not_held_by is None:
-            lookup.buffer(flow_lookup, packet)
+            lookup.buffer(flow_lookup, packet, now=now)
             return
         if not lookup.is_buffered(flow_lookup, packet):
-            lookup.buffer(flow_lookup, packet)
-        handle_not_held(engine, packet.flow, not_held_by, now=now)
+            lookup.buffer(flow_lookup, packet, now=now)
+        lookup.record_not_held(flow_lookup, not_held_by)
+        _continue_if_answered(engine, packet.flow, flow_lookup, now=now)
         return
     if len(engine.lookups) >= MAX_LOOKUPS:
         engine.log.count("dropped.lookups_full")
@@ -49,7 +50,8 @@
         pools, packet, loss_timeout_seconds=loss_timeout_seconds(route), now=now
     )
     if not_held_by is not None:
-        flow_lookup.denied.add(not_held_by)
+        delivered_at = now if _may_have_delivered(engine, not_held_by) else None
+        lookup.record_not_held(flow_lookup, not_held_by, delivered_at=delivered_at)
     engine.lookups[packet.flow] = flow_lookup
     engine.log.count("lookups")
     hedged = engine.hedging.hedged.get(packet.flow)
@@ -63,6 +65,12 @@
         _send_first_queries(engine, packet.flow, flow_lookup, now=now)
 
 
+def _may_have_delivered(engine: balancer_state.Engine, sender: _types.Address) -> bool:
+    """Return whether a sidecar returned a packet that its upstream may have got."""
+    upstream = engine.view.upstreams.get(sender)
+    return upstream is None or upstream.report is None or not upstream.report.complete
+
+
 def _send_first_queries(
     engine: balancer_state.Engine,
     flow: bytes,
@@ -87,10 +95,11 @@
 def continue_lookups(engine: balancer_state.Engine, *, now: float) -> None:
     """Repeat queries that are due, and start queued lookups up to the limit."""
     active_count = sum(
-        bool(flow_lookup.queries) for flow_lookup in engine.lookups.values()
+        bool(flow_lookup.queries) and not lookup.is_held_back(flow_lookup, now=now)
+        for flow_lookup in engine.lookups.values()
     )
     for flow, flow_lookup in list(engine.lookups.items()):
-        if now < flow_lookup.next_query_at:
+        if now < lookup.next_step_at(flow_lookup):
             continue
         if flow_lookup.queries:
             _continue_lookup(engine, flow, flow_lookup, now=now)
@@ -193,25 +202,46 @@
 
 
 def handle_not_held(
-    engine: balancer_state.Engine, flow: bytes, sender: _types.Address, *, now: float
+    engine: balancer_state.Engine,
+    message: messages.FlowNotHeld,
+    sender: _types.Address,
+    *,
+    now: float,
 ) -> None:
     """Record that the sender's upstream does not hold the flow."""
-    flow_lookup = engine.lookups.get(flow)
+    flow_lookup = engine.lookups.get(message.flow)
     if flow_lookup is None:
         return
-    lookup.record_not_held(flow_lookup, sender)
-    _continue_if_answered(engine, flow, flow_lookup, now=now)
+    delivered_at = _delivered_at(message, now)
+    lookup.record_not_held(flow_lookup, sender, delivered_at=delivered_at)
+    _continue_if_answered(engine, message.flow, flow_lookup, now=now)
 
 
 def handle_unknown(
-    engine: balancer_state.Engine, flow: bytes, sender: _types.Address, *, now: float
+    engine: balancer_state.Engine,
+    message: messages.FlowUnknown,
+    sender: _types.Address,
+    *,
+    now: float,
 ) -> None:
     """Record that the sender does not know whether its upstream holds the flow."""
-    flow_lookup = engine.lookups.get(flow)
+    flow_lookup = engine.lookups.get(message.flow)
     if flow_lookup is None:
         return
-    if lookup.record_unknown(flow_lookup, sender, engine.view):
-        _continue_if_answered(engine, flow, flow_lookup, now=now)
+    delivered_at = _delivered_at(message, now)
+    if lookup.record_unknown(
+        flow_lookup, sender, engine.view, delivered_at=delivered_at
+    ):
+        _continue_if_answered(engine, message.flow, flow_lookup, now=now)
+
+
+def _delivered_at(
+    message: messages.FlowNotHeld | messages.FlowUnknown, now: float
+) -> float | None:
+    """Return when the sender's upstream got a packet on suspicion, if it did."""
+    if message.delivered_ms is None:
+        return None
+    return now - message.delivered_ms / messages.MILLISECONDS_PER_SECOND
 
 
 def _continue_if_answered(
--- a/plantainproxy/flows/engine/lookup.py
+++ b/plantainproxy/flows/engine/lookup.py
@@ -27,10 +27,21 @@
 flow. Sidecars of earlier releases do not answer in that case."""
 MAX_DELIVERIES = 2
 """Number of times that one upstream is sent the packet on suspicion."""
+MAX_SUSPECT_DELIVERIES = 2
+"""Number of deliveries of a flow on suspicion within ``SUSPECT_WINDOW_SECONDS``. A
+third packet at upstreams without the flow would break the rule for stray packets."""
+SUSPECT_WINDOW_SECONDS = 2.2
+"""The time of the rule for stray packets, 2 s, and the longest difference between the
+delays of two packets on their way to the upstreams."""
 TIMEOUT_SECONDS = 2.5
 """Timeout of a lookup with missing answers. Above the longest interval between two
 retransmissions of a caller, so that a lookup still runs when the next one arrives, and
-above the time in which a newly started balancer has a complete list of the sidecars."""
+above the time in which a newly started balancer has a complete list of the sidecars.
+While there are upstreams left to deliver to on suspicion, it starts again with each
+packet of the caller."""
+SUSPECT_TIMEOUT_SECONDS = 1.0
+"""Minimum time that a lookup goes on after the first delivery to an upstream on
+suspicion; above the time after which a presumption is accepted."""
 MAX_BUFFERED_PACKETS = 16
 """Capacity of a lookup's buffer; a caller has at most this many packets in flight."""
 
@@ -52,7 +63,12 @@
     packets: list[packets.Packet]
     """Buffered packets, oldest first. Each query carries the first one."""
     started_at: float
+    newest_packet_at: float
+    """When the newest packet of the caller arrived."""
     next_query_at: float
+    next_delivery_at: float = float("inf")
+    """When the limit allows the next delivery on suspicion; infinite if it does not
+    hold one back."""
     loss_timeout_seconds: float = upstreams.LOSS_TIMEOUT_SECONDS
     """Time without a report after which an upstream counts as lost and is skipped."""
     retry_seconds: float = QUERY_RETRY_SECONDS
@@ -73,6 +89,19 @@
     or their silence, and the start of that sidecar process."""
     deliveries: dict[_types.Address, int] = msgspec.field(default_factory=dict)
     """Number of packets that each upstream has been sent on suspicion."""
+    copies: list[tuple[float, _types.Address]] = msgspec.field(default_factory=list)
+    """Time and upstream of the packets delivered on suspicion, here or, as far as the
+    sidecars state it, by other balancers."""
+    undecided: set[_types.Address] = msgspec.field(default_factory=set)
+    """Upstreams whose sidecars deliver no other packet on suspicion, as the upstream
+    has neither answered nor returned an earlier one."""
+    likely: set[_types.Address] = msgspec.field(default_factory=set)
+    """Upstreams that a snapshot or a hedge names for the flow."""
+    were_away: set[_types.Address] = msgspec.field(default_factory=set)
+    """Upstreams that were away during the lookup. The holder is probably among them, as
+    the others have seen more packets of the flows that they hold."""
+    newest_suspect_at: float = float("-inf")
+    """Time of the newest first delivery to an upstream on suspicion."""
     presumed: set[_types.Address] = msgspec.field(default_factory=set)
     """Upstreams that have not returned the packet in time but have not shown either
     that they hold the flow."""
@@ -117,6 +146,7 @@
         pools=pools,
         packets=[packet],
         started_at=now,
+        newest_packet_at=now,
         next_query_at=now,
         loss_timeout_seconds=loss_timeout_seconds,
     )
@@ -135,13 +165,25 @@
     complete flow table.
     """
     live = [address for address in targets if _is_live(flow_lookup, address, view, now)]
+    flow_lookup.likely.update(live)
     flow_lookup.attempts = 1
     _schedule_retry(flow_lookup, now)
     return _query(flow_lookup, live, view, now=now)
 
 
-def buffer(flow_lookup: Lookup, packet: packets.Packet) -> None:
+def next_step_at(flow_lookup: Lookup) -> float:
+    """Return when the lookup can go on although no answer arrives."""
+    return min(flow_lookup.next_query_at, flow_lookup.next_delivery_at)
+
+
+def is_held_back(flow_lookup: Lookup, *, now: float) -> bool:
+    """Return whether the lookup waits for the limit of deliveries on suspicion."""
+    return now < flow_lookup.next_delivery_at < float("inf")
+
+
+def buffer(flow_lookup: Lookup, packet: packets.Packet, *, now: float) -> None:
     """Buffer a packet until the lookup ends; drop it if the buffer is full."""
+    flow_lookup.newest_packet_at = now
     if len(flow_lookup.packets) < MAX_BUFFERED_PACKETS:
         flow_lookup.packets.append(packet)
 
@@ -175,21 +217,36 @@
     return not is_presumed
 
 
-def record_not_held(flow_lookup: Lookup, sender: _types.Address) -> None:
-    """Record the answer that a sidecar's upstream does not hold the flow."""
+def record_not_held(
+    flow_lookup: Lookup, sender: _types.Address, *, delivered_at: float | None = None
+) -> None:
+    """Record the answer that a sidecar's upstream does not hold the flow.
+
+    ``delivered_at`` is the time of the packet that the upstream returned, if any.
+    """
+    _record_copy(flow_lookup, sender, delivered_at)
     flow_lookup.denied.add(sender)
+    flow_lookup.undecided.discard(sender)
     flow_lookup.unknown.pop(sender, None)
     flow_lookup.presumed.discard(sender)
 
 
 def record_unknown(
-    flow_lookup: Lookup, sender: _types.Address, view: upstreams.View
+    flow_lookup: Lookup,
+    sender: _types.Address,
+    view: upstreams.View,
+    *,
+    delivered_at: float | None = None,
 ) -> bool:
     """Record the answer that a sidecar does not know whether the flow is held.
 
-    Returns whether the answer is news. One to an early query may arrive after another
-    one to a delivery.
+    ``delivered_at`` is the time of a packet with which the upstream has done nothing
+    yet, if any. Returns whether the answer is news. One to an early query may arrive
+    after another one to a delivery.
     """
+    if delivered_at is not None and sender in flow_lookup.queries:
+        _record_copy(flow_lookup, sender, delivered_at)
+        flow_lookup.undecided.add(sender)
     is_news = (
         sender in flow_lookup.queries
         and sender not in flow_lookup.unknown
@@ -204,6 +261,19 @@
     return is_news
 
 
+def _record_copy(
+    flow_lookup: Lookup, address: _types.Address, delivered_at: float | None
+) -> None:
+    """Record a sidecar's statement, which replaces the own record of the upstream.
+
+    A packet sent after an undecided or returned one was not delivered.
+    """
+    if delivered_at is None:
+        return
+    flow_lookup.copies = [copy for copy in flow_lookup.copies if copy[1] != address]
+    flow_lookup.copies.append((delivered_at, address))
+
+
 def is_answered(flow_lookup: Lookup) -> bool:
     """Return whether every queried upstream has answered."""
     answers = (flow_lookup.denied, flow_lookup.unknown, flow_lookup.presumed)
@@ -228,6 +298,7 @@
     repeated until the timeout. Returns ``None`` if there is nothing to send now.
     """
     is_due = now >= flow_lookup.next_query_at
+    flow_lookup.next_delivery_at = float("inf")
     if is_due:
         _record_silence(flow_lookup, view, now)
     unanswered = _unanswered(flow_lookup, view, now)
@@ -370,28 +441,61 @@
 
     One that has denied the flow does not count: an open flow stays where it is.
     """
-    return sum(
-        upstream.address not in flow_lookup.denied
-        and _is_away(flow_lookup, upstream, now)
+    away = [
+        upstream.address
         for upstream in lookup_waves.searched(flow_lookup.pools, view)
-    )
+        if upstream.address not in flow_lookup.denied
+        and _is_away(flow_lookup, upstream, now)
+    ]
+    flow_lookup.were_away.update(away)
+    return len(away)
 
 
 def _next_suspects(
     flow_lookup: Lookup, view: upstreams.View, now: float
 ) -> list[_types.Address]:
-    """Return the first wave's upstreams that do not know whether they hold the flow."""
+    """Return the upstreams to deliver to now, as far as the limit allows.
+
+    They do not know whether they hold the flow. Their order is that of the waves, the
+    same for all balancers of a failure domain, after those that probably hold the flow.
+    """
     flow = flow_lookup.packets[0].flow
-    for wave in lookup_waves.WAVES:
-        suspects = [
-            address
-            for address in wave(flow, flow_lookup.pools, view)
-            if address in flow_lookup.unknown
-            and _is_live(flow_lookup, address, view, now)
-        ]
-        if suspects:
-            return suspects
-    return []
+    suspects = dict.fromkeys(
+        address
+        for wave in lookup_waves.WAVES
+        for address in wave(flow, flow_lookup.pools, view)
+        if address in flow_lookup.unknown and _is_live(flow_lookup, address, view, now)
+    )
+    if not suspects:
+        return []
+    ranked = sorted(
+        suspects,
+        key=lambda address: (
+            address not in flow_lookup.undecided,
+            address not in flow_lookup.likely,
+            address not in flow_lookup.were_away,
+        ),
+    )
+    allowed = _allowed_deliveries(flow_lookup, now)
+    allowed += sum(address in flow_lookup.undecided for address in ranked)
+    if not allowed:
+        flow_lookup.next_delivery_at = (
+            min(_recent_copies(flow_lookup, now)) + SUSPECT_WINDOW_SECONDS
+        )
+    return ranked[:allowed]
+
+
+def _recent_copies(flow_lookup: Lookup, now: float) -> list[float]:
+    """Return the times of the deliveries on suspicion that the limit counts."""
+    return [
+        delivered_at
+        for delivered_at, _ in flow_lookup.copies
+        if now < delivered_at + SUSPECT_WINDOW_SECONDS
+    ]
+
+
+def _allowed_deliveries(flow_lookup: Lookup, now: float) -> int:
+    return max(MAX_SUSPECT_DELIVERIES - len(_recent_copies(flow_lookup, now)), 0)
 
 
 def _conclude(
@@ -404,7 +508,7 @@
         if address not in flow_lookup.denied
         and _is_live(flow_lookup, address, view, now)
     ]
-    is_over = now - flow_lookup.started_at >= TIMEOUT_SECONDS
+    is_over = _has_timed_out(flow_lookup, now)
     all_denied = not possible
     if all_denied:
         is_over |= now >= view.complete_at and upstreams.is_converged(view, now=now)
@@ -429,6 +533,16 @@
     )
 
 
+def _has_timed_out(flow_lookup: Lookup, now: float) -> bool:
+    since = flow_lookup.started_at
+    if flow_lookup.unknown:
+        since = flow_lookup.newest_packet_at
+    return (
+        now - since >= TIMEOUT_SECONDS
+        and now - flow_lookup.newest_suspect_at >= SUSPECT_TIMEOUT_SECONDS
+    )
+
+
 def _presumed_holder(
     flow_lookup: Lookup, possible: list[_types.Address], now: float
 ) -> _types.Address | None:
@@ -477,17 +591,24 @@
     *,
     now: float,
 ) -> Query:
-    """Return deliveries on suspicion, repeated up to the limit, and queries beyond."""
+    """Return deliveries on suspicion, repeated up to the limits, and queries beyond."""
     purposes: dict[_types.Address, packets.Purpose] = {}
+    allowed = _allowed_deliveries(flow_lookup, now)
     for address in targets:
         count = flow_lookup.deliveries.get(address, 0)
         purposes[address] = packets.Purpose.QUERY
         if (
-            count < MAX_DELIVERIES
+            (allowed or address in flow_lookup.undecided)
+            and count < MAX_DELIVERIES
             and address not in flow_lookup.presumed
             and not upstreams.has_left(view.upstreams[address])
         ):
             purposes[address] = packets.Purpose.LOOKUP
+            if not count:
+                flow_lookup.newest_suspect_at = now
+            if address not in flow_lookup.undecided:
+                flow_lookup.copies.append((now, address))
+                allowed -= 1
             flow_lookup.deliveries[address] = count + 1
             flow_lookup.unknown.pop(address, None)
     return _send(flow_lookup, purposes, view, now=now)
--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -13,6 +13,7 @@
     request_queue,
     sidecar_reports,
     sidecar_state,
+    suspect_flows,
     unlisted_flows,
     upstream,
     upstream_events,
@@ -78,7 +79,7 @@
         _handle_opening(engine, packet, now=now)
         return
     if packet.purpose is packets.Purpose.QUERY:
-        _answer_query(engine, packet)
+        _answer_query(engine, packet, now=now)
         return
     if flow_table.is_held(engine.table, packet):
         _deliver(engine, packet, now=now)
@@ -86,7 +87,11 @@
             _reply_held(engine, packet)
         return
     if _is_certainly_not_held(engine, packet):
-        _reply_not_held(engine, packet)
+        _reply_not_held(engine, packet, now=now)
+        return
+    undecided = engine.suspect_flows.undecided.get(packet.flow)
+    if packet.purpose is packets.Purpose.LOOKUP and undecided is not None:
+        _await_outcome(engine, packet, undecided)
         return
     engine.port.deliver(packet)
     engine.log.count("delivered.unknown")
@@ -95,13 +100,28 @@
         engine.unlisted_flows, packet, engine.log, balancer=balancer.host, now=now
     )
     if packet.purpose is packets.Purpose.LOOKUP:
-        query = sidecar_state.PendingQuery(
-            balancer, now + PACKET_RETURN_TIMEOUT_SECONDS
+        suspect_flows.record_delivery(
+            engine.suspect_flows, packet.flow, balancer, now=now
         )
-        engine.pending_queries[packet.flow] = query
 
 
-def _answer_query(engine: sidecar_state.Engine, packet: packets.Packet) -> None:
+def _await_outcome(
+    engine: sidecar_state.Engine,
+    packet: packets.Packet,
+    undecided: suspect_flows.Undecided,
+) -> None:
+    """Let a balancer wait for what the upstream does with an earlier packet."""
+    balancer = sidecar_state.balancer_address(engine, packet.balancer)
+    suspect_flows.add_asker(undecided, balancer)
+    engine.log.count("lookup.undecided")
+    if undecided.is_presumed:
+        message = messages.FlowHeld(flow=packet.flow, is_presumed=True)
+        _reply(engine, packet, message)
+
+
+def _answer_query(
+    engine: sidecar_state.Engine, packet: packets.Packet, *, now: float
+) -> None:
     """Reply whether the upstream holds a flow, as far as the flow table shows it.
 
     Otherwise only the upstream can tell, by what it does with the packet itself, which
@@ -110,9 +130,28 @@
     if flow_table.is_held(engine.table, packet):
         _reply_held(engine, packet)
     elif _is_certainly_not_held(engine, packet):
-        _reply(engine, packet, messages.FlowNotHeld(flow=packet.flow))
+        _reply(engine, packet, _not_held(engine, packet.flow, now=now))
     else:
-        _reply(engine, packet, messages.FlowUnknown(flow=packet.flow))
+        delivered_ms = _delivered_ms(engine, packet.flow, now=now)
+        message = messages.FlowUnknown(flow=packet.flow, delivered_ms=delivered_ms)
+        _reply(engine, packet, message)
+
+
+def _not_held(
+    engine: sidecar_state.Engine, flow: bytes, *, now: float
+) -> messages.FlowNotHeld:
+    delivered_ms = _delivered_ms(engine, flow, now=now)
+    return messages.FlowNotHeld(flow=flow, delivered_ms=delivered_ms)
+
+
+def _delivered_ms(
+    engine: sidecar_state.Engine, flow: bytes, *, now: float
+) -> int | None:
+    """Return how long ago the upstream got a packet of the flow on suspicion."""
+    delivered_at = suspect_flows.delivered_at(engine.suspect_flows, flow)
+    if delivered_at is None:
+        return None
+    return round((now - delivered_at) * messages.MILLISECONDS_PER_SECOND)
 
 
 def _reply_held(engine: sidecar_state.Engine, packet: packets.Packet) -> None:
@@ -127,6 +166,7 @@
     return (
         engine.table.complete
         or packet.flow in engine.table.flows
+        or packet.flow in engine.suspect_flows.returned
         or engine.upstream.state is messages.UpstreamState.GONE
     )
 
@@ -152,7 +192,7 @@
     waited = flow_table.record_outbound(engine.table, packet, now=now)
     engine.port.forward_to_caller(packet)
     if not packet.accepting:
-        _confirm_pending_query(engine, packet.flow)
+        _confirm_held(engine, packet.flow)
     if packet.closing or packet.aborting:
         held_requests.end_held_request(engine, packet, now=now)
     if waited is None:
@@ -174,31 +214,21 @@
     return waited
 
 
-def _confirm_pending_query(engine: sidecar_state.Engine, flow: bytes) -> None:
-    """Answer a pending query: the upstream's own packet proves that it holds the flow.
+def _confirm_held(engine: sidecar_state.Engine, flow: bytes) -> None:
+    """Answer the waiting balancers: the upstream's own packet proves that it holds it.
 
     An acceptance proves nothing, as the caller may have chosen another upstream's.
     """
-    query = engine.pending_queries.pop(flow, None)
-    if query is not None:
+    undecided = suspect_flows.record_held(engine.suspect_flows, flow)
+    if undecided is not None:
         message = messages.FlowHeld(flow=flow, is_presumed=False)
-        engine.port.send_message(query.balancer, message)
+        for balancer in undecided.askers:
+            engine.port.send_message(balancer, message)
 
 
 def tick(engine: sidecar_state.Engine, *, now: float) -> None:
     """Answer overdue queries, end grace periods and send the reports that are due."""
-    for flow, query in list(engine.pending_queries.items()):
-        if now >= query.deadline:
-            del engine.pending_queries[flow]
-            message = messages.FlowHeld(flow=flow, is_presumed=True)
-            engine.port.send_message(query.balancer, message)
-            unlisted_flows.record_reported_held(
-                engine.unlisted_flows,
-                flow,
-                engine.log,
-                balancer=query.balancer.host,
-                now=now,
-            )
+    _report_presumed(engine, now=now)
     if engine.drain_deadline is not None and now >= engine.drain_deadline:
         upstream_events.handle_upstream_exit(engine, reason="left", now=now)
     not_listening_since = engine.not_listening_since
@@ -225,6 +255,25 @@
         engine.log.write("flow table complete", reason="observed")
 
 
+def _report_presumed(engine: sidecar_state.Engine, *, now: float) -> None:
+    """Report the flows whose packets the upstream has not returned in time."""
+    for flow, undecided in engine.suspect_flows.undecided.items():
+        is_due = now >= undecided.delivered_at + PACKET_RETURN_TIMEOUT_SECONDS
+        if undecided.is_presumed or not is_due:
+            continue
+        undecided.is_presumed = True
+        message = messages.FlowHeld(flow=flow, is_presumed=True)
+        for balancer in undecided.askers:
+            engine.port.send_message(balancer, message)
+        unlisted_flows.record_reported_held(
+            engine.unlisted_flows,
+            flow,
+            engine.log,
+            balancer=undecided.askers[0].host,
+            now=now,
+        )
+
+
 def evict_expired(engine: sidecar_state.Engine, *, now: float) -> None:
     """Evict closed and idle flows and expired subscriptions of balancers."""
     current = engine.policies.current
@@ -234,6 +283,7 @@
         )
         held_requests.discard_evicted(engine, now=now)
     unlisted_flows.evict_expired(engine.unlisted_flows, engine.log, now=now)
+    suspect_flows.evict_expired(engine.suspect_flows, now=now)
     for balancer, seen_at in list(engine.balancers_seen.items()):
         if now - seen_at >= sidecar_reports.SUBSCRIPTION_TIMEOUT_SECONDS:
             del engine.balancers_seen[balancer]
@@ -314,6 +364,7 @@
     if not is_copy:
         engine.slow_start_limiter.record_flow(now=now)
     flow_table.record_opening(engine.table, packet, now=now)
+    suspect_flows.record_held(engine.suspect_flows, packet.flow)
     engine.port.deliver(packet)
     engine.log.count("delivered.opening")
 
@@ -353,9 +404,11 @@
         held_requests.release_held(engine, now=now)
 
 
-def _reply_not_held(engine: sidecar_state.Engine, packet: packets.Packet) -> None:
+def _reply_not_held(
+    engine: sidecar_state.Engine, packet: packets.Packet, *, now: float
+) -> None:
     if packet.purpose is packets.Purpose.LOOKUP:
-        _reply(engine, packet, messages.FlowNotHeld(flow=packet.flow))
+        _reply(engine, packet, _not_held(engine, packet.flow, now=now))
         return
     _return_packet(engine, packet, messages.Refusal.NOT_HELD)
 
@@ -374,12 +427,21 @@
     request_queue.discard(engine.request_queue, packet.flow, now=now)
     held_requests.release_held(engine, now=now)
     upstream_speed.discard(engine.speed, packet.flow, now=now)
-    query = engine.pending_queries.pop(packet.flow, None)
-    if query is not None:
-        engine.port.send_message(query.balancer, messages.FlowNotHeld(flow=packet.flow))
+    if packet.opening:
+        _return_packet(engine, packet, messages.Refusal.DECLINED)
+        return
+    undecided = suspect_flows.record_return(engine.suspect_flows, packet.flow, now=now)
+    if undecided is None:
+        _return_packet(engine, packet, messages.Refusal.NOT_HELD)
         return
-    refusal = messages.Refusal.DECLINED if packet.opening else messages.Refusal.NOT_HELD
-    _return_packet(engine, packet, refusal)
+    sender = sidecar_state.balancer_address(engine, packet.balancer)
+    message = _not_held(engine, packet.flow, now=now)
+    for balancer in undecided.askers:
+        if undecided.is_presumed and balancer == sender:
+            # It may have taken the upstream as the holder, and needs the packet.
+            _return_packet(engine, packet, messages.Refusal.NOT_HELD)
+        else:
+            engine.port.send_message(balancer, message)
 
 
 def _return_packet(
--- a/plantainproxy/flows/engine/sidecar_state.py
+++ b/plantainproxy/flows/engine/sidecar_state.py
@@ -12,6 +12,7 @@
     flow_table,
     outlier_detection,
     request_queue,
+    suspect_flows,
     unlisted_flows,
     upstream,
     upstream_speed,
@@ -54,13 +55,6 @@
     """Start of this process in milliseconds since the epoch, which identifies it."""
 
 
-class PendingQuery(msgspec.Struct):
-    """A balancer's unanswered query whether the upstream holds a flow."""
-
-    balancer: _types.Address
-    deadline: float
-
-
 class Subscriber(msgspec.Struct):
     """A balancer or relay that receives reports."""
 
@@ -99,7 +93,7 @@
         self.speed = upstream_speed.Measurement()
         self.drain_deadline: float | None = None
         """When a draining upstream that no longer listens counts as ended."""
-        self.pending_queries: dict[bytes, PendingQuery] = {}
+        self.suspect_flows = suspect_flows.SuspectFlows()
         self.unlisted_flows: dict[bytes, unlisted_flows.Delivery] = {}
         """Deliveries of flows that the table does not show, by flow."""
         self.subscribers: dict[_types.Address, Subscriber] = {}
--- a/plantainproxy/flows/messages.py
+++ b/plantainproxy/flows/messages.py
@@ -239,6 +239,8 @@
     """Lookup answer: the upstream of the sending sidecar does not hold the flow."""
 
     flow: _decoding.FlowKey
+    delivered_ms: AgeMilliseconds | None = None
+    """Time since the upstream got a packet of the flow that it returned, if it did."""
 
 
 class FlowUnknown(msgspec.Struct, frozen=True, array_like=True, tag="unknown"):
@@ -249,6 +251,9 @@
     """
 
     flow: _decoding.FlowKey
+    delivered_ms: AgeMilliseconds | None = None
+    """Time since the upstream got a packet of the flow that it has neither answered nor
+    returned, if it did."""
 
 
 class ReturnedPacket(msgspec.Struct, frozen=True, array_like=True, tag="returned"):
--- a/plantainproxy/flows/tests/test_flow_lookups.py
+++ b/plantainproxy/flows/tests/test_flow_lookups.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import itertools
+import math
 
 import msgspec
 import pytest
@@ -16,11 +17,13 @@
     balancer_state,
     hedging,
     lookup,
+    lookup_waves,
     placement,
     sidecar,
     upstreams,
 )
-from testbed import transparent
+from standins import flow_ends
+from testbed import stray_packets, transparent
 
 KEY = transparent.flow_key(1)
 DATA = transparent.make_packet(
@@ -30,8 +33,10 @@
 OWN = 1
 """Number of the upstream that holds the flow."""
 BALANCERS = 3
-RULE_SECONDS = 2.0
-RULE_PACKETS = 3
+FLOW_KEY: flow_ends.FlowKey = (
+    _types.Address("127.0.0.1", 1),
+    _types.Address("198.18.0.1", 8443),
+)
 RETRANSMISSION_SECONDS = 0.3
 
 
@@ -61,6 +66,9 @@
         """Sidecars of an earlier release."""
         self.return_seconds: dict[int, float] = {}
         """Time that an upstream takes to return a packet, if it is not at once."""
+        self.link_seconds: dict[int, float] = {}
+        """Time that packets take from the balancers to a sidecar, if it is above 0."""
+        self.arrivals: list[tuple[float, int, packets.Packet]] = []
         self.is_own_silent = False
         """Whether the flow's own upstream sends nothing on packets that it accepts."""
         self.returns: list[tuple[float, int, packets.Packet]] = []
@@ -128,6 +136,9 @@
                 _, number, packet = due
                 if number in self.sidecars:
                     self.sidecars[number].handle_outbound(packet)
+            for due in [due for due in self.arrivals if due[0] <= self.now]:
+                self.arrivals.remove(due)
+                self.arrive(due[1], due[2])
             self.exchange()
 
     def send_for(self, seconds: float) -> None:
@@ -154,18 +165,24 @@
         self.sent[via] = len(forwarded)
         for packet, host, purpose in new:
             number = int(host.rpartition(".")[2])
-            if number not in self.sidecars:
-                continue
-            self.sidecars[number].handle_inbound(
-                packet._replace(
-                    purpose=purpose,
-                    balancer=bytes((10, 0, 2, via)),
-                    size=0 if purpose is packets.Purpose.QUERY else packet.size,
-                )
+            sent = packet._replace(
+                purpose=purpose,
+                balancer=bytes((10, 0, 2, via)),
+                size=0 if purpose is packets.Purpose.QUERY else packet.size,
             )
-            self.pass_to_upstream(number)
+            if number in self.link_seconds:
+                due_at = self.now + self.link_seconds[number]
+                self.arrivals.append((due_at, number, sent))
+            else:
+                self.arrive(number, sent)
         return bool(new)
 
+    def arrive(self, number: int, packet: packets.Packet) -> None:
+        """Deliver a packet to a sidecar, if it runs, and to its upstream."""
+        if number in self.sidecars:
+            self.sidecars[number].handle_inbound(packet)
+            self.pass_to_upstream(number)
+
     def pass_to_upstream(self, number: int) -> None:
         """Let an upstream handle the packets that its sidecar delivered."""
         harness = self.sidecars[number]
@@ -212,21 +229,15 @@
         )
 
     def is_rule_kept(self) -> bool:
-        """Return whether no three stray packets came in 2 s without an own one."""
-        return all(
-            any(
-                delivery.number == self.own
-                and first.at <= delivery.at <= first.at + RULE_SECONDS
-                for delivery in self.deliveries
-            )
-            for first in self.deliveries
-            if sum(
-                delivery.number != self.own
-                and first.at <= delivery.at < first.at + RULE_SECONDS
-                for delivery in self.deliveries
-            )
-            >= RULE_PACKETS
+        """Return whether no window of 2 s has three stray packets and no own one."""
+        flow = stray_packets.OpenFlow(
+            key=FLOW_KEY,
+            opened_at=float("-inf"),
+            closed_at=float("inf"),
+            own=[item.at for item in self.deliveries if item.number == self.own],
+            strays=[item.at for item in self.deliveries if item.number != self.own],
         )
+        return stray_packets.find_stray_window(flow, flow.strays) is None
 
 
 def _as_old_release(message: messages.Message) -> messages.Message | None:
@@ -454,18 +465,19 @@
     assert site.deliveries == []
 
 
-def _slow_site(*, is_own_silent: bool) -> Site:
+def _slow_site(*, is_own_silent: bool, count: int = 24) -> Site:
     """Return a site whose balancers ask the own upstream last; others return late."""
-    harness = transparent.ready_balancer(24)
+    harness = transparent.ready_balancer(count)
     candidates = upstreams.candidates(
         harness.engine.view, transparent.POOL, KEY, placement.CANDIDATES_PER_POOL
     )
-    own = next(
+    others = [
         address
         for address in harness.engine.view.upstreams
         if address not in candidates
-    )
-    site = Site(24, own=int(own.host.rpartition(".")[2]))
+    ]
+    own = (others or candidates[-1:])[0]
+    site = Site(count, own=int(own.host.rpartition(".")[2]))
     for number in range(1, site.count + 1):
         site.start_sidecar(number, is_complete=False)
         site.return_seconds[number] = 0.1
@@ -474,6 +486,151 @@
     return site
 
 
+def _search_seconds(count: int) -> float:
+    """Return the time in which a flow is found among sidecars that do not know it."""
+    rounds = math.ceil(count / lookup.MAX_SUSPECT_DELIVERIES)
+    return (rounds - 1) * lookup.SUSPECT_WINDOW_SECONDS + lookup.MAX_QUERY_RETRY_SECONDS
+
+
+@pytest.mark.parametrize("own", range(1, 11))
+@pytest.mark.parametrize("return_seconds", [0.0, 0.1, 0.2])
+def test_a_flow_is_found_among_ten_suspects_with_two_copies_at_a_time(
+    own: int, return_seconds: float
+) -> None:
+    """Guards against copies that reach many upstreams just before the holder's own.
+
+    An idle flow has no packet at its own upstream in the 2 s before. Each balancer sent
+    the copies of a whole wave at once, and each of three balancers did so again. The
+    holder is on the slowest link. It gets a packet within 10 s.
+    """
+    site = Site(10, own=own)
+    for number in range(1, site.count + 1):
+        site.start_sidecar(number, is_complete=False)
+        site.return_seconds[number] = return_seconds
+    site.link_seconds[own] = 0.02
+    site.pass_time(0.6)
+    assert _search_seconds(site.count) < 10.0
+    site.send_for(_search_seconds(site.count))
+    assert site.own_deliveries()
+    assert site.is_rule_kept()
+    assert site.stray_deliveries() < site.count
+    assert site.resets() == 0
+
+
+@pytest.mark.parametrize("old", [frozenset({1, 4}), frozenset(range(1, 11))])
+def test_earlier_sidecars_get_two_copies_at_a_time(old: frozenset[int]) -> None:
+    """Guards against copies at sidecars that keep no record of returned packets."""
+    site = Site(10, own=10, old=old)
+    for number in range(1, site.count + 1):
+        site.start_sidecar(number, is_complete=False)
+    site.link_seconds[site.own] = 0.02
+    site.pass_time(0.6)
+    for _ in range(round(2 * _search_seconds(site.count) / RETRANSMISSION_SECONDS)):
+        site.send(0)
+        site.pass_time(RETRANSMISSION_SECONDS)
+    assert site.own_deliveries()
+    assert site.is_rule_kept()
+
+
+@pytest.mark.parametrize("own", range(1, 11))
+def test_a_flow_that_a_snapshot_names_is_found_at_once_after_a_kill(own: int) -> None:
+    """Guards against a search in the order of the waves although the holder is known.
+
+    All processes were killed, and the flow's sidecar has not got its snapshot yet.
+    """
+    site = Site(10, own=own)
+    for number in range(1, site.count + 1):
+        site.start_sidecar(number, is_complete=False)
+    for via in range(BALANCERS):
+        site.start_balancer(via)
+        _make_hint(site, via, own)
+    site.pass_time(upstreams.LIST_LAG_SECONDS)
+    site.send(0)
+    assert site.own_deliveries() == 1
+    assert site.stray_deliveries() < lookup.MAX_SUSPECT_DELIVERIES
+
+
+def test_a_balancer_counts_the_copies_that_others_have_sent() -> None:
+    """Guards against a limit for each balancer, which adds up to many copies.
+
+    The balancers ask one after another within the time of the rule, and each asks for
+    the first time.
+    """
+    site = _slow_site(is_own_silent=False)
+    site.return_seconds.clear()
+    for via in range(BALANCERS):
+        site.send(via)
+        site.pass_time(0.5)
+    assert site.stray_deliveries() == lookup.MAX_SUSPECT_DELIVERIES
+    site.pass_time(lookup.SUSPECT_WINDOW_SECONDS - BALANCERS * 0.5 + 0.1)
+    assert site.stray_deliveries() == 2 * lookup.MAX_SUSPECT_DELIVERIES
+
+
+def _order_of_suspects(site: Site) -> list[int]:
+    """Return the numbers of the sidecars in the order of the waves."""
+    view = site.balancers[0].engine.view
+    pools = frozenset((transparent.POOL,))
+    addresses = dict.fromkeys(
+        address for wave in lookup_waves.WAVES for address in wave(KEY, pools, view)
+    )
+    return [int(address.host.rpartition(".")[2]) for address in addresses]
+
+
+def test_a_lookup_goes_on_until_the_last_upstreams_have_decided() -> None:
+    """Guards against a caller's packet that is dropped just before the holder is known.
+
+    The caller has stopped to retransmit, and the lookup has lasted longer than its
+    timeout because of the limit of deliveries.
+    """
+    site = _slow_site(is_own_silent=True, count=6)
+    site.own = _order_of_suspects(site)[-1]
+    for _ in range(12):
+        site.send(0)
+        site.pass_time(RETRANSMISSION_SECONDS)
+    assert site.own_deliveries() == 0
+    site.pass_time(_search_seconds(site.count) - 12 * RETRANSMISSION_SECONDS)
+    assert site.own_deliveries() == 12
+    assert site.balancers[0].engine.flows[KEY].upstream == transparent.address(site.own)
+
+
+def test_a_balancer_gets_the_answer_to_anothers_delivery_at_once() -> None:
+    """Guards against a wait for the limit where no further copy is delivered."""
+    site = _slow_site(is_own_silent=True)
+    site.own = _order_of_suspects(site)[0]
+    site.send(0)
+    site.pass_time(0.05)
+    site.send(1)
+    site.pass_time(2 * lookup.QUERY_RETRY_SECONDS)
+    assert site.balancers[1].engine.flows[KEY].upstream == transparent.address(site.own)
+    assert site.stray_deliveries() < lookup.MAX_SUSPECT_DELIVERIES
+
+
+def test_a_packet_that_a_wrong_upstream_returned_counts_as_a_copy() -> None:
+    """Guards against a third copy after a packet that followed a wrong cache entry."""
+    site = _slow_site(is_own_silent=False)
+    site.return_seconds.clear()
+    now = site.now
+    wrong = transparent.address(_order_of_suspects(site)[0])
+    site.balancers[0].engine.flows[KEY] = balancer_state.CachedFlow(wrong, now, now)
+    site.send(0)
+    site.pass_time(1.0)
+    assert site.stray_deliveries() == lookup.MAX_SUSPECT_DELIVERIES
+
+
+def test_lookups_that_the_limit_holds_back_leave_room_for_others() -> None:
+    """Guards against lookups that wait in the queue while others wait for the limit."""
+    site = _slow_site(is_own_silent=True)
+    site.return_seconds.clear()
+    lookups = site.balancers[0].engine.lookups
+    for number in range(2 * balancer_state.MAX_ACTIVE_LOOKUPS):
+        site.send(0, DATA._replace(flow=transparent.flow_key(2 + number)))
+    site.pass_time(0.1)
+    assert len(lookups) > balancer_state.MAX_ACTIVE_LOOKUPS
+    site.send(0)
+    site.pass_time(0.1)
+    assert lookups[KEY].queries
+
+
 @pytest.mark.parametrize("is_own_silent", [True, False])
 def test_a_late_return_does_not_make_an_upstream_the_holder(
     is_own_silent: bool,
@@ -487,7 +644,7 @@
     site.send(0)
     for _ in range(4):
         site.send(0, DATA._replace(sequence=DATA.sequence + 100))
-    site.pass_time(lookup.TIMEOUT_SECONDS)
+    site.send_for(_search_seconds(site.count))
     assert site.own_deliveries()
     assert site.stray_deliveries() < site.count
     assert site.is_rule_kept()
@@ -510,9 +667,9 @@
     site.send(0, DATA._replace(sequence=DATA.sequence + 100))
     site.pass_time(lookup.QUERY_RETRY_SECONDS + 2 * STEP_SECONDS)
     assert site.own_deliveries() == 2
-    assert site.stray_deliveries() == placement.CANDIDATES_PER_POOL - 1
+    assert site.stray_deliveries() == lookup.MAX_SUSPECT_DELIVERIES - 1
     site.pass_time(lookup.TIMEOUT_SECONDS)
-    assert site.stray_deliveries() == placement.CANDIDATES_PER_POOL - 1
+    assert site.stray_deliveries() == lookup.MAX_SUSPECT_DELIVERIES - 1
     assert harness.engine.flows[KEY].upstream == candidates[0]
 
 
@@ -524,9 +681,12 @@
         site.start_sidecar(number, is_complete=False)
     site.pass_time(0.6)
     site.send(0)
-    site.pass_time(2 * sidecar.PACKET_RETURN_TIMEOUT_SECONDS)
+    site.pass_time(
+        lookup.SUSPECT_WINDOW_SECONDS + 2 * sidecar.PACKET_RETURN_TIMEOUT_SECONDS
+    )
     assert site.balancers[0].engine.flows[KEY].upstream == transparent.address(OWN)
     assert site.own_deliveries() == 1
+    assert site.is_rule_kept()
 
 
 class _FlowHeldBefore(msgspec.Struct, frozen=True, array_like=True, tag="held"):
@@ -541,6 +701,27 @@
     flow: bytes
 
 
+class _FlowUnknownBefore(msgspec.Struct, frozen=True, array_like=True, tag="unknown"):
+    """``FlowUnknown`` without the time of a delivery."""
+
+    flow: bytes
+
+
+def test_answers_are_read_with_and_without_the_time_of_a_delivery() -> None:
+    """Guards against answers that processes of another release cannot read."""
+    not_held = messages.FlowNotHeld(flow=KEY, delivered_ms=40)
+    unknown = messages.FlowUnknown(flow=KEY, delivered_ms=40)
+    decoder = msgspec.msgpack.Decoder(_FlowNotHeldBefore | _FlowUnknownBefore)
+    assert decoder.decode(messages.encode(not_held)) == _FlowNotHeldBefore(flow=KEY)
+    assert decoder.decode(messages.encode(unknown)) == _FlowUnknownBefore(flow=KEY)
+    for message in (not_held, unknown):
+        assert messages.decode(messages.encode(message)) == message
+        invalid = msgspec.structs.replace(message, delivered_ms=-1)
+        assert messages.decode(messages.encode(invalid)) is None
+    before = msgspec.msgpack.encode(_FlowNotHeldBefore(flow=KEY))
+    assert messages.decode(before) == messages.FlowNotHeld(flow=KEY)
+
+
 def test_an_earlier_balancer_reads_the_answers_that_it_knows() -> None:
     """Guards against answers that balancers of 9a0a358 cannot read.
 
--- a/plantainproxy/flows/tests/test_flow_machine.py
+++ b/plantainproxy/flows/tests/test_flow_machine.py
@@ -28,7 +28,8 @@
     upstream_events,
 )
 from plantainproxy.flows.stored import flow_record, flow_snapshot
-from testbed import transparent
+from standins import flow_ends
+from testbed import stray_packets, transparent
 
 POOLS = ("feed", "feed", "feed", "archive")
 """Pool of each upstream."""
@@ -51,10 +52,11 @@
 PLANNED_STOP_SECONDS = (0.2, 1.0, 2.5)
 """Times from a sidecar's planned stop to the start of the next process. All are below
 the time after which a balancer that missed the announcement counts it as lost."""
-STRAY_SECONDS = 2.0
-MAX_STRAY_PACKETS = 2
-"""Packets of a flow that other upstreams may get in ``STRAY_SECONDS`` of planned work
-if the flow's own upstream gets none."""
+FLOW_KEY: flow_ends.FlowKey = (
+    _types.Address("127.0.0.1", 1),
+    _types.Address("198.18.0.1", 8443),
+)
+"""Any key; a flow is identified by its caller here."""
 MAX_HOPS = 4 * len(POOLS) + 4
 """Longest chain of messages that one packet may cause without time passing: for
 each upstream one query, one answer, one forwarded packet and one returned packet."""
@@ -103,6 +105,7 @@
     key: bytes
     accepted_by: tuple[int, int] | None = None
     """Number and incarnation of the upstream whose acceptance the caller received."""
+    accepted_at: float = 0.0
     first_sequence: int = 0
 
 
@@ -370,29 +373,22 @@
             self.has_registered[number] = False
 
     def check_stray_packets(self) -> None:
-        """Check the intervals that have ended for packets at other upstreams."""
-        owners = {
-            caller.key: caller.accepted_by[0]
-            for caller in self.callers
-            if caller.accepted_by is not None
-        }
-        ended = [
-            first for first in self.deliveries if first.at < self.now - STRAY_SECONDS
-        ]
-        for first in ended:
-            owner = owners.get(first.key)
-            near = [
-                delivery.number
-                for delivery in self.deliveries
-                if delivery.key == first.key
-                and first.at <= delivery.at <= first.at + STRAY_SECONDS
-            ]
-            assert owner is None or owner in near or len(near) <= MAX_STRAY_PACKETS, (
-                f"flow {first.key.hex()} of upstream {owner}: packets at {near}"
+        """Check all flows for packets at other upstreams."""
+        for caller in self.callers:
+            if caller.accepted_by is None:
+                continue
+            owner = caller.accepted_by[0]
+            deliveries = [item for item in self.deliveries if item.key == caller.key]
+            flow = stray_packets.OpenFlow(
+                key=FLOW_KEY,
+                opened_at=caller.accepted_at,
+                closed_at=self.now,
+                own=[item.at for item in deliveries if item.number == owner],
+                strays=[item.at for item in deliveries if item.number != owner],
+            )
+            assert stray_packets.find_stray_window(flow, flow.strays) is None, (
+                f"flow {caller.key.hex()} of upstream {owner}: packets {deliveries}"
             )
-        self.deliveries = [
-            delivery for delivery in self.deliveries if delivery not in ended
-        ]
 
     def return_packet(self, number: int, packet: packets.Packet) -> None:
         """Return a packet from the upstream to its sidecar."""
@@ -439,6 +435,7 @@
         for caller in self.callers:
             if caller.key == key and caller.accepted_by is None:
                 caller.accepted_by = (number, born)
+                caller.accepted_at = self.now
                 caller.first_sequence = first
                 self.send_data(caller, via=0)
 
--- a/plantainproxy/flows/tests/test_sidecar.py
+++ b/plantainproxy/flows/tests/test_sidecar.py
@@ -8,7 +8,12 @@
 
 from plantainproxy import _types
 from plantainproxy.flows import messages, packets, policy
-from plantainproxy.flows.engine import sidecar, unlisted_flows, upstream_events
+from plantainproxy.flows.engine import (
+    sidecar,
+    suspect_flows,
+    unlisted_flows,
+    upstream_events,
+)
 from plantainproxy.flows.stored import flow_record, flow_snapshot
 from testbed import transparent
 
@@ -253,7 +258,7 @@
         if not isinstance(message, messages.Report)
     ]
     assert replies == [
-        messages.FlowNotHeld(flow=transparent.flow_key(2)),
+        messages.FlowNotHeld(flow=transparent.flow_key(2), delivered_ms=0),
         messages.FlowHeld(flow=KEY, is_presumed=True),
     ]
 
@@ -475,3 +480,123 @@
         for record in caplog.records
         if record.message.startswith("unlisted flow ")
     ]
+
+
+def _send_lookup(harness: transparent.SidecarHarness, via: int) -> None:
+    harness.handle_inbound(
+        DATA._replace(purpose=packets.Purpose.LOOKUP, balancer=bytes((10, 0, 0, via)))
+    )
+
+
+def _answers(harness: transparent.SidecarHarness) -> list[tuple[str, object]]:
+    sent, harness.port.sent_messages = harness.port.sent_messages, []
+    return [
+        (host, message)
+        for host, message in sent
+        if not isinstance(message, messages.Report)
+    ]
+
+
+def _unsure_sidecar() -> transparent.SidecarHarness:
+    """Return a sidecar that has delivered a packet on suspicion for balancer 1."""
+    harness = transparent.ready_sidecar()
+    harness.engine.table.complete = False
+    harness.port.sent_messages.clear()
+    _send_lookup(harness, 1)
+    assert len(harness.port.delivered) == 1
+    return harness
+
+
+@pytest.mark.parametrize("is_presumed", [False, True])
+def test_an_undecided_flow_gets_no_second_packet_on_suspicion(
+    is_presumed: bool,
+) -> None:
+    """Guards against a copy for each balancer that looks the flow up.
+
+    All of them get the answer.
+    """
+    harness = _unsure_sidecar()
+    if is_presumed:
+        harness.tick(sidecar.PACKET_RETURN_TIMEOUT_SECONDS)
+    _send_lookup(harness, 2)
+    harness.tick(sidecar.PACKET_RETURN_TIMEOUT_SECONDS)
+    presumed = messages.FlowHeld(flow=KEY, is_presumed=True)
+    assert _answers(harness) == [("10.0.0.1", presumed), ("10.0.0.2", presumed)]
+    assert len(harness.port.delivered) == 1
+    harness.handle_outbound(transparent.make_packet(KEY))
+    held = messages.FlowHeld(flow=KEY, is_presumed=False)
+    assert _answers(harness) == [("10.0.0.1", held), ("10.0.0.2", held)]
+
+
+def test_all_balancers_that_wait_for_a_packets_return_get_the_answer() -> None:
+    """Guards against a balancer that waits for the answer to another one's packet."""
+    harness = _unsure_sidecar()
+    _send_lookup(harness, 2)
+    harness.tick(0.02)
+    harness.handle_outbound(harness.port.delivered[0]._replace(returned=True))
+    not_held = messages.FlowNotHeld(flow=KEY, delivered_ms=20)
+    assert _answers(harness) == [("10.0.0.1", not_held), ("10.0.0.2", not_held)]
+
+
+def test_a_late_return_reaches_all_balancers_that_presumed_the_holder() -> None:
+    """Guards against balancers that go on to send packets to the wrong upstream."""
+    harness = _unsure_sidecar()
+    _send_lookup(harness, 2)
+    harness.tick(0.2)
+    _answers(harness)
+    harness.handle_outbound(harness.port.delivered[0]._replace(returned=True))
+    (first, returned), second = _answers(harness)
+    assert first == "10.0.0.1"
+    assert isinstance(returned, messages.ReturnedPacket)
+    assert returned.reason is messages.Refusal.NOT_HELD
+    assert second == ("10.0.0.2", messages.FlowNotHeld(flow=KEY, delivered_ms=200))
+
+
+def test_a_returned_flow_gets_no_further_packets() -> None:
+    """Guards against copies at an upstream that has shown that it lacks the flow."""
+    harness = _unsure_sidecar()
+    harness.handle_outbound(harness.port.delivered[0]._replace(returned=True))
+    _answers(harness)
+    harness.tick(0.5)
+    _send_lookup(harness, 2)
+    harness.handle_inbound(DATA._replace(purpose=packets.Purpose.QUERY))
+    harness.handle_inbound(DATA)
+    answers = [message for _, message in _answers(harness)]
+    assert answers[:2] == [messages.FlowNotHeld(flow=KEY, delivered_ms=500)] * 2
+    assert isinstance(answers[2], messages.ReturnedPacket)
+    assert answers[2].reason is messages.Refusal.NOT_HELD
+    assert len(harness.port.delivered) == 1
+
+
+def test_an_opening_ends_the_record_of_a_returned_packet() -> None:
+    """Guards against a caller that is refused a flow because of an earlier one."""
+    harness = _unsure_sidecar()
+    harness.handle_outbound(harness.port.delivered[0]._replace(returned=True))
+    assert KEY in harness.engine.suspect_flows.returned
+    harness.open(KEY)
+    harness.port.delivered.clear()
+    harness.handle_inbound(DATA)
+    assert len(harness.port.delivered) == 1
+    assert KEY not in harness.engine.suspect_flows.returned
+
+
+def test_the_record_of_suspect_flows_is_bounded() -> None:
+    """Guards against a record that grows with each flow that is looked up."""
+    harness = transparent.ready_sidecar()
+    harness.engine.table.complete = False
+    record = harness.engine.suspect_flows
+    packet = DATA._replace(purpose=packets.Purpose.LOOKUP)
+    for number in range(suspect_flows.MAX_SUSPECT_FLOWS + 10):
+        key = DATA.flow[:8] + number.to_bytes(4, "big")
+        harness.handle_inbound(packet._replace(flow=key))
+    assert len(record.undecided) == suspect_flows.MAX_SUSPECT_FLOWS
+    for flow in list(record.undecided):
+        harness.handle_outbound(packet._replace(flow=flow, returned=True))
+    assert len(record.returned) == suspect_flows.MAX_SUSPECT_FLOWS
+    _send_lookup(harness, 1)
+    harness.now += suspect_flows.UNDECIDED_SECONDS
+    sidecar.evict_expired(harness.engine, now=harness.now)
+    assert not record.undecided
+    harness.now += suspect_flows.RETURN_RETENTION_SECONDS
+    sidecar.evict_expired(harness.engine, now=harness.now)
+    assert not record.returned
