Lookups: fresh answers before a delivery on suspicion

Cause: balancers of two failure domains had asked all sidecars while an upstream was away. The first one delivered to two upstreams; the other one knew only the answers from before, and chose two others because the waves start with the upstreams of a balancer's own domain.

Change: answers older than 0.1 s are asked for again before a delivery on suspicion. The sidecars' answers then state what other balancers have delivered meanwhile. The order of deliveries no longer depends on the balancer's domain, on its list's order or on the hash seed of its process, so that balancers that deliver at the same time choose the same upstreams.

test_a_waiting_lookup_counts_the_copies_that_others_send_meanwhile fails without the new queries.

--- a/plantainproxy/flows/engine/flow_lookups.py
+++ b/plantainproxy/flows/engine/flow_lookups.py
@@ -230,7 +230,7 @@
         return
     delivered_at = _delivered_at(message, now)
     if lookup.record_unknown(
-        flow_lookup, sender, engine.view, delivered_at=delivered_at
+        flow_lookup, sender, engine.view, delivered_at=delivered_at, now=now
     ):
         _continue_if_answered(engine, message.flow, flow_lookup, now=now)
 
--- a/plantainproxy/flows/engine/lookup.py
+++ b/plantainproxy/flows/engine/lookup.py
@@ -27,6 +27,10 @@
 flow. Sidecars of earlier releases do not answer in that case."""
 MAX_DELIVERIES = 2
 """Number of times that one upstream is sent the packet on suspicion."""
+ANSWER_SECONDS = 0.1
+"""Time after which an answer must be asked for again before a delivery on suspicion, as
+another balancer may have delivered since. Above a round trip. A query interval is added
+if an upstream that got the packet does not answer."""
 MAX_SUSPECT_DELIVERIES = 2
 """Number of deliveries of a flow on suspicion within ``SUSPECT_WINDOW_SECONDS``. A
 third packet at upstreams without the flow would break the rule for stray packets."""
@@ -87,6 +91,8 @@
     unknown: dict[_types.Address, int] = msgspec.field(default_factory=dict)
     """Upstreams whose sidecars do not know whether they hold the flow, by their answer
     or their silence, and the start of that sidecar process."""
+    unknown_at: dict[_types.Address, float] = msgspec.field(default_factory=dict)
+    """When the sidecars last answered that they do not know."""
     deliveries: dict[_types.Address, int] = msgspec.field(default_factory=dict)
     """Number of packets that each upstream has been sent on suspicion."""
     copies: list[tuple[float, _types.Address]] = msgspec.field(default_factory=list)
@@ -237,6 +243,7 @@
     view: upstreams.View,
     *,
     delivered_at: float | None = None,
+    now: float,
 ) -> bool:
     """Record the answer that a sidecar does not know whether the flow is held.
 
@@ -258,6 +265,7 @@
         upstream = view.upstreams.get(sender)
         report = upstream.report if upstream else None
         flow_lookup.unknown[sender] = report.boot if report else 0
+        flow_lookup.unknown_at[sender] = now
     return is_news
 
 
@@ -312,6 +320,10 @@
         suspects: list[_types.Address] = []
         if may_deliver and not flow_lookup.presumed:
             suspects = _next_suspects(flow_lookup, view, now)
+        outdated = _outdated(flow_lookup, unanswered, view, now) if suspects else []
+        if outdated:
+            _start_wave(flow_lookup, unanswered, view, now)
+            return _query(flow_lookup, [*unanswered, *outdated], view, now=now)
         if suspects:
             _start_wave(flow_lookup, [], view, now)
             return _deliver(flow_lookup, [*unanswered, *suspects], view, now=now)
@@ -456,16 +468,15 @@
 ) -> list[_types.Address]:
     """Return the upstreams to deliver to now, as far as the limit allows.
 
-    They do not know whether they hold the flow. Their order is that of the waves, the
-    same for all balancers of a failure domain, after those that probably hold the flow.
+    They do not know whether they hold the flow. Their order is the same for all
+    balancers, after those that probably hold the flow.
     """
     flow = flow_lookup.packets[0].flow
-    suspects = dict.fromkeys(
+    suspects = [
         address
-        for wave in lookup_waves.WAVES
-        for address in wave(flow, flow_lookup.pools, view)
+        for address in lookup_waves.in_order_of_suspicion(flow, flow_lookup.pools, view)
         if address in flow_lookup.unknown and _is_live(flow_lookup, address, view, now)
-    )
+    ]
     if not suspects:
         return []
     ranked = sorted(
@@ -485,6 +496,29 @@
     return ranked[:allowed]
 
 
+def _outdated(
+    flow_lookup: Lookup,
+    unanswered: list[_types.Address],
+    view: upstreams.View,
+    now: float,
+) -> list[_types.Address]:
+    """Return the upstreams to ask again before a delivery on suspicion.
+
+    Another balancer may have delivered a packet since they answered; they state its
+    time. Sidecars that do not answer, of earlier releases, are not asked again.
+    """
+    valid_seconds = ANSWER_SECONDS + (QUERY_RETRY_SECONDS if unanswered else 0.0)
+    outdated = [
+        address
+        for address in flow_lookup.unknown
+        if now - flow_lookup.unknown_at.get(address, now) >= valid_seconds
+        and _is_live(flow_lookup, address, view, now)
+    ]
+    for address in outdated:
+        del flow_lookup.unknown[address]
+    return outdated
+
+
 def _recent_copies(flow_lookup: Lookup, now: float) -> list[float]:
     """Return the times of the deliveries on suspicion that the limit counts."""
     return [
--- a/plantainproxy/flows/engine/lookup_waves.py
+++ b/plantainproxy/flows/engine/lookup_waves.py
@@ -43,7 +43,7 @@
     """Return the ring candidates, which every balancer tries first for the flow."""
     return [
         address
-        for pool in pools
+        for pool in sorted(pools)
         for address in upstreams.candidates(
             view, pool, flow, placement.CANDIDATES_PER_POOL
         )
@@ -67,6 +67,22 @@
     return [upstream.address for upstream in searched(pools, view)]
 
 
+def in_order_of_suspicion(
+    flow: bytes, pools: frozenset[str], view: upstreams.View
+) -> list[_types.Address]:
+    """Return the upstreams of all waves in an order that is the same for all balancers.
+
+    The ring candidates come first, whatever their failure domain.
+    """
+    ring = _ring_candidates(flow, pools, view)
+    members = sorted(_pool_members(flow, pools, view))
+    return list(
+        dict.fromkeys(
+            [*ring, *members, *sorted(_searched_upstreams(flow, pools, view))]
+        )
+    )
+
+
 WAVES: tuple[
     abc.Callable[[bytes, frozenset[str], upstreams.View], list[_types.Address]], ...
 ] = (_domain_candidates, _ring_candidates, _pool_members, _searched_upstreams)
--- a/plantainproxy/flows/tests/test_flow_lookups.py
+++ b/plantainproxy/flows/tests/test_flow_lookups.py
@@ -566,13 +566,11 @@
     assert site.stray_deliveries() == 2 * lookup.MAX_SUSPECT_DELIVERIES
 
 
-def _order_of_suspects(site: Site) -> list[int]:
-    """Return the numbers of the sidecars in the order of the waves."""
+def _order_of_suspicion(site: Site) -> list[int]:
+    """Return the numbers of the sidecars in the order of deliveries."""
     view = site.balancers[0].engine.view
     pools = frozenset((transparent.POOL,))
-    addresses = dict.fromkeys(
-        address for wave in lookup_waves.WAVES for address in wave(KEY, pools, view)
-    )
+    addresses = lookup_waves.in_order_of_suspicion(KEY, pools, view)
     return [int(address.host.rpartition(".")[2]) for address in addresses]
 
 
@@ -583,7 +581,7 @@
     timeout because of the limit of deliveries.
     """
     site = _slow_site(is_own_silent=True, count=6)
-    site.own = _order_of_suspects(site)[-1]
+    site.own = _order_of_suspicion(site)[-1]
     for _ in range(12):
         site.send(0)
         site.pass_time(RETRANSMISSION_SECONDS)
@@ -596,7 +594,7 @@
 def test_a_balancer_gets_the_answer_to_anothers_delivery_at_once() -> None:
     """Guards against a wait for the limit where no further copy is delivered."""
     site = _slow_site(is_own_silent=True)
-    site.own = _order_of_suspects(site)[0]
+    site.own = _order_of_suspicion(site)[0]
     site.send(0)
     site.pass_time(0.05)
     site.send(1)
@@ -610,13 +608,50 @@
     site = _slow_site(is_own_silent=False)
     site.return_seconds.clear()
     now = site.now
-    wrong = transparent.address(_order_of_suspects(site)[0])
+    wrong = transparent.address(_order_of_suspicion(site)[0])
     site.balancers[0].engine.flows[KEY] = balancer_state.CachedFlow(wrong, now, now)
     site.send(0)
     site.pass_time(1.0)
     assert site.stray_deliveries() == lookup.MAX_SUSPECT_DELIVERIES
 
 
+def test_a_waiting_lookup_counts_the_copies_that_others_send_meanwhile() -> None:
+    """Guards against answers from before another balancer's deliveries.
+
+    The lookup has asked all sidecars while an upstream was away. Another balancer,
+    which prefers other upstreams, delivers first when it is back.
+    """
+    site = _slow_site(is_own_silent=False)
+    site.return_seconds.clear()
+    away = _order_of_suspicion(site)[-1]
+    site.stop_sidecar(away)
+    site.send(0)
+    site.pass_time(0.6)
+    assert site.deliveries == []
+    site.start_sidecar(away, is_complete=False)
+    _make_hint(site, 1, _order_of_suspicion(site)[8])
+    site.balancers[0].engine.reports_stale_until = site.now + 0.5
+    site.pass_time(0.02)
+    site.send(1)
+    assert site.stray_deliveries() == lookup.MAX_SUSPECT_DELIVERIES
+    site.pass_time(1.5)
+    assert site.stray_deliveries() == lookup.MAX_SUSPECT_DELIVERIES
+
+
+def test_an_upstream_whose_packets_are_lost_does_not_end_the_search() -> None:
+    """Guards against answers that are asked for again without end."""
+    site = _slow_site(is_own_silent=False, count=6)
+    site.return_seconds.clear()
+    first, *_, site.own = _order_of_suspicion(site)
+    site.link_seconds[first] = float("inf")
+    seconds = 2 * _search_seconds(site.count)
+    for _ in range(round(seconds / RETRANSMISSION_SECONDS)):
+        site.send(0)
+        site.pass_time(RETRANSMISSION_SECONDS)
+    assert site.own_deliveries()
+    assert site.is_rule_kept()
+
+
 def test_lookups_that_the_limit_holds_back_leave_room_for_others() -> None:
     """Guards against lookups that wait in the queue while others wait for the limit."""
     site = _slow_site(is_own_silent=True)
