An error of the sidecar's machine is not the end of its upstream

What callers could see: resets of all flows of a running upstream, which then stayed out of service until it restarted. Found in a review, not seen in a run.

Cause: the monitor of the upstream's address took every error of a connection attempt as refused by the upstream, also a lack of descriptors, buffers or local ports.

Change: only a refused connection shows that nothing listens. Other errors are counted and logged, and the attempt is repeated.

--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -346,12 +346,17 @@
     def handle_not_listening() -> None:
         upstream_events.handle_not_listening(process.engine, now=runtime.current_time())
 
+    def handle_failed(error: OSError) -> None:
+        process.log.count(f"upstream_connect_failed.{type(error).__name__}")
+        process.log.write_limited("upstream not connected", detail=str(error))
+
     await upstream_monitor.monitor(
         process.settings.upstream_address,
         upstream_monitor.Callbacks(
             on_refused=handle_refused,
             on_healthy=handle_health_check_passed,
             on_not_listening=handle_not_listening,
+            on_failed=handle_failed,
         ),
         health_path=lambda: upstream_events.health_check_path(process.engine),
     )
--- a/plantainproxy/flows/programs/upstream_monitor.py
+++ b/plantainproxy/flows/programs/upstream_monitor.py
@@ -32,7 +32,9 @@
     on_healthy: abc.Callable[[], None]
     """A health check succeeded: the upstream accepts requests."""
     on_not_listening: abc.Callable[[], None]
-    """The monitor's first connection attempt failed: no upstream listens."""
+    """The monitor's first connection attempt was refused: no upstream listens."""
+    on_failed: abc.Callable[[OSError], None]
+    """A connection attempt failed for another reason."""
 
 
 async def monitor(
@@ -54,7 +56,7 @@
         except runtime.TooSlowError:
             is_first = False
             continue
-        except OSError:
+        except ConnectionRefusedError:
             if is_first:
                 callbacks.on_not_listening()
             else:
@@ -62,6 +64,11 @@
             is_first = False
             await runtime.sleep(RETRY_INTERVAL_SECONDS)
             continue
+        except OSError as error:
+            # An error of this machine shows nothing about the upstream.
+            callbacks.on_failed(error)
+            await runtime.sleep(RETRY_INTERVAL_SECONDS)
+            continue
         is_first = False
         with contextlib.closing(stream):
             async with runtime.open_task_group() as group:
@@ -75,10 +82,10 @@
     try:
         with runtime.fail_after(CONNECT_TIMEOUT_SECONDS):
             stream = await tcp.connect(address)
-    except runtime.TooSlowError:
-        return False
-    except OSError:
+    except ConnectionRefusedError:
         return True
+    except (runtime.TooSlowError, OSError):
+        return False
     stream.close()
     return False
 
