A lack of descriptors while a process waits for an address does not end it

What callers could see: a serving sidecar that ended while another process held its metrics port. Seen once in a trial with a real sidecar: "cannot open a socket at 127.0.0.1:9180: Too many open files".

Cause: the wait for an address repeated only attempts that failed because of the address; a lack of descriptors or buffers ended the process.

Change: these errors are temporary as well, within the same time limit.

Evidence: three cases of plantainproxy/eventloop/tests/test_binding.py failed and pass.

--- a/plantainproxy/eventloop/binding.py
+++ b/plantainproxy/eventloop/binding.py
@@ -14,7 +14,17 @@
 """How long to wait for an address. The process that holds it may be in a planned stop,
 whose grace period is shorter."""
 RETRY_SECONDS = 0.1
-_TEMPORARY_ERRORS = frozenset((errno.EADDRINUSE, errno.EADDRNOTAVAIL))
+_TEMPORARY_ERRORS = frozenset(
+    (
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    )
+)
+"""The address or what a socket needs may become available."""
 
 OpenSocket = abc.Callable[[_types.Address], socket.socket]
 
--- a/plantainproxy/eventloop/tests/test_binding.py
+++ b/plantainproxy/eventloop/tests/test_binding.py
@@ -1,6 +1,9 @@
 """Tests of the wait for an address that another socket holds."""
 
 from collections import abc
+import errno
+import math
+import os
 import socket
 import typing
 
@@ -59,3 +62,30 @@
         assert raised.value.kind is _exceptions.ErrorKind.INVALID_SETTINGS
 
     run(main)
+
+
+@pytest.mark.parametrize("number", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS])
+def test_a_lack_of_descriptors_during_the_wait_does_not_end_the_process(
+    number: int,
+) -> None:
+    """Guards against a process that ends while another socket holds its address.
+
+    A sidecar served flows and waited for the metrics address, without a limit. When
+    callers of its HTTP servers had taken all descriptors, it ended.
+    """
+    errors = [errno.EADDRINUSE, number, errno.EADDRINUSE]
+
+    def open_socket(address: _types.Address) -> socket.socket:
+        if errors:
+            failed = errors.pop(0)
+            raise OSError(failed, os.strerror(failed))
+        return socket.socket()
+
+    async def run() -> None:
+        address = _types.Address("127.0.0.1", 1)
+        opened = await binding.open_when_free(
+            open_socket, address, wait_seconds=math.inf
+        )
+        opened.close()
+
+    loop.run(run)
