--- a/plantainproxy/flows/tests/test_completeness.py
+++ b/plantainproxy/flows/tests/test_completeness.py
@@ -434,3 +434,36 @@
     harness = transparent.SidecarHarness()
     _observe(harness, 10 * OBSERVED_SECONDS)
     assert not harness.engine.table.complete
+
+
+def test_a_flow_confirmed_after_an_incomplete_snapshot_is_not_denied() -> None:
+    """Guards against a reset of a flow opened while its sidecar stops as planned.
+
+    The table is not complete, so the confirmation passes after the snapshot. The next
+    process has the flow as unconfirmed; the caller's acknowledgement is another one
+    than that of the acceptance.
+    """
+    before = _restarted()
+    before.handle_inbound(
+        transparent.make_packet(KEY, opening=True, purpose=packets.Purpose.OPEN)
+    )
+    before.handle_outbound(
+        transparent.make_packet(
+            KEY, accepting=True, sequence=transparent.UPSTREAM_SEQUENCE
+        )
+    )
+    final = flow_snapshot.take_final_snapshot(before.engine, era=0)
+    assert final is not None
+    assert not final.is_final
+    before.handle_inbound(_data(KEY))
+    assert before.port.delivered[-1] == _data(KEY)
+    after = _restarted()
+    after.apply_snapshot(
+        final.flows, unconfirmed=final.unconfirmed, closed=final.closed
+    )
+    query = _data(KEY, CONFIRMATION + 100)._replace(purpose=packets.Purpose.QUERY)
+    after.handle_inbound(query)
+    denial = messages.FlowNotHeld(flow=KEY)
+    assert denial not in [message for _, message in after.port.sent_messages]
+    after.handle_inbound(query._replace(purpose=packets.Purpose.FORWARD))
+    assert messages.Refusal.NOT_HELD not in after.port.refusals()
