--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -41,6 +41,10 @@
 CALLERS = 8
 KEEPING_CALLERS = 24
 """Further callers of a run with joint stops, which keep their flows until the end."""
+REQUEST_TIMEOUT_SECONDS = 3.0
+KEEPING_REQUEST_TIMEOUT_SECONDS = 8.0
+"""The same for the further callers; a balancer may reset a flow after 3 s of waiting,
+which a caller that has given up does not receive."""
 JOINT_STOP_SIDECARS = 2
 SERIAL_STOP_SECONDS = 0.3
 """Time for which each process is away when all are stopped in turn."""
@@ -155,6 +159,9 @@
     """
     caller = run.site.caller(index)
     keeps_flow = run.is_planned and (index % 2 == 0 or index >= CALLERS)
+    timeout_seconds = REQUEST_TIMEOUT_SECONDS
+    if index >= CALLERS:
+        timeout_seconds = KEEPING_REQUEST_TIMEOUT_SECONDS
     number = 0
     while True:
         caller.balancers = run.site.caller(index).balancers or caller.balancers
@@ -170,7 +177,7 @@
                     if run.has_joint_stops:
                         running = run.site.caller(index).balancers
                         caller.balancers = running or caller.balancers
-                    await flow.request(payload, timeout_seconds=3.0)
+                    await flow.request(payload, timeout_seconds=timeout_seconds)
                     run.result.answered += 1
                     run.result.last_response_at = trio.current_time()
                     await trio.sleep(run.random.uniform(0.01, 0.3))
