--- a/plantainproxy/flows/stored/flow_snapshot.py
+++ b/plantainproxy/flows/stored/flow_snapshot.py
@@ -110,15 +110,17 @@
             born=previous.born,
             is_final=previous.is_final,
         )
+        is_handover = _is_handover(writer, previous)
         upstream_events.apply_snapshot(
             engine,
             previous.born,
             previous.flows,
-            unconfirmed=previous.unconfirmed,
+            # Otherwise the caller may have confirmed them since.
+            unconfirmed=previous.unconfirmed if is_handover else {},
             closed=previous.closed,
             now=runtime.current_time(),
         )
-        if _is_handover(writer, previous):
+        if is_handover:
             await _complete_table(writer, engine)
     writer.era = writer.registration.era
     writer.next_write_at = runtime.current_time() + SAVE_INTERVAL_SECONDS
@@ -347,7 +349,7 @@
     Returns ``None`` before the first heartbeat of the upstream, whose incarnation is
     then not known. If the flow table is complete, packets that would add or confirm a
     flow do not pass from now on: the next process would deny that the upstream holds
-    it.
+    it. Otherwise they pass, and unconfirmed flows are left out.
     """
     newest, flows = engine.upstream.newest, engine.table.flows
     if newest is None:
@@ -365,7 +367,9 @@
             key: flow.upstream_sequence
             for key, flow in open_flows.items()
             if not flow.confirmed and flow.upstream_sequence is not None
-        },
+        }
+        if engine.table.complete
+        else {},
         closed=tuple(flows.keys() - open_flows.keys()),
         is_final=engine.table.complete,
         era=era,
