A denial is not followed by a presumption of the same upstream

A sidecar of the previous release that was asked by two balancers can send FlowHeld for its silent upstream after FlowNotHeld. The denied upstream counted as presumed, and the lookup delivered the packet to no other one meanwhile.

The trace shows the presumption, and besides that the holder was third of four upstreams in the order of suspicion, of which two get the packet within 2.2 s.

--- a/plantainproxy/flows/engine/lookup.py
+++ b/plantainproxy/flows/engine/lookup.py
@@ -217,7 +217,7 @@
         is_presumed = (
             sender in flow_lookup.deliveries and sender not in flow_lookup.presumed
         )
-    if is_presumed:
+    if is_presumed and sender not in flow_lookup.denied:
         flow_lookup.unknown.pop(sender, None)
         flow_lookup.presumed.add(sender)
     return not is_presumed
