A late return starts no lookup of a flow whose holder is cached

Change: a balancer that has another upstream cached sends the returned packet there; only the cached upstream's denial starts a lookup.

Evidence: both tests of test_late_answers.py failed and pass.

--- a/plantainproxy/flows/engine/balancer.py
+++ b/plantainproxy/flows/engine/balancer.py
@@ -279,7 +279,11 @@
     )
     cached = engine.flows.get(packet.flow)
     if message.reason is messages.Refusal.NOT_HELD:
-        if cached is not None and cached.upstream == sender:
+        if cached is not None and cached.upstream != sender:
+            # The holder was found after the packet had been sent.
+            _forward_to_cached(engine, packet, cached)
+            return
+        if cached is not None:
             del engine.flows[packet.flow]
         flow_lookups.look_up(engine, packet, route, now=now, not_held_by=sender)
         return
@@ -298,3 +302,13 @@
         return
     refused_by = cached.refused_by | {sender}
     openings.place_again(engine, packet, route, refused_by=refused_by, now=now)
+
+
+def _forward_to_cached(
+    engine: balancer_state.Engine,
+    packet: packets.Packet,
+    cached: balancer_state.CachedFlow,
+) -> None:
+    upstream = engine.view.upstreams.get(cached.upstream)
+    if upstream is not None:
+        engine.port.forward(packet, upstream.data_address, packets.Purpose.FORWARD)
