A balancer without the latest policy resets no flow on an added route

What callers could see: a reset of a flow on a route that was just added, whose upstream holds it.

Cause: a balancer that had not applied the configuration yet, or had just started with an earlier one, answered any packet of the unknown service address with a reset, also those of flows that another balancer had opened.

Change: openings are refused as before, and so are packets of a route that this balancer has had and that a configuration dropped. Other packets without a route are dropped and counted (dropped.unrouted); the caller retransmits.

--- a/plantainproxy/flows/engine/balancer.py
+++ b/plantainproxy/flows/engine/balancer.py
@@ -83,7 +83,7 @@
         return
     route = active_policy.routes.get(packet.service)
     if route is None:
-        balancer_state.refuse_unrouted(engine, packet)
+        _handle_unrouted(engine, packet)
         return
     if packet.opening:
         openings.handle_opening(engine, packet, route, now=now)
@@ -104,6 +104,18 @@
 
 
 def handle_message(
+def _handle_unrouted(engine: balancer_state.Engine, packet: packets.Packet) -> None:
+    """Reset a flow without a route, unless a later policy may have the route.
+
+    Another balancer that has the later policy may have opened the flow.
+    """
+    is_dropped_route = packet.service in engine.policies.pools_seen
+    if packet.opening or is_dropped_route:
+        balancer_state.refuse_unrouted(engine, packet)
+        return
+    engine.log.count("dropped.unrouted")
+
+
     engine: balancer_state.Engine,
     message: messages.Message,
     sender: _types.Address,
