A flow table is not complete beside an earlier upstream that sends heartbeats

What callers could see: resets of flows that an upstream held since before its sidecar's start, if the sidecar's first connection was refused, for example by a full queue of connections.

Cause: after a refused first connection and a grace period, the table counted as complete, also if heartbeats of an incarnation arrived that had started before the sidecar.

Change: such a heartbeat shows that the earlier upstream has not ended, and the table stays as it is.

Evidence: test_a_table_is_not_complete_beside_an_earlier_upstream_with_ heartbeats failed and passes.

--- a/plantainproxy/flows/engine/upstream_events.py
+++ b/plantainproxy/flows/engine/upstream_events.py
@@ -139,6 +139,10 @@
 def end_not_listening_grace(engine: sidecar_state.Engine) -> None:
     """Treat an earlier upstream as ended after the grace period."""
     engine.not_listening_since = None
+    newest = engine.upstream.newest
+    if newest is not None and newest.born < engine.identity.boot:
+        # An upstream that is older than this process has sent a heartbeat since.
+        return
     engine.has_earlier_upstream_ended = True
     engine.table.complete = True
     if engine.presumed_born is not None and engine.upstream.newest is None:
--- a/plantainproxy/flows/tests/test_flow_resets.py
+++ b/plantainproxy/flows/tests/test_flow_resets.py
@@ -1,6 +1,7 @@
 """Orders of events in which flows of a running upstream are reset or denied."""
 
 from plantainproxy.flows import packets
+from plantainproxy.flows.engine import upstream_events
 from testbed import transparent
 
 KEY = transparent.flow_key(1)
@@ -31,3 +32,18 @@
         )
     )
     assert harness.port.resets == []
+
+
+def test_a_table_is_not_complete_beside_an_earlier_upstream_with_heartbeats() -> None:
+    """Guards against denied flows of a running upstream.
+
+    The first connection attempt of a new process failed, then heartbeats arrived of an
+    incarnation that is older than the process.
+    """
+    sidecar = transparent.SidecarHarness()
+    sidecar.apply_policy(transparent.make_policy(1))
+    upstream_events.handle_not_listening(sidecar.engine, now=sidecar.now)
+    for number in range(1, 12):
+        sidecar.handle_heartbeat(number, born=sidecar.engine.identity.boot - 1)
+        sidecar.tick(HEARTBEAT_SECONDS)
+    assert not sidecar.engine.table.complete
