A late copy of an opening moves no open flow

What callers could see: a reset of an open flow, or a move of it to an upstream that does not hold it, by a copy of the opening that arrived after the handshake.

Cause: a sidecar whose upstream drained, or whose domain was out, refused the copy as a new flow; the balancer placed it again, which replaced the cache entry, or reset the flow if no upstream was left. A copy that reached the balancer after the caller's first data was placed on a second upstream.

Change: a flow is in use once the caller has sent a packet after its opening.

Evidence: test_a_late_copy_of_an_opening_does_not_reset_the_flow and test_a_late_copy_of_an_opening_leaves_the_holder_cached failed and pass.

--- a/plantainproxy/flows/engine/balancer.py
+++ b/plantainproxy/flows/engine/balancer.py
@@ -96,6 +96,7 @@
             upstream, now=now, timeout_seconds=loss_timeout_seconds
         ):
             cached.used_at = now
+            cached.is_in_use = True
             engine.port.forward(packet, upstream.data_address, packets.Purpose.FORWARD)
             engine.log.count("forwarded")
             return
@@ -103,7 +104,6 @@
     flow_lookups.look_up(engine, packet, route, now=now)
 
 
-def handle_message(
 def _handle_unrouted(engine: balancer_state.Engine, packet: packets.Packet) -> None:
     """Reset a flow without a route, unless a later policy may have the route.
 
@@ -116,6 +116,7 @@
     engine.log.count("dropped.unrouted")
 
 
+def handle_message(
     engine: balancer_state.Engine,
     message: messages.Message,
     sender: _types.Address,
@@ -306,6 +307,9 @@
         )
         refusing.backoff_until = max(refusing.backoff_until, now + backoff)
         refusing.placed_flows = max(refusing.placed_flows - 1, 0)
+    if cached is not None and cached.is_in_use:
+        # A late copy of the opening was refused; the flow is open.
+        return
     hedged = engine.hedging.hedged.get(packet.flow)
     if hedged is not None:
         openings.handle_refused_hedge(engine, packet, route, hedged, sender, now=now)
--- a/plantainproxy/flows/engine/balancer_state.py
+++ b/plantainproxy/flows/engine/balancer_state.py
@@ -38,6 +38,8 @@
     opened_at: float
     refused_by: frozenset[_types.Address] = frozenset()
     """Upstreams that refused or did not accept the flow's opening packet."""
+    is_in_use: bool = False
+    """Whether the caller has sent a packet after the opening."""
 
 
 class Engine:
--- a/plantainproxy/flows/engine/flow_lookups.py
+++ b/plantainproxy/flows/engine/flow_lookups.py
@@ -176,7 +176,7 @@
 ) -> None:
     """End a lookup: cache the holder and send it the buffered packets."""
     del engine.lookups[flow]
-    engine.flows[flow] = balancer_state.CachedFlow(holder, now, now)
+    engine.flows[flow] = balancer_state.CachedFlow(holder, now, now, is_in_use=True)
     hedged = engine.hedging.hedged.pop(flow, None)
     if hedged is not None:
         outcome = "lost" if holder == hedged.first else "won"
--- a/plantainproxy/flows/engine/flow_table.py
+++ b/plantainproxy/flows/engine/flow_table.py
@@ -103,6 +103,12 @@
     return packet.acknowledgement == (flow.upstream_sequence + 1) & SEQUENCE_MASK
 
 
+def is_open(table: FlowTable, packet: packets.Packet) -> bool:
+    """Return whether the caller has confirmed a packet's flow and it has not ended."""
+    flow = table.flows.get(packet.flow)
+    return flow is not None and flow.confirmed and not flow.is_closed
+
+
 def request_wait_seconds(table: FlowTable, key: bytes, *, now: float) -> float | None:
     """Return how long a flow's request has been in progress; ``None`` without one."""
     flow = table.flows.get(key)
--- a/plantainproxy/flows/engine/openings.py
+++ b/plantainproxy/flows/engine/openings.py
@@ -31,6 +31,9 @@
     if cached is None:
         _handle_uncached_opening(engine, packet, route, now=now)
         return
+    if cached.is_in_use:
+        _repeat_placement(engine, packet, cached.upstream)
+        return
     # A retransmission: the upstream chosen first has not accepted the flow in time.
     excluded = cached.refused_by | {cached.upstream}
     if _try_to_place(engine, packet, route, refused_by=excluded, now=now):
--- a/plantainproxy/flows/tests/test_flow_resets.py
+++ b/plantainproxy/flows/tests/test_flow_resets.py
@@ -1,6 +1,6 @@
 """Orders of events in which flows of a running upstream are reset or denied."""
 
-from plantainproxy.flows import packets
+from plantainproxy.flows import messages, packets
 from plantainproxy.flows.engine import upstream_events
 from testbed import transparent
 
@@ -13,6 +13,46 @@
 HEARTBEAT_SECONDS = 0.2
 
 
+def test_a_late_copy_of_an_opening_does_not_reset_the_flow() -> None:
+    """Guards against the reset of an open flow by a late copy of its opening.
+
+    The copy arrives after the handshake, when the upstream has begun to drain and the
+    pool has no other one. The sidecar refuses it although the flow table has the flow.
+    """
+    harness = transparent.ready_balancer(1)
+    sidecar = transparent.ready_sidecar()
+    harness.handle_packet(OPENING)
+    sidecar.open(KEY)
+    harness.handle_packet(DATA)
+    sidecar.handle_heartbeat(2, draining=True)
+    state = sidecar.engine.upstream.state
+    harness.handle_message(1, transparent.make_report(number=2, state=state))
+    harness.handle_packet(OPENING)
+    sidecar.port.sent_messages.clear()
+    sidecar.handle_inbound(OPENING)
+    for reason in sidecar.port.refusals():
+        harness.handle_returned_packet(1, OPENING, reason)
+    assert harness.port.resets == []
+
+
+def test_a_late_copy_of_an_opening_leaves_the_holder_cached() -> None:
+    """Guards against a queued copy that replaces the cache entry of an open flow."""
+    harness = transparent.ready_balancer(2)
+    harness.handle_packet(OPENING)
+    holder = harness.engine.flows[KEY].upstream
+    first = int(holder.host.rpartition(".")[2])
+    other = 3 - first
+    harness.handle_message(other, transparent.make_report(number=2, room=0))
+    harness.handle_packet(DATA)
+    harness.handle_packet(OPENING)
+    harness.handle_returned_packet(first, OPENING, messages.Refusal.DOMAIN_OUT)
+    harness.handle_message(other, transparent.make_report(number=3))
+    harness.tick(TICK_SECONDS)
+    cached = harness.engine.flows.get(KEY)
+    assert cached is not None
+    assert cached.upstream == holder
+
+
 def test_a_balancer_with_an_earlier_policy_resets_no_open_flow() -> None:
     """Guards against the reset of an open flow on a route that was just added.
 
@@ -34,6 +74,31 @@
     assert harness.port.resets == []
 
 
+def test_later_heartbeats_show_that_the_upstream_has_not_ended() -> None:
+    """Guards against a running upstream that is out of service until it restarts.
+
+    One connection attempt failed; the heartbeats of the next 19 s are ignored.
+    """
+    sidecar = transparent.ready_sidecar()
+    sidecar.handle_heartbeat(2)
+    upstream_events.handle_connection_refused(sidecar.engine, now=sidecar.now)
+    for number in range(3, 100):
+        sidecar.tick(HEARTBEAT_SECONDS)
+        sidecar.handle_heartbeat(number)
+    assert sidecar.engine.upstream.state is messages.UpstreamState.READY
+
+
+def test_an_upstream_that_starts_after_its_clock_was_set_back_is_served() -> None:
+    """Guards against heartbeats that are ignored until the clock has caught up."""
+    sidecar = transparent.ready_sidecar()
+    sidecar.handle_heartbeat(2, born=3_600_000)
+    upstream_events.handle_connection_refused(sidecar.engine, now=sidecar.now)
+    for number in range(1, 100):
+        sidecar.tick(HEARTBEAT_SECONDS)
+        sidecar.handle_heartbeat(number, born=60_000)
+    assert sidecar.engine.upstream.state is messages.UpstreamState.READY
+
+
 def test_a_table_is_not_complete_beside_an_earlier_upstream_with_heartbeats() -> None:
     """Guards against denied flows of a running upstream.
 
