--- a/plantainproxy/flows/engine/completeness.py
+++ b/plantainproxy/flows/engine/completeness.py
@@ -36,7 +36,7 @@
     return table.complete
 
 
-def presume(
+def inherit(
     table: flow_table.FlowTable,
     flows: abc.Mapping[bytes, int],
     *,
@@ -51,22 +51,22 @@
     retransmissions.
     """
     for key, acknowledgement in flows.items():
-        flow = _presumed_flow(now)
+        flow = _inherited_flow(now)
         flow.confirmed, flow.caller_acknowledgement = True, acknowledgement
         table.flows.setdefault(key, flow)
     for key, sequence in unconfirmed.items():
-        flow = _presumed_flow(now)
+        flow = _inherited_flow(now)
         flow.upstream_sequence = sequence
         table.flows.setdefault(key, flow)
     for key in closed:
-        flow = _presumed_flow(now)
+        flow = _inherited_flow(now)
         flow.confirmed = flow.caller_closed = flow.upstream_closed = True
         table.flows.setdefault(key, flow)
 
 
-def _presumed_flow(now: float) -> flow_table.Flow:
+def _inherited_flow(now: float) -> flow_table.Flow:
     """Return a flow whose first request counts from its arrival."""
-    return flow_table.Flow(float("-inf"), now, is_presumed=True)
+    return flow_table.Flow(float("-inf"), now, is_inherited=True)
 
 
 def is_outbound_new(table: flow_table.FlowTable, packet: packets.Packet) -> bool:
--- a/plantainproxy/flows/engine/flow_table.py
+++ b/plantainproxy/flows/engine/flow_table.py
@@ -45,7 +45,7 @@
     it yet."""
     caller_closed: bool = False
     upstream_closed: bool = False
-    is_presumed: bool = False
+    is_inherited: bool = False
     """Whether only the snapshot of an earlier process shows the flow: no packet of it
     has passed this process."""
 
@@ -78,7 +78,7 @@
     """Record an opening packet that is delivered to the upstream."""
     flow = table.flows.get(packet.flow)
     if flow is not None:
-        flow.is_presumed = False
+        flow.is_inherited = False
         return
     sent_at = waiting.first_sent_at(packet, now=now)
     table.flows[packet.flow] = Flow(now, now, sent_at)
@@ -129,7 +129,7 @@
     if flow is None:
         flow = table.flows[packet.flow] = Flow(now, now)
     flow.confirmed = True
-    flow.is_presumed = False
+    flow.is_inherited = False
     flow.last_packet_at = now
     flow.caller_acknowledgement = packet.acknowledgement
     if packet.closing or packet.aborting:
@@ -171,7 +171,7 @@
     if flow is None:
         flow = table.flows[packet.flow] = Flow(now, now)
         flow.confirmed = not packet.accepting
-    flow.is_presumed = False
+    flow.is_inherited = False
     flow.last_packet_at = now
     if packet.accepting:
         flow.upstream_sequence = packet.sequence
@@ -229,13 +229,13 @@
     return open_flows
 
 
-def remove_presumed(table: FlowTable) -> list[tuple[bytes, Flow]]:
-    """Remove the presumed flows; return those that are open and confirmed."""
-    presumed = [(key, flow) for key, flow in table.flows.items() if flow.is_presumed]
-    for key, _ in presumed:
+def remove_inherited(table: FlowTable) -> list[tuple[bytes, Flow]]:
+    """Remove the inherited flows; return those that are open and confirmed."""
+    inherited = [(key, flow) for key, flow in table.flows.items() if flow.is_inherited]
+    for key, _ in inherited:
         remove(table, key)
     return [
-        (key, flow) for key, flow in presumed if flow.confirmed and not flow.is_closed
+        (key, flow) for key, flow in inherited if flow.confirmed and not flow.is_closed
     ]
 
 
--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -338,8 +338,8 @@
 ) -> None:
     engine.balancers_seen[packet.balancer] = now
     flow = engine.table.flows.get(packet.flow)
-    # The opening of a presumed flow may be of a new one with the same addresses.
-    is_copy = flow is not None and not flow.is_presumed
+    # The opening of an inherited flow may be of a new one with the same addresses.
+    is_copy = flow is not None and not flow.is_inherited
     cold_wait = 0.0 if is_copy else _cold_wait(engine, now=now)
     refusal = admission.check_opening(
         packet,
--- a/plantainproxy/flows/engine/sidecar_state.py
+++ b/plantainproxy/flows/engine/sidecar_state.py
@@ -102,7 +102,7 @@
         sent openings, and when each last did."""
         self.fleet_size = 1
         """Number of sidecars that the last ``ReportRequest`` of a balancer stated."""
-        self.presumed_born: int | None = None
+        self.inherited_born: int | None = None
         """Start of the upstream's incarnation that held the flows of the snapshot of an
         earlier process. ``None`` without a snapshot, and once a later incarnation has
         started or the upstream has ended."""
--- a/plantainproxy/flows/engine/upstream_events.py
+++ b/plantainproxy/flows/engine/upstream_events.py
@@ -48,9 +48,9 @@
             born=heartbeat.born,
             number=heartbeat.number,
         )
-    newest, presumed_born = engine.upstream.newest, engine.presumed_born
-    if newest and presumed_born is not None and newest.born > presumed_born:
-        _reset_presumed_flows(engine)
+    newest, inherited_born = engine.upstream.newest, engine.inherited_born
+    if newest and inherited_born is not None and newest.born > inherited_born:
+        _reset_inherited_flows(engine)
     engine.request_queue.slots = max(sidecar_state.slots(engine), 1)
     held_requests.release_held(engine, now=now)
     sidecar_reports.send_due_reports(engine, now=now)
@@ -145,8 +145,8 @@
         return
     engine.has_earlier_upstream_ended = True
     engine.table.complete = True
-    if engine.presumed_born is not None and engine.upstream.newest is None:
-        _reset_presumed_flows(engine)
+    if engine.inherited_born is not None and engine.upstream.newest is None:
+        _reset_inherited_flows(engine)
 
 
 def apply_snapshot(
@@ -158,21 +158,21 @@
     closed: abc.Iterable[bytes] = (),
     now: float,
 ) -> None:
-    """Presume that the upstream holds the flows that an earlier sidecar process saved.
+    """Add the flows that an earlier sidecar process saved to the table.
 
     ``flows`` has the callers' acknowledgements, and ``unconfirmed`` the upstream's
     initial sequence numbers. The flows that no packet has shown until then are reset
     when the incarnation that held them, ``born``, is confirmed to have ended.
     """
     was_complete = engine.table.complete
-    completeness.presume(
+    completeness.inherit(
         engine.table, flows, unconfirmed=unconfirmed, closed=closed, now=now
     )
-    engine.presumed_born = born
+    engine.inherited_born = born
     if _has_ended(engine, born):
-        _reset_presumed_flows(engine)
+        _reset_inherited_flows(engine)
     elif was_complete:
-        flow_table.remove_presumed(engine.table)
+        flow_table.remove_inherited(engine.table)
 
 
 def _has_ended(engine: sidecar_state.Engine, born: int) -> bool:
@@ -185,9 +185,9 @@
     return newest is None and engine.has_earlier_upstream_ended
 
 
-def _reset_presumed_flows(engine: sidecar_state.Engine) -> None:
-    engine.presumed_born = None
-    open_flows = flow_table.remove_presumed(engine.table)
+def _reset_inherited_flows(engine: sidecar_state.Engine) -> None:
+    engine.inherited_born = None
+    open_flows = flow_table.remove_inherited(engine.table)
     for key, flow in open_flows:
         engine.port.reset(key, flow.caller_acknowledgement)
     if open_flows:
@@ -232,7 +232,7 @@
     dropped = request_queue.clear(engine.request_queue)
     if dropped:
         engine.log.count("dropped.held", dropped)
-    engine.presumed_born = None
+    engine.inherited_born = None
     open_flows = flow_table.remove_all(engine.table)
     upstream_speed.clear(engine.speed)
     for key, flow in open_flows:
--- a/plantainproxy/flows/stored/flow_snapshot.py
+++ b/plantainproxy/flows/stored/flow_snapshot.py
@@ -383,7 +383,7 @@
     Just after the start of this process, the newest heartbeat may be a late one of the
     incarnation before.
     """
-    return max(newest.born, engine.presumed_born or 0)
+    return max(newest.born, engine.inherited_born or 0)
 
 
 def _is_saved(current: policy.Policy, key: bytes) -> bool:
--- a/plantainproxy/flows/tests/test_completeness.py
+++ b/plantainproxy/flows/tests/test_completeness.py
@@ -1,4 +1,4 @@
-"""Tests of when a sidecar's flow table is complete, and of flows that it presumes."""
+"""Tests of when a sidecar's flow table is complete, and of flows that it inherits."""
 
 import msgspec
 import pytest
@@ -46,7 +46,7 @@
     return start + seconds
 
 
-def test_a_presumed_flow_gets_its_packets_before_the_upstream_has_sent_any() -> None:
+def test_an_inherited_flow_gets_its_packets_before_the_upstream_has_sent_any() -> None:
     """Guards against lookups of flows that the last snapshot names.
 
     A sidecar that was killed started with an empty table.
@@ -63,7 +63,7 @@
     assert not harness.engine.table.complete
 
 
-def test_a_presumed_flow_that_the_upstream_returns_is_removed() -> None:
+def test_an_inherited_flow_that_the_upstream_returns_is_removed() -> None:
     """Guards against a flow of an outdated snapshot that a sidecar claims for ever."""
     harness = _restarted()
     harness.apply_snapshot({KEY: 42})
@@ -115,7 +115,7 @@
     assert KEY not in harness.engine.table.flows
 
 
-def test_a_presumed_flow_is_evicted_after_the_idle_time() -> None:
+def test_an_inherited_flow_is_evicted_after_the_idle_time() -> None:
     """Guards against a table that grows by the flows of outdated snapshots."""
     harness = _restarted()
     harness.apply_snapshot({KEY: 42})
@@ -126,7 +126,7 @@
     assert harness.engine.table.flows == {}
 
 
-def test_the_first_request_of_a_presumed_flow_counts_from_its_arrival() -> None:
+def test_the_first_request_of_an_inherited_flow_counts_from_its_arrival() -> None:
     """Guards against requests that count as late just after a start."""
     harness = _restarted()
     harness.apply_snapshot({KEY: 42})
@@ -137,7 +137,7 @@
     )
 
 
-def test_presumed_flows_count_as_flows_and_not_as_requests() -> None:
+def test_inherited_flows_count_as_flows_and_not_as_requests() -> None:
     """Guards against a full upstream in the reports just after a start."""
     harness = _restarted()
     harness.apply_snapshot({KEY: 42}, unconfirmed={OTHER: 6_000})
@@ -147,7 +147,7 @@
     assert report.room == harness.port.last_report().slots * 2
 
 
-def test_the_opening_of_a_presumed_flow_takes_room_like_a_new_one() -> None:
+def test_the_opening_of_an_inherited_flow_takes_room_like_a_new_one() -> None:
     """Guards against openings beyond a cold upstream's limit.
 
     A caller may use the port of a flow that an outdated snapshot names.
@@ -182,7 +182,7 @@
 
 
 def test_flows_are_reset_once_if_the_upstream_ends_after_the_start() -> None:
-    """Guards against a second reset, and against none, of a presumed flow."""
+    """Guards against a second reset, and against none, of an inherited flow."""
     harness = _restarted()
     harness.apply_snapshot({KEY: 42})
     harness.handle_heartbeat(1, born=2_000)
@@ -191,7 +191,7 @@
 
 
 def test_a_late_heartbeat_before_that_of_a_later_upstream_resets_the_flows() -> None:
-    """Guards against presumed flows of an upstream that ended before the start.
+    """Guards against inherited flows of an upstream that ended before the start.
 
     The first heartbeat was late, of the upstream that held them.
     """
@@ -240,7 +240,7 @@
     ],
     ids=["data", "opening"],
 )
-def test_a_presumed_flow_with_a_callers_packet_is_not_reset_with_the_others(
+def test_an_inherited_flow_with_a_callers_packet_is_not_reset_with_the_others(
     packet: packets.Packet,
 ) -> None:
     """Guards against a reset of a flow of the upstream that runs now.
@@ -257,7 +257,7 @@
     assert harness.port.resets == [OTHER]
 
 
-def test_a_presumed_flow_with_an_upstreams_packet_is_not_reset_with_the_others() -> (
+def test_an_inherited_flow_with_an_upstreams_packet_is_not_reset_with_the_others() -> (
     None
 ):
     """Guards against a reset of a flow of the upstream that runs now."""
--- a/plantainproxy/flows/tests/test_handover.py
+++ b/plantainproxy/flows/tests/test_handover.py
@@ -240,7 +240,7 @@
     _run(check)
 
 
-def test_after_a_kill_the_flows_are_presumed_and_the_table_is_not_complete() -> None:
+def test_after_a_kill_the_flows_are_inherited_and_the_table_is_not_complete() -> None:
     """Guards against a denial of flows opened after the last snapshot."""
 
     async def check(store: _Store) -> None:
@@ -249,7 +249,7 @@
             await trio.sleep(2 * flow_snapshot.SAVE_INTERVAL_SECONDS)
             first.harness.open(OTHER)
         async with _running(store) as second:
-            assert transparent.presumed_flows(second.engine) == {KEY: CONFIRMATION}
+            assert transparent.inherited_flows(second.engine) == {KEY: CONFIRMATION}
             assert not second.engine.table.complete
 
     _run(check)
@@ -265,7 +265,7 @@
         async with _running(store) as second:
             second.harness.open(OTHER)
         async with _running(store) as third:
-            assert KEY in transparent.presumed_flows(third.engine)
+            assert KEY in transparent.inherited_flows(third.engine)
             assert not third.engine.table.complete
 
     _run(check)
@@ -286,7 +286,7 @@
             second.harness.open(OTHER)
         store.entries, store.era = copy, 1
         async with _running(store) as third:
-            assert KEY in transparent.presumed_flows(third.engine)
+            assert KEY in transparent.inherited_flows(third.engine)
             assert not third.engine.table.complete
 
     _run(check)
@@ -343,7 +343,7 @@
 
         store.before_writes = [lambda: None, fail]
         async with _running(store) as second:
-            assert transparent.presumed_flows(second.engine) == {KEY: CONFIRMATION}
+            assert transparent.inherited_flows(second.engine) == {KEY: CONFIRMATION}
             assert not second.engine.table.complete
             store.is_down = False
             await second.registration.registered.wait()
@@ -511,7 +511,7 @@
             second.harness.open(OTHER)
             await second.stop()
         async with _running(store) as third:
-            assert transparent.presumed_flows(third.engine) == {OTHER: CONFIRMATION}
+            assert transparent.inherited_flows(third.engine) == {OTHER: CONFIRMATION}
             assert not third.engine.table.complete
 
     _run(check)
@@ -536,7 +536,7 @@
     _run(check)
 
 
-def test_the_presumed_flows_are_saved_under_the_next_lease() -> None:
+def test_the_inherited_flows_are_saved_under_the_next_lease() -> None:
     """Guards against a snapshot that ends with the lease of the process before.
 
     No packet of the flow has passed since the restart.
@@ -585,7 +585,7 @@
                 msgspec.msgpack.encode(_EarlierSnapshot(1_000, {KEY: 42})),
             )
         async with _running(store) as second:
-            assert transparent.presumed_flows(second.engine) == {KEY: 42}
+            assert transparent.inherited_flows(second.engine) == {KEY: 42}
             assert not second.engine.table.complete
 
     _run(check)
--- a/plantainproxy/platform/tests/test_metadata_store.py
+++ b/plantainproxy/platform/tests/test_metadata_store.py
@@ -503,9 +503,9 @@
             next_registration, writes_per_second=400.0
         )
         nursery.start_soon(flow_snapshot.run, next_writer, next_sidecar.engine)
-        await _wait_until(lambda: next_sidecar.engine.presumed_born is not None)
-        assert next_sidecar.engine.presumed_born == 1_000
-        assert transparent.presumed_flows(next_sidecar.engine) == {
+        await _wait_until(lambda: next_sidecar.engine.inherited_born is not None)
+        assert next_sidecar.engine.inherited_born == 1_000
+        assert transparent.inherited_flows(next_sidecar.engine) == {
             transparent.flow_key(1): 5_001
         }
 
@@ -584,10 +584,10 @@
         nursery.start_soon(flow_snapshot.run, writer, next_sidecar.engine)
         await registration.inheritance_known.wait()
         assert registration.inherited.keys() == {registration.key, writer.key}
-        await _wait_until(lambda: next_sidecar.engine.presumed_born is not None)
+        await _wait_until(lambda: next_sidecar.engine.inherited_born is not None)
         await _wait_until(lambda: server.items[registration.key].lease != 0)
-        assert next_sidecar.engine.presumed_born == 1_000
-        assert transparent.presumed_flows(next_sidecar.engine) == snapshot.flows
+        assert next_sidecar.engine.inherited_born == 1_000
+        assert transparent.inherited_flows(next_sidecar.engine) == snapshot.flows
         assert writer.revision == server.items[writer.key].rev
         assert server.calls == [
             "POST /v1/kv-lease",
--- a/testbed/foreign_inputs.py
+++ b/testbed/foreign_inputs.py
@@ -527,7 +527,7 @@
     running = flow_snapshot.run(writer, target.process.engine)
     with contextlib.suppress(_SleptError), mock.patch.object(runtime, "sleep", _sleep):
         running.send(None)
-    has_snapshot = target.process.engine.presumed_born is not None
+    has_snapshot = target.process.engine.inherited_born is not None
     if has_snapshot and draw.random() < 0.5:
         upstream_events.end_not_listening_grace(target.process.engine)
 
--- a/testbed/transparent.py
+++ b/testbed/transparent.py
@@ -444,12 +444,12 @@
         sidecar.tick(self.engine, now=self.now)
 
 
-def presumed_flows(engine: sidecar_state.Engine) -> dict[bytes, int]:
+def inherited_flows(engine: sidecar_state.Engine) -> dict[bytes, int]:
     """Return the acknowledgements of the flows that only a snapshot shows."""
     return {
         key: flow.caller_acknowledgement
         for key, flow in engine.table.flows.items()
-        if flow.is_presumed
+        if flow.is_inherited
     }
 
 
