A new flow from the port of an earlier one is not taken for a late copy

The caller opened a flow from the port of one that had ended 0.3 s before, whose upstream's domain was out meanwhile. The balancer took the opening for a late copy of the earlier flow's, sent it to that upstream and ignored the refusal.

Change: a late copy is a retransmission, which the caller counts, with the sequence number of the opening packet that was placed. Everything else opens a new flow.

--- a/plantainproxy/flows/engine/balancer.py
+++ b/plantainproxy/flows/engine/balancer.py
@@ -307,7 +307,7 @@
         )
         refusing.backoff_until = max(refusing.backoff_until, now + backoff)
         refusing.placed_flows = max(refusing.placed_flows - 1, 0)
-    if cached is not None and cached.is_in_use:
+    if cached is not None and balancer_state.is_late_copy(cached, packet):
         # A late copy of the opening was refused; the flow is open.
         return
     hedged = engine.hedging.hedged.get(packet.flow)
--- a/plantainproxy/flows/engine/balancer_state.py
+++ b/plantainproxy/flows/engine/balancer_state.py
@@ -40,6 +40,20 @@
     """Upstreams that refused or did not accept the flow's opening packet."""
     is_in_use: bool = False
     """Whether the caller has sent a packet after the opening."""
+    opening_sequence: int | None = None
+    """Sequence number of the opening packet; ``None`` if another balancer placed it."""
+
+
+def is_late_copy(cached: CachedFlow, packet: packets.Packet) -> bool:
+    """Return whether an opening packet is a copy of the one that opened the flow.
+
+    A first opening, and another sequence number, are of a new flow from the same port.
+    """
+    return (
+        cached.is_in_use
+        and packet.is_opening_copy
+        and cached.opening_sequence == packet.sequence
+    )
 
 
 class Engine:
--- a/plantainproxy/flows/engine/flow_table.py
+++ b/plantainproxy/flows/engine/flow_table.py
@@ -28,6 +28,8 @@
 
     opened_at: float
     last_packet_at: float
+    opening_sequence: int | None = None
+    """Sequence number of the opening packet; ``None`` if it is not known."""
     first_sent_at: float | None = None
     """When the caller sent the first opening packet; ``None`` if it is not known."""
     upstream_sequence: int | None = None
@@ -81,7 +83,9 @@
         flow.is_inherited = False
         return
     sent_at = waiting.first_sent_at(packet, now=now)
-    table.flows[packet.flow] = Flow(now, now, sent_at)
+    table.flows[packet.flow] = Flow(
+        now, now, first_sent_at=sent_at, opening_sequence=packet.sequence
+    )
     table.awaiting_first_request[packet.flow] = now
 
 
@@ -103,10 +107,19 @@
     return packet.acknowledgement == (flow.upstream_sequence + 1) & SEQUENCE_MASK
 
 
-def is_open(table: FlowTable, packet: packets.Packet) -> bool:
-    """Return whether the caller has confirmed a packet's flow and it has not ended."""
+def is_late_copy(table: FlowTable, packet: packets.Packet) -> bool:
+    """Return whether an opening packet is a copy of the one that opened a flow.
+
+    A first opening, and another sequence number, are of a new flow from the same port.
+    """
     flow = table.flows.get(packet.flow)
-    return flow is not None and flow.confirmed and not flow.is_closed
+    return (
+        flow is not None
+        and flow.confirmed
+        and not flow.is_closed
+        and packet.is_opening_copy
+        and flow.opening_sequence == packet.sequence
+    )
 
 
 def request_wait_seconds(table: FlowTable, key: bytes, *, now: float) -> float | None:
--- a/plantainproxy/flows/engine/openings.py
+++ b/plantainproxy/flows/engine/openings.py
@@ -31,7 +31,7 @@
     if cached is None:
         _handle_uncached_opening(engine, packet, route, now=now)
         return
-    if cached.is_in_use:
+    if balancer_state.is_late_copy(cached, packet):
         _repeat_placement(engine, packet, cached.upstream)
         return
     # A retransmission: the upstream chosen first has not accepted the flow in time.
@@ -155,7 +155,7 @@
     if len(engine.flows) >= balancer_state.MAX_CACHED_FLOWS:
         engine.flows.pop(next(iter(engine.flows)))
     engine.flows[packet.flow] = balancer_state.CachedFlow(
-        chosen.address, now, now, refused_by
+        chosen.address, now, now, refused_by, opening_sequence=packet.sequence
     )
     placed = packet._replace(waited_seconds=now - first_sent_at)
     engine.port.forward(placed, chosen.data_address, packets.Purpose.OPEN)
--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -350,7 +350,7 @@
         is_full=not is_copy and _is_full(engine, packet, now=now),
         is_stopping=engine.stopping,
     )
-    if refusal is not None and is_copy and flow_table.is_open(engine.table, packet):
+    if refusal is not None and flow_table.is_late_copy(engine.table, packet):
         engine.log.count("dropped.late_opening")
         return
     if refusal is not None:
--- a/plantainproxy/flows/packets.py
+++ b/plantainproxy/flows/packets.py
@@ -53,6 +53,11 @@
     """Age of an opening at a balancer: the time since the caller sent the first of its
     packets, as far as the balancer that placed it knew."""
 
+    @property
+    def is_opening_copy(self) -> bool:
+        """Whether the caller has sent the same opening packet before."""
+        return self.opening and self.acknowledgement > 0
+
     @property
     def service(self) -> bytes:
         """The packed service address."""
