--- a/plantainproxy/flows/control/documents.py
+++ b/plantainproxy/flows/control/documents.py
@@ -142,7 +142,7 @@
 
 
 def render_refusal(gauges: abc.Mapping[str, float]) -> list[str]:
-    """Return what the metrics of a process tell of a refused configuration."""
+    """Return what the metrics of a process state about a refused configuration."""
     if not gauges.get("configuration_refused"):
         return []
     version = gauges.get("configuration_refused_version")
--- a/plantainproxy/flows/engine/flow_lookups.py
+++ b/plantainproxy/flows/engine/flow_lookups.py
@@ -224,7 +224,7 @@
     *,
     now: float,
 ) -> None:
-    """Record that the sender does not know whether its upstream holds the flow."""
+    """Record that the flow is unknown to the sender."""
     flow_lookup = engine.lookups.get(message.flow)
     if flow_lookup is None:
         return
--- a/plantainproxy/flows/engine/lookup.py
+++ b/plantainproxy/flows/engine/lookup.py
@@ -1,8 +1,8 @@
 """Lookup of the upstream that holds a flow missing from the flow cache.
 
-A lookup queries the sidecars in waves. A sidecar whose flow table is not complete may
-not know whether its upstream holds the flow. Such sidecars get the packet itself, in
-the same order, once no upstream is away: the holder is then one of them.
+A lookup queries the sidecars in waves. A flow table that is not complete may not show
+whether the sidecar's upstream holds the flow. Such sidecars get the packet itself, two
+at a time, once no upstream is away: the holder is then one of them.
 docs/design/flow-lookups.md has the reasons.
 """
 
@@ -23,8 +23,8 @@
 """Retries of each wave after which the next one is queried although the answer of an
 upstream that is away is missing. Otherwise the next wave follows after one interval."""
 SILENT_QUERIES = 2
-"""Number of unanswered queries after which a running sidecar counts as not knowing the
-flow. Sidecars of earlier releases do not answer in that case."""
+"""Number of unanswered queries after which the flow counts as unknown to a running
+sidecar. Sidecars of earlier releases do not answer in that case."""
 MAX_DELIVERIES = 2
 """Number of times that one upstream is sent the packet on suspicion."""
 ANSWER_SECONDS = 0.1
@@ -89,10 +89,10 @@
     denied: set[_types.Address] = msgspec.field(default_factory=set)
     """Upstreams that have answered that they do not hold the flow."""
     unknown: dict[_types.Address, int] = msgspec.field(default_factory=dict)
-    """Upstreams whose sidecars do not know whether they hold the flow, by their answer
-    or their silence, and the start of that sidecar process."""
+    """Upstreams to whose sidecars the flow is unknown, by their answer or silence, and
+    the start of that sidecar process."""
     unknown_at: dict[_types.Address, float] = msgspec.field(default_factory=dict)
-    """When the sidecars last answered that they do not know."""
+    """When the sidecars last answered that the flow is unknown."""
     deliveries: dict[_types.Address, int] = msgspec.field(default_factory=dict)
     """Number of packets that each upstream has been sent on suspicion."""
     copies: list[tuple[float, _types.Address]] = msgspec.field(default_factory=list)
@@ -245,7 +245,7 @@
     delivered_at: float | None = None,
     now: float,
 ) -> bool:
-    """Record the answer that a sidecar does not know whether the flow is held.
+    """Record the answer that the flow is unknown to a sidecar.
 
     ``delivered_at`` is the time of a packet with which the upstream has done nothing
     yet, if any. Returns whether the answer is news. One to an early query may arrive
@@ -343,9 +343,9 @@
 def _asked_again(
     flow_lookup: Lookup, view: upstreams.View, now: float
 ) -> list[_types.Address]:
-    """Return the upstreams whose sidecars may know more than when they answered.
+    """Return the upstreams whose sidecars may answer differently now.
 
-    One that did not know the flow may have taken over the table of its predecessor;
+    One to which the flow was unknown may have taken over the table of its predecessor;
     its report then states a complete table. All others would cost most of the bytes
     while an upstream is away.
     """
@@ -468,7 +468,7 @@
 ) -> list[_types.Address]:
     """Return the upstreams to deliver to now, as far as the limit allows.
 
-    They do not know whether they hold the flow. Their order is the same for all
+    The flow is unknown to their sidecars. Their order is the same for all
     balancers, after those that probably hold the flow.
     """
     flow = flow_lookup.packets[0].flow
@@ -546,12 +546,12 @@
     all_denied = not possible
     if all_denied:
         is_over |= now >= view.complete_at and upstreams.is_converged(view, now=now)
-    possible = [
+    running = [
         address
         for address in possible
         if not upstreams.has_left(view.upstreams[address])
     ]
-    holder = _presumed_holder(flow_lookup, possible, now) if may_deliver else None
+    holder = _presumed_holder(flow_lookup, running, now) if may_deliver else None
     if not is_over and holder is None:
         return None
     return Conclusion(
--- a/plantainproxy/flows/engine/suspect_flows.py
+++ b/plantainproxy/flows/engine/suspect_flows.py
@@ -11,8 +11,8 @@
 from plantainproxy import _types
 
 MAX_SUSPECT_FLOWS = 8_192
-"""Capacity for undecided deliveries, and for returns; the oldest are forgotten. As many
-as a balancer has lookups."""
+"""Capacity for undecided deliveries, and for returns; the oldest are evicted. Equal to
+the number of lookups of a balancer."""
 UNDECIDED_SECONDS = 5.0
 """Longer than an upstream waits before it returns a packet."""
 RETURN_RETENTION_SECONDS = 60.0
@@ -26,8 +26,8 @@
     askers: list[_types.Address]
     """Balancers that wait for the outcome."""
     is_presumed: bool = False
-    """Whether the balancers have been told that the upstream presumably holds the
-    flow."""
+    """Whether the balancers were sent the answer that the upstream presumably holds
+    the flow."""
 
 
 class Returned(msgspec.Struct, frozen=True):
--- a/plantainproxy/flows/messages.py
+++ b/plantainproxy/flows/messages.py
@@ -244,7 +244,7 @@
 
 
 class FlowUnknown(msgspec.Struct, frozen=True, array_like=True, tag="unknown"):
-    """Lookup answer: the sending sidecar does not know whether the flow is held.
+    """Lookup answer: the sending sidecar cannot determine whether the flow is held.
 
     Its flow table is not complete and does not have the flow. Earlier releases send
     nothing instead, and count this message as malformed.
--- a/plantainproxy/flows/tests/test_upstream_monitor.py
+++ b/plantainproxy/flows/tests/test_upstream_monitor.py
@@ -11,7 +11,7 @@
 from plantainproxy.flows.programs import upstream_monitor
 
 LOCAL_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.EADDRNOTAVAIL)
-"""Errors of this process or its machine, which tell nothing about the upstream."""
+"""Errors of this process or its machine, which show nothing about the upstream."""
 
 
 async def _monitor(
