--- a/plantainproxy/flows/engine/suspect_flows.py
+++ b/plantainproxy/flows/engine/suspect_flows.py
@@ -16,7 +16,7 @@
 UNDECIDED_SECONDS = 5.0
 """Longer than an upstream waits before it returns a packet."""
 RETURN_RETENTION_SECONDS = 60.0
-"""Longer than a lookup with 50 upstreams takes, which may not hold the flow."""
+"""Longer than a lookup takes that delivers to 50 upstreams, two at a time."""
 
 
 class Undecided(msgspec.Struct):
