--- a/plantainproxy/flows/engine/balancer.py
+++ b/plantainproxy/flows/engine/balancer.py
@@ -25,6 +25,7 @@
 """The balancer reports itself not ready if no sidecar has reported for this long."""
 
 MAX_CACHED_ADDRESSES = 16_384
+"""Capacity of the cache of sidecars' message addresses; above the size of a fleet."""
 
 PROCESS_PAUSE_SECONDS = 0.6
 """If the time between two ticks reaches this, the process was not scheduled and has
