One function sends a packet to the sidecar of an upstream

The repeat of a placement and the forwarding of a returned packet looked the upstream up in the same way.

--- a/plantainproxy/flows/engine/balancer.py
+++ b/plantainproxy/flows/engine/balancer.py
@@ -295,7 +295,9 @@
     if message.reason is messages.Refusal.NOT_HELD:
         if cached is not None and cached.upstream != sender:
             # The holder was found after the packet had been sent.
-            _forward_to_cached(engine, packet, cached)
+            balancer_state.forward(
+                engine, packet, cached.upstream, packets.Purpose.FORWARD
+            )
             return
         if cached is not None:
             del engine.flows[packet.flow]
@@ -319,13 +321,3 @@
         return
     refused_by = cached.refused_by | {sender}
     openings.place_again(engine, packet, route, refused_by=refused_by, now=now)
-
-
-def _forward_to_cached(
-    engine: balancer_state.Engine,
-    packet: packets.Packet,
-    cached: balancer_state.CachedFlow,
-) -> None:
-    upstream = engine.view.upstreams.get(cached.upstream)
-    if upstream is not None:
-        engine.port.forward(packet, upstream.data_address, packets.Purpose.FORWARD)
--- a/plantainproxy/flows/engine/balancer_state.py
+++ b/plantainproxy/flows/engine/balancer_state.py
@@ -134,6 +134,18 @@
     )
 
 
+def forward(
+    engine: Engine,
+    packet: packets.Packet,
+    address: _types.Address,
+    purpose: packets.Purpose,
+) -> None:
+    """Send a packet to the sidecar of an upstream unless it has been evicted."""
+    upstream = engine.view.upstreams.get(address)
+    if upstream is not None:
+        engine.port.forward(packet, upstream.data_address, purpose)
+
+
 def refuse_unrouted(engine: Engine, packet: packets.Packet) -> None:
     """Reset a flow whose service address has no route."""
     engine.log.write_limited(
--- a/plantainproxy/flows/engine/openings.py
+++ b/plantainproxy/flows/engine/openings.py
@@ -45,9 +45,7 @@
     engine: balancer_state.Engine, packet: packets.Packet, address: _types.Address
 ) -> None:
     """Send a retransmission to the upstream that the flow was last placed on."""
-    upstream = engine.view.upstreams.get(address)
-    if upstream is not None:
-        engine.port.forward(packet, upstream.data_address, packets.Purpose.OPEN)
+    balancer_state.forward(engine, packet, address, packets.Purpose.OPEN)
 
 
 def _handle_uncached_opening(
