--- a/plantainproxy/flows/engine/flow_table.py
+++ b/plantainproxy/flows/engine/flow_table.py
@@ -56,6 +56,14 @@
         """Whether both ends have closed."""
         return self.caller_closed and self.upstream_closed
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the caller has confirmed the flow and it is not closed.
+
+        Another upstream may have accepted a flow that is not confirmed.
+        """
+        return self.confirmed and not self.is_closed
+
 
 class FlowTable:
     """The flows of the upstream by key, and the requests in progress on them."""
@@ -115,8 +123,7 @@
     flow = table.flows.get(packet.flow)
     return (
         flow is not None
-        and flow.confirmed
-        and not flow.is_closed
+        and flow.is_open
         and packet.is_opening_copy
         and flow.opening_sequence == packet.sequence
     )
@@ -226,16 +233,8 @@
 
 
 def remove_all(table: FlowTable) -> list[tuple[bytes, Flow]]:
-    """Remove every flow; return the open flows that their callers have confirmed.
-
-    A flow that the caller has not confirmed may be accepted by another upstream, so it
-    must not be reset.
-    """
-    open_flows = [
-        (key, flow)
-        for key, flow in table.flows.items()
-        if flow.confirmed and not flow.is_closed
-    ]
+    """Remove every flow; return the open ones, which are to be reset."""
+    open_flows = [(key, flow) for key, flow in table.flows.items() if flow.is_open]
     table.flows.clear()
     table.awaiting_first_request.clear()
     table.running_requests = 0
@@ -243,13 +242,11 @@
 
 
 def remove_inherited(table: FlowTable) -> list[tuple[bytes, Flow]]:
-    """Remove the inherited flows; return those that are open and confirmed."""
+    """Remove the inherited flows; return the open ones, which are to be reset."""
     inherited = [(key, flow) for key, flow in table.flows.items() if flow.is_inherited]
     for key, _ in inherited:
         remove(table, key)
-    return [
-        (key, flow) for key, flow in inherited if flow.confirmed and not flow.is_closed
-    ]
+    return [(key, flow) for key, flow in inherited if flow.is_open]
 
 
 def evict_expired(table: FlowTable, *, now: float, idle_seconds: float) -> None:
--- a/plantainproxy/flows/stored/flow_snapshot.py
+++ b/plantainproxy/flows/stored/flow_snapshot.py
@@ -336,7 +336,7 @@
         flows={
             key: flow.caller_acknowledgement
             for key, flow in engine.table.flows.items()
-            if flow.confirmed and not flow.is_closed and _is_saved(current, key)
+            if flow.is_open and _is_saved(current, key)
         },
     )
 
