--- a/plantainproxy/flows/engine/balancer_state.py
+++ b/plantainproxy/flows/engine/balancer_state.py
@@ -112,13 +112,12 @@
     )
 
 
-def send_query(engine: Engine, query: lookup.Query) -> None:
+def send_query(engine: Engine, flow_lookup: lookup.Lookup, query: lookup.Query) -> None:
     """Send the queries of one step of a lookup."""
     for address, purpose in query.purposes.items():
         target = engine.view.upstreams[address].data_address
         engine.port.forward(query.packet, target, purpose)
-    flow_lookup = engine.lookups.get(query.packet.flow)
-    if not query.purposes or flow_lookup is None:
+    if not query.purposes:
         return
     payload_count = list(query.purposes.values()).count(packets.Purpose.LOOKUP)
     engine.log.count("lookup.queries", len(query.purposes))
--- a/plantainproxy/flows/engine/flow_lookups.py
+++ b/plantainproxy/flows/engine/flow_lookups.py
@@ -86,7 +86,7 @@
     hint = engine.hints.pop(flow, None)
     if hint is not None and hint not in flow_lookup.denied:
         query = lookup.query_first(flow_lookup, [hint], engine.view, now=now)
-        balancer_state.send_query(engine, query)
+        balancer_state.send_query(engine, flow_lookup, query)
         if query.purposes:
             return
     _continue_lookup(engine, flow, flow_lookup, now=now)
@@ -125,7 +125,7 @@
     if step is None:
         return
     if isinstance(step, lookup.Query):
-        balancer_state.send_query(engine, step)
+        balancer_state.send_query(engine, flow_lookup, step)
         return
     if step.presumed is not None:
         _end_found(engine, flow, flow_lookup, step.presumed, now=now)
--- a/plantainproxy/flows/engine/hedged_openings.py
+++ b/plantainproxy/flows/engine/hedged_openings.py
@@ -115,5 +115,5 @@
         hedged.is_opened = True
         _record_opened(engine, hedged.opening, opened_at=now, now=now)
     query = lookup.query_first(flow_lookup, hedged.upstreams, engine.view, now=now)
-    balancer_state.send_query(engine, query)
+    balancer_state.send_query(engine, flow_lookup, query)
     return bool(query.purposes)
