--- a/plantainproxy/flows/engine/sidecar.py
+++ b/plantainproxy/flows/engine/sidecar.py
@@ -186,8 +186,9 @@
         engine.log.count("dropped.handed_over")
         return None
     if engine.unlisted_flows and not packet.accepting:
-        unlisted_flows.record_answer(
-            engine.unlisted_flows, packet.flow, engine.log, now=now
+        answered = unlisted_flows.Outcome.ANSWERED
+        unlisted_flows.record_outcome(
+            engine.unlisted_flows, packet.flow, answered, engine.log, now=now
         )
     waited = flow_table.record_outbound(engine.table, packet, now=now)
     engine.port.forward_to_caller(packet)
@@ -420,8 +421,9 @@
     engine: sidecar_state.Engine, packet: packets.Packet, *, now: float
 ) -> None:
     """Notify the balancer of a packet that the upstream returned."""
-    unlisted_flows.record_return(
-        engine.unlisted_flows, packet.flow, engine.log, now=now
+    returned = unlisted_flows.Outcome.RETURNED
+    unlisted_flows.record_outcome(
+        engine.unlisted_flows, packet.flow, returned, engine.log, now=now
     )
     # The upstream returns what is held for the flow, too.
     reason = request_queue.Reason.FLOW_ENDED
--- a/plantainproxy/flows/engine/unlisted_flows.py
+++ b/plantainproxy/flows/engine/unlisted_flows.py
@@ -4,6 +4,8 @@
 answers the packet or returns it. The record is for log lines and metrics only.
 """
 
+import enum
+
 import msgspec
 
 from plantainproxy.flows import event_log, packets
@@ -14,6 +16,17 @@
 """Longer than an upstream waits before it returns a packet."""
 
 
+class Outcome(enum.StrEnum):
+    """What became of a delivery."""
+
+    ANSWERED = "answered"
+    """The upstream sent a packet of its own on the flow, so it holds it."""
+    RETURNED = "returned"
+    """The upstream returned the packet, so it does not hold the flow."""
+    UNANSWERED = "unanswered"
+    """It did neither within ``RETENTION_SECONDS``."""
+
+
 class Delivery(msgspec.Struct):
     """First delivery of a flow whose outcome is not known yet."""
 
@@ -61,30 +74,18 @@
     _log_outcome("unlisted flow reported held", flow, delivery, log, now, balancer)
 
 
-def record_answer(
-    deliveries: dict[bytes, Delivery],
-    flow: bytes,
-    log: event_log.EventLog,
-    *,
-    now: float,
-) -> None:
-    """Record that the upstream sent a packet of its own on the flow, so it holds it."""
-    delivery = deliveries.pop(flow, None)
-    if delivery is not None:
-        _log_outcome("unlisted flow answered", flow, delivery, log, now)
-
-
-def record_return(
+def record_outcome(
     deliveries: dict[bytes, Delivery],
     flow: bytes,
+    outcome: Outcome,
     log: event_log.EventLog,
     *,
     now: float,
 ) -> None:
-    """Record that the upstream returned a packet, so it does not hold the flow."""
+    """Record what shows whether the upstream holds a flow, if a delivery awaits it."""
     delivery = deliveries.pop(flow, None)
     if delivery is not None:
-        _log_outcome("unlisted flow returned", flow, delivery, log, now)
+        _log_outcome(f"unlisted flow {outcome}", flow, delivery, log, now)
 
 
 def evict_expired(
@@ -93,8 +94,7 @@
     """Evict deliveries that the upstream neither answered nor returned."""
     for flow, delivery in list(deliveries.items()):
         if now - delivery.delivered_at >= RETENTION_SECONDS:
-            del deliveries[flow]
-            _log_outcome("unlisted flow unanswered", flow, delivery, log, now)
+            record_outcome(deliveries, flow, Outcome.UNANSWERED, log, now=now)
 
 
 def _log_outcome(
