--- a/plantainproxy/flows/programs/balancer_main.py
+++ b/plantainproxy/flows/programs/balancer_main.py
@@ -208,10 +208,7 @@
     process: BalancerProcess, data: bytes, sender: _types.Address
 ) -> None:
     """Handle a datagram of another process."""
-    message = messages.decode(
-        data,
-        lambda error: process.log.write_refused("message", error, sender=str(sender)),
-    )
+    message = node.decode_message(data, sender, process.log)
     if message is None:
         return
     now = runtime.current_time()
--- a/plantainproxy/flows/programs/node.py
+++ b/plantainproxy/flows/programs/node.py
@@ -148,6 +148,15 @@
     )
 
 
+def decode_message(
+    data: bytes, sender: _types.Address, log: event_log.EventLog
+) -> messages.Message | None:
+    """Decode a datagram of another process; count and log what is refused."""
+    return messages.decode(
+        data, lambda error: log.write_refused("message", error, sender=str(sender))
+    )
+
+
 def losing_failures(
     apply: abc.Callable[P, R], log: event_log.EventLog, kind: str, result: R
 ) -> abc.Callable[P, R]:
