--- a/plantainproxy/flows/tests/test_inputs.py
+++ b/plantainproxy/flows/tests/test_inputs.py
@@ -64,15 +64,16 @@
     """
     request = messages.RelayRequest(domain=lone_process.DOMAIN, peers=(host,))
     datagrams = {"balancer": _relayed(host), "sidecar": messages.encode(request)}
-    with lone_process.started(program, tmp_path) as lone:
-        timer = threading.Timer(TIMEOUT_SECONDS, lone.process.kill)
+    settings = lone_process.write_settings(tmp_path)
+    with lone_process.started(program, settings) as process:
+        timer = threading.Timer(TIMEOUT_SECONDS, process.kill)
         timer.start()
-        assert lone_process.wait_for_line(lone, b'"started"')
+        assert lone_process.wait_for_line(process, b'"started"')
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
-            sender.sendto(datagrams[program], lone.message_address)
+            sender.sendto(datagrams[program], settings.message_address)
         threading.Event().wait(OBSERVED_SECONDS)
-        assert lone.process.poll() is None
-        assert _ready_status(lone.ready_address) == 503
+        assert process.poll() is None
+        assert _ready_status(settings.ready_address) == 503
         timer.cancel()
 
 
--- a/plantainproxy/flows/tests/test_start.py
+++ b/plantainproxy/flows/tests/test_start.py
@@ -19,9 +19,9 @@
 import pytest
 
 from plantainproxy.platform import settings as platform_settings
+from testbed import lone_process
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
-START = "plantainproxy.flows.programs.start"
 PROGRAMS = pytest.mark.parametrize("program", ["balancer", "sidecar"])
 HEAVY_MODULES = frozenset(
     (
@@ -65,50 +65,6 @@
 HANGUP_BIT = 1 << (signal.SIGHUP - 1)
 
 
-def _free_ports(host: str, count: int) -> list[int]:
-    with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind((host, 0))
-        return [probe.getsockname()[1] for probe in probes]
-
-
-def _write_settings(
-    folder: pathlib.Path, *, host: str = "127.0.0.1"
-) -> tuple[pathlib.Path, list[int]]:
-    """Write settings with a store that does not answer; return the ports, too."""
-    ports = _free_ports(host, 7)
-    settings = folder / "settings.json"
-    settings.write_text(
-        f'{{"node": "n", "ip": "{host}", "zone": "a", "service": "s", '
-        f'"internal_port_range": [{ports[0]}, {ports[0]}], '
-        f'"listen": {{"data_addr": "{host}:{ports[1]}", '
-        f'"ready": "{host}:{ports[2]}", "control": "{host}:{ports[3]}", '
-        f'"outbound": "{host}:{ports[4]}"}}, '
-        f'"platform": {{"addr": "{host}:{ports[5]}"}}, '
-        f'"app": "{host}:{ports[6]}"}}'
-    )
-    return settings, ports
-
-
-@contextlib.contextmanager
-def _started(
-    program: str, folder: pathlib.Path, *, settings: pathlib.Path | None = None
-) -> abc.Iterator[subprocess.Popen[bytes]]:
-    """Start a program; kill it at the end."""
-    settings = settings or _write_settings(folder)[0]
-    with subprocess.Popen(
-        [sys.executable, "-m", START, program],
-        cwd=ROOT,
-        env={**os.environ, platform_settings.PATH_VARIABLE: str(settings)},
-        stdout=subprocess.PIPE,
-    ) as process:
-        try:
-            yield process
-        finally:
-            process.kill()
-
-
 @contextlib.contextmanager
 def _killed_after(
     process: subprocess.Popen[bytes], seconds: float
@@ -182,7 +138,7 @@
     beside other load showed.
     """
     with (
-        _started(program, tmp_path) as process,
+        lone_process.started(program, lone_process.write_settings(tmp_path)) as process,
         _killed_after(process, TIMEOUT_SECONDS),
     ):
         _wait_until_hangup_is_safe(process)
@@ -202,7 +158,7 @@
 ) -> None:
     """One request, right after the program's first statements, leads to a reload."""
     with (
-        _started(program, tmp_path) as process,
+        lone_process.started(program, lone_process.write_settings(tmp_path)) as process,
         _killed_after(process, TIMEOUT_SECONDS),
     ):
         _wait_until_hangup_is_safe(process)
@@ -217,7 +173,9 @@
     program: str, step: int, tmp_path: pathlib.Path
 ) -> None:
     """A process that swallowed the stop would be killed at the end of its grace."""
-    with _started(program, tmp_path) as process:
+    with lone_process.started(
+        program, lone_process.write_settings(tmp_path)
+    ) as process:
         _wait_until_hangup_is_safe(process)
         time.sleep(step * STEP_SECONDS)
         process.send_signal(signal.SIGTERM)
@@ -230,8 +188,7 @@
 
 def _wait_for_line(process: subprocess.Popen[bytes], text: bytes) -> None:
     with _killed_after(process, TIMEOUT_SECONDS):
-        assert process.stdout is not None
-        assert any(text in line for line in process.stdout)
+        assert lone_process.wait_for_line(process, text)
 
 
 def _get(port: int, path: str) -> bytes:
@@ -251,14 +208,16 @@
 
     It ended with ``OSError: [Errno 98] Address already in use``.
     """
-    settings, ports = _write_settings(tmp_path, host=HOST)
+    settings = lone_process.write_settings(tmp_path, host=HOST)
     with (
         socket.create_server((HOST, platform_settings.METRICS_PORT)) as holder,
-        _started(program, tmp_path, settings=settings) as process,
+        lone_process.started(program, settings) as process,
     ):
         _wait_for_line(process, b'"waiting for an address"')
         time.sleep(1.0)
-        assert _get(ports[2], "/v1/readyz").startswith(b"HTTP/1.1 503")
+        assert _get(settings.ready_address.port, "/v1/readyz").startswith(
+            b"HTTP/1.1 503"
+        )
         holder.close()
         time.sleep(1.0)
         metrics = _get(platform_settings.METRICS_PORT, "/metrics")
@@ -275,14 +234,14 @@
     One of the two ended with an ``OSError``, and the second one got the datagrams of
     the first. A stop while it waits ends it as planned.
     """
-    settings, _ = _write_settings(tmp_path, host=HOST)
-    with _started(program, tmp_path, settings=settings) as first:
+    settings = lone_process.write_settings(tmp_path, host=HOST)
+    with lone_process.started(program, settings) as first:
         _wait_for_line(first, b'"started"')
-        with _started(program, tmp_path, settings=settings) as second:
+        with lone_process.started(program, settings) as second:
             _wait_for_line(second, b'"waiting for an address"')
             second.send_signal(signal.SIGTERM)
             assert second.wait(TIMEOUT_SECONDS) in (0, -signal.SIGTERM)
-        with _started(program, tmp_path, settings=settings) as third:
+        with lone_process.started(program, settings) as third:
             _wait_for_line(third, b'"waiting for an address"')
             assert first.poll() is None
             first.send_signal(signal.SIGTERM)
@@ -300,16 +259,16 @@
 
     It ended with ``OSError: [Errno 9] Bad file descriptor``.
     """
-    settings, ports = _write_settings(tmp_path, host=HOST)
-    command = f"exec {sys.executable} -m {START} {program} {closed}"
+    settings = lone_process.write_settings(tmp_path, host=HOST)
+    command = f"exec {sys.executable} -m {lone_process.START_MODULE} {program} {closed}"
     with subprocess.Popen(
         ["/bin/sh", "-c", command],
         cwd=ROOT,
-        env={**os.environ, platform_settings.PATH_VARIABLE: str(settings)},
+        env={**os.environ, **settings.environment},
     ) as process:
         try:
             deadline = time.monotonic() + TIMEOUT_SECONDS
-            while not _answers(ports[2]):
+            while not _answers(settings.ready_address.port):
                 assert process.poll() is None
                 assert time.monotonic() < deadline
                 time.sleep(STEP_SECONDS)
@@ -332,7 +291,7 @@
     environment = {
         "PATH": os.environ["PATH"],
         "PYTHONPATH": ":".join(libraries),
-        platform_settings.PATH_VARIABLE: str(_write_settings(tmp_path)[0]),
+        **lone_process.write_settings(tmp_path).environment,
     }
     with subprocess.Popen(
         [sys.executable, *arguments],
--- a/testbed/lone_process.py
+++ b/testbed/lone_process.py
@@ -18,35 +18,42 @@
 DOMAIN = "a"
 
 
-class LoneProcess(typing.NamedTuple):
-    """A program that was started, and the addresses in its settings."""
+START_MODULE = "plantainproxy.flows.programs.start"
 
-    process: subprocess.Popen[bytes]
+
+class Settings(typing.NamedTuple):
+    """A settings file, and the addresses in it."""
+
+    path: pathlib.Path
     message_address: _types.Address
     data_address: _types.Address
     ready_address: _types.Address
 
+    @property
+    def environment(self) -> dict[str, str]:
+        """Variables by which a program finds the file."""
+        return {platform_settings.PATH_VARIABLE: str(self.path)}
 
-def free_ports(count: int) -> list[int]:
+
+def free_ports(count: int, *, host: str = HOST) -> list[int]:
     """Return ports on which nothing listens."""
     with contextlib.ExitStack() as stack:
         probes = [stack.enter_context(socket.socket()) for _ in range(count)]
         for probe in probes:
-            probe.bind((HOST, 0))
+            probe.bind((host, 0))
         return [probe.getsockname()[1] for probe in probes]
 
 
-@contextlib.contextmanager
-def started(program: str, folder: pathlib.Path) -> abc.Iterator[LoneProcess]:
-    """Start a program whose store does not answer; kill it at the end."""
-    addresses = [_types.Address(HOST, port) for port in free_ports(7)]
+def write_settings(folder: pathlib.Path, *, host: str = HOST) -> Settings:
+    """Write settings with a store that does not answer."""
+    addresses = [_types.Address(host, port) for port in free_ports(7, host=host)]
     message, data, ready, control, outbound, store, upstream = addresses
-    settings = folder / "settings.json"
-    settings.write_text(
+    path = folder / "settings.json"
+    path.write_text(
         json.dumps(
             {
                 "node": "n",
-                "ip": HOST,
+                "ip": host,
                 "zone": DOMAIN,
                 "service": "s",
                 "internal_port_range": [message.port, message.port],
@@ -61,19 +68,25 @@
             }
         )
     )
+    return Settings(path, message, data, ready)
+
+
+@contextlib.contextmanager
+def started(program: str, settings: Settings) -> abc.Iterator[subprocess.Popen[bytes]]:
+    """Start a program; kill it at the end."""
     with subprocess.Popen(
-        [sys.executable, "-m", "plantainproxy.flows.programs.start", program],
+        [sys.executable, "-m", START_MODULE, program],
         cwd=ROOT,
-        env={**os.environ, platform_settings.PATH_VARIABLE: str(settings)},
+        env={**os.environ, **settings.environment},
         stdout=subprocess.PIPE,
     ) as process:
         try:
-            yield LoneProcess(process, message, data, ready)
+            yield process
         finally:
             process.kill()
 
 
-def wait_for_line(lone: LoneProcess, text: bytes) -> bool:
+def wait_for_line(process: subprocess.Popen[bytes], text: bytes) -> bool:
     """Read the log until a line contains a text; return whether one does."""
-    assert lone.process.stdout is not None
-    return any(text in line for line in lone.process.stdout)
+    assert process.stdout is not None
+    return any(text in line for line in process.stdout)
