--- a/plantainproxy/flows/tests/test_completeness.py
+++ b/plantainproxy/flows/tests/test_completeness.py
@@ -4,7 +4,7 @@
 import pytest
 
 from plantainproxy import _types
-from plantainproxy.flows import messages, packets, policy
+from plantainproxy.flows import messages, packets
 from plantainproxy.flows.engine import (
     completeness,
     flow_table,
@@ -293,17 +293,9 @@
 
 def test_the_final_snapshot_has_the_flows_that_other_snapshots_leave_out() -> None:
     """Guards against a complete table without them: downloads and unconfirmed flows."""
-    other_service = b"\x01\x00\x12\xc6\xbb\x02"
-    download = transparent.make_route(transparent.POOL, service=other_service)
     harness = transparent.ready_sidecar()
-    harness.apply_policy(
-        transparent.make_policy(
-            2,
-            transparent.make_route(transparent.POOL),
-            msgspec.structs.replace(download, kind=policy.RouteKind.DOWNLOAD),
-        )
-    )
-    downloading = transparent.flow_key(3, other_service)
+    harness.apply_policy(transparent.make_download_policy(2))
+    downloading = transparent.flow_key(3, transparent.DOWNLOAD_SERVICE)
     closed = transparent.flow_key(4)
     for key in (KEY, downloading, closed):
         harness.open(key)
--- a/plantainproxy/flows/tests/test_handover.py
+++ b/plantainproxy/flows/tests/test_handover.py
@@ -180,6 +180,13 @@
     return _running(store, is_beside_upstream=False)
 
 
+async def _open_and_stop(store: _Store) -> None:
+    """Open a flow beside the first process, and stop that as planned."""
+    async with _first(store) as first:
+        first.harness.open(KEY)
+        await first.stop()
+
+
 def _run(check: abc.Callable[[_Store], abc.Awaitable[None]]) -> None:
     async def run() -> None:
         await check(_Store())
@@ -259,9 +266,7 @@
     """Guards against a denial of the flows of a process that was killed."""
 
     async def check(store: _Store) -> None:
-        async with _first(store) as first:
-            first.harness.open(KEY)
-            await first.stop()
+        await _open_and_stop(store)
         async with _running(store) as second:
             second.harness.open(OTHER)
         async with _running(store) as third:
@@ -278,9 +283,7 @@
     """
 
     async def check(store: _Store) -> None:
-        async with _first(store) as first:
-            first.harness.open(KEY)
-            await first.stop()
+        await _open_and_stop(store)
         copy = dict(store.entries)
         async with _running(store) as second:
             second.harness.open(OTHER)
@@ -334,9 +337,7 @@
     """Guards against a process whose flows the one after it would deny."""
 
     async def check(store: _Store) -> None:
-        async with _first(store) as first:
-            first.harness.open(KEY)
-            await first.stop()
+        await _open_and_stop(store)
 
         def fail() -> None:
             store.is_down = True
@@ -521,9 +522,7 @@
     """Guards against callers that wait for an upstream that ended beside no sidecar."""
 
     async def check(store: _Store) -> None:
-        async with _first(store) as first:
-            first.harness.open(KEY)
-            await first.stop()
+        await _open_and_stop(store)
         async with _running(store) as second:
             second.harness.handle_heartbeat(1, born=2_000)
             second.harness.handle_heartbeat(2, born=2_000)
--- a/plantainproxy/flows/tests/test_sidecar.py
+++ b/plantainproxy/flows/tests/test_sidecar.py
@@ -3,11 +3,10 @@
 import logging
 import typing
 
-import msgspec
 import pytest
 
 from plantainproxy import _types
-from plantainproxy.flows import messages, packets, policy
+from plantainproxy.flows import messages, packets
 from plantainproxy.flows.engine import (
     sidecar,
     suspect_flows,
@@ -373,18 +372,10 @@
 
 def test_snapshot_contains_open_flows_except_downloads() -> None:
     """The flow of a download ends before the next write of the snapshot."""
-    other_service = b"\x01\x00\x12\xc6\xbb\x02"
-    download = transparent.make_route(transparent.POOL, service=other_service)
     harness = transparent.ready_sidecar()
-    harness.apply_policy(
-        transparent.make_policy(
-            2,
-            transparent.make_route(transparent.POOL),
-            msgspec.structs.replace(download, kind=policy.RouteKind.DOWNLOAD),
-        )
-    )
+    harness.apply_policy(transparent.make_download_policy(2))
     harness.open(KEY)
-    harness.open(transparent.flow_key(2, other_service))
+    harness.open(transparent.flow_key(2, transparent.DOWNLOAD_SERVICE))
     snapshot = flow_snapshot.take_snapshot(harness.engine)
     assert snapshot == flow_record.FlowSnapshot(
         born=1_000, flows={KEY: transparent.UPSTREAM_SEQUENCE + 1}
--- a/testbed/transparent.py
+++ b/testbed/transparent.py
@@ -7,6 +7,8 @@
 from collections import abc
 import types
 
+import msgspec
+
 from plantainproxy import _types
 from plantainproxy.flows import event_log, messages, packets, policy
 from plantainproxy.flows.engine import (
@@ -23,6 +25,7 @@
 from plantainproxy.store import revisioned
 
 SERVICE = b"\x01\x00\x12\xc6\xbb\x01"
+DOWNLOAD_SERVICE = b"\x01\x00\x12\xc6\xbb\x02"
 """Packed address of the default route's service."""
 POOL = "feed"
 ROUTE_KIND = policy.RouteKind.IDEMPOTENT
@@ -118,6 +121,16 @@
     )
 
 
+def make_download_policy(revision: int) -> policy.Policy:
+    """Return a policy with a route to ``POOL``, and one of downloads."""
+    download = make_route(POOL, service=DOWNLOAD_SERVICE)
+    return make_policy(
+        revision,
+        make_route(POOL),
+        msgspec.structs.replace(download, kind=policy.RouteKind.DOWNLOAD),
+    )
+
+
 def make_order(revision: int, *, era: int = 0) -> policy.Order:
     """Return the order of the policy that ``make_policy`` returns by default."""
     return policy.Order(revision, revisioned.Revision(era, revision))
