--- a/review/common2/site.py
+++ b/review/common2/site.py
@@ -232,7 +232,7 @@
     def add_host(self, service, zone, **options):
         """Add a host and the sidecar beside it; both are started separately."""
         index = len(self.sidecars) + 1
-        address = f"127.{self.number}.2.{index}"
+        address = f"127.{self.number}.{20 + index // 200}.{1 + index % 200}"
         node = Node(self, "sidecar", f"side-{index}", address, zone, service)
         self.sidecars.append(node)
         host = self.new_host(node, f"i-{index}", **options)
