--- a/review/common2/ends.py
+++ b/review/common2/ends.py
@@ -17,22 +17,27 @@
 COPY_AFTER = (0.2, 0.6)
 OPEN_TIMEOUT = 1.4
 MASK = 0xFFFFFFFF
+HALF = 0x80000000
 
 
 def pack_host(host):
+    """Return an IPv4 address in the order of a packet."""
     return socket.inet_aton(host)[::-1]
 
 
 def unpack_host(data):
+    """Return the IPv4 address of four bytes of a packet."""
     return socket.inet_ntoa(data[::-1])
 
 
 def checksum(flags, seq, ack, src, dst, payload):
+    """Return the sum that both ends of a flow compute."""
     core = bytes((flags & ~BOUNCED,)) + struct.pack("<II", seq, ack)
     return zlib.crc32(core + repr((src, dst)).encode() + payload, 0x5EED) or 1
 
 
 def encode(flags, src, dst, seq, ack, payload=b""):
+    """Encode a packet of a client or a host."""
     seq, ack = seq & MASK, ack & MASK
     return (
         HEADER.pack(
@@ -53,7 +58,10 @@
 
 
 class Packet:
+    """A decoded packet."""
+
     def __init__(self, data):
+        """Decode a datagram."""
         (self.flags, _, self.sum, _, self.seq, self.ack, dst, dport, src, sport, _) = (
             HEADER.unpack_from(data)
         )
@@ -66,6 +74,8 @@
 
 
 class _Udp(asyncio.DatagramProtocol):
+    """Passes the data of each datagram to a function."""
+
     def __init__(self, handle):
         self.handle = handle
 
@@ -74,6 +84,7 @@
 
 
 async def open_udp(address, handle):
+    """Open a UDP socket whose datagrams go to a function."""
     loop = asyncio.get_running_loop()
     transport, _ = await loop.create_datagram_endpoint(
         lambda: _Udp(handle), local_addr=address
@@ -98,6 +109,7 @@
         work_s=0.03,
         heartbeat_s=0.77,
     ):
+        """Create a host that has not started."""
         self.name, self.service, self.zone = name, service, zone
         self.address, self.outbound, self.control = address, outbound, control
         self.record, self.slots, self.work_s = record, slots, work_s
@@ -114,6 +126,7 @@
         self.alive = False
 
     async def start(self):
+        """Open the sockets and start the heartbeats."""
         self.alive = True
         self.udp = await open_udp(self.address, self._receive)
         self.tcp = await asyncio.start_server(self._health, *self.address)
@@ -167,7 +180,7 @@
         state = "draining" if self.draining else "ready"
         body = {
             "service": self.service,
-            "addr": "%s:%d" % self.address,
+            "addr": f"{self.address[0]}:{self.address[1]}",
             "zone": self.zone,
             "version": "v1",
             "slots": self.slots,
@@ -195,7 +208,7 @@
                 line = await reader.readline()
                 writer.close()
                 return int(line.split()[1]) if line else 0
-        except (OSError, TimeoutError, asyncio.TimeoutError):
+        except (OSError, TimeoutError):
             return 0
 
     def _send(self, data):
@@ -209,44 +222,43 @@
             return
         key = (packet.src, packet.dst)
         if packet.flags & SYN:
-            if packet.flags & ACK:
-                self.record.write("acceptance at host", host=self.name)
-                return
-            if key not in self.half_open:
-                iss = random.getrandbits(32)
-                self.half_open[key] = (iss, packet.seq)
-                self.record.write(
-                    "opening at host", host=self.name, flow=f"{key[0][0]}:{key[0][1]}"
-                )
-            iss, _ = self.half_open[key]
-            self._send(encode(SYN | ACK, key[1], key[0], iss, packet.seq + 1))
+            self._handle_opening(key, packet)
+        elif key in self.flows or self._is_acceptance_confirmed(key, packet):
+            self._handle_flow(key, packet)
+        elif not packet.flags & RST:
+            self.record.write("stray at host", host=self.name, flow=_label(key))
+            self._send(bytes((data[0] | BOUNCED,)) + bytes(3) + data[4:])
+
+    def _handle_opening(self, key, packet):
+        if packet.flags & ACK:
+            self.record.write("acceptance at host", host=self.name)
             return
+        if key not in self.half_open:
+            self.half_open[key] = (random.getrandbits(32), packet.seq)
+            self.record.write("opening at host", host=self.name, flow=_label(key))
+        iss, _ = self.half_open[key]
+        self._send(encode(SYN | ACK, key[1], key[0], iss, packet.seq + 1))
+
+    def _is_acceptance_confirmed(self, key, packet):
         offered = self.half_open.get(key)
-        if key not in self.flows:
-            if offered is None or packet.ack != (offered[0] + 1) & MASK:
-                if packet.flags & RST:
-                    return
-                self.record.write(
-                    "stray at host", host=self.name, flow=f"{key[0][0]}:{key[0][1]}"
-                )
-                bounced = bytes((data[0] | BOUNCED,)) + bytes(3) + data[4:]
-                self._send(bounced)
-                return
-            self.flows[key] = {
-                "next": (offered[1] + 1) & MASK,
-                "snd": (offered[0] + 1) & MASK,
-                "acked": (offered[0] + 1) & MASK,
-                "fin": False,
-            }
-            self.record.write(
-                "flow open", host=self.name, flow=f"{key[0][0]}:{key[0][1]}"
-            )
+        if offered is None or packet.ack != (offered[0] + 1) & MASK:
+            return False
+        self.flows[key] = {
+            "next": (offered[1] + 1) & MASK,
+            "snd": (offered[0] + 1) & MASK,
+            "acked": (offered[0] + 1) & MASK,
+            "fin": False,
+        }
+        self.record.write("flow open", host=self.name, flow=_label(key))
+        return True
+
+    def _handle_flow(self, key, packet):
         flow = self.flows[key]
         if packet.flags & RST:
             del self.flows[key]
             self.half_open.pop(key, None)
             return
-        if (packet.ack - flow["acked"]) & MASK < 0x80000000:
+        if (packet.ack - flow["acked"]) & MASK < HALF:
             flow["acked"] = packet.ack
         if packet.payload:
             if packet.seq == flow["next"]:
@@ -264,7 +276,9 @@
 
     async def _run(self, key, request):
         async with self.slot_gate:
-            self.record.write("run", host=self.name, service=self.service, request=request)
+            self.record.write(
+                "run", host=self.name, service=self.service, request=request
+            )
             await asyncio.sleep(self.work_s)
         flow = self.flows.get(key)
         if flow is None:
@@ -279,10 +293,15 @@
             self._send(encode(ACK, key[1], key[0], start, flow["next"], payload))
             await asyncio.sleep(wait)
             wait = min(2 * wait, 1.6)
-            if (flow["acked"] - end) & MASK < 0x80000000:
+            if (flow["acked"] - end) & MASK < HALF:
                 return
 
 
+def _label(key):
+    """Return the client's address and port of a flow."""
+    return f"{key[0][0]}:{key[0][1]}"
+
+
 class ResetError(Exception):
     """The client got a reset of the flow."""
 
@@ -295,12 +314,14 @@
     """A client address; it opens flows from new ports."""
 
     def __init__(self, host, port, router, record):
+        """Create a client whose packets go through a router."""
         self.address = (host, port)
         self.router, self.record = router, record
         self.next_port = 20_000
         self.flows = {}
 
     async def start(self):
+        """Open the socket of the client."""
         self.udp = await open_udp(self.address, self._receive)
 
     def _receive(self, data):
@@ -310,6 +331,7 @@
             flow.receive(packet)
 
     async def open(self, service):
+        """Open a flow; raise if it is reset or not accepted."""
         self.next_port += 1
         flow = Flow(self, (self.address[0], self.next_port), service)
         self.flows[(flow.source, service)] = flow
@@ -321,6 +343,7 @@
     """The client's end of a flow with one request at a time."""
 
     def __init__(self, client, source, service):
+        """Create a flow that is not open."""
         self.client, self.source, self.service = client, source, service
         self.seq = random.getrandbits(32)
         self.ack = 0
@@ -330,9 +353,11 @@
         self.last_packet_at = time.monotonic()
 
     def label(self):
+        """Return the client's address and port."""
         return f"{self.source[0]}:{self.source[1]}"
 
     def send(self, flags, payload=b"", seq=None, ack=None):
+        """Send a packet through the balancer that the router selects."""
         data = encode(
             flags,
             self.source,
@@ -347,6 +372,7 @@
             self.client.udp.sendto(data, balancer)
 
     def receive(self, packet):
+        """Take a packet for this flow."""
         if packet.flags & RST:
             near = (packet.seq - self.ack + 76_800) & MASK <= 153_600
             if self.is_open and not near:
@@ -366,6 +392,7 @@
         self.inbox.put_nowait(packet)
 
     async def open(self):
+        """Send the opening and its copies until it is accepted."""
         started = time.monotonic()
         copies = [0.0, *COPY_AFTER]
         for number, at in enumerate(copies):
@@ -381,7 +408,7 @@
         while (left := deadline - time.monotonic()) > 0:
             try:
                 packet = await asyncio.wait_for(self.inbox.get(), left)
-            except asyncio.TimeoutError:
+            except TimeoutError:
                 return None
             if packet.flags & RST:
                 raise ResetError(self.label())
@@ -421,5 +448,6 @@
         raise NoAnswerError(text)
 
     def close(self):
+        """Send a FIN."""
         if self.is_open:
             self.send(ACK | FIN)
--- a/review/common2/site.py
+++ b/review/common2/site.py
@@ -46,15 +46,18 @@
     """What was sent, answered and run, one line each."""
 
     def __init__(self, path):
+        """Start an empty record for a file."""
         self.path = path
         self.lines = []
         self.started_at = time.monotonic()
 
     def write(self, event, **fields):
+        """Add a line with the time."""
         at = time.monotonic()
         self.lines.append((at, event, fields))
 
     def save(self):
+        """Write all lines to the file."""
         with open(self.path, "w") as file:
             for at, event, fields in self.lines:
                 shown = " ".join(f"{name}={value}" for name, value in fields.items())
@@ -77,6 +80,7 @@
     """A machine of the system and its process."""
 
     def __init__(self, site, kind, name, host, zone, service=None):
+        """Write the settings of a machine; no process is started."""
         self.site, self.kind, self.name = site, kind, name
         self.host, self.zone, self.service = host, zone, service
         self.process = None
@@ -112,7 +116,7 @@
             "hash": "mod",
             "deployment_mode": "agent",
             "platform": {
-                "addr": "%s:%d" % site.store_address_of(self),
+                "addr": "{}:{}".format(*site.store_address_of(self)),
                 "deployment_mode": "kv",
                 "writes_per_s": 400,
                 "reads_per_s": 2000,
@@ -129,6 +133,7 @@
         self.path.write_text(json.dumps(settings))
 
     def start(self):
+        """Start the process with the command of the deploy file."""
         command = self.site.commands[self.kind]
         environment = {
             name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ
@@ -142,14 +147,17 @@
         self.site.record.write("process started", node=self.name, pid=self.process.pid)
 
     def signal(self, number):
+        """Send a signal to the process."""
         self.process.send_signal(number)
         self.site.record.write("signal", node=self.name, signal=number.name)
 
     async def wait(self):
+        """Wait for the end of the process."""
         while self.process.poll() is None:
             await asyncio.sleep(0.01)
 
     async def is_ready(self):
+        """Return whether the process answers the check with 200."""
         try:
             async with asyncio.timeout(0.4):
                 reader, writer = await asyncio.open_connection(
@@ -159,7 +167,7 @@
                 line = await reader.readline()
                 writer.close()
                 return b" 200 " in line
-        except (OSError, TimeoutError, asyncio.TimeoutError):
+        except (OSError, TimeoutError):
             return False
 
 
@@ -167,9 +175,11 @@
     """The platform's routers, for the clients of one zone."""
 
     def __init__(self, site, zone):
+        """Create the router of a zone's clients."""
         self.site, self.zone = site, zone
 
     def nodes(self):
+        """Return the balancers that get packets now."""
         own = [b for b in self.site.balancers if b.zone == self.zone and b.is_known]
         in_rotation = [b for b in own if b.in_rotation]
         if 2 * len(in_rotation) >= len(own) and in_rotation:
@@ -179,6 +189,7 @@
         return [b for b in self.site.balancers if b.in_rotation and b.is_known] or own
 
     def route(self, source, service):
+        """Return the balancer for a flow, by a hash of its addresses."""
         nodes = self.nodes()
         if not nodes:
             return None
@@ -190,10 +201,11 @@
     """Store, balancers, sidecars, hosts, clients."""
 
     def __init__(self, folder, record, *, number, zones):
+        """Create a deployment without machines."""
         self.folder, self.record = folder, record
         self.number, self.zones = number, zones
         names = ("data", "outbound", "ready", "control", "app", "store")
-        self.ports = dict(zip(names, free_ports(len(names))))
+        self.ports = dict(zip(names, free_ports(len(names)), strict=True))
         self.ports["first"] = self._free_range()
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self.commands = {name: role["run"] for name, role in deploy["roles"].items()}
@@ -221,6 +233,7 @@
         raise RuntimeError("no free port range")
 
     def add_balancer(self, zone):
+        """Add a machine for a balancer."""
         index = len(self.balancers) + 1
         node = Node(
             self, "balancer", f"edge-{index}", f"127.{self.number}.1.{index}", zone
@@ -239,6 +252,7 @@
         return node, host
 
     def new_host(self, node, name, **options):
+        """Create a host beside a sidecar."""
         host = ends.Host(
             name=name,
             service=node.service,
@@ -253,6 +267,7 @@
         return host
 
     async def add_client(self, zone):
+        """Add a client in a zone."""
         index = getattr(self, "client_count", 0) + 1
         self.client_count = index
         client = ends.Client(
@@ -283,15 +298,18 @@
         return time.monotonic()
 
     def evacuate(self, zone):
+        """Take a zone out; the answer of the store acknowledges it."""
         self.store.put(f"op/evacuate/{zone}", b"{}")
         self.record.write("evacuation acknowledged", zone=zone)
         return time.monotonic()
 
     def take_back(self, zone):
+        """Take a zone back."""
         self.store.remove(f"op/evacuate/{zone}")
         self.record.write("evacuation taken back", zone=zone)
 
     async def start(self):
+        """Start the store."""
         await self.store.start()
 
     async def check_readiness(self):
@@ -314,12 +332,14 @@
             await asyncio.sleep(READY_INTERVAL)
 
     async def wait_until_ready(self, nodes, timeout_s=20):
+        """Wait until processes answer their checks."""
         async with asyncio.timeout(timeout_s):
             for node in nodes:
                 while not await node.is_ready():
                     await asyncio.sleep(0.05)
 
     def stop(self):
+        """End all processes."""
         nodes = [n for n in (*self.balancers, *self.sidecars) if n.process]
         for node in nodes:
             if node.process.poll() is None:
@@ -330,6 +350,7 @@
 
 
 def route(name, host, port, service, kind="idempotent", **more):
+    """Return a route of the configuration."""
     return {
         "name": name,
         "host": host,
@@ -345,6 +366,7 @@
 
 
 def service(name, **more):
+    """Return a service of the configuration."""
     return {
         "name": name,
         "health_path": "/healthz",
--- a/review/common2/store.py
+++ b/review/common2/store.py
@@ -12,13 +12,17 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import time
 import urllib.parse
 
 
 class Store:
+    """The items, their history and the leases."""
+
     def __init__(self, address, record):
+        """Create an empty store."""
         self.address = address
         self.record = record
         self.items = {}
@@ -32,11 +36,13 @@
         self.status = 0
 
     async def start(self):
+        """Listen, and end leases on time."""
         self.servers = []
         await self.listen(self.address)
         self.expiry = asyncio.create_task(self._expire())
 
     async def listen(self, address):
+        """Listen at one more address."""
         self.servers.append(await asyncio.start_server(self._serve, *address))
 
     def put(self, key, value, lease=0):
@@ -55,6 +61,7 @@
         return self.revision
 
     def remove(self, key):
+        """Remove a key."""
         self.revision += 1
         del self.items[key]
         self._event({"key": key, "rev": self.revision, "removed": True})
@@ -123,7 +130,9 @@
             return 410, {}
         while True:
             events = [
-                e for e in self.events if e["rev"] > after and e["key"].startswith(prefix)
+                e
+                for e in self.events
+                if e["rev"] > after and e["key"].startswith(prefix)
             ]
             left = deadline - time.monotonic()
             if self._is_silent(host):
@@ -131,10 +140,8 @@
                 continue
             if events or left <= 0:
                 return 200, {"events": events, "store_revision": self.revision}
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.changed.wait(), min(left, 0.5))
-            except asyncio.TimeoutError:
-                pass
 
     def _call(self, method, path, query, body):
         if path == "/v1/kv-range":
