--- a/review/7/scenario.py
+++ b/review/7/scenario.py
@@ -9,7 +9,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2]))
 
-from review.common2 import ends, site as sites  # noqa: E402
+from review.common2 import ends  # noqa: E402
+from review.common2 import site as sites
 
 ADDRESS = ("198.18.0.1", 8443)
 SILENT_S = 4.0
@@ -46,22 +47,45 @@
     return flows
 
 
-async def scenario(site, trouble):
+async def start(site):
+    """Start all machines; return the clients and a sidecar with its host."""
     for zone in site.zones:
         site.add_balancer(zone)
     pairs = [site.add_host("feed", zone) for zone in (*site.zones, *site.zones)]
-    node, host = pairs[0]
     site.configure([sites.route("r-1", *ADDRESS, "feed")], [sites.service("feed")])
-    for other, _ in pairs:
-        other.start()
-    for balancer in site.balancers:
-        balancer.start()
+    for node in (*site.sidecars, *site.balancers):
+        node.start()
     # The sidecars run before the hosts, so that they have seen every flow.
     await asyncio.sleep(3)
-    for _, other in pairs:
-        await other.start()
+    for _, host in pairs:
+        await host.start()
     await site.wait_until_ready([*site.balancers, *site.sidecars])
-    clients = [await site.add_client(zone) for zone in site.zones]
+    return [await site.add_client(zone) for zone in site.zones], *pairs[0]
+
+
+async def use_again(site, host, flows):
+    """Send a request on each flow that the host holds; return the violations."""
+    violations = []
+    still_open = held_flows(site, host)
+    for label, flow in flows.items():
+        idle_s = time.monotonic() - flow.last_packet_at
+        if label not in still_open:
+            continue
+        try:
+            await flow.request(f"second-{label}", deadline_s=3.0)
+        except ends.ResetError:
+            violations.append(
+                f"FLOW: {label}, idle for {idle_s:.1f} s and open at the living host "
+                f"{host.name}, is reset by the system"
+            )
+        except ends.NoAnswerError:
+            site.record.write("no answer", flow=label)
+    return violations
+
+
+async def scenario(site, trouble):
+    """Play the case; return the violations."""
+    clients, node, host = await start(site)
     await asyncio.sleep(2)
     early = await open_flows(clients, host, site, count=4, deadline_s=3)
     site.record.write("flows before the restart", count=len(early))
@@ -88,22 +112,7 @@
 
     # Longer than stability_window_ms after the end of all disruptions.
     await asyncio.sleep(5.5)
-    violations = []
-    still_open = held_flows(site, host)
-    for label, flow in flows.items():
-        idle_s = time.monotonic() - flow.last_packet_at
-        if label not in still_open:
-            continue
-        try:
-            await flow.request(f"second-{label}", deadline_s=3.0)
-        except ends.ResetError:
-            violations.append(
-                f"FLOW: {label}, idle for {idle_s:.1f} s and open at the living host "
-                f"{host.name}, is reset by the system"
-            )
-        except ends.NoAnswerError:
-            site.record.write("no answer", flow=label)
-    return violations
+    return await use_again(site, host, flows)
 
 
 if __name__ == "__main__":
