--- a/review/9/scenario.py
+++ b/review/9/scenario.py
@@ -8,7 +8,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2]))
 
-from review.common2 import ends, site as sites  # noqa: E402
+from review.common2 import ends  # noqa: E402
+from review.common2 import site as sites
 
 ADDRESS = ("198.18.0.1", 8443)
 SILENT_S = 3.0
@@ -48,20 +49,44 @@
     return flows
 
 
-async def scenario(site, trouble):
+async def start(site):
+    """Start all machines and wait until they are ready."""
     for zone in ("z1", "z1", "z1", "z2"):
         site.add_balancer(zone)
     pairs = [site.add_host("feed", zone) for zone in ("z1", "z1", "z2", "z2")]
     site.configure([sites.route("r-1", *ADDRESS, "feed")], [sites.service("feed")])
-    for node, _ in pairs:
+    for node in (*site.sidecars, *site.balancers):
         node.start()
-    for balancer in site.balancers:
-        balancer.start()
     # The sidecars run before the hosts, so that they have seen every flow.
     await asyncio.sleep(3)
     for _, host in pairs:
         await host.start()
     await site.wait_until_ready([*site.balancers, *site.sidecars])
+
+
+async def use_again(site, added, flows):
+    """Send a request on each flow at the added host; return the violations."""
+    violations = []
+
+    async def use(label, flow):
+        try:
+            await flow.request(f"second-{label}", deadline_s=3.0)
+        except ends.ResetError:
+            if (flow.source, flow.service) in added.flows:
+                violations.append(
+                    f"FLOW: {label}, open at the living host {added.name}, is reset by "
+                    f"the system"
+                )
+        except ends.NoAnswerError:
+            site.record.write("no answer", flow=label)
+
+    await asyncio.gather(*(use(label, flow) for label, flow in flows.items()))
+    return violations
+
+
+async def scenario(site, trouble):
+    """Play the case; return the violations."""
+    await start(site)
     clients = [await site.add_client("z1") for _ in range(6)]
     await asyncio.sleep(7)
 
@@ -95,23 +120,8 @@
     second.signal(signal.SIGTERM)
     while second.in_rotation:
         await asyncio.sleep(0.05)
-    violations = []
-
-    async def use(label, flow):
-        try:
-            await flow.request(f"second-{label}", deadline_s=3.0)
-        except ends.ResetError:
-            if (flow.source, flow.service) in added.flows:
-                violations.append(
-                    f"FLOW: {label}, open at the living host {added.name}, is reset by "
-                    f"the system"
-                )
-        except ends.NoAnswerError:
-            site.record.write("no answer", flow=label)
-
-    await asyncio.gather(*(use(label, flow) for label, flow in flows.items()))
     print(f"{len(flows)} flows at the added host")
-    return violations
+    return await use_again(site, added, flows)
 
 
 if __name__ == "__main__":
