Store: a watch that is never answered ends within the recovery time

What callers saw: after a silence of the store of 3 s that began just after a change, the next change and an evacuation were in force nowhere for 13 s and 11 s.

Cause: a watch waited for up to 18 s and was given up 3 s later. One that reaches a silent store is never answered. Until its timeout the relays took the missing answer for missing changes, stated that their copies were current, and all other processes left the watching to them.

No configuration was refused, and other calls of the same processes were answered.

Change: the wait of a watch, the margin of its response and the start of the next watch fit into the platform's stability_window_ms, after which a change has to be in force in time again. With 4 s a watch waits 2 s and ends after 3.5 s.

Why it works: a watch that a disruption took was sent before the end of the disruption, so it has ended and been replaced within that time.

The new test fails with the old wait and margin: "a/2" is missing from the copy 4 s after the silence.

--- a/plantainproxy/flows/programs/balancer_main.py
+++ b/plantainproxy/flows/programs/balancer_main.py
@@ -109,6 +109,7 @@
         self.store = metadata_store.MetadataStore(
             node_settings.store_address,
             history_seconds=node_settings.store_history_seconds,
+            recovery_seconds=node_settings.store_recovery_seconds,
             count=self.log.count,
             on_restored=functools.partial(node.handle_restored, self.documents),
         )
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -134,6 +134,7 @@
         self.store = metadata_store.MetadataStore(
             node_settings.store_address,
             history_seconds=node_settings.store_history_seconds,
+            recovery_seconds=node_settings.store_recovery_seconds,
             count=self.log.count,
             on_restored=self.handle_restored,
         )
--- a/plantainproxy/flows/settings.py
+++ b/plantainproxy/flows/settings.py
@@ -29,6 +29,8 @@
     """Write limit of the store, shared by all processes."""
     store_history_seconds: float
     """How long the store retains changes for watches."""
+    store_recovery_seconds: float
+    """Time after a disruption of the store in which its documents must be current."""
     grace_seconds: float
     """Time limit of a planned stop."""
 
--- a/plantainproxy/platform/metadata_store.py
+++ b/plantainproxy/platform/metadata_store.py
@@ -24,8 +24,14 @@
 """Wait of a watch after a failure. A call that the store receives while it does not
 respond is never answered, so a long watch would still be waiting after the store's
 recovery."""
-WATCH_MARGIN_SECONDS = 3.0
+WATCH_MARGIN_SECONDS = 1.5
 """Allowed delay of the response to a watch after the end of its wait."""
+DEFAULT_RECOVERY_SECONDS = 4.0
+"""Time after a disruption of the store in which its documents must be current again, if
+the settings do not state it."""
+RESUMPTION_SECONDS = 0.5
+"""Time allowed for the next watch after one without a response, and for the transfer of
+the document to the processes that rely on this one."""
 MILLISECONDS_PER_SECOND = 1_000
 MAX_READ_RESTARTS = 3
 """Restarts of a read whose pages are of different eras; then the read fails."""
@@ -87,12 +93,15 @@
         address: _types.Address,
         *,
         history_seconds: float = math.inf,
+        recovery_seconds: float = DEFAULT_RECOVERY_SECONDS,
         count: abc.Callable[[str], None] = lambda name: None,
         on_restored: abc.Callable[[int, int], None] = lambda previous, era: None,
     ) -> None:
         """Create a client; connections are opened on demand.
 
         ``history_seconds`` is how long the store retains changes for watches.
+        ``recovery_seconds`` is the time after a disruption of the store in which a
+        watch that will never be answered has to be replaced.
         ``count`` increments the counter with the given name. ``on_restored`` is called
         with the previous and the new era when the era of the responses increases.
         """
@@ -107,9 +116,7 @@
         """Latest era that another process has stated."""
         self.watch_scopes: set[runtime.CancelScope] = set()
         """Scopes of the watches that wait for a response."""
-        self.watch_seconds = min(
-            MAX_WATCH_SECONDS, MAX_WATCH_HISTORY_SHARE * history_seconds
-        )
+        self.watch_seconds = _watch_seconds(history_seconds, recovery_seconds)
         self.call_pool = http.Pool(address)
         self.watch_pool = http.Pool(address)
 
@@ -356,5 +363,19 @@
             scope.cancel()
 
 
+def _watch_seconds(history_seconds: float, recovery_seconds: float) -> float:
+    """Return the wait of a watch.
+
+    Nothing but its timeout shows that a watch got lost in a disruption of the store, so
+    the wait leaves room for a delayed response and a new watch.
+    """
+    allowed_seconds = recovery_seconds - WATCH_MARGIN_SECONDS - RESUMPTION_SECONDS
+    return min(
+        MAX_WATCH_SECONDS,
+        MAX_WATCH_HISTORY_SHARE * history_seconds,
+        max(BRIEF_WATCH_SECONDS, allowed_seconds),
+    )
+
+
 def _unavailable(detail: str) -> _exceptions.PlantainError:
     return _exceptions.PlantainError(_exceptions.ErrorKind.STORE_UNAVAILABLE, detail)
--- a/plantainproxy/platform/settings.py
+++ b/plantainproxy/platform/settings.py
@@ -8,11 +8,13 @@
 
 from plantainproxy import _decoding, _exceptions, _types
 from plantainproxy.flows import settings
+from plantainproxy.platform import metadata_store
 
 T = typing.TypeVar("T")
 
 PATH_VARIABLE = "PLANTAINPROXY_BOOT"
 HEDGE_PERCENT_VARIABLE = "HEDGE_PERCENT"
+MILLISECONDS_PER_SECOND = 1_000
 MESSAGE_PORT_OFFSET = 0
 """Offset of the message port in the port range for traffic between machines."""
 METRICS_PORT = 9180
@@ -33,6 +35,10 @@
 
 class _Bounds(msgspec.Struct):
     grace_s: _decoding.Amount = 5.0
+    # Time after a disruption of the store in which a change need not be in force yet.
+    stability_window_ms: _decoding.Amount = (
+        metadata_store.DEFAULT_RECOVERY_SECONDS * MILLISECONDS_PER_SECOND
+    )
     # A cold upstream can handle its cold rate times ``cold_over`` plus ``cold_slack``
     # requests in one second.
     cold_over: _decoding.Amount = 1.0
@@ -143,5 +149,7 @@
         "store_address": _types.Address.parse(node.platform.addr),
         "store_writes_per_second": node.platform.writes_per_s,
         "store_history_seconds": node.platform.history_s,
+        "store_recovery_seconds": node.bounds.stability_window_ms
+        / MILLISECONDS_PER_SECOND,
         "grace_seconds": node.bounds.grace_s,
     }
--- a/plantainproxy/platform/tests/test_metadata_store.py
+++ b/plantainproxy/platform/tests/test_metadata_store.py
@@ -360,6 +360,52 @@
     _run(check)
 
 
+def test_a_follower_is_current_soon_after_a_silence_that_took_its_watch() -> None:
+    """Guards against changes that nobody sees because a watch was lost (review/6).
+
+    A watch that a silent store receives just after a change is never answered, while
+    the store answers all other calls after the silence.
+    """
+    silent_seconds = 1.0
+
+    async def check(
+        server: standin.MetadataStore,
+        client: metadata_store.MetadataStore,
+        nursery: trio.Nursery,
+    ) -> None:
+        copy = _start_follower(nursery, client)
+        await _wait_until(lambda: "GET /v1/kv-watch" in server.calls)
+        server.put("a/1", b"one")
+        await _wait_until(lambda: "a/1" in copy.entries)
+        server.faults.silent = True
+        watch_count = server.calls.count("GET /v1/kv-watch")
+        await _wait_until(
+            lambda: server.calls.count("GET /v1/kv-watch") == watch_count + 1
+        )
+        await trio.sleep(silent_seconds)
+        server.faults.silent = False
+        server.put("a/2", b"two")
+        with trio.move_on_after(metadata_store.DEFAULT_RECOVERY_SECONDS):
+            await _wait_until(lambda: "a/2" in copy.entries)
+        assert "a/2" in copy.entries
+
+    _run(check)
+
+
+@pytest.mark.parametrize(
+    ("recovery_seconds", "watch_seconds"),
+    [(4.0, 2.0), (6.0, 4.0), (60.0, 18.0), (0.0, metadata_store.BRIEF_WATCH_SECONDS)],
+)
+def test_the_wait_of_a_watch_follows_from_the_bounds_of_the_platform(
+    recovery_seconds: float, watch_seconds: float
+) -> None:
+    """The shorter of recovery after a disruption and retained history limits it."""
+    client = metadata_store.MetadataStore(
+        _free_address(), history_seconds=20.0, recovery_seconds=recovery_seconds
+    )
+    assert client.watch_seconds == watch_seconds
+
+
 def test_a_follower_watches_no_longer_than_the_history_lasts() -> None:
     """A watch ends before its revision is no longer in the history.
 
--- a/testbed/foreign_inputs.py
+++ b/testbed/foreign_inputs.py
@@ -123,6 +123,7 @@
         "store_address": _types.Address("10.0.0.9", 8169),
         "store_writes_per_second": 100.0,
         "store_history_seconds": 20.0,
+        "store_recovery_seconds": 4.0,
         "grace_seconds": 5.0,
     }
 
