--- a/plantainproxy/flows/engine/admission.py
+++ b/plantainproxy/flows/engine/admission.py
@@ -71,14 +71,14 @@
     state: messages.UpstreamState,
     cold_wait: float,
     is_full: bool,
-    is_stopping: bool,
+    may_admit_flows: bool,
 ) -> messages.Refusal | None:
     """Return the reason to refuse an opening packet; ``None`` if it is admitted.
 
     ``cold_wait`` is the time in seconds until a cold upstream may get one more flow.
-    ``is_stopping`` is whether the sidecar process is about to end.
+    ``may_admit_flows`` is whether the sidecar process may admit any flow.
     """
-    if current is None or is_stopping:
+    if current is None or not may_admit_flows:
         return messages.Refusal.NOT_READY
     route = current.routes.get(packet.service)
     if route is None or not _routes_to_pool(route, location.pool):
--- a/plantainproxy/flows/engine/sidecar_reports.py
+++ b/plantainproxy/flows/engine/sidecar_reports.py
@@ -104,6 +104,7 @@
         outlier_detection.is_ejected(engine.outlier_detector, now=now),
         engine.policies.era,
         engine.table.complete,
+        now >= engine.admits_flows_at,
     )
     is_status_changed = status != engine.last_reported_status
     engine.last_reported_status = status
@@ -167,6 +168,8 @@
 def _available_requests_per_balancer(
     engine: sidecar_state.Engine, *, now: float
 ) -> int:
+    if now < engine.admits_flows_at:
+        return 0
     room = max(available_requests(engine, now=now), 0)
     if engine.table.running_requests < sidecar_state.slots(engine):
         return room
--- a/plantainproxy/flows/engine/sidecar_state.py
+++ b/plantainproxy/flows/engine/sidecar_state.py
@@ -118,6 +118,9 @@
         self.report_number = 0
         self.last_reported_status: tuple[object, ...] = ()
         self.stopping = False
+        self.admits_flows_at = float("-inf")
+        """Time from which this process admits flows. A process that the store has not
+        confirmed leaves no trace for the one after it, which would deny its flows."""
         self.has_handed_over = False
         """Whether the final snapshot names every flow of the upstream. No packet that
         would add or confirm a flow passes from then on."""
@@ -128,6 +131,11 @@
     return _types.Address(socket.inet_ntoa(packed_host), engine.identity.message_port)
 
 
+def may_admit_flows(engine: Engine, *, now: float) -> bool:
+    """Return whether the process after this one would consider its new flows."""
+    return now >= engine.admits_flows_at and not engine.stopping
+
+
 def slots(engine: Engine) -> int:
     """Return the number of requests that the upstream runs concurrently."""
     newest = engine.upstream.newest
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -156,7 +156,9 @@
             writes_per_second=node_settings.store_writes_per_second,
             find_relay=self.find_relay,
             send=self.port.send_message,
+            boot_clock=boot_time,
         )
+        flow_snapshot.hold_flows(self.engine, now=runtime.current_time())
 
     def find_relay(self) -> _types.Address | None:
         """Return the relay that reads and writes the store for this process."""
@@ -369,6 +371,9 @@
         **documents.gauges(process.documents),
         "flows": float(len(engine.table.flows)),
         "flow_table_complete": float(engine.table.complete),
+        "admits_flows": float(
+            sidecar_state.may_admit_flows(engine, now=runtime.current_time())
+        ),
         "running_requests": float(engine.table.running_requests),
         "held_requests": float(len(engine.request_queue.held)),
         "held_bytes": float(engine.request_queue.held_bytes),
@@ -482,6 +487,9 @@
     node.start(group, lifecycle, node_context(process))
     group.start_soon(registry.maintain_registration, process.registration)
     group.start_soon(flow_snapshot.run, process.snapshot_writer, process.engine)
+    group.start_soon(
+        flow_snapshot.admit_flows_once_registered, process.registration, process.engine
+    )
     group.start_soon(snapshot_batch.run, process.snapshot_batch, boot_time)
     for task in (_tick_forever, _evict_forever, _serve_heartbeats, _monitor_upstream):
         group.start_soon(task, process)
--- a/plantainproxy/flows/stored/flow_record.py
+++ b/plantainproxy/flows/stored/flow_record.py
@@ -42,6 +42,9 @@
     """Era of the store for which it was taken."""
     is_stop: bool = False
     """Whether it was taken at a planned stop of a sidecar whose upstream runs on."""
+    stopped_at: _decoding.Amount | None = None
+    """Time of the planned stop in seconds since the start of the machine. Earlier
+    releases do not state it."""
 
 
 def key_of(host: str) -> str:
--- a/plantainproxy/flows/stored/flow_snapshot.py
+++ b/plantainproxy/flows/stored/flow_snapshot.py
@@ -47,6 +47,11 @@
 HANDOVER_TIMEOUT_SECONDS = 0.5
 """How long the write of the final snapshot may delay a planned stop. The upstream gets
 no new flows in that time."""
+HANDOVER_SECONDS = 1.6
+"""How long after a planned stop the next process may start and still rely on the final
+snapshot; above the time that a restart takes. A process that the store has not
+confirmed admits no flow for as long after its start: nothing but the age of the final
+snapshot shows the one after it that another process may have served."""
 HANDOVER_WRITES = 2
 """Maximum number of these writes: a relay or an unanswered write may have changed the
 stored snapshot's revision before the first one."""
@@ -72,11 +77,15 @@
         writes_per_second: float,
         find_relay: abc.Callable[[], _types.Address | None] = lambda: None,
         send: snapshot_batch.Send = lambda relay, message: None,
+        boot_clock: abc.Callable[[], float] = runtime.current_time,
     ) -> None:
         """Start at revision 0, which stands for no stored snapshot.
 
         ``find_relay`` returns the relay that writes for this process, if there is one.
+        ``boot_clock`` is the same for all processes of the machine since its start.
         """
+        self.boot_clock = boot_clock
+        self.started_at = boot_clock()
         self.registration = registration
         self.store = registration.store
         self.log = registration.log
@@ -233,9 +242,15 @@
 ) -> bool:
     """Return whether the previous snapshot has all flows and is newer than the entry.
 
-    A process that has registered since may have opened flows. Revisions of another era
-    are not comparable.
+    A process that has registered since may have opened flows, and one that could not
+    register may have done so from ``HANDOVER_SECONDS`` after its start on. Revisions of
+    another era are not comparable.
     """
+    if previous.stopped_at is not None:
+        away_seconds = writer.started_at - previous.stopped_at
+        if not 0 <= away_seconds < HANDOVER_SECONDS:
+            writer.log.write("final record outdated", seconds=round(away_seconds, 3))
+            return False
     registration = writer.registration
     entry = registration.inherited.get(registration.key)
     return (
@@ -260,9 +275,24 @@
         writer.log.write("flow table complete", reason="handed over")
 
 
+def hold_flows(engine: sidecar_state.Engine, *, now: float) -> None:
+    """Let a process that has just started admit no flow for ``HANDOVER_SECONDS``."""
+    engine.admits_flows_at = now + HANDOVER_SECONDS
+
+
+async def admit_flows_once_registered(
+    registration: registry.Registration, engine: sidecar_state.Engine
+) -> None:
+    """End the hold: the next process learns of this one from its entry."""
+    await registration.registered.wait()
+    engine.admits_flows_at = float("-inf")
+
+
 async def hand_over(writer: FlowSnapshotWriter, engine: sidecar_state.Engine) -> None:
     """Write the final snapshot for the next process, within a time limit."""
-    snapshot = take_final_snapshot(engine, era=writer.registration.era)
+    snapshot = take_final_snapshot(
+        engine, era=writer.registration.era, stopped_at=writer.boot_clock()
+    )
     if snapshot is None:
         writer.log.write("flows not handed over", reason="no heartbeat received")
         return
@@ -342,9 +372,9 @@
 
 
 def take_final_snapshot(
-    engine: sidecar_state.Engine, *, era: int
+    engine: sidecar_state.Engine, *, era: int, stopped_at: float | None = None
 ) -> flow_record.FlowSnapshot | None:
-    """Return a snapshot of all flows at a planned stop.
+    """Return a snapshot of all flows at a planned stop at ``stopped_at``.
 
     Returns ``None`` before the first heartbeat of the upstream, whose incarnation is
     then not known. If the flow table is complete, packets that would add or confirm a
@@ -374,6 +404,7 @@
         is_final=engine.table.complete,
         era=era,
         is_stop=True,
+        stopped_at=stopped_at,
     )
 
 
--- a/plantainproxy/flows/tests/test_handover.py
+++ b/plantainproxy/flows/tests/test_handover.py
@@ -132,6 +132,7 @@
         self.harness = transparent.SidecarHarness()
         self.harness.apply_policy(transparent.make_policy(1))
         self.engine = self.harness.engine
+        flow_snapshot.hold_flows(self.engine, now=self.harness.now)
         self.relay: _types.Address | None = None
         self.offers: list[messages.FlowRecord] = []
         self.registration = registry.Registration(store, ENTRY, self.engine.log)
@@ -171,6 +172,11 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(registry.maintain_registration, process.registration)
         nursery.start_soon(flow_snapshot.run, process.writer, process.engine)
+        nursery.start_soon(
+            flow_snapshot.admit_flows_once_registered,
+            process.registration,
+            process.engine,
+        )
         await trio.sleep(SETTLE_SECONDS)
         yield process
         nursery.cancel_scope.cancel()
@@ -354,6 +360,77 @@
     _run(check)
 
 
+def test_a_process_that_has_not_registered_adds_no_flow_at_first() -> None:
+    """Guards against a denial of its flows by the process after it (review/7).
+
+    That one finds the final snapshot of the process before, and nothing else.
+    """
+    accepted = transparent.flow_key(3)
+
+    async def check(store: _Store) -> None:
+        await _open_and_stop(store)
+        store.is_down = True
+        async with _running(store) as second:
+            second.harness.handle_inbound(_opening(OTHER))
+            assert second.harness.port.refusals() == [messages.Refusal.NOT_READY]
+            second.harness.handle_outbound(
+                transparent.make_packet(accepted, accepting=True, sequence=6_000)
+            )
+            assert second.harness.port.sent_to_callers == []
+            # Packets of flows that are open pass.
+            answer = transparent.make_packet(KEY, sequence=6_001, size=10)
+            second.harness.handle_outbound(answer)
+            assert second.harness.port.sent_to_callers == [answer]
+            second.harness.handle_inbound(_data(KEY))
+            assert second.harness.port.delivered == [_data(KEY)]
+            store.is_down = False
+            await second.registration.registered.wait()
+            await trio.sleep(SETTLE_SECONDS)
+            second.harness.open(OTHER)
+            assert OTHER in second.engine.table.flows
+
+    _run(check)
+
+
+def test_a_final_snapshot_ends_before_an_unregistered_process_admits_flows() -> None:
+    """Guards against resets of flows that were opened while the store was down.
+
+    The process that admitted them has never registered (review/7).
+    """
+
+    async def check(store: _Store) -> None:
+        await _open_and_stop(store)
+        store.is_down = True
+        async with _running(store) as second:
+            await trio.sleep(flow_snapshot.HANDOVER_SECONDS)
+            second.harness.now += flow_snapshot.HANDOVER_SECONDS
+            second.harness.open(OTHER)
+            assert OTHER in second.engine.table.flows
+        store.is_down = False
+        async with _running(store) as third:
+            assert KEY in transparent.inherited_flows(third.engine)
+            assert not third.engine.table.complete
+            third.harness.handle_inbound(_data(OTHER))
+            assert third.harness.port.delivered == [_data(OTHER)]
+
+    _run(check)
+
+
+def test_a_process_that_admitted_no_flow_leaves_the_final_snapshot_valid() -> None:
+    """The store was down while it ran, and for less than the time of the hold."""
+
+    async def check(store: _Store) -> None:
+        await _open_and_stop(store)
+        store.is_down = True
+        async with _running(store):
+            pass
+        store.is_down = False
+        async with _running(store) as third:
+            assert third.engine.table.complete
+
+    _run(check)
+
+
 def test_a_stop_before_the_first_heartbeat_hands_nothing_over() -> None:
     """Guards against a reset of flows under a wrong start of the upstream."""
 
@@ -423,9 +500,11 @@
         async with _first(store) as first:
             first.harness.open(KEY)
             await first.stop()
+            stored = store.entries[first.writer.key]
             await trio.sleep(2 * flow_snapshot.SAVE_INTERVAL_SECONDS)
-        async with _running(store) as second:
-            assert second.engine.table.complete
+        assert store.entries[first.writer.key] == stored
+        snapshot = msgspec.msgpack.decode(stored.value, type=flow_record.FlowSnapshot)
+        assert snapshot.is_final
 
     _run(check)
 
@@ -566,6 +645,8 @@
         closed=(transparent.flow_key(3),),
         is_final=True,
         era=2,
+        is_stop=True,
+        stopped_at=12.5,
     )
     decoded = msgspec.msgpack.decode(
         msgspec.msgpack.encode(snapshot), type=_EarlierSnapshot
@@ -573,6 +654,22 @@
     assert decoded == _EarlierSnapshot(born=1_000, flows={KEY: 42})
 
 
+def test_a_final_snapshot_without_the_time_of_the_stop_completes_the_table() -> None:
+    """Guards against incomplete tables during an upgrade from commit e8ecd96."""
+
+    async def check(store: _Store) -> None:
+        async with _first(store) as first:
+            await first.stop()
+        value = msgspec.msgpack.encode((1_000, {KEY: 42}, {}, (), True, 0, True))
+        store.revision += 1
+        store.put(first.writer.key, value)
+        async with _running(store) as second:
+            assert transparent.inherited_flows(second.engine) == {KEY: 42}
+            assert second.engine.table.complete
+
+    _run(check)
+
+
 def test_a_snapshot_of_an_earlier_release_does_not_complete_the_table() -> None:
     """Guards against a denial of flows that the record of that release leaves out."""
 
--- a/testbed/foreign_inputs.py
+++ b/testbed/foreign_inputs.py
@@ -345,13 +345,15 @@
 def make_sidecar(
     node_settings: settings.SidecarSettings, target: SidecarTarget
 ) -> sidecar_main.SidecarProcess:
-    """Return the process of a sidecar on the sockets of a target."""
-    return sidecar_main.SidecarProcess(
+    """Return the process of a registered sidecar on the sockets of a target."""
+    process = sidecar_main.SidecarProcess(
         node_settings,
         _as_socket(target.data_socket),
         _as_socket(target.outbound_socket),
         _as_socket(target.message_socket),
     )
+    process.engine.admits_flows_at = float("-inf")
+    return process
 
 
 class FakeStore:
