Lookup: an old answer does not count for a later process that is silent

What callers saw: nothing, it was found by the state machine of planned work, in a site that returns to an earlier release.

Cause: the time of the answer of the process before stayed in the lookup. The silence of the later process counted as an answer that is too old, so its sidecar was asked again each time and the packet was never delivered.

Evidence: a trace of the lookup, with queries to the same three sidecars each 0.3 s and no delivery.

Change: silence takes the place of the earlier answer, with its time.

--- a/plantainproxy/flows/engine/lookup.py
+++ b/plantainproxy/flows/engine/lookup.py
@@ -394,6 +394,8 @@
             and not _is_away(flow_lookup, upstream, now)
         ):
             flow_lookup.unknown[address] = silence.boot
+            # An answer of the process before would count as one to ask for again.
+            flow_lookup.unknown_at.pop(address, None)
 
 
 def _may_go_on(
--- a/plantainproxy/flows/tests/test_flow_lookups.py
+++ b/plantainproxy/flows/tests/test_flow_lookups.py
@@ -814,3 +814,40 @@
     site.stop_sidecar(OWN)
     site.send_for(upstreams.LOSS_TIMEOUT_SECONDS + 2.0)
     assert site.deliveries == []
+
+
+def test_a_silent_process_after_one_that_answered_gets_the_packet() -> None:
+    """Guards against a flow that is never found after a return to an earlier release.
+
+    Its sidecars do not answer that a flow is unknown, and were asked again each time,
+    as the answer of the process before was too old.
+    """
+    harness = transparent.ready_balancer(2)
+    boots = {1: 2, 2: 2}
+    numbers = itertools.count(2)
+
+    def report(number: int, *, stopping: bool = False) -> None:
+        harness.handle_message(
+            number,
+            transparent.make_report(
+                boot=boots[number],
+                number=next(numbers),
+                complete=number == 1,
+                stopping=stopping,
+            ),
+        )
+
+    report(1, stopping=True)
+    report(2)
+    harness.handle_packet(DATA)
+    harness.handle_message(2, messages.FlowUnknown(flow=KEY))
+    boots[2] = 3
+    for step in range(20):
+        harness.tick(RETRANSMISSION_SECONDS / 2)
+        report(1, stopping=step < 4)
+        report(2)
+        harness.handle_packet(DATA)
+        if step >= 4:
+            harness.handle_message(1, messages.FlowNotHeld(flow=KEY))
+    delivered = harness.port.hosts(packets.Purpose.LOOKUP)
+    assert transparent.address(2).host in delivered
