Balancer: a list that a check cannot apply ends no process

The check applied the list without the guard of the other ways by which a list arrives. No caller has seen this; found by reading the change.

--- a/plantainproxy/flows/programs/balancer_main.py
+++ b/plantainproxy/flows/programs/balancer_main.py
@@ -301,10 +301,13 @@
     The relays may have an older one: a change may be on its way, or a watch of theirs
     may have got lost. Raises ``PlantainError`` if the store does not answer.
     """
+    apply_list = node.losing_failures(
+        functools.partial(_apply_list, process), process.log, "sidecars", False
+    )
     asked_at = runtime.current_time()
     newer = await registry.read_newer(process.store, process.documents.sidecars)
     if newer is not None:
-        _apply_list(process, newer)
+        apply_list(newer)
     flow_lookups.handle_list_checked(
         process.engine, asked_at=asked_at, now=runtime.current_time()
     )
--- a/plantainproxy/flows/tests/test_list_checks.py
+++ b/plantainproxy/flows/tests/test_list_checks.py
@@ -1,6 +1,7 @@
 """Tests of lookups whose list of sidecars lacks the one that holds the flow."""
 
 import msgspec
+import pytest
 import trio
 
 from plantainproxy import _exceptions
@@ -221,10 +222,9 @@
         )
         assert flow_lookups.awaits_list_check(engine)
         store.is_down = True
-        try:
+        with pytest.raises(_exceptions.PlantainError):
             await balancer_main.check_list(process)
-        except _exceptions.PlantainError:
-            assert flow_lookups.awaits_list_check(engine)
+        assert flow_lookups.awaits_list_check(engine)
         store.is_down = False
         await balancer_main.check_list(process)
         asked = {destination for _, destination in target.data_socket.sent}
