Balancer: lookups that waited for the list of sidecars end some at a time

Found by reading the change: lookups that wait for a check of the list do not count toward the limit of active ones, so up to 8,192 of them could collect while the store did not answer, and all would have ended in one step that delays the packets of other flows. At most 48 end at a time now, the limit of active lookups, and the rest with the next ticks. No caller has seen this; it was not measured.

test_lookups_that_have_waited_for_the_list_end_some_at_a_time fails before: 58 flows are reset in one step.

--- a/plantainproxy/flows/engine/flow_lookups.py
+++ b/plantainproxy/flows/engine/flow_lookups.py
@@ -94,6 +94,7 @@
 
 def continue_lookups(engine: balancer_state.Engine, *, now: float) -> None:
     """Repeat queries that are due, and start queued lookups up to the limit."""
+    _continue_checked(engine, now=now)
     active_count = sum(
         bool(flow_lookup.queries)
         and not flow_lookup.awaits_list_check
@@ -158,7 +159,11 @@
 
 def awaits_list_check(engine: balancer_state.Engine) -> bool:
     """Return whether a lookup needs a list of sidecars that is newer than itself."""
-    return any(flow_lookup.awaits_list_check for flow_lookup in engine.lookups.values())
+    return any(
+        flow_lookup.awaits_list_check
+        and not lookup.is_list_checked(flow_lookup, engine.view)
+        for flow_lookup in engine.lookups.values()
+    )
 
 
 def handle_list_checked(
@@ -169,9 +174,23 @@
     The engine has been given the list if it has changed.
     """
     engine.view.list_checked_at = max(engine.view.list_checked_at, asked_at)
-    for flow, flow_lookup in list(engine.lookups.items()):
-        if flow_lookup.awaits_list_check:
-            _continue_lookup(engine, flow, flow_lookup, now=now)
+    _continue_checked(engine, now=now)
+
+
+def _continue_checked(engine: balancer_state.Engine, *, now: float) -> None:
+    """Continue lookups for which the list has been checked, up to the limit.
+
+    They collect while the store does not answer, and all at once would delay the
+    packets of other flows. The rest is continued by the next ticks.
+    """
+    checked = [
+        (flow, flow_lookup)
+        for flow, flow_lookup in engine.lookups.items()
+        if flow_lookup.awaits_list_check
+        and lookup.is_list_checked(flow_lookup, engine.view)
+    ]
+    for flow, flow_lookup in checked[: balancer_state.MAX_ACTIVE_LOOKUPS]:
+        _continue_lookup(engine, flow, flow_lookup, now=now)
 
 
 def handle_held(
--- a/plantainproxy/flows/engine/lookup.py
+++ b/plantainproxy/flows/engine/lookup.py
@@ -193,6 +193,11 @@
     return now < flow_lookup.next_delivery_at < float("inf")
 
 
+def is_list_checked(flow_lookup: Lookup, view: upstreams.View) -> bool:
+    """Return whether the list of sidecars is newer than the lookup."""
+    return view.list_checked_at >= flow_lookup.started_at
+
+
 def buffer(flow_lookup: Lookup, packet: packets.Packet, *, now: float) -> None:
     """Buffer a packet until the lookup ends; drop it if the buffer is full."""
     flow_lookup.newest_packet_at = now
@@ -552,9 +557,9 @@
     ]
     is_over = _has_timed_out(flow_lookup, now)
     all_denied = not possible
-    is_list_checked = view.list_checked_at >= flow_lookup.started_at
-    flow_lookup.awaits_list_check = all_denied and not is_list_checked
-    if all_denied and is_list_checked:
+    has_newer_list = is_list_checked(flow_lookup, view)
+    flow_lookup.awaits_list_check = all_denied and not has_newer_list
+    if all_denied and has_newer_list:
         is_over |= now >= view.complete_at and upstreams.is_converged(view, now=now)
     running = [
         address
@@ -574,7 +579,7 @@
             upstreams.is_restarting(upstream) for upstream in view.upstreams.values()
         ),
         away=_count_away(flow_lookup, view, now),
-        is_list_checked=is_list_checked,
+        is_list_checked=has_newer_list,
     )
 
 
--- a/plantainproxy/flows/tests/test_list_checks.py
+++ b/plantainproxy/flows/tests/test_list_checks.py
@@ -86,6 +86,24 @@
     assert flow_lookups.awaits_list_check(harness.engine)
 
 
+def test_lookups_that_have_waited_for_the_list_end_some_at_a_time() -> None:
+    """Guards against a balancer that serves nothing else when the store returns."""
+    harness = _balancer_without_store()
+    count = balancer_state.MAX_ACTIVE_LOOKUPS + 10
+    flows = [transparent.flow_key(number) for number in range(10, 10 + count)]
+    for flow in flows:
+        _deny(harness, flow)
+        harness.tick(0.001)
+        _deny(harness, flow)
+    assert set(harness.engine.lookups) == set(flows)
+    flow_lookups.handle_list_checked(
+        harness.engine, asked_at=harness.now, now=harness.now
+    )
+    assert len(harness.port.resets) == balancer_state.MAX_ACTIVE_LOOKUPS
+    harness.tick(0.04)
+    assert {packet.flow for packet in harness.port.resets} == set(flows)
+
+
 def test_lookups_that_wait_for_the_list_leave_room_for_others() -> None:
     """Guards against open flows that are not looked up while the store is down."""
     harness = _balancer_without_store()
