--- a/review/11/case.py
+++ b/review/11/case.py
@@ -7,7 +7,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2]))
 
-from review.common3 import ends, site as sites
+from review.common3 import ends
+from review.common3 import site as sites
 
 ZONES = ("rimouski", "matane", "riviere-du-loup")
 EDGE_ZONES = ("rimouski", "rimouski", "matane", "riviere-du-loup")
@@ -21,8 +22,9 @@
 RESTART_AFTER_SECONDS = 2.3
 RESTART_BEFORE_HEARTBEAT_SECONDS = 0.3
 """The node's process is away when the next heartbeat is due."""
-LEAVE_AFTER_START_SECONDS = 0.4
-"""Time from the start of the node's next process until its host deregisters."""
+AWAY_SECONDS = 0.3
+"""Time from the end of the node's process to the start of the next one."""
+REQUESTS_BEFORE_END_SECONDS = 0.1
 FLOWS_IN_USE = 5
 """Requests in progress when the host deregisters: one for each of its slots."""
 
@@ -66,23 +68,11 @@
     )
 
 
-async def case(site: sites.Site, is_disrupted: bool) -> int:
-    """Play the case; return the number of flows that were reset."""
-    await start_site(site)
-    broken: list[ends.ClientFlow] = []
-
-    def check_reset(flow: ends.ClientFlow) -> None:
-        for host in site.hosts.values():
-            held = host.flows.get(flow.key)
-            if host.is_alive and held is not None and held.is_open:
-                site.record.write("FLOW broken", flow=flow.key, host=host.name)
-                broken.append(flow)
-
+async def open_flows(site: sites.Site) -> list[ends.ClientFlow]:
+    """Open flows from one client in each zone."""
     clients = [
         await site.add_client(number + 1, zone) for number, zone in enumerate(ZONES)
     ]
-    for client in clients:
-        client.on_reset = check_reset
     flows = [clients[number % len(clients)].new_flow(ROUTE) for number in range(FLOWS)]
     opened = 0
     for flow in flows:
@@ -90,26 +80,63 @@
         await asyncio.sleep(0.02)
     if opened < FLOWS:
         raise sites.CannotRunError(f"only {opened} flows could be opened")
-    await asyncio.sleep(3.0)
-    leaving = site.hosts["side-0"]
-    on_leaving = [flow for flow in flows if flow.key in leaving.flows]
-    leaving.state = "draining"
-    while not await leaving.send_heartbeat():
+    return flows
+
+
+def count_resets(
+    site: sites.Site, flows: list[ends.ClientFlow]
+) -> list[ends.ClientFlow]:
+    """Return a list that gets each flow that is reset while its host holds it."""
+    broken: list[ends.ClientFlow] = []
+
+    def check_reset(flow: ends.ClientFlow) -> None:
+        for host in site.hosts.values():
+            held = host.flows.get(flow.key)
+            if host.is_alive and held is not None and held.is_open:
+                site.record.write("FLOW broken", flow=flow.key, host=host.name)
+                broken.append(flow)
+
+    for flow in flows:
+        flow.client.on_reset = check_reset
+    return broken
+
+
+async def announce_end(host: ends.Host) -> float:
+    """Report that a host is draining; return when this was acknowledged."""
+    host.state = "draining"
+    while not await host.send_heartbeat():
         await asyncio.sleep(0.1)
-    acknowledged_at = time.monotonic()
+    return time.monotonic()
+
+
+async def wait_for_restart(host: ends.Host) -> None:
+    """Wait until the host's next heartbeat will find no process of its node."""
     await asyncio.sleep(RESTART_AFTER_SECONDS)
-    due_in = leaving.next_heartbeat_at - time.monotonic()
+    due_in = host.next_heartbeat_at - time.monotonic()
     if due_in < RESTART_BEFORE_HEARTBEAT_SECONDS:
-        due_in += leaving.heartbeat_seconds
+        due_in += host.heartbeat_seconds
     await asyncio.sleep(due_in - RESTART_BEFORE_HEARTBEAT_SECONDS)
+
+
+async def case(site: sites.Site, is_disrupted: bool) -> int:
+    """Play the case; return the number of flows that were reset."""
+    await start_site(site)
+    flows = await open_flows(site)
+    broken = count_resets(site, flows)
+    await asyncio.sleep(3.0)
+    leaving = site.hosts["side-0"]
+    on_leaving = [flow for flow in flows if flow.key in leaving.flows]
+    acknowledged_at = await announce_end(leaving)
+    await wait_for_restart(leaving)
     if is_disrupted:
-        await site.stop_and_start(site.nodes["side-0"])
-    await asyncio.sleep(LEAVE_AFTER_START_SECONDS - 0.1)
+        node = site.nodes["side-0"]
+        await site.stop_and_start(node, away_seconds=AWAY_SECONDS)
+        await site.wait_until_ready(node, 3.0)
     requests = [
         asyncio.create_task(flow.request(f"push-{number}", deadline=DEADLINE_SECONDS))
         for number, flow in enumerate(on_leaving[:FLOWS_IN_USE])
     ]
-    await asyncio.sleep(0.1)
+    await asyncio.sleep(REQUESTS_BEFORE_END_SECONDS)
     served = time.monotonic() - acknowledged_at
     site.record.write("leaves", host=leaving.name, seconds_after_ack=round(served, 3))
     running = leaving.running
@@ -119,7 +146,7 @@
         f"{running} requests ran when the port was closed; outcomes: "
         f"{sorted(outcomes)}; {len(broken)} flows reset while their host held them"
     )
-    if running < 1:
+    if not running:
         raise sites.CannotRunError("no request reached the host before it left")
     return len(broken)
 
--- a/review/common3/ends.py
+++ b/review/common3/ends.py
@@ -146,8 +146,6 @@
         self.running = 0
         """Requests that are being worked on."""
         self.is_alive = False
-        self.arrivals: list[tuple[float, Key, bool]] = []
-        """Time, flow and whether it was held, of each packet that is no opening."""
 
     async def start(self) -> None:
         """Start a new incarnation."""
@@ -241,38 +239,34 @@
     def _receive(self, raw: bytes, sender: End) -> None:
         packet = decode(raw)
         key = (packet.src, packet.dst)
-        flow = self.flows.get(key)
         if packet.flags & (SYN | ACK) == SYN:
-            if flow is None:
-                seq = random.getrandbits(30)
-                flow = self.flows[key] = HostFlow(seq + 1, packet.seq + 1)
-            if not flow.is_open:
-                self._reply(key, SYN | ACK, seq=flow.seq - 1, ack=flow.expected)
+            self._accept(key, packet)
             return
-        if flow is not None and not flow.is_open:
-            if packet.ack == flow.seq & MASK:
-                flow.is_open = True
-                self.record("open at host", host=self.name, flow=key)
-        is_held = flow is not None and flow.is_open
-        self.arrivals.append((time.monotonic(), key, is_held))
+        flow = self.flows.get(key)
+        if flow is not None and not flow.is_open and packet.ack == flow.seq & MASK:
+            flow.is_open = True
+            self.record("open at host", host=self.name, flow=key)
         if flow is None or not flow.is_open:
             self._send(bytes((raw[0] | BOUNCED, 0, 0, 0)) + raw[4:])
-            return
-        if packet.flags & RST:
-            del self.flows[key]
-            return
-        if packet.flags & FIN:
-            self._reply(key, FIN | ACK, seq=flow.seq, ack=packet.seq + 1)
+        elif packet.flags & (FIN | RST):
+            if packet.flags & FIN:
+                self._reply(key, FIN | ACK, seq=flow.seq, ack=packet.seq + 1)
             del self.flows[key]
-            return
-        if not packet.data:
-            return
-        if packet.seq == flow.expected & MASK:
+        elif packet.data and packet.seq == flow.expected & MASK:
             flow.expected += len(packet.data)
             self._run(self._work(key, flow, packet))
-        elif flow.last_reply:
+        elif packet.data and flow.last_reply:
             self._send(flow.last_reply)
 
+    def _accept(self, key: Key, packet: Packet) -> None:
+        """Answer an opening packet, also a copy, until the flow is open."""
+        flow = self.flows.get(key)
+        if flow is None:
+            seq = random.getrandbits(30)
+            flow = self.flows[key] = HostFlow(seq + 1, packet.seq + 1)
+        if not flow.is_open:
+            self._reply(key, SYN | ACK, seq=flow.seq - 1, ack=flow.expected)
+
     async def _work(self, key: Key, flow: HostFlow, packet: Packet) -> None:
         request_id = packet.data.split(b"Request-Id: ")[1].split(b"\r\n")[0].decode()
         self.record("run", host=self.name, service=self.service, request=request_id)
@@ -286,9 +280,7 @@
             f"{zlib.crc32(body):08x}\r\nContent-Length: {len(body)}\r\n\r\n"
         )
         data = head.encode() + body
-        raw = encode(
-            ACK, key[1], key[0], seq=flow.seq, ack=flow.expected, data=data
-        )
+        raw = encode(ACK, key[1], key[0], seq=flow.seq, ack=flow.expected, data=data)
         flow.seq += len(data)
         flow.last_reply = raw
         self._send(raw)
@@ -386,7 +378,7 @@
     async def open(self) -> bool:
         """Open the flow; return whether a host has accepted it."""
         started_at = time.monotonic()
-        for number, at in enumerate(SYN_TIMES_SECONDS):
+        for number, _at in enumerate(SYN_TIMES_SECONDS):
             self.send(SYN, ack=number)
             times = (*SYN_TIMES_SECONDS, SYN_TIMEOUT_SECONDS)
             until = started_at + times[number + 1]
--- a/review/common3/http_io.py
+++ b/review/common3/http_io.py
@@ -95,7 +95,7 @@
         """Send a request; return the response's status, or 0 without a response."""
         try:
             return await asyncio.wait_for(self._call(method, path, body), timeout)
-        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+        except (TimeoutError, OSError, asyncio.IncompleteReadError):
             self.close()
             return 0
 
--- a/review/common3/site.py
+++ b/review/common3/site.py
@@ -243,6 +243,19 @@
         self.run(node)
         self.record.write("started", node=node.name)
 
+    async def wait_until_ready(self, node: Node, seconds: float) -> None:
+        """Wait until a process answers the platform's probe with 200."""
+        ends_at = time.monotonic() + seconds
+        while time.monotonic() < ends_at:
+            client = http_io.Client(node.ip, self.ports["ready"])
+            status = await client.call("GET", "/v1/readyz", timeout=0.5)
+            client.close()
+            if status == 200:
+                self.record.write("ready", node=node.name)
+                return
+            await asyncio.sleep(0.02)
+        raise CannotRunError(f"{node.name} is not ready after {seconds:g} s")
+
     async def wait_until(
         self, what: str, seconds: float, is_true: abc.Callable[[], bool]
     ) -> None:
@@ -304,7 +317,7 @@
             if keep:
                 for log in pathlib.Path(folder).glob("*.log"):
                     (pathlib.Path(keep) / log.name).write_bytes(log.read_bytes())
-    except (CannotRunError, OSError, asyncio.TimeoutError) as error:
+    except (TimeoutError, CannotRunError, OSError) as error:
         record.write("could not run", error=repr(error))
         print(f"could not run: {error!r}")
         return 2
--- a/review/common3/store.py
+++ b/review/common3/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import time
 import typing
 
@@ -114,10 +115,8 @@
             left = ends_at - time.monotonic()
             if events or left <= 0:
                 return 200, {"events": events, "store_revision": self.revision}
-            try:
+            with contextlib.suppress(asyncio.TimeoutError):
                 await asyncio.wait_for(self.changed.wait(), left)
-            except asyncio.TimeoutError:
-                pass
 
     def _events(self, prefix: str, after: int) -> list[dict[str, typing.Any]]:
         events = []
