--- a/review/common3/site.py
+++ b/review/common3/site.py
@@ -105,6 +105,11 @@
         self.hosts: dict[str, ends.Host] = {}
         self.tasks: list[asyncio.Task[None]] = []
         self.version = 0
+        self.store_hosts: dict[str, str] = {}
+        """Address of the store for instances that it may turn away, by name."""
+        self.turned_away: set[str] = set()
+        """Names of the instances whose calls the store doesn't answer."""
+        self.never = asyncio.Event()
 
     async def start(self) -> None:
         """Start the store and the routers."""
@@ -114,6 +119,23 @@
         self.tasks.append(loop.create_task(self.store.expire_leases()))
         self.tasks.append(loop.create_task(self.router.probe()))
 
+    async def open_store(self, name: str) -> None:
+        """Give an instance an address of the store that may fall silent for it."""
+
+        async def handle(
+            method: str, path: str, query: dict[str, str], body: typing.Any
+        ) -> http_io.Answer:
+            if name in self.turned_away:
+                await self.never.wait()
+            answer = await self.store.handle(method, path, query, body)
+            if name in self.turned_away:
+                await self.never.wait()
+            return answer
+
+        host = self.ip(200, len(self.store_hosts) + 1)
+        self.store_hosts[name] = host
+        await http_io.serve(host, self.ports["store"], handle)
+
     def ip(self, third: int, fourth: int) -> str:
         """Return an address of the site's network."""
         return f"127.{self.network}.{third}.{fourth}"
@@ -144,7 +166,7 @@
             "hash": "mod",
             "deployment_mode": "agent",
             "platform": {
-                "addr": f"127.0.0.1:{ports['store']}",
+                "addr": f"{self.store_hosts.get(name, '127.0.0.1')}:{ports['store']}",
                 "writes_per_s": 400,
                 "reads_per_s": 2000,
                 "history_s": 20,
