--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,6 +1,7 @@
 """Planned work: a node beside a host that leaves is restarted just before the end."""
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -152,4 +153,7 @@
 
 
 if __name__ == "__main__":
-    sys.exit(sites.main(pathlib.Path(__file__).resolve().parent, case))
+    # TROUBLE=0 plays the case without its disruption.
+    is_disrupted = os.environ.get("TROUBLE", "1") != "0"
+    folder = pathlib.Path(__file__).resolve().parent
+    sys.exit(sites.main(folder, case, is_disrupted=is_disrupted))
--- a/review/common3/site.py
+++ b/review/common3/site.py
@@ -318,10 +318,9 @@
 """Plays a case with or without its disruption; returns the number of violations."""
 
 
-def main(case_folder: pathlib.Path, case: Case) -> int:
+def main(case_folder: pathlib.Path, case: Case, *, is_disrupted: bool) -> int:
     """Play a case; return 1 if the rule was broken, 0 if not, 2 if it could not run."""
     record = Record(case_folder / "record.txt")
-    is_disrupted = os.environ.get("TROUBLE", "1") != "0"
     record.write("case", disrupted=is_disrupted)
 
     async def play(folder: pathlib.Path) -> int:
