Sidecar: a deregistration before the first heartbeat counts

Callers saw: a sidecar was restarted as planned beside an upstream that was about to leave. When the upstream deregistered and closed its port, all its flows were reset, although it still ran five requests that must not be repeated. Their answers were lost.

Cause: the new process has no heartbeat yet. It acknowledged the deregistration, but `mark_draining` compares the instance with that of the newest heartbeat and dropped the call. The closed port then counted as a crash, as it does in any state but draining.

The new process writes "upstream state: gone, connection refused" and "flows reset" 1 ms after it answered the deregistration with 200, and nothing in between. A deregistration that is ignored writes a line from now on.

Change: before the first heartbeat, a deregistration of any instance marks the upstream as draining, so that the closed port starts the grace period. The first heartbeat of an incarnation that started after this process ends that state and resets the flows of the one before.

Why it works: an upstream announces its end some seconds ahead, so one that deregisters before its first heartbeat here started before this process did. Whatever started later is another incarnation.

--- a/plantainproxy/flows/engine/upstream.py
+++ b/plantainproxy/flows/engine/upstream.py
@@ -59,15 +59,16 @@
 
 
 def mark_draining(status: UpstreamStatus, instance: str) -> bool:
-    """Mark a ready upstream as draining; return whether its state has changed.
+    """Mark an upstream that leaves as draining; return whether its state has changed.
 
-    Ignores an instance other than that of the newest heartbeat. A draining upstream
-    holds its open flows until its process has ended.
+    Ignores an instance other than that of the newest heartbeat. Before the first one,
+    any instance counts, as the upstream may leave soon after the start of this process.
+    A draining upstream holds its open flows until its process has ended.
     """
     newest = status.newest
-    if newest is None or newest.instance != instance:
+    if newest is not None and newest.instance != instance:
         return False
-    if status.state is not messages.UpstreamState.READY:
+    if status.state in (messages.UpstreamState.DRAINING, messages.UpstreamState.GONE):
         return False
     status.state = messages.UpstreamState.DRAINING
     return True
--- a/plantainproxy/flows/engine/upstream_events.py
+++ b/plantainproxy/flows/engine/upstream_events.py
@@ -33,11 +33,11 @@
     state_before = engine.upstream.state
     if before is None or heartbeat.born > before.born:
         engine.drain_deadline = None
-    if (
-        upstream.record_heartbeat(engine.upstream, heartbeat, now=now)
-        and before is not None
-    ):
-        _handle_new_incarnation(engine, heartbeat, before, state_before, now=now)
+    if upstream.record_heartbeat(engine.upstream, heartbeat, now=now):
+        if before is not None:
+            _handle_new_incarnation(engine, heartbeat, before, state_before, now=now)
+        elif state_before is messages.UpstreamState.DRAINING:
+            _handle_first_after_deregistration(engine, heartbeat)
     if engine.upstream.state is not state_before:
         engine.log.write(
             "upstream state",
@@ -84,16 +84,36 @@
     engine.table.complete = True
 
 
+def _handle_first_after_deregistration(
+    engine: sidecar_state.Engine, heartbeat: upstream.Heartbeat
+) -> None:
+    """Reset the flows of an upstream that left before it sent a heartbeat.
+
+    An upstream that announces its end runs for longer than this process has. One that
+    started later is therefore the next incarnation, and has opened no flow, as a
+    draining upstream gets none.
+    """
+    if heartbeat.born < engine.identity.boot:
+        return
+    _reset_all_flows(engine, reason="upstream restarted")
+    engine.table.complete = True
+
+
 def handle_deregistration(
     engine: sidecar_state.Engine, instance: str, *, now: float
 ) -> None:
     """Mark the upstream as draining: it has announced that it is about to end."""
+    state_before = engine.upstream.state
     if not upstream.mark_draining(engine.upstream, instance):
+        engine.log.write_limited(
+            "deregistration ignored", instance=instance, state=state_before
+        )
         return
     engine.log.write(
         "upstream state",
         instance=instance,
         state=engine.upstream.state,
+        before=state_before,
         reason="upstream leaves",
     )
     held_requests.release_held(engine, now=now)
--- a/plantainproxy/flows/tests/test_flow_resets.py
+++ b/plantainproxy/flows/tests/test_flow_resets.py
@@ -1,5 +1,7 @@
 """Orders of events in which flows of a running upstream are reset or denied."""
 
+import pytest
+
 from plantainproxy.flows import messages, packets
 from plantainproxy.flows.engine import upstream_events
 from testbed import transparent
@@ -129,3 +131,65 @@
         sidecar.handle_heartbeat(number, born=sidecar.engine.identity.boot - 1)
         sidecar.tick(HEARTBEAT_SECONDS)
     assert not sidecar.engine.table.complete
+
+
+def _restarted_sidecar() -> transparent.SidecarHarness:
+    """Return a sidecar that has just started beside an upstream with an open flow."""
+    sidecar = transparent.SidecarHarness()
+    sidecar.apply_policy(transparent.make_policy(1))
+    sidecar.apply_snapshot({KEY: 42})
+    return sidecar
+
+
+@pytest.mark.parametrize("is_healthy", [False, True])
+def test_an_upstream_that_leaves_before_its_first_heartbeat_keeps_its_flows(
+    is_healthy: bool,
+) -> None:
+    """Guards against resets of flows that a leaving upstream still serves.
+
+    The sidecar was restarted, and the upstream deregisters and stops listening before
+    its next heartbeat is due (review/11).
+    """
+    sidecar = _restarted_sidecar()
+    if is_healthy:
+        upstream_events.handle_health_check_passed(sidecar.engine, now=sidecar.now)
+    upstream_events.handle_deregistration(sidecar.engine, "i-1", now=sidecar.now)
+    upstream_events.handle_connection_refused(sidecar.engine, now=sidecar.now)
+    sidecar.tick(upstream_events.DRAIN_GRACE_SECONDS / 2)
+    assert sidecar.engine.upstream.state is messages.UpstreamState.DRAINING
+    assert sidecar.port.resets == []
+    sidecar.tick(upstream_events.DRAIN_GRACE_SECONDS)
+    assert sidecar.port.resets == [KEY]
+
+
+def test_the_incarnation_after_one_that_left_unseen_is_served() -> None:
+    """Guards against the state of an upstream that left and outlives its incarnation.
+
+    The flows of the earlier incarnation are reset as soon as the next one is known.
+    """
+    sidecar = _restarted_sidecar()
+    sidecar.handle_inbound(DATA)
+    upstream_events.handle_deregistration(sidecar.engine, "i-1", now=sidecar.now)
+    upstream_events.handle_connection_refused(sidecar.engine, now=sidecar.now)
+    sidecar.handle_heartbeat(1, born=sidecar.engine.identity.boot + 2_000)
+    assert sidecar.engine.upstream.state is messages.UpstreamState.READY
+    assert sidecar.port.resets == [KEY]
+    other = transparent.flow_key(2)
+    sidecar.open(other)
+    sidecar.tick(2 * upstream_events.DRAIN_GRACE_SECONDS)
+    assert sidecar.port.resets == [KEY]
+
+
+def test_a_late_deregistration_resets_no_flow_of_the_running_upstream() -> None:
+    """Guards against resets by a deregistration of an incarnation that ended before.
+
+    The next one started before this sidecar process, which has no heartbeat of it yet.
+    """
+    sidecar = transparent.SidecarHarness()
+    sidecar.apply_policy(transparent.make_policy(1))
+    born = sidecar.engine.identity.boot - 1
+    sidecar.apply_snapshot({KEY: 42}, born=born)
+    upstream_events.handle_deregistration(sidecar.engine, "i-0", now=sidecar.now)
+    sidecar.handle_heartbeat(9, born=born)
+    assert sidecar.engine.upstream.state is messages.UpstreamState.READY
+    assert sidecar.port.resets == []
