Sidecar: an unknown state is no evidence of a crash

Callers saw: flows of an upstream that was about to leave were reset while it still served their last requests, if its sidecar had been restarted and the deregistration found no process. The same happened if the sidecar started just after the upstream had closed its port: the grace period that begins with the first refused attempt was cut off by the second one, 0.25 s later.

Cause: a refused connection counted as a crash in any state but draining. A process that has just started does not know the state until the first heartbeat or health check.

A connection that is accepted ends it, so that the next incarnation does not end with the grace period of the one before; before, only a heartbeat did.

Why it works: an upstream announces its end 3 s or more before it stops listening, so one that was ready less than 2 s ago has crashed. Where nothing is known, flows are kept for the second for which a leaving upstream may still answer.

--- a/plantainproxy/flows/engine/sidecar_state.py
+++ b/plantainproxy/flows/engine/sidecar_state.py
@@ -91,8 +91,12 @@
         self.slow_start_limiter = slow_start_limiter
         self.outlier_detector = outlier_detection.OutlierDetector()
         self.speed = upstream_speed.Measurement()
-        self.drain_deadline: float | None = None
-        """When a draining upstream that no longer listens counts as ended."""
+        self.exit_deadline: float | None = None
+        """When an upstream that no longer listens, and may still serve its last flows,
+        counts as ended."""
+        self.ready_until = float("-inf")
+        """Until when an upstream of unknown state counts as ready if it refuses a
+        connection: it was ready at the planned stop of the process before."""
         self.suspect_flows = suspect_flows.SuspectFlows()
         self.unlisted_flows: dict[bytes, unlisted_flows.Delivery] = {}
         """Deliveries of flows that the table does not show, by flow."""
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -333,6 +333,9 @@
 
 
 async def _monitor_upstream(process: SidecarProcess) -> None:
+    def handle_connected() -> None:
+        upstream_events.handle_connected(process.engine)
+
     def handle_refused() -> None:
         upstream_events.handle_connection_refused(
             process.engine, now=runtime.current_time()
@@ -353,6 +356,7 @@
     await upstream_monitor.monitor(
         process.settings.upstream_address,
         upstream_monitor.Callbacks(
+            on_connected=handle_connected,
             on_refused=handle_refused,
             on_healthy=handle_health_check_passed,
             on_not_listening=handle_not_listening,
--- a/plantainproxy/flows/programs/upstream_monitor.py
+++ b/plantainproxy/flows/programs/upstream_monitor.py
@@ -27,6 +27,8 @@
 class Callbacks(msgspec.Struct, frozen=True, kw_only=True):
     """Functions that the monitor calls on changes of the upstream."""
 
+    on_connected: abc.Callable[[], None]
+    """A connection was accepted: the upstream listens."""
     on_refused: abc.Callable[[], None]
     """A connection was refused, other than in the monitor's first attempt."""
     on_healthy: abc.Callable[[], None]
@@ -70,6 +72,7 @@
             await runtime.sleep(RETRY_INTERVAL_SECONDS)
             continue
         is_first = False
+        callbacks.on_connected()
         with contextlib.closing(stream):
             async with runtime.open_task_group() as group:
                 group.start_soon(_check_health, address, callbacks, health_path)
--- a/plantainproxy/flows/stored/flow_record.py
+++ b/plantainproxy/flows/stored/flow_record.py
@@ -45,6 +45,9 @@
     stopped_at: _decoding.Amount | None = None
     """Time of the planned stop in seconds since the start of the machine. Earlier
     releases do not state it."""
+    is_ready: bool = False
+    """Whether the upstream was ready at the planned stop, so that it had not announced
+    its end. Earlier releases do not state it."""
 
 
 def key_of(host: str) -> str:
--- a/plantainproxy/flows/stored/flow_snapshot.py
+++ b/plantainproxy/flows/stored/flow_snapshot.py
@@ -52,6 +52,10 @@
 snapshot; above the time that a restart takes. A process that the store has not
 confirmed admits no flow for as long after its start: nothing but the age of the final
 snapshot shows the one after it that another process may have served."""
+READY_STATE_SECONDS = 2.0
+"""How long after a planned stop the next process takes an upstream that was ready for
+one that has announced no end. Below the time from an upstream's announcement until it
+stops listening."""
 HANDOVER_WRITES = 2
 """Maximum number of these writes: a relay or an unanswered write may have changed the
 stored snapshot's revision before the first one."""
@@ -129,6 +133,12 @@
             closed=previous.closed,
             now=runtime.current_time(),
         )
+        ready_seconds = _ready_seconds(writer, previous)
+        if ready_seconds > 0:
+            now = runtime.current_time()
+            upstream_events.inherit_ready_state(
+                engine, until=now + ready_seconds, now=now
+            )
         if is_handover:
             await _complete_table(writer, engine)
     writer.era = writer.registration.era
@@ -261,6 +271,19 @@
     )
 
 
+def _ready_seconds(
+    writer: FlowSnapshotWriter, previous: flow_record.FlowSnapshot
+) -> float:
+    """Return for how long the state of a ready upstream at the stop still counts."""
+    if not previous.is_ready or previous.stopped_at is None:
+        return 0.0
+    elapsed_seconds = writer.boot_clock() - previous.stopped_at
+    if elapsed_seconds < 0:
+        # The machine has been started again since.
+        return 0.0
+    return READY_STATE_SECONDS - elapsed_seconds
+
+
 async def _complete_table(
     writer: FlowSnapshotWriter, engine: sidecar_state.Engine
 ) -> None:
@@ -405,6 +428,7 @@
         era=era,
         is_stop=True,
         stopped_at=stopped_at,
+        is_ready=engine.upstream.state is messages.UpstreamState.READY,
     )
 
 
--- a/plantainproxy/flows/tests/test_upstream_monitor.py
+++ b/plantainproxy/flows/tests/test_upstream_monitor.py
@@ -42,6 +42,7 @@
                 await upstream_monitor.monitor(
                     address,
                     upstream_monitor.Callbacks(
+                        on_connected=lambda: None,
                         on_refused=lambda: reported.append("refused"),
                         on_healthy=lambda: reported.append("healthy"),
                         on_not_listening=lambda: reported.append("not listening"),
@@ -76,3 +77,35 @@
         return await _monitor(monkeypatch, number, is_first=is_first)
 
     assert loop.run(run) == []
+
+
+def test_an_upstream_that_listens_again_is_reported() -> None:
+    """Guards against a grace period that ends the next upstream at the address."""
+    reported: list[str] = []
+
+    async def run() -> None:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            address = _types.Address(*probe.getsockname())
+        callbacks = upstream_monitor.Callbacks(
+            on_connected=lambda: reported.append("connected"),
+            on_refused=lambda: reported.append("refused"),
+            on_healthy=lambda: None,
+            on_not_listening=lambda: reported.append("not listening"),
+            on_failed=lambda error: None,
+        )
+        async with runtime.open_task_group() as group:
+
+            async def watch() -> None:
+                await upstream_monitor.monitor(
+                    address, callbacks, health_path=lambda: None
+                )
+
+            group.start_soon(watch)
+            await runtime.sleep(1.5 * upstream_monitor.RETRY_INTERVAL_SECONDS)
+            with socket.create_server(address):
+                await runtime.sleep(1.5 * upstream_monitor.RETRY_INTERVAL_SECONDS)
+            group.cancel_scope.cancel()
+
+    loop.run(run)
+    assert reported == ["not listening", "refused", "connected"]
--- a/standins/flow_ends.py
+++ b/standins/flow_ends.py
@@ -133,6 +133,8 @@
         self.heartbeat_seconds = heartbeat_seconds
         self.draining = False
         self.cancel_scope = trio.CancelScope()
+        self.heartbeat_scope = trio.CancelScope()
+        self.listening_scope = trio.CancelScope()
         self.half_open: dict[FlowKey, int] = {}
         """Initial sequence number of each opening, by caller and service address."""
         self.flows: dict[FlowKey, int] = {}
@@ -152,6 +154,14 @@
         """Stop immediately, without draining or a final heartbeat."""
         self.cancel_scope.cancel()
 
+    def stop_heartbeats(self) -> None:
+        """Send no further heartbeats."""
+        self.heartbeat_scope.cancel()
+
+    def stop_listening(self) -> None:
+        """Refuse connections, as an upstream that serves its last flows does."""
+        self.listening_scope.cancel()
+
     async def run(self) -> None:
         """Serve packets and health checks and send heartbeats until cancelled."""
         with (
@@ -160,7 +170,7 @@
         ):
             await udp_socket.bind(self.address)
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(_http_server.serve, self.address, self._health)
+                nursery.start_soon(self._listen)
                 nursery.start_soon(self._send_heartbeats)
                 try:
                     while True:
@@ -171,10 +181,18 @@
                 finally:
                     self.ended_at = trio.current_time()
 
+    async def _listen(self) -> None:
+        with self.listening_scope:
+            await _http_server.serve(self.address, self._health)
+
     def _health(self, request: _http_server.Request) -> _http_server.Response:
         return _http_server.Response(503 if self.draining else 200, b"{}")
 
     async def _send_heartbeats(self) -> None:
+        with self.heartbeat_scope:
+            await self._send_heartbeats_forever()
+
+    async def _send_heartbeats_forever(self) -> None:
         for heartbeat_sequence in itertools.count(1):
             body = {
                 "service": self.service,
--- a/tests/test_flow_site.py
+++ b/tests/test_flow_site.py
@@ -10,6 +10,7 @@
 import trio
 
 from plantainproxy.flows.engine import upstreams
+from plantainproxy.flows.programs import upstream_monitor
 from standins import flow_ends
 from testbed import flow_site
 
@@ -18,6 +19,8 @@
 """Time from the start of a process in which it ends its imports, on a busy machine."""
 AWAY_SECONDS = upstreams.SHORT_LOSS_TIMEOUT_SECONDS + 0.6
 """Time from the end of a stopped sidecar to its next start."""
+DRAINING_SECONDS = 0.6
+"""Time in which an upstream that drains sends several heartbeats."""
 COMPLETE_SECONDS = 1.0
 """Time in which a sidecar that is ready has registered and has a complete table."""
 
@@ -121,6 +124,33 @@
     _run_on_site(tmp_path, 60, check, upstreams=1)
 
 
+def test_a_leaving_upstream_answers_after_a_restart_of_its_sidecar(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against resets of flows whose upstream has stopped listening to leave.
+
+    It announced that to the sidecar process before, and sends the new one no heartbeat
+    (review/11, with a lost deregistration).
+    """
+
+    async def check(site: flow_site.Site) -> None:
+        (node,), (upstream,) = site.sidecars, site.upstreams
+        async with flow_ends.open_flow(site.caller(), flow_site.SERVICE) as flow:
+            assert await flow.request(b"before") == b"before"
+            upstream.draining = True
+            await trio.sleep(DRAINING_SECONDS)
+            upstream.stop_heartbeats()
+            node.signal(signal.SIGTERM)
+            assert await node.wait() == 0
+            site.start(node)
+            await site.wait_until_ready([node])
+            upstream.stop_listening()
+            await trio.sleep(2 * upstream_monitor.RETRY_INTERVAL_SECONDS)
+            assert await flow.request(b"last") == b"last"
+
+    _run_on_site(tmp_path, 61, check, upstreams=1)
+
+
 @pytest.mark.parametrize("draining", [False, True])
 def test_no_flow_is_reset_while_sidecars_restart_slowly(
     tmp_path: pathlib.Path, draining: bool
