Sidecar: a deregistration counts for its own incarnation only

Callers saw, as shown by the engine's tests: an upstream that had started again under its former name got no new flows until its next heartbeat if a late deregistration of the incarnation before arrived, and when it then crashed, its callers waited for the grace period of a leaving upstream. The other way round, a late heartbeat put an upstream that had announced its end to a restarted sidecar back in service, so that its closed port counted as a crash and its flows were reset.

Cause: a deregistration was compared by the name of the instance only, which stays the same over a restart, and its `born` was not read.

Change: the start of the incarnation is read from the body where it is stated. A deregistration of an incarnation before that of the newest heartbeat is ignored. The upstream stays draining until a heartbeat of another incarnation arrives. The body may be empty; one that cannot be read or has a `born` that is no whole number is of another writer and gets status 400, as a heartbeat does.

Why it works: starts order the incarnations of an address, as they do for heartbeats. The comparison with the announced incarnation is one of equality, so that a wrong start in one call has no effect on later ones.

Evidence: both orders of events on the code before: the state after the late deregistration is "draining", and the flow of the second order is reset. The tests test_a_late_deregistration_leaves_the_next_incarnation_ in_service and test_a_late_heartbeat_does_not_end_the_announcement_of_a_ leaving_upstream fail there, as the start cannot be stated.

Test changed: test_reports_a_deregistration also compares the start.

--- a/plantainproxy/flows/engine/upstream.py
+++ b/plantainproxy/flows/engine/upstream.py
@@ -36,6 +36,9 @@
     cold_until: float = float("-inf")
     ended_born: int = -1
     """Start of the latest incarnation that has ended; -1 if none has."""
+    deregistered_born: int | None = None
+    """Start of the incarnation that has announced its end; ``None`` if none has or its
+    start is not known."""
 
 
 def record_heartbeat(
@@ -52,24 +55,31 @@
     status.cold_until = now + heartbeat.cold_seconds
     status.state = (
         messages.UpstreamState.DRAINING
-        if heartbeat.draining
+        if heartbeat.draining or heartbeat.born == status.deregistered_born
         else messages.UpstreamState.READY
     )
     return is_new_incarnation
 
 
-def mark_draining(status: UpstreamStatus, instance: str) -> bool:
-    """Mark an upstream that leaves as draining; return whether its state has changed.
+def mark_draining(status: UpstreamStatus, instance: str, born: int | None) -> bool:
+    """Mark an upstream that leaves as draining; return whether it counts as leaving.
 
-    Ignores an instance other than that of the newest heartbeat. Before the first one,
-    any instance counts, as the upstream may leave soon after the start of this process.
-    A draining upstream holds its open flows until its process has ended.
+    ``born`` is the start of its incarnation, if known. Ignores an incarnation before
+    that of the newest heartbeat, which may have the same name; without a start, another
+    name. Before the first heartbeat, any incarnation counts, as the upstream may leave
+    soon after the start of this process. A draining upstream holds its open flows until
+    its process has ended.
     """
     newest = status.newest
-    if newest is not None and newest.instance != instance:
-        return False
-    if status.state in (messages.UpstreamState.DRAINING, messages.UpstreamState.GONE):
+    if newest is not None:
+        if born is None and newest.instance != instance:
+            return False
+        born = newest.born if born is None else born
+        if born < newest.born:
+            return False
+    if status.state is messages.UpstreamState.GONE:
         return False
+    status.deregistered_born = born
     status.state = messages.UpstreamState.DRAINING
     return True
 
--- a/plantainproxy/flows/engine/upstream_events.py
+++ b/plantainproxy/flows/engine/upstream_events.py
@@ -90,25 +90,35 @@
     """Reset the flows of an upstream that left before it sent a heartbeat.
 
     An upstream that announces its end runs for longer than this process has. One that
-    started later is therefore the next incarnation, and has opened no flow, as a
-    draining upstream gets none.
+    started later and is ready is therefore the next incarnation, and has opened no
+    flow, as a draining upstream gets none.
     """
-    if heartbeat.born < engine.identity.boot:
+    is_leaving = engine.upstream.state is messages.UpstreamState.DRAINING
+    if is_leaving or heartbeat.born < engine.identity.boot:
         return
     _reset_all_flows(engine, reason="upstream restarted")
     engine.table.complete = True
 
 
 def handle_deregistration(
-    engine: sidecar_state.Engine, instance: str, *, now: float
+    engine: sidecar_state.Engine,
+    instance: str,
+    *,
+    born: int | None = None,
+    now: float,
 ) -> None:
-    """Mark the upstream as draining: it has announced that it is about to end."""
+    """Mark the upstream as draining: it has announced that it is about to end.
+
+    ``born`` is the start of the incarnation that is about to end, if it is stated.
+    """
     state_before = engine.upstream.state
-    if not upstream.mark_draining(engine.upstream, instance):
+    if not upstream.mark_draining(engine.upstream, instance, born):
         engine.log.write_limited(
-            "deregistration ignored", instance=instance, state=state_before
+            "deregistration ignored", instance=instance, born=born, state=state_before
         )
         return
+    if engine.upstream.state is state_before:
+        return
     engine.log.write(
         "upstream state",
         instance=instance,
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -302,9 +302,9 @@
             process.engine, heartbeat, now=runtime.current_time()
         )
 
-    def handle_deregistration(instance: str) -> None:
+    def handle_deregistration(instance: str, born: int | None) -> None:
         upstream_events.handle_deregistration(
-            process.engine, instance, now=runtime.current_time()
+            process.engine, instance, born=born, now=runtime.current_time()
         )
 
     def handle_malformed(instance: str, error: Exception) -> None:
--- a/plantainproxy/flows/tests/test_flow_resets.py
+++ b/plantainproxy/flows/tests/test_flow_resets.py
@@ -249,3 +249,38 @@
     sidecar.tick(upstream_events.EXIT_GRACE_SECONDS)
     assert sidecar.port.resets == [KEY]
     assert sidecar.engine.upstream.state is messages.UpstreamState.READY
+
+
+def test_a_late_deregistration_leaves_the_next_incarnation_in_service() -> None:
+    """Guards against an announced end that outlives the incarnation it is about.
+
+    The upstream has started again under the same name, and crashes later.
+    """
+    sidecar = transparent.ready_sidecar()
+    sidecar.handle_heartbeat(1, born=2_000)
+    sidecar.open(KEY)
+    upstream_events.handle_deregistration(
+        sidecar.engine, "i-1", born=1_000, now=sidecar.now
+    )
+    assert sidecar.engine.upstream.state is messages.UpstreamState.READY
+    upstream_events.handle_connection_refused(sidecar.engine, now=sidecar.now)
+    assert sidecar.port.resets == [KEY]
+
+
+def test_a_late_heartbeat_does_not_end_the_announcement_of_a_leaving_upstream() -> None:
+    """Guards against resets of flows that a leaving upstream still serves.
+
+    The sidecar was restarted, and gets a heartbeat from before the announcement last.
+    """
+    sidecar = _restarted_sidecar()
+    upstream_events.handle_deregistration(
+        sidecar.engine, "i-1", born=1_000, now=sidecar.now
+    )
+    sidecar.handle_heartbeat(3, born=1_000)
+    upstream_events.handle_connection_refused(sidecar.engine, now=sidecar.now)
+    assert sidecar.engine.upstream.state is messages.UpstreamState.DRAINING
+    assert sidecar.port.resets == []
+    sidecar.handle_heartbeat(1, born=2_000)
+    assert sidecar.port.resets == [KEY]
+    sidecar.handle_inbound(OPENING)
+    assert sidecar.port.delivered == [OPENING]
--- a/plantainproxy/platform/heartbeats.py
+++ b/plantainproxy/platform/heartbeats.py
@@ -40,7 +40,15 @@
     born: _decoding.Count
 
 
+class DeregistrationMessage(msgspec.Struct):
+    """The fields of a deregistration; its body may be empty."""
+
+    # Start time of the incarnation that ends, Unix time in milliseconds.
+    born: _decoding.Count | None = None
+
+
 _decoder = msgspec.json.Decoder(HeartbeatMessage)
+_deregistration_decoder = msgspec.json.Decoder(DeregistrationMessage | None)
 
 
 def decode(
@@ -81,16 +89,26 @@
     *,
     address: _types.Address,
     on_heartbeat: abc.Callable[[upstream.Heartbeat], bool],
-    on_deregister: abc.Callable[[str], None],
+    on_deregister: abc.Callable[[str, int | None], None],
     on_malformed: abc.Callable[[str, Exception], None],
 ) -> abc.Callable[[_http_server.Request], _http_server.Response]:
     """Return the HTTP handler for heartbeats of the upstream at ``address``.
 
     ``on_heartbeat`` returns whether the heartbeat is meant for this sidecar; if not,
-    the upstream gets status 400. ``on_deregister`` gets the name of the instance, and
-    ``on_malformed`` the one that a heartbeat of another writer states, with the reason.
+    the upstream gets status 400. ``on_deregister`` gets the name of the instance and
+    the start of its incarnation if it is stated, and ``on_malformed`` the name that a
+    call of another writer states, with the reason.
     """
 
+    def handle_deregistration(instance: str, body: bytes) -> _http_server.Response:
+        try:
+            message = _deregistration_decoder.decode(body) if body else None
+        except _decoding.ERRORS as error:
+            on_malformed(instance, error)
+            return BAD_REQUEST
+        on_deregister(instance, message.born if message else None)
+        return OK
+
     def handle(request: _http_server.Request) -> _http_server.Response:
         instance, _, action = request.path.removeprefix(PREFIX).partition("/")
         if request.method != "POST" or not request.path.startswith(PREFIX):
@@ -98,8 +116,7 @@
         if len(instance) > _decoding.MAX_NAME_LENGTH:
             return NOT_FOUND
         if action == DEREGISTER:
-            on_deregister(instance)
-            return OK
+            return handle_deregistration(instance, request.body)
         if action != HEARTBEAT:
             return NOT_FOUND
         heartbeat = decode(
--- a/plantainproxy/platform/tests/test_heartbeats.py
+++ b/plantainproxy/platform/tests/test_heartbeats.py
@@ -26,13 +26,13 @@
 
     def __init__(self, *, accept: bool = True) -> None:
         self.received: list[upstream.Heartbeat] = []
-        self.deregistered: list[str] = []
+        self.deregistered: list[tuple[str, int | None]] = []
         self.malformed: list[str] = []
         self.accept = accept
         self.handle = heartbeats.make_handler(
             address=ADDRESS,
             on_heartbeat=self.handle_heartbeat,
-            on_deregister=self.deregistered.append,
+            on_deregister=lambda *fields: self.deregistered.append(fields),
             on_malformed=lambda instance, error: self.malformed.append(instance),
         )
 
@@ -63,10 +63,32 @@
 
 
 def test_reports_a_deregistration() -> None:
-    """The path contains the name of the instance."""
+    """The path contains the name of the instance; the body may state its start."""
     harness = _Harness()
-    assert harness.post("/v1/instances/i-1/deregister") == 200
-    assert harness.deregistered == ["i-1"]
+    path = "/v1/instances/i-1/deregister"
+    for body in (None, b"", {}, {"zone": 3}):
+        assert harness.post(path, body) == 200
+        assert harness.deregistered.pop() == ("i-1", None)
+    assert harness.post(path, {"born": 1_700_000_000_000}) == 200
+    assert harness.deregistered == [("i-1", 1_700_000_000_000)]
+
+
+@pytest.mark.parametrize(
+    "body",
+    [{"born": "yesterday"}, {"born": -1}, {"born": 2**63}, {"born": 1.5}, [], b"\xff{"],
+)
+def test_a_deregistration_of_another_writer_is_refused(body: object) -> None:
+    """Guards against a running upstream that gets no new flows."""
+    harness = _Harness()
+    assert harness.post("/v1/instances/i-1/deregister", body) == 400
+    assert harness.deregistered == []
+    assert harness.malformed == ["i-1"]
+
+
+def test_a_deeply_nested_deregistration_is_refused() -> None:
+    """Guards against an end of the sidecar by a ``RecursionError``."""
+    body = b'{"more":' + b"[" * 10_000 + b"]" * 10_000 + b"}"
+    assert _Harness().post("/v1/instances/i-1/deregister", body) == 400
 
 
 @pytest.mark.parametrize(
--- a/plantainproxy/platform/tests/test_inputs.py
+++ b/plantainproxy/platform/tests/test_inputs.py
@@ -179,7 +179,7 @@
     handle = heartbeats.make_handler(
         address=_types.Address("10.0.0.1", 1),
         on_heartbeat=lambda heartbeat: True,
-        on_deregister=lambda instance: pytest.fail("deregistered"),
+        on_deregister=lambda instance, born: pytest.fail("deregistered"),
         on_malformed=lambda instance, error: pytest.fail("decoded"),
     )
     path = f"{heartbeats.PREFIX}{'i' * 2_000}/deregister"
