Sidecar: a stop beside an upstream that leaves waits for its last flows

Callers saw: a sidecar that was stopped as planned while its upstream served its last flows ended within 0.1 s, and the answers of those flows were lost. If the sidecar had been started just before, so that it did not know the upstream's state, it also left its entry in the store. Balancers then expected it back for 10 s, and callers of flows that had ended were not told before.

Cause: at a planned stop, an upstream of unknown state counted as one that runs on, and a draining one whose port was closed as one that had ended, although it may still answer.

Change: for both states, a refused connection starts the grace period that it also starts while the process runs, and the process serves until it is over, for 1 s at most. It then resets what is left and removes its entry. An upstream that listens again ends the wait.

Why it works: the stop takes the same decision as the monitor of the upstream, from the same evidence, and waits for its outcome.

Evidence: test_a_sidecar_that_ends_with_its_upstream_serves_the_last_ flows, with real processes: both cases fail without the change (no answer to the last request) and pass with it. The platform stops a node after its host has terminated, so that the wait is mostly over by then.

--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -475,14 +475,18 @@
 async def _ends_with_upstream(process: SidecarProcess) -> bool:
     """Return whether the upstream has ended, so that no sidecar follows this one.
 
-    A draining upstream that still listens keeps its flows, and another process of the
-    sidecar may follow.
+    One that still listens keeps its flows, and another process of the sidecar may
+    follow. One that does not, and may be leaving, is served until it has ended.
     """
-    state = process.engine.upstream.state
-    if state is not messages.UpstreamState.DRAINING:
-        return state is messages.UpstreamState.GONE
-    address = process.settings.upstream_address
-    return await upstream_monitor.refuses_connections(address)
+    engine = process.engine
+    if engine.upstream.state in (
+        messages.UpstreamState.UNKNOWN,
+        messages.UpstreamState.DRAINING,
+    ) and await upstream_monitor.refuses_connections(process.settings.upstream_address):
+        upstream_events.handle_connection_refused(engine, now=runtime.current_time())
+        while engine.exit_deadline is not None:
+            await runtime.sleep(TICK_INTERVAL_SECONDS)
+    return engine.upstream.state is messages.UpstreamState.GONE
 
 
 def _start_tasks(
--- a/tests/test_flow_site.py
+++ b/tests/test_flow_site.py
@@ -11,6 +11,7 @@
 
 from plantainproxy.flows.engine import upstreams
 from plantainproxy.flows.programs import upstream_monitor
+from plantainproxy.flows.stored import registry
 from standins import flow_ends
 from testbed import flow_site
 
@@ -151,6 +152,45 @@
     _run_on_site(tmp_path, 61, check, upstreams=1)
 
 
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_a_sidecar_that_ends_with_its_upstream_serves_the_last_flows(
+    tmp_path: pathlib.Path, is_restarted: bool
+) -> None:
+    """Guards against requests whose answers are lost as the upstream leaves.
+
+    The sidecar is stopped when the upstream no longer listens. A process that had been
+    started just before left its entry, so that callers were not told for 10 s that the
+    flow had ended.
+    """
+
+    async def check(site: flow_site.Site) -> None:
+        (node,), (upstream,) = site.sidecars, site.upstreams
+        async with flow_ends.open_flow(site.caller(), flow_site.SERVICE) as flow:
+            assert await flow.request(b"before") == b"before"
+            upstream.draining = True
+            await trio.sleep(DRAINING_SECONDS)
+            upstream.stop_heartbeats()
+            if is_restarted:
+                node.signal(signal.SIGTERM)
+                assert await node.wait() == 0
+                site.start(node)
+                await site.wait_until_ready([node])
+                await trio.sleep(upstream_monitor.RETRY_INTERVAL_SECONDS)
+            upstream.stop_listening()
+            node.signal(signal.SIGTERM)
+            await trio.sleep(upstream_monitor.RETRY_INTERVAL_SECONDS)
+            assert await flow.request(b"last") == b"last"
+            upstream.crash()
+            with pytest.raises(flow_ends.FlowResetError):
+                await flow.request(b"too late", timeout_seconds=2.0)
+            assert await node.wait() == 0
+            assert not [
+                key for key in site.store.items if key.startswith(registry.PREFIX)
+            ]
+
+    _run_on_site(tmp_path, 62 + is_restarted, check, upstreams=1)
+
+
 @pytest.mark.parametrize("draining", [False, True])
 def test_no_flow_is_reset_while_sidecars_restart_slowly(
     tmp_path: pathlib.Path, draining: bool
