Sidecar: heartbeats that go on put an upstream back in service

Callers saw: fewer upstreams than run. An upstream whose connection was refused once, or that started again after its clock had been set back, stayed "gone" for its sidecar until its next start.

Cause: the end of an incarnation was kept as the start of the latest one that had ended, and heartbeats up to that start were ignored for ever, although the reason, calls that were under way, lasts for a moment only.

Change: while the upstream is gone, heartbeats of one incarnation that go on for 3 s with rising numbers put it back in service. Its flow table is then observed anew, as it may hold flows that were denied meanwhile.

Why it works: an incarnation that has ended sends nothing, so its late heartbeats arrive together. Only an upstream that is gone can return, so that late heartbeats of an earlier incarnation do not end a later one.

Three new tests cover late heartbeats of an ended upstream, those beside a later incarnation, and the flow table. test_flow_machine.py, which repeats old heartbeats, passes.

--- a/plantainproxy/flows/engine/completeness.py
+++ b/plantainproxy/flows/engine/completeness.py
@@ -36,6 +36,12 @@
     return table.complete
 
 
+def restart_observation(table: flow_table.FlowTable) -> None:
+    """Observe again from the next tick on: the upstream may hold unknown flows."""
+    table.complete = False
+    table.observed_until = float("-inf")
+
+
 def inherit(
     table: flow_table.FlowTable,
     flows: abc.Mapping[bytes, int],
--- a/plantainproxy/flows/engine/upstream.py
+++ b/plantainproxy/flows/engine/upstream.py
@@ -4,6 +4,10 @@
 
 from plantainproxy.flows import messages
 
+RETURN_SECONDS = 3.0
+"""How long heartbeats must go on for an upstream to run that seems to have ended. Late
+ones of an incarnation that has ended arrive within a shorter time."""
+
 
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True):
     """A heartbeat that an upstream sent."""
@@ -36,6 +40,11 @@
     cold_until: float = float("-inf")
     ended_born: int = -1
     """Start of the latest incarnation that has ended; -1 if none has."""
+    first_after_end: Heartbeat | None = None
+    """First heartbeat since the upstream has been gone that is not of a later
+    incarnation."""
+    first_after_end_at: float = float("-inf")
+    """When it arrived."""
     deregistered_born: int | None = None
     """Start of the incarnation that has announced its end; ``None`` if none has or its
     start is not known."""
@@ -45,9 +54,12 @@
     status: UpstreamStatus, heartbeat: Heartbeat, *, now: float
 ) -> bool:
     """Apply a heartbeat unless it is stale; return whether it starts an incarnation."""
-    newest = status.newest
     if heartbeat.born <= status.ended_born:
-        return False
+        if not _has_returned(status, heartbeat, now=now):
+            return False
+        status.ended_born, status.newest = -1, None
+    status.first_after_end = None
+    newest = status.newest
     if newest is not None and heartbeat.version <= newest.version:
         return False
     is_new_incarnation = newest is None or heartbeat.born > newest.born
@@ -61,6 +73,23 @@
     return is_new_incarnation
 
 
+def _has_returned(status: UpstreamStatus, heartbeat: Heartbeat, *, now: float) -> bool:
+    """Return whether an upstream runs whose start does not show that it is a later one.
+
+    A connection attempt may have failed although the upstream runs on, or its clock may
+    have been set back before it started again. Its heartbeats then go on; those of an
+    incarnation that has ended are late, and there are no further ones.
+    """
+    if status.state is not messages.UpstreamState.GONE:
+        return False
+    first = status.first_after_end
+    if first is None or first.born != heartbeat.born:
+        status.first_after_end, status.first_after_end_at = heartbeat, now
+        return False
+    elapsed_seconds = now - status.first_after_end_at
+    return heartbeat.number > first.number and elapsed_seconds >= RETURN_SECONDS
+
+
 def mark_draining(status: UpstreamStatus, instance: str, born: int | None) -> bool:
     """Mark an upstream that leaves as draining; return whether it counts as leaving.
 
@@ -94,6 +123,7 @@
     if status.newest is not None:
         status.ended_born = max(status.ended_born, status.newest.born)
     status.state = messages.UpstreamState.GONE
+    status.first_after_end = None
     return True
 
 
--- a/plantainproxy/flows/engine/upstream_events.py
+++ b/plantainproxy/flows/engine/upstream_events.py
@@ -34,7 +34,9 @@
     if before is None or heartbeat.born > before.born:
         engine.exit_deadline = None
     if upstream.record_heartbeat(engine.upstream, heartbeat, now=now):
-        if before is not None:
+        if before is not None and heartbeat.born <= before.born:
+            _handle_return(engine, heartbeat)
+        elif before is not None:
             _handle_new_incarnation(engine, heartbeat, before, state_before, now=now)
         elif state_before is messages.UpstreamState.DRAINING:
             _handle_first_after_deregistration(engine, heartbeat)
@@ -84,6 +86,17 @@
     engine.table.complete = True
 
 
+def _handle_return(engine: sidecar_state.Engine, heartbeat: upstream.Heartbeat) -> None:
+    """Start to observe the flows of an upstream that seemed to have ended.
+
+    It may hold flows that this process denied meanwhile.
+    """
+    engine.log.write(
+        "upstream returned", instance=heartbeat.instance, born=heartbeat.born
+    )
+    completeness.restart_observation(engine.table)
+
+
 def _handle_first_after_deregistration(
     engine: sidecar_state.Engine, heartbeat: upstream.Heartbeat
 ) -> None:
--- a/plantainproxy/flows/tests/test_flow_resets.py
+++ b/plantainproxy/flows/tests/test_flow_resets.py
@@ -3,7 +3,7 @@
 import pytest
 
 from plantainproxy.flows import messages, packets
-from plantainproxy.flows.engine import upstream_events
+from plantainproxy.flows.engine import upstream, upstream_events
 from plantainproxy.flows.programs import upstream_monitor
 from testbed import transparent
 
@@ -284,3 +284,48 @@
     assert sidecar.port.resets == [KEY]
     sidecar.handle_inbound(OPENING)
     assert sidecar.port.delivered == [OPENING]
+
+
+def test_late_heartbeats_of_an_ended_upstream_do_not_put_it_in_service() -> None:
+    """Guards against flows that are placed on an upstream that has crashed.
+
+    Its last heartbeats were delayed and arrive together.
+    """
+    sidecar = transparent.ready_sidecar()
+    upstream_events.handle_connection_refused(sidecar.engine, now=sidecar.now)
+    for number in range(2, 10):
+        sidecar.tick(TICK_SECONDS)
+        sidecar.handle_heartbeat(number)
+    sidecar.tick(2 * upstream.RETURN_SECONDS)
+    assert sidecar.engine.upstream.state is messages.UpstreamState.GONE
+    sidecar.handle_heartbeat(1, born=2_000)
+    sidecar.handle_inbound(OPENING)
+    assert sidecar.port.delivered == [OPENING]
+
+
+def test_a_late_heartbeat_ends_no_later_incarnation() -> None:
+    """Guards against resets of flows of the incarnation after one that has ended."""
+    sidecar = transparent.ready_sidecar()
+    upstream_events.handle_connection_refused(sidecar.engine, now=sidecar.now)
+    sidecar.handle_heartbeat(2)
+    sidecar.handle_heartbeat(1, born=2_000)
+    sidecar.open(KEY)
+    sidecar.tick(2 * upstream.RETURN_SECONDS)
+    sidecar.handle_heartbeat(3)
+    sidecar.handle_heartbeat(2, born=2_000)
+    assert sidecar.port.resets == []
+
+
+def test_the_flows_of_an_upstream_that_has_not_ended_are_not_denied() -> None:
+    """Guards against lookups that reset a flow that its upstream still holds."""
+    sidecar = transparent.ready_sidecar()
+    upstream_events.handle_connection_refused(sidecar.engine, now=sidecar.now)
+    assert sidecar.engine.table.complete
+    for number in range(2, 30):
+        sidecar.tick(HEARTBEAT_SECONDS)
+        sidecar.handle_heartbeat(number)
+    assert sidecar.engine.upstream.state is messages.UpstreamState.READY
+    assert not sidecar.engine.table.complete
+    sidecar.handle_inbound(DATA._replace(purpose=packets.Purpose.QUERY))
+    (_, message) = sidecar.port.sent_messages[-1]
+    assert isinstance(message, messages.FlowUnknown)
