--- a/plantainproxy/flows/engine/upstream_events.py
+++ b/plantainproxy/flows/engine/upstream_events.py
@@ -182,7 +182,7 @@
 def inherit_ready_state(
     engine: sidecar_state.Engine, *, until: float, now: float
 ) -> None:
-    """Apply that the upstream was ready when the process before this one stopped.
+    """Record that the upstream was ready when the process before this one stopped.
 
     Until ``until``, a refused connection shows a crash, also one refused already.
     """
@@ -220,7 +220,8 @@
 def handle_not_listening(engine: sidecar_state.Engine, *, now: float) -> None:
     """Start the grace period of an upstream that does not listen at process start.
 
-    A leaving upstream may still serve its last flows.
+    A leaving upstream may still serve its last flows. One that has reported that it is
+    ready may have just started, so that the next attempt decides.
     """
     engine.not_listening_since = now
     if not _was_ready(engine, now=now):
