Sidecar: the next incarnation ends the one whose grace period runs

Callers saw: their upstream left while its sidecar was restarted, and the next one started within the grace period. They got neither an answer nor a reset for 8 s, as the sidecar kept their flows as held.

The log of the sidecar has "upstream not listening" at 4.24 s, "upstream state: ready" of a later incarnation at 5.21 s, "flows reset" with 1 of 8 flows, and nothing on the other 7.

Change: an accepted connection, or a first heartbeat of a later incarnation, while the grace period runs ends the incarnation before: all its flows are reset. The upstream is then of unknown state, so that a health check puts the next one in service before its first heartbeat.

Why it works: an upstream that stopped listening does not listen again, and gets no new flows meanwhile, so every flow of the table is its own.

Before: both cases of test_the_start_of_the_next_incarnation_resets_the_ flows_of_the_one_that_left and test_the_next_incarnation_after_a_ draining_one_is_known_by_its_connection fail; after: they pass.

--- a/plantainproxy/flows/engine/upstream.py
+++ b/plantainproxy/flows/engine/upstream.py
@@ -41,8 +41,7 @@
     ended_born: int = -1
     """Start of the latest incarnation that has ended; -1 if none has."""
     first_after_end: Heartbeat | None = None
-    """First heartbeat since the upstream has been gone that is not of a later
-    incarnation."""
+    """First heartbeat since the last end that is not of a later incarnation."""
     first_after_end_at: float = float("-inf")
     """When it arrived."""
     deregistered_born: int | None = None
@@ -80,7 +79,8 @@
     have been set back before it started again. Its heartbeats then go on; those of an
     incarnation that has ended are late, and there are no further ones.
     """
-    if status.state is not messages.UpstreamState.GONE:
+    newest = status.newest
+    if newest is not None and newest.born > status.ended_born:
         return False
     first = status.first_after_end
     if first is None or first.born != heartbeat.born:
@@ -113,20 +113,29 @@
     return True
 
 
-def mark_gone(status: UpstreamStatus) -> bool:
+def mark_gone(status: UpstreamStatus, *, inherited_born: int | None = None) -> bool:
     """Mark the upstream as gone: its process has ended.
 
+    ``inherited_born`` is the start of the incarnation that an earlier process served.
     Returns whether the state has changed.
     """
     if status.state is messages.UpstreamState.GONE:
         return False
     if status.newest is not None:
         status.ended_born = max(status.ended_born, status.newest.born)
+    if inherited_born is not None:
+        status.ended_born = max(status.ended_born, inherited_born)
     status.state = messages.UpstreamState.GONE
     status.first_after_end = None
     return True
 
 
+def mark_unknown(status: UpstreamStatus) -> None:
+    """Mark the upstream as unknown: another incarnation listens at the address."""
+    status.state = messages.UpstreamState.UNKNOWN
+    status.newest = status.deregistered_born = None
+
+
 def is_cold(status: UpstreamStatus, *, now: float) -> bool:
     """Return whether the upstream is cold, so that slow start limits its new flows."""
     return now < status.cold_until
--- a/plantainproxy/flows/engine/upstream_events.py
+++ b/plantainproxy/flows/engine/upstream_events.py
@@ -31,15 +31,16 @@
         return False
     before = engine.upstream.newest
     state_before = engine.upstream.state
-    if before is None or heartbeat.born > before.born:
-        engine.exit_deadline = None
+    has_returned = heartbeat.born <= engine.upstream.ended_born
     if upstream.record_heartbeat(engine.upstream, heartbeat, now=now):
-        if before is not None and heartbeat.born <= before.born:
+        if has_returned:
             _handle_return(engine, heartbeat)
         elif before is not None:
             _handle_new_incarnation(engine, heartbeat, before, state_before, now=now)
-        elif state_before is messages.UpstreamState.DRAINING:
-            _handle_first_after_deregistration(engine, heartbeat)
+        else:
+            _handle_first_heartbeat(engine, heartbeat, state_before)
+    if engine.upstream.state is messages.UpstreamState.READY:
+        engine.exit_deadline = None
     if engine.upstream.state is not state_before:
         engine.log.write(
             "upstream state",
@@ -72,6 +73,7 @@
     The table has only flows seen since this process started. An upstream that started
     earlier holds them all; the heartbeat before was late, of an ended incarnation.
     """
+    engine.exit_deadline = None
     if heartbeat.born < engine.identity.boot:
         engine.log.write(
             "late heartbeat replaced",
@@ -97,20 +99,37 @@
     completeness.restart_observation(engine.table)
 
 
-def _handle_first_after_deregistration(
-    engine: sidecar_state.Engine, heartbeat: upstream.Heartbeat
+def _handle_first_heartbeat(
+    engine: sidecar_state.Engine,
+    heartbeat: upstream.Heartbeat,
+    state_before: messages.UpstreamState,
 ) -> None:
-    """Reset the flows of an upstream that left before it sent a heartbeat.
+    """Reset the flows of an upstream that left before it sent a heartbeat, if one did.
 
-    An upstream that announces its end runs for longer than this process has. One that
-    started later and is ready is therefore the next incarnation, and has opened no
-    flow, as a draining upstream gets none.
+    It had announced its end or stopped listening, so that it got no new flows. A later
+    incarnation that is ready holds none of the table's.
     """
-    is_leaving = engine.upstream.state is messages.UpstreamState.DRAINING
-    if is_leaving or heartbeat.born < engine.identity.boot:
+    has_left = (
+        state_before is messages.UpstreamState.DRAINING
+        or engine.exit_deadline is not None
+    )
+    if not has_left or engine.upstream.state is messages.UpstreamState.DRAINING:
         return
-    _reset_all_flows(engine, reason="upstream restarted")
-    engine.table.complete = True
+    if _is_later_incarnation(engine, heartbeat):
+        _reset_all_flows(engine, reason="upstream restarted")
+        engine.table.complete = True
+
+
+def _is_later_incarnation(
+    engine: sidecar_state.Engine, heartbeat: upstream.Heartbeat
+) -> bool:
+    """Return whether an upstream started after the one that this process found.
+
+    That one is known by the snapshot, or started before this process.
+    """
+    if engine.inherited_born is not None:
+        return heartbeat.born > engine.inherited_born
+    return heartbeat.born >= engine.identity.boot
 
 
 def handle_deregistration(
@@ -170,13 +189,18 @@
     return state is messages.UpstreamState.READY
 
 
-def handle_connected(engine: sidecar_state.Engine) -> None:
-    """End the grace period: the upstream listens, so no earlier one is on its way out.
+def handle_connected(engine: sidecar_state.Engine, *, now: float) -> None:
+    """Handle a connection that the upstream's address has accepted.
 
-    An incarnation that has just started must not end with the grace period of the one
-    before.
+    An upstream that had stopped listening has then ended, and the next incarnation has
+    started; its state is not known yet.
     """
-    engine.exit_deadline = None
+    if engine.exit_deadline is None:
+        return
+    handle_upstream_exit(engine, reason="another listens", now=now)
+    upstream.mark_unknown(engine.upstream)
+    if engine.not_listening_since is not None:
+        end_not_listening_grace(engine)
 
 
 def inherit_ready_state(
@@ -207,7 +231,7 @@
     """Mark the upstream as gone and reset its flows: its process has ended."""
     engine.exit_deadline = None
     was_ready = engine.upstream.state is messages.UpstreamState.READY
-    if not upstream.mark_gone(engine.upstream):
+    if not upstream.mark_gone(engine.upstream, inherited_born=engine.inherited_born):
         return
     if was_ready:
         outlier_detection.record_crash(engine.outlier_detector, now=now)
--- a/plantainproxy/flows/programs/sidecar_main.py
+++ b/plantainproxy/flows/programs/sidecar_main.py
@@ -334,7 +334,7 @@
 
 async def _monitor_upstream(process: SidecarProcess) -> None:
     def handle_connected() -> None:
-        upstream_events.handle_connected(process.engine)
+        upstream_events.handle_connected(process.engine, now=runtime.current_time())
 
     def handle_refused() -> None:
         upstream_events.handle_connection_refused(
--- a/plantainproxy/flows/tests/test_flow_machine.py
+++ b/plantainproxy/flows/tests/test_flow_machine.py
@@ -292,7 +292,7 @@
                         now=self.now,
                     )
                 if self.servers[number].listening:
-                    upstream_events.handle_connected(engine)
+                    upstream_events.handle_connected(engine, now=self.now)
                 else:
                     self.refuse_connection(number)
                 sidecar.tick(engine, now=self.now)
--- a/plantainproxy/flows/tests/test_flow_resets.py
+++ b/plantainproxy/flows/tests/test_flow_resets.py
@@ -242,7 +242,8 @@
     sidecar = _restarted_sidecar()
     upstream_events.handle_not_listening(sidecar.engine, now=sidecar.now)
     sidecar.tick(upstream_events.EXIT_GRACE_SECONDS / 2)
-    upstream_events.handle_connected(sidecar.engine)
+    upstream_events.handle_connected(sidecar.engine, now=sidecar.now)
+    assert sidecar.port.resets == [KEY]
     upstream_events.handle_health_check_passed(sidecar.engine, now=sidecar.now)
     other = transparent.flow_key(2)
     sidecar.open(other)
@@ -329,3 +330,47 @@
     sidecar.handle_inbound(DATA._replace(purpose=packets.Purpose.QUERY))
     (_, message) = sidecar.port.sent_messages[-1]
     assert isinstance(message, messages.FlowUnknown)
+
+
+@pytest.mark.parametrize("is_connected_first", [False, True])
+def test_the_start_of_the_next_incarnation_resets_the_flows_of_the_one_that_left(
+    is_connected_first: bool,
+) -> None:
+    """Guards against callers that wait for an upstream that has been replaced.
+
+    It left while its sidecar was restarted, and the next one starts within the grace
+    period. Packets of the flow have passed, so that it is not inherited any more.
+    """
+    sidecar = _restarted_sidecar()
+    upstream_events.handle_not_listening(sidecar.engine, now=sidecar.now)
+    sidecar.handle_inbound(DATA)
+    sidecar.tick(upstream_events.EXIT_GRACE_SECONDS / 2)
+    if is_connected_first:
+        upstream_events.handle_connected(sidecar.engine, now=sidecar.now)
+        assert sidecar.port.resets == [KEY]
+    sidecar.handle_heartbeat(1, born=2_000)
+    assert sidecar.port.resets == [KEY]
+    other = transparent.flow_key(2)
+    sidecar.open(other)
+    sidecar.tick(upstream_events.EXIT_GRACE_SECONDS)
+    sidecar.handle_heartbeat(2, born=2_000)
+    assert sidecar.port.resets == [KEY]
+
+
+def test_the_next_incarnation_after_a_draining_one_is_known_by_its_connection() -> None:
+    """Guards against a state of a draining upstream that outlives its incarnation.
+
+    The first heartbeat of the next one is late.
+    """
+    sidecar = transparent.ready_sidecar()
+    sidecar.open(KEY)
+    sidecar.handle_heartbeat(2, draining=True)
+    upstream_events.handle_connection_refused(sidecar.engine, now=sidecar.now)
+    upstream_events.handle_connected(sidecar.engine, now=sidecar.now)
+    assert sidecar.port.resets == [KEY]
+    upstream_events.handle_health_check_passed(sidecar.engine, now=sidecar.now)
+    sidecar.handle_heartbeat(3)
+    other = transparent.flow_key(2)
+    sidecar.open(other)
+    sidecar.handle_heartbeat(1, born=2_000)
+    assert sidecar.port.resets == [KEY]
