Soak: upstreams that leave beside planned work

Half of the sidecars are restarted just before. A reset of a flow whose upstream has not ended is a violation.

--- a/standins/flow_ends.py
+++ b/standins/flow_ends.py
@@ -27,6 +27,8 @@
 SEQUENCE_MASK = 0xFFFF_FFFF
 INITIAL_SEQUENCE_BITS = 30
 """Initial sequence numbers are below 2**30, so that none wraps around in a test."""
+LAST_FLOWS_SECONDS = 0.25
+"""How long an upstream that has stopped listening serves its last flows."""
 MAX_RECORDED_ARRIVALS = 200_000
 """Capacity of an upstream's record of packets, of about 100 bytes each."""
 
@@ -154,6 +156,20 @@
         """Stop immediately, without draining or a final heartbeat."""
         self.cancel_scope.cancel()
 
+    async def leave(self) -> None:
+        """Deregister, stop listening, serve the last flows, and end."""
+        self.stop_heartbeats()
+        with contextlib.suppress(http.UnsentError, http.UnansweredError):
+            await http.post(
+                self.heartbeats,
+                "/v1/instances/i-1/deregister",
+                msgspec.json.encode({"born": self.started_milliseconds}),
+                timeout_seconds=HEARTBEAT_TIMEOUT_SECONDS,
+            )
+        self.stop_listening()
+        await trio.sleep(LAST_FLOWS_SECONDS)
+        self.crash()
+
     def stop_heartbeats(self) -> None:
         """Send no further heartbeats."""
         self.heartbeat_scope.cancel()
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -14,6 +14,10 @@
 more callers keep their flows; ``--planned --nojoint_stops`` leaves this out, as in the
 seeds that the tests run.
 
+With ``--leaving`` there is planned work only, too: upstreams announce their end and
+leave, also just after a restart of their sidecars, and others start in their places. A
+flow may be reset once its upstream has ended.
+
 With ``--foreign`` another writer also sends odd datagrams, HTTP requests, entries and
 configurations, beside planned work. The configuration that follows must take effect.
 """
@@ -40,11 +44,14 @@
 
 CALLERS = 8
 KEEPING_CALLERS = 24
-"""Further callers of a run with joint stops, which keep their flows until the end."""
+"""Further callers of a run with joint stops or with upstreams that leave, which keep
+their flows until the end."""
 REQUEST_TIMEOUT_SECONDS = 3.0
 KEEPING_REQUEST_TIMEOUT_SECONDS = 8.0
 """The same for the further callers; a balancer may reset a flow after 3 s of waiting,
 which a caller that has given up does not receive."""
+ANNOUNCED_SECONDS = (3.0, 4.0)
+"""Times for which an upstream announces its end before it leaves."""
 JOINT_STOP_SIDECARS = 2
 SERIAL_STOP_SECONDS = 0.3
 """Time for which each process is away when all are stopped in turn."""
@@ -106,6 +113,10 @@
     54: "a sidecar was stopped before a balancer had subscribed to its reports",
 }
 """The same for planned work only."""
+LEAVING_REGRESSION_SEEDS = {
+    506: "a sidecar did not know the state of an upstream that stopped listening",
+}
+"""The same with upstreams that leave."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -135,9 +146,16 @@
         self.is_planned = is_planned
         """Whether there is planned work only, so that no open flow may be reset."""
         self.has_joint_stops = has_joint_stops
-        """Whether several processes are stopped at once or in turn."""
+        """Whether several processes are stopped at once or in turn, or upstreams leave.
+
+        Further callers keep their flows then."""
         self.random = random.Random(seed)
         self.result = RunResult()
+        self.nursery: trio.Nursery | None = None
+        """Where upstreams run that start in the place of others."""
+        self.is_upstream_leaving = False
+        self.ended_upstreams: list[flow_ends.Upstream] = []
+        """Upstreams that have left."""
         self.strays: stray_packets.Figures | None = None
         self.stray_violations: list[str] = []
         """Violations only of a run with planned work only."""
@@ -145,6 +163,11 @@
         self.reserved_nodes: set[pathlib.Path] = set()
         """Settings files of the nodes that an action uses; other actions skip them."""
 
+    @property
+    def upstreams(self) -> list[flow_ends.Upstream]:
+        """All upstreams of the run, including those that have left."""
+        return [*self.ended_upstreams, *self.site.upstreams]
+
     def record_action(self, text: str) -> None:
         """Record an action, with its time, for the report of a failed seed."""
         self.actions.append(f"{trio.current_time():.2f} {text}")
@@ -183,7 +206,11 @@
                     await trio.sleep(run.random.uniform(0.01, 0.3))
         except flow_ends.FlowResetError:
             run.result.resets += 1
-            if run.is_planned and opened_at is not None:
+            if (
+                run.is_planned
+                and opened_at is not None
+                and not _has_ended(run, (flow.source, flow.service))
+            ):
                 run.result.violations.append(
                     f"{trio.current_time():.2f} flow {caller.address.host}:"
                     f"{caller.port} of {opened_at:.2f} was reset"
@@ -193,6 +220,14 @@
         await trio.sleep(0.02)
 
 
+def _has_ended(run: SoakRun, key: flow_ends.FlowKey) -> bool:
+    """Return whether the upstream that held a flow has left."""
+    return any(
+        key in upstream.flows and upstream.ended_at <= trio.current_time()
+        for upstream in run.ended_upstreams
+    )
+
+
 Action = abc.Callable[[SoakRun], abc.Awaitable[None]]
 
 
@@ -524,6 +559,38 @@
     upstream.draining = False
 
 
+async def replace_upstream(run: SoakRun) -> None:
+    """Let an upstream leave as announced, and start another one in its place.
+
+    Its sidecar may be restarted just before. One upstream leaves at a time.
+    """
+    node = run.random.choice(run.site.sidecars)
+    (upstream,) = (
+        candidate
+        for candidate in run.site.upstreams
+        if candidate.address.host == node.host
+    )
+    if run.is_upstream_leaving or upstream.draining:
+        return
+    run.is_upstream_leaving = upstream.draining = True
+    run.record_action(f"leaving {upstream.address}")
+    await trio.sleep(run.random.uniform(*ANNOUNCED_SECONDS))
+    if run.random.random() < 0.5:
+        with _reserve_nodes(run, [node], 1) as reserved:
+            for free_node in reserved:
+                upstream.stop_heartbeats()
+                run.record_action(f"SIGTERM {node.settings_path.stem} before the end")
+                await _stop_and_start(run, free_node, run.random.uniform(0.0, 0.5))
+                await trio.sleep(run.random.uniform(0.0, 0.5))
+    run.record_action(f"left {upstream.address}")
+    run.ended_upstreams.append(upstream)
+    await upstream.leave()
+    await trio.sleep(run.random.uniform(0.3, 1.5))
+    assert run.nursery is not None
+    run.nursery.start_soon(run.site.add_upstream(node).run)
+    run.is_upstream_leaving = False
+
+
 async def evacuate(run: SoakRun) -> None:
     """Take a failure domain out temporarily and check that it receives no new flow."""
     key = "op/evacuate/d0"
@@ -579,6 +646,7 @@
     restart_all_in_turn,
 )
 """The faults of earlier planned seeds stay the same without the joint stops."""
+LEAVING_ACTIONS: tuple[Action, ...] = (*PLANNED_ACTIONS, *(3 * [replace_upstream]))
 FOREIGN_ACTIONS: tuple[Action, ...] = (
     write_foreign_document,
     write_foreign_entry,
@@ -658,14 +726,12 @@
     yield from find_older_versions(run)
     yield from find_unregistered(run)
     executed = [
-        payload
-        for upstream in run.site.upstreams
-        for payload in upstream.executed_payloads
+        payload for upstream in run.upstreams for payload in upstream.executed_payloads
     ]
     duplicates = {payload for payload in executed if executed.count(payload) > 1}
     if duplicates:
         yield f"requests executed more than once: {sorted(duplicates)[:3]}"
-    for upstream in run.site.upstreams:
+    for upstream in run.upstreams:
         if upstream.unexpected_packets:
             yield (
                 f"{upstream.address} received a SYN-ACK packet, "
@@ -689,6 +755,7 @@
     is_planned: bool = False,
     has_joint_stops: bool = False,
     is_foreign: bool = False,
+    has_leaving: bool = False,
 ) -> SoakRun:
     """Run one seed: inject faults for ``seconds``, then check the recovery."""
     async with flow_site.running(
@@ -702,15 +769,19 @@
         run = SoakRun(
             site,
             seed,
-            is_planned=is_planned or is_foreign,
-            has_joint_stops=has_joint_stops,
+            is_planned=is_planned or is_foreign or has_leaving,
+            has_joint_stops=has_joint_stops or has_leaving,
         )
         async with trio.open_nursery() as nursery:
-            for index in range(CALLERS + (KEEPING_CALLERS if has_joint_stops else 0)):
+            run.nursery = nursery
+            callers = CALLERS + (KEEPING_CALLERS if run.has_joint_stops else 0)
+            for index in range(callers):
                 nursery.start_soon(send_requests_forever, run, index)
             actions = ACTIONS if plan is SMALL else RELAY_ACTIONS
             if is_planned:
                 actions = JOINT_STOP_ACTIONS if has_joint_stops else PLANNED_ACTIONS
+            if has_leaving:
+                actions = LEAVING_ACTIONS
             if is_foreign:
                 actions = PLANNED_ACTIONS
                 nursery.start_soon(inject_foreign, run, seconds)
@@ -722,7 +793,7 @@
                 site.configure()
             await trio.sleep(RECOVERY_SECONDS)
             end = trio.current_time()
-            flows = stray_packets.open_flows(site.upstreams, end=end)
+            flows = stray_packets.open_flows(run.upstreams, end=end)
             run.strays = stray_packets.measure(flows)
             run.stray_violations = list(stray_packets.find_violations(flows))
             run.result.violations = list(find_violations(run, end=end))
@@ -741,6 +812,7 @@
     planned: bool = False,
     joint_stops: bool = True,
     foreign: bool = False,
+    leaving: bool = False,
 ) -> None:
     """Run seeds one after another; the exit code is the number of failed seeds."""
     run_one = functools.partial(
@@ -749,13 +821,14 @@
         is_planned=planned,
         has_joint_stops=planned and joint_stops,
         is_foreign=foreign,
+        has_leaving=leaving,
     )
     failed = 0
     for seed in range(first, first + seeds):
         with tempfile.TemporaryDirectory() as directory:
             run = trio.run(run_one, seed, seconds, pathlib.Path(directory))
             violations = run.result.violations
-            if planned or foreign:
+            if planned or foreign or leaving:
                 violations = [*violations, *run.stray_violations]
             if violations:
                 output_directory = pathlib.Path("out") / f"soak-{seed}"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -47,6 +47,17 @@
     _check_seed(seed, tmp_path, soak.WITH_RELAYS, is_planned=True, seconds=15.0)
 
 
+@pytest.mark.parametrize("seed", sorted(soak.LEAVING_REGRESSION_SEEDS))
+def test_no_flow_is_reset_before_its_upstream_has_left(
+    tmp_path: pathlib.Path, seed: int
+) -> None:
+    """Guards against resets of flows that a leaving upstream still serves.
+
+    Sidecars are restarted before and while their upstreams leave.
+    """
+    _check_seed(seed, tmp_path, soak.WITH_RELAYS, has_leaving=True, seconds=15.0)
+
+
 @pytest.mark.parametrize("seed", [401])
 def test_no_input_of_another_writer_ends_a_process(
     tmp_path: pathlib.Path, seed: int
@@ -66,6 +77,7 @@
     restores_store: bool = False,
     is_planned: bool = False,
     is_foreign: bool = False,
+    has_leaving: bool = False,
     seconds: float = SECONDS,
 ) -> None:
     run_seed = functools.partial(
@@ -74,6 +86,7 @@
         restores_store=restores_store,
         is_planned=is_planned,
         is_foreign=is_foreign,
+        has_leaving=has_leaving,
     )
     run = trio.run(run_seed, seed, seconds, directory)
     assert run.result.violations == []
