Test of a refused configuration: a balancer without a relay refuses it, too

Cause, in the test: a balancer that no relay covers yet follows the store itself and states the refusal.

Change: every sidecar must state the refusal, once and with the version, and so may only a process that has logged it.

--- a/tests/test_flow_configuration.py
+++ b/tests/test_flow_configuration.py
@@ -40,6 +40,26 @@
     ]
 
 
+def _refusing_hosts(status: str, *, version: int) -> list[str]:
+    """Return the hosts whose line in the status states that they refuse a version."""
+    refusals = [
+        line for line in status.splitlines() if "refuses the configuration at" in line
+    ]
+    assert all(f", version {version}" in line for line in refusals)
+    return [line.partition(":")[0].removeprefix("balancer ") for line in refusals]
+
+
+def _hosts_that_refused(site: flow_site.Site) -> set[str]:
+    """Return the hosts of the processes that have logged a refusal."""
+    return {
+        node.host
+        for node in _nodes(site)
+        if any(
+            line["message"] == "configuration refused" for line in _lines(site, node)
+        )
+    }
+
+
 async def _request(site: flow_site.Site) -> None:
     async with flow_ends.open_flow(site.caller(), flow_site.SERVICE) as flow:
         assert await flow.request(b"request") == b"request"
@@ -125,9 +145,11 @@
                 status = await flow_site.run_ctl("status", store)
                 assert status.returncode == INVALID_CONFIGURATION_EXIT_CODE
                 assert "configuration refused, version 5 at revision" in status.stdout
-                assert status.stdout.count("refuses the configuration at") == len(
-                    site.sidecars
-                )
+                # A balancer that no relay covers yet follows the store itself.
+                refusing = _refusing_hosts(status.stdout, version=5)
+                assert {node.host for node in site.sidecars} <= set(refusing)
+                assert set(refusing) <= _hosts_that_refused(site)
+                assert len(refusing) == len(set(refusing))
 
                 for node in (site.balancers[0], site.sidecars[0]):
                     await _restart(site, node)
