Sidecar: a deregistration cannot announce the end of a later incarnation

Callers saw nothing: found by generated inputs. With a deregistration of another writer that stated a later start than the newest heartbeat's, an incarnation with just that start stayed draining.

The stated start was kept even if heartbeats of another incarnation were known.

--- a/plantainproxy/flows/engine/upstream.py
+++ b/plantainproxy/flows/engine/upstream.py
@@ -45,8 +45,8 @@
     first_after_end_at: float = float("-inf")
     """When it arrived."""
     deregistered_born: int | None = None
-    """Start of the incarnation that has announced its end; ``None`` if none has or its
-    start is not known."""
+    """Start of the incarnation that has announced its end; ``None`` if none has, or if
+    that is not the one whose heartbeats are known."""
 
 
 def record_heartbeat(
@@ -108,7 +108,9 @@
             return False
     if status.state is messages.UpstreamState.GONE:
         return False
-    status.deregistered_born = born
+    # Another writer may state any start, also that of an incarnation to come.
+    is_other = newest is not None and born != newest.born
+    status.deregistered_born = None if is_other else born
     status.state = messages.UpstreamState.DRAINING
     return True
 
--- a/plantainproxy/flows/tests/test_flow_resets.py
+++ b/plantainproxy/flows/tests/test_flow_resets.py
@@ -374,3 +374,17 @@
     sidecar.open(other)
     sidecar.handle_heartbeat(1, born=2_000)
     assert sidecar.port.resets == [KEY]
+
+
+def test_a_deregistration_of_an_incarnation_to_come_has_no_effect_on_it() -> None:
+    """Guards against another writer that keeps the next incarnation out of service.
+
+    Found by 100,000 generated heartbeats and deregistrations, seed 83.
+    """
+    sidecar = transparent.ready_sidecar()
+    upstream_events.handle_deregistration(
+        sidecar.engine, "i-9", born=2_000, now=sidecar.now
+    )
+    sidecar.handle_heartbeat(1, born=2_000)
+    sidecar.handle_inbound(OPENING)
+    assert sidecar.port.delivered == [OPENING]
