--- a/tests/test_flow_site.py
+++ b/tests/test_flow_site.py
@@ -49,6 +49,14 @@
     trio.run(main)
 
 
+async def _restart(site: flow_site.Site, node: flow_site.Node) -> None:
+    """Stop a process as planned, start the next one and wait until that is ready."""
+    node.signal(signal.SIGTERM)
+    assert await node.wait() == 0
+    site.start(node)
+    await site.wait_until_ready([node])
+
+
 def test_a_flow_is_served_whichever_balancer_gets_its_packets(
     tmp_path: pathlib.Path,
 ) -> None:
@@ -77,10 +85,7 @@
         async with flow_ends.open_flow(caller, flow_site.SERVICE) as flow:
             assert await flow.request(b"before") == b"before"
             for node in [*site.balancers, *site.sidecars]:
-                node.signal(signal.SIGTERM)
-                assert await node.wait() == 0
-                site.start(node)
-                await site.wait_until_ready([node])
+                await _restart(site, node)
             assert await flow.request(b"after", timeout_seconds=8.0) == b"after"
 
     _run_on_site(tmp_path, 42, check)
@@ -110,10 +115,7 @@
                 flow_ends.open_flow(site.caller(1), flow_site.SERVICE) as idle,
             ):
                 assert await used.request(b"before") == b"before"
-                node.signal(signal.SIGTERM)
-                assert await node.wait() == 0
-                site.start(node)
-                await site.wait_until_ready([node])
+                await _restart(site, node)
                 with trio.fail_after(COMPLETE_SECONDS):
                     while not (report := await site.report(node)).complete:
                         await trio.sleep(flow_site.POLL_SECONDS)
@@ -141,10 +143,7 @@
             upstream.draining = True
             await trio.sleep(DRAINING_SECONDS)
             upstream.stop_heartbeats()
-            node.signal(signal.SIGTERM)
-            assert await node.wait() == 0
-            site.start(node)
-            await site.wait_until_ready([node])
+            await _restart(site, node)
             upstream.stop_listening()
             await trio.sleep(2 * upstream_monitor.RETRY_INTERVAL_SECONDS)
             assert await flow.request(b"last") == b"last"
@@ -171,10 +170,7 @@
             await trio.sleep(DRAINING_SECONDS)
             upstream.stop_heartbeats()
             if is_restarted:
-                node.signal(signal.SIGTERM)
-                assert await node.wait() == 0
-                site.start(node)
-                await site.wait_until_ready([node])
+                await _restart(site, node)
                 await trio.sleep(upstream_monitor.RETRY_INTERVAL_SECONDS)
             upstream.stop_listening()
             node.signal(signal.SIGTERM)
